--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -3,7 +3,7 @@
 # when all of them are present, so that offline rebuilds work.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl jq
+  g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl jq bc
   libsigc++-3.0-dev libevent-dev libcapnp-dev prometheus-cpp-dev
   libboost-program-options-dev libboost-filesystem-dev libboost-dev
   libspdlog-dev doctest-dev nlohmann-json3-dev libxxhash-dev
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,34 +1,52 @@
+#include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <string>
 #include <vector>
 
 #include "app/serve.hpp"
+#include "cli/commands.hpp"
+#include "cli/load.hpp"
+#include "mangospread/preprocessor.hpp"
 
 namespace {
 
-constexpr char kUsage[] =
-    "usage: mangospread <command> [options]\n"
-    "\n"
-    "commands:\n"
-    "  serve     run an entry node (serve --help lists its settings)\n"
-    "  version   print the version\n";
+namespace cli = mangospread::cli;
 
-constexpr int kExitUsage = 2;
+std::string Usage() {
+  return "usage: mangospread <command> [options]\n\ncommands:\n"
+         "  serve                             run an entry node "
+         "(serve --help lists its settings)\n" +
+         cli::CommandsHelp() +
+         "  load                              send requests and measure "
+         "(load --help)\n"
+         "  version                           print the version\n";
+}
+
+int Dispatch(const std::string& command,
+             const std::vector<std::string>& arguments) {
+  if (command == "serve") return mangospread::app::Serve(arguments);
+  if (command == "load") return cli::RunLoad(arguments);
+  if (cli::IsCommand(command)) return cli::RunCommand(command, arguments);
+  if (command == "version") {
+    std::printf("mangospread %d.%d.%d\n", MANGOSPREAD_VERSION_MAJOR,
+                MANGOSPREAD_VERSION_MINOR, MANGOSPREAD_VERSION_PATCH);
+    return cli::kExitOk;
+  }
+  std::fprintf(stderr, "unknown command: %s\n%s", command.c_str(),
+               Usage().c_str());
+  return cli::kExitUsage;
+}
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  const std::vector<std::string> arguments(argv + std::min(argc, 1),
+                                           argv + argc);
   if (arguments.empty() || arguments[0] == "--help") {
-    std::fputs(kUsage, stdout);
-    return arguments.empty() ? kExitUsage : 0;
-  }
-  const std::vector<std::string> rest(arguments.begin() + 1, arguments.end());
-  if (arguments[0] == "serve") return mangospread::app::Serve(rest);
-  if (arguments[0] == "version") {
-    std::puts("mangospread 0.1.0");
-    return 0;
+    std::fputs(Usage().c_str(), stdout);
+    return arguments.empty() ? cli::kExitUsage : cli::kExitOk;
   }
-  std::fprintf(stderr, "unknown command: %s\n%s", argv[1], kUsage);
-  return kExitUsage;
+  std::signal(SIGPIPE, SIG_IGN);
+  return Dispatch(arguments[0], {arguments.begin() + 1, arguments.end()});
 }
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,5 +1,7 @@
 #include "app/node.hpp"
 
+#include <sys/resource.h>
+
 #include <utility>
 
 #include "base/clock.hpp"
@@ -80,6 +82,24 @@
   };
 }
 
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  double resident_bytes = 0;
+};
+
+ProcessUsage ReadProcessUsage() {
+  constexpr double kMicrosPerSecond = 1e6;
+  constexpr double kBytesPerKibibyte = 1024;
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / kMicrosPerSecond;
+  };
+  return {seconds(usage.ru_utime) + seconds(usage.ru_stime),
+          static_cast<double>(usage.ru_maxrss) * kBytesPerKibibyte};
+}
+
 }  // namespace
 
 Node::Node(base::EventLoop& loop, Settings settings, PlatformClients platform,
@@ -333,6 +353,11 @@
       MetricType::kCounter, requests.forwarded);
   add("requests_retried_total", "Further sends of a request.",
       MetricType::kCounter, requests.retried);
+  const ProcessUsage usage = ReadProcessUsage();
+  add("process_cpu_seconds_total", "Processor time of this process.",
+      MetricType::kCounter, usage.cpu_seconds);
+  add("process_resident_bytes", "Highest resident memory of this process.",
+      MetricType::kGauge, usage.resident_bytes);
   add("config_revision", "Installed configuration revision.",
       MetricType::kGauge, store_.revision().value());
   add("config_stale_total", "Dropped changes of a lower revision.",
--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -92,9 +92,14 @@
   state_.reset();
 }
 
-EventLoop::EventLoop() {
+EventLoop::EventLoop(TimerResolution resolution) {
   EnableThreads();
-  base_ = event_base_new();
+  event_config* config = event_config_new();
+  if (resolution == TimerResolution::kMicrosecond) {
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  }
+  base_ = event_base_new_with_config(config);
+  event_config_free(config);
   wakeup_ = event_new(
       base_, -1, EV_PERSIST,
       [](evutil_socket_t, short, void* arg) {  // NOLINT
--- a/src/base/event_loop.hpp
+++ b/src/base/event_loop.hpp
@@ -38,10 +38,14 @@
   std::shared_ptr<detail::TimerState> state_;
 };
 
+/// Resolution of a loop's timers. Precise timers cost a system call each.
+enum class TimerResolution : unsigned char { kMillisecond, kMicrosecond };
+
 /// One libevent loop. All members but Post are for the loop's own thread.
 class EventLoop {
  public:
-  EventLoop();
+  explicit EventLoop(
+      TimerResolution resolution = TimerResolution::kMillisecond);
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
--- /dev/null
+++ b/src/cli/commands.hpp
@@ -0,0 +1,26 @@
+/// @file
+/// Commands for operators: apply, get, delete, status, explain and watch.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace mangospread::cli {
+
+/// Exit statuses of the commands.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailure = 1;  ///< The server refused or failed.
+inline constexpr int kExitUsage = 2;
+
+/// True if `command` is one of the commands here.
+[[nodiscard]] bool IsCommand(const std::string& command);
+
+/// Runs a command; its output goes to standard output, problems to standard
+/// error.
+[[nodiscard]] int RunCommand(const std::string& command,
+                             const std::vector<std::string>& arguments);
+
+/// One line of help for each command.
+[[nodiscard]] std::string CommandsHelp();
+
+}  // namespace mangospread::cli
--- /dev/null
+++ b/src/cli/load.cc
@@ -0,0 +1,240 @@
+#include "cli/load.hpp"
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+#include "base/clock.hpp"
+#include "base/event_loop.hpp"
+#include "cli/commands.hpp"
+#include "cli/histogram.hpp"
+#include "net/http_client.hpp"
+
+namespace mangospread::cli {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::int64_t kNanosPerMicro = 1'000;
+constexpr double kMicrosPerMs = 1'000;
+
+struct LoadOptions {
+  std::vector<Address> servers;
+  std::string target;
+  net::Method method = net::Method::kGet;
+  int concurrency = 8;
+  double rate = 0;
+  Milliseconds duration{10'000};
+  Milliseconds warm_up{1'000};
+  Milliseconds timeout{5'000};
+  std::size_t body_bytes = 0;
+  bool keys = false;
+  std::vector<std::string> headers;
+};
+
+po::options_description Describe() {
+  po::options_description options("options of mangospread load");
+  auto add = options.add_options();
+  add("server", po::value<std::string>()->default_value("127.0.0.1:8080"),
+      "http addresses of nodes, separated by commas");
+  add("target", po::value<std::string>()->default_value("/"),
+      "path, for example /svc/quotes/item");
+  add("method", po::value<std::string>()->default_value("GET"), "GET or POST");
+  add("concurrency", po::value<int>()->default_value(8),
+      "requests in flight at most");
+  add("rate", po::value<double>()->default_value(0),
+      "requests a second; 0 sends as fast as answers come");
+  add("duration-ms", po::value<std::int64_t>()->default_value(10'000), "");
+  add("warm-up-ms", po::value<std::int64_t>()->default_value(1'000),
+      "time before requests are counted");
+  add("timeout-ms", po::value<std::int64_t>()->default_value(5'000), "");
+  add("body-bytes", po::value<std::size_t>()->default_value(0), "");
+  add("idempotency-keys", po::bool_switch(),
+      "give each request a new Idempotency-Key");
+  add("header", po::value<std::vector<std::string>>()->composing(),
+      "further header, name:value");
+  add("help", "");
+  return options;
+}
+
+Result<LoadOptions> Parse(const std::vector<std::string>& words) {
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(words).options(Describe()).run(), values);
+  } catch (const po::error& problem) {
+    return Error{Errc::kInvalidArgument, problem.what()};
+  }
+  LoadOptions options;
+  std::istringstream servers(values["server"].as<std::string>());
+  for (std::string text; std::getline(servers, text, ',');) {
+    const auto address = ParseAddress(text);
+    if (!address.ok()) return address.error();
+    options.servers.push_back(address.value());
+  }
+  options.target = values["target"].as<std::string>();
+  const auto method = values["method"].as<std::string>();
+  if (method != "GET" && method != "POST") {
+    return Error{Errc::kInvalidArgument, "method"};
+  }
+  options.method = method == "GET" ? net::Method::kGet : net::Method::kPost;
+  options.concurrency = values["concurrency"].as<int>();
+  options.rate = values["rate"].as<double>();
+  options.duration = Milliseconds(values["duration-ms"].as<std::int64_t>());
+  options.warm_up = Milliseconds(values["warm-up-ms"].as<std::int64_t>());
+  options.timeout = Milliseconds(values["timeout-ms"].as<std::int64_t>());
+  options.body_bytes = values["body-bytes"].as<std::size_t>();
+  options.keys = values["idempotency-keys"].as<bool>();
+  if (values.count("header") > 0) {
+    options.headers = values["header"].as<std::vector<std::string>>();
+  }
+  const bool sane = options.concurrency > 0 && options.rate >= 0 &&
+                    options.duration.count() > 0 && !options.servers.empty();
+  if (!sane) return Error{Errc::kOutOfRange, "concurrency, rate or duration"};
+  return options;
+}
+
+class LoadGenerator {
+ public:
+  LoadGenerator(base::EventLoop& loop, LoadOptions options)
+      : loop_(loop), options_(std::move(options)) {
+    for (const Address& server : options_.servers) {
+      net::PoolLimits limits;
+      limits.max_connections = static_cast<std::size_t>(options_.concurrency);
+      pools_.push_back(net::HttpClientPool::Create(loop_, server, limits));
+    }
+    std::random_device random;
+    key_prefix_ = std::to_string(random()) + "-";
+  }
+
+  void Start() {
+    started_ = base::MonotonicNow();
+    counted_from_ = started_ + options_.warm_up;
+    ends_ = counted_from_ + options_.duration;
+    next_due_ = started_;
+    Fill();
+    if (options_.rate > 0) {
+      constexpr MonotonicTime kTick = std::chrono::microseconds(50);
+      timer_ = loop_.Every(kTick, 0, [this] { Fill(); });
+    }
+  }
+
+  [[nodiscard]] std::string Report() const {
+    const double seconds =
+        std::chrono::duration<double>(options_.duration).count();
+    const auto ms = [this](double q) {
+      return static_cast<double>(latency_.Quantile(q)) / kMicrosPerMs;
+    };
+    nlohmann::json report{{"outcomes", outcomes_},
+                          {"requests_per_second",
+                           static_cast<double>(latency_.count()) / seconds},
+                          {"p50_ms", ms(0.5)},
+                          {"p99_ms", ms(0.99)},
+                          {"p999_ms", ms(0.999)},
+                          {"max_ms", ms(1)}};
+    return report.dump();
+  }
+
+ private:
+  /// Starts the requests that are due.
+  void Fill() {
+    const MonotonicTime now = base::MonotonicNow();
+    if (now >= ends_) {
+      if (in_flight_ == 0) loop_.Stop();
+      return;
+    }
+    while (in_flight_ < options_.concurrency) {
+      MonotonicTime due = now;
+      if (options_.rate > 0) {
+        if (next_due_ > now) return;
+        due = next_due_;
+        next_due_ +=
+            MonotonicTime(static_cast<std::int64_t>(1e9 / options_.rate));
+      }
+      Send(due);
+    }
+  }
+
+  void Send(MonotonicTime due) {
+    net::Request request;
+    request.method = options_.method;
+    request.target = options_.target;
+    request.body.assign(options_.body_bytes, 'x');
+    if (options_.keys) {
+      request.headers.Add("Idempotency-Key",
+                          key_prefix_ + std::to_string(next_key_++));
+    }
+    for (const std::string& header : options_.headers) {
+      const auto colon = header.find(':');
+      if (colon == std::string::npos) continue;
+      request.headers.Add(header.substr(0, colon), header.substr(colon + 1));
+    }
+    net::CallOptions call;
+    call.timeout = options_.timeout;
+    ++in_flight_;
+    auto& pool = *pools_[next_pool_++ % pools_.size()];
+    pool.Send(request, call, [this, due](const net::CallResult& result) {
+      --in_flight_;
+      Count(due, result);
+      Fill();
+    });
+  }
+
+  void Count(MonotonicTime due, const net::CallResult& result) {
+    const MonotonicTime now = base::MonotonicNow();
+    if (due < counted_from_ || now >= ends_) return;
+    latency_.Add(
+        static_cast<std::uint64_t>((now - due).count() / kNanosPerMicro));
+    if (!result.response.ok()) {
+      ++outcomes_[ErrcName(result.response.error().code)];
+      return;
+    }
+    const auto& response = result.response.value();
+    const auto outcome = response.headers.Get("Mangospread-Outcome");
+    ++outcomes_[outcome.empty() ? "status_" + std::to_string(response.status)
+                                : std::string(outcome)];
+  }
+
+  base::EventLoop& loop_;
+  LoadOptions options_;
+  std::vector<std::shared_ptr<net::HttpClientPool>> pools_;
+  std::string key_prefix_;
+  std::uint64_t next_key_ = 0;
+  std::size_t next_pool_ = 0;
+  int in_flight_ = 0;
+  MonotonicTime started_{0};
+  MonotonicTime counted_from_{0};
+  MonotonicTime ends_{0};
+  MonotonicTime next_due_{0};
+  Histogram latency_;
+  std::map<std::string, std::uint64_t> outcomes_;
+  base::Timer timer_;
+};
+
+}  // namespace
+
+int RunLoad(const std::vector<std::string>& arguments) {
+  if (!arguments.empty() && arguments[0] == "--help") {
+    std::ostringstream help;
+    help << Describe();
+    std::fputs(help.str().c_str(), stdout);
+    return kExitOk;
+  }
+  const auto options = Parse(arguments);
+  if (!options.ok()) {
+    std::fprintf(stderr, "error: %s: %s\n",
+                 options.error().error_code().message().c_str(),
+                 options.error().subject.c_str());
+    return kExitUsage;
+  }
+  base::EventLoop loop(base::TimerResolution::kMicrosecond);
+  LoadGenerator generator(loop, options.value());
+  generator.Start();
+  loop.Run();
+  std::puts(generator.Report().c_str());
+  return kExitOk;
+}
+
+}  // namespace mangospread::cli
--- /dev/null
+++ b/src/cli/watch.cc
@@ -0,0 +1,93 @@
+#include "cli/watch.hpp"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include <cstdio>
+#include <string>
+
+#include "base/event_loop.hpp"
+
+namespace mangospread::cli {
+namespace {
+
+constexpr MonotonicTime kSilenceLimit = std::chrono::seconds(5);
+constexpr int kOk = 200;
+
+class WatchStream {
+ public:
+  WatchStream(base::EventLoop& loop, const Address& server, Revision since)
+      : loop_(loop),
+        connection_(evhttp_connection_base_new(
+            loop.raw(), nullptr, server.ip.c_str(), server.port)) {
+    evhttp_request* request = evhttp_request_new(OnDone, this);
+    evhttp_request_set_chunked_cb(request, OnChunk);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
+                      ToString(server).c_str());
+    const std::string target =
+        "/v1/watch?since=" + std::to_string(since.value());
+    evhttp_make_request(connection_, request, EVHTTP_REQ_GET, target.c_str());
+    Rearm();
+  }
+
+  ~WatchStream() { evhttp_connection_free(connection_); }
+  WatchStream(const WatchStream&) = delete;
+  WatchStream& operator=(const WatchStream&) = delete;
+
+  [[nodiscard]] bool closed_by_server() const noexcept { return closed_; }
+
+ private:
+  static void OnChunk(evhttp_request* request, void* arg) {
+    auto* self = static_cast<WatchStream*>(arg);
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    std::string data(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, data.data(), data.size());
+    self->Print(data);
+    self->Rearm();
+  }
+
+  static void OnDone(evhttp_request* request, void* arg) {
+    auto* self = static_cast<WatchStream*>(arg);
+    self->closed_ =
+        request != nullptr && evhttp_request_get_response_code(request) == kOk;
+    self->loop_.Stop();
+  }
+
+  /// Prints whole lines; heartbeats only show that the connection lives.
+  void Print(const std::string& data) {
+    pending_ += data;
+    for (auto end = pending_.find('\n'); end != std::string::npos;
+         end = pending_.find('\n')) {
+      const std::string line = pending_.substr(0, end + 1);
+      pending_.erase(0, end + 1);
+      if (line.find(R"("type":"heartbeat")") == std::string::npos) {
+        std::fputs(line.c_str(), stdout);
+      }
+    }
+    std::fflush(stdout);
+  }
+
+  void Rearm() {
+    silence_ = loop_.After(kSilenceLimit, [this] { loop_.Stop(); });
+  }
+
+  base::EventLoop& loop_;
+  evhttp_connection* connection_;
+  base::Timer silence_;
+  std::string pending_;
+  bool closed_ = false;
+};
+
+}  // namespace
+
+bool Watch(const Address& server, Revision since) {
+  base::EventLoop loop;
+  const WatchStream stream(loop, server, since);
+  loop.Run();
+  if (!stream.closed_by_server()) {
+    std::fputs("error: connection lost or silent\n", stderr);
+  }
+  return stream.closed_by_server();
+}
+
+}  // namespace mangospread::cli
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -113,7 +113,7 @@
   if (!peer) return false;
   request_.request_id = gateway_.NextRequestId();
   tried_.insert(peer->node);
-  gateway_.router_.CountForward(peer->node, request_.service);
+  gateway_.router_.OnForwardStarted(peer->node, request_.service);
   ++gateway_.counters_.forwarded;
   ++sends_;
   base::Log(base::Event::kRequestForwarded,
@@ -122,7 +122,9 @@
              {"peer", peer->node.str()}});
   gateway_.forward_(
       peer->address, request_,
-      [self = shared_from_this()](Result<rpc::ForwardReply> result) {
+      [self = shared_from_this(),
+       node = peer->node](Result<rpc::ForwardReply> result) {
+        self->gateway_.router_.OnForwardEnded(node, self->request_.service);
         if (result.ok()) return self->OnReply(std::move(result.value()));
         const bool never_sent = result.error().code == Errc::kConnectFailed;
         self->OnReply({never_sent ? Outcome::kNotRun : Outcome::kUnknown,
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -53,11 +53,11 @@
     const auto known = advertised_.find(node);
     if (known == advertised_.end()) continue;
     const auto slots = known->second.find(service);
-    if (slots == known->second.end() || slots->second.free <= 0 ||
+    if (slots == known->second.end() || slots->second.free() <= 0 ||
         now - slots->second.at > kMaxAdvertisementAge) {
       continue;
     }
-    candidates.emplace_back(slots->second.free, &peer);
+    candidates.emplace_back(slots->second.free(), &peer);
   }
   if (candidates.empty()) return std::nullopt;
   const auto& first = candidates[random_() % candidates.size()];
@@ -66,16 +66,22 @@
   return PeerChoice{chosen.second->view.node, chosen.second->view.rpc_address};
 }
 
-void Router::CountForward(const NodeId& node, const ServiceName& service) {
-  --advertised_[node][service].free;
+void Router::OnForwardStarted(const NodeId& node, const ServiceName& service) {
+  ++advertised_[node][service].forwards;
+}
+
+void Router::OnForwardEnded(const NodeId& node, const ServiceName& service) {
+  --advertised_[node][service].forwards;
 }
 
 void Router::OnHeard(const rpc::NodeView& view) {
   auto& slots = advertised_[view.node];
-  slots.clear();
+  for (auto& [service, known] : slots) known.available = 0;
   const MonotonicTime now = base::MonotonicNow();
   for (const auto& advertised : view.free_slots) {
-    slots[advertised.service] = {advertised.free, now};
+    Advertised& known = slots[advertised.service];
+    known.available = advertised.free + known.forwards;
+    known.at = now;
   }
 }
 
@@ -83,10 +89,15 @@
   std::vector<rpc::FreeSlots> list;
   for (const auto& [name, spec] : store_.services()) {
     int free = 0;
+    bool owns_any = false;
     for (const auto& worker : ownership_.owned()) {
-      if (worker->vm().pool == spec.pool) free += worker->free_slots();
+      if (worker->vm().pool != spec.pool) continue;
+      owns_any = true;
+      free += worker->free_slots();
     }
-    if (free > 0) list.push_back({name, free});
+    // Zero is advertised too: slots that a peer's own forwards occupy become
+    // free for that peer when they end.
+    if (owns_any) list.push_back({name, free});
   }
   return list;
 }
--- a/src/gateway/router.hpp
+++ b/src/gateway/router.hpp
@@ -31,21 +31,28 @@
   [[nodiscard]] std::shared_ptr<ownership::OwnedWorker> PickLocal(
       const ServiceSpec& service);
 
-  /// One of two random peers that advertise free slots, the one with more. What
-  /// was forwarded since the advertisement counts as occupied.
+  /// One of two random peers that advertise free slots, the one with more.
+  /// Forwards in flight that the advertisement did not see count as occupied,
+  /// and those that have ended since count as free.
   [[nodiscard]] std::optional<PeerChoice> PickPeer(
       const ServiceName& service, const std::set<NodeId>& tried);
 
-  /// Accounts for a forwarded request until the next advertisement.
-  void CountForward(const NodeId& node, const ServiceName& service);
+  /// Accounts for a forwarded request from its send to its reply.
+  void OnForwardStarted(const NodeId& node, const ServiceName& service);
+  void OnForwardEnded(const NodeId& node, const ServiceName& service);
 
   /// Free slots of this node for each service.
   [[nodiscard]] std::vector<rpc::FreeSlots> FreeSlots() const;
 
  private:
   struct Advertised {
-    int free = 0;
+    /// Free slots advertised plus own forwards in flight at that time.
+    int available = 0;
+    /// Own forwards in flight now.
+    int forwards = 0;
     MonotonicTime at{0};
+
+    [[nodiscard]] int free() const noexcept { return available - forwards; }
   };
 
   void OnHeard(const rpc::NodeView& view);
--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -41,6 +41,7 @@
   WorkerStandin(base::EventLoop& loop, const Options& options)
       : loop_(loop),
         slots_(options.Number("slots", 8)),
+        fence_(options.Number("fence", 1) != 0),
         boot_id_(std::to_string(base::WallNanoseconds())) {}
 
   void Handle(const Exchange& exchange) {
@@ -139,7 +140,7 @@
         NodeId(std::string(headers.Get(worker::kOwnerHeader))),
         Epoch(static_cast<std::uint64_t>(std::atoll(
             std::string(headers.Get(worker::kEpochHeader)).c_str())))};
-    if (!Fenced(fence)) {
+    if (fence_ && !Fenced(fence)) {
       ++stale_refused_;
       return Refuse(exchange, owner_.empty() ? "no-owner" : "stale-epoch");
     }
@@ -267,6 +268,8 @@
 
   base::EventLoop& loop_;
   int slots_;
+  /// False for a plain endpoint that answers everybody.
+  bool fence_;
   std::string boot_id_;
   Epoch epoch_;
   NodeId owner_;
