--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -141,9 +141,10 @@
                      auto bound = peers_.Listen(settings_.rpc_listen,
                                                 MakePeerHandlers());
                      if (!bound.ok()) return bound.error();
+                     rpc_bound_ = bound.value();
                      rpc_address_ = settings_.rpc_advertise.port != 0
                                         ? settings_.rpc_advertise
-                                        : bound.value();
+                                        : rpc_bound_;
                      return Done{};
                    },
                    [this](std::function<void()> done) {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -44,7 +44,8 @@
   void Stop();
 
   [[nodiscard]] const Address& http_address() const { return http_address_; }
-  [[nodiscard]] const Address& rpc_address() const { return rpc_address_; }
+  /// The address listened on, which may differ from the one advertised.
+  [[nodiscard]] const Address& rpc_address() const { return rpc_bound_; }
 
  private:
   void AddChildren();
@@ -71,6 +72,8 @@
   rpc::NodeState state_ = rpc::NodeState::kStarting;
   bool handed_over_ = false;
   Address http_address_;
+  Address rpc_bound_;
+  /// What peers connect to.
   Address rpc_address_;
 
   rpc::PeerService peers_;
--- a/standin/host.cc
+++ b/standin/host.cc
@@ -10,7 +10,6 @@
 
 int RunHost(base::EventLoop& loop, const Options& options,
             std::function<void(Exchange)> handler) {
-  std::signal(SIGPIPE, SIG_IGN);
   net::HttpServer server(loop, {}, std::move(handler));
   const auto address = ParseAddress(options.Text("listen", "127.0.0.1:0"));
   if (!address.ok()) return 2;
@@ -18,6 +17,12 @@
   if (!bound.ok()) return 1;
   std::printf("listening http=%s\n", ToString(bound.value()).c_str());
   std::fflush(stdout);
+  RunUntilTerminated(loop);
+  return 0;
+}
+
+void RunUntilTerminated(base::EventLoop& loop) {
+  std::signal(SIGPIPE, SIG_IGN);
   event* term = evsignal_new(
       loop.raw(), SIGTERM,
       [](evutil_socket_t, short, void* arg) {  // NOLINT
@@ -27,7 +32,6 @@
   event_add(term, nullptr);
   loop.Run();
   event_free(term);
-  return 0;
 }
 
 void ReplyText(net::HttpExchange& exchange, int status,
--- a/standin/host.hpp
+++ b/standin/host.hpp
@@ -19,6 +19,9 @@
 int RunHost(base::EventLoop& loop, const Options& options,
             std::function<void(Exchange)> handler);
 
+/// Runs the loop until SIGTERM.
+void RunUntilTerminated(base::EventLoop& loop);
+
 /// Replies with a JSON document.
 void ReplyText(net::HttpExchange& exchange, int status,
                const std::string& body);
@@ -26,5 +29,6 @@
 int RunTable(const Options& options);
 int RunVmList(const Options& options);
 int RunWorker(const Options& options);
+int RunProxy(const Options& options);
 
 }  // namespace mangospread::standin
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -15,7 +15,9 @@
   if (kind == "table") return standin::RunTable(options);
   if (kind == "vm-list") return standin::RunVmList(options);
   if (kind == "worker") return standin::RunWorker(options);
-  std::fputs("usage: mangospread-standin table|vm-list|worker [--listen A]\n",
-             stderr);
+  if (kind == "proxy") return standin::RunProxy(options);
+  std::fputs(
+      "usage: mangospread-standin table|vm-list|worker|proxy [--listen A]\n",
+      stderr);
   return 2;
 }
--- /dev/null
+++ b/standin/proxy.cc
@@ -0,0 +1,277 @@
+#include "proxy.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+namespace mangospread::standin {
+namespace {
+
+sockaddr_in ToSocketAddress(const Address& address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
+  return out;
+}
+
+void SetNoDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+namespace detail {
+
+/// A client's connection and the one to the target. Owned by the proxy and
+/// by the timers of delayed chunks.
+class ProxyLink : public std::enable_shared_from_this<ProxyLink> {
+ public:
+  enum Side { kClient = 0, kTarget = 1 };
+
+  explicit ProxyLink(Proxy& proxy) : proxy_(proxy) {}
+  ~ProxyLink() { Free(); }
+  ProxyLink(const ProxyLink&) = delete;
+  ProxyLink& operator=(const ProxyLink&) = delete;
+
+  bool Start(int fd, const Address& target) {
+    SetNoDelay(fd);
+    const auto make = [this](int socket, Side side) {
+      ends_[side] = {this, side,
+                     bufferevent_socket_new(proxy_.loop_.raw(), socket,
+                                            BEV_OPT_CLOSE_ON_FREE)};
+      bufferevent_setcb(ends_[side].bev, OnRead, OnWritten, OnEvent,
+                        &ends_[side]);
+      bufferevent_enable(ends_[side].bev, EV_READ | EV_WRITE);
+    };
+    make(fd, kClient);
+    make(-1, kTarget);
+    sockaddr_in address = ToSocketAddress(target);
+    return bufferevent_socket_connect(ends_[kTarget].bev,
+                                      reinterpret_cast<sockaddr*>(&address),
+                                      sizeof(address)) == 0;
+  }
+
+  void Silence() {
+    silent_ = true;
+    for (const End& end : ends_) {
+      if (end.bev != nullptr) bufferevent_disable(end.bev, EV_READ | EV_WRITE);
+    }
+  }
+
+  void Close() {
+    const auto self = shared_from_this();
+    Free();
+    proxy_.Remove(self);
+  }
+
+ private:
+  struct End {
+    ProxyLink* link = nullptr;
+    Side side = kClient;
+    bufferevent* bev = nullptr;
+  };
+
+  static void OnRead(bufferevent* /*bev*/, void* arg) {
+    const auto* end = static_cast<End*>(arg);
+    end->link->shared_from_this()->TakeInput(end->side);
+  }
+
+  static void OnWritten(bufferevent* /*bev*/, void* arg) {
+    const auto* end = static_cast<End*>(arg);
+    if (end->link->closing_) end->link->Close();
+  }
+
+  static void OnEvent(bufferevent* /*bev*/, short what, void* arg) {  // NOLINT
+    const auto* end = static_cast<End*>(arg);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      SetNoDelay(bufferevent_getfd(end->bev));
+      return;
+    }
+    end->link->shared_from_this()->OnClosed(end->side);
+  }
+
+  void Free() {
+    for (End& end : ends_) {
+      if (end.bev != nullptr) bufferevent_free(std::exchange(end.bev, nullptr));
+    }
+  }
+
+  void TakeInput(Side from) {
+    evbuffer* input = bufferevent_get_input(ends_[from].bev);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    Faults& faults = proxy_.faults_;
+    const bool up = from == kClient;
+    if (!up && (lost_ || StartsLoss(faults))) {
+      proxy_.counters_.dropped_bytes += bytes.size();
+      if (cut_reply_) Cut();
+      return;
+    }
+    if (up ? faults.drop_up : faults.drop_down) {
+      proxy_.counters_.dropped_bytes += bytes.size();
+      return;
+    }
+    std::uint64_t& seen = seen_[from];
+    const std::int64_t limit = up ? faults.cut_after_up : faults.cut_after_down;
+    const auto rest = static_cast<std::int64_t>(limit - seen);
+    const bool cut =
+        limit >= 0 && static_cast<std::int64_t>(bytes.size()) >= rest;
+    if (cut) bytes.resize(rest < 0 ? 0 : static_cast<std::size_t>(rest));
+    seen += bytes.size();
+    (up ? proxy_.counters_.bytes_up : proxy_.counters_.bytes_down) +=
+        bytes.size();
+    Forward(up ? kTarget : kClient, std::move(bytes), cut);
+    if (up && faults.cut_requests > 0) CutClient(faults);
+  }
+
+  bool StartsLoss(Faults& faults) {
+    if (faults.lose_replies > 0) {
+      --faults.lose_replies;
+    } else if (faults.cut_replies > 0) {
+      --faults.cut_replies;
+      cut_reply_ = true;
+    } else {
+      return false;
+    }
+    ++proxy_.counters_.lost_replies;
+    lost_ = true;
+    return true;
+  }
+
+  /// Closes the client's side; what the target sends is discarded.
+  void CutClient(Faults& faults) {
+    --faults.cut_requests;
+    ++proxy_.counters_.cut;
+    lost_ = true;
+    if (ends_[kClient].bev != nullptr) {
+      bufferevent_free(std::exchange(ends_[kClient].bev, nullptr));
+    }
+  }
+
+  void Cut() {
+    ++proxy_.counters_.cut;
+    Close();
+  }
+
+  void Forward(Side to, std::string bytes, bool then_cut) {
+    Later([this, to, bytes = std::move(bytes), then_cut] {
+      if (ends_[to].bev == nullptr) return;
+      evbuffer_add(bufferevent_get_output(ends_[to].bev), bytes.data(),
+                   bytes.size());
+      if (!then_cut) return;
+      ++proxy_.counters_.cut;
+      CloseWhenWritten(to);
+    });
+  }
+
+  void OnClosed(Side side) {
+    if (silent_) return;
+    const Side other = side == kClient ? kTarget : kClient;
+    Later([this, other] { CloseWhenWritten(other); });
+  }
+
+  void CloseWhenWritten(Side side) {
+    bufferevent* bev = ends_[side].bev;
+    if (bev == nullptr ||
+        evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
+      Close();
+    } else {
+      closing_ = true;
+    }
+  }
+
+  /// Runs `fn` after the set delay, in the order of the calls.
+  void Later(std::function<void()> fn) {
+    const int delay = proxy_.faults_.delay_ms;
+    if (delay == 0) {
+      fn();
+      return;
+    }
+    auto timer = std::make_shared<base::Timer>();
+    *timer = proxy_.loop_.After(
+        Milliseconds(delay),
+        [self = shared_from_this(), timer, fn = std::move(fn)] {
+          if (!self->silent_) fn();
+        });
+  }
+
+  Proxy& proxy_;
+  End ends_[2];
+  std::uint64_t seen_[2] = {0, 0};
+  bool silent_ = false;
+  bool lost_ = false;
+  bool cut_reply_ = false;
+  bool closing_ = false;
+};
+
+}  // namespace detail
+
+Proxy::Proxy(base::EventLoop& loop) : loop_(loop) {}
+
+Proxy::~Proxy() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+}
+
+Result<Address> Proxy::Listen(const Address& address) {
+  sockaddr_in bound = ToSocketAddress(address);
+  constexpr int kBacklog = 512;
+  listener_ = evconnlistener_new_bind(
+      loop_.raw(),
+      [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/,
+         int /*size*/, void* arg) { static_cast<Proxy*>(arg)->Accept(fd); },
+      this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, kBacklog,
+      reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
+  if (listener_ == nullptr) return Error{Errc::kUnavailable, ToString(address)};
+  socklen_t size = sizeof(bound);
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  address_ = Address{address.ip, ntohs(bound.sin_port)};
+  return address_;
+}
+
+void Proxy::SetFaults(const Faults& faults) {
+  faults_ = faults;
+  if (faults.refuse && listener_ != nullptr) {
+    evconnlistener_free(std::exchange(listener_, nullptr));
+  } else if (!faults.refuse && listener_ == nullptr) {
+    (void)Listen(address_);
+  }
+}
+
+void Proxy::Accept(int fd) {
+  ++counters_.accepted;
+  auto link = std::make_shared<detail::ProxyLink>(*this);
+  links_.insert(link);
+  if (!link->Start(fd, target_)) link->Close();
+}
+
+void Proxy::CutAll() {
+  const auto open = links_;
+  for (const auto& link : open) {
+    ++counters_.cut;
+    link->Close();
+  }
+}
+
+void Proxy::SilenceAll() {
+  for (const auto& link : links_) {
+    ++counters_.silenced;
+    link->Silence();
+  }
+}
+
+void Proxy::Remove(const std::shared_ptr<detail::ProxyLink>& link) {
+  links_.erase(link);
+}
+
+}  // namespace mangospread::standin
--- /dev/null
+++ b/tests/integration/harness/cluster.cc
@@ -0,0 +1,228 @@
+#include "integration/harness/cluster.hpp"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace mangospread::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr char kAnyPort[] = "127.0.0.1:0";
+constexpr int kDataCenters = 3;
+
+json ParseBody(const Reply& reply) {
+  return reply.ok() ? json::parse(reply.body, nullptr, false) : json();
+}
+
+void Require(const Reply& reply, const std::string& what) {
+  if (!reply.ok() || reply.status / 100 != kOk / 100) {
+    throw std::runtime_error(what + " failed: " + reply.head + reply.body);
+  }
+}
+
+std::string DataCenterOf(int index) {
+  return std::string("dc-") + static_cast<char>('a' + index % kDataCenters);
+}
+
+}  // namespace
+
+ProxyControl::ProxyControl(const std::string& directory,
+                           const std::string& name)
+    : process_(directory, name, StandinProgram(), {"proxy"}) {}
+
+void ProxyControl::Control(const std::string& target, const std::string& body) {
+  Require(Post(process_.address("control"), target, body), target);
+}
+void ProxyControl::SetTarget(const Address& target) {
+  Control("/standin/target", ToString(target));
+}
+void ProxyControl::SetFaults(const std::string& json) {
+  Control("/standin/faults", json);
+}
+void ProxyControl::Cut() { Control("/standin/cut", ""); }
+void ProxyControl::Silence() { Control("/standin/silence", ""); }
+
+json ProxyControl::Record() const {
+  return ParseBody(Get(process_.address("control"), "/standin/record"));
+}
+
+Cluster::Cluster(ClusterOptions options) : options_(std::move(options)) {
+  const auto standin = [this](const std::string& name,
+                              const std::string& kind) {
+    return std::make_unique<Process>(
+        logs_.path(), name, StandinProgram(),
+        std::vector<std::string>{kind, "--listen", kAnyPort});
+  };
+  table_ = standin("table", "table");
+  vm_list_ = standin("vm-list", "vm-list");
+  for (int i = 0; i < options_.workers; ++i) {
+    workers_.push_back(standin("worker-" + std::to_string(i), "worker"));
+  }
+  StartProxies();
+  PublishVms();
+  nodes_.resize(options_.nodes);
+  for (int i = 0; i < options_.nodes; ++i) StartNode(i);
+  for (int i = 0; i < options_.nodes; ++i) {
+    WaitUntil("node ready", kWaitDeadline, [this, i] { return Ready(i); });
+  }
+  Require(
+      Put(direct_http(0), "/v1/resources/service/coverage", options_.service),
+      "creating the service");
+  WaitUntilServing();
+}
+
+Cluster::~Cluster() = default;
+
+void Cluster::StartProxies() {
+  const auto start = [this](const std::string& name) {
+    return std::make_unique<ProxyControl>(logs_.path(), "proxy-" + name);
+  };
+  if (options_.proxy_table) {
+    table_proxy_ = start("table");
+    table_proxy_->SetTarget(table_->address("http"));
+  }
+  for (int i = 0; options_.proxy_workers && i < options_.workers; ++i) {
+    worker_proxies_.push_back(start("worker-" + std::to_string(i)));
+    worker_proxies_.back()->SetTarget(workers_[i]->address("http"));
+  }
+  for (int i = 0; i < options_.nodes; ++i) {
+    const std::string name = std::to_string(i);
+    if (options_.proxy_rpc) rpc_proxies_.push_back(start("rpc-" + name));
+    if (options_.proxy_http) http_proxies_.push_back(start("http-" + name));
+  }
+}
+
+void Cluster::PublishVms() {
+  json vms = json::array();
+  for (int i = 0; i < options_.workers; ++i) {
+    const Address address = options_.proxy_workers
+                                ? worker_proxies_[i]->address()
+                                : workers_[i]->address("http");
+    vms.push_back({{"name", "vm-" + std::to_string(i)},
+                   {"address", ToString(address)},
+                   {"data_center", DataCenterOf(i)},
+                   {"rack", "rack-" + std::to_string(i)},
+                   {"pool", "counter"},
+                   {"state", "live"}});
+  }
+  Require(Put(vm_list_->address("http"), "/standin/vms",
+              json{{"vms", std::move(vms)}}.dump()),
+          "publishing the VM list");
+}
+
+std::vector<std::string> Cluster::NodeArguments(int index) const {
+  std::string seeds;
+  for (int i = 0; i < options_.nodes; ++i) {
+    if (i == index || nodes_[i] == nullptr) continue;
+    const Address rpc = options_.proxy_rpc ? rpc_proxies_[i]->address()
+                                           : nodes_[i]->address("rpc");
+    seeds += (seeds.empty() ? "" : ",") + ToString(rpc);
+  }
+  const Address table =
+      options_.proxy_table ? table_proxy_->address() : table_->address("http");
+  std::vector<std::string> arguments = {
+      "serve",
+      "--node=node-" + std::to_string(index),
+      "--data-center=" + DataCenterOf(index),
+      std::string("--http-listen=") + kAnyPort,
+      std::string("--rpc-listen=") + kAnyPort,
+      "--table=" + ToString(table),
+      "--vm-list=" + ToString(vm_list_->address("http"))};
+  if (!seeds.empty()) arguments.push_back("--seeds=" + seeds);
+  if (options_.proxy_rpc) {
+    arguments.push_back("--rpc-advertise=" +
+                        ToString(rpc_proxies_[index]->address()));
+  }
+  arguments.insert(arguments.end(), options_.node_arguments.begin(),
+                   options_.node_arguments.end());
+  return arguments;
+}
+
+void Cluster::StartNode(int index) {
+  nodes_[index] = std::make_unique<Process>(
+      logs_.path(),
+      "node-" + std::to_string(index) + "-" + std::to_string(++starts_),
+      NodeProgram(), NodeArguments(index));
+  if (options_.proxy_rpc) {
+    rpc_proxies_[index]->SetTarget(nodes_[index]->address("rpc"));
+  }
+  if (options_.proxy_http) {
+    http_proxies_[index]->SetTarget(direct_http(index));
+  }
+}
+
+void Cluster::RestartNode(int index) {
+  nodes_[index]->Kill();
+  StartNode(index);
+}
+
+Address Cluster::http(int node) const {
+  return options_.proxy_http ? http_proxies_.at(node)->address()
+                             : direct_http(node);
+}
+
+Address Cluster::direct_http(int node) const {
+  return nodes_.at(node)->address("http");
+}
+
+void Cluster::SetTableFaults(const std::string& json) {
+  Require(Post(table_->address("http"), "/standin/faults", json),
+          "setting table faults");
+}
+
+json Cluster::WorkerRecord(int worker) const {
+  return ParseBody(
+      Get(workers_.at(worker)->address("http"), "/standin/record"));
+}
+
+json Cluster::RunsByKey() const {
+  json runs = json::object();
+  for (int i = 0; i < workers(); ++i) {
+    const json record = WorkerRecord(i);
+    for (const auto& [key, count] : record.at("runs_by_key").items()) {
+      runs[key] = runs.value(key, 0) + count.get<int>();
+    }
+  }
+  return runs;
+}
+
+json Cluster::Status(int node, const std::string& target) const {
+  return ParseBody(Get(direct_http(node), target));
+}
+
+int Cluster::OwnedWorkers(int node) const {
+  const json status = Status(node, "/v1/status/nodes");
+  const std::string name = "node-" + std::to_string(node);
+  if (!status.is_object()) return -1;
+  for (const json& item : status.at("nodes")) {
+    if (item.at("node") == name) return item.at("owned_workers").get<int>();
+  }
+  return -1;
+}
+
+bool Cluster::Ready(int node) const {
+  return Get(direct_http(node), "/healthz").status == kOk;
+}
+
+std::uint64_t Cluster::Revision(int node) const {
+  const json status = Status(node, "/v1/status/config");
+  return status.is_object() ? status.value("revision", std::uint64_t{0}) : 0;
+}
+
+void Cluster::WaitUntilServing() {
+  WaitUntil("all running nodes ready and all workers owned", kWaitDeadline,
+            [this] {
+              int owned = 0;
+              for (int i = 0; i < nodes(); ++i) {
+                if (!nodes_[i]->running()) continue;
+                if (!Ready(i)) return false;
+                owned += std::max(0, OwnedWorkers(i));
+              }
+              return owned == workers();
+            });
+}
+
+}  // namespace mangospread::testing
--- a/tests/integration/harness/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace mangospread::test {}
--- /dev/null
+++ b/tests/integration/harness/process.cc
@@ -0,0 +1,124 @@
+#include "integration/harness/process.hpp"
+
+#include <fcntl.h>
+#include <sys/types.h>
+#include <sys/wait.h>
+
+#include <boost/process.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "integration/harness/failure.hpp"
+
+namespace mangospread::testing {
+
+namespace bp = boost::process;
+
+struct Process::Child {
+  bp::ipstream out;
+  bp::child process;
+  std::optional<int> status;
+};
+
+Process::Process(const std::string& directory, std::string name,
+                 const std::string& program,
+                 const std::vector<std::string>& arguments)
+    : name_(std::move(name)), child_(std::make_unique<Child>()) {
+  child_->process = bp::child(bp::exe = program, bp::args = arguments,
+                              bp::std_in<bp::null, bp::std_out> child_->out,
+                              bp::std_err > directory + "/" + name_ + ".log");
+  // Boost.Process 1.74 leaves the pipe open to processes started later.
+  fcntl(child_->out.pipe().native_source(), F_SETFD, FD_CLOEXEC);
+  std::string line;
+  std::getline(child_->out, line);
+  std::istringstream words(line);
+  std::string word;
+  words >> word;
+  if (word != "listening") {
+    throw std::runtime_error(name_ + " did not start, see " + directory);
+  }
+  while (words >> word) {
+    const auto equals = word.find('=');
+    const auto address = ParseAddress(word.substr(equals + 1));
+    if (address.ok()) addresses_[word.substr(0, equals)] = address.value();
+  }
+}
+
+Process::~Process() { Kill(); }
+
+Address Process::address(const std::string& name) const {
+  return addresses_.at(name);
+}
+
+void Process::Pause() { kill(child_->process.id(), SIGSTOP); }
+void Process::Resume() { kill(child_->process.id(), SIGCONT); }
+
+void Process::Terminate() {
+  if (running()) kill(child_->process.id(), SIGTERM);
+}
+
+void Process::Kill() {
+  if (!running()) return;
+  kill(child_->process.id(), SIGKILL);
+  constexpr Milliseconds kLimit{10'000};
+  (void)Wait(kLimit);
+}
+
+std::optional<int> Process::Wait(Milliseconds deadline) {
+  const auto until = std::chrono::steady_clock::now() + deadline;
+  while (running()) {
+    if (std::chrono::steady_clock::now() >= until) return std::nullopt;
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  return child_->status;
+}
+
+bool Process::running() {
+  if (child_->status) return false;
+  int status = 0;
+  if (waitpid(child_->process.id(), &status, WNOHANG) <= 0) return true;
+  child_->status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  child_->process.detach();
+  return false;
+}
+
+namespace {
+
+std::string Variable(const char* name) {
+  const char* value = std::getenv(name);
+  if (value == nullptr) throw std::runtime_error(std::string(name) + " unset");
+  return value;
+}
+
+}  // namespace
+
+std::string NodeProgram() { return Variable("MANGOSPREAD_BIN"); }
+std::string StandinProgram() { return Variable("MANGOSPREAD_STANDIN_BIN"); }
+
+LogDirectory::LogDirectory() {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "mangospread-test-XXXXXX")
+          .string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no temporary directory");
+  }
+  path_ = name;
+}
+
+LogDirectory::~LogDirectory() {
+  if (AnyCheckFailed() || std::uncaught_exceptions() > 0) {
+    std::fprintf(stderr, "logs are kept in %s\n", path_.c_str());
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+}  // namespace mangospread::testing
--- /dev/null
+++ b/tests/integration/harness/process.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// A child process of a test.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mangospread/address.hpp"
+#include "mangospread/units.hpp"
+
+namespace mangospread::testing {
+
+/// Starts a program, reads its "listening name=address ..." line and ends it
+/// by pid on destruction. Its stderr goes to <directory>/<name>.log.
+class Process {
+ public:
+  Process(const std::string& directory, std::string name,
+          const std::string& program,
+          const std::vector<std::string>& arguments);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  /// Address printed under `name`, for example "http".
+  [[nodiscard]] Address address(const std::string& name) const;
+
+  void Pause();
+  void Resume();
+  /// Ends the process without notice and waits for it.
+  void Kill();
+  /// Sends SIGTERM without waiting.
+  void Terminate();
+  /// Waits for the exit status; no value when the process still runs after
+  /// `deadline`, and -signal when a signal ended it.
+  [[nodiscard]] std::optional<int> Wait(Milliseconds deadline);
+  [[nodiscard]] bool running();
+
+ private:
+  struct Child;
+
+  std::string name_;
+  std::unique_ptr<Child> child_;
+  std::map<std::string, Address> addresses_;
+};
+
+/// Program of the node and of the stand-ins, from MANGOSPREAD_BIN and
+/// MANGOSPREAD_STANDIN_BIN.
+[[nodiscard]] std::string NodeProgram();
+[[nodiscard]] std::string StandinProgram();
+
+/// A directory for logs. It is removed unless a check failed.
+class LogDirectory {
+ public:
+  LogDirectory();
+  ~LogDirectory();
+  LogDirectory(const LogDirectory&) = delete;
+  LogDirectory& operator=(const LogDirectory&) = delete;
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+}  // namespace mangospread::testing
