Let the worker stand-in misbehave on request and count connections

evhttp always sends well-formed replies, so the worker stand-in now runs on a small raw HTTP server that can send surplus bytes, the answer of another request, a cut body in three framings, or nothing after the work is done. It refuses connections beyond 64 and records the highest number open.

--- a/standin/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -9,6 +9,8 @@
 #include <utility>
 
 #include "base/clock.hpp"
+#include "endpoint/answer.hpp"
+#include "endpoint/raw_server.hpp"
 #include "host.hpp"
 #include "worker/codec.hpp"
 
@@ -21,9 +23,15 @@
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 
-/// Headers by which a test controls one request.
-constexpr char kWorkHeader[] = "X-Work-Ms";
-constexpr char kReplyBytesHeader[] = "X-Reply-Bytes";
+using Connection = std::shared_ptr<RawConnection>;
+
+void ReplyJson(RawConnection& connection, int status, const std::string& body) {
+  net::Response response;
+  response.status = status;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = body;
+  connection.Reply(response);
+}
 
 int ToNumber(std::string_view text) {
   return text.empty() ? 0 : std::atoi(std::string(text).c_str());
@@ -40,34 +48,41 @@
  public:
   WorkerStandin(base::EventLoop& loop, const Options& options)
       : loop_(loop),
+        server_(loop,
+                static_cast<std::size_t>(options.Number("connections", 64)),
+                [this](const Connection& connection) { Handle(connection); }),
         slots_(options.Number("slots", 8)),
         boot_id_(std::to_string(base::WallNanoseconds())) {}
 
-  void Handle(const Exchange& exchange) {
-    const std::string& target = exchange->request().target;
-    if (target == "/v1/worker/claim") return Claim(exchange);
-    if (target == "/v1/worker/renew") return Renew(exchange);
-    if (target == "/v1/worker/release") return Release(exchange);
-    if (target == "/v1/worker/task") return Task(exchange);
-    if (target == "/standin/record") return Record(exchange);
+  Result<Address> Listen(const Address& address) {
+    return server_.Listen(address);
+  }
+
+ private:
+  void Handle(const Connection& connection) {
+    const std::string& target = connection->request().target;
+    if (target == "/v1/worker/claim") return Claim(connection);
+    if (target == "/v1/worker/renew") return Renew(connection);
+    if (target == "/v1/worker/release") return Release(connection);
+    if (target == "/v1/worker/task") return Task(connection);
+    if (target == "/standin/record") return Record(connection);
     if (target == "/standin/leave") {
       leaving_ = true;
-      return ReplyText(*exchange, kOk, "{}");
+      return ReplyJson(*connection, kOk, "{}");
     }
-    Serve(exchange);
+    Serve(connection);
   }
 
- private:
   [[nodiscard]] Milliseconds LeaseRemaining() const {
     return std::chrono::duration_cast<Milliseconds>(lease_until_ -
                                                     base::MonotonicNow());
   }
 
-  static void Refuse(const Exchange& exchange, const char* reason) {
+  static void Refuse(const Connection& connection, const char* reason) {
     net::Response response;
     response.status = kConflict;
     response.headers.Add(worker::kRefusedHeader, reason);
-    exchange->Reply(response);
+    connection->Reply(response);
   }
 
   /// True if the fence names the present owner.
@@ -75,19 +90,19 @@
     return fence.epoch == epoch_ && fence.owner == owner_ && !owner_.empty();
   }
 
-  void Claim(const Exchange& exchange) {
-    const auto decoded = worker::DecodeLease(exchange->request().body);
-    if (!decoded.ok()) return ReplyText(*exchange, kBadRequest, "{}");
+  void Claim(const Connection& connection) {
+    const auto decoded = worker::DecodeLease(connection->request().body);
+    if (!decoded.ok()) return ReplyJson(*connection, kBadRequest, "{}");
     const auto& request = decoded.value();
     const bool same_owner = request.fence.owner == owner_;
     if (request.fence.epoch < epoch_ ||
         (request.fence.epoch == epoch_ && !same_owner)) {
       ++stale_refused_;
-      return Refuse(exchange, "stale-epoch");
+      return Refuse(connection, "stale-epoch");
     }
     if (request.basis == ClaimBasis::kLeaseExpired && !same_owner &&
         LeaseRemaining().count() > 0) {
-      return Refuse(exchange, "lease-held");
+      return Refuse(connection, "lease-held");
     }
     if (!Fenced(request.fence)) {
       claims_.push_back({{"epoch", request.fence.epoch.value()},
@@ -96,27 +111,29 @@
     epoch_ = request.fence.epoch;
     owner_ = request.fence.owner;
     lease_until_ = base::MonotonicNow() + request.lease;
-    ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
+    ReplyJson(*connection, kOk, worker::EncodeReport(Report()));
   }
 
-  void Renew(const Exchange& exchange) {
-    const auto decoded = worker::DecodeLease(exchange->request().body);
-    if (!decoded.ok()) return ReplyText(*exchange, kBadRequest, "{}");
+  void Renew(const Connection& connection) {
+    const auto decoded = worker::DecodeLease(connection->request().body);
+    if (!decoded.ok()) return ReplyJson(*connection, kBadRequest, "{}");
     if (!Fenced(decoded.value().fence)) {
       ++stale_refused_;
-      return Refuse(exchange, "stale-epoch");
+      return Refuse(connection, "stale-epoch");
     }
     lease_until_ = base::MonotonicNow() + decoded.value().lease;
-    ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
+    ReplyJson(*connection, kOk, worker::EncodeReport(Report()));
   }
 
-  void Release(const Exchange& exchange) {
-    const auto decoded = worker::DecodeLease(exchange->request().body);
-    if (!decoded.ok()) return ReplyText(*exchange, kBadRequest, "{}");
-    if (!Fenced(decoded.value().fence)) return Refuse(exchange, "stale-epoch");
+  void Release(const Connection& connection) {
+    const auto decoded = worker::DecodeLease(connection->request().body);
+    if (!decoded.ok()) return ReplyJson(*connection, kBadRequest, "{}");
+    if (!Fenced(decoded.value().fence)) {
+      return Refuse(connection, "stale-epoch");
+    }
     owner_ = NodeId();
     lease_until_ = MonotonicTime(0);
-    ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
+    ReplyJson(*connection, kOk, worker::EncodeReport(Report()));
   }
 
   [[nodiscard]] WorkerReport Report() const {
@@ -133,61 +150,54 @@
     return report;
   }
 
-  void Serve(const Exchange& exchange) {
-    const net::Headers& headers = exchange->request().headers;
+  void Serve(const Connection& connection) {
+    const net::Headers& headers = connection->request().headers;
     const Fence fence{
         NodeId(std::string(headers.Get(worker::kOwnerHeader))),
         Epoch(static_cast<std::uint64_t>(std::atoll(
             std::string(headers.Get(worker::kEpochHeader)).c_str())))};
     if (!Fenced(fence)) {
       ++stale_refused_;
-      return Refuse(exchange, owner_.empty() ? "no-owner" : "stale-epoch");
+      return Refuse(connection, owner_.empty() ? "no-owner" : "stale-epoch");
     }
-    if (leaving_) return Refuse(exchange, "leaving");
+    if (leaving_) return Refuse(connection, "leaving");
     ++arrived_concurrency_[static_cast<int>(in_flight_.size()) + 1];
     if (static_cast<int>(in_flight_.size()) >= slots_) {
       ++full_refused_;
-      return Refuse(exchange, "full");
+      return Refuse(connection, "full");
     }
     const std::string id(headers.Get(worker::kRequestIdHeader));
     in_flight_.insert(id);
     ++served_;
     max_in_flight_ =
         std::max(max_in_flight_, static_cast<int>(in_flight_.size()));
-    if (const auto key = headers.Get("Idempotency-Key"); !key.empty()) {
-      ++runs_by_key_[std::string(key)];
-    }
+    auto key = headers.Get(kRunKeyHeader);
+    if (key.empty()) key = headers.Get("Idempotency-Key");
+    if (!key.empty()) ++runs_by_key_[std::string(key)];
     const Milliseconds work(ToNumber(headers.Get(kWorkHeader)));
-    if (work.count() == 0) return Answer(exchange, id);
+    if (work.count() == 0) return Answer(connection, id);
     auto timer = std::make_shared<base::Timer>();
-    *timer = loop_.After(work,
-                         [this, exchange, id, timer] { Answer(exchange, id); });
+    *timer = loop_.After(
+        work, [this, connection, id, timer] { Answer(connection, id); });
   }
 
-  void Answer(const Exchange& exchange, const std::string& id) {
+  void Answer(const Connection& connection, const std::string& id) {
     in_flight_.erase(id);
-    const net::Request& request = exchange->request();
-    net::Response response;
-    response.status = kOk;
-    response.headers.Add(worker::kRequestIdHeader, id);
-    const auto bytes = request.headers.Get(kReplyBytesHeader);
-    response.body =
-        bytes.empty() ? request.body : std::string(ToNumber(bytes), 'x');
-    exchange->Reply(response);
+    SendAnswer(*connection, id);
   }
 
-  void Task(const Exchange& exchange) {
-    const auto decoded = worker::DecodeTask(exchange->request().body);
-    if (!decoded.ok()) return ReplyText(*exchange, kBadRequest, "{}");
+  void Task(const Connection& connection) {
+    const auto decoded = worker::DecodeTask(connection->request().body);
+    if (!decoded.ok()) return ReplyJson(*connection, kBadRequest, "{}");
     const auto& [fence, command] = decoded.value();
     if (!Fenced(fence)) {
       ++stale_refused_;
-      return Refuse(exchange, "stale-epoch");
+      return Refuse(connection, "stale-epoch");
     }
-    if (command.verb == TaskVerb::kStart) return StartTask(exchange, command);
+    if (command.verb == TaskVerb::kStart) return StartTask(connection, command);
     const auto it = tasks_.find(command.task);
     if (it == tasks_.end() || it->second->report.attempt != command.attempt) {
-      return Refuse(exchange, "unknown-task");
+      return Refuse(connection, "unknown-task");
     }
     RunningTask& task = *it->second;
     const TaskReport report = Apply(task, command);
@@ -195,7 +205,7 @@
         report.phase != TaskPhase::kRunning) {
       tasks_.erase(it);
     }
-    ReplyText(*exchange, kOk, worker::EncodeTaskReport(report));
+    ReplyJson(*connection, kOk, worker::EncodeTaskReport(report));
   }
 
   TaskReport Apply(RunningTask& task, const TaskCommand& command) {
@@ -220,13 +230,14 @@
     return task.report;
   }
 
-  void StartTask(const Exchange& exchange, const TaskCommand& command) {
+  void StartTask(const Connection& connection, const TaskCommand& command) {
     auto& task = tasks_[command.task];
     if (task != nullptr && task->report.attempt >= command.attempt) {
       if (task->report.attempt > command.attempt) {
-        return Refuse(exchange, "unknown-task");
+        return Refuse(connection, "unknown-task");
       }
-      return ReplyText(*exchange, kOk, worker::EncodeTaskReport(task->report));
+      return ReplyJson(*connection, kOk,
+                       worker::EncodeTaskReport(task->report));
     }
     task = std::make_unique<RunningTask>();
     task->report.task = command.task;
@@ -237,7 +248,7 @@
     RunningTask* raw = task.get();
     task->timer = loop_.After(command.run_time,
                               [this, raw] { End(*raw, TaskPhase::kDone); });
-    ReplyText(*exchange, kOk, worker::EncodeTaskReport(task->report));
+    ReplyJson(*connection, kOk, worker::EncodeTaskReport(task->report));
   }
 
   void End(RunningTask& task, TaskPhase phase) {
@@ -252,9 +263,11 @@
     task.timer.reset();
   }
 
-  void Record(const Exchange& exchange) {
+  void Record(const Connection& connection) {
     const json body{{"max_in_flight", max_in_flight_},
                     {"in_flight", in_flight_.size()},
+                    {"max_connections", server_.most_connections()},
+                    {"connections_refused", server_.refused_connections()},
                     {"served", served_},
                     {"full_refused", full_refused_},
                     {"stale_refused", stale_refused_},
@@ -262,10 +275,11 @@
                     {"claims", claims_},
                     {"task_runs", task_runs_},
                     {"running_tasks", tasks_.size()}};
-    ReplyText(*exchange, kOk, body.dump());
+    ReplyJson(*connection, kOk, body.dump());
   }
 
   base::EventLoop& loop_;
+  RawServer server_;
   int slots_;
   std::string boot_id_;
   Epoch epoch_;
@@ -289,9 +303,14 @@
 int RunWorker(const Options& options) {
   base::EventLoop loop;
   WorkerStandin standin(loop, options);
-  return RunHost(loop, options, [&standin](const Exchange& exchange) {
-    standin.Handle(exchange);
-  });
+  const auto address = ParseAddress(options.Text("listen", "127.0.0.1:0"));
+  if (!address.ok()) return 2;
+  const auto bound = standin.Listen(address.value());
+  if (!bound.ok()) return 1;
+  std::printf("listening http=%s\n", ToString(bound.value()).c_str());
+  std::fflush(stdout);
+  RunUntilTerminated(loop);
+  return 0;
 }
 
 }  // namespace mangospread::standin
--- a/standin/proxy.cc
+++ b/standin/proxy/proxy.cc
@@ -1,35 +1,16 @@
-#include "proxy.hpp"
+#include "proxy/proxy.hpp"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <utility>
 #include <vector>
 
-namespace mangospread::standin {
-namespace {
-
-sockaddr_in ToSocketAddress(const Address& address) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
-  return out;
-}
-
-void SetNoDelay(int fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
-}  // namespace
+#include "sockets.hpp"
 
+namespace mangospread::standin {
 namespace detail {
 
 /// A client's connection and the one to the target. Owned by the proxy and
@@ -223,19 +204,13 @@
 }
 
 Result<Address> Proxy::Listen(const Address& address) {
-  sockaddr_in bound = ToSocketAddress(address);
-  constexpr int kBacklog = 512;
-  listener_ = evconnlistener_new_bind(
-      loop_.raw(),
-      [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/,
-         int /*size*/, void* arg) { static_cast<Proxy*>(arg)->Accept(fd); },
-      this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, kBacklog,
-      reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
+  listener_ = ListenOn(
+      loop_, address,
+      [](evconnlistener* /*listener*/, int fd, sockaddr* /*from*/, int /*size*/,
+         void* arg) { static_cast<Proxy*>(arg)->Accept(fd); },
+      this);
   if (listener_ == nullptr) return Error{Errc::kUnavailable, ToString(address)};
-  socklen_t size = sizeof(bound);
-  getsockname(evconnlistener_get_fd(listener_),
-              reinterpret_cast<sockaddr*>(&bound), &size);
-  address_ = Address{address.ip, ntohs(bound.sin_port)};
+  address_ = BoundAddress(listener_, address);
   return address_;
 }
 
--- a/standin/proxy_host.cc
+++ b/standin/proxy/run.cc
@@ -4,7 +4,7 @@
 
 #include "base/json_reader.hpp"
 #include "host.hpp"
-#include "proxy.hpp"
+#include "proxy/proxy.hpp"
 
 namespace mangospread::standin {
 namespace {
