Claim idempotency keys in the table before the first send

A keyed request could run twice, since the key was only passed on to the endpoint. KeyStore now claims idem/<service>/<xxh128> under the condition that the row is absent, through a serial writer of its own (25 transactions/s a node, the deployment's 150 among six). Other requests with the key wait for the holder's result until their deadline and get the stored response, or unknown when the holder is gone, the response was over 4 KiB or the deadline passed. A fingerprint over key, method, target and body refuses a reused key with key-mismatch (422).

Release that fails: not-run is still said, because it is true and the key cannot run twice. The release goes on in the background; the row names a live holder, so a repeated request waits for it. If the process ends first, the repeated request gets unknown. A claim that commits after the caller's deadline is released the same way.

Ruled out: a row that says "sent" (a second write on every request), and reading before claiming (a read on every request for the rare repeat).

Tried once each: without the absence condition, without waiting for the release and without the fingerprint check, the case that guards the promise fails.

--- a/include/mangospread/outcome.hpp
+++ b/include/mangospread/outcome.hpp
@@ -27,6 +27,7 @@
   kShuttingDown,
   kRefusedByEndpoint,
   kConnectFailed,
+  kKeyMismatch,  ///< The idempotency key was used for another request.
 };
 
 /// Value of the Mangospread-Outcome header: "answered", "not-run" or
@@ -36,7 +37,7 @@
 /// Value of the Mangospread-Reason header, for example "no-capacity".
 [[nodiscard]] std::string_view NotRunReasonName(NotRunReason reason) noexcept;
 
-/// HTTP status sent with a refused request: 400, 404, 413, 429 or 503.
+/// HTTP status sent with a refused request: 400, 404, 413, 422, 429 or 503.
 [[nodiscard]] int NotRunStatus(NotRunReason reason) noexcept;
 
 }  // namespace mangospread
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -27,6 +27,12 @@
 constexpr std::size_t kRequestConnections = 16;
 constexpr std::size_t kControlConnections = 2;
 
+/// Transactions a second for idempotency keys: the deployment's 150 among six
+/// nodes.
+constexpr double kKeyBudget = 25;
+
+constexpr std::uint64_t kNanosPerMs = 1'000'000;
+
 std::string WriterRow(const Settings& settings, Incarnation incarnation,
                       const char* purpose) {
   return "writer/" + settings.node.str() + "/" +
@@ -65,6 +71,14 @@
   return options;
 }
 
+gateway::KeyStoreOptions MakeKeyOptions(const Settings& settings,
+                                        Incarnation incarnation) {
+  gateway::KeyStoreOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  return options;
+}
+
 ownership::LinkFactory MakeLinkFactory(base::EventLoop& loop) {
   return [&loop](const VmInfo& vm) {
     auto control = net::HttpClientPool::Create(loop, vm.address,
@@ -95,6 +109,9 @@
       ownership_writer_(loop_, *platform_.table,
                         WriterRow(settings_, incarnation_, "ownership"),
                         Budget(60)),
+      key_writer_(loop_, *platform_.table,
+                  WriterRow(settings_, incarnation_, "idempotency"),
+                  Budget(kKeyBudget)),
       sync_(loop_, *platform_.table, store_, {},
             [this](const Address& peer, Revision since, auto done) {
               peers_.ConfigSince(peer, since, kPullTimeout, std::move(done));
@@ -112,8 +129,18 @@
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_),
+      keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
+            key_writer_,
+            [this](const NodeId& node, Incarnation incarnation) {
+              return IsGone(node, incarnation);
+            }),
+      key_sweep_(
+          loop_, {}, *platform_.table, key_writer_,
+          [this] { return IsFirstNode(); },
+          [] { return base::WallNanoseconds() / kNanosPerMs; }),
       gateway_(
           loop_, MakeGatewayOptions(settings_, incarnation_), store_, router_,
+          keys_,
           [this](const Address& peer, rpc::ForwardRequest request, auto done) {
             peers_.Forward(peer, std::move(request), std::move(done));
           },
@@ -165,6 +192,7 @@
       {"ownership",
        [this]() -> Result<Done> {
          ownership_.Start();
+         key_sweep_.Start();
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
@@ -219,7 +247,9 @@
 
 void Node::WaitForRequests(std::function<void()> done) {
   watches_.CloseAll();
-  if (gateway_.in_flight() == 0 && config_writer_.idle()) return done();
+  if (gateway_.in_flight() == 0 && config_writer_.idle() && keys_.idle()) {
+    return done();
+  }
   stop_timer_ = loop_.After(kRecheck, [this, done = std::move(done)]() mutable {
     WaitForRequests(std::move(done));
   });
@@ -286,6 +316,27 @@
   return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
 }
 
+bool Node::IsGone(const NodeId& node, Incarnation incarnation) const {
+  if (node == settings_.node) return incarnation != incarnation_;
+  const membership::Peer* peer = membership_.Find(node);
+  if (peer == nullptr) {
+    return base::MonotonicNow() - membership_.started() > kIsolatedAfter;
+  }
+  return peer->liveness == membership::Liveness::kDead ||
+         peer->view.incarnation > incarnation;
+}
+
+bool Node::IsFirstNode() const {
+  if (state_ != rpc::NodeState::kReady) return false;
+  for (const auto& [node, peer] : membership_.peers()) {
+    if (peer.liveness == membership::Liveness::kAlive &&
+        peer.view.state == rpc::NodeState::kReady && node < settings_.node) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void Node::Dispatch(std::shared_ptr<net::HttpExchange> exchange) {
   constexpr std::string_view kServicePrefix = "/svc/";
   if (state_ == rpc::NodeState::kLeaving) exchange->CloseAfterReply();
@@ -333,6 +384,23 @@
       MetricType::kCounter, requests.forwarded);
   add("requests_retried_total", "Further sends of a request.",
       MetricType::kCounter, requests.retried);
+  const auto& keys = keys_.counters();
+  for (const auto& [result, value] :
+       {std::pair{"claimed", keys.claimed},
+        std::pair{"replayed", keys.replayed},
+        std::pair{"unknown", keys.unknown},
+        std::pair{"mismatched", keys.mismatched},
+        std::pair{"unavailable", keys.unavailable}}) {
+    add("idempotency_claims_total", "Requests with an idempotency key.",
+        MetricType::kCounter, value, {{"result", result}});
+  }
+  add("idempotency_released_total", "Claims deleted because nothing ran.",
+      MetricType::kCounter, keys.released);
+  add("idempotency_release_delayed_total",
+      "Claims that could not be deleted at once.", MetricType::kCounter,
+      keys.release_failed);
+  add("idempotency_swept_total", "Keys deleted after their retention time.",
+      MetricType::kCounter, key_sweep_.swept());
   add("config_revision", "Installed configuration revision.",
       MetricType::kGauge, store_.revision().value());
   add("config_stale_total", "Dropped changes of a lower revision.",
@@ -341,7 +409,8 @@
       ownership_.owned().size());
   for (const auto& [purpose, writer] :
        {std::pair{"config", &config_writer_},
-        std::pair{"ownership", &ownership_writer_}}) {
+        std::pair{"ownership", &ownership_writer_},
+        std::pair{"idempotency", &key_writer_}}) {
     const auto& counters = writer->counters();
     add("table_transactions_total", "Table transactions by purpose.",
         MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -14,6 +14,8 @@
 #include "config/store.hpp"
 #include "config/sync.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/keys/key_store.hpp"
+#include "gateway/keys/key_sweep.hpp"
 #include "membership/membership.hpp"
 #include "net/http_server.hpp"
 #include "ownership/manager.hpp"
@@ -58,6 +60,10 @@
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
   void OnAccepted(const Change& change);
   void OnHeard(const rpc::NodeView& view);
+  /// True if the process that claimed a key cannot finish it any more.
+  [[nodiscard]] bool IsGone(const NodeId& node, Incarnation incarnation) const;
+  /// True on the live node with the lowest name, which sweeps old keys.
+  [[nodiscard]] bool IsFirstNode() const;
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
@@ -76,12 +82,15 @@
   rpc::PeerService peers_;
   table::Writer config_writer_;
   table::Writer ownership_writer_;
+  table::Writer key_writer_;
   config::Store store_;
   config::Sync sync_;
   config::Editor editor_;
   membership::Membership membership_;
   ownership::Manager ownership_;
   gateway::Router router_;
+  gateway::KeyStore keys_;
+  gateway::KeySweep key_sweep_;
   gateway::Gateway gateway_;
   api::WatchHub watches_;
   api::Api api_;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -172,6 +172,10 @@
       return {"connection_discarded", Severity::kInfo};
     case Event::kSlotHeld:
       return {"slot_held", Severity::kInfo};
+    case Event::kKeyReleaseDelayed:
+      return {"key_release_delayed", Severity::kWarning};
+    case Event::kKeysSwept:
+      return {"keys_swept", Severity::kInfo};
     case Event::kSchedulerActive:
       return {"scheduler_active", Severity::kInfo};
     case Event::kSchedulerInactive:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -54,6 +54,8 @@
   kRequestRetried = 1505,
   kConnectionDiscarded = 1506,
   kSlotHeld = 1507,
+  kKeyReleaseDelayed = 1510,
+  kKeysSwept = 1511,
   // Scheduler.
   kSchedulerActive = 1601,
   kSchedulerInactive = 1602,
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -40,6 +40,8 @@
       return "refused-by-endpoint";
     case NotRunReason::kConnectFailed:
       return "connect-failed";
+    case NotRunReason::kKeyMismatch:
+      return "key-mismatch";
   }
   return "none";
 }
@@ -48,6 +50,7 @@
   constexpr int kBadRequest = 400;
   constexpr int kNotFound = 404;
   constexpr int kTooLarge = 413;
+  constexpr int kUnprocessable = 422;
   constexpr int kTooManyRequests = 429;
   constexpr int kServiceUnavailable = 503;
   switch (reason) {
@@ -57,6 +60,8 @@
       return kNotFound;
     case NotRunReason::kTooLarge:
       return kTooLarge;
+    case NotRunReason::kKeyMismatch:
+      return kUnprocessable;
     case NotRunReason::kLimitExceeded:
       return kTooManyRequests;
     default:
--- a/src/gateway/endpoint_call.hpp
+++ b/src/gateway/endpoint_call.hpp
@@ -17,6 +17,8 @@
 inline constexpr char kTimeoutHeader[] = "Mangospread-Timeout-Ms";
 inline constexpr char kIdempotentHeader[] = "Mangospread-Idempotent";
 inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+/// "true" on a stored response of an earlier request with the same key.
+inline constexpr char kReplayedHeader[] = "Mangospread-Replayed";
 
 /// Occupies a slot, sends the request and says what became of it. The slot is
 /// freed when the end is certain and held otherwise.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,12 +8,13 @@
 namespace mangospread::gateway {
 
 Gateway::Gateway(base::EventLoop& loop, GatewayOptions options,
-                 const config::Store& store, Router& router,
+                 const config::Store& store, Router& router, KeyStore& keys,
                  SendForward forward, std::function<NotRunReason()> admission)
     : loop_(loop),
       options_(std::move(options)),
       store_(store),
       router_(router),
+      keys_(keys),
       forward_(std::move(forward)),
       admission_(std::move(admission)) {}
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 
 #include "base/event_loop.hpp"
 #include "config/store.hpp"
+#include "gateway/keys/key_store.hpp"
 #include "gateway/router.hpp"
 #include "net/http_server.hpp"
 #include "rpc/messages.hpp"
@@ -40,8 +41,8 @@
 class Gateway {
  public:
   Gateway(base::EventLoop& loop, GatewayOptions options,
-          const config::Store& store, Router& router, SendForward forward,
-          std::function<NotRunReason()> admission);
+          const config::Store& store, Router& router, KeyStore& keys,
+          SendForward forward, std::function<NotRunReason()> admission);
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
@@ -68,6 +69,7 @@
   GatewayOptions options_;
   const config::Store& store_;
   Router& router_;
+  KeyStore& keys_;
   SendForward forward_;
   std::function<NotRunReason()> admission_;
   GatewayCounters counters_;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -53,9 +53,35 @@
   if (not_ready != NotRunReason::kNone) return Refuse(not_ready);
   const NotRunReason invalid = Parse();
   if (invalid != NotRunReason::kNone) return Refuse(invalid);
+  if (key_) return ClaimKey();
   Route();
 }
 
+void RequestSession::ClaimKey() {
+  gateway_.keys_.Claim(*key_, deadline_,
+                       [self = shared_from_this()](ClaimResult result) {
+                         self->OnClaim(std::move(result));
+                       });
+}
+
+void RequestSession::OnClaim(ClaimResult result) {
+  switch (result.status) {
+    case ClaimStatus::kGranted:
+      key_claimed_ = true;
+      return Route();
+    case ClaimStatus::kStored:
+      replayed_ = true;
+      return Finish({Outcome::kAnswered, NotRunReason::kNone,
+                     std::move(result.response)});
+    case ClaimStatus::kUnknown:
+      return Finish({Outcome::kUnknown, NotRunReason::kNone, {}});
+    case ClaimStatus::kMismatch:
+      return Refuse(NotRunReason::kKeyMismatch);
+    case ClaimStatus::kUnavailable:
+      return Refuse(NotRunReason::kTableUnavailable);
+  }
+}
+
 NotRunReason RequestSession::Parse() {
   net::Request& in = exchange_->request();
   const std::string_view target = in.target;
@@ -81,6 +107,13 @@
   request_.request.headers = std::move(in.headers);
   request_.request.body = std::move(in.body);
   request_.request.target = std::move(path);
+  if (request_.request.headers.Has(kIdempotencyKeyHeader)) {
+    const auto key = request_.request.headers.Get(kIdempotencyKeyHeader);
+    if (key.empty() || key.size() > kMaxKeyBytes) {
+      return NotRunReason::kBadRequest;
+    }
+    key_ = MakeKeyUse(request_.service, key, request_.request);
+  }
   return NotRunReason::kNone;
 }
 
@@ -152,7 +185,24 @@
   Finish({Outcome::kNotRun, reason, {}});
 }
 
-void RequestSession::Finish(const rpc::ForwardReply& reply) {
+void RequestSession::Finish(rpc::ForwardReply reply) {
+  if (!std::exchange(key_claimed_, false)) return Answer(reply);
+  KeyStore& keys = gateway_.keys_;
+  switch (reply.outcome) {
+    case Outcome::kAnswered:
+      keys.Complete(key_->row_key, reply.response);
+      return Answer(reply);
+    case Outcome::kUnknown:
+      keys.MarkUnknown(key_->row_key);
+      return Answer(reply);
+    case Outcome::kNotRun:
+      keys.Release(key_->row_key,
+                   [self = shared_from_this(), reply] { self->Answer(reply); });
+      return;
+  }
+}
+
+void RequestSession::Answer(const rpc::ForwardReply& reply) {
   net::Response out;
   switch (reply.outcome) {
     case Outcome::kAnswered:
@@ -165,6 +215,7 @@
           out.headers.Add(name, value);
         }
       }
+      if (replayed_) out.headers.Add(kReplayedHeader, "true");
       break;
     case Outcome::kNotRun:
       ++gateway_.counters_.not_run;
--- a/src/gateway/request_session.hpp
+++ b/src/gateway/request_session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "gateway/gateway.hpp"
@@ -24,12 +25,16 @@
  private:
   /// Reads service, deadline and idempotence from the caller's request.
   [[nodiscard]] NotRunReason Parse();
+  void ClaimKey();
+  void OnClaim(ClaimResult result);
   void Route();
   [[nodiscard]] bool SendLocal();
   [[nodiscard]] bool SendToPeer();
   void OnReply(rpc::ForwardReply reply);
   void Refuse(NotRunReason reason);
-  void Finish(const rpc::ForwardReply& reply);
+  /// Settles the key's claim, then tells the caller the outcome.
+  void Finish(rpc::ForwardReply reply);
+  void Answer(const rpc::ForwardReply& reply);
 
   Gateway& gateway_;
   std::shared_ptr<net::HttpExchange> exchange_;
@@ -39,6 +44,9 @@
   std::set<NodeId> tried_;
   int sends_ = 0;
   bool maybe_run_ = false;
+  std::optional<KeyUse> key_;
+  bool key_claimed_ = false;
+  bool replayed_ = false;
 };
 
 }  // namespace mangospread::gateway
