--- a/include/mangospread/worker.hpp
+++ b/include/mangospread/worker.hpp
@@ -23,8 +23,11 @@
 
 /// Why a claim may be granted.
 enum class ClaimBasis : unsigned char {
-  kTable,         ///< The table's ownership row names the claimant.
-  kLeaseExpired,  ///< The worker itself decides: only if the lease ran out.
+  kTable,  ///< The table's ownership row names the claimant.
+  /// The worker itself decides: only if the lease of any other owner ran out.
+  /// It grants the claimed epoch or its own highest + 1, whichever is higher,
+  /// and says which in its report.
+  kLeaseExpired,
 };
 
 enum class TaskPhase : unsigned char { kRunning, kStopped, kDone, kFailed };
@@ -83,7 +86,7 @@
 
 /// Commands to one worker. Every call is fenced: a worker that knows a higher
 /// epoch, or the same epoch for another owner, refuses with kStaleEpoch and
-/// does nothing.
+/// does nothing. The error's subject is the epoch that it knows, if it says so.
 class Worker {
  public:
   using ReportCallback = std::function<void(Result<WorkerReport>)>;
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -11,6 +11,8 @@
 
 constexpr Milliseconds kPushTimeout{1'000};
 constexpr Milliseconds kPullTimeout{2'000};
+/// While the table or the VM list is down, peers are asked this often.
+constexpr MonotonicTime kOwnershipPullPeriod = std::chrono::seconds(2);
 constexpr Milliseconds kWorkerTimeout{1'000};
 constexpr Milliseconds kHandOverLimit{5'000};
 constexpr Milliseconds kStatePeriod{100};
@@ -22,6 +24,23 @@
 /// Time for the last RPC replies to leave before the process exits.
 constexpr Milliseconds kFlushTime{200};
 
+rpc::OwnershipEntry ToEntry(const ownership::KnownOwner& known) {
+  return {known.vm, known.row.node, known.row.incarnation, known.row.epoch,
+          known.version};
+}
+
+std::vector<ownership::KnownOwner> ToKnownOwners(
+    const std::vector<rpc::OwnershipEntry>& entries) {
+  std::vector<ownership::KnownOwner> rows;
+  rows.reserve(entries.size());
+  for (const auto& entry : entries) {
+    rows.push_back({entry.vm,
+                    {entry.node, entry.incarnation, entry.epoch},
+                    entry.version});
+  }
+  return rows;
+}
+
 /// Connections for requests; the worker's own limit also has to hold the
 /// control connections and those of a previous owner.
 constexpr std::size_t kRequestConnections = 16;
@@ -47,8 +66,10 @@
 }
 
 ownership::ManagerOptions MakeOwnershipOptions(const Settings& settings,
-                                               Incarnation incarnation) {
+                                               Incarnation incarnation,
+                                               std::function<bool()> is_ready) {
   ownership::ManagerOptions options;
+  options.is_ready = std::move(is_ready);
   options.node = settings.node;
   options.incarnation = incarnation;
   options.data_center = settings.data_center;
@@ -108,7 +129,10 @@
                  Milliseconds timeout, auto done) {
             peers_.Heartbeat(peer, view, timeout, std::move(done));
           }),
-      ownership_(loop_, MakeOwnershipOptions(settings_, incarnation_),
+      ownership_(loop_,
+                 MakeOwnershipOptions(
+                     settings_, incarnation_,
+                     [this] { return state_ != rpc::NodeState::kStarting; }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_),
@@ -129,6 +153,8 @@
       supervisor_(loop_, {}, [this](const Error& /*error*/) { stopped_(1); }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
+  ownership_.owner_changed().connect(
+      [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
   AddChildren();
 }
 
@@ -245,12 +271,17 @@
   };
   handlers.config_since = [this](Revision since) { return sync_.Since(since); };
   handlers.ownership_snapshot = [this] {
-    std::vector<rpc::OwnershipEntry> entries;
-    for (const auto& [vm, row] : ownership_.Rows()) {
-      entries.push_back({vm, row.node, row.incarnation, row.epoch});
+    rpc::OwnershipSnapshot snapshot;
+    for (const auto& known : ownership_.Rows()) {
+      snapshot.entries.push_back(ToEntry(known));
     }
-    return entries;
+    snapshot.vms = ownership_.Vms();
+    return snapshot;
   };
+  handlers.push_ownership =
+      [this](const std::vector<rpc::OwnershipEntry>& entries) {
+        ownership_.AdoptRows(ToKnownOwners(entries));
+      };
   return handlers;
 }
 
@@ -310,6 +341,33 @@
 
 void Node::OnHeard(const rpc::NodeView& view) {
   sync_.OnPeerRevision(view.rpc_address, view.revision);
+  const MonotonicTime now = base::MonotonicNow();
+  if (!ownership_.needs_peers() || now < ownership_pull_at_ ||
+      view.state == rpc::NodeState::kStarting) {
+    return;
+  }
+  ownership_pull_at_ = now + kOwnershipPullPeriod;
+  peers_.FetchOwnership(
+      view.rpc_address, kPullTimeout,
+      [this](const Result<rpc::OwnershipSnapshot>& answer) {
+        if (!answer.ok()) return;
+        ownership_.AdoptVms(answer.value().vms);
+        ownership_.AdoptRows(ToKnownOwners(answer.value().entries));
+      });
+}
+
+void Node::OnOwnerChanged(const ownership::KnownOwner& known) {
+  // Changes of one loop turn, for example of a committed group, share a push.
+  changed_owners_.push_back(ToEntry(known));
+  if (changed_owners_.size() > 1) return;
+  loop_.Post([this] {
+    const auto entries = std::exchange(changed_owners_, {});
+    for (const auto& [node, peer] : membership_.peers()) {
+      if (peer.liveness == membership::Liveness::kDead) continue;
+      peers_.PushOwnership(peer.view.rpc_address, entries, kPushTimeout,
+                           [](const Result<Done>& /*done*/) {});
+    }
+  });
 }
 
 void Node::CollectSamples(std::vector<api::Sample>& samples) const {
@@ -339,6 +397,17 @@
       MetricType::kCounter, store_.counters().stale);
   add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
       ownership_.owned().size());
+  const auto& ownership = ownership_.counters();
+  add("ownership_claims_total", "Claims sent to workers.", MetricType::kCounter,
+      ownership.claims);
+  add("ownership_claims_refused_total", "Claims that workers refused.",
+      MetricType::kCounter, ownership.claims_refused);
+  add("ownership_grants_total", "Claims granted by a worker without the table.",
+      MetricType::kCounter, ownership.grants);
+  add("ownership_row_conflicts_total", "Ownership writes that lost a race.",
+      MetricType::kCounter, ownership.row_conflicts);
+  add("table_reads_total", "Table reads by purpose.", MetricType::kCounter,
+      ownership.reads, {{"purpose", "ownership"}});
   for (const auto& [purpose, writer] :
        {std::pair{"config", &config_writer_},
         std::pair{"ownership", &ownership_writer_}}) {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -58,6 +58,8 @@
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
   void OnAccepted(const Change& change);
   void OnHeard(const rpc::NodeView& view);
+  /// Tells peers, so that they need not read the table.
+  void OnOwnerChanged(const ownership::KnownOwner& known);
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
@@ -70,6 +72,8 @@
   std::function<void(int)> stopped_;
   rpc::NodeState state_ = rpc::NodeState::kStarting;
   bool handed_over_ = false;
+  MonotonicTime ownership_pull_at_{0};
+  std::vector<rpc::OwnershipEntry> changed_owners_;
   Address http_address_;
   Address rpc_address_;
 
--- a/src/ownership/manager.cc
+++ b/src/ownership/manager.cc
@@ -1,39 +1,35 @@
 #include "ownership/manager.hpp"
 
 #include <algorithm>
-#include <set>
+#include <charconv>
 #include <utility>
 
 #include "base/clock.hpp"
 #include "base/events.hpp"
+#include "ownership/manager_entry.hpp"
 #include "ownership/rendezvous.hpp"
-#include "ownership/rows.hpp"
 
 namespace mangospread::ownership {
 namespace {
 
 constexpr double kTickJitter = 0.2;
-constexpr std::size_t kPageRows = 10'000;
 constexpr MonotonicTime kBackoffBase = std::chrono::milliseconds(100);
 constexpr int kBackoffMaxShift = 5;
 
-}  // namespace
+NodeId FenceOwner(const ManagerOptions& options) {
+  return NodeId(options.node.str() + "/" +
+                std::to_string(options.incarnation.value()));
+}
+
+/// The epoch that a refusal names, or 0.
+Epoch EpochOfRefusal(const Error& error) {
+  std::uint64_t epoch = 0;
+  const char* first = error.subject.data();
+  std::from_chars(first, first + error.subject.size(), epoch);
+  return Epoch(epoch);
+}
 
-struct Manager::Entry {
-  VmInfo vm;
-  bool listed = true;
-  OwnershipRow row;
-  /// Version of the row in the table; absent when only a peer told of it.
-  std::optional<RowVersion> row_version;
-  WorkerLink link;
-  std::shared_ptr<Worker> claimant;
-  std::shared_ptr<OwnedWorker> worker;
-  /// The worker granted an epoch that the table does not have yet.
-  bool unrecorded = false;
-  bool busy = false;
-  int failures = 0;
-  MonotonicTime retry_at{0};
-};
+}  // namespace
 
 Manager::Manager(base::EventLoop& loop, ManagerOptions options, Table& table,
                  table::Writer& writer, VmList& vm_list,
@@ -46,7 +42,12 @@
       vm_list_(vm_list),
       membership_(membership),
       store_(store),
-      make_link_(std::move(make_link)) {}
+      make_link_(std::move(make_link)),
+      fence_owner_(FenceOwner(options_)) {
+  membership_.changed().connect([this, alive = alive_](const auto& /*peer*/) {
+    if (*alive) ++view_version_;
+  });
+}
 
 Manager::~Manager() { *alive_ = false; }
 
@@ -60,89 +61,13 @@
   RefreshVms();
 }
 
-void Manager::RefreshRows() {
-  if (reading_rows_) return;
-  reading_rows_ = true;
-  ReadRequest request;
-  request.ranges.push_back({kOwnershipPrefix, "", kPageRows});
-  table_.Read(std::move(request), [this, alive = alive_](
-                                      const Result<std::vector<Row>>& rows) {
-    if (!*alive) return;
-    reading_rows_ = false;
-    table_answers_ = rows.ok();
-    if (!rows.ok()) return;
-    rows_loaded_ = true;
-    for (const Row& row : rows.value()) {
-      const VmName vm(row.key.substr(std::size(kOwnershipPrefix) - 1));
-      const auto decoded = DecodeOwnership(row);
-      const auto it = entries_.find(vm);
-      if (it == entries_.end() || !decoded.ok()) continue;
-      Entry& entry = *it->second;
-      // A write may have been committed after this read was served.
-      if (entry.busy) continue;
-      if (entry.row_version && *entry.row_version > row.version) continue;
-      entry.row = decoded.value();
-      entry.row_version = row.version;
-    }
-    // Absent rows have version 0; known only now that the table was read.
-    for (auto& item : entries_) {
-      Entry& entry = *item.second;
-      const std::string key = OwnershipRowKey(entry.vm.name);
-      const bool present =
-          std::any_of(rows.value().begin(), rows.value().end(),
-                      [&key](const Row& row) { return row.key == key; });
-      if (!present && !entry.row_version && !entry.busy) {
-        entry.row_version = RowVersion();
-      }
-    }
-  });
-}
-
-void Manager::RefreshVms() {
-  if (reading_vms_) return;
-  reading_vms_ = true;
-  vm_list_.Fetch(
-      [this, alive = alive_](const Result<std::vector<VmInfo>>& vms) {
-        if (!*alive) return;
-        reading_vms_ = false;
-        if (!vms.ok()) {
-          base::Log(base::Event::kVmListFailed,
-                    {{"error", ErrcName(vms.error().code)}});
-          return;
-        }
-        OnVms(vms.value());
-      });
-}
-
-void Manager::OnVms(const std::vector<VmInfo>& vms) {
-  for (auto& [name, entry] : entries_) entry->listed = false;
-  bool added = false;
-  for (const VmInfo& vm : vms) {
-    auto& entry = entries_[vm.name];
-    if (entry == nullptr || entry->vm.address != vm.address) {
-      // A VM that came back at another address is another machine.
-      if (entry != nullptr) DropWorker(*entry);
-      entry = std::make_shared<Entry>();
-      entry->link = make_link_(vm);
-      added = true;
-    }
-    entry->vm = vm;
-    entry->listed = true;
-    if (entry->worker != nullptr) entry->worker->UpdateVm(vm);
-  }
-  std::erase_if(entries_, [this](auto& item) {
-    Entry& entry = *item.second;
-    const bool reachable = entry.worker != nullptr && entry.worker->reachable();
-    if (entry.listed || reachable || entry.busy) return false;
-    DropWorker(entry);
-    return true;
-  });
-  if (added) RefreshRows();
-}
-
 void Manager::Tick() {
   const MonotonicTime now = base::MonotonicNow();
+  const bool ready = !options_.is_ready || options_.is_ready();
+  if (std::exchange(ready_, ready) != ready) ++view_version_;
+  bool stale = false;
   for (auto& [name, entry] : entries_) {
+    stale = stale || entry->stale;
     if (entry->worker != nullptr) {
       if (store_.IsDrained(name)) {
         entry->worker->StopNewWork();
@@ -150,8 +75,9 @@
         entry->worker->ResumeNewWork();
       }
     }
-    if (!entry->busy && entry->retry_at <= now) Consider(*entry);
+    if (entry->retry_at <= now) Consider(*entry);
   }
+  if (stale && table_answers_) RefreshRows();
   FinishHandOver();
 }
 
@@ -172,188 +98,194 @@
   return row.node == options_.node && row.incarnation == options_.incarnation;
 }
 
-bool Manager::OwnerIsGone(const Entry& entry) const {
-  const OwnershipRow& row = entry.row;
+bool Manager::IsCurrent(const Entry& entry) const {
+  const auto it = entries_.find(entry.vm.name);
+  return it != entries_.end() && it->second.get() == &entry;
+}
+
+bool Manager::TableDecides(const Entry& entry) const {
+  const MonotonicTime now = base::MonotonicNow();
+  if (!table_answers_ || now < writes_fail_until_) return false;
+  return !entry.writing || now - entry.writing_since < options_.write_patience;
+}
+
+bool Manager::OwnerIsGone(const OwnershipRow& row) const {
   if (row.node.empty() || row.node == options_.node) return true;
   const membership::Peer* peer = membership_.Find(row.node);
   if (peer == nullptr) {
-    return base::MonotonicNow() - membership_.started() >
-           options_.unheard_is_gone;
+    return HadTimeToHear();
   }
   return peer->liveness == membership::Liveness::kDead ||
          peer->view.incarnation > row.incarnation;
 }
 
-NodeId Manager::Propose(const Entry& entry) const {
+bool Manager::HadTimeToHear() const {
+  return base::MonotonicNow() - membership_.started() >
+         options_.unheard_is_gone;
+}
+
+const NodeId& Manager::Propose(Entry& entry) const {
+  if (entry.proposed_in == view_version_) return entry.proposed;
   std::vector<Candidate> candidates;
-  if (!leaving_) candidates.push_back({options_.node, options_.data_center});
+  if (ready_ && !leaving_) {
+    candidates.push_back({options_.node, options_.data_center});
+  }
   for (const auto& [node, peer] : membership_.peers()) {
     if (peer.liveness == membership::Liveness::kAlive &&
         peer.view.state == rpc::NodeState::kReady) {
       candidates.push_back({node, peer.view.data_center});
     }
   }
-  return ProposeOwner(entry.vm.name, entry.vm.data_center, candidates);
+  entry.proposed =
+      ProposeOwner(entry.vm.name, entry.vm.data_center, candidates);
+  entry.proposed_in = view_version_;
+  return entry.proposed;
 }
 
 void Manager::Consider(Entry& entry) {
-  if (!entry.row_version && table_answers_) return;
-  const NodeId proposed = Propose(entry);
-  if (entry.worker != nullptr) {
-    if (entry.unrecorded) {
-      if (table_answers_ && entry.row_version) RecordGrant(entry);
-    } else if (IsSelf(entry.row)) {
-      ConsiderHandOver(entry, proposed);
-    } else if (proposed == options_.node && OwnerIsGone(entry)) {
-      // The successor died before it claimed the worker.
-      TakeOver(entry);
-    }
-    return;
-  }
+  if (entry.claiming) return;
+  if (entry.worker != nullptr) return ConsiderHeld(entry);
   if (!entry.listed || leaving_) return;
-  if (IsSelf(entry.row)) {
+  const bool table_decides = TableDecides(entry);
+  if (table_decides && (!entry.row_version || entry.stale)) return;
+  const bool named = IsSelf(entry.row);
+  const bool passed =
+      entry.grant.epoch > entry.row.epoch ||
+      (entry.grant.epoch == entry.row.epoch && !IsSelf(entry.grant));
+  if (named && !passed) {
     return Claim(entry, entry.row.epoch, ClaimBasis::kTable);
   }
-  if (proposed != options_.node || !OwnerIsGone(entry)) return;
-  base::Log(base::Event::kOwnershipProposed,
-            {{"vm", entry.vm.name.str()},
-             {"previous", entry.row.node.str()},
-             {"epoch", entry.row.epoch.value()},
-             {"table", table_answers_}});
-  if (table_answers_) return TakeOver(entry);
-  // Only the worker can decide now. A worker is asked only when its owner is
-  // believed gone, and it refuses while that owner renews its lease.
-  if (options_.claim_without_table) {
-    Claim(entry, entry.row.epoch.next(), ClaimBasis::kLeaseExpired);
+  // A row that names this node with an epoch that the worker has passed gives
+  // no right to the worker; it needs a higher epoch first.
+  const bool entitled =
+      named || (Propose(entry) == options_.node && OwnerIsGone(entry.latest()));
+  if (!entitled) return;
+  if (table_decides) {
+    if (!entry.writing) TakeOver(entry);
+  } else if (options_.claim_without_table && HadTimeToHear()) {
+    // Only the worker can decide now. It is asked only when its owner is
+    // believed gone, and refuses while that owner renews its lease.
+    Claim(entry, entry.latest().epoch.next(), ClaimBasis::kLeaseExpired);
   }
 }
 
-void Manager::TakeOver(Entry& entry) {
-  const Epoch held =
-      entry.worker == nullptr ? Epoch() : entry.worker->fence().epoch;
-  const OwnershipRow next{options_.node, options_.incarnation,
-                          std::max(entry.row.epoch, held).next()};
-  WriteRow(entry, next, [this, &entry, next](bool committed) {
-    if (committed) {
-      Claim(entry, next.epoch, ClaimBasis::kTable);
-    } else {
-      Backoff(entry);
-    }
-  });
-}
-
-void Manager::RecordGrant(Entry& entry) {
+void Manager::ConsiderHeld(Entry& entry) {
   const Epoch held = entry.worker->fence().epoch;
-  if (entry.row.epoch >= held) {
-    // Another node took the row meanwhile. Its claim has not reached the
-    // worker, or this node would have lost it; a higher epoch settles it.
-    return OwnerIsGone(entry) ? TakeOver(entry) : DropWorker(entry);
+  const bool named = IsSelf(entry.row);
+  if (named && entry.row.epoch > held) {
+    return Claim(entry, entry.row.epoch, ClaimBasis::kTable);
+  }
+  if (!entry.row_version || entry.stale || entry.writing ||
+      !TableDecides(entry)) {
+    return;
+  }
+  if (entry.row.epoch < held) {
+    return WriteRow(entry, {options_.node, options_.incarnation, held});
+  }
+  if (named) return ConsiderHandOver(entry);
+  // The row names another node with this epoch or a higher one. That node
+  // claims with a higher epoch and fences this one off, so that the worker is
+  // served until then. If it is gone, this node takes the row over.
+  if (OwnerIsGone(entry.row) && Propose(entry) == options_.node) {
+    TakeOver(entry);
   }
-  WriteRow(entry, {options_.node, options_.incarnation, held},
-           [this, &entry](bool committed) {
-             if (committed) {
-               entry.unrecorded = false;
-             } else {
-               Backoff(entry);
-             }
-           });
 }
 
-void Manager::WriteRow(Entry& entry, OwnershipRow row,
-                       std::function<void(bool)> done) {
-  entry.busy = true;
-  const std::string key = OwnershipRowKey(entry.vm.name);
-  Transaction change;
-  change.conditions.push_back({key, entry.row_version.value_or(RowVersion())});
-  change.writes.push_back({key, EncodeOwnership(row)});
-  const auto shared = entries_.at(entry.vm.name);
-  writer_.Submit(
-      std::move(change), [shared, row, done = std::move(done),
-                          alive = alive_](const table::WriteResult& result) {
-        if (!*alive) return;
-        shared->busy = false;
-        const bool committed = result.status == table::WriteStatus::kCommitted;
-        if (committed) {
-          shared->row = row;
-          shared->row_version = result.version;
-        }
-        done(committed);
-      });
+void Manager::ConsiderHandOver(Entry& entry) {
+  const NodeId& proposed = Propose(entry);
+  if (proposed.empty() || proposed == options_.node) return;
+  const membership::Peer* successor = membership_.Find(proposed);
+  if (successor == nullptr) return;
+  if (!leaving_ && !TakeMoveBudget()) return;
+  // This node serves the worker until the successor's claim fences it off.
+  WriteRow(entry, {successor->view.node, successor->view.incarnation,
+                   entry.row.epoch.next()});
+}
+
+void Manager::TakeOver(Entry& entry) {
+  const Epoch held =
+      entry.worker == nullptr ? Epoch() : entry.worker->fence().epoch;
+  base::Log(base::Event::kOwnershipProposed,
+            {{"vm", entry.vm.name.str()},
+             {"previous", entry.row.node.str()},
+             {"epoch", entry.row.epoch.value()}});
+  WriteRow(entry, {options_.node, options_.incarnation,
+                   std::max(entry.latest().epoch, held).next()});
 }
 
 void Manager::Claim(Entry& entry, Epoch epoch, ClaimBasis basis) {
-  entry.busy = true;
-  const auto shared = entries_.at(entry.vm.name);
-  shared->claimant = shared->link.make_control();
-  shared->claimant->Claim({options_.node, epoch}, basis, options_.lease.lease,
-                          [this, shared, epoch, basis,
-                           alive = alive_](const Result<WorkerReport>& report) {
-                            if (!*alive) return;
-                            shared->busy = false;
-                            OnClaimed(*shared, epoch, basis, report);
-                          });
+  entry.claiming = true;
+  entry.claimant = entry.link.make_control();
+  ++counters_.claims;
+  entry.claimant->Claim({fence_owner_, epoch}, basis, options_.lease.lease,
+                        [this, shared = entry.shared_from_this(), epoch, basis,
+                         alive = alive_](const Result<WorkerReport>& report) {
+                          if (!*alive) return;
+                          shared->claiming = false;
+                          if (!IsCurrent(*shared)) return;
+                          OnClaimed(*shared, epoch, basis, report);
+                        });
 }
 
 void Manager::OnClaimed(Entry& entry, Epoch epoch, ClaimBasis basis,
                         const Result<WorkerReport>& report) {
-  if (!report.ok()) {
-    base::Log(base::Event::kWorkerClaimRefused,
-              {{"vm", entry.vm.name.str()},
-               {"epoch", epoch.value()},
-               {"error", ErrcName(report.error().code)}});
-    // The worker knows a higher epoch than the table or than this node.
-    if (report.error().code == Errc::kStaleEpoch) {
-      entry.row.epoch = epoch;
-      if (basis == ClaimBasis::kTable) entry.row.node = NodeId();
-    }
-    Backoff(entry);
+  if (!report.ok()) return OnRefused(entry, epoch, report.error());
+  const bool granted = basis == ClaimBasis::kLeaseExpired;
+  // A worker that grants a claim by itself chooses the epoch.
+  const Epoch held = granted ? std::max(epoch, report.value().epoch) : epoch;
+  if (granted) {
+    ++counters_.grants;
+    entry.grant = {options_.node, options_.incarnation, held};
+  }
+  Own(entry, held, report.value());
+  if (granted) Announce(entry, entry.grant, false);
+}
+
+void Manager::OnRefused(Entry& entry, Epoch epoch, const Error& error) {
+  ++counters_.claims_refused;
+  base::Log(base::Event::kWorkerClaimRefused, {{"vm", entry.vm.name.str()},
+                                               {"epoch", epoch.value()},
+                                               {"error", ErrcName(error.code)},
+                                               {"known", error.subject}});
+  if (error.code == Errc::kLeaseHeld) {
+    entry.retry_at = base::MonotonicNow() + options_.lease_held_retry;
     return;
   }
+  if (error.code == Errc::kStaleEpoch) {
+    const Epoch known = std::max(epoch, EpochOfRefusal(error));
+    if (known > entry.grant.epoch) entry.grant = {{}, {}, known};
+    entry.stale = true;
+  }
+  Backoff(entry);
+}
+
+void Manager::Own(Entry& entry, Epoch epoch, const WorkerReport& report) {
   DropWorker(entry);
   entry.failures = 0;
-  entry.unrecorded = basis == ClaimBasis::kLeaseExpired;
-  if (entry.unrecorded) {
-    entry.row.node = options_.node;
-    entry.row.incarnation = options_.incarnation;
-  }
   entry.worker = std::make_shared<OwnedWorker>(
-      loop_, entry.vm, Fence{options_.node, epoch}, entry.link.make_control(),
+      loop_, entry.vm, Fence{fence_owner_, epoch}, entry.link.make_control(),
       entry.link.requests, options_.lease,
-      [this, name = entry.vm.name, alive = alive_] {
-        if (!*alive) return;
-        const auto it = entries_.find(name);
-        if (it != entries_.end()) DropWorker(*it->second);
-        RefreshRows();
+      [this, weak = entry.weak_from_this(), alive = alive_] {
+        const EntryPtr shared = weak.lock();
+        if (*alive && shared != nullptr) OnWorkerLost(shared);
       });
   entry.worker->OnSlotFree([this] { slot_free_.emit(); });
-  entry.worker->Start(report.value());
+  entry.worker->Start(report);
   RebuildOwned();
   base::Log(base::Event::kWorkerClaimed,
             {{"vm", entry.vm.name.str()},
              {"epoch", epoch.value()},
-             {"in_flight", report.value().in_flight.size()},
-             {"recorded", !entry.unrecorded}});
+             {"in_flight", report.in_flight.size()},
+             {"recorded", IsSelf(entry.row) && entry.row.epoch == epoch}});
   slot_free_.emit();
 }
 
-void Manager::ConsiderHandOver(Entry& entry, const NodeId& proposed) {
-  if (proposed.empty() || proposed == options_.node) return;
-  const membership::Peer* successor = membership_.Find(proposed);
-  if (successor == nullptr || !table_answers_) return;
-  if (!leaving_ && !TakeMoveBudget()) return;
-  HandOver(entry, *successor);
-}
-
-void Manager::HandOver(Entry& entry, const membership::Peer& successor) {
-  const OwnershipRow next{successor.view.node, successor.view.incarnation,
-                          entry.row.epoch.next()};
-  // This node serves the worker until the successor's claim fences it off.
-  WriteRow(entry, next, [this, &entry, next](bool committed) {
-    if (!committed) return Backoff(entry);
-    base::Log(base::Event::kWorkerReleased, {{"vm", entry.vm.name.str()},
-                                             {"successor", next.node.str()},
-                                             {"epoch", next.epoch.value()}});
-  });
+void Manager::OnWorkerLost(const EntryPtr& entry) {
+  DropWorker(*entry);
+  // Another node's claim is the usual reason, so the row is read again before
+  // anything is decided.
+  entry->stale = true;
+  RefreshRows();
 }
 
 bool Manager::TakeMoveBudget() {
@@ -370,6 +302,7 @@
 
 void Manager::HandOverAll(Milliseconds limit, std::function<void()> done) {
   leaving_ = true;
+  ++view_version_;
   handed_over_ = std::move(done);
   leave_timer_ = loop_.After(limit, [this] {
     if (handed_over_) std::exchange(handed_over_, nullptr)();
@@ -382,7 +315,6 @@
   entry.worker->StopNewWork();
   entry.link.requests->CloseIdle();
   entry.worker.reset();
-  entry.unrecorded = false;
   RebuildOwned();
 }
 
@@ -403,33 +335,4 @@
   return it == entries_.end() ? nullptr : it->second->worker;
 }
 
-std::vector<std::pair<VmName, OwnershipRow>> Manager::Rows() const {
-  std::vector<std::pair<VmName, OwnershipRow>> rows;
-  for (const auto& [name, entry] : entries_) {
-    if (entry->row.epoch.value() == 0) continue;
-    OwnershipRow row = entry->row;
-    if (entry->worker != nullptr) row.epoch = entry->worker->fence().epoch;
-    rows.emplace_back(name, row);
-  }
-  return rows;
-}
-
-void Manager::AdoptRows(
-    const std::vector<std::pair<VmName, OwnershipRow>>& rows) {
-  for (const auto& [vm, row] : rows) {
-    const auto it = entries_.find(vm);
-    if (it == entries_.end() || it->second->busy) continue;
-    Entry& entry = *it->second;
-    if (entry.worker == nullptr && row.epoch > entry.row.epoch) {
-      entry.row = row;
-    }
-  }
-}
-
-std::vector<VmInfo> Manager::Vms() const {
-  std::vector<VmInfo> vms;
-  for (const auto& [name, entry] : entries_) vms.push_back(entry->vm);
-  return vms;
-}
-
 }  // namespace mangospread::ownership
--- a/src/ownership/manager.hpp
+++ b/src/ownership/manager.hpp
@@ -27,13 +27,34 @@
   Epoch epoch;
 };
 
+/// What a node knows about a VM's owner.
+struct KnownOwner {
+  VmName vm;
+  OwnershipRow row;
+  /// Version of the table's row. Absent for an epoch that a worker granted
+  /// and the table does not have yet.
+  std::optional<RowVersion> version;
+};
+
 struct ManagerOptions {
   NodeId node;
   Incarnation incarnation;
   DataCenter data_center;
   LeaseOptions lease;
   Milliseconds tick{200};
+  /// Period of the small read that shows whether the table answers and reads
+  /// the rows known to be out of date.
   Milliseconds refresh{500};
+  /// Period of the read of all rows. Peers push every change, so it only
+  /// finds what a lost push left out.
+  Milliseconds full_refresh{30'000};
+  /// A write without result for this long no longer holds back a claim that
+  /// the worker grants.
+  Milliseconds write_patience{500};
+  /// After a failed write the table counts as down for this long.
+  Milliseconds write_retry{1'000};
+  /// Time between claims of a worker whose lease has not run out.
+  Milliseconds lease_held_retry{300};
   Milliseconds vm_list_period{1'000};
   /// Owners that were never heard of count as gone after this time.
   Milliseconds unheard_is_gone{3'000};
@@ -41,6 +62,16 @@
   double moves_per_second = 4;
   /// Whether a worker may grant a claim that the table has not recorded.
   bool claim_without_table = true;
+  /// A node that does not serve yet takes no workers; empty means ready.
+  std::function<bool()> is_ready;
+};
+
+struct ManagerCounters {
+  std::uint64_t claims = 0;
+  std::uint64_t claims_refused = 0;
+  std::uint64_t grants = 0;  ///< Claims that a worker granted by itself.
+  std::uint64_t reads = 0;
+  std::uint64_t row_conflicts = 0;
 };
 
 /// Control client and request connections of one worker.
@@ -72,41 +103,75 @@
     return owned_;
   }
   [[nodiscard]] std::shared_ptr<OwnedWorker> FindOwned(const VmName& vm) const;
-  /// The last row known for each VM.
-  [[nodiscard]] std::vector<std::pair<VmName, OwnershipRow>> Rows() const;
-  /// Takes rows known to a peer, for a node that starts without the table.
-  void AdoptRows(const std::vector<std::pair<VmName, OwnershipRow>>& rows);
+  /// What is known about each VM's owner, for peers.
+  [[nodiscard]] std::vector<KnownOwner> Rows() const;
+  /// Takes what a peer knows: pushed changes, and everything for a node that
+  /// starts without the table.
+  void AdoptRows(const std::vector<KnownOwner>& rows);
   [[nodiscard]] std::vector<VmInfo> Vms() const;
+  /// Takes a peer's VMs while the VM list has never answered.
+  void AdoptVms(const std::vector<VmInfo>& vms);
+  /// True until both the table and the VM list have answered once.
+  [[nodiscard]] bool needs_peers() const noexcept {
+    return !rows_loaded_ || !vms_loaded_;
+  }
+
+  /// Emitted when this node changed a row or was granted a worker.
+  sigc::signal<void(const KnownOwner&)>& owner_changed() noexcept {
+    return owner_changed_;
+  }
+  [[nodiscard]] const ManagerCounters& counters() const noexcept {
+    return counters_;
+  }
 
   /// Emitted when a slot became free on any owned worker.
   sigc::signal<void()>& slot_free() noexcept { return slot_free_; }
 
  private:
   struct Entry;
+  using EntryPtr = std::shared_ptr<Entry>;
 
   void Tick();
+
+  // Table rows and the VM list.
   void RefreshRows();
+  void ReadStaleRows();
+  void ReadAllRows(const std::string& after, MonotonicTime begun);
+  bool OnRead(const Result<std::vector<Row>>& rows);
+  void TakeRows(const std::vector<Row>& rows);
   void RefreshVms();
   void OnVms(const std::vector<VmInfo>& vms);
+  void AddVm(const VmInfo& vm);
+  /// Writes the row of `entry` under the condition of its last version.
+  void WriteRow(Entry& entry, OwnershipRow row);
+  void OnWritten(const EntryPtr& entry, const OwnershipRow& row,
+                 const table::WriteResult& result);
+
+  // Decisions.
   void Consider(Entry& entry);
-  void ConsiderHandOver(Entry& entry, const NodeId& proposed);
+  void ConsiderHeld(Entry& entry);
+  void ConsiderHandOver(Entry& entry);
   void TakeOver(Entry& entry);
   void Claim(Entry& entry, Epoch epoch, ClaimBasis basis);
   void OnClaimed(Entry& entry, Epoch epoch, ClaimBasis basis,
                  const Result<WorkerReport>& report);
-  void RecordGrant(Entry& entry);
-  /// Writes the row of `entry` under the condition of its last version.
-  void WriteRow(Entry& entry, OwnershipRow row,
-                std::function<void(bool committed)> done);
-  void HandOver(Entry& entry, const membership::Peer& successor);
+  void OnRefused(Entry& entry, Epoch epoch, const Error& error);
+  void Own(Entry& entry, Epoch epoch, const WorkerReport& report);
+  void OnWorkerLost(const EntryPtr& entry);
   /// Reports the end of HandOverAll when no worker or no successor is left.
   void FinishHandOver();
   void DropWorker(Entry& entry);
   void RebuildOwned();
   void Backoff(Entry& entry);
-  [[nodiscard]] bool OwnerIsGone(const Entry& entry) const;
+  void Announce(const Entry& entry, const OwnershipRow& row, bool recorded);
+  [[nodiscard]] bool OwnerIsGone(const OwnershipRow& row) const;
+  /// Whether peers and the table had time to be heard since the start.
+  [[nodiscard]] bool HadTimeToHear() const;
   [[nodiscard]] bool IsSelf(const OwnershipRow& row) const;
-  [[nodiscard]] NodeId Propose(const Entry& entry) const;
+  [[nodiscard]] bool IsCurrent(const Entry& entry) const;
+  /// Whether a decision about this worker can go through the table now.
+  [[nodiscard]] bool TableDecides(const Entry& entry) const;
+  [[nodiscard]] const NodeId& Propose(Entry& entry) const;
   [[nodiscard]] bool TakeMoveBudget();
 
   base::EventLoop& loop_;
@@ -117,13 +182,23 @@
   membership::Membership& membership_;
   const config::Store& store_;
   LinkFactory make_link_;
-  std::map<VmName, std::shared_ptr<Entry>> entries_;
+  /// Owner named in fences. It includes the incarnation: a node that restarts
+  /// under the same name must not share an epoch with its paused predecessor.
+  NodeId fence_owner_;
+  std::map<VmName, EntryPtr> entries_;
   std::vector<std::shared_ptr<OwnedWorker>> owned_;
   bool rows_loaded_ = false;
+  bool vms_loaded_ = false;
   bool table_answers_ = false;
+  MonotonicTime full_read_at_{0};
+  MonotonicTime writes_fail_until_{0};
+  /// Changes with the membership; proposals are kept until then.
+  std::uint64_t view_version_ = 1;
+  ManagerCounters counters_;
   bool reading_rows_ = false;
   bool reading_vms_ = false;
   bool leaving_ = false;
+  bool ready_ = false;
   double move_budget_ = 0;
   MonotonicTime move_budget_time_{0};
   std::function<void()> handed_over_;
@@ -132,6 +207,7 @@
   base::Timer vm_timer_;
   base::Timer leave_timer_;
   sigc::signal<void()> slot_free_;
+  sigc::signal<void(const KnownOwner&)> owner_changed_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/rpc/codec.cc
+++ b/src/rpc/codec.cc
@@ -174,11 +174,46 @@
   out.setNode(entry.node.str());
   out.setIncarnation(entry.incarnation.value());
   out.setEpoch(entry.epoch.value());
+  out.setRecorded(entry.version.has_value());
+  out.setVersion(entry.version.value_or(RowVersion()).value());
 }
 
 OwnershipEntry Decode(wire::OwnershipEntry::Reader in) {
-  return {VmName(Text(in.getVm())), NodeId(Text(in.getNode())),
-          Incarnation(in.getIncarnation()), Epoch(in.getEpoch())};
+  OwnershipEntry entry{VmName(Text(in.getVm())), NodeId(Text(in.getNode())),
+                       Incarnation(in.getIncarnation()), Epoch(in.getEpoch()),
+                       std::nullopt};
+  if (in.getRecorded()) entry.version = RowVersion(in.getVersion());
+  return entry;
+}
+
+void Encode(const VmInfo& vm, wire::Vm::Builder out) {
+  out.setName(vm.name.str());
+  out.setAddress(ToString(vm.address));
+  out.setDataCenter(vm.data_center.str());
+  out.setRack(vm.rack.str());
+  out.setPool(vm.pool);
+  out.setLeaving(vm.state == VmState::kLeaving);
+  out.setSlots(vm.capacity.slots);
+  out.setConnections(vm.capacity.connections);
+  out.setCpuMillis(vm.capacity.cpu.value());
+  out.setMemoryMb(vm.capacity.memory.value());
+  out.setAccelerators(vm.capacity.accelerators.value());
+}
+
+VmInfo Decode(wire::Vm::Reader in) {
+  VmInfo vm;
+  vm.name = VmName(Text(in.getName()));
+  vm.address = DecodeAddress(in.getAddress());
+  vm.data_center = DataCenter(Text(in.getDataCenter()));
+  vm.rack = RackName(Text(in.getRack()));
+  vm.pool = Text(in.getPool());
+  vm.state = in.getLeaving() ? VmState::kLeaving : VmState::kLive;
+  vm.capacity.slots = in.getSlots();
+  vm.capacity.connections = in.getConnections();
+  vm.capacity.cpu = Millicores(in.getCpuMillis());
+  vm.capacity.memory = Mebibytes(in.getMemoryMb());
+  vm.capacity.accelerators = Accelerators(in.getAccelerators());
+  return vm;
 }
 
 }  // namespace mangospread::rpc
--- a/src/rpc/codec.hpp
+++ b/src/rpc/codec.hpp
@@ -22,4 +22,7 @@
 void Encode(const OwnershipEntry& entry, wire::OwnershipEntry::Builder out);
 [[nodiscard]] OwnershipEntry Decode(wire::OwnershipEntry::Reader in);
 
+void Encode(const VmInfo& vm, wire::Vm::Builder out);
+[[nodiscard]] VmInfo Decode(wire::Vm::Reader in);
+
 }  // namespace mangospread::rpc
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "mangospread/outcome.hpp"
 #include "mangospread/resource.hpp"
 #include "mangospread/units.hpp"
+#include "mangospread/vm.hpp"
 #include "net/http_message.hpp"
 
 namespace mangospread::rpc {
@@ -64,6 +66,15 @@
   NodeId node;
   Incarnation incarnation;
   Epoch epoch;
+  /// Version of the table's row; absent for an epoch that only the worker
+  /// granted.
+  std::optional<RowVersion> version;
+};
+
+/// What a node that starts without the table needs to know about workers.
+struct OwnershipSnapshot {
+  std::vector<OwnershipEntry> entries;
+  std::vector<VmInfo> vms;
 };
 
 }  // namespace mangospread::rpc
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -68,6 +68,24 @@
   node @1 :Text;
   incarnation @2 :UInt64;
   epoch @3 :UInt64;
+  # Version of the table's row; meaningless unless recorded.
+  version @4 :UInt64;
+  # False for an epoch that the worker granted and the table does not have.
+  recorded @5 :Bool;
+}
+
+struct Vm {
+  name @0 :Text;
+  address @1 :Text;
+  dataCenter @2 :Text;
+  rack @3 :Text;
+  pool @4 :Text;
+  leaving @5 :Bool;
+  slots @6 :Int32;
+  connections @7 :Int32;
+  cpuMillis @8 :Int64;
+  memoryMb @9 :Int64;
+  accelerators @10 :Int64;
 }
 
 interface Peer {
@@ -75,5 +93,6 @@
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
   pushConfig @2 (delta :ConfigDelta) -> (revision :UInt64);
   configSince @3 (revision :UInt64) -> (delta :ConfigDelta);
-  ownershipSnapshot @4 () -> (entries :List(OwnershipEntry));
+  ownershipSnapshot @4 () -> (entries :List(OwnershipEntry), vms :List(Vm));
+  pushOwnership @5 (entries :List(OwnershipEntry)) -> ();
 }
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -27,6 +27,7 @@
 CAPNP_DECLARE_SCHEMA(f266133151355b33);
 CAPNP_DECLARE_SCHEMA(e8eaa5fe90b051f2);
 CAPNP_DECLARE_SCHEMA(db2e2de60f438739);
+CAPNP_DECLARE_SCHEMA(ec66f5b22618c669);
 CAPNP_DECLARE_SCHEMA(b91702a44fe2cd65);
 CAPNP_DECLARE_SCHEMA(e5f1fb026cbd3458);
 CAPNP_DECLARE_SCHEMA(dbbead1f8530ff98);
@@ -38,6 +39,8 @@
 CAPNP_DECLARE_SCHEMA(d0686589998eef61);
 CAPNP_DECLARE_SCHEMA(d898d98a1be2c8d2);
 CAPNP_DECLARE_SCHEMA(bdfa5860d0289f52);
+CAPNP_DECLARE_SCHEMA(be0daf6d54c452eb);
+CAPNP_DECLARE_SCHEMA(d6852e9c90f286d0);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -159,7 +162,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db2e2de60f438739, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(db2e2de60f438739, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Vm {
+  Vm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec66f5b22618c669, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -184,6 +202,8 @@
   struct ConfigSinceResults;
   struct OwnershipSnapshotParams;
   struct OwnershipSnapshotResults;
+  struct PushOwnershipParams;
+  struct PushOwnershipResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -336,7 +356,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdfa5860d0289f52, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bdfa5860d0289f52, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PushOwnershipParams {
+  PushOwnershipParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PushOwnershipResults {
+  PushOwnershipResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1145,6 +1195,10 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline  ::uint64_t getVersion() const;
+
+  inline bool getRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1193,6 +1247,12 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool getRecorded();
+  inline void setRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1219,6 +1279,157 @@
 };
 #endif  // !CAPNP_LITE
 
+class Vm::Reader {
+public:
+  typedef Vm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCenter() const;
+  inline  ::capnp::Text::Reader getDataCenter() const;
+
+  inline bool hasRack() const;
+  inline  ::capnp::Text::Reader getRack() const;
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::int32_t getSlots() const;
+
+  inline  ::int32_t getConnections() const;
+
+  inline  ::int64_t getCpuMillis() const;
+
+  inline  ::int64_t getMemoryMb() const;
+
+  inline  ::int64_t getAccelerators() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Vm::Builder {
+public:
+  typedef Vm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCenter();
+  inline  ::capnp::Text::Builder getDataCenter();
+  inline void setDataCenter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCenter(unsigned int size);
+  inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
+
+  inline bool hasRack();
+  inline  ::capnp::Text::Builder getRack();
+  inline void setRack( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRack(unsigned int size);
+  inline void adoptRack(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRack();
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
+
+  inline  ::int32_t getConnections();
+  inline void setConnections( ::int32_t value);
+
+  inline  ::int64_t getCpuMillis();
+  inline void setCpuMillis( ::int64_t value);
+
+  inline  ::int64_t getMemoryMb();
+  inline void setMemoryMb( ::int64_t value);
+
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Vm::Pipeline {
+public:
+  typedef Vm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1248,6 +1459,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1284,6 +1497,10 @@
   typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
   typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
   virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
+  typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
+  virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
 
   inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2031,6 +2248,9 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2066,6 +2286,13 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline bool hasVms();
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>> disownVms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2092,98 +2319,250 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::PushOwnershipParams::Reader {
+public:
+  typedef PushOwnershipParams Reads;
 
-inline bool FreeSlots::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FreeSlots::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader FreeSlots::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder FreeSlots::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FreeSlots::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder FreeSlots::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FreeSlots::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> FreeSlots::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::int32_t FreeSlots::Reader::getFree() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::int32_t FreeSlots::Builder::getFree() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FreeSlots::Builder::setFree( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool NodeView::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeView::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeView::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeView::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeView::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeView::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeView::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
-inline  ::uint64_t NodeView::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t NodeView::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+class Peer::PushOwnershipParams::Builder {
+public:
+  typedef PushOwnershipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushOwnershipParams::Pipeline {
+public:
+  typedef PushOwnershipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushOwnershipResults::Reader {
+public:
+  typedef PushOwnershipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushOwnershipResults::Builder {
+public:
+  typedef PushOwnershipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushOwnershipResults::Pipeline {
+public:
+  typedef PushOwnershipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool FreeSlots::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FreeSlots::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FreeSlots::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FreeSlots::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FreeSlots::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FreeSlots::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FreeSlots::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FreeSlots::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t FreeSlots::Reader::getFree() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FreeSlots::Builder::getFree() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreeSlots::Builder::setFree( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeView::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeView::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeView::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeView::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeView::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeView::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void NodeView::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
@@ -3078,6 +3457,288 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t OwnershipEntry::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OwnershipEntry::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OwnershipEntry::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OwnershipEntry::Reader::getRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool OwnershipEntry::Builder::getRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void OwnershipEntry::Builder::setRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Vm::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Vm::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Vm::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Vm::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Vm::Reader::getConnections() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Vm::Builder::getConnections() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setConnections( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getCpuMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setCpuMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setMemoryMb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3398,6 +4059,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::OwnershipSnapshotResults::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::OwnershipSnapshotResults::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader Peer::OwnershipSnapshotResults::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::OwnershipSnapshotResults::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::OwnershipSnapshotResults::Builder::setVms( ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::OwnershipSnapshotResults::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::OwnershipSnapshotResults::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>> Peer::OwnershipSnapshotResults::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::PushOwnershipParams::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushOwnershipParams::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader Peer::PushOwnershipParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::PushOwnershipParams::Builder::setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PushOwnershipParams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> Peer::PushOwnershipParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -102,6 +102,20 @@
   std::shared_ptr<RpcThread> thread_;
 };
 
+template <typename T, typename Init>
+void EncodeList(const std::vector<T>& items, Init init) {
+  auto list = init(static_cast<unsigned>(items.size()));
+  for (unsigned i = 0; i < list.size(); ++i) Encode(items[i], list[i]);
+}
+
+template <typename T, typename List>
+std::vector<T> DecodeList(const List& list) {
+  std::vector<T> items;
+  items.reserve(list.size());
+  for (const auto item : list) items.push_back(Decode(item));
+  return items;
+}
+
 /// Serves peers' calls on the KJ thread.
 class PeerServer final : public wire::Peer::Server {
  public:
@@ -157,19 +171,29 @@
 
   kj::Promise<void> ownershipSnapshot(  // NOLINT
       OwnershipSnapshotContext context) override {
-    using Entries = std::vector<OwnershipEntry>;
     return bridge_
-        .Call<Entries>(
+        .Call<OwnershipSnapshot>(
             [this](auto reply) { reply(handlers_.ownership_snapshot()); })
-        .then([context](Entries entries) mutable {
-          auto list = context.getResults().initEntries(
-              static_cast<unsigned>(entries.size()));
-          for (unsigned i = 0; i < list.size(); ++i) {
-            Encode(entries[i], list[i]);
-          }
+        .then([context](OwnershipSnapshot snapshot) mutable {
+          auto results = context.getResults();
+          EncodeList(snapshot.entries,
+                     [&results](unsigned n) { return results.initEntries(n); });
+          EncodeList(snapshot.vms,
+                     [&results](unsigned n) { return results.initVms(n); });
         });
   }
 
+  kj::Promise<void> pushOwnership(  // NOLINT
+      PushOwnershipContext context) override {
+    auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
+    return bridge_
+        .Call<Done>([this, entries = std::move(entries)](auto reply) {
+          handlers_.push_ownership(entries);
+          reply(Done{});
+        })
+        .ignoreResult();
+  }
+
  private:
   CoreBridge& bridge_;
   const PeerHandlers& handlers_;
@@ -444,21 +468,31 @@
                            });
 }
 
-void PeerService::OwnershipSnapshot(
-    const Address& peer, Milliseconds timeout,
-    ReplyCallback<std::vector<OwnershipEntry>> done) {
-  using Entries = std::vector<OwnershipEntry>;
-  host_->Call<Entries>(
+void PeerService::FetchOwnership(const Address& peer, Milliseconds timeout,
+                                 ReplyCallback<OwnershipSnapshot> done) {
+  host_->Call<OwnershipSnapshot>(
       peer, timeout, detail::OnTimeout::kKeep, std::move(done),
       [](wire::Peer::Client& client) {
         return client.ownershipSnapshotRequest().send().then([](auto&& answer) {
-          Entries entries;
-          for (const auto entry : answer.getEntries()) {
-            entries.push_back(Decode(entry));
-          }
-          return entries;
+          return OwnershipSnapshot{
+              detail::DecodeList<OwnershipEntry>(answer.getEntries()),
+              detail::DecodeList<VmInfo>(answer.getVms())};
         });
       });
 }
 
+void PeerService::PushOwnership(const Address& peer,
+                                std::vector<OwnershipEntry> entries,
+                                Milliseconds timeout,
+                                ReplyCallback<Done> done) {
+  host_->Call<Done>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [entries = std::move(entries)](wire::Peer::Client& client) {
+        auto call = client.pushOwnershipRequest();
+        detail::EncodeList(entries,
+                           [&call](unsigned n) { return call.initEntries(n); });
+        return call.send().then([](auto&& /*answer*/) { return Done{}; });
+      });
+}
+
 }  // namespace mangospread::rpc
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -27,7 +27,8 @@
       forward;
   std::function<Revision(const ConfigDelta&)> push_config;
   std::function<ConfigDelta(Revision)> config_since;
-  std::function<std::vector<OwnershipEntry>()> ownership_snapshot;
+  std::function<OwnershipSnapshot()> ownership_snapshot;
+  std::function<void(const std::vector<OwnershipEntry>&)> push_ownership;
 };
 
 /// Connections to and from peers. Owns the KJ thread. All members are for the
@@ -57,8 +58,10 @@
                   ReplyCallback<Revision> done);
   void ConfigSince(const Address& peer, Revision revision, Milliseconds timeout,
                    ReplyCallback<ConfigDelta> done);
-  void OwnershipSnapshot(const Address& peer, Milliseconds timeout,
-                         ReplyCallback<std::vector<OwnershipEntry>> done);
+  void FetchOwnership(const Address& peer, Milliseconds timeout,
+                      ReplyCallback<OwnershipSnapshot> done);
+  void PushOwnership(const Address& peer, std::vector<OwnershipEntry> entries,
+                     Milliseconds timeout, ReplyCallback<Done> done);
 
  private:
   std::unique_ptr<detail::PeerHost> host_;
--- a/src/worker/http_worker.cc
+++ b/src/worker/http_worker.cc
@@ -43,7 +43,8 @@
         const net::Response& response = call.response.value();
         if (response.status == kConflict) {
           const auto refusal = response.headers.Get(kRefusedHeader);
-          return done(Error{RefusalToErrc(refusal), std::string(refusal)});
+          return done(Error{RefusalToErrc(refusal),
+                            std::string(response.headers.Get(kEpochHeader))});
         }
         if (response.status != kOk) {
           return done(Error{Errc::kMalformed, "worker"});
--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -63,10 +63,11 @@
                                                     base::MonotonicNow());
   }
 
-  static void Refuse(const Exchange& exchange, const char* reason) {
+  void Refuse(const Exchange& exchange, const char* reason) const {
     net::Response response;
     response.status = kConflict;
     response.headers.Add(worker::kRefusedHeader, reason);
+    response.headers.Add(worker::kEpochHeader, std::to_string(epoch_.value()));
     exchange->Reply(response);
   }
 
@@ -80,20 +81,22 @@
     if (!decoded.ok()) return ReplyText(*exchange, kBadRequest, "{}");
     const auto& request = decoded.value();
     const bool same_owner = request.fence.owner == owner_;
-    if (request.fence.epoch < epoch_ ||
-        (request.fence.epoch == epoch_ && !same_owner)) {
+    Epoch epoch = request.fence.epoch;
+    if (request.basis == ClaimBasis::kLeaseExpired) {
+      if (!same_owner && LeaseRemaining().count() > 0) {
+        return Refuse(exchange, "lease-held");
+      }
+      epoch = std::max(epoch, epoch_.next());
+    }
+    if (epoch < epoch_ || (epoch == epoch_ && !same_owner)) {
       ++stale_refused_;
       return Refuse(exchange, "stale-epoch");
     }
-    if (request.basis == ClaimBasis::kLeaseExpired && !same_owner &&
-        LeaseRemaining().count() > 0) {
-      return Refuse(exchange, "lease-held");
-    }
-    if (!Fenced(request.fence)) {
-      claims_.push_back({{"epoch", request.fence.epoch.value()},
-                         {"owner", request.fence.owner.str()}});
+    if (!Fenced({request.fence.owner, epoch})) {
+      claims_.push_back(
+          {{"epoch", epoch.value()}, {"owner", request.fence.owner.str()}});
     }
-    epoch_ = request.fence.epoch;
+    epoch_ = epoch;
     owner_ = request.fence.owner;
     lease_until_ = base::MonotonicNow() + request.lease;
     ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
--- /dev/null
+++ b/tests/unit/ownership_cluster.hpp
@@ -0,0 +1,441 @@
+/// @file
+/// Entry nodes, a table and workers in one process, with time scaled down
+/// thirtyfold and links that a test can hold back.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "ownership/manager.hpp"
+#include "ownership/rows.hpp"
+#include "table/memory_table.hpp"
+
+namespace mangospread::test {
+
+using ownership::KnownOwner;
+using ownership::OwnershipRow;
+
+inline void Delay(base::EventLoop& loop, Milliseconds time,
+                  std::function<void()> fn) {
+  auto timer = std::make_shared<base::Timer>();
+  *timer = loop.After(time, [timer, fn = std::move(fn)] { fn(); });
+}
+
+/// Everything that one node sends and receives. While held, messages in both
+/// directions wait, as they do for a paused process.
+struct Link : std::enable_shared_from_this<Link> {
+  explicit Link(base::EventLoop& loop) : loop(loop) {}
+
+  void Send(std::function<void()> fn) {
+    if (held) return waiting.push_back(std::move(fn));
+    Delay(loop, Milliseconds(1), [self = shared_from_this(), fn] {
+      if (!self->dead) self->held ? self->waiting.push_back(fn) : fn();
+    });
+  }
+  void Resume() {
+    held = false;
+    for (auto& fn : std::exchange(waiting, {})) Send(std::move(fn));
+  }
+
+  base::EventLoop& loop;
+  bool held = false;
+  bool dead = false;
+  std::deque<std::function<void()>> waiting;
+};
+
+/// Fences exactly as the protocol demands and records who served.
+struct FakeWorkerState {
+  Result<WorkerReport> Claim(const Fence& fence, ClaimBasis basis,
+                             Milliseconds lease) {
+    const bool same_owner = fence.owner == owner;
+    Epoch granted = fence.epoch;
+    if (basis == ClaimBasis::kLeaseExpired) {
+      if (!same_owner && lease_until > base::MonotonicNow()) {
+        return Error{Errc::kLeaseHeld, ""};
+      }
+      granted = std::max(granted, epoch.next());
+    }
+    if (granted < epoch || (granted == epoch && !same_owner)) return Stale();
+    owner = fence.owner;
+    epoch = granted;
+    lease_until = base::MonotonicNow() + lease;
+    ++claims;
+    return Report();
+  }
+  Result<WorkerReport> Renew(const Fence& fence, Milliseconds lease) {
+    if (!Serve(fence)) return Stale();
+    lease_until = base::MonotonicNow() + lease;
+    return Report();
+  }
+  bool Serve(const Fence& fence) {
+    if (fence.owner != owner || fence.epoch != epoch || owner.empty()) {
+      return false;
+    }
+    served_by[{boot, epoch}].insert(owner);
+    return true;
+  }
+  /// The worker restarts and forgets its epoch.
+  void Restart() {
+    epoch = Epoch();
+    owner = NodeId();
+    lease_until = MonotonicTime(0);
+    ++boot;
+  }
+  [[nodiscard]] Error Stale() const {
+    return {Errc::kStaleEpoch, std::to_string(epoch.value())};
+  }
+  [[nodiscard]] WorkerReport Report() const {
+    WorkerReport report;
+    report.epoch = epoch;
+    report.owner = owner;
+    return report;
+  }
+
+  Epoch epoch;
+  NodeId owner;
+  MonotonicTime lease_until{0};
+  int boot = 0;
+  int claims = 0;
+  std::map<std::pair<int, Epoch>, std::set<NodeId>> served_by;
+};
+
+class FakeWorker final : public Worker {
+ public:
+  FakeWorker(FakeWorkerState& state, std::shared_ptr<Link> link)
+      : state_(state), link_(std::move(link)) {}
+
+  void Claim(Fence fence, ClaimBasis basis, Milliseconds lease,
+             ReportCallback done) override {
+    Call(std::move(done),
+         [=, this] { return state_.Claim(fence, basis, lease); });
+  }
+  void Renew(Fence fence, Milliseconds lease, ReportCallback done) override {
+    Call(std::move(done), [=, this] { return state_.Renew(fence, lease); });
+  }
+  void Release(Fence /*fence*/, ReportCallback /*done*/) override {}
+  void Command(Fence /*fence*/, TaskCommand /*command*/,
+               std::function<void(Result<TaskReport>)> /*done*/) override {}
+
+ private:
+  void Call(ReportCallback done, std::function<Result<WorkerReport>()> serve) {
+    link_->Send(
+        [link = link_, done = std::move(done), serve = std::move(serve)] {
+          link->Send([done, report = serve()] { done(report); });
+        });
+  }
+
+  FakeWorkerState& state_;
+  std::shared_ptr<Link> link_;
+};
+
+/// The table service. Fails the test when an ownership epoch goes back.
+struct FakeTableState {
+  enum class Mode : unsigned char {
+    kUp,
+    kRefusing,     ///< Definitely unavailable.
+    kSilent,       ///< Requests take no effect and time out.
+    kRepliesLost,  ///< Requests take effect and time out.
+  };
+
+  TransactResult Transact(const Transaction& transaction) {
+    auto result = rows.Transact(transaction);
+    if (result.status != TransactResult::Status::kCommitted) return result;
+    for (const Write& write : transaction.writes) {
+      if (!write.key.starts_with(ownership::kOwnershipPrefix)) continue;
+      const auto row =
+          ownership::DecodeOwnership({write.key, *write.value, {}});
+      REQUIRE(row.ok());
+      CHECK(row.value().epoch > epochs[write.key]);
+      epochs[write.key] = row.value().epoch;
+    }
+    return result;
+  }
+
+  Mode mode = Mode::kUp;
+  table::MemoryRows rows;
+  std::map<std::string, Epoch> epochs;
+};
+
+class FakeTable final : public Table {
+ public:
+  FakeTable(FakeTableState& state, std::shared_ptr<Link> link)
+      : state_(state), link_(std::move(link)) {}
+
+  void Read(ReadRequest request, ReadCallback done) override {
+    link_->Send([this, link = link_, request, done] {
+      if (state_.mode == Mode::kUp) {
+        return link->Send(
+            [done, rows = state_.rows.Read(request)] { done(rows); });
+      }
+      Later([done] { done(Error{Errc::kTimeout, "table"}); });
+    });
+  }
+  void Transact(Transaction transaction, TransactCallback done) override {
+    link_->Send([this, link = link_, transaction, done] {
+      using Status = TransactResult::Status;
+      if (state_.mode == Mode::kRefusing) {
+        return link->Send([done] { done({Status::kUnavailable, {}, {}}); });
+      }
+      if (state_.mode == Mode::kSilent) {
+        return Later([done] { done({Status::kUnknown, {}, {}}); });
+      }
+      const auto result = state_.Transact(transaction);
+      if (state_.mode == Mode::kUp) {
+        return link->Send([done, result] { done(result); });
+      }
+      Later([done] { done({Status::kUnknown, {}, {}}); });
+    });
+  }
+
+ private:
+  using Mode = FakeTableState::Mode;
+
+  void Later(std::function<void()> fn) {
+    Delay(link_->loop, Milliseconds(30),
+          [link = link_, fn = std::move(fn)] { link->Send(fn); });
+  }
+
+  FakeTableState& state_;
+  std::shared_ptr<Link> link_;
+};
+
+class FakeVmList final : public VmList {
+ public:
+  FakeVmList(const std::vector<VmInfo>& vms, const bool& up,
+             std::shared_ptr<Link> link)
+      : vms_(vms), up_(up), link_(std::move(link)) {}
+  void Fetch(std::function<void(Result<std::vector<VmInfo>>)> done) override {
+    link_->Send([this, done = std::move(done)] {
+      if (!up_) return done(Error{Errc::kUnavailable, "vms"});
+      done(vms_);
+    });
+  }
+
+ private:
+  const std::vector<VmInfo>& vms_;
+  const bool& up_;
+  std::shared_ptr<Link> link_;
+};
+
+struct Cluster;
+
+struct ClusterNode {
+  ClusterNode(Cluster& cluster, const std::string& name, std::uint64_t number);
+  ~ClusterNode() { link->dead = true; }
+  ClusterNode(const ClusterNode&) = delete;
+  ClusterNode& operator=(const ClusterNode&) = delete;
+
+  [[nodiscard]] rpc::NodeView View() const;
+
+  std::shared_ptr<Link> link;
+  NodeId id;
+  Incarnation incarnation;
+  Address address;
+  FakeTable table;
+  FakeVmList vm_list;
+  table::Writer writer;
+  config::Store store;
+  membership::Membership membership;
+  ownership::Manager manager;
+};
+
+struct Cluster {
+  explicit Cluster(int vm_count) {
+    for (int i = 0; i < vm_count; ++i) {
+      VmInfo vm;
+      vm.name = VmName("vm-" + std::to_string(i));
+      vm.address = {"127.0.0.1", 1};
+      vms.push_back(vm);
+    }
+  }
+
+  ClusterNode& Start(const std::string& name) {
+    nodes.push_back(std::make_unique<ClusterNode>(*this, name, ++started));
+    return *nodes.back();
+  }
+  void Kill(ClusterNode& node) {
+    std::erase_if(nodes, [&](const auto& n) { return n.get() == &node; });
+  }
+  [[nodiscard]] ClusterNode* At(const Address& address) const {
+    for (const auto& node : nodes) {
+      if (node->address == address) return node.get();
+    }
+    return nullptr;
+  }
+  void Push(const ClusterNode& from, const KnownOwner& known) const {
+    for (const auto& node : nodes) {
+      if (node.get() == &from) continue;
+      from.link->Send([this, to = node->address, known] {
+        ClusterNode* node = At(to);
+        if (node == nullptr) return;
+        node->link->Send([node, known] { node->manager.AdoptRows({known}); });
+      });
+    }
+  }
+
+  /// Runs the loop until `done` holds. The limit only ends a failed test.
+  bool RunUntil(const std::function<bool()>& done,
+                Milliseconds limit = Milliseconds(20'000)) {
+    const MonotonicTime until = base::MonotonicNow() + limit;
+    const auto timer = loop.Every(Milliseconds(2), 0, [&] {
+      if (done() || base::MonotonicNow() > until) loop.Stop();
+    });
+    loop.Run();
+    return done();
+  }
+  void RunFor(Milliseconds time) {
+    RunUntil([] { return false; }, time);
+  }
+
+  [[nodiscard]] std::optional<OwnershipRow> RowOf(const VmName& vm) const {
+    const auto found = table.rows.Read({{ownership::OwnershipRowKey(vm)}, {}});
+    if (found.empty()) return std::nullopt;
+    return ownership::DecodeOwnership(found[0]).value();
+  }
+  /// True if each worker is served by exactly one node.
+  [[nodiscard]] bool Served() {
+    for (const VmInfo& vm : vms) {
+      int owners = 0;
+      for (const auto& node : nodes) {
+        const auto worker = node->manager.FindOwned(vm.name);
+        if (worker != nullptr && workers[vm.name].Serve(worker->fence())) {
+          ++owners;
+        }
+      }
+      if (owners != 1) return false;
+    }
+    return true;
+  }
+  /// True if, in addition, the table names each worker's owner and epoch.
+  [[nodiscard]] bool Settled() {
+    for (const VmInfo& vm : vms) {
+      const auto row = RowOf(vm.name);
+      if (!row || row->epoch != workers[vm.name].epoch ||
+          workers[vm.name].owner.str() !=
+              row->node.str() + "/" +
+                  std::to_string(row->incarnation.value())) {
+        return false;
+      }
+    }
+    return Served();
+  }
+  void CheckOneOwnerPerEpoch() const {
+    for (const auto& [vm, worker] : workers) {
+      for (const auto& [key, owners] : worker.served_by) {
+        CHECK(owners.size() == 1);
+      }
+    }
+  }
+
+  base::EventLoop loop;
+  FakeTableState table;
+  std::vector<VmInfo> vms;
+  bool vm_list_up = true;
+  std::map<VmName, FakeWorkerState> workers;
+  std::uint64_t started = 0;
+  std::vector<std::unique_ptr<ClusterNode>> nodes;
+};
+
+inline ownership::ManagerOptions ScaledOptions(const NodeId& id,
+                                               Incarnation incarnation) {
+  ownership::ManagerOptions options;
+  options.node = id;
+  options.incarnation = incarnation;
+  options.lease = {Milliseconds(100), Milliseconds(15), Milliseconds(70)};
+  options.tick = Milliseconds(5);
+  options.refresh = Milliseconds(15);
+  options.full_refresh = Milliseconds(300);
+  options.vm_list_period = Milliseconds(30);
+  options.unheard_is_gone = Milliseconds(100);
+  options.write_patience = Milliseconds(20);
+  options.write_retry = Milliseconds(30);
+  options.lease_held_retry = Milliseconds(10);
+  options.moves_per_second = 200;
+  return options;
+}
+
+inline membership::MembershipOptions ScaledMembership(const Cluster& cluster) {
+  membership::MembershipOptions options;
+  for (const auto& node : cluster.nodes) options.seeds.push_back(node->address);
+  options.heartbeat_period = Milliseconds(10);
+  options.suspect_after = Milliseconds(40);
+  options.dead_after = Milliseconds(80);
+  return options;
+}
+
+inline table::WriterOptions ScaledWriter() {
+  table::WriterOptions options;
+  options.budget = 2'000;
+  options.burst = 2'000;
+  options.max_wait = Milliseconds(60);
+  return options;
+}
+
+inline ClusterNode::ClusterNode(Cluster& cluster, const std::string& name,
+                                std::uint64_t number)
+    : link(std::make_shared<Link>(cluster.loop)),
+      id(name),
+      incarnation(number),
+      address{"127.0.0.1", static_cast<std::uint16_t>(number)},
+      table(cluster.table, link),
+      vm_list(cluster.vms, cluster.vm_list_up, link),
+      writer(cluster.loop, table, "writer/" + std::to_string(number),
+             ScaledWriter()),
+      membership(
+          cluster.loop, ScaledMembership(cluster), [this] { return View(); },
+          [this, &cluster](const Address& to, const rpc::NodeView& view,
+                           Milliseconds /*timeout*/, auto done) {
+            link->Send([this, &cluster, to, view, done] {
+              ClusterNode* peer = cluster.At(to);
+              if (peer == nullptr || peer->link->held) {
+                return Delay(cluster.loop, Milliseconds(30),
+                             [link = link, done] {
+                               if (!link->dead) {
+                                 done(Error{Errc::kTimeout, ""});
+                               }
+                             });
+              }
+              link->Send([done, answer = peer->membership.OnHeartbeat(view)] {
+                done(answer);
+              });
+            });
+          }),
+      manager(cluster.loop, ScaledOptions(id, incarnation), table, writer,
+              vm_list, membership, store, [this, &cluster](const VmInfo& vm) {
+                ownership::WorkerLink made;
+                made.make_control = [this, &cluster, name = vm.name] {
+                  return std::make_unique<FakeWorker>(cluster.workers[name],
+                                                      link);
+                };
+                made.requests =
+                    net::HttpClientPool::Create(cluster.loop, vm.address, {});
+                return made;
+              }) {
+  manager.owner_changed().connect([this, &cluster](const KnownOwner& known) {
+    cluster.Push(*this, known);
+  });
+  membership.Start();
+  manager.Start();
+}
+
+inline rpc::NodeView ClusterNode::View() const {
+  rpc::NodeView view;
+  view.node = id;
+  view.incarnation = incarnation;
+  view.state = rpc::NodeState::kReady;
+  view.rpc_address = address;
+  view.known_peers = membership.KnownAddresses();
+  return view;
+}
+
+}  // namespace mangospread::test
