--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -65,6 +65,8 @@
   [[nodiscard]] bool IsGone(const NodeId& node, Incarnation incarnation) const;
   /// True on the live node with the lowest name, which sweeps old keys.
   [[nodiscard]] bool IsFirstNode() const;
+  /// Tells peers, so that they need not read the table.
+  void OnOwnerChanged(const ownership::KnownOwner& known);
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
@@ -77,6 +79,8 @@
   std::function<void(int)> stopped_;
   rpc::NodeState state_ = rpc::NodeState::kStarting;
   bool handed_over_ = false;
+  MonotonicTime ownership_pull_at_{0};
+  std::vector<rpc::OwnershipEntry> changed_owners_;
   Address http_address_;
   Address rpc_bound_;
   /// What peers connect to.
