Add the scheduler's decision engine

The lifecycle needs an engine behind DecisionEngine. This one has the queue (dominant share, urgent first, ageing, constant-time cancellation), placement by measured use plus what was placed since the report, learned task sizes and interference, the guard, urgent eviction and quarantine, each in its own module under src/scheduler/policy; MakeEngine in engine.hpp creates it.

Five tests cover the interface. Each was run with its mechanism switched off and failed: unreported placements not counted, the wait for a stable set of workers, room not freed after a failed start, eviction cost negated, unlisted placements dropped at once. One mechanism is not proved yet: removing only the hold on room during an eviction leaves the test green, because held tasks are also decided before queued ones.

--- /dev/null
+++ b/src/scheduler/policy/class_table.cc
@@ -0,0 +1,125 @@
+#include "scheduler/policy/class_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangospread::scheduler::policy {
+namespace {
+
+/// Measurements before a class counts as known: two reports of four tasks.
+constexpr std::uint32_t kKnownAfter = 8;
+/// Weight of one measurement once a class is known.
+constexpr double kLearningRate = 0.02;
+constexpr double kPeakDecay = 0.9995;
+/// An index may change hands after this many look-ups without use; at the
+/// target's report rate that is several minutes.
+constexpr std::uint64_t kIdleUses = 1'000'000;
+
+/// Successful attempts assumed before the first, so that one bad worker does
+/// not make a new class look broken.
+constexpr double kAssumedSuccesses = 4.0;
+
+double Rate(std::uint32_t samples) {
+  return std::max(kLearningRate, 1.0 / (samples + 1.0));
+}
+
+}  // namespace
+
+ClassTable::ClassTable() { entries_.resize(1); }
+
+ClassIndex ClassTable::ForTask(const TaskDemand& task) {
+  if (!task.task_class.empty()) return Find(task.task_class);
+  return Find(TaskClass("team:" + task.team.str()));
+}
+
+ClassIndex ClassTable::ForService(const ServiceLoad& service) {
+  // The prefix keeps a service's class apart from a task class of that name.
+  const std::string& name = service.task_class.empty()
+                                ? service.service.str()
+                                : service.task_class.str();
+  return Find(TaskClass("service:" + name));
+}
+
+ClassIndex ClassTable::Find(const TaskClass& name) {
+  ++uses_;
+  const auto found = by_name_.find(name);
+  if (found != by_name_.end()) {
+    entries_[found->second].last_used = uses_;
+    return found->second;
+  }
+  ClassIndex index = kOtherClass;
+  if (entries_.size() < kMaxClasses) {
+    index = static_cast<ClassIndex>(entries_.size());
+    entries_.emplace_back();
+  } else {
+    index = Recycle();
+    if (index == kOtherClass) return kOtherClass;
+  }
+  Entry& entry = entries_[index];
+  entry.name = name;
+  entry.use = ClassUse{};
+  entry.last_used = uses_;
+  by_name_[name] = index;
+  return index;
+}
+
+ClassIndex ClassTable::Recycle() {
+  const auto oldest = std::min_element(
+      entries_.begin() + 1, entries_.end(),
+      [](const Entry& a, const Entry& b) { return a.last_used < b.last_used; });
+  if (uses_ - oldest->last_used < kIdleUses) return kOtherClass;
+  by_name_.erase(oldest->name);
+  ++oldest->generation;
+  return static_cast<ClassIndex>(oldest - entries_.begin());
+}
+
+void ClassTable::Measure(ClassIndex index, Millicores cpu, Mebibytes memory,
+                         int throttle_percent) {
+  if (index == kOtherClass || throttle_percent >= 100) return;
+  ClassUse& use = entries_[index].use;
+  const double rate = Rate(use.measured++);
+  const double full_cpu = static_cast<double>(cpu.value()) * 100.0 /
+                          (100.0 - std::max(throttle_percent, 0));
+  use.cpu += rate * (full_cpu - use.cpu);
+  const auto amount = static_cast<double>(memory.value());
+  const double deviation = amount - use.memory;
+  use.memory += rate * deviation;
+  use.memory_var += rate * (deviation * deviation - use.memory_var);
+  use.memory_peak = std::max(use.memory_peak * kPeakDecay, amount);
+}
+
+void ClassTable::RecordSuccess(ClassIndex index, double run_seconds) {
+  if (index == kOtherClass) return;
+  ClassUse& use = entries_[index].use;
+  use.run_seconds += Rate(use.succeeded++) * (run_seconds - use.run_seconds);
+  RecordOutcome(use, 0.0);
+}
+
+void ClassTable::RecordFailure(ClassIndex index, double weight) {
+  if (index != kOtherClass) RecordOutcome(entries_[index].use, weight);
+}
+
+void ClassTable::RecordOutcome(ClassUse& use, double failure) {
+  const double rate =
+      std::max(kLearningRate, 1.0 / (use.ended++ + 1.0 + kAssumedSuccesses));
+  use.failures += rate * (failure - use.failures);
+}
+
+bool ClassTable::Known(ClassIndex index) const {
+  return index != kOtherClass && entries_[index].use.measured >= kKnownAfter;
+}
+
+Millicores ClassTable::ExpectedCpu(ClassIndex index,
+                                   Millicores declared) const {
+  if (!Known(index)) return declared;
+  return Millicores(std::llround(entries_[index].use.cpu));
+}
+
+Mebibytes ClassTable::SafeMemory(ClassIndex index, Mebibytes declared) const {
+  if (!Known(index)) return declared;
+  const ClassUse& use = entries_[index].use;
+  const double spread = use.memory + 2.0 * std::sqrt(use.memory_var);
+  return Mebibytes(std::llround(std::max(spread, use.memory_peak)));
+}
+
+}  // namespace mangospread::scheduler::policy
--- /dev/null
+++ b/src/scheduler/policy/interference.cc
@@ -0,0 +1,263 @@
+#include "scheduler/policy/interference.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangospread::scheduler::policy {
+namespace {
+
+/// Prior of a pair whose classes were never seen: 2% on p99 for each task.
+constexpr double kPriorMean = 0.02;
+constexpr double kPriorVariance = 0.06 * 0.06;
+/// Growth of a coefficient's variance; certainty fades within some hours.
+constexpr double kVarianceGrowth = 2e-7;
+/// Variance of a victim's own level before the first measurement.
+constexpr double kBaseVariance = 0.1;
+constexpr double kBaseGrowth = 2e-7;
+constexpr double kPressurePrior = 0.3;
+constexpr double kPressureVariance = 0.04;
+/// Standard deviations beyond which a measurement is cut off.
+constexpr double kOutlier = 3.0;
+constexpr double kLowestNoise = 0.002;
+constexpr double kFirstNoise = 0.02;
+constexpr double kNoiseRate = 0.02;
+/// Estimates may go slightly below zero, or rectified noise would bias them.
+constexpr double kLowestEffect = -0.03;
+constexpr double kHighestEffect = 3.0;
+constexpr double kPressureFrom = 0.7;
+/// Samples after which an aggressor's own mean outweighs the general prior.
+constexpr double kAggressorSamples = 200;
+
+std::uint32_t Key(ClassIndex aggressor, ClassIndex victim) {
+  return (static_cast<std::uint32_t>(aggressor) << 16) | victim;
+}
+
+double SecondsBetween(MonotonicTime from, MonotonicTime to) {
+  return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+double Grow(double variance, double growth, double seconds, double limit) {
+  return std::max(variance, std::min(limit, variance + growth * seconds));
+}
+
+/// Position of a load level between two knots.
+struct KnotSpan {
+  std::size_t below;
+  double share_above;
+};
+
+KnotSpan Locate(double level, std::size_t knots) {
+  const double position =
+      std::clamp(level, 0.0, 1.0) * static_cast<double>(knots - 1);
+  const std::size_t below =
+      std::min(static_cast<std::size_t>(position), knots - 2);
+  return {below, position - static_cast<double>(below)};
+}
+
+}  // namespace
+
+double CpuPressure(double used_share) {
+  return std::max(0.0, (used_share - kPressureFrom) / (1.0 - kPressureFrom));
+}
+
+std::uint32_t InterferenceModel::Generations(ClassIndex aggressor,
+                                             ClassIndex victim) const {
+  return (classes_.generation(aggressor) << 16) ^ classes_.generation(victim);
+}
+
+InterferenceModel::Coefficient InterferenceModel::Prior(
+    ClassIndex aggressor) const {
+  const auto found = aggressors_.find(aggressor);
+  if (found == aggressors_.end() ||
+      found->second.generation != classes_.generation(aggressor)) {
+    return {kPriorMean, kPriorVariance};
+  }
+  const double share =
+      found->second.samples / (found->second.samples + kAggressorSamples);
+  return {(1 - share) * kPriorMean + share * found->second.mean,
+          kPriorVariance};
+}
+
+Effect InterferenceModel::Predict(ClassIndex aggressor, ClassIndex victim,
+                                  double level) const {
+  const double high = std::clamp(level, 0.0, 1.0);
+  const double low = 1 - high;
+  const auto found = pairs_.find(Key(aggressor, victim));
+  if (found == pairs_.end() ||
+      found->second.generations != Generations(aggressor, victim)) {
+    const Coefficient prior = Prior(aggressor);
+    return {prior.mean, prior.variance};
+  }
+  const Pair& pair = found->second;
+  return {std::max(0.0, low * pair.low.mean + high * pair.high.mean),
+          low * low * pair.low.variance + high * high * pair.high.variance};
+}
+
+double InterferenceModel::PredictAlone(ClassIndex victim, double level) const {
+  const auto found = victims_.find(victim);
+  if (found == victims_.end()) return 0;
+  const KnotSpan span = Locate(level, kKnots);
+  const auto& knots = found->second.knots;
+  return (1 - span.share_above) * knots[span.below].mean +
+         span.share_above * knots[span.below + 1].mean;
+}
+
+double InterferenceModel::PressureEffect(ClassIndex victim,
+                                         double pressure) const {
+  const auto found = victims_.find(victim);
+  const double slope =
+      found == victims_.end() ? kPressurePrior : found->second.pressure.mean;
+  return slope * pressure;
+}
+
+InterferenceModel::Pair& InterferenceModel::FindPair(ClassIndex aggressor,
+                                                     ClassIndex victim,
+                                                     MonotonicTime at) {
+  const std::uint32_t generations = Generations(aggressor, victim);
+  auto found = pairs_.find(Key(aggressor, victim));
+  if (found == pairs_.end() || found->second.generations != generations) {
+    if (found == pairs_.end()) {
+      found = pairs_.emplace(Key(aggressor, victim), Pair{}).first;
+    }
+    const Coefficient prior = Prior(aggressor);
+    found->second = Pair{prior, prior, at, generations};
+  }
+  Pair& pair = found->second;
+  const double seconds = SecondsBetween(pair.updated_at, at);
+  for (Coefficient* coefficient : {&pair.low, &pair.high}) {
+    coefficient->variance =
+        Grow(coefficient->variance, kVarianceGrowth, seconds, kPriorVariance);
+  }
+  pair.updated_at = std::max(pair.updated_at, at);
+  return pair;
+}
+
+void InterferenceModel::DropOldPairs() {
+  std::vector<MonotonicTime> times;
+  times.reserve(pairs_.size());
+  for (const auto& [key, pair] : pairs_) times.push_back(pair.updated_at);
+  const auto cut =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 10);
+  std::nth_element(times.begin(), cut, times.end());
+  const MonotonicTime limit = *cut;
+  std::size_t left = times.size() / 10 + 1;
+  std::erase_if(pairs_, [limit, &left](const auto& entry) {
+    if (left == 0 || entry.second.updated_at > limit) return false;
+    --left;
+    return true;
+  });
+}
+
+InterferenceModel::Victim& InterferenceModel::FindVictim(
+    const Observation& observation, double ln_value) {
+  const std::uint32_t generation = classes_.generation(observation.victim);
+  auto [found, added] = victims_.try_emplace(observation.victim);
+  Victim& victim = found->second;
+  if (added || victim.generation != generation) {
+    victim = Victim{};
+    victim.generation = generation;
+    victim.updated_at = observation.at;
+    victim.noise = kFirstNoise;
+    victim.pressure = {kPressurePrior, kPressureVariance};
+    for (Coefficient& knot : victim.knots) knot = {ln_value, kBaseVariance};
+  }
+  const double seconds = SecondsBetween(victim.updated_at, observation.at);
+  for (Coefficient& knot : victim.knots) {
+    knot.variance = Grow(knot.variance, kBaseGrowth, seconds, kBaseVariance);
+  }
+  victim.updated_at = std::max(victim.updated_at, observation.at);
+  return victim;
+}
+
+double InterferenceModel::Correct(std::vector<Term>& terms, double measured,
+                                  double noise) {
+  double predicted = 0;
+  double variance = noise;
+  for (const Term& term : terms) {
+    predicted += term.amount * term.coefficient->mean;
+    variance += term.amount * term.amount * term.coefficient->variance;
+  }
+  const double innovation = measured - predicted;
+  const double limit = kOutlier * std::sqrt(variance);
+  const double used = std::clamp(innovation, -limit, limit);
+  for (const Term& term : terms) {
+    Coefficient& coefficient = *term.coefficient;
+    const double gain = coefficient.variance * term.amount / variance;
+    coefficient.mean += gain * used;
+    coefficient.variance *= 1 - gain * term.amount;
+  }
+  return innovation;
+}
+
+void InterferenceModel::UpdateAggressor(ClassIndex aggressor, const Pair& pair,
+                                        double level) {
+  Aggressor& entry = aggressors_[aggressor];
+  if (entry.generation != classes_.generation(aggressor)) {
+    entry = Aggressor{};
+    entry.generation = classes_.generation(aggressor);
+  }
+  const double effect = (1 - level) * pair.low.mean + level * pair.high.mean;
+  entry.samples = std::min(entry.samples + 1, 10 * kAggressorSamples);
+  entry.mean += (std::max(0.0, effect) - entry.mean) / entry.samples;
+}
+
+void InterferenceModel::Learn(const Observation& observation) {
+  if (!(observation.value > 0) || observation.victim == kOtherClass) return;
+  while (pairs_.size() + observation.exposures.size() > kMaxPairs) {
+    DropOldPairs();
+  }
+  const double ln_value = std::log(observation.value);
+  Victim& victim = FindVictim(observation, ln_value);
+  const double level = std::clamp(observation.level, 0.0, 1.0);
+  const KnotSpan span = Locate(level, kKnots);
+  terms_.clear();
+  terms_.push_back({&victim.knots[span.below], 1 - span.share_above});
+  terms_.push_back({&victim.knots[span.below + 1], span.share_above});
+  if (observation.pressure > 0) {
+    terms_.push_back({&victim.pressure, observation.pressure});
+  }
+  for (const Exposure& exposure : observation.exposures) {
+    if (exposure.aggressor == kOtherClass || exposure.amount <= 0) continue;
+    // Pointers into the map stay valid: room for new pairs was made above.
+    Pair& pair =
+        FindPair(exposure.aggressor, observation.victim, observation.at);
+    terms_.push_back({&pair.low, exposure.amount * (1 - level)});
+    terms_.push_back({&pair.high, exposure.amount * level});
+  }
+  const double innovation = Correct(terms_, ln_value, victim.noise);
+  const double limited = std::min(innovation * innovation, 9 * victim.noise);
+  victim.noise = std::max(kLowestNoise,
+                          victim.noise + kNoiseRate * (limited - victim.noise));
+  victim.pressure.mean = std::clamp(victim.pressure.mean, 0.0, 3.0);
+  victim.pressure.variance =
+      std::max(victim.pressure.variance, kPressureVariance / 50);
+  for (const Exposure& exposure : observation.exposures) {
+    if (exposure.aggressor == kOtherClass || exposure.amount <= 0) continue;
+    const auto found = pairs_.find(Key(exposure.aggressor, observation.victim));
+    if (found == pairs_.end()) continue;
+    Pair& pair = found->second;
+    pair.low.mean = std::clamp(pair.low.mean, kLowestEffect, kHighestEffect);
+    pair.high.mean = std::clamp(pair.high.mean, kLowestEffect, kHighestEffect);
+    UpdateAggressor(exposure.aggressor, pair, level);
+  }
+}
+
+void InterferenceModel::LearnChange(ClassIndex aggressor, ClassIndex victim,
+                                    double level, double amount_change,
+                                    double ln_change, MonotonicTime at) {
+  if (aggressor == kOtherClass || victim == kOtherClass) return;
+  const auto known = victims_.find(victim);
+  if (known == victims_.end()) return;
+  if (pairs_.size() >= kMaxPairs) DropOldPairs();
+  Pair& pair = FindPair(aggressor, victim, at);
+  const double high = std::clamp(level, 0.0, 1.0);
+  terms_.clear();
+  terms_.push_back({&pair.low, amount_change * (1 - high)});
+  terms_.push_back({&pair.high, amount_change * high});
+  // A difference of two measurements carries the noise of both.
+  Correct(terms_, ln_change, 2 * known->second.noise);
+  pair.low.mean = std::clamp(pair.low.mean, kLowestEffect, kHighestEffect);
+  pair.high.mean = std::clamp(pair.high.mean, kLowestEffect, kHighestEffect);
+}
+
+}  // namespace mangospread::scheduler::policy
--- /dev/null
+++ b/src/scheduler/policy/placement.hpp
@@ -0,0 +1,102 @@
+/// @file
+/// Chooses a worker for a task.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "scheduler/policy/class_table.hpp"
+#include "scheduler/policy/interference.hpp"
+#include "scheduler/policy/quarantine.hpp"
+#include "scheduler/policy/weights.hpp"
+#include "scheduler/policy/worker_book.hpp"
+#include "scheduler/types.hpp"
+
+namespace mangospread::scheduler::policy {
+
+/// Why no worker was chosen.
+enum class Refusal : unsigned char {
+  kNone,
+  kNoRoom,        ///< No worker has room now.
+  kInterference,  ///< Every worker with room would slow a service too much.
+};
+
+struct Choice {
+  Refusal refusal = Refusal::kNoRoom;
+  std::size_t worker = WorkerBook::kNone;
+  double cost = 0;
+  std::vector<Alternative> runners_up;
+  std::string why;
+};
+
+struct PlacementRequest {
+  const TaskDemand* demand = nullptr;
+  ClassIndex task_class = kOtherClass;
+  Need need;
+  /// Takes any interference if there is no better worker.
+  bool any_interference = false;
+};
+
+/// Scans the free rooms from a random start, so that it ends early when there
+/// is room and no worker is preferred by its position, and computes the cost
+/// of the first workers that fit.
+class Placement {
+ public:
+  /// Workers whose cost is computed for one decision.
+  static constexpr std::size_t kCandidates = 64;
+
+  Placement(const WorkerBook& book, const InterferenceModel& model,
+            const Quarantine& quarantine, std::mt19937_64& random)
+      : book_(book), model_(model), quarantine_(quarantine), random_(random) {}
+
+  [[nodiscard]] Choice Choose(const PlacementRequest& request,
+                              const Tuning& tuning);
+  /// True if the worker has the room.
+  [[nodiscard]] bool Fits(std::size_t worker, const Need& need) const;
+
+  /// Counts a job's tasks by rack, to spread them.
+  void OnPlaced(const JobName& job, std::uint32_t rack);
+  void OnDeparted(const JobName& job, std::uint32_t rack);
+
+ private:
+  struct Scored {
+    std::size_t worker = WorkerBook::kNone;
+    double cost = 0;
+    double predicted = 0;    ///< Worst ln(p99 / alone) after the placement.
+    double uncertainty = 0;  ///< Variance of the newcomer's effect.
+    double cpu_share = 0;
+    bool acceptable = true;
+  };
+  struct JobSpread {
+    std::unordered_map<std::uint32_t, int> by_rack;
+    int total = 0;
+  };
+
+  void Collect(const PlacementRequest& request);
+  [[nodiscard]] Scored Score(std::size_t worker,
+                             const PlacementRequest& request,
+                             const Tuning& tuning) const;
+  [[nodiscard]] double ServiceCost(const WorkerEntry& entry,
+                                   const PlacementRequest& request,
+                                   const Tuning& tuning, Scored& scored) const;
+  [[nodiscard]] double TaskCost(const WorkerEntry& entry,
+                                const PlacementRequest& request) const;
+  [[nodiscard]] double RackShare(const JobName& job, std::uint32_t rack) const;
+  [[nodiscard]] bool TakeExploration(const Scored& scored);
+  [[nodiscard]] Choice Finish(const PlacementRequest& request,
+                              std::size_t chosen, const char* note) const;
+
+  const WorkerBook& book_;
+  const InterferenceModel& model_;
+  const Quarantine& quarantine_;
+  std::mt19937_64& random_;
+  std::unordered_map<JobName, JobSpread> spread_;
+  std::vector<std::size_t> candidates_;
+  std::vector<Scored> scored_;
+  double exploration_tokens_ = 3;
+};
+
+}  // namespace mangospread::scheduler::policy
--- /dev/null
+++ b/src/scheduler/policy/weights.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// Presets of the policy weights and the tuning that follows from them.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+#include "scheduler/types.hpp"
+
+namespace mangospread::scheduler::policy {
+
+/// Weights of a preset: "latency-first" or "throughput-first".
+/// @return nothing for an unknown name.
+[[nodiscard]] constexpr std::optional<Weights> PresetWeights(
+    std::string_view name) noexcept {
+  if (name == "latency-first") return Weights{4.0, 1.0, 1.0};
+  if (name == "throughput-first") return Weights{1.0, 2.0, 4.0};
+  return std::nullopt;
+}
+
+/// Limits that the weights imply.
+struct Tuning {
+  /// Highest predicted ln(p99 / p99 alone) that a placement may reach.
+  double interference_limit = 0.06;
+  /// Standard deviations added to a predicted effect.
+  double pessimism = 0.5;
+  /// Highest planned share of a worker's processors.
+  double cpu_bound = 0.85;
+  /// Time that throttling has to help before a task is evicted.
+  MonotonicTime eviction_patience = std::chrono::seconds(20);
+  double latency_cost = 1.0;
+  double throughput_cost = 1.0;
+  double eviction_cost = 1.0;
+};
+
+/// Weights below zero count as zero; only their ratios matter.
+[[nodiscard]] constexpr Tuning DeriveTuning(const Weights& weights) noexcept {
+  const double latency = std::max(weights.latency, 0.01);
+  const double throughput = std::max(weights.throughput, 0.01);
+  const double evictions = std::max(weights.evictions, 0.01);
+  const double ratio = std::clamp(latency / throughput, 0.25, 4.0);
+  // 0..1: how far latency outweighs throughput, 0.5 when they are equal.
+  const double lean = (ratio - 0.25) / (ratio + 0.9375);
+  Tuning tuning;
+  tuning.interference_limit = 0.09 - 0.05 * lean;
+  tuning.pessimism = 0.25 + 0.75 * lean;
+  tuning.cpu_bound = 0.92 - 0.12 * lean;
+  const double patience = std::clamp(evictions / latency, 0.25, 4.0);
+  tuning.eviction_patience =
+      std::chrono::milliseconds(static_cast<std::int64_t>(20'000 * patience));
+  tuning.latency_cost = latency;
+  tuning.throughput_cost = throughput;
+  tuning.eviction_cost = evictions;
+  return tuning;
+}
+
+}  // namespace mangospread::scheduler::policy
--- /dev/null
+++ b/tests/unit/policy_engine_test.cc
@@ -0,0 +1,119 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "policy_fixture.hpp"
+#include "scheduler/policy/engine.hpp"
+#include "scheduler/policy/weights.hpp"
+
+namespace mangospread::scheduler::policy {
+namespace {
+
+using std::chrono::seconds;
+
+std::unique_ptr<DecisionEngine> TestEngine() {
+  return MakeEngine(*PresetWeights("latency-first"), 7);
+}
+
+// Guards against room computed from lagging reports: what was placed since the
+// report has to count, or one worker gets everything at once.
+TEST_CASE("placements since the last report count in full") {
+  auto engine = TestEngine();
+  engine->UpdateWorker(MakeWorker("w1", "r1"));
+  for (int i = 0; i < 100; ++i) {
+    TaskDemand task = MakeTask("j/" + std::to_string(i));
+    task.memory = Mebibytes(31'000);
+    engine->Enqueue(task, seconds(1));
+  }
+  std::size_t placed = 0;
+  for (int t = 1; t < 200; ++t) {
+    placed += PlacesIn(engine->Decide(seconds(t), 100)).size();
+  }
+  CHECK(placed == 3);
+}
+
+// Guards against an impossible task that holds up all others, and against
+// calling a task impossible while the workers are still becoming known.
+TEST_CASE("an impossible task is reported and blocks nothing") {
+  auto engine = TestEngine();
+  TaskDemand huge = MakeTask("huge/0");
+  huge.memory = Mebibytes(500'000);
+  engine->Enqueue(huge, seconds(1));
+  engine->Enqueue(MakeTask("j/0"), seconds(2));
+  engine->UpdateWorker(MakeWorker("w1", "r1"));
+  const auto first = engine->Decide(seconds(3), 10);
+  REQUIRE(first.size() == 1);
+  CHECK(PlacesIn(first).at(0).task == TaskId("j/0"));
+  const auto later = engine->Decide(seconds(9), 10);
+  REQUIRE(later.size() == 1);
+  CHECK(std::get<CannotRunDecision>(later[0]).task == TaskId("huge/0"));
+  CHECK(engine->queued() == 0);
+}
+
+// Guards against room that stays taken after an attempt that never started.
+TEST_CASE("room of a task that did not start is free again") {
+  auto engine = TestEngine();
+  WorkerState worker = MakeWorker("w1", "r1");
+  worker.capacity.accelerators = Accelerators(1);
+  engine->UpdateWorker(worker);
+  TaskDemand task = MakeTask("j/0");
+  task.accelerators = Accelerators(1);
+  engine->Enqueue(task, seconds(1));
+  REQUIRE(PlacesIn(engine->Decide(seconds(1), 10)).size() == 1);
+  engine->OnNotStarted(task.id, worker.vm);
+  engine->Enqueue(task, seconds(2));
+  CHECK(PlacesIn(engine->Decide(seconds(9), 10)).size() == 1);
+}
+
+// Guards against urgent work that waits behind a full fleet, and against
+// evicting what lost the most work or was evicted before.
+TEST_CASE("urgent work starts by the cheapest eviction") {
+  auto engine = TestEngine();
+  WorkerState worker = MakeWorker("w1", "r1");
+  worker.capacity.accelerators = Accelerators(3);
+  engine->UpdateWorker(worker);
+  const char* names[] = {"old/0", "evicted/0", "young/0"};
+  for (int i = 0; i < 3; ++i) {
+    TaskDemand task = MakeTask(names[i]);
+    task.accelerators = Accelerators(1);
+    task.evictions = i == 1 ? 3 : 0;
+    engine->Enqueue(task, seconds(100 * i));
+    REQUIRE(PlacesIn(engine->Decide(seconds(100 * i), 10)).size() == 1);
+  }
+  TaskDemand urgent = MakeTask("urgent/0");
+  urgent.urgent = true;
+  urgent.accelerators = Accelerators(1);
+  engine->Enqueue(urgent, seconds(201));
+  const auto decisions = engine->Decide(seconds(201), 10);
+  REQUIRE(decisions.size() == 1);
+  CHECK(std::get<EvictDecision>(decisions[0]).task == TaskId("young/0"));
+  engine->OnEnded(TaskId("young/0"), worker.vm, AttemptEnd::kEvicted,
+                  seconds(202));
+  // Batch must not take the room that was made for the urgent task.
+  TaskDemand batch = MakeTask("batch/0");
+  batch.accelerators = Accelerators(1);
+  engine->Enqueue(batch, seconds(202));
+  const auto places = PlacesIn(engine->Decide(seconds(203), 10));
+  REQUIRE(places.size() == 1);
+  CHECK(places[0].task == urgent.id);
+}
+
+// Guards against an unlisted placement that a report written earlier erases.
+TEST_CASE("an older listing does not drop a newer placement") {
+  auto engine = TestEngine();
+  WorkerState worker = MakeWorker("w1", "r1");
+  worker.capacity.accelerators = Accelerators(1);
+  engine->UpdateWorker(worker);
+  TaskDemand task = MakeTask("j/0");
+  task.accelerators = Accelerators(1);
+  engine->Enqueue(task, seconds(1));
+  REQUIRE(PlacesIn(engine->Decide(seconds(1), 10)).size() == 1);
+  worker.report_at = seconds(2);
+  engine->UpdateWorker(worker);
+  task.id = TaskId("j/1");
+  engine->Enqueue(task, seconds(2));
+  CHECK(engine->Decide(seconds(3), 10).empty());
+}
+
+}  // namespace
+}  // namespace mangospread::scheduler::policy
