--- /dev/null
+++ b/tests/bench/baseline_policies.hpp
@@ -0,0 +1,176 @@
+/// @file
+/// Policies that ours is compared with.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "scheduler/types.hpp"
+
+namespace mangospread::bench {
+
+using scheduler::AttemptEnd;
+using scheduler::Decision;
+using scheduler::DecisionEngine;
+using scheduler::EvictDecision;
+using scheduler::PlaceDecision;
+using scheduler::TaskDemand;
+using scheduler::TaskId;
+using scheduler::WorkerState;
+
+/// First fit by declared sizes, urgent first, without a guard. With a
+/// threshold it starts nothing on a worker above it, and evicts the newest
+/// tasks of such a worker until it is below.
+class FirstFit final : public DecisionEngine {
+ public:
+  /// What the services of a worker declare.
+  static constexpr std::int64_t kServiceCpu = 8'000;
+  static constexpr std::int64_t kServiceMemory = 22'000;
+
+  explicit FirstFit(double cpu_threshold = 0) : threshold_(cpu_threshold) {}
+
+  void SetWeights(const scheduler::Weights&) override {}
+  void SetQuotas(const std::vector<scheduler::TeamQuota>&) override {}
+  void UpdateWorker(const WorkerState& state) override;
+  void RemoveWorker(const VmName& vm) override { workers_.erase(vm); }
+  void Enqueue(const TaskDemand& task, MonotonicTime) override {
+    (task.urgent ? urgent_ : batch_).push_back(task);
+  }
+  void Dequeue(const TaskId& task) override;
+  [[nodiscard]] std::size_t queued() const override {
+    return urgent_.size() + batch_.size();
+  }
+  [[nodiscard]] std::vector<Decision> Decide(MonotonicTime now,
+                                             std::size_t limit) override;
+  void OnNotStarted(const TaskId& task, const VmName& vm) override {
+    workers_[vm].tasks.erase(task);
+  }
+  void OnEnded(const TaskId& task, const VmName& vm, AttemptEnd,
+               MonotonicTime) override {
+    workers_[vm].tasks.erase(task);
+  }
+
+ private:
+  struct Held {
+    TaskDemand demand;
+    std::uint64_t sequence = 0;
+    double cpu_used = 0;
+    bool evicting = false;
+  };
+  struct Host {
+    WorkerState state;
+    std::map<TaskId, Held> tasks;
+    bool fresh = false;
+  };
+
+  [[nodiscard]] bool Fits(const Host& host, const TaskDemand& task) const;
+  void EvictAbove(Host& host, std::vector<Decision>& decisions) const;
+  void PlaceFrom(std::deque<TaskDemand>& queue, std::size_t limit,
+                 std::vector<Decision>& decisions);
+
+  double threshold_;
+  std::map<VmName, Host> workers_;
+  std::deque<TaskDemand> urgent_;
+  std::deque<TaskDemand> batch_;
+  std::uint64_t sequence_ = 0;
+};
+
+inline void FirstFit::UpdateWorker(const WorkerState& state) {
+  Host& host = workers_[state.vm];
+  host.state = state;
+  host.fresh = true;
+  for (const scheduler::PlacedTask& task : state.tasks) {
+    const auto found = host.tasks.find(task.demand.id);
+    if (found == host.tasks.end()) continue;
+    found->second.cpu_used = static_cast<double>(task.cpu_used.value());
+  }
+}
+
+inline void FirstFit::Dequeue(const TaskId& task) {
+  const auto same = [&](const TaskDemand& demand) { return demand.id == task; };
+  std::erase_if(urgent_, same);
+  std::erase_if(batch_, same);
+}
+
+inline bool FirstFit::Fits(const Host& host, const TaskDemand& task) const {
+  const WorkerCapacity& capacity = host.state.capacity;
+  std::int64_t cpu = kServiceCpu + task.cpu.value();
+  std::int64_t memory = kServiceMemory + task.memory.value();
+  for (const auto& [id, held] : host.tasks) {
+    cpu += held.demand.cpu.value();
+    memory += held.demand.memory.value();
+  }
+  if (threshold_ > 0 &&
+      static_cast<double>(host.state.cpu_used.value()) >
+          threshold_ * static_cast<double>(capacity.cpu.value())) {
+    return false;
+  }
+  return cpu <= capacity.cpu.value() && memory <= capacity.memory.value();
+}
+
+inline void FirstFit::EvictAbove(Host& host,
+                                 std::vector<Decision>& decisions) const {
+  double excess =
+      static_cast<double>(host.state.cpu_used.value()) -
+      threshold_ * static_cast<double>(host.state.capacity.cpu.value());
+  for (const auto& [id, held] : host.tasks) {
+    if (held.evicting) excess -= held.cpu_used;
+  }
+  while (excess > 0) {
+    Held* newest = nullptr;
+    for (auto& [id, held] : host.tasks) {
+      if (held.evicting || held.demand.urgent || held.cpu_used <= 0) continue;
+      if (newest == nullptr || held.sequence > newest->sequence) newest = &held;
+    }
+    if (newest == nullptr) return;
+    newest->evicting = true;
+    excess -= newest->cpu_used;
+    decisions.emplace_back(EvictDecision{newest->demand.id, host.state.vm,
+                                         "processor above threshold"});
+  }
+}
+
+inline void FirstFit::PlaceFrom(std::deque<TaskDemand>& queue,
+                                std::size_t limit,
+                                std::vector<Decision>& decisions) {
+  // Sizes that did not fit anywhere are not tried again in this call.
+  std::set<std::pair<std::int64_t, std::int64_t>> too_large;
+  for (auto it = queue.begin();
+       it != queue.end() && decisions.size() < limit;) {
+    const std::pair size{it->cpu.value(), it->memory.value()};
+    Host* chosen = nullptr;
+    if (!too_large.contains(size)) {
+      for (auto& [vm, host] : workers_) {
+        if (!Fits(host, *it)) continue;
+        chosen = &host;
+        break;
+      }
+    }
+    if (chosen == nullptr) {
+      too_large.insert(size);
+      ++it;
+      continue;
+    }
+    chosen->tasks[it->id] = Held{*it, ++sequence_};
+    decisions.emplace_back(
+        PlaceDecision{it->id, chosen->state.vm, 0, {}, "first fit"});
+    it = queue.erase(it);
+  }
+}
+
+inline std::vector<Decision> FirstFit::Decide(MonotonicTime,
+                                              std::size_t limit) {
+  std::vector<Decision> decisions;
+  for (auto& [vm, host] : workers_) {
+    if (threshold_ > 0 && host.fresh) EvictAbove(host, decisions);
+    host.fresh = false;
+  }
+  PlaceFrom(urgent_, limit, decisions);
+  PlaceFrom(batch_, limit, decisions);
+  return decisions;
+}
+
+}  // namespace mangospread::bench
--- /dev/null
+++ b/tests/bench/simulation.hpp
@@ -0,0 +1,351 @@
+/// @file
+/// Drives a policy over fake workers in steps of simulated time.
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/fake_worker.hpp"
+#include "scheduler/types.hpp"
+
+namespace mangospread::bench {
+
+using scheduler::AttemptEnd;
+using scheduler::Decision;
+using scheduler::DecisionEngine;
+using scheduler::TaskId;
+
+struct Shape {
+  const char* name;
+  int workers;
+  int per_rack;
+  int failing;  ///< Workers that fail everything.
+};
+
+/// Request-weighted distribution of a service's p99 over workers and steps.
+/// Requests of one worker and step are taken as exponentially distributed with
+/// that p99; Percentile99 is the p99 of all requests together.
+class LatencyPool {
+ public:
+  void Add(double p99_ms, double weight) {
+    const double position = std::log(std::max(p99_ms, 0.1) / 0.1) / kWidth;
+    bins_[std::min(kBins - 1, static_cast<std::size_t>(position))] += weight;
+    total_ += weight;
+  }
+  [[nodiscard]] double Percentile99() const {
+    double low = 0.1;
+    double high = 1e6;
+    for (int i = 0; i < 60; ++i) {
+      const double middle = std::sqrt(low * high);
+      (Above(middle) > 0.01 * total_ ? low : high) = middle;
+    }
+    return low;
+  }
+
+ private:
+  static constexpr std::size_t kBins = 1600;
+  static constexpr double kWidth = 0.01;
+
+  [[nodiscard]] double Above(double x) const {
+    double sum = 0;
+    for (std::size_t i = 0; i < kBins; ++i) {
+      if (bins_[i] == 0) continue;
+      const double p99 =
+          0.1 * std::exp((static_cast<double>(i) + 0.5) * kWidth);
+      sum += bins_[i] * std::exp(-std::log(100.0) * x / p99);
+    }
+    return sum;
+  }
+  std::vector<double> bins_ = std::vector<double>(kBins, 0.0);
+  double total_ = 0;
+};
+
+struct RunResult {
+  std::array<LatencyPool, kServiceClasses> latency;
+  double work_done = 0;  ///< Core-seconds.
+  int evictions = 0;
+  int throttles = 0;
+  int failed_attempts = 0;
+  int memory_overflows = 0;
+  double cpu_share = 0;  ///< Mean processor use during the wave.
+  std::vector<double> urgent_starts;
+  int urgent_waiting = 0;  ///< Urgent tasks that never started.
+};
+
+/// A night of one seed: quiet time, then a wave of batch work.
+class Simulation {
+ public:
+  static constexpr double kWaveStart = 600;
+  static constexpr double kEnd = 3'600;
+
+  Simulation(const Shape& shape, std::uint64_t seed, bool batch);
+  RunResult Run(DecisionEngine& engine);
+
+ private:
+  struct Arrival {
+    double at;
+    RunningTask task;
+  };
+  struct Placed {
+    std::size_t worker;
+    RunningTask task;
+    double starts_at;
+    bool started = false;
+  };
+
+  void MakeArrivals(std::uint64_t seed);
+  void AddJob(double at, int task_class, int tasks, bool urgent,
+              std::mt19937_64& random);
+  void Submit(DecisionEngine& engine, double now);
+  void Carry(const Decision& decision, double now);
+  void StartPlaced(double now);
+  void EndTasks(DecisionEngine& engine, double now);
+  void DeliverReports(DecisionEngine& engine, double now);
+  void Sample(double now);
+
+  World world_;
+  std::vector<FakeWorker> workers_;
+  std::map<VmName, std::size_t> index_;
+  std::vector<Arrival> arrivals_;
+  std::size_t next_arrival_ = 0;
+  int jobs_ = 0;
+  std::map<TaskId, RunningTask> waiting_;
+  std::map<TaskId, Placed> placed_;
+  std::map<TaskId, double> urgent_since_;
+  std::vector<Ending> endings_;
+  std::mt19937_64 delays_;
+  RunResult result_;
+  std::uint64_t samples_ = 0;
+};
+
+inline Simulation::Simulation(const Shape& shape, std::uint64_t seed,
+                              bool batch)
+    : world_(seed), delays_(seed + 99) {
+  for (int i = 0; i < shape.workers; ++i) {
+    const std::string name = "vm-" + std::to_string(100 + i);
+    // Spread over the fleet, first fit's first worker included.
+    const bool fails = i % (shape.workers / shape.failing) == 0 &&
+                       i / (shape.workers / shape.failing) < shape.failing;
+    index_[VmName(name)] = workers_.size();
+    workers_.emplace_back(world_, name,
+                          "rack-" + std::to_string(i / shape.per_rack), i,
+                          fails, seed * 1000 + static_cast<std::uint64_t>(i));
+  }
+  if (batch) MakeArrivals(seed);
+}
+
+inline void Simulation::AddJob(double at, int task_class, int tasks,
+                               bool urgent, std::mt19937_64& random) {
+  std::normal_distribution<double> spread(0, 0.15);
+  const TaskTraits& traits = world_.tasks[static_cast<std::size_t>(task_class)];
+  const std::string job = "job-" + std::to_string(jobs_++);
+  for (int i = 0; i < tasks; ++i) {
+    RunningTask task;
+    task.task_class = task_class;
+    task.cpu = traits.cpu * std::exp(spread(random));
+    task.memory = traits.memory * std::exp(spread(random));
+    task.work_left = traits.seconds * std::exp(spread(random));
+    TaskDemand& demand = task.demand;
+    demand.id = TaskId(job + "/" + std::to_string(i));
+    demand.job = JobName(job);
+    demand.team = TeamName("team-" + std::to_string(jobs_ % 8));
+    demand.task_class =
+        scheduler::TaskClass("class-" + std::to_string(task_class));
+    demand.urgent = urgent;
+    demand.cpu =
+        Millicores(std::llround(1000 * traits.cpu * traits.declared_cpu));
+    demand.memory =
+        Mebibytes(std::llround(traits.memory * traits.declared_memory));
+    demand.run_time =
+        Milliseconds(std::llround(1000 * traits.seconds * traits.declared_cpu));
+    arrivals_.push_back({at, task});
+  }
+}
+
+inline void Simulation::MakeArrivals(std::uint64_t seed) {
+  std::mt19937_64 random(seed * 31 + 5);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const auto pick = [&](int count) {
+    return static_cast<int>(uniform(random) * count);
+  };
+  // A trickle in quiet time, then more work than the fleet can do.
+  const double cores = 24.0 * static_cast<double>(workers_.size());
+  for (double at = 20; at < kWaveStart; at += 20) {
+    AddJob(at, pick(kTaskClasses), 1 + pick(3), false, random);
+  }
+  double offered = 0;
+  for (double at = kWaveStart; at < kEnd; at += 5) {
+    // The first fifth of the wave brings most of the work.
+    const double target =
+        cores * (at - kWaveStart + std::min(600.0, 4 * (at - kWaveStart)));
+    while (offered < target) {
+      const int task_class = pick(kTaskClasses);
+      const int tasks = 5 + pick(30);
+      const TaskTraits& traits =
+          world_.tasks[static_cast<std::size_t>(task_class)];
+      offered += tasks * traits.cpu * traits.seconds;
+      AddJob(at, task_class, tasks, false, random);
+    }
+  }
+  // Waves of one class.
+  for (double at = kWaveStart + 300; at < kEnd; at += 600) {
+    AddJob(at, pick(kTaskClasses), 60, false, random);
+  }
+  for (double at = 60; at < kEnd - 60; at += 10 + 30 * uniform(random)) {
+    AddJob(at, pick(kTaskClasses), 1 + pick(2), true, random);
+  }
+  std::stable_sort(
+      arrivals_.begin(), arrivals_.end(),
+      [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+}
+
+inline void Simulation::Submit(DecisionEngine& engine, double now) {
+  for (; next_arrival_ < arrivals_.size() && arrivals_[next_arrival_].at <= now;
+       ++next_arrival_) {
+    const RunningTask& task = arrivals_[next_arrival_].task;
+    if (task.demand.urgent) urgent_since_[task.demand.id] = now;
+    waiting_[task.demand.id] = task;
+    engine.Enqueue(task.demand, FromSeconds(now));
+  }
+}
+
+inline void Simulation::Carry(const Decision& decision, double now) {
+  std::uniform_real_distribution<double> delay(0.2, 0.6);
+  if (const auto* place = std::get_if<scheduler::PlaceDecision>(&decision)) {
+    RunningTask task = waiting_.at(place->task);
+    waiting_.erase(place->task);
+    task.placed_at = FromSeconds(now);
+    task.stops_at = -1;
+    task.throttle = 0;
+    task.throttles_at = -1;
+    placed_[place->task] =
+        Placed{index_.at(place->vm), task, now + delay(delays_)};
+  } else if (const auto* evict =
+                 std::get_if<scheduler::EvictDecision>(&decision)) {
+    // Checkpoint, stop, record.
+    workers_[index_.at(evict->vm)].Evict(evict->task,
+                                         now + 1 + 2 * delay(delays_));
+  } else if (const auto* throttle =
+                 std::get_if<scheduler::ThrottleDecision>(&decision)) {
+    ++result_.throttles;
+    workers_[index_.at(throttle->vm)].Throttle(
+        throttle->task, throttle->throttle_percent, now + delay(delays_));
+  }
+}
+
+inline void Simulation::StartPlaced(double now) {
+  for (auto& [id, placed] : placed_) {
+    if (placed.started || placed.starts_at > now) continue;
+    placed.started = true;
+    placed.task.started_at = now;
+    FakeWorker& worker = workers_[placed.worker];
+    worker.Start(placed.task);
+    // A start on a worker that fails everything does not count.
+    if (!placed.task.demand.urgent || worker.fails()) continue;
+    const auto since = urgent_since_.find(id);
+    if (since == urgent_since_.end()) continue;
+    result_.urgent_starts.push_back(now - since->second);
+    urgent_since_.erase(since);
+  }
+}
+
+inline void Simulation::EndTasks(DecisionEngine& engine, double now) {
+  for (const Ending& ending : endings_) {
+    const TaskId& id = ending.task.demand.id;
+    const Placed placed = placed_.at(id);
+    placed_.erase(id);
+    VmName vm;
+    for (const auto& [name, index] : index_) {
+      if (index == placed.worker) vm = name;
+    }
+    engine.OnEnded(id, vm, ending.end, FromSeconds(now));
+    const double full = placed.task.work_left;
+    if (ending.end == AttemptEnd::kDone) {
+      result_.work_done += placed.task.cpu * full;
+      continue;
+    }
+    RunningTask again = placed.task;
+    if (ending.end == AttemptEnd::kEvicted) {
+      ++result_.evictions;
+      ++again.demand.evictions;
+      result_.work_done += again.cpu * (full - ending.task.work_left);
+      again.work_left = ending.task.work_left;
+    } else {
+      ++result_.failed_attempts;
+    }
+    waiting_[id] = again;
+    engine.Enqueue(again.demand, FromSeconds(now));
+  }
+  endings_.clear();
+}
+
+inline void Simulation::DeliverReports(DecisionEngine& engine, double now) {
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    WorkerState state;
+    if (!workers_[i].Deliver(now, state)) continue;
+    std::map<TaskId, scheduler::PlacedTask> measured;
+    for (scheduler::PlacedTask& task : state.tasks) {
+      measured[task.demand.id] = std::move(task);
+    }
+    state.tasks.clear();
+    for (const auto& [id, placed] : placed_) {
+      if (placed.worker != i) continue;
+      scheduler::PlacedTask task;
+      const auto found = measured.find(id);
+      if (found != measured.end()) task = found->second;
+      task.demand = placed.task.demand;
+      task.placed_at = placed.task.placed_at;
+      state.tasks.push_back(std::move(task));
+    }
+    engine.UpdateWorker(state);
+  }
+}
+
+inline void Simulation::Sample(double now) {
+  for (const FakeWorker& worker : workers_) {
+    for (std::size_t i = 0; i < worker.services().size(); ++i) {
+      const int service = worker.services()[i];
+      result_.latency[static_cast<std::size_t>(service)].Add(
+          worker.alone_ms(i, now) * worker.ratio(i),
+          world_.Level(service, now));
+    }
+    result_.cpu_share += std::min(1.0, worker.cpu() / 32);
+    ++samples_;
+  }
+}
+
+inline RunResult Simulation::Run(DecisionEngine& engine) {
+  int step = 0;
+  for (double now = 0; now < kEnd; now += kStepSeconds, ++step) {
+    for (std::size_t i = 0; i < workers_.size(); ++i) {
+      workers_[i].Step(now, endings_);
+      if ((static_cast<std::size_t>(step) + i) % 4 == 0) {
+        workers_[i].Measure(now);
+      }
+    }
+    EndTasks(engine, now);
+    DeliverReports(engine, now);
+    Submit(engine, now);
+    for (const Decision& decision : engine.Decide(FromSeconds(now), 200)) {
+      Carry(decision, now);
+    }
+    StartPlaced(now);
+    if (now >= kWaveStart) Sample(now);
+  }
+  for (const FakeWorker& worker : workers_) {
+    result_.memory_overflows += worker.memory_overflows();
+    for (const RunningTask& task : worker.tasks()) {
+      const double full = placed_.at(task.demand.id).task.work_left;
+      result_.work_done += task.cpu * (full - task.work_left);
+    }
+  }
+  result_.cpu_share /= static_cast<double>(samples_);
+  result_.urgent_waiting = static_cast<int>(urgent_since_.size());
+  return std::move(result_);
+}
+
+}  // namespace mangospread::bench
