Add the scheduler's role row and let grouped writes share a condition

Every task write requires the version of the scheduler's role row, so that a scheduler that lost the role can change nothing. The writer treated that shared condition as an overlap and sent one transaction for each change. It now separates only changes that write the same row, write what another requires, or require different versions of one row.

Command: build/tests/unit_tests.

--- /dev/null
+++ b/src/scheduler/lifecycle/rows.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// How the scheduler's role, tasks and finished jobs are kept in the table.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "mangospread/address.hpp"
+#include "mangospread/table.hpp"
+#include "scheduler/types.hpp"
+
+namespace mangospread::scheduler {
+
+inline constexpr char kTaskPrefix[] = "task/";
+inline constexpr char kJobPrefix[] = "job/";
+
+enum class TaskState : unsigned char {
+  kQueued,
+  kAssigned,
+  kRunning,
+  kEvicted,  ///< Waits to resume from its checkpoint.
+  kDone,
+  kFailed,
+  kCancelled,
+  kCannotRun,
+};
+inline constexpr std::size_t kTaskStates = 8;
+
+[[nodiscard]] std::string_view TaskStateName(TaskState state) noexcept;
+/// Assigned or running: an attempt may exist on a worker.
+[[nodiscard]] bool IsLive(TaskState state) noexcept;
+/// Queued or evicted: may be placed.
+[[nodiscard]] bool IsWaiting(TaskState state) noexcept;
+[[nodiscard]] bool IsTerminal(TaskState state) noexcept;
+
+/// Value of a task/<job>/<index> row. A task without a row is queued and was
+/// never assigned.
+struct TaskRecord {
+  TaskState state = TaskState::kQueued;
+  Attempt attempt;
+  VmName vm;            ///< Of the last attempt.
+  std::string address;  ///< Of that VM; another address is another machine.
+  Epoch worker_epoch;   ///< Of the worker's owner when it was assigned.
+  std::string checkpoint;
+  std::string reason;
+  int evictions = 0;
+  int failures = 0;
+};
+
+/// Value of a job/<name> row: a finished job, whose task rows are deleted.
+struct JobSummary {
+  std::array<int, kTaskStates> counts{};
+  std::string reason;
+  bool cancelled = false;
+};
+
+/// Value of the role/scheduler/<cell> row. The node is empty when the role was
+/// given up.
+struct RoleRow {
+  NodeId node;
+  Incarnation incarnation;
+  Epoch epoch;
+};
+
+[[nodiscard]] std::string RoleRowKey(const std::string& cell);
+[[nodiscard]] std::string TaskRowKey(const TaskId& task);
+[[nodiscard]] std::string JobRowKey(const JobName& job);
+[[nodiscard]] TaskId MakeTaskId(const JobName& job, int index);
+/// The job of a task; empty when the id has no index.
+[[nodiscard]] JobName JobOf(const TaskId& task);
+
+[[nodiscard]] std::string Encode(const RoleRow& row);
+[[nodiscard]] std::string Encode(const TaskRecord& record);
+[[nodiscard]] std::string Encode(const JobSummary& summary);
+/// @errors kMalformed with the row's key as subject.
+[[nodiscard]] Result<RoleRow> DecodeRole(const Row& row);
+[[nodiscard]] Result<TaskRecord> DecodeTask(const Row& row);
+[[nodiscard]] Result<JobSummary> DecodeJob(const Row& row);
+
+}  // namespace mangospread::scheduler
--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -1,6 +1,7 @@
 #include "table/writer.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -17,12 +18,6 @@
 constexpr MonotonicTime kResolveMax = std::chrono::seconds(2);
 constexpr int kResolveMaxShift = 5;
 
-/// Collects the keys that a change reads or writes.
-void AddKeys(const Transaction& change, std::set<std::string>& keys) {
-  for (const auto& condition : change.conditions) keys.insert(condition.key);
-  for (const auto& write : change.writes) keys.insert(write.key);
-}
-
 bool Overlaps(const Transaction& change, const std::set<std::string>& keys) {
   const auto taken = [&keys](const auto& part) {
     return keys.contains(part.key);
@@ -32,6 +27,46 @@
          std::any_of(change.writes.begin(), change.writes.end(), taken);
 }
 
+/// Keys that a group of changes writes, and the versions that it requires.
+class GroupKeys {
+ public:
+  /// True if `change` can share the group's transaction: what it writes is
+  /// neither written nor required by another change, and what it requires is
+  /// not written and, where required as well, required in the same version.
+  [[nodiscard]] bool Admits(const Transaction& change) const {
+    const auto write_free = [this](const Write& write) {
+      return !written_.contains(write.key) && !required_.contains(write.key);
+    };
+    const auto condition_fits = [this](const Condition& condition) {
+      if (written_.contains(condition.key)) return false;
+      const auto it = required_.find(condition.key);
+      return it == required_.end() || it->second == condition.version;
+    };
+    return std::all_of(change.writes.begin(), change.writes.end(),
+                       write_free) &&
+           std::all_of(change.conditions.begin(), change.conditions.end(),
+                       condition_fits);
+  }
+
+  /// Adds a change's conditions and writes to the transaction, a shared
+  /// condition only once.
+  void Add(const Transaction& change, Transaction& transaction) {
+    for (const auto& condition : change.conditions) {
+      if (required_.emplace(condition.key, condition.version).second) {
+        transaction.conditions.push_back(condition);
+      }
+    }
+    for (const auto& write : change.writes) {
+      written_.insert(write.key);
+      transaction.writes.push_back(write);
+    }
+  }
+
+ private:
+  std::map<std::string, RowVersion> required_;
+  std::set<std::string> written_;
+};
+
 }  // namespace
 
 Writer::Writer(base::EventLoop& loop, Table& table, std::string row_key,
@@ -112,18 +147,12 @@
 void Writer::SendGroup() {
   group_token_ = NextToken();
   Transaction transaction = WithOwnRow(group_token_);
-  std::set<std::string> keys;
+  GroupKeys keys;
   while (!queue_.empty() && group_.size() < options_.max_group &&
-         !Overlaps(queue_.front().change, keys)) {
+         keys.Admits(queue_.front().change)) {
     Pending pending = std::move(queue_.front());
     queue_.pop_front();
-    AddKeys(pending.change, keys);
-    const auto& change = pending.change;
-    transaction.conditions.insert(transaction.conditions.end(),
-                                  change.conditions.begin(),
-                                  change.conditions.end());
-    transaction.writes.insert(transaction.writes.end(), change.writes.begin(),
-                              change.writes.end());
+    keys.Add(pending.change, transaction);
     group_.push_back(std::move(pending));
   }
   in_flight_ = true;
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -56,8 +56,10 @@
 /// commits, the lost transaction can never take effect; if it conflicts, the
 /// row's token tells whether the lost one committed.
 ///
-/// Two grouped changes must not touch the same key: a change whose keys
-/// overlap one already in the group waits for the next.
+/// Two grouped changes must not write the same key, and none may write what
+/// another requires: such a change waits for the next transaction. Changes that
+/// only require the same version of a row, as all writes of a scheduler do with
+/// its role row, share the condition.
 class Writer {
  public:
   using Callback = std::function<void(WriteResult)>;
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -74,5 +74,50 @@
   CHECK(Exists("free"));
 }
 
+// Guards against one transaction for each task write: all of them carry the
+// condition on the role row.
+TEST_CASE_FIXTURE(Fixture, "changes share a condition on an unwritten row") {
+  const auto role = table.rows.Transact({{}, {{"role", "x"}}}).version;
+  const auto submit = [&](const std::string& key, RowVersion version,
+                          Writer::Callback done) {
+    Transaction change = Put(key, "1");
+    change.conditions.push_back({"role", version});
+    writer.Submit(change, std::move(done));
+  };
+  submit("first", role, Capture());
+  submit("a", role, Capture());
+  submit("b", role, Capture());
+  std::optional<WriteResult> other_version;
+  submit("c", RowVersion(99), [&](const auto& r) { other_version = r; });
+  table.Step();
+  table.Step();
+  CHECK(writer.counters().transactions == 3);
+  CHECK(Exists("a"));
+  CHECK(Exists("b"));
+  CHECK_FALSE(other_version);
+  table.Step();
+  REQUIRE(other_version);
+  CHECK(other_version->status == WriteStatus::kConflict);
+  CHECK_FALSE(Exists("c"));
+}
+
+// Guards against a group that both replaces a row and requires its old version
+// for another change.
+TEST_CASE_FIXTURE(Fixture, "a change that writes a required row waits") {
+  const auto role = table.rows.Transact({{}, {{"role", "x"}}}).version;
+  writer.Submit(Put("first", "1"), [](const WriteResult&) {});
+  Transaction change = Put("a", "1");
+  change.conditions.push_back({"role", role});
+  writer.Submit(change, [](const WriteResult&) {});
+  writer.Submit(Put("role", "y", role), Capture());
+  table.Step();
+  table.Step();
+  CHECK(Exists("a"));
+  CHECK_FALSE(result);
+  table.Step();
+  REQUIRE(result);
+  CHECK(result->status == WriteStatus::kCommitted);
+}
+
 }  // namespace
 }  // namespace mangospread::table
