--- a/include/mangospread/worker.hpp
+++ b/include/mangospread/worker.hpp
@@ -64,8 +64,9 @@
   kStart,
   kThrottle,
   kCheckpoint,
-  kStop,
-  kForget,  ///< Drops the record of an ended attempt.
+  kStop,    ///< Of an unknown attempt: its later start is refused.
+  kForget,  ///< Drops the record of an ended attempt; a start of this or an
+            ///< earlier attempt is refused from then on.
 };
 
 struct TaskCommand {
@@ -83,7 +84,8 @@
 
 /// Commands to one worker. Every call is fenced: a worker that knows a higher
 /// epoch, or the same epoch for another owner, refuses with kStaleEpoch and
-/// does nothing.
+/// does nothing. A worker stops its tasks by itself when no owner renewed a
+/// lease for the task lease (60 s).
 class Worker {
  public:
   using ReportCallback = std::function<void(Result<WorkerReport>)>;
@@ -104,6 +106,8 @@
 
   /// Starts, throttles, checkpoints or stops a task. Repeating a command with
   /// the same attempt changes nothing more.
+  /// @errors kNotFound when the worker does not know the attempt, or knows it
+  ///   as stopped, forgotten or superseded; the others as for Claim.
   virtual void Command(Fence fence, TaskCommand command,
                        std::function<void(Result<TaskReport>)> done) = 0;
 };
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -70,10 +70,75 @@
   epoch @3 :UInt64;
 }
 
+struct TaskCommand {
+  verb @0 :UInt8;
+  task @1 :Text;
+  attempt @2 :UInt64;
+  checkpoint @3 :Text;
+  taskClass @4 :Text;
+  cpuMillis @5 :Int64;
+  memoryMb @6 :Int64;
+  accelerators @7 :Int64;
+  runTimeMs @8 :Int64;
+  throttlePercent @9 :Int32;
+}
+
+struct TaskCall {
+  schedulerEpoch @0 :UInt64;
+  vm @1 :Text;
+  command @2 :TaskCommand;
+}
+
+struct TaskReport {
+  task @0 :Text;
+  attempt @1 :UInt64;
+  phase @2 :UInt8;
+  checkpoint @3 :Text;
+  cpuMillis @4 :Int32;
+  memoryMb @5 :Int32;
+  throttlePercent @6 :UInt8;
+}
+
+struct TaskCallResult {
+  # 0, or the number of an error that the report is absent for.
+  error @0 :Int32;
+  subject @1 :Text;
+  report @2 :TaskReport;
+}
+
+struct ServiceReport {
+  service @0 :Text;
+  p99Ms @1 :Float32;
+  requests @2 :UInt32;
+}
+
+struct WorkerDigest {
+  vm @0 :Text;
+  epoch @1 :UInt64;
+  ageMs @2 :UInt32;
+  full @3 :Bool;
+  bootId @4 :Text;
+  address @5 :Text;
+  acceptsWork @6 :Bool;
+  tasks @7 :List(TaskReport);
+  services @8 :List(ServiceReport);
+}
+
+struct NodeReport {
+  node @0 :Text;
+  schedulerEpoch @1 :UInt64;
+  workers @2 :List(WorkerDigest);
+}
+
 interface Peer {
   heartbeat @0 (view :NodeView) -> (view :NodeView);
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
   pushConfig @2 (delta :ConfigDelta) -> (revision :UInt64);
   configSince @3 (revision :UInt64) -> (delta :ConfigDelta);
   ownershipSnapshot @4 () -> (entries :List(OwnershipEntry));
+  taskCommand @5 (call :TaskCall) -> (result :TaskCallResult);
+  reportTasks @6 (report :NodeReport)
+      -> (schedulerEpoch :UInt64, accepted :Bool);
+  # Answers GET /v1/jobs/... and /v1/explain/... on the scheduler's node.
+  schedulerQuery @7 (path :Text) -> (status :UInt16, body :Text);
 }
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -27,6 +27,13 @@
 CAPNP_DECLARE_SCHEMA(f266133151355b33);
 CAPNP_DECLARE_SCHEMA(e8eaa5fe90b051f2);
 CAPNP_DECLARE_SCHEMA(db2e2de60f438739);
+CAPNP_DECLARE_SCHEMA(a7b3b603bb16c118);
+CAPNP_DECLARE_SCHEMA(f7037622ea18a9d8);
+CAPNP_DECLARE_SCHEMA(a57f76e752ea392a);
+CAPNP_DECLARE_SCHEMA(fe404c09782da4b1);
+CAPNP_DECLARE_SCHEMA(edc275cdcebedc00);
+CAPNP_DECLARE_SCHEMA(f520bbdb9023b9bb);
+CAPNP_DECLARE_SCHEMA(fdddec1ba90e7184);
 CAPNP_DECLARE_SCHEMA(b91702a44fe2cd65);
 CAPNP_DECLARE_SCHEMA(e5f1fb026cbd3458);
 CAPNP_DECLARE_SCHEMA(dbbead1f8530ff98);
@@ -38,6 +45,12 @@
 CAPNP_DECLARE_SCHEMA(d0686589998eef61);
 CAPNP_DECLARE_SCHEMA(d898d98a1be2c8d2);
 CAPNP_DECLARE_SCHEMA(bdfa5860d0289f52);
+CAPNP_DECLARE_SCHEMA(be0daf6d54c452eb);
+CAPNP_DECLARE_SCHEMA(d6852e9c90f286d0);
+CAPNP_DECLARE_SCHEMA(d5e4727839e86446);
+CAPNP_DECLARE_SCHEMA(a2f5663d75b648ac);
+CAPNP_DECLARE_SCHEMA(a3475dec6f1811df);
+CAPNP_DECLARE_SCHEMA(bcde7ccf9d865fed);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -166,6 +179,111 @@
   };
 };
 
+struct TaskCommand {
+  TaskCommand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a7b3b603bb16c118, 6, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TaskCall {
+  TaskCall() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7037622ea18a9d8, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TaskReport {
+  TaskReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a57f76e752ea392a, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TaskCallResult {
+  TaskCallResult() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe404c09782da4b1, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServiceReport {
+  ServiceReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(edc275cdcebedc00, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkerDigest {
+  WorkerDigest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f520bbdb9023b9bb, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NodeReport {
+  NodeReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fdddec1ba90e7184, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -184,6 +302,12 @@
   struct ConfigSinceResults;
   struct OwnershipSnapshotParams;
   struct OwnershipSnapshotResults;
+  struct TaskCommandParams;
+  struct TaskCommandResults;
+  struct ReportTasksParams;
+  struct ReportTasksResults;
+  struct SchedulerQueryParams;
+  struct SchedulerQueryResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -343,6 +467,96 @@
   };
 };
 
+struct Peer::TaskCommandParams {
+  TaskCommandParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::TaskCommandResults {
+  TaskCommandResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReportTasksParams {
+  ReportTasksParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReportTasksResults {
+  ReportTasksResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SchedulerQueryParams {
+  SchedulerQueryParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SchedulerQueryResults {
+  SchedulerQueryResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class FreeSlots::Reader {
@@ -1219,86 +1433,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::HeartbeatParams,  ::mangospread::rpc::wire::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::ForwardParams,  ::mangospread::rpc::wire::Peer::ForwardResults> forwardRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushConfigParams,  ::mangospread::rpc::wire::Peer::PushConfigResults> pushConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::ConfigSinceParams,  ::mangospread::rpc::wire::Peer::ConfigSinceResults> configSinceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::mangospread::rpc::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::mangospread::rpc::wire::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::mangospread::rpc::wire::Peer::ForwardParams ForwardParams;
-  typedef  ::mangospread::rpc::wire::Peer::ForwardResults ForwardResults;
-  typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
-  virtual ::kj::Promise<void> forward(ForwardContext context);
-  typedef  ::mangospread::rpc::wire::Peer::PushConfigParams PushConfigParams;
-  typedef  ::mangospread::rpc::wire::Peer::PushConfigResults PushConfigResults;
-  typedef ::capnp::CallContext<PushConfigParams, PushConfigResults> PushConfigContext;
-  virtual ::kj::Promise<void> pushConfig(PushConfigContext context);
-  typedef  ::mangospread::rpc::wire::Peer::ConfigSinceParams ConfigSinceParams;
-  typedef  ::mangospread::rpc::wire::Peer::ConfigSinceResults ConfigSinceResults;
-  typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
-  virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
-  typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams OwnershipSnapshotParams;
-  typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
-  typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
-  virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
-
-  inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::mangospread::rpc::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HeartbeatParams::Reader {
+class TaskCommand::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef TaskCommand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1313,8 +1450,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::mangospread::rpc::wire::NodeView::Reader getView() const;
+  inline  ::uint8_t getVerb() const;
+
+  inline bool hasTask() const;
+  inline  ::capnp::Text::Reader getTask() const;
+
+  inline  ::uint64_t getAttempt() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+  inline bool hasTaskClass() const;
+  inline  ::capnp::Text::Reader getTaskClass() const;
+
+  inline  ::int64_t getCpuMillis() const;
+
+  inline  ::int64_t getMemoryMb() const;
+
+  inline  ::int64_t getAccelerators() const;
+
+  inline  ::int64_t getRunTimeMs() const;
+
+  inline  ::int32_t getThrottlePercent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1328,9 +1485,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class TaskCommand::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef TaskCommand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1344,15 +1501,50 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::mangospread::rpc::wire::NodeView::Builder getView();
-  inline void setView( ::mangospread::rpc::wire::NodeView::Reader value);
-  inline  ::mangospread::rpc::wire::NodeView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::mangospread::rpc::wire::NodeView>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeView> disownView();
+  inline  ::uint8_t getVerb();
+  inline void setVerb( ::uint8_t value);
 
-private:
-  ::capnp::_::StructBuilder _builder;
+  inline bool hasTask();
+  inline  ::capnp::Text::Builder getTask();
+  inline void setTask( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTask(unsigned int size);
+  inline void adoptTask(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTask();
+
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+  inline bool hasTaskClass();
+  inline  ::capnp::Text::Builder getTaskClass();
+  inline void setTaskClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTaskClass(unsigned int size);
+  inline void adoptTaskClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTaskClass();
+
+  inline  ::int64_t getCpuMillis();
+  inline void setCpuMillis( ::int64_t value);
+
+  inline  ::int64_t getMemoryMb();
+  inline void setMemoryMb( ::int64_t value);
+
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
+
+  inline  ::int64_t getRunTimeMs();
+  inline void setRunTimeMs( ::int64_t value);
+
+  inline  ::int32_t getThrottlePercent();
+  inline void setThrottlePercent( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
@@ -1361,15 +1553,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class TaskCommand::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef TaskCommand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::NodeView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1378,9 +1569,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class TaskCall::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef TaskCall Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1395,8 +1586,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::mangospread::rpc::wire::NodeView::Reader getView() const;
+  inline  ::uint64_t getSchedulerEpoch() const;
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasCommand() const;
+  inline  ::mangospread::rpc::wire::TaskCommand::Reader getCommand() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1410,9 +1606,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class TaskCall::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef TaskCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1426,12 +1622,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::mangospread::rpc::wire::NodeView::Builder getView();
-  inline void setView( ::mangospread::rpc::wire::NodeView::Reader value);
-  inline  ::mangospread::rpc::wire::NodeView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::mangospread::rpc::wire::NodeView>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeView> disownView();
+  inline  ::uint64_t getSchedulerEpoch();
+  inline void setSchedulerEpoch( ::uint64_t value);
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasCommand();
+  inline  ::mangospread::rpc::wire::TaskCommand::Builder getCommand();
+  inline void setCommand( ::mangospread::rpc::wire::TaskCommand::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCommand::Builder initCommand();
+  inline void adoptCommand(::capnp::Orphan< ::mangospread::rpc::wire::TaskCommand>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCommand> disownCommand();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1443,15 +1649,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class TaskCall::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef TaskCall Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::NodeView::Pipeline getView();
+  inline  ::mangospread::rpc::wire::TaskCommand::Pipeline getCommand();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1460,9 +1666,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ForwardParams::Reader {
+class TaskReport::Reader {
 public:
-  typedef ForwardParams Reads;
+  typedef TaskReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1477,8 +1683,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::mangospread::rpc::wire::ForwardRequest::Reader getRequest() const;
+  inline bool hasTask() const;
+  inline  ::capnp::Text::Reader getTask() const;
+
+  inline  ::uint64_t getAttempt() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+  inline  ::int32_t getCpuMillis() const;
+
+  inline  ::int32_t getMemoryMb() const;
+
+  inline  ::uint8_t getThrottlePercent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1492,9 +1711,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ForwardParams::Builder {
+class TaskReport::Builder {
 public:
-  typedef ForwardParams Builds;
+  typedef TaskReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1508,12 +1727,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::mangospread::rpc::wire::ForwardRequest::Builder getRequest();
-  inline void setRequest( ::mangospread::rpc::wire::ForwardRequest::Reader value);
-  inline  ::mangospread::rpc::wire::ForwardRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::mangospread::rpc::wire::ForwardRequest>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::ForwardRequest> disownRequest();
+  inline bool hasTask();
+  inline  ::capnp::Text::Builder getTask();
+  inline void setTask( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTask(unsigned int size);
+  inline void adoptTask(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTask();
+
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+  inline  ::int32_t getCpuMillis();
+  inline void setCpuMillis( ::int32_t value);
+
+  inline  ::int32_t getMemoryMb();
+  inline void setMemoryMb( ::int32_t value);
+
+  inline  ::uint8_t getThrottlePercent();
+  inline void setThrottlePercent( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1525,15 +1766,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ForwardParams::Pipeline {
+class TaskReport::Pipeline {
 public:
-  typedef ForwardParams Pipelines;
+  typedef TaskReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::ForwardRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1542,9 +1782,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ForwardResults::Reader {
+class TaskCallResult::Reader {
 public:
-  typedef ForwardResults Reads;
+  typedef TaskCallResult Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1559,8 +1799,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::mangospread::rpc::wire::ForwardReply::Reader getReply() const;
+  inline  ::int32_t getError() const;
+
+  inline bool hasSubject() const;
+  inline  ::capnp::Text::Reader getSubject() const;
+
+  inline bool hasReport() const;
+  inline  ::mangospread::rpc::wire::TaskReport::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1574,9 +1819,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ForwardResults::Builder {
+class TaskCallResult::Builder {
 public:
-  typedef ForwardResults Builds;
+  typedef TaskCallResult Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1590,12 +1835,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::mangospread::rpc::wire::ForwardReply::Builder getReply();
-  inline void setReply( ::mangospread::rpc::wire::ForwardReply::Reader value);
-  inline  ::mangospread::rpc::wire::ForwardReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::mangospread::rpc::wire::ForwardReply>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::ForwardReply> disownReply();
+  inline  ::int32_t getError();
+  inline void setError( ::int32_t value);
+
+  inline bool hasSubject();
+  inline  ::capnp::Text::Builder getSubject();
+  inline void setSubject( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSubject(unsigned int size);
+  inline void adoptSubject(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSubject();
+
+  inline bool hasReport();
+  inline  ::mangospread::rpc::wire::TaskReport::Builder getReport();
+  inline void setReport( ::mangospread::rpc::wire::TaskReport::Reader value);
+  inline  ::mangospread::rpc::wire::TaskReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::mangospread::rpc::wire::TaskReport>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskReport> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1607,15 +1862,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ForwardResults::Pipeline {
+class TaskCallResult::Pipeline {
 public:
-  typedef ForwardResults Pipelines;
+  typedef TaskCallResult Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::ForwardReply::Pipeline getReply();
+  inline  ::mangospread::rpc::wire::TaskReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1624,9 +1879,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PushConfigParams::Reader {
+class ServiceReport::Reader {
 public:
-  typedef PushConfigParams Reads;
+  typedef ServiceReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1641,8 +1896,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDelta() const;
-  inline  ::mangospread::rpc::wire::ConfigDelta::Reader getDelta() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline float getP99Ms() const;
+
+  inline  ::uint32_t getRequests() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1656,9 +1915,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushConfigParams::Builder {
+class ServiceReport::Builder {
 public:
-  typedef PushConfigParams Builds;
+  typedef ServiceReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1672,12 +1931,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDelta();
-  inline  ::mangospread::rpc::wire::ConfigDelta::Builder getDelta();
-  inline void setDelta( ::mangospread::rpc::wire::ConfigDelta::Reader value);
-  inline  ::mangospread::rpc::wire::ConfigDelta::Builder initDelta();
-  inline void adoptDelta(::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta> disownDelta();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline float getP99Ms();
+  inline void setP99Ms(float value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1689,15 +1954,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushConfigParams::Pipeline {
+class ServiceReport::Pipeline {
 public:
-  typedef PushConfigParams Pipelines;
+  typedef ServiceReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::ConfigDelta::Pipeline getDelta();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1706,9 +1970,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PushConfigResults::Reader {
+class WorkerDigest::Reader {
 public:
-  typedef PushConfigResults Reads;
+  typedef WorkerDigest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1723,7 +1987,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getFull() const;
+
+  inline bool hasBootId() const;
+  inline  ::capnp::Text::Reader getBootId() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getAcceptsWork() const;
+
+  inline bool hasTasks() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Reader getTasks() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1737,9 +2022,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushConfigResults::Builder {
+class WorkerDigest::Builder {
 public:
-  typedef PushConfigResults Builds;
+  typedef WorkerDigest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1753,8 +2038,52 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getFull();
+  inline void setFull(bool value);
+
+  inline bool hasBootId();
+  inline  ::capnp::Text::Builder getBootId();
+  inline void setBootId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBootId(unsigned int size);
+  inline void adoptBootId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBootId();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool getAcceptsWork();
+  inline void setAcceptsWork(bool value);
+
+  inline bool hasTasks();
+  inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Builder getTasks();
+  inline void setTasks( ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Builder initTasks(unsigned int size);
+  inline void adoptTasks(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>> disownTasks();
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>> disownServices();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1766,9 +2095,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushConfigResults::Pipeline {
+class WorkerDigest::Pipeline {
 public:
-  typedef PushConfigResults Pipelines;
+  typedef WorkerDigest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1782,9 +2111,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigSinceParams::Reader {
+class NodeReport::Reader {
 public:
-  typedef ConfigSinceParams Reads;
+  typedef NodeReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1799,7 +2128,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getSchedulerEpoch() const;
+
+  inline bool hasWorkers() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Reader getWorkers() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1813,9 +2148,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigSinceParams::Builder {
+class NodeReport::Builder {
 public:
-  typedef ConfigSinceParams Builds;
+  typedef NodeReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1829,8 +2164,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getSchedulerEpoch();
+  inline void setSchedulerEpoch( ::uint64_t value);
+
+  inline bool hasWorkers();
+  inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Builder getWorkers();
+  inline void setWorkers( ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Builder initWorkers(unsigned int size);
+  inline void adoptWorkers(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>> disownWorkers();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1842,9 +2191,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigSinceParams::Pipeline {
+class NodeReport::Pipeline {
 public:
-  typedef ConfigSinceParams Pipelines;
+  typedef NodeReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1858,9 +2207,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigSinceResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ConfigSinceResults Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::HeartbeatParams,  ::mangospread::rpc::wire::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::ForwardParams,  ::mangospread::rpc::wire::Peer::ForwardResults> forwardRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushConfigParams,  ::mangospread::rpc::wire::Peer::PushConfigResults> pushConfigRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::ConfigSinceParams,  ::mangospread::rpc::wire::Peer::ConfigSinceResults> configSinceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults> taskCommandRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults> reportTasksRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults> schedulerQueryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::mangospread::rpc::wire::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::mangospread::rpc::wire::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::mangospread::rpc::wire::Peer::ForwardParams ForwardParams;
+  typedef  ::mangospread::rpc::wire::Peer::ForwardResults ForwardResults;
+  typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
+  virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PushConfigParams PushConfigParams;
+  typedef  ::mangospread::rpc::wire::Peer::PushConfigResults PushConfigResults;
+  typedef ::capnp::CallContext<PushConfigParams, PushConfigResults> PushConfigContext;
+  virtual ::kj::Promise<void> pushConfig(PushConfigContext context);
+  typedef  ::mangospread::rpc::wire::Peer::ConfigSinceParams ConfigSinceParams;
+  typedef  ::mangospread::rpc::wire::Peer::ConfigSinceResults ConfigSinceResults;
+  typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
+  virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
+  typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams OwnershipSnapshotParams;
+  typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
+  typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
+  virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
+  typedef  ::mangospread::rpc::wire::Peer::TaskCommandParams TaskCommandParams;
+  typedef  ::mangospread::rpc::wire::Peer::TaskCommandResults TaskCommandResults;
+  typedef ::capnp::CallContext<TaskCommandParams, TaskCommandResults> TaskCommandContext;
+  virtual ::kj::Promise<void> taskCommand(TaskCommandContext context);
+  typedef  ::mangospread::rpc::wire::Peer::ReportTasksParams ReportTasksParams;
+  typedef  ::mangospread::rpc::wire::Peer::ReportTasksResults ReportTasksResults;
+  typedef ::capnp::CallContext<ReportTasksParams, ReportTasksResults> ReportTasksContext;
+  virtual ::kj::Promise<void> reportTasks(ReportTasksContext context);
+  typedef  ::mangospread::rpc::wire::Peer::SchedulerQueryParams SchedulerQueryParams;
+  typedef  ::mangospread::rpc::wire::Peer::SchedulerQueryResults SchedulerQueryResults;
+  typedef ::capnp::CallContext<SchedulerQueryParams, SchedulerQueryResults> SchedulerQueryContext;
+  virtual ::kj::Promise<void> schedulerQuery(SchedulerQueryContext context);
+
+  inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::mangospread::rpc::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1875,8 +2319,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDelta() const;
-  inline  ::mangospread::rpc::wire::ConfigDelta::Reader getDelta() const;
+  inline bool hasView() const;
+  inline  ::mangospread::rpc::wire::NodeView::Reader getView() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1890,9 +2334,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigSinceResults::Builder {
+class Peer::HeartbeatParams::Builder {
 public:
-  typedef ConfigSinceResults Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1906,12 +2350,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDelta();
-  inline  ::mangospread::rpc::wire::ConfigDelta::Builder getDelta();
-  inline void setDelta( ::mangospread::rpc::wire::ConfigDelta::Reader value);
-  inline  ::mangospread::rpc::wire::ConfigDelta::Builder initDelta();
-  inline void adoptDelta(::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta> disownDelta();
+  inline bool hasView();
+  inline  ::mangospread::rpc::wire::NodeView::Builder getView();
+  inline void setView( ::mangospread::rpc::wire::NodeView::Reader value);
+  inline  ::mangospread::rpc::wire::NodeView::Builder initView();
+  inline void adoptView(::capnp::Orphan< ::mangospread::rpc::wire::NodeView>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeView> disownView();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1923,15 +2367,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigSinceResults::Pipeline {
+class Peer::HeartbeatParams::Pipeline {
 public:
-  typedef ConfigSinceResults Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::ConfigDelta::Pipeline getDelta();
+  inline  ::mangospread::rpc::wire::NodeView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1940,9 +2384,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OwnershipSnapshotParams::Reader {
+class Peer::HeartbeatResults::Reader {
 public:
-  typedef OwnershipSnapshotParams Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1957,6 +2401,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasView() const;
+  inline  ::mangospread::rpc::wire::NodeView::Reader getView() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1969,9 +2416,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OwnershipSnapshotParams::Builder {
+class Peer::HeartbeatResults::Builder {
 public:
-  typedef OwnershipSnapshotParams Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1985,6 +2432,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasView();
+  inline  ::mangospread::rpc::wire::NodeView::Builder getView();
+  inline void setView( ::mangospread::rpc::wire::NodeView::Reader value);
+  inline  ::mangospread::rpc::wire::NodeView::Builder initView();
+  inline void adoptView(::capnp::Orphan< ::mangospread::rpc::wire::NodeView>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeView> disownView();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1995,14 +2449,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OwnershipSnapshotParams::Pipeline {
+class Peer::HeartbeatResults::Pipeline {
 public:
-  typedef OwnershipSnapshotParams Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangospread::rpc::wire::NodeView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2011,9 +2466,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OwnershipSnapshotResults::Reader {
+class Peer::ForwardParams::Reader {
 public:
-  typedef OwnershipSnapshotResults Reads;
+  typedef ForwardParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2028,8 +2483,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool hasRequest() const;
+  inline  ::mangospread::rpc::wire::ForwardRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2043,9 +2498,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OwnershipSnapshotResults::Builder {
+class Peer::ForwardParams::Builder {
 public:
-  typedef OwnershipSnapshotResults Builds;
+  typedef ForwardParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2059,12 +2514,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool hasRequest();
+  inline  ::mangospread::rpc::wire::ForwardRequest::Builder getRequest();
+  inline void setRequest( ::mangospread::rpc::wire::ForwardRequest::Reader value);
+  inline  ::mangospread::rpc::wire::ForwardRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::mangospread::rpc::wire::ForwardRequest>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::ForwardRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2076,14 +2531,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OwnershipSnapshotResults::Pipeline {
+class Peer::ForwardParams::Pipeline {
 public:
-  typedef OwnershipSnapshotResults Pipelines;
+  typedef ForwardParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangospread::rpc::wire::ForwardRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2092,992 +2548,2918 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::ForwardResults::Reader {
+public:
+  typedef ForwardResults Reads;
 
-inline bool FreeSlots::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FreeSlots::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader FreeSlots::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder FreeSlots::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FreeSlots::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder FreeSlots::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FreeSlots::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> FreeSlots::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::int32_t FreeSlots::Reader::getFree() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::int32_t FreeSlots::Builder::getFree() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FreeSlots::Builder::setFree( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool NodeView::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeView::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeView::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeView::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeView::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeView::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeView::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasReply() const;
+  inline  ::mangospread::rpc::wire::ForwardReply::Reader getReply() const;
 
-inline  ::uint64_t NodeView::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t NodeView::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void NodeView::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+class Peer::ForwardResults::Builder {
+public:
+  typedef ForwardResults Builds;
 
-inline  ::uint8_t NodeView::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint8_t NodeView::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void NodeView::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline bool NodeView::Reader::hasDataCenter() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeView::Builder::hasDataCenter() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeView::Reader::getDataCenter() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeView::Builder::getDataCenter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeView::Builder::setDataCenter( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeView::Builder::initDataCenter(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void NodeView::Builder::adoptDataCenter(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownDataCenter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasReply();
+  inline  ::mangospread::rpc::wire::ForwardReply::Builder getReply();
+  inline void setReply( ::mangospread::rpc::wire::ForwardReply::Reader value);
+  inline  ::mangospread::rpc::wire::ForwardReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::mangospread::rpc::wire::ForwardReply>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::ForwardReply> disownReply();
 
-inline bool NodeView::Reader::hasRpcAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ForwardResults::Pipeline {
+public:
+  typedef ForwardResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::ForwardReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushConfigParams::Reader {
+public:
+  typedef PushConfigParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDelta() const;
+  inline  ::mangospread::rpc::wire::ConfigDelta::Reader getDelta() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushConfigParams::Builder {
+public:
+  typedef PushConfigParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDelta();
+  inline  ::mangospread::rpc::wire::ConfigDelta::Builder getDelta();
+  inline void setDelta( ::mangospread::rpc::wire::ConfigDelta::Reader value);
+  inline  ::mangospread::rpc::wire::ConfigDelta::Builder initDelta();
+  inline void adoptDelta(::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta> disownDelta();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushConfigParams::Pipeline {
+public:
+  typedef PushConfigParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::ConfigDelta::Pipeline getDelta();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushConfigResults::Reader {
+public:
+  typedef PushConfigResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushConfigResults::Builder {
+public:
+  typedef PushConfigResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushConfigResults::Pipeline {
+public:
+  typedef PushConfigResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ConfigSinceParams::Reader {
+public:
+  typedef ConfigSinceParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ConfigSinceParams::Builder {
+public:
+  typedef ConfigSinceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ConfigSinceParams::Pipeline {
+public:
+  typedef ConfigSinceParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ConfigSinceResults::Reader {
+public:
+  typedef ConfigSinceResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDelta() const;
+  inline  ::mangospread::rpc::wire::ConfigDelta::Reader getDelta() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ConfigSinceResults::Builder {
+public:
+  typedef ConfigSinceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDelta();
+  inline  ::mangospread::rpc::wire::ConfigDelta::Builder getDelta();
+  inline void setDelta( ::mangospread::rpc::wire::ConfigDelta::Reader value);
+  inline  ::mangospread::rpc::wire::ConfigDelta::Builder initDelta();
+  inline void adoptDelta(::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::ConfigDelta> disownDelta();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ConfigSinceResults::Pipeline {
+public:
+  typedef ConfigSinceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::ConfigDelta::Pipeline getDelta();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OwnershipSnapshotParams::Reader {
+public:
+  typedef OwnershipSnapshotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OwnershipSnapshotParams::Builder {
+public:
+  typedef OwnershipSnapshotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OwnershipSnapshotParams::Pipeline {
+public:
+  typedef OwnershipSnapshotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OwnershipSnapshotResults::Reader {
+public:
+  typedef OwnershipSnapshotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OwnershipSnapshotResults::Builder {
+public:
+  typedef OwnershipSnapshotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OwnershipSnapshotResults::Pipeline {
+public:
+  typedef OwnershipSnapshotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::TaskCommandParams::Reader {
+public:
+  typedef TaskCommandParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCall() const;
+  inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TaskCommandParams::Builder {
+public:
+  typedef TaskCommandParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCall();
+  inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
+  inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TaskCommandParams::Pipeline {
+public:
+  typedef TaskCommandParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::TaskCommandResults::Reader {
+public:
+  typedef TaskCommandResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasResult() const;
+  inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TaskCommandResults::Builder {
+public:
+  typedef TaskCommandResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasResult();
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
+  inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TaskCommandResults::Pipeline {
+public:
+  typedef TaskCommandResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::TaskCallResult::Pipeline getResult();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportTasksParams::Reader {
+public:
+  typedef ReportTasksParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::mangospread::rpc::wire::NodeReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportTasksParams::Builder {
+public:
+  typedef ReportTasksParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::mangospread::rpc::wire::NodeReport::Builder getReport();
+  inline void setReport( ::mangospread::rpc::wire::NodeReport::Reader value);
+  inline  ::mangospread::rpc::wire::NodeReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::mangospread::rpc::wire::NodeReport>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportTasksParams::Pipeline {
+public:
+  typedef ReportTasksParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::NodeReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportTasksResults::Reader {
+public:
+  typedef ReportTasksResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSchedulerEpoch() const;
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportTasksResults::Builder {
+public:
+  typedef ReportTasksResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSchedulerEpoch();
+  inline void setSchedulerEpoch( ::uint64_t value);
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportTasksResults::Pipeline {
+public:
+  typedef ReportTasksResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SchedulerQueryParams::Reader {
+public:
+  typedef SchedulerQueryParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SchedulerQueryParams::Builder {
+public:
+  typedef SchedulerQueryParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SchedulerQueryParams::Pipeline {
+public:
+  typedef SchedulerQueryParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SchedulerQueryResults::Reader {
+public:
+  typedef SchedulerQueryResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SchedulerQueryResults::Builder {
+public:
+  typedef SchedulerQueryResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SchedulerQueryResults::Pipeline {
+public:
+  typedef SchedulerQueryResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool FreeSlots::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FreeSlots::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FreeSlots::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FreeSlots::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FreeSlots::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FreeSlots::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FreeSlots::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FreeSlots::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t FreeSlots::Reader::getFree() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FreeSlots::Builder::getFree() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreeSlots::Builder::setFree( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeView::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeView::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeView::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeView::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeView::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeView::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeView::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t NodeView::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t NodeView::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void NodeView::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeView::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeView::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeView::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeView::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeView::Reader::hasRpcAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
 inline bool NodeView::Builder::hasRpcAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeView::Reader::getRpcAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeView::Builder::getRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setRpcAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeView::Builder::initRpcAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptRpcAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownRpcAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool NodeView::Reader::hasHttpAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasHttpAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeView::Reader::getHttpAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeView::Builder::getHttpAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setHttpAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeView::Builder::initHttpAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptHttpAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownHttpAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeView::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeView::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeView::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeView::Reader::getTableReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeView::Builder::getTableReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void NodeView::Builder::setTableReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeView::Reader::hasFreeSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasFreeSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Reader NodeView::Reader::getFreeSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Builder NodeView::Builder::getFreeSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setFreeSlots( ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Builder NodeView::Builder::initFreeSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptFreeSlots(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>> NodeView::Builder::disownFreeSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool NodeView::Reader::hasKnownPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeView::Builder::hasKnownPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeView::Reader::getKnownPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeView::Builder::getKnownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeView::Builder::setKnownPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void NodeView::Builder::setKnownPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeView::Builder::initKnownPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeView::Builder::adoptKnownPeers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeView::Builder::disownKnownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t NodeView::Reader::getOwnedWorkers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeView::Builder::getOwnedWorkers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeView::Builder::setOwnedWorkers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardRequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t ForwardRequest::Reader::getMethod() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ForwardRequest::Builder::getMethod() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ForwardRequest::Builder::setMethod( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardRequest::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardRequest::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setHeaders( ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>> ForwardRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ForwardRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ForwardRequest::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ForwardRequest::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardRequest::Builder::setTimeoutMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardRequest::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardRequest::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool ForwardRequest::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ForwardRequest::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ForwardReply::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ForwardReply::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ForwardReply::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ForwardReply::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ForwardReply::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardReply::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ForwardReply::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ForwardReply::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardReply::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardReply::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardReply::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardReply::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardReply::Builder::setHeaders( ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardReply::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>> ForwardReply::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardReply::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardReply::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ForwardReply::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ForwardReply::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardReply::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ForwardReply::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardReply::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ForwardReply::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Change::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Change::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Change::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Change::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Change::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Change::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeView::Reader::getRpcAddress() const {
+inline  ::capnp::Text::Reader Change::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeView::Builder::getRpcAddress() {
+inline  ::capnp::Text::Builder Change::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeView::Builder::setRpcAddress( ::capnp::Text::Reader value) {
+inline void Change::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeView::Builder::initRpcAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Change::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeView::Builder::adoptRpcAddress(
+inline void Change::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownRpcAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeView::Reader::hasHttpAddress() const {
+inline bool Change::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool Change::Builder::getDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Change::Reader::hasSpec() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeView::Builder::hasHttpAddress() {
+inline bool Change::Builder::hasSpec() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeView::Reader::getHttpAddress() const {
+inline  ::capnp::Text::Reader Change::Reader::getSpec() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeView::Builder::getHttpAddress() {
+inline  ::capnp::Text::Builder Change::Builder::getSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeView::Builder::setHttpAddress( ::capnp::Text::Reader value) {
+inline void Change::Builder::setSpec( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeView::Builder::initHttpAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Change::Builder::initSpec(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeView::Builder::adoptHttpAddress(
+inline void Change::Builder::adoptSpec(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeView::Builder::disownHttpAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeView::Reader::getRevision() const {
+inline  ::uint64_t ConfigDelta::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeView::Builder::getRevision() {
+inline  ::uint64_t ConfigDelta::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeView::Builder::setRevision( ::uint64_t value) {
+inline void ConfigDelta::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeView::Reader::getTableReachable() const {
+inline bool ConfigDelta::Reader::getIsSnapshot() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeView::Builder::getTableReachable() {
+inline bool ConfigDelta::Builder::getIsSnapshot() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void NodeView::Builder::setTableReachable(bool value) {
+inline void ConfigDelta::Builder::setIsSnapshot(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeView::Reader::hasFreeSlots() const {
+inline bool ConfigDelta::Reader::hasChanges() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeView::Builder::hasFreeSlots() {
+inline bool ConfigDelta::Builder::hasChanges() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Reader NodeView::Reader::getFreeSlots() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Reader ConfigDelta::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Builder NodeView::Builder::getFreeSlots() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Builder ConfigDelta::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeView::Builder::setFreeSlots( ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void ConfigDelta::Builder::setChanges( ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>::Builder NodeView::Builder::initFreeSlots(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Builder ConfigDelta::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeView::Builder::adoptFreeSlots(
-    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ConfigDelta::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>> NodeView::Builder::disownFreeSlots() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::FreeSlots,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>> ConfigDelta::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeView::Reader::hasKnownPeers() const {
+inline bool OwnershipEntry::Reader::hasVm() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeView::Builder::hasKnownPeers() {
+inline bool OwnershipEntry::Builder::hasVm() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeView::Reader::getKnownPeers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader OwnershipEntry::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeView::Builder::getKnownPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder OwnershipEntry::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeView::Builder::setKnownPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void OwnershipEntry::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void NodeView::Builder::setKnownPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder OwnershipEntry::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OwnershipEntry::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OwnershipEntry::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OwnershipEntry::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OwnershipEntry::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OwnershipEntry::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OwnershipEntry::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OwnershipEntry::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OwnershipEntry::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OwnershipEntry::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OwnershipEntry::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OwnershipEntry::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OwnershipEntry::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OwnershipEntry::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeView::Builder::initKnownPeers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t OwnershipEntry::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeView::Builder::adoptKnownPeers(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t OwnershipEntry::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeView::Builder::disownKnownPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void OwnershipEntry::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t NodeView::Reader::getOwnedWorkers() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t TaskCommand::Reader::getVerb() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeView::Builder::getOwnedWorkers() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t TaskCommand::Builder::getVerb() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeView::Builder::setOwnedWorkers( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void TaskCommand::Builder::setVerb( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Header::Reader::hasName() const {
+inline bool TaskCommand::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasName() {
+inline bool TaskCommand::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
+inline  ::capnp::Text::Reader TaskCommand::Reader::getTask() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
+inline  ::capnp::Text::Builder TaskCommand::Builder::getTask() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+inline void TaskCommand::Builder::setTask( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder TaskCommand::Builder::initTask(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
+inline void TaskCommand::Builder::adoptTask(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> TaskCommand::Builder::disownTask() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasValue() const {
+inline  ::uint64_t TaskCommand::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskCommand::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskCommand::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasValue() {
+inline bool TaskCommand::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+inline  ::capnp::Text::Reader TaskCommand::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
+inline  ::capnp::Text::Builder TaskCommand::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+inline void TaskCommand::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+inline  ::capnp::Text::Builder TaskCommand::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
+inline void TaskCommand::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+inline ::capnp::Orphan< ::capnp::Text> TaskCommand::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasService() const {
+inline bool TaskCommand::Reader::hasTaskClass() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasService() {
+inline bool TaskCommand::Builder::hasTaskClass() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
+inline  ::capnp::Text::Reader TaskCommand::Reader::getTaskClass() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getService() {
+inline  ::capnp::Text::Builder TaskCommand::Builder::getTaskClass() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setService( ::capnp::Text::Reader value) {
+inline void TaskCommand::Builder::setTaskClass( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder TaskCommand::Builder::initTaskClass(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptService(
+inline void TaskCommand::Builder::adoptTaskClass(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> TaskCommand::Builder::disownTaskClass() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t ForwardRequest::Reader::getMethod() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::int64_t TaskCommand::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TaskCommand::Builder::getCpuMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setCpuMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TaskCommand::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TaskCommand::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setMemoryMb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TaskCommand::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TaskCommand::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TaskCommand::Reader::getRunTimeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TaskCommand::Builder::getRunTimeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setRunTimeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t TaskCommand::Reader::getThrottlePercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t TaskCommand::Builder::getThrottlePercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskCommand::Builder::setThrottlePercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TaskCall::Reader::getSchedulerEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ForwardRequest::Builder::getMethod() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint64_t TaskCall::Builder::getSchedulerEpoch() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setMethod( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void TaskCall::Builder::setSchedulerEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardRequest::Reader::hasTarget() const {
+inline bool TaskCall::Reader::hasVm() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasTarget() {
+inline bool TaskCall::Builder::hasVm() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getTarget() const {
+inline  ::capnp::Text::Reader TaskCall::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getTarget() {
+inline  ::capnp::Text::Builder TaskCall::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void TaskCall::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder TaskCall::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptTarget(
+inline void TaskCall::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> TaskCall::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasHeaders() const {
+inline bool TaskCall::Reader::hasCommand() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasHeaders() {
+inline bool TaskCall::Builder::hasCommand() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardRequest::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::mangospread::rpc::wire::TaskCommand::Reader TaskCall::Reader::getCommand() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::mangospread::rpc::wire::TaskCommand::Builder TaskCall::Builder::getCommand() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setHeaders( ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::mangospread::rpc::wire::TaskCommand::Pipeline TaskCall::Pipeline::getCommand() {
+  return  ::mangospread::rpc::wire::TaskCommand::Pipeline(_typeless.getPointerField(1));
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void TaskCall::Builder::setCommand( ::mangospread::rpc::wire::TaskCommand::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void ForwardRequest::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::mangospread::rpc::wire::TaskCommand::Builder TaskCall::Builder::initCommand() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>> ForwardRequest::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void TaskCall::Builder::adoptCommand(
+    ::capnp::Orphan< ::mangospread::rpc::wire::TaskCommand>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCommand> TaskCall::Builder::disownCommand() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCommand>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasBody() const {
+inline bool TaskReport::Reader::hasTask() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasBody() {
+inline bool TaskReport::Builder::hasTask() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TaskReport::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TaskReport::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void TaskReport::Builder::setTask( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder TaskReport::Builder::initTask(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void TaskReport::Builder::adoptTask(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ForwardRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TaskReport::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ForwardRequest::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TaskReport::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ForwardRequest::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TaskReport::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setTimeoutMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TaskReport::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t TaskReport::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t TaskReport::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void TaskReport::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardRequest::Reader::hasRequestId() const {
+inline bool TaskReport::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasRequestId() {
+inline bool TaskReport::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader TaskReport::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder TaskReport::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void TaskReport::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder TaskReport::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptRequestId(
+inline void TaskReport::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> TaskReport::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskReport::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool ForwardRequest::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskReport::Builder::getCpuMillis() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void TaskReport::Builder::setCpuMillis( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ForwardReply::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskReport::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ForwardReply::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskReport::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TaskReport::Builder::setMemoryMb( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ForwardReply::Reader::getReason() const {
+inline  ::uint8_t TaskReport::Reader::getThrottlePercent() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ForwardReply::Builder::getReason() {
+inline  ::uint8_t TaskReport::Builder::getThrottlePercent() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setReason( ::uint8_t value) {
+inline void TaskReport::Builder::setThrottlePercent( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t ForwardReply::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskCallResult::Reader::getError() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ForwardReply::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int32_t TaskCallResult::Builder::getError() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TaskCallResult::Builder::setError( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardReply::Reader::hasHeaders() const {
+inline bool TaskCallResult::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardReply::Builder::hasHeaders() {
+inline bool TaskCallResult::Builder::hasSubject() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardReply::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader TaskCallResult::Reader::getSubject() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder TaskCallResult::Builder::getSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardReply::Builder::setHeaders( ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void TaskCallResult::Builder::setSubject( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder TaskCallResult::Builder::initSubject(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardReply::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void TaskCallResult::Builder::adoptSubject(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>> ForwardReply::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> TaskCallResult::Builder::disownSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardReply::Reader::hasBody() const {
+inline bool TaskCallResult::Reader::hasReport() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardReply::Builder::hasBody() {
+inline bool TaskCallResult::Builder::hasReport() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ForwardReply::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::mangospread::rpc::wire::TaskReport::Reader TaskCallResult::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ForwardReply::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::mangospread::rpc::wire::TaskReport::Builder TaskCallResult::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardReply::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::mangospread::rpc::wire::TaskReport::Pipeline TaskCallResult::Pipeline::getReport() {
+  return  ::mangospread::rpc::wire::TaskReport::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void TaskCallResult::Builder::setReport( ::mangospread::rpc::wire::TaskReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ForwardReply::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::mangospread::rpc::wire::TaskReport::Builder TaskCallResult::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardReply::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void TaskCallResult::Builder::adoptReport(
+    ::capnp::Orphan< ::mangospread::rpc::wire::TaskReport>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ForwardReply::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskReport> TaskCallResult::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskReport>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Change::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool ServiceReport::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceReport::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceReport::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceReport::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceReport::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceReport::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceReport::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceReport::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ServiceReport::Reader::getP99Ms() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Change::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline float ServiceReport::Builder::getP99Ms() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Change::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ServiceReport::Builder::setP99Ms(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Change::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServiceReport::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Change::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServiceReport::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Change::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void ServiceReport::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Change::Reader::hasName() const {
+inline bool WorkerDigest::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Change::Builder::hasName() {
+inline bool WorkerDigest::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Change::Reader::getName() const {
+inline  ::capnp::Text::Reader WorkerDigest::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Change::Builder::getName() {
+inline  ::capnp::Text::Builder WorkerDigest::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Change::Builder::setName( ::capnp::Text::Reader value) {
+inline void WorkerDigest::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Change::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder WorkerDigest::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Change::Builder::adoptName(
+inline void WorkerDigest::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> WorkerDigest::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Change::Reader::getDeleted() const {
+inline  ::uint64_t WorkerDigest::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkerDigest::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkerDigest::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WorkerDigest::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkerDigest::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WorkerDigest::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkerDigest::Reader::getFull() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline bool Change::Builder::getDeleted() {
+inline bool WorkerDigest::Builder::getFull() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void Change::Builder::setDeleted(bool value) {
+inline void WorkerDigest::Builder::setFull(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Change::Reader::hasSpec() const {
+inline bool WorkerDigest::Reader::hasBootId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Change::Builder::hasSpec() {
+inline bool WorkerDigest::Builder::hasBootId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Change::Reader::getSpec() const {
+inline  ::capnp::Text::Reader WorkerDigest::Reader::getBootId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Change::Builder::getSpec() {
+inline  ::capnp::Text::Builder WorkerDigest::Builder::getBootId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Change::Builder::setSpec( ::capnp::Text::Reader value) {
+inline void WorkerDigest::Builder::setBootId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Change::Builder::initSpec(unsigned int size) {
+inline  ::capnp::Text::Builder WorkerDigest::Builder::initBootId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Change::Builder::adoptSpec(
+inline void WorkerDigest::Builder::adoptBootId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownSpec() {
+inline ::capnp::Orphan< ::capnp::Text> WorkerDigest::Builder::disownBootId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigDelta::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkerDigest::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ConfigDelta::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool WorkerDigest::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void ConfigDelta::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader WorkerDigest::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkerDigest::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WorkerDigest::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkerDigest::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WorkerDigest::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkerDigest::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigDelta::Reader::getIsSnapshot() const {
+inline bool WorkerDigest::Reader::getAcceptsWork() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkerDigest::Builder::getAcceptsWork() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void WorkerDigest::Builder::setAcceptsWork(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkerDigest::Reader::hasTasks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkerDigest::Builder::hasTasks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Reader WorkerDigest::Reader::getTasks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Builder WorkerDigest::Builder::getTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WorkerDigest::Builder::setTasks( ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline bool ConfigDelta::Builder::getIsSnapshot() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>::Builder WorkerDigest::Builder::initTasks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ConfigDelta::Builder::setIsSnapshot(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void WorkerDigest::Builder::adoptTasks(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>> WorkerDigest::Builder::disownTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::TaskReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigDelta::Reader::hasChanges() const {
+inline bool WorkerDigest::Reader::hasServices() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigDelta::Builder::hasChanges() {
+inline bool WorkerDigest::Builder::hasServices() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Reader ConfigDelta::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Reader WorkerDigest::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Builder ConfigDelta::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Builder WorkerDigest::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
