-inline void ConfigDelta::Builder::setChanges( ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void WorkerDigest::Builder::setServices( ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>::Builder ConfigDelta::Builder::initChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>::Builder WorkerDigest::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ConfigDelta::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void WorkerDigest::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>> ConfigDelta::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Change,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>> WorkerDigest::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::ServiceReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool OwnershipEntry::Reader::hasVm() const {
+inline bool NodeReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OwnershipEntry::Builder::hasVm() {
+inline bool NodeReport::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader OwnershipEntry::Reader::getVm() const {
+inline  ::capnp::Text::Reader NodeReport::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder OwnershipEntry::Builder::getVm() {
+inline  ::capnp::Text::Builder NodeReport::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OwnershipEntry::Builder::setVm( ::capnp::Text::Reader value) {
+inline void NodeReport::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder OwnershipEntry::Builder::initVm(unsigned int size) {
+inline  ::capnp::Text::Builder NodeReport::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void OwnershipEntry::Builder::adoptVm(
+inline void NodeReport::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> OwnershipEntry::Builder::disownVm() {
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OwnershipEntry::Reader::hasNode() const {
+inline  ::uint64_t NodeReport::Reader::getSchedulerEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getSchedulerEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setSchedulerEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::hasWorkers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool OwnershipEntry::Builder::hasNode() {
+inline bool NodeReport::Builder::hasWorkers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader OwnershipEntry::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getWorkers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder OwnershipEntry::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OwnershipEntry::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void NodeReport::Builder::setWorkers( ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder OwnershipEntry::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initWorkers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void OwnershipEntry::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void NodeReport::Builder::adoptWorkers(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> OwnershipEntry::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::WorkerDigest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t OwnershipEntry::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t OwnershipEntry::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void OwnershipEntry::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t OwnershipEntry::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t OwnershipEntry::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void OwnershipEntry::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3398,6 +5780,233 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::TaskCommandParams::Reader::hasCall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TaskCommandParams::Builder::hasCall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::rpc::wire::TaskCall::Reader Peer::TaskCommandParams::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::rpc::wire::TaskCall::Builder Peer::TaskCommandParams::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangospread::rpc::wire::TaskCall::Pipeline Peer::TaskCommandParams::Pipeline::getCall() {
+  return  ::mangospread::rpc::wire::TaskCall::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::TaskCommandParams::Builder::setCall( ::mangospread::rpc::wire::TaskCall::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::rpc::wire::TaskCall::Builder Peer::TaskCommandParams::Builder::initCall() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TaskCommandParams::Builder::adoptCall(
+    ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> Peer::TaskCommandParams::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCall>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::TaskCommandResults::Reader::hasResult() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TaskCommandResults::Builder::hasResult() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::rpc::wire::TaskCallResult::Reader Peer::TaskCommandResults::Reader::getResult() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::rpc::wire::TaskCallResult::Builder Peer::TaskCommandResults::Builder::getResult() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangospread::rpc::wire::TaskCallResult::Pipeline Peer::TaskCommandResults::Pipeline::getResult() {
+  return  ::mangospread::rpc::wire::TaskCallResult::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::TaskCommandResults::Builder::setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::rpc::wire::TaskCallResult::Builder Peer::TaskCommandResults::Builder::initResult() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TaskCommandResults::Builder::adoptResult(
+    ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> Peer::TaskCommandResults::Builder::disownResult() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::TaskCallResult>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ReportTasksParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportTasksParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::rpc::wire::NodeReport::Reader Peer::ReportTasksParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::rpc::wire::NodeReport::Builder Peer::ReportTasksParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangospread::rpc::wire::NodeReport::Pipeline Peer::ReportTasksParams::Pipeline::getReport() {
+  return  ::mangospread::rpc::wire::NodeReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReportTasksParams::Builder::setReport( ::mangospread::rpc::wire::NodeReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::rpc::wire::NodeReport::Builder Peer::ReportTasksParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportTasksParams::Builder::adoptReport(
+    ::capnp::Orphan< ::mangospread::rpc::wire::NodeReport>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeReport> Peer::ReportTasksParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::mangospread::rpc::wire::NodeReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::ReportTasksResults::Reader::getSchedulerEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ReportTasksResults::Builder::getSchedulerEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReportTasksResults::Builder::setSchedulerEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ReportTasksResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::ReportTasksResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReportTasksResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::SchedulerQueryParams::Reader::hasPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SchedulerQueryParams::Builder::hasPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SchedulerQueryParams::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SchedulerQueryParams::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SchedulerQueryParams::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SchedulerQueryParams::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SchedulerQueryParams::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SchedulerQueryParams::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Peer::SchedulerQueryResults::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Peer::SchedulerQueryResults::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SchedulerQueryResults::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::SchedulerQueryResults::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SchedulerQueryResults::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SchedulerQueryResults::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SchedulerQueryResults::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SchedulerQueryResults::Builder::setBody( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SchedulerQueryResults::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SchedulerQueryResults::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SchedulerQueryResults::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -13,6 +13,7 @@
 #include "base/events.hpp"
 #include "rpc/codec.hpp"
 #include "rpc/rpc_thread.hpp"
+#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc {
 namespace {
@@ -170,6 +171,47 @@
         });
   }
 
+  kj::Promise<void> taskCommand(  // NOLINT
+      TaskCommandContext context) override {
+    TaskCall call = Decode(context.getParams().getCall());
+    return bridge_
+        .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
+          handlers_.task_command(call, std::move(reply));
+        })
+        .then([context](Result<TaskReport> result) mutable {
+          Encode(result, context.getResults().initResult());
+        });
+  }
+
+  kj::Promise<void> reportTasks(  // NOLINT
+      ReportTasksContext context) override {
+    auto report =
+        std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
+    return bridge_
+        .Call<NodeReportReply>([this, report](auto reply) {
+          reply(handlers_.report_tasks(*report));
+        })
+        .then([context](NodeReportReply answer) mutable {
+          auto results = context.getResults();
+          results.setSchedulerEpoch(answer.scheduler_epoch.value());
+          results.setAccepted(answer.accepted);
+        });
+  }
+
+  kj::Promise<void> schedulerQuery(  // NOLINT
+      SchedulerQueryContext context) override {
+    std::string path = context.getParams().getPath();
+    return bridge_
+        .Call<QueryReply>([this, path = std::move(path)](auto reply) {
+          reply(handlers_.scheduler_query(path));
+        })
+        .then([context](QueryReply answer) mutable {
+          auto results = context.getResults();
+          results.setStatus(static_cast<std::uint16_t>(answer.status));
+          results.setBody(answer.body);
+        });
+  }
+
  private:
   CoreBridge& bridge_;
   const PeerHandlers& handlers_;
@@ -461,4 +503,52 @@
       });
 }
 
+void PeerService::TaskCommand(const Address& peer, TaskCall call,
+                              Milliseconds timeout,
+                              ReplyCallback<TaskReport> done) {
+  // The callee's refusal is part of its answer; only its own errors say that
+  // the command had no effect.
+  host_->Call<Result<TaskReport>>(
+      peer, timeout, detail::OnTimeout::kKeep,
+      [done = std::move(done)](const Result<Result<TaskReport>>& answer) {
+        if (!answer.ok()) return done(answer.error());
+        done(answer.value());
+      },
+      [call = std::move(call)](wire::Peer::Client& client) {
+        auto request = client.taskCommandRequest();
+        Encode(call, request.initCall());
+        return request.send().then(
+            [](auto&& answer) { return Decode(answer.getResult()); });
+      });
+}
+
+void PeerService::ReportTasks(const Address& peer, NodeReport report,
+                              Milliseconds timeout,
+                              ReplyCallback<NodeReportReply> done) {
+  host_->Call<NodeReportReply>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [report = std::move(report)](wire::Peer::Client& client) {
+        auto request = client.reportTasksRequest();
+        Encode(report, request.initReport());
+        return request.send().then([](auto&& answer) {
+          return NodeReportReply{Epoch(answer.getSchedulerEpoch()),
+                                 answer.getAccepted()};
+        });
+      });
+}
+
+void PeerService::SchedulerQuery(const Address& peer, std::string path,
+                                 Milliseconds timeout,
+                                 ReplyCallback<QueryReply> done) {
+  host_->Call<QueryReply>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [path = std::move(path)](wire::Peer::Client& client) {
+        auto request = client.schedulerQueryRequest();
+        request.setPath(path);
+        return request.send().then([](auto&& answer) {
+          return QueryReply{answer.getStatus(), answer.getBody()};
+        });
+      });
+}
+
 }  // namespace mangospread::rpc
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -9,6 +9,7 @@
 #include "base/event_loop.hpp"
 #include "mangospread/error.hpp"
 #include "rpc/messages.hpp"
+#include "rpc/task_messages.hpp"
 
 namespace mangospread::rpc {
 
@@ -28,6 +29,9 @@
   std::function<Revision(const ConfigDelta&)> push_config;
   std::function<ConfigDelta(Revision)> config_since;
   std::function<std::vector<OwnershipEntry>()> ownership_snapshot;
+  std::function<void(TaskCall, ReplyCallback<TaskReport>)> task_command;
+  std::function<NodeReportReply(const NodeReport&)> report_tasks;
+  std::function<QueryReply(const std::string& path)> scheduler_query;
 };
 
 /// Connections to and from peers. Owns the KJ thread. All members are for the
@@ -60,6 +64,14 @@
   void OwnershipSnapshot(const Address& peer, Milliseconds timeout,
                          ReplyCallback<std::vector<OwnershipEntry>> done);
 
+  /// The called node's own error, or that of the call.
+  void TaskCommand(const Address& peer, TaskCall call, Milliseconds timeout,
+                   ReplyCallback<TaskReport> done);
+  void ReportTasks(const Address& peer, NodeReport report, Milliseconds timeout,
+                   ReplyCallback<NodeReportReply> done);
+  void SchedulerQuery(const Address& peer, std::string path,
+                      Milliseconds timeout, ReplyCallback<QueryReply> done);
+
  private:
   std::unique_ptr<detail::PeerHost> host_;
 };
--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -11,6 +11,7 @@
 #include "base/clock.hpp"
 #include "host.hpp"
 #include "worker/codec.hpp"
+#include "worker_tasks.hpp"
 
 namespace mangospread::standin {
 namespace {
@@ -29,19 +30,13 @@
   return text.empty() ? 0 : std::atoi(std::string(text).c_str());
 }
 
-struct RunningTask {
-  TaskReport report;
-  std::int64_t started_ns = 0;
-  std::int64_t ended_ns = 0;
-  base::Timer timer;
-};
-
 class WorkerStandin {
  public:
   WorkerStandin(base::EventLoop& loop, const Options& options)
       : loop_(loop),
         slots_(options.Number("slots", 8)),
-        boot_id_(std::to_string(base::WallNanoseconds())) {}
+        boot_id_(std::to_string(base::WallNanoseconds())),
+        tasks_(loop, options) {}
 
   void Handle(const Exchange& exchange) {
     const std::string& target = exchange->request().target;
@@ -96,6 +91,7 @@
     epoch_ = request.fence.epoch;
     owner_ = request.fence.owner;
     lease_until_ = base::MonotonicNow() + request.lease;
+    tasks_.OnLease();
     ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
   }
 
@@ -107,6 +103,7 @@
       return Refuse(exchange, "stale-epoch");
     }
     lease_until_ = base::MonotonicNow() + decoded.value().lease;
+    tasks_.OnLease();
     ReplyText(*exchange, kOk, worker::EncodeReport(Report()));
   }
 
@@ -127,9 +124,7 @@
     report.leaving = leaving_;
     report.lease_remaining = LeaseRemaining();
     for (const auto& id : in_flight_) report.in_flight.emplace_back(id);
-    for (const auto& [name, task] : tasks_) {
-      report.tasks.push_back(task->report);
-    }
+    report.tasks = tasks_.Reports();
     return report;
   }
 
@@ -184,72 +179,9 @@
       ++stale_refused_;
       return Refuse(exchange, "stale-epoch");
     }
-    if (command.verb == TaskVerb::kStart) return StartTask(exchange, command);
-    const auto it = tasks_.find(command.task);
-    if (it == tasks_.end() || it->second->report.attempt != command.attempt) {
-      return Refuse(exchange, "unknown-task");
-    }
-    RunningTask& task = *it->second;
-    const TaskReport report = Apply(task, command);
-    if (command.verb == TaskVerb::kForget &&
-        report.phase != TaskPhase::kRunning) {
-      tasks_.erase(it);
-    }
-    ReplyText(*exchange, kOk, worker::EncodeTaskReport(report));
-  }
-
-  TaskReport Apply(RunningTask& task, const TaskCommand& command) {
-    const std::int64_t now = base::MonotonicNow().count();
-    constexpr std::int64_t kNanosPerMs = 1'000'000;
-    switch (command.verb) {
-      case TaskVerb::kThrottle:
-        task.report.throttle_percent = command.throttle_percent;
-        break;
-      case TaskVerb::kStop:
-        if (task.report.phase == TaskPhase::kRunning) {
-          End(task, TaskPhase::kStopped);
-        }
-        [[fallthrough]];
-      case TaskVerb::kCheckpoint:
-        task.report.checkpoint =
-            std::to_string((now - task.started_ns) / kNanosPerMs);
-        break;
-      default:
-        break;
-    }
-    return task.report;
-  }
-
-  void StartTask(const Exchange& exchange, const TaskCommand& command) {
-    auto& task = tasks_[command.task];
-    if (task != nullptr && task->report.attempt >= command.attempt) {
-      if (task->report.attempt > command.attempt) {
-        return Refuse(exchange, "unknown-task");
-      }
-      return ReplyText(*exchange, kOk, worker::EncodeTaskReport(task->report));
-    }
-    task = std::make_unique<RunningTask>();
-    task->report.task = command.task;
-    task->report.attempt = command.attempt;
-    task->report.cpu_used = command.cpu;
-    task->report.memory_used = command.memory;
-    task->started_ns = base::MonotonicNow().count();
-    RunningTask* raw = task.get();
-    task->timer = loop_.After(command.run_time,
-                              [this, raw] { End(*raw, TaskPhase::kDone); });
-    ReplyText(*exchange, kOk, worker::EncodeTaskReport(task->report));
-  }
-
-  void End(RunningTask& task, TaskPhase phase) {
-    task.report.phase = phase;
-    task.report.cpu_used = Millicores();
-    task.report.memory_used = Mebibytes();
-    task.ended_ns = base::MonotonicNow().count();
-    task_runs_.push_back({{"task", task.report.task},
-                          {"attempt", task.report.attempt.value()},
-                          {"started_ns", task.started_ns},
-                          {"ended_ns", task.ended_ns}});
-    task.timer.reset();
+    const auto report = tasks_.Command(command);
+    if (!report) return Refuse(exchange, "unknown-task");
+    ReplyText(*exchange, kOk, worker::EncodeTaskReport(*report));
   }
 
   void Record(const Exchange& exchange) {
@@ -260,7 +192,7 @@
                     {"stale_refused", stale_refused_},
                     {"runs_by_key", runs_by_key_},
                     {"claims", claims_},
-                    {"task_runs", task_runs_},
+                    {"task_runs", tasks_.Runs()},
                     {"running_tasks", tasks_.size()}};
     ReplyText(*exchange, kOk, body.dump());
   }
@@ -273,11 +205,10 @@
   MonotonicTime lease_until_{0};
   bool leaving_ = false;
   std::set<std::string> in_flight_;
-  std::map<std::string, std::unique_ptr<RunningTask>> tasks_;
+  WorkerTasks tasks_;
   std::map<int, int> arrived_concurrency_;
   std::map<std::string, int> runs_by_key_;
   json claims_ = json::array();
-  json task_runs_ = json::array();
   int max_in_flight_ = 0;
   std::uint64_t served_ = 0;
   std::uint64_t full_refused_ = 0;
