--- a/standin/worker_tasks.cc
+++ b/standin/endpoint/worker_tasks.cc
@@ -1,4 +1,4 @@
-#include "worker_tasks.hpp"
+#include "endpoint/worker_tasks.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
