--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -9,6 +9,7 @@
 #include "base/event_loop.hpp"
 #include "mangospread/error.hpp"
 #include "rpc/messages.hpp"
+#include "rpc/task_messages.hpp"
 
 namespace mangospread::rpc {
 
@@ -29,6 +30,9 @@
   std::function<ConfigDelta(Revision)> config_since;
   std::function<OwnershipSnapshot()> ownership_snapshot;
   std::function<void(const std::vector<OwnershipEntry>&)> push_ownership;
+  std::function<void(TaskCall, ReplyCallback<TaskReport>)> task_command;
+  std::function<NodeReportReply(const NodeReport&)> report_tasks;
+  std::function<QueryReply(const std::string& path)> scheduler_query;
 };
 
 /// Connections to and from peers. Owns the KJ thread. All members are for the
@@ -63,6 +67,14 @@
   void PushOwnership(const Address& peer, std::vector<OwnershipEntry> entries,
                      Milliseconds timeout, ReplyCallback<Done> done);
 
+  /// The called node's own error, or that of the call.
+  void TaskCommand(const Address& peer, TaskCall call, Milliseconds timeout,
+                   ReplyCallback<TaskReport> done);
+  void ReportTasks(const Address& peer, NodeReport report, Milliseconds timeout,
+                   ReplyCallback<NodeReportReply> done);
+  void SchedulerQuery(const Address& peer, std::string path,
+                      Milliseconds timeout, ReplyCallback<QueryReply> done);
+
  private:
   std::unique_ptr<detail::PeerHost> host_;
 };
