Let the last holder of an unrecorded grant claim its worker again

Cause: a worker granted itself to node X while the table was down, then restarted and forgot it. The other nodes take X for the owner, since the grant's epoch is the highest they know and X is alive; X itself waited for the proposed owner. Nobody claimed the worker, also with the table up. Ruled out: a lost announcement (the log shows the grant and the loss with no claim after it for 20 s). Before: the new test fails at "Settled" after 20 s. Conclusion: the node that held a worker last acts until the table's row has a higher epoch.

--- a/src/ownership/manager.cc
+++ b/src/ownership/manager.cc
@@ -156,9 +156,13 @@
     return Claim(entry, entry.row.epoch, ClaimBasis::kTable);
   }
   // A row that names this node with an epoch that the worker has passed gives
-  // no right to the worker; it needs a higher epoch first.
+  // no right to the worker; it needs a higher epoch first. Other nodes take the
+  // last holder of an unrecorded grant for the owner while it lives, so it has
+  // to act even when another node is proposed.
   const bool entitled =
-      named || (Propose(entry) == options_.node && OwnerIsGone(entry.latest()));
+      named ||
+      (OwnerIsGone(entry.latest()) &&
+       (entry.last_held > entry.row.epoch || Propose(entry) == options_.node));
   if (!entitled) return;
   if (table_decides) {
     if (!entry.writing) TakeOver(entry);
@@ -281,6 +285,7 @@
 }
 
 void Manager::OnWorkerLost(const EntryPtr& entry) {
+  entry->last_held = entry->worker->fence().epoch;
   DropWorker(*entry);
   // Another node's claim is the usual reason, so the row is read again before
   // anything is decided.
--- a/src/ownership/manager_entry.hpp
+++ b/src/ownership/manager_entry.hpp
@@ -28,6 +28,8 @@
   /// The highest epoch known to be granted by the worker beyond the table's;
   /// its node is empty when only the epoch is known.
   OwnershipRow grant;
+  /// Epoch with which this node held the worker last.
+  Epoch last_held;
   WorkerLink link;
   std::shared_ptr<Worker> claimant;
   std::shared_ptr<OwnedWorker> worker;
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/ownership_test.cc
@@ -39,6 +39,30 @@
   }
 }
 
+// Guards against a worker that nobody claims: its last holder is not the
+// proposed owner, and the proposed owner takes the holder for alive.
+TEST_CASE("unrecorded grant that a worker forgot is replaced") {
+  Cluster cluster(1);
+  const VmName vm = cluster.vms[0].name;
+  for (const char* name : {"a", "b"}) cluster.Start(name);
+  REQUIRE(cluster.RunUntil([&] { return cluster.Settled(); }));
+  auto& proposed = OwnerOf(cluster, vm);
+  const std::string name = proposed.id.str();
+  cluster.table.mode = Mode::kRefusing;
+  cluster.Kill(proposed);
+  REQUIRE(cluster.RunUntil([&] { return cluster.Served(); }));
+  auto& holder = OwnerOf(cluster, vm);
+  auto& again = cluster.Start(name.c_str());
+  again.manager.AdoptVms(holder.manager.Vms());
+  again.manager.AdoptRows(holder.manager.Rows());
+  cluster.RunFor(Milliseconds(300));
+  cluster.workers[vm].Restart();
+  cluster.RunFor(Milliseconds(100));
+  cluster.table.mode = Mode::kUp;
+  REQUIRE(cluster.RunUntil([&] { return cluster.Settled(); }));
+  cluster.CheckOneOwnerPerEpoch();
+}
+
 // Guards against a node that needs the table or the VM list to serve again.
 TEST_CASE("node that starts without the table works from a peer's rows") {
   Cluster cluster(3);
