--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -44,7 +44,8 @@
   void Stop();
 
   [[nodiscard]] const Address& http_address() const { return http_address_; }
-  [[nodiscard]] const Address& rpc_address() const { return rpc_address_; }
+  /// The address listened on, which may differ from the one advertised.
+  [[nodiscard]] const Address& rpc_address() const { return rpc_bound_; }
 
  private:
   void AddChildren();
@@ -75,6 +76,8 @@
   MonotonicTime ownership_pull_at_{0};
   std::vector<rpc::OwnershipEntry> changed_owners_;
   Address http_address_;
+  Address rpc_bound_;
+  /// What peers connect to.
   Address rpc_address_;
 
   rpc::PeerService peers_;
