Give forwarded bodies a peer connection of their own, with a probe

Heartbeats and bodies of up to 8 MB shared one connection, and only a late heartbeat closed it. The data connection is probed every 0.4 s by a ping that the peer's RPC thread answers alone, with a bound of 0.8 s plus 0.1 s for each call in progress, since a ping may wait behind bodies. Closing a connection ends its calls at once; before, they waited for their own deadline because each call kept the dropped connection alive.

Also found and fixed: one failed accept (no file descriptor) left the node deaf for good; accepted connections whose peer had given up were kept for good (now 30 s without a call); a finished call's connection could be destroyed on the core thread; a stop waited a fixed 200 ms for replies, which it now awaits until the RPC queues are empty (2 s at most).

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -23,8 +23,9 @@
 /// A node that hears neither the table nor a peer for this long refuses.
 constexpr MonotonicTime kIsolatedAfter = std::chrono::seconds(3);
 
-/// Time for the last RPC replies to leave before the process exits.
-constexpr Milliseconds kFlushTime{200};
+/// Bound of the time in which the last RPC replies leave before the process
+/// exits; a peer that reads nothing must not hold it up.
+constexpr Milliseconds kFlushLimit{2'000};
 
 rpc::OwnershipEntry ToEntry(const ownership::KnownOwner& known) {
   return {known.vm, known.row.node, known.row.incarnation, known.row.epoch,
@@ -194,7 +195,7 @@
                      return Done{};
                    },
                    [this](std::function<void()> done) {
-                     stop_timer_ = loop_.After(kFlushTime, std::move(done));
+                     peers_.Flush(kFlushLimit, std::move(done));
                    }});
   supervisor_.Add({"config",
                    [this]() -> Result<Done> {
@@ -215,7 +216,7 @@
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
-       kHandOverLimit + kFlushTime});
+       kHandOverLimit + kRecheck});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -95,4 +95,6 @@
   configSince @3 (revision :UInt64) -> (delta :ConfigDelta);
   ownershipSnapshot @4 () -> (entries :List(OwnershipEntry), vms :List(Vm));
   pushOwnership @5 (entries :List(OwnershipEntry)) -> ();
+  # Answered by the RPC thread alone; shows that the connection is alive.
+  ping @6 () -> ();
 }
--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -1107,7 +1107,7 @@
   0, 11, i_ec66f5b22618c669, nullptr, nullptr, { &s_ec66f5b22618c669, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<83> b_b91702a44fe2cd65 = {
+static const ::capnp::_::AlignedData<93> b_b91702a44fe2cd65 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     101, 205, 226,  79, 164,   2,  23, 185,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1117,61 +1117,69 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   1,   0,   0,
-     29,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   1,   0,   0,
+     69,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      88,  52, 189, 108,   2, 251, 241, 229,
     152, 255,  48, 133,  31, 173, 190, 219,
-    177,   0,   0,   0,  82,   0,   0,   0,
+    209,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      11,  40,   6, 127, 130, 226,  51, 197,
     200, 185,  43, 148,  86, 215,  74, 187,
-    157,   0,   0,   0,  66,   0,   0,   0,
+    189,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     162, 127, 137,  21, 175,  21,  64, 154,
     172, 150, 186,  44, 189, 213,  91, 208,
-    133,   0,   0,   0,  90,   0,   0,   0,
+    165,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     203, 179, 192,  64, 199,   6, 186, 164,
      97, 239, 142, 153, 137, 101, 104, 208,
-    113,   0,   0,   0,  98,   0,   0,   0,
+    145,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     210, 200, 226,  27, 138, 217, 152, 216,
      82, 159,  40, 208,  96,  88, 250, 189,
-     93,   0,   0,   0, 146,   0,   0,   0,
+    125,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,   7,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     235,  82, 196,  84, 109, 175,  13, 190,
     208, 134, 242, 144, 156,  46, 133, 214,
-     77,   0,   0,   0, 114,   0,   0,   0,
+    109,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+     70, 100, 232,  57, 120, 114, 228, 213,
+    172,  72, 182, 117,  61, 102, 245, 162,
+     89,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1190,12 +1198,15 @@
     112, 117, 115, 104,  79, 119, 110, 101,
     114, 115, 104, 105, 112,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 105, 110, 103,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_b91702a44fe2cd65 = b_b91702a44fe2cd65.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_b91702a44fe2cd65[] = {
   &s_9a4015af15897fa2,
+  &s_a2f5663d75b648ac,
   &s_a4ba06c740c0b3cb,
   &s_bb4ad756942bb9c8,
   &s_bdfa5860d0289f52,
@@ -1203,15 +1214,16 @@
   &s_c533e2827f06280b,
   &s_d05bd5bd2cba96ac,
   &s_d0686589998eef61,
+  &s_d5e4727839e86446,
   &s_d6852e9c90f286d0,
   &s_d898d98a1be2c8d2,
   &s_dbbead1f8530ff98,
   &s_e5f1fb026cbd3458,
 };
-static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 5};
+static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 6, 2, 5};
 const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
-  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 83, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
-  12, 6, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
+  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 93, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
+  14, 7, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_e5f1fb026cbd3458 = {
@@ -1760,6 +1772,56 @@
   0, 0, nullptr, nullptr, nullptr, { &s_d6852e9c90f286d0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_d5e4727839e86446 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     70, 100, 232,  57, 120, 114, 228, 213,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d5e4727839e86446 = b_d5e4727839e86446.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d5e4727839e86446 = {
+  0xd5e4727839e86446, b_d5e4727839e86446.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d5e4727839e86446, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_a2f5663d75b648ac = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    172,  72, 182, 117,  61, 102, 245, 162,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a2f5663d75b648ac = b_a2f5663d75b648ac.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_a2f5663d75b648ac = {
+  0xa2f5663d75b648ac, b_a2f5663d75b648ac.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_a2f5663d75b648ac, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1902,6 +1964,16 @@
       "peer.capnp:Peer", "pushOwnership",
       0xb91702a44fe2cd65ull, 5);
 }
+::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>
+Peer::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(
+      0xb91702a44fe2cd65ull, 6, sizeHint);
+}
+::kj::Promise<void> Peer::Server::ping(PingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "ping",
+      0xb91702a44fe2cd65ull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1952,6 +2024,12 @@
              ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
         false
       };
+    case 6:
+      return {
+        ping(::capnp::Capability::Server::internalGetTypedContext<
+             ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2063,6 +2141,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::PingParams
+constexpr uint16_t Peer::PingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PingResults
+constexpr uint16_t Peer::PingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -41,6 +41,8 @@
 CAPNP_DECLARE_SCHEMA(bdfa5860d0289f52);
 CAPNP_DECLARE_SCHEMA(be0daf6d54c452eb);
 CAPNP_DECLARE_SCHEMA(d6852e9c90f286d0);
+CAPNP_DECLARE_SCHEMA(d5e4727839e86446);
+CAPNP_DECLARE_SCHEMA(a2f5663d75b648ac);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -204,6 +206,8 @@
   struct OwnershipSnapshotResults;
   struct PushOwnershipParams;
   struct PushOwnershipResults;
+  struct PingParams;
+  struct PingResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -393,6 +397,36 @@
   };
 };
 
+struct Peer::PingParams {
+  PingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PingResults {
+  PingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class FreeSlots::Reader {
@@ -1461,6 +1495,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1501,6 +1537,10 @@
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
   typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
   virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PingParams PingParams;
+  typedef  ::mangospread::rpc::wire::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
 
   inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2471,6 +2511,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingResults::Builder {
+public:
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool FreeSlots::Reader::hasService() const {
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -8,10 +8,12 @@
 
 #include <future>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "base/events.hpp"
 #include "rpc/codec.hpp"
+#include "rpc/peer_server.hpp"
 #include "rpc/rpc_thread.hpp"
 
 namespace mangospread::rpc {
@@ -26,6 +28,21 @@
 /// about a timeout still arrives.
 constexpr Milliseconds kForwardMargin{200};
 
+/// A data connection is probed this often. A probe may wait behind bodies of
+/// up to 8 MiB, so its bound grows with the calls in progress.
+constexpr Milliseconds kProbePeriod{400};
+constexpr Milliseconds kProbeTimeout{800};
+constexpr Milliseconds kProbeTimeoutPerCall{100};
+
+/// Peers send a heartbeat or a probe at least each second, so an accepted
+/// connection without calls for this long was given up by its peer.
+constexpr Milliseconds kAcceptedIdleLimit{30'000};
+
+/// After a failed accept, for example without free file descriptors.
+constexpr Milliseconds kAcceptRetry{100};
+
+constexpr Milliseconds kFlushRecheck{5};
+
 capnp::ReaderOptions MakeReaderOptions() {
   capnp::ReaderOptions options;
   options.traversalLimitInWords = kMaxMessageWords;
@@ -43,162 +60,15 @@
 
 namespace detail {
 
+/// Bodies and snapshots have a connection of their own, so that heartbeats
+/// and pushes do not wait behind them.
+enum class Channel : unsigned char { kControl, kData };
+
 /// What a call that exceeds its bound says about the connection. A heartbeat
 /// is answered at once, so a late one means a silent connection; a forwarded
 /// request may be slow on a healthy one.
 enum class OnTimeout : unsigned char { kKeep, kClose };
 
-/// Runs a handler on the core thread and returns its answer as a promise.
-class CoreBridge {
- public:
-  CoreBridge(base::EventLoop& core, std::shared_ptr<RpcThread> thread)
-      : core_(core), thread_(std::move(thread)) {}
-
-  /// `start` is called on the core thread with the function to answer with.
-  template <typename T>
-  kj::Promise<T> Call(std::function<void(std::function<void(T)>)> start) {
-    auto paf = kj::newPromiseAndFulfiller<T>();
-    // Fulfillers belong to the KJ thread; the core thread only carries it.
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
-        kj::mv(paf.fulfiller));
-    auto hold = std::make_shared<Holder<T>>(thread_, std::move(fulfiller));
-    core_.Post([start = std::move(start), hold = std::move(hold)] {
-      start([hold](T value) { hold->Fulfill(std::move(value)); });
-    });
-    return kj::mv(paf.promise);
-  }
-
- private:
-  /// Returns the fulfiller to the KJ thread even if it is never used.
-  template <typename T>
-  class Holder {
-   public:
-    using Fulfiller = std::shared_ptr<kj::Own<kj::PromiseFulfiller<T>>>;
-    Holder(std::shared_ptr<RpcThread> thread, Fulfiller fulfiller)
-        : thread_(std::move(thread)), fulfiller_(std::move(fulfiller)) {}
-    ~Holder() {
-      if (fulfiller_ == nullptr) return;
-      thread_->Post(
-          [moved = std::move(fulfiller_)]() mutable { moved.reset(); });
-    }
-    Holder(const Holder&) = delete;
-    Holder& operator=(const Holder&) = delete;
-
-    void Fulfill(T value) {
-      if (fulfiller_ == nullptr) return;
-      auto shared = std::make_shared<T>(std::move(value));
-      thread_->Post([moved = std::move(fulfiller_), shared]() mutable {
-        (*moved)->fulfill(kj::mv(*shared));
-        moved.reset();
-      });
-    }
-
-   private:
-    std::shared_ptr<RpcThread> thread_;
-    Fulfiller fulfiller_;
-  };
-
-  base::EventLoop& core_;
-  std::shared_ptr<RpcThread> thread_;
-};
-
-template <typename T, typename Init>
-void EncodeList(const std::vector<T>& items, Init init) {
-  auto list = init(static_cast<unsigned>(items.size()));
-  for (unsigned i = 0; i < list.size(); ++i) Encode(items[i], list[i]);
-}
-
-template <typename T, typename List>
-std::vector<T> DecodeList(const List& list) {
-  std::vector<T> items;
-  items.reserve(list.size());
-  for (const auto item : list) items.push_back(Decode(item));
-  return items;
-}
-
-/// Serves peers' calls on the KJ thread.
-class PeerServer final : public wire::Peer::Server {
- public:
-  PeerServer(CoreBridge& bridge, const PeerHandlers& handlers)
-      : bridge_(bridge), handlers_(handlers) {}
-
-  kj::Promise<void> heartbeat(HeartbeatContext context) override {  // NOLINT
-    NodeView view = Decode(context.getParams().getView());
-    return bridge_
-        .Call<NodeView>([this, view = std::move(view)](auto reply) {
-          reply(handlers_.heartbeat(view));
-        })
-        .then([context](NodeView own) mutable {
-          Encode(own, context.getResults().initView());
-        });
-  }
-
-  kj::Promise<void> forward(ForwardContext context) override {  // NOLINT
-    auto request = std::make_shared<ForwardRequest>(
-        Decode(context.getParams().getRequest()));
-    context.releaseParams();
-    return bridge_
-        .Call<ForwardReply>([this, request](auto reply) {
-          handlers_.forward(std::move(*request), std::move(reply));
-        })
-        .then([context](ForwardReply answer) mutable {
-          Encode(answer, context.getResults().initReply());
-        });
-  }
-
-  kj::Promise<void> pushConfig(PushConfigContext context) override {  // NOLINT
-    ConfigDelta delta = Decode(context.getParams().getDelta());
-    return bridge_
-        .Call<Revision>([this, delta = std::move(delta)](auto reply) {
-          reply(handlers_.push_config(delta));
-        })
-        .then([context](Revision revision) mutable {
-          context.getResults().setRevision(revision.value());
-        });
-  }
-
-  kj::Promise<void> configSince(  // NOLINT
-      ConfigSinceContext context) override {
-    const Revision revision(context.getParams().getRevision());
-    return bridge_
-        .Call<ConfigDelta>([this, revision](auto reply) {
-          reply(handlers_.config_since(revision));
-        })
-        .then([context](ConfigDelta delta) mutable {
-          Encode(delta, context.getResults().initDelta());
-        });
-  }
-
-  kj::Promise<void> ownershipSnapshot(  // NOLINT
-      OwnershipSnapshotContext context) override {
-    return bridge_
-        .Call<OwnershipSnapshot>(
-            [this](auto reply) { reply(handlers_.ownership_snapshot()); })
-        .then([context](OwnershipSnapshot snapshot) mutable {
-          auto results = context.getResults();
-          EncodeList(snapshot.entries,
-                     [&results](unsigned n) { return results.initEntries(n); });
-          EncodeList(snapshot.vms,
-                     [&results](unsigned n) { return results.initVms(n); });
-        });
-  }
-
-  kj::Promise<void> pushOwnership(  // NOLINT
-      PushOwnershipContext context) override {
-    auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
-    return bridge_
-        .Call<Done>([this, entries = std::move(entries)](auto reply) {
-          handlers_.push_ownership(entries);
-          reply(Done{});
-        })
-        .ignoreResult();
-  }
-
- private:
-  CoreBridge& bridge_;
-  const PeerHandlers& handlers_;
-};
-
 /// A connection to a peer, kept alive by the calls that use it.
 struct PeerConnection {
   PeerConnection(kj::Own<kj::AsyncIoStream> opened)  // NOLINT
@@ -219,6 +89,7 @@
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
   wire::Peer::Client peer;
+  int calls = 0;
 };
 
 /// Accepted connection and its RPC system.
@@ -257,6 +128,21 @@
   PeerHost(const PeerHost&) = delete;
   PeerHost& operator=(const PeerHost&) = delete;
 
+  /// A peer's address with the connection to use.
+  using Endpoint = std::pair<Address, Channel>;
+
+  /// Calls `done` on the core thread when no answer is left to compute or to
+  /// write, or after `limit`.
+  void Flush(Milliseconds limit, std::function<void()> done) {
+    thread_->Post([this, limit, done = std::move(done)] {
+      auto idle = timer().afterDelay(ToKj(kFlushRecheck)).then([this] {
+        return WaitIdle();
+      });
+      tasks_->add(idle.exclusiveJoin(timer().afterDelay(ToKj(limit)))
+                      .then([this, done] { core_.Post(done); }));
+    });
+  }
+
   Result<Address> Listen(const Address& address, PeerHandlers handlers) {
     handlers_ = std::move(handlers);
     std::promise<Result<Address>> bound;
@@ -283,13 +169,14 @@
   /// returns its promise; the result or error reaches `done` on the core
   /// thread.
   template <typename T>
-  void Call(const Address& peer, Milliseconds timeout, OnTimeout on_timeout,
+  void Call(Endpoint peer, Milliseconds timeout, OnTimeout on_timeout,
             ReplyCallback<T> done,
             std::function<kj::Promise<T>(wire::Peer::Client&)> send) {
     auto state = std::make_shared<CallState<T>>();
     state->done = std::move(done);
     state->send = std::move(send);
-    thread_->Post([this, peer, timeout, on_timeout, state] {
+    // Moved, so that its connection is never destroyed on this thread.
+    thread_->Post([this, peer, timeout, on_timeout, state = std::move(state)] {
       StartCall<T>(peer, timeout, on_timeout, state);
     });
   }
@@ -303,23 +190,68 @@
   void taskFailed(kj::Exception&& /*exception*/) override {}  // NOLINT
 
   kj::Promise<void> AcceptLoop() {
-    return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
-      SetNoDelay(*stream);
-      auto accepted = kj::heap<AcceptedPeer>(
-          kj::mv(stream), kj::heap<PeerServer>(bridge_, handlers_));
-      auto gone = accepted->network.onDisconnect();
-      tasks_->add(gone.attach(kj::mv(accepted)));
-      return AcceptLoop();
+    return listener_->accept()
+        .then([this](kj::Own<kj::AsyncIoStream> stream) {
+          Accept(kj::mv(stream));
+        })
+        .catch_([this](kj::Exception&& /*exception*/) {
+          return timer().afterDelay(ToKj(kAcceptRetry));
+        })
+        .then([this] { return AcceptLoop(); });
+  }
+
+  void Accept(kj::Own<kj::AsyncIoStream> stream) {
+    SetNoDelay(*stream);
+    auto activity = std::make_shared<ServerActivity>();
+    auto accepted = kj::heap<AcceptedPeer>(
+        kj::mv(stream), kj::heap<PeerServer>(bridge_, handlers_, activity));
+    AcceptedPeer* raw = accepted.get();
+    accepted_.insert(raw);
+    auto gone = raw->network.onDisconnect().exclusiveJoin(WaitUnused(activity));
+    tasks_->add(gone.attach(kj::defer([this, raw] { accepted_.erase(raw); }),
+                            kj::mv(accepted)));
+  }
+
+  /// Resolves when the connection has had no call for the limit.
+  kj::Promise<void> WaitUnused(std::shared_ptr<ServerActivity> activity) {
+    return timer()
+        .afterDelay(ToKj(kAcceptedIdleLimit))
+        .then([this, activity]() -> kj::Promise<void> {
+          if (base::MonotonicNow() - activity->last_call > kAcceptedIdleLimit) {
+            return kj::READY_NOW;
+          }
+          return WaitUnused(activity);
+        });
+  }
+
+  [[nodiscard]] bool Idle() {
+    if (bridge_.pending() > 0) return false;
+    for (AcceptedPeer* peer : accepted_) {
+      if (peer->network.getCurrentQueueSize() > 0) return false;
+    }
+    for (const auto& [endpoint, connection] : connections_) {
+      if (connection->network.getCurrentQueueSize() > 0) return false;
+    }
+    return true;
+  }
+
+  /// An answer is queued one turn after it was computed, so the queues have
+  /// to be empty twice.
+  kj::Promise<void> WaitIdle(int seen = 0) {
+    const int idle = Idle() ? seen + 1 : 0;
+    if (idle == 2) return kj::READY_NOW;
+    return timer().afterDelay(ToKj(kFlushRecheck)).then([this, idle] {
+      return WaitIdle(idle);
     });
   }
 
-  kj::Promise<ConnectionPtr> Connect(const Address& peer) {
+  kj::Promise<ConnectionPtr> Connect(const Endpoint& peer) {
     const auto it = connections_.find(peer);
     if (it != connections_.end()) return ConnectionPtr(it->second);
     return timer()
         .timeoutAfter(ToKj(kConnectTimeout),
                       network()
-                          .parseAddress(peer.ip, peer.port)
+                          .parseAddress(peer.first.ip, peer.first.port)
                           .then([](kj::Own<kj::NetworkAddress> address) {
                             auto connecting = address->connect();
                             return connecting.attach(kj::mv(address));
@@ -331,23 +263,56 @@
           SetNoDelay(*stream);
           auto connection = std::make_shared<PeerConnection>(kj::mv(stream));
           connections_.emplace(peer, connection);
+          // The control connection is probed by the heartbeats.
+          if (peer.second == Channel::kData) {
+            tasks_->add(ProbeLoop(peer, connection));
+          }
           return connection;
         });
   }
 
+  /// Closes a connection that went silent, so that its calls fail at once and
+  /// the next call opens a new one.
+  kj::Promise<void> ProbeLoop(Endpoint peer, ConnectionPtr connection) {
+    return timer()
+        .afterDelay(ToKj(kProbePeriod))
+        .then([this, peer, connection]() -> kj::Promise<void> {
+          const auto it = connections_.find(peer);
+          if (it == connections_.end() || it->second != connection) {
+            return kj::READY_NOW;
+          }
+          const Milliseconds bound =
+              kProbeTimeout + connection->calls * kProbeTimeoutPerCall;
+          return timer()
+              .timeoutAfter(
+                  ToKj(bound),
+                  connection->peer.pingRequest().send().ignoreResult())
+              .then([this, peer,
+                     connection] { return ProbeLoop(peer, connection); },
+                    [this, peer, connection](kj::Exception&& /*exception*/) {
+                      Drop(peer, connection);
+                      return kj::Promise<void>(kj::READY_NOW);
+                    });
+        });
+  }
+
   template <typename T>
   struct CallState {
+    ~CallState() {
+      if (connection != nullptr) --connection->calls;
+    }
     ReplyCallback<T> done;
     std::function<kj::Promise<T>(wire::Peer::Client&)> send;
     ConnectionPtr connection;
   };
 
   template <typename T>
-  void StartCall(const Address& peer, Milliseconds timeout,
+  void StartCall(const Endpoint& peer, Milliseconds timeout,
                  OnTimeout on_timeout,
                  const std::shared_ptr<CallState<T>>& state) {
     auto call = Connect(peer).then([state](ConnectionPtr connection) {
       state->connection = connection;
+      ++connection->calls;
       return state->send(connection->peer);
     });
     tasks_->add(
@@ -360,8 +325,8 @@
                   if (!late || on_timeout == OnTimeout::kClose) {
                     Drop(peer, state->connection);
                   }
-                  Deliver<T>(state,
-                             ToError(late, peer, state->connection != nullptr));
+                  Deliver<T>(state, ToError(late, peer.first,
+                                            state->connection != nullptr));
                 }));
   }
 
@@ -382,18 +347,23 @@
     });
   }
 
-  /// Forgets a failed connection. It is destroyed outside its own callbacks.
-  void Drop(const Address& peer, const ConnectionPtr& failed) {
+  /// Forgets a failed connection and ends the calls on it. It is destroyed
+  /// outside its own callbacks.
+  void Drop(const Endpoint& peer, const ConnectionPtr& failed) {
     const auto it = connections_.find(peer);
     if (it == connections_.end() || it->second != failed) return;
-    base::Log(base::Event::kPeerConnectionReset, {{"peer", ToString(peer)}});
+    base::Log(base::Event::kPeerConnectionReset,
+              {{"peer", ToString(peer.first)},
+               {"data", peer.second == Channel::kData}});
+    failed->stream->abortRead();
     thread_->Post([gone = it->second] { (void)gone; });
     connections_.erase(it);
   }
 
   base::EventLoop& core_;
   PeerHandlers handlers_;
-  std::map<Address, ConnectionPtr> connections_;
+  std::map<Endpoint, ConnectionPtr> connections_;
+  std::set<AcceptedPeer*> accepted_;
   kj::Own<kj::ConnectionReceiver> listener_;
   kj::Own<kj::TaskSet> tasks_;
   std::shared_ptr<RpcThread> thread_;
@@ -407,6 +377,10 @@
 
 PeerService::~PeerService() = default;
 
+void PeerService::Flush(Milliseconds limit, std::function<void()> done) {
+  host_->Flush(limit, std::move(done));
+}
+
 Result<Address> PeerService::Listen(const Address& address,
                                     PeerHandlers handlers) {
   return host_->Listen(address, std::move(handlers));
@@ -415,8 +389,9 @@
 void PeerService::Heartbeat(const Address& peer, const NodeView& view,
                             Milliseconds timeout,
                             ReplyCallback<NodeView> done) {
-  host_->Call<NodeView>(peer, timeout, detail::OnTimeout::kClose,
-                        std::move(done), [view](wire::Peer::Client& client) {
+  host_->Call<NodeView>({peer, detail::Channel::kControl}, timeout,
+                        detail::OnTimeout::kClose, std::move(done),
+                        [view](wire::Peer::Client& client) {
                           auto call = client.heartbeatRequest();
                           Encode(view, call.initView());
                           return call.send().then([](auto&& answer) {
@@ -429,8 +404,8 @@
                           ReplyCallback<ForwardReply> done) {
   const Milliseconds timeout = request.timeout + kForwardMargin;
   auto shared = std::make_shared<ForwardRequest>(std::move(request));
-  host_->Call<ForwardReply>(peer, timeout, detail::OnTimeout::kKeep,
-                            std::move(done),
+  host_->Call<ForwardReply>({peer, detail::Channel::kData}, timeout,
+                            detail::OnTimeout::kKeep, std::move(done),
                             [shared](wire::Peer::Client& client) {
                               auto call = client.forwardRequest();
                               Encode(*shared, call.initRequest());
@@ -443,8 +418,8 @@
 void PeerService::PushConfig(const Address& peer, ConfigDelta delta,
                              Milliseconds timeout,
                              ReplyCallback<Revision> done) {
-  host_->Call<Revision>(peer, timeout, detail::OnTimeout::kKeep,
-                        std::move(done),
+  host_->Call<Revision>({peer, detail::Channel::kControl}, timeout,
+                        detail::OnTimeout::kKeep, std::move(done),
                         [delta = std::move(delta)](wire::Peer::Client& client) {
                           auto call = client.pushConfigRequest();
                           Encode(delta, call.initDelta());
@@ -457,8 +432,8 @@
 void PeerService::ConfigSince(const Address& peer, Revision revision,
                               Milliseconds timeout,
                               ReplyCallback<ConfigDelta> done) {
-  host_->Call<ConfigDelta>(peer, timeout, detail::OnTimeout::kKeep,
-                           std::move(done),
+  host_->Call<ConfigDelta>({peer, detail::Channel::kData}, timeout,
+                           detail::OnTimeout::kKeep, std::move(done),
                            [revision](wire::Peer::Client& client) {
                              auto call = client.configSinceRequest();
                              call.setRevision(revision.value());
@@ -471,8 +446,8 @@
 void PeerService::FetchOwnership(const Address& peer, Milliseconds timeout,
                                  ReplyCallback<OwnershipSnapshot> done) {
   host_->Call<OwnershipSnapshot>(
-      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
-      [](wire::Peer::Client& client) {
+      {peer, detail::Channel::kData}, timeout, detail::OnTimeout::kKeep,
+      std::move(done), [](wire::Peer::Client& client) {
         return client.ownershipSnapshotRequest().send().then([](auto&& answer) {
           return OwnershipSnapshot{
               detail::DecodeList<OwnershipEntry>(answer.getEntries()),
@@ -486,7 +461,8 @@
                                 Milliseconds timeout,
                                 ReplyCallback<Done> done) {
   host_->Call<Done>(
-      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      {peer, detail::Channel::kControl}, timeout, detail::OnTimeout::kKeep,
+      std::move(done),
       [entries = std::move(entries)](wire::Peer::Client& client) {
         auto call = client.pushOwnershipRequest();
         detail::EncodeList(entries,
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -34,8 +34,11 @@
 /// Connections to and from peers. Owns the KJ thread. All members are for the
 /// core thread; callbacks run on it.
 ///
-/// A heartbeat that exceeds its time bound closes the connection, since a
-/// silent connection gives no error; the next call opens a new one.
+/// Each peer has a control connection (heartbeats, pushes) and a data
+/// connection (forwarded requests, snapshots). A heartbeat that exceeds its
+/// time bound closes the control connection, since a silent connection gives
+/// no error; the data connection has a probe of its own. The calls on a closed
+/// connection fail at once and the next call opens a new one.
 class PeerService {
  public:
   explicit PeerService(base::EventLoop& core);
@@ -63,6 +66,9 @@
   void PushOwnership(const Address& peer, std::vector<OwnershipEntry> entries,
                      Milliseconds timeout, ReplyCallback<Done> done);
 
+  /// Waits until every answer to a peer has been written, at most `limit`.
+  void Flush(Milliseconds limit, std::function<void()> done);
+
  private:
   std::unique_ptr<detail::PeerHost> host_;
 };
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/ownership_test.cc
@@ -146,6 +146,29 @@
   }
 }
 
+// Guards against the same when the replacement's row carries the epoch that a
+// worker granted to the predecessor without the table.
+TEST_CASE("replacement passes its predecessor's unrecorded epoch") {
+  Cluster cluster(1);
+  const VmName vm = cluster.vms[0].name;
+  cluster.workers[vm].epoch = Epoch(4);
+  cluster.table.mode = Mode::kRefusing;
+  auto& paused = cluster.Start("a");
+  REQUIRE(cluster.RunUntil([&] { return cluster.Served(); }));
+  paused.link->held = true;
+  cluster.table.Transact(
+      {{},
+       {{ownership::OwnershipRowKey(vm),
+         ownership::EncodeOwnership({NodeId("z"), {}, Epoch(4)})}}});
+  cluster.table.mode = Mode::kUp;
+  auto& replacement = cluster.Start("a");
+  REQUIRE(cluster.RunUntil(
+      [&] { return replacement.manager.FindOwned(vm) != nullptr; }));
+  const auto old_worker = paused.manager.FindOwned(vm);
+  REQUIRE(old_worker != nullptr);
+  CHECK_FALSE(cluster.workers[vm].Serve(old_worker->fence()));
+}
+
 // Guards against a move between live owners that leaves a worker unserved.
 TEST_CASE("planned hand-over leaves no gap") {
   Cluster cluster(6);
