--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,7 +1,6 @@
 #include "app/node.hpp"
 
-#include <sys/resource.h>
-
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -49,6 +48,12 @@
 constexpr std::size_t kRequestConnections = 16;
 constexpr std::size_t kControlConnections = 2;
 
+/// Transactions a second for idempotency keys: the deployment's 150 among six
+/// nodes.
+constexpr double kKeyBudget = 25;
+
+constexpr std::uint64_t kNanosPerMs = 1'000'000;
+
 std::string WriterRow(const Settings& settings, Incarnation incarnation,
                       const char* purpose) {
   return "writer/" + settings.node.str() + "/" +
@@ -89,6 +94,14 @@
   return options;
 }
 
+gateway::KeyStoreOptions MakeKeyOptions(const Settings& settings,
+                                        Incarnation incarnation) {
+  gateway::KeyStoreOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  return options;
+}
+
 ownership::LinkFactory MakeLinkFactory(base::EventLoop& loop) {
   return [&loop](const VmInfo& vm) {
     auto control = net::HttpClientPool::Create(loop, vm.address,
@@ -104,24 +117,6 @@
   };
 }
 
-struct ProcessUsage {
-  double cpu_seconds = 0;
-  double resident_bytes = 0;
-};
-
-ProcessUsage ReadProcessUsage() {
-  constexpr double kMicrosPerSecond = 1e6;
-  constexpr double kBytesPerKibibyte = 1024;
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) +
-           static_cast<double>(time.tv_usec) / kMicrosPerSecond;
-  };
-  return {seconds(usage.ru_utime) + seconds(usage.ru_stime),
-          static_cast<double>(usage.ru_maxrss) * kBytesPerKibibyte};
-}
-
 }  // namespace
 
 Node::Node(base::EventLoop& loop, Settings settings, PlatformClients platform,
@@ -137,6 +132,9 @@
       ownership_writer_(loop_, *platform_.table,
                         WriterRow(settings_, incarnation_, "ownership"),
                         Budget(60)),
+      key_writer_(loop_, *platform_.table,
+                  WriterRow(settings_, incarnation_, "idempotency"),
+                  Budget(kKeyBudget)),
       sync_(loop_, *platform_.table, store_, {},
             [this](const Address& peer, Revision since, auto done) {
               peers_.ConfigSince(peer, since, kPullTimeout, std::move(done));
@@ -157,8 +155,18 @@
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_),
+      keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
+            key_writer_,
+            [this](const NodeId& node, Incarnation incarnation) {
+              return IsGone(node, incarnation);
+            }),
+      key_sweep_(
+          loop_, {}, *platform_.table, key_writer_,
+          [this] { return IsFirstNode(); },
+          [] { return base::WallNanoseconds() / kNanosPerMs; }),
       gateway_(
           loop_, MakeGatewayOptions(settings_, incarnation_), store_, router_,
+          keys_,
           [this](const Address& peer, rpc::ForwardRequest request, auto done) {
             peers_.Forward(peer, std::move(request), std::move(done));
           },
@@ -213,6 +221,7 @@
       {"ownership",
        [this]() -> Result<Done> {
          ownership_.Start();
+         key_sweep_.Start();
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
@@ -267,7 +276,9 @@
 
 void Node::WaitForRequests(std::function<void()> done) {
   watches_.CloseAll();
-  if (gateway_.in_flight() == 0 && config_writer_.idle()) return done();
+  if (gateway_.in_flight() == 0 && config_writer_.idle() && keys_.idle()) {
+    return done();
+  }
   stop_timer_ = loop_.After(kRecheck, [this, done = std::move(done)]() mutable {
     WaitForRequests(std::move(done));
   });
@@ -333,12 +344,41 @@
 
 NotRunReason Node::Admission() const {
   if (state_ == rpc::NodeState::kStarting) return NotRunReason::kNodeNotReady;
+  if (IsAlone()) return NotRunReason::kNone;
   const MonotonicTime last_contact =
       std::max(sync_.last_table_answer(), membership_.last_heard());
   const bool isolated = base::MonotonicNow() - last_contact > kIsolatedAfter;
   return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
 }
 
+bool Node::IsAlone() const {
+  if (membership_.last_heard().count() != 0) return false;
+  return std::all_of(
+      settings_.seeds.begin(), settings_.seeds.end(),
+      [this](const Address& seed) { return seed == rpc_address_; });
+}
+
+bool Node::IsGone(const NodeId& node, Incarnation incarnation) const {
+  if (node == settings_.node) return incarnation != incarnation_;
+  const membership::Peer* peer = membership_.Find(node);
+  if (peer == nullptr) {
+    return base::MonotonicNow() - membership_.started() > kIsolatedAfter;
+  }
+  return peer->liveness == membership::Liveness::kDead ||
+         peer->view.incarnation > incarnation;
+}
+
+bool Node::IsFirstNode() const {
+  if (state_ != rpc::NodeState::kReady) return false;
+  for (const auto& [node, peer] : membership_.peers()) {
+    if (peer.liveness == membership::Liveness::kAlive &&
+        peer.view.state == rpc::NodeState::kReady && node < settings_.node) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void Node::Dispatch(std::shared_ptr<net::HttpExchange> exchange) {
   constexpr std::string_view kServicePrefix = "/svc/";
   if (state_ == rpc::NodeState::kLeaving) exchange->CloseAfterReply();
@@ -392,60 +432,4 @@
   });
 }
 
-void Node::CollectSamples(std::vector<api::Sample>& samples) const {
-  using api::MetricType;
-  const auto add =
-      [&samples](const char* name, const char* help, MetricType type,
-                 auto value,
-                 std::vector<std::pair<std::string, std::string>> labels = {}) {
-        samples.push_back(
-            {name, help, type, static_cast<double>(value), std::move(labels)});
-      };
-  const auto& requests = gateway_.counters();
-  constexpr const char* kRequestsHelp = "Requests of callers by outcome.";
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.answered,
-      {{"outcome", "answered"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.not_run,
-      {{"outcome", "not-run"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.unknown,
-      {{"outcome", "unknown"}});
-  add("requests_forwarded_total", "Requests passed on to another node.",
-      MetricType::kCounter, requests.forwarded);
-  add("requests_retried_total", "Further sends of a request.",
-      MetricType::kCounter, requests.retried);
-  const ProcessUsage usage = ReadProcessUsage();
-  add("process_cpu_seconds_total", "Processor time of this process.",
-      MetricType::kCounter, usage.cpu_seconds);
-  add("process_resident_bytes", "Highest resident memory of this process.",
-      MetricType::kGauge, usage.resident_bytes);
-  add("config_revision", "Installed configuration revision.",
-      MetricType::kGauge, store_.revision().value());
-  add("config_stale_total", "Dropped changes of a lower revision.",
-      MetricType::kCounter, store_.counters().stale);
-  add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
-      ownership_.owned().size());
-  const auto& ownership = ownership_.counters();
-  add("ownership_claims_total", "Claims sent to workers.", MetricType::kCounter,
-      ownership.claims);
-  add("ownership_claims_refused_total", "Claims that workers refused.",
-      MetricType::kCounter, ownership.claims_refused);
-  add("ownership_grants_total", "Claims granted by a worker without the table.",
-      MetricType::kCounter, ownership.grants);
-  add("ownership_row_conflicts_total", "Ownership writes that lost a race.",
-      MetricType::kCounter, ownership.row_conflicts);
-  add("table_reads_total", "Table reads by purpose.", MetricType::kCounter,
-      ownership.reads, {{"purpose", "ownership"}});
-  for (const auto& [purpose, writer] :
-       {std::pair{"config", &config_writer_},
-        std::pair{"ownership", &ownership_writer_}}) {
-    const auto& counters = writer->counters();
-    add("table_transactions_total", "Table transactions by purpose.",
-        MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
-    add("table_changes_total", "Changes sent in transactions by purpose.",
-        MetricType::kCounter, counters.changes, {{"purpose", purpose}});
-    add("table_unknown_total", "Transactions whose reply was lost.",
-        MetricType::kCounter, counters.unknown, {{"purpose", purpose}});
-  }
-}
-
 }  // namespace mangospread::app
--- a/src/rpc/peer_server.hpp
+++ b/src/rpc/peer_server.hpp
@@ -15,6 +15,7 @@
 #include "rpc/codec.hpp"
 #include "rpc/peer_service.hpp"
 #include "rpc/rpc_thread.hpp"
+#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc::detail {
 
@@ -180,6 +181,47 @@
         .ignoreResult();
   }
 
+  kj::Promise<void> taskCommand(  // NOLINT
+      TaskCommandContext context) override {
+    TaskCall call = Decode(context.getParams().getCall());
+    return Counted()
+        .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
+          handlers_.task_command(call, std::move(reply));
+        })
+        .then([context](Result<TaskReport> result) mutable {
+          Encode(result, context.getResults().initResult());
+        });
+  }
+
+  kj::Promise<void> reportTasks(  // NOLINT
+      ReportTasksContext context) override {
+    auto report =
+        std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
+    return Counted()
+        .Call<NodeReportReply>([this, report](auto reply) {
+          reply(handlers_.report_tasks(*report));
+        })
+        .then([context](NodeReportReply answer) mutable {
+          auto results = context.getResults();
+          results.setSchedulerEpoch(answer.scheduler_epoch.value());
+          results.setAccepted(answer.accepted);
+        });
+  }
+
+  kj::Promise<void> schedulerQuery(  // NOLINT
+      SchedulerQueryContext context) override {
+    std::string path = context.getParams().getPath();
+    return Counted()
+        .Call<QueryReply>([this, path = std::move(path)](auto reply) {
+          reply(handlers_.scheduler_query(path));
+        })
+        .then([context](QueryReply answer) mutable {
+          auto results = context.getResults();
+          results.setStatus(static_cast<std::uint16_t>(answer.status));
+          results.setBody(answer.body);
+        });
+  }
+
  private:
   /// Notes a call that is passed to the core thread.
   CoreBridge& Counted() {
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -15,6 +15,7 @@
 #include "rpc/codec.hpp"
 #include "rpc/peer_server.hpp"
 #include "rpc/rpc_thread.hpp"
+#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc {
 namespace {
@@ -471,4 +472,53 @@
       });
 }
 
+void PeerService::TaskCommand(const Address& peer, TaskCall call,
+                              Milliseconds timeout,
+                              ReplyCallback<TaskReport> done) {
+  // The callee's refusal is part of its answer; only its own errors say that
+  // the command had no effect.
+  host_->Call<Result<TaskReport>>(
+      {peer, detail::Channel::kControl}, timeout, detail::OnTimeout::kKeep,
+      [done = std::move(done)](const Result<Result<TaskReport>>& answer) {
+        if (!answer.ok()) return done(answer.error());
+        done(answer.value());
+      },
+      [call = std::move(call)](wire::Peer::Client& client) {
+        auto request = client.taskCommandRequest();
+        Encode(call, request.initCall());
+        return request.send().then(
+            [](auto&& answer) { return Decode(answer.getResult()); });
+      });
+}
+
+void PeerService::ReportTasks(const Address& peer, NodeReport report,
+                              Milliseconds timeout,
+                              ReplyCallback<NodeReportReply> done) {
+  host_->Call<NodeReportReply>(
+      {peer, detail::Channel::kData}, timeout, detail::OnTimeout::kKeep,
+      std::move(done),
+      [report = std::move(report)](wire::Peer::Client& client) {
+        auto request = client.reportTasksRequest();
+        Encode(report, request.initReport());
+        return request.send().then([](auto&& answer) {
+          return NodeReportReply{Epoch(answer.getSchedulerEpoch()),
+                                 answer.getAccepted()};
+        });
+      });
+}
+
+void PeerService::SchedulerQuery(const Address& peer, std::string path,
+                                 Milliseconds timeout,
+                                 ReplyCallback<QueryReply> done) {
+  host_->Call<QueryReply>(
+      {peer, detail::Channel::kData}, timeout, detail::OnTimeout::kKeep,
+      std::move(done), [path = std::move(path)](wire::Peer::Client& client) {
+        auto request = client.schedulerQueryRequest();
+        request.setPath(path);
+        return request.send().then([](auto&& answer) {
+          return QueryReply{answer.getStatus(), answer.getBody()};
+        });
+      });
+}
+
 }  // namespace mangospread::rpc
