--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,5 +1,6 @@
 #include "app/node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -21,8 +22,9 @@
 /// A node that hears neither the table nor a peer for this long refuses.
 constexpr MonotonicTime kIsolatedAfter = std::chrono::seconds(3);
 
-/// Time for the last RPC replies to leave before the process exits.
-constexpr Milliseconds kFlushTime{200};
+/// Bound of the time in which the last RPC replies leave before the process
+/// exits; a peer that reads nothing must not hold it up.
+constexpr Milliseconds kFlushLimit{2'000};
 
 rpc::OwnershipEntry ToEntry(const ownership::KnownOwner& known) {
   return {known.vm, known.row.node, known.row.incarnation, known.row.epoch,
@@ -201,7 +203,7 @@
                      return Done{};
                    },
                    [this](std::function<void()> done) {
-                     stop_timer_ = loop_.After(kFlushTime, std::move(done));
+                     peers_.Flush(kFlushLimit, std::move(done));
                    }});
   supervisor_.Add({"config",
                    [this]() -> Result<Done> {
@@ -223,7 +225,7 @@
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
-       kHandOverLimit + kFlushTime});
+       kHandOverLimit + kRecheck});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
@@ -342,12 +344,20 @@
 
 NotRunReason Node::Admission() const {
   if (state_ == rpc::NodeState::kStarting) return NotRunReason::kNodeNotReady;
+  if (IsAlone()) return NotRunReason::kNone;
   const MonotonicTime last_contact =
       std::max(sync_.last_table_answer(), membership_.last_heard());
   const bool isolated = base::MonotonicNow() - last_contact > kIsolatedAfter;
   return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
 }
 
+bool Node::IsAlone() const {
+  if (membership_.last_heard().count() != 0) return false;
+  return std::all_of(
+      settings_.seeds.begin(), settings_.seeds.end(),
+      [this](const Address& seed) { return seed == rpc_address_; });
+}
+
 bool Node::IsGone(const NodeId& node, Incarnation incarnation) const {
   if (node == settings_.node) return incarnation != incarnation_;
   const membership::Peer* peer = membership_.Find(node);
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -58,6 +58,9 @@
   /// What the balancer's health check sees. A leaving node fails it while it
   /// still serves.
   [[nodiscard]] NotRunReason Health() const;
+  /// True in a deployment of one node. It cannot be cut off from others that
+  /// would serve in its place, so it serves on while the table is down.
+  [[nodiscard]] bool IsAlone() const;
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
   void OnAccepted(const Change& change);
   void OnHeard(const rpc::NodeView& view);
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -160,4 +160,6 @@
   # Answers GET /v1/jobs/... and /v1/explain/... on the scheduler's node.
   schedulerQuery @7 (path :Text) -> (status :UInt16, body :Text);
   pushOwnership @8 (entries :List(OwnershipEntry)) -> ();
+  # Answered by the RPC thread alone; shows that the connection is alive.
+  ping @9 () -> ();
 }
--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -1916,7 +1916,7 @@
   1, 3, i_fdddec1ba90e7184, nullptr, nullptr, { &s_fdddec1ba90e7184, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<116> b_b91702a44fe2cd65 = {
+static const ::capnp::_::AlignedData<126> b_b91702a44fe2cd65 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     101, 205, 226,  79, 164,   2,  23, 185,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1926,85 +1926,93 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   2,   0,   0,
-    161,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   2,   0,   0,
+    201,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     36,   0,   0,   0,   3,   0,   5,   0,
+     40,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      88,  52, 189, 108,   2, 251, 241, 229,
     152, 255,  48, 133,  31, 173, 190, 219,
-     17,   1,   0,   0,  82,   0,   0,   0,
+     49,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   1,   0,   0,   7,   0,   0,   0,
+     41,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      11,  40,   6, 127, 130, 226,  51, 197,
     200, 185,  43, 148,  86, 215,  74, 187,
-    253,   0,   0,   0,  66,   0,   0,   0,
+     29,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
+     17,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     162, 127, 137,  21, 175,  21,  64, 154,
     172, 150, 186,  44, 189, 213,  91, 208,
-    229,   0,   0,   0,  90,   0,   0,   0,
+      5,   1,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,   7,   0,   0,   0,
+    253,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     203, 179, 192,  64, 199,   6, 186, 164,
      97, 239, 142, 153, 137, 101, 104, 208,
-    209,   0,   0,   0,  98,   0,   0,   0,
+    241,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     210, 200, 226,  27, 138, 217, 152, 216,
      82, 159,  40, 208,  96,  88, 250, 189,
-    189,   0,   0,   0, 146,   0,   0,   0,
+    221,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     235,  82, 196,  84, 109, 175,  13, 190,
     208, 134, 242, 144, 156,  46, 133, 214,
-    173,   0,   0,   0,  98,   0,   0,   0,
+    205,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      70, 100, 232,  57, 120, 114, 228, 213,
     172,  72, 182, 117,  61, 102, 245, 162,
-    153,   0,   0,   0,  98,   0,   0,   0,
+    185,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     223,  17,  24, 111, 236,  93,  71, 163,
     237,  95, 134, 157, 207, 124, 222, 188,
-    133,   0,   0,   0, 122,   0,   0,   0,
+    165,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
     187, 161,  28,  66,  84, 241,  39, 250,
     102,   6,  60, 130,   1, 226,  27, 234,
-    113,   0,   0,   0, 114,   0,   0,   0,
+    145,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+     32, 251, 103, 125, 111,  68, 228, 209,
+    168, 189, 136,  28, 127, 208, 130, 220,
+    125,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2032,6 +2040,8 @@
     112, 117, 115, 104,  79, 119, 110, 101,
     114, 115, 104, 105, 112,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 105, 110, 103,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_b91702a44fe2cd65 = b_b91702a44fe2cd65.words;
@@ -2048,18 +2058,20 @@
   &s_c533e2827f06280b,
   &s_d05bd5bd2cba96ac,
   &s_d0686589998eef61,
+  &s_d1e4446f7d67fb20,
   &s_d5e4727839e86446,
   &s_d6852e9c90f286d0,
   &s_d898d98a1be2c8d2,
   &s_dbbead1f8530ff98,
+  &s_dc82d07f1c88bda8,
   &s_e5f1fb026cbd3458,
   &s_ea1be201823c0666,
   &s_fa27f154421ca1bb,
 };
-static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 8, 6, 7, 5};
+static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 9, 2, 8, 6, 7, 5};
 const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
-  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 116, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
-  18, 9, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
+  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 126, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
+  20, 10, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_e5f1fb026cbd3458 = {
@@ -2913,6 +2925,56 @@
   0, 0, nullptr, nullptr, nullptr, { &s_ea1be201823c0666, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_d1e4446f7d67fb20 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     32, 251, 103, 125, 111,  68, 228, 209,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d1e4446f7d67fb20 = b_d1e4446f7d67fb20.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d1e4446f7d67fb20 = {
+  0xd1e4446f7d67fb20, b_d1e4446f7d67fb20.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d1e4446f7d67fb20, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_dc82d07f1c88bda8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    168, 189, 136,  28, 127, 208, 130, 220,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dc82d07f1c88bda8 = b_dc82d07f1c88bda8.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_dc82d07f1c88bda8 = {
+  0xdc82d07f1c88bda8, b_dc82d07f1c88bda8.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_dc82d07f1c88bda8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3141,6 +3203,16 @@
       "peer.capnp:Peer", "pushOwnership",
       0xb91702a44fe2cd65ull, 8);
 }
+::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>
+Peer::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(
+      0xb91702a44fe2cd65ull, 9, sizeHint);
+}
+::kj::Promise<void> Peer::Server::ping(PingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "ping",
+      0xb91702a44fe2cd65ull, 9);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3209,6 +3281,12 @@
              ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
         false
       };
+    case 9:
+      return {
+        ping(::capnp::Capability::Server::internalGetTypedContext<
+             ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3368,6 +3446,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::PingParams
+constexpr uint16_t Peer::PingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PingResults
+constexpr uint16_t Peer::PingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -54,6 +54,8 @@
 CAPNP_DECLARE_SCHEMA(bcde7ccf9d865fed);
 CAPNP_DECLARE_SCHEMA(fa27f154421ca1bb);
 CAPNP_DECLARE_SCHEMA(ea1be201823c0666);
+CAPNP_DECLARE_SCHEMA(d1e4446f7d67fb20);
+CAPNP_DECLARE_SCHEMA(dc82d07f1c88bda8);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -328,6 +330,8 @@
   struct SchedulerQueryResults;
   struct PushOwnershipParams;
   struct PushOwnershipResults;
+  struct PingParams;
+  struct PingResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -607,6 +611,36 @@
   };
 };
 
+struct Peer::PingParams {
+  PingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1e4446f7d67fb20, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PingResults {
+  PingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc82d07f1c88bda8, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class FreeSlots::Reader {
@@ -2455,6 +2489,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2507,6 +2543,10 @@
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
   typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
   virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PingParams PingParams;
+  typedef  ::mangospread::rpc::wire::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
 
   inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3971,6 +4011,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingResults::Builder {
+public:
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool FreeSlots::Reader::hasService() const {
