--- /dev/null
+++ b/tests/integration/capacity_test.cc
@@ -0,0 +1,154 @@
+// Guards against a worker that is given more requests or connections than it
+// holds while its owner dies, is paused past its lease or loses the table.
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "integration/harness/cluster.hpp"
+#include "integration/harness/load.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+constexpr unsigned kSeed = 20'240'612;
+constexpr int kOk = 200;
+constexpr int kSlots = 8;
+constexpr int kConnections = 64;
+
+/// Longer than the worker's lease of 3 s, so that others take over.
+constexpr Milliseconds kPause{4'500};
+
+int AnOwner(const Cluster& cluster) {
+  for (int i = 0; i < cluster.nodes(); ++i) {
+    if (cluster.OwnedWorkers(i) > 0) return i;
+  }
+  return 0;
+}
+
+net::Request RandomRequest(std::mt19937& random) {
+  constexpr int kMaxWorkMs = 200;
+  net::Request request;
+  request.method = random() % 2 == 0 ? net::Method::kGet : net::Method::kPost;
+  request.target = kServicePath;
+  request.headers.Add("X-Work-Ms", std::to_string(random() % kMaxWorkMs));
+  // Some callers give up before the work ends.
+  if (random() % 4 == 0) {
+    request.headers.Add("Mangospread-Timeout-Ms", "60");
+  }
+  return request;
+}
+
+void CheckCapacity(const Cluster& cluster) {
+  for (int i = 0; i < cluster.workers(); ++i) {
+    const auto record = cluster.WorkerRecord(i);
+    MESSAGE("worker " << i << ": " << record.at("max_in_flight")
+                      << " requests, " << record.at("max_connections")
+                      << " connections, " << record.at("served") << " served, "
+                      << record.at("stale_refused") << " stale");
+    CHECK(record.at("max_in_flight") <= kSlots);
+    // The stand-in refuses a ninth request; it must not even arrive.
+    CHECK(record.at("full_refused") == 0);
+    CHECK(record.at("max_connections") <= kConnections);
+    CHECK(record.at("connections_refused") == 0);
+  }
+}
+
+/// Callers at every node, more than all slots together can serve.
+class Overload {
+ public:
+  explicit Overload(Cluster& cluster) : addresses_(cluster.nodes()) {
+    for (int i = 0; i < cluster.nodes(); ++i) Update(cluster, i);
+    constexpr int kThreads = 40;
+    load_ = std::make_unique<Load>(
+        kThreads, kSeed, Load::kUntilStopped,
+        [this](int thread, std::mt19937& random) { Step(thread, random); });
+  }
+
+  void Update(const Cluster& cluster, int node) {
+    addresses_[node].store(cluster.http(node).port);
+  }
+  void Stop() { load_->Stop(); }
+  [[nodiscard]] int answered() const { return answered_; }
+
+ private:
+  void Step(int thread, std::mt19937& random) {
+    const auto& port = addresses_[thread % addresses_.size()];
+    const Reply reply =
+        Fetch({"127.0.0.1", port.load()}, RandomRequest(random));
+    if (reply.status == kOk) {
+      ++answered_;
+    } else {
+      // A refused caller does not come back at once.
+      constexpr Milliseconds kBackoff{5};
+      std::this_thread::sleep_for(kBackoff);
+    }
+  }
+
+  std::vector<std::atomic<std::uint16_t>> addresses_;
+  std::atomic<int> answered_{0};
+  std::unique_ptr<Load> load_;
+};
+
+void WaitForAnswers(const Overload& overload) {
+  constexpr int kEnough = 200;
+  const int before = overload.answered();
+  WaitUntil("requests are answered", kWaitDeadline, [&overload, before] {
+    return overload.answered() > before + kEnough;
+  });
+}
+
+TEST_CASE("workers are never over their capacity") {
+  ClusterOptions options;
+  options.nodes = 4;
+  options.workers = 3;
+  Cluster cluster(options);
+  Overload overload(cluster);
+  WaitForAnswers(overload);
+
+  SUBCASE("owners are killed") {
+    for (int round = 0; round < 3; ++round) {
+      const int owner = AnOwner(cluster);
+      cluster.node(owner).Kill();
+      cluster.WaitUntilServing();
+      WaitForAnswers(overload);
+      cluster.RestartNode(owner);
+      overload.Update(cluster, owner);
+      cluster.WaitUntilServing();
+    }
+  }
+  SUBCASE("owners are paused past their lease") {
+    for (int round = 0; round < 3; ++round) {
+      const int owner = AnOwner(cluster);
+      cluster.node(owner).Pause();
+      std::this_thread::sleep_for(kPause);
+      WaitForAnswers(overload);
+      cluster.node(owner).Resume();
+      cluster.WaitUntilServing();
+      WaitForAnswers(overload);
+    }
+  }
+  SUBCASE("an owner dies and another pauses while the table is away") {
+    const int killed = AnOwner(cluster);
+    cluster.SetTableFaults(R"({"down":true})");
+    cluster.node(killed).Kill();
+    const int paused = (killed + 1) % cluster.nodes();
+    cluster.node(paused).Pause();
+    std::this_thread::sleep_for(kPause);
+    WaitForAnswers(overload);
+    cluster.node(paused).Resume();
+    WaitForAnswers(overload);
+    cluster.SetTableFaults(R"({"down":false})");
+    cluster.RestartNode(killed);
+    overload.Update(cluster, killed);
+    cluster.WaitUntilServing();
+    WaitForAnswers(overload);
+  }
+  overload.Stop();
+  CheckCapacity(cluster);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
