Test that POSTs run at most once and never after not-run

POSTs with a key each, while worker and peer connections are cut after the request or the reply, replies are lost, connections refused and nodes killed.

--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "integration/harness/cluster.hpp"
 #include "integration/harness/load.hpp"
@@ -76,6 +77,9 @@
     if (reply.outcome() == "answered") {
       CHECK(reply.body == key);
       ++answered_;
+    } else {
+      // A refused caller does not come back at once.
+      std::this_thread::sleep_for(Milliseconds(5));
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     // Without a reply the caller knows nothing.
