--- /dev/null
+++ b/tests/integration/graceful_stop_test.cc
@@ -0,0 +1,150 @@
+// Guards against a planned stop that cuts off requests in flight.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "integration/harness/cluster.hpp"
+#include "integration/harness/load.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+constexpr unsigned kSeed = 20'240'615;
+constexpr int kOk = 200;
+
+/// Stands for the platform's balancer: offers only nodes whose last health
+/// check succeeded.
+class Balancer {
+ public:
+  explicit Balancer(const Cluster& cluster) : nodes_(cluster.nodes()) {
+    for (int i = 0; i < cluster.nodes(); ++i) Update(cluster, i);
+    checks_ = std::make_unique<Load>(
+        1, kSeed, Load::kUntilStopped,
+        [this](int /*thread*/, std::mt19937& /*random*/) { CheckAll(); });
+  }
+
+  void Update(const Cluster& cluster, int node) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    nodes_[node] = {cluster.http(node), false};
+  }
+
+  [[nodiscard]] std::optional<Address> Pick(std::mt19937& random) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::size_t start = random() % nodes_.size();
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      const Node& node = nodes_[(start + i) % nodes_.size()];
+      if (node.healthy) return node.address;
+    }
+    return std::nullopt;
+  }
+
+ private:
+  struct Node {
+    Address address;
+    bool healthy = false;
+  };
+
+  void CheckAll() {
+    for (Node& node : nodes_) {
+      Address address;
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        address = node.address;
+      }
+      const bool healthy = Get(address, "/healthz").status == kOk;
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (node.address == address) node.healthy = healthy;
+    }
+    constexpr Milliseconds kPeriod{100};
+    std::this_thread::sleep_for(kPeriod);
+  }
+
+  std::mutex mutex_;
+  std::vector<Node> nodes_;
+  std::unique_ptr<Load> checks_;
+};
+
+struct Tally {
+  std::atomic<int> answered{0};
+  std::atomic<int> not_run{0};
+};
+
+/// A caller that keeps its connection while its node is in service.
+class Caller {
+ public:
+  Caller(Balancer& balancer, Tally& tally)
+      : balancer_(balancer), tally_(tally) {}
+
+  void Step(std::mt19937& random) {
+    if (connection_ == nullptr || !connection_->reusable()) {
+      const auto address = balancer_.Pick(random);
+      if (!address) return std::this_thread::yield();
+      connection_ = std::make_unique<HttpConnection>(*address);
+    }
+    net::Request request;
+    // One in eight outlasts the drain notice of 2 s.
+    const unsigned work_ms =
+        random() % 8 == 0 ? 2'500 + random() % 1'000 : random() % 200;
+    request.method = net::Method::kPost;
+    request.target = kServicePath;
+    request.headers.Add("X-Work-Ms", std::to_string(work_ms));
+    request.body = MakeBody(std::to_string(random()), random() % 20'000);
+    const Reply reply = connection_->Send(request);
+    CHECK(reply.failure == Failure::kNone);
+    CHECK(reply.outcome() != "unknown");
+    if (reply.outcome() == "answered") {
+      const bool same = reply.body == request.body;
+      CHECK(same);
+      ++tally_.answered;
+    } else {
+      ++tally_.not_run;
+    }
+  }
+
+ private:
+  Balancer& balancer_;
+  Tally& tally_;
+  std::unique_ptr<HttpConnection> connection_;
+};
+
+TEST_CASE("ten rolling restarts cut off no request") {
+  ClusterOptions options;
+  options.workers = 4;
+  options.service =
+      R"({"team":"branches","pool":"counter","timeout_ms":10000})";
+  Cluster cluster(options);
+  Balancer balancer(cluster);
+  Tally tally;
+  constexpr int kThreads = 8;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < kThreads; ++i) {
+    callers.push_back(std::make_unique<Caller>(balancer, tally));
+  }
+  Load load(kThreads, kSeed, Load::kUntilStopped,
+            [&callers](int thread, std::mt19937& random) {
+              callers[thread]->Step(random);
+            });
+  constexpr int kRestarts = 10;
+  for (int round = 0; round < kRestarts; ++round) {
+    const int before = tally.answered;
+    WaitUntil("requests are answered", kWaitDeadline,
+              [&tally, before] { return tally.answered > before + kThreads; });
+    const int index = round % cluster.nodes();
+    cluster.node(index).Terminate();
+    CHECK(cluster.node(index).Wait(kWaitDeadline) == 0);
+    cluster.RestartNode(index);
+    balancer.Update(cluster, index);
+    cluster.WaitUntilServing();
+  }
+  load.Stop();
+  MESSAGE("answered " << tally.answered.load() << ", not-run "
+                      << tally.not_run.load());
+  CHECK(tally.answered > 0);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
