--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -13,6 +13,7 @@
 #include "base/events.hpp"
 #include "rpc/codec.hpp"
 #include "rpc/rpc_thread.hpp"
+#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc {
 namespace {
@@ -102,6 +103,20 @@
   std::shared_ptr<RpcThread> thread_;
 };
 
+template <typename T, typename Init>
+void EncodeList(const std::vector<T>& items, Init init) {
+  auto list = init(static_cast<unsigned>(items.size()));
+  for (unsigned i = 0; i < list.size(); ++i) Encode(items[i], list[i]);
+}
+
+template <typename T, typename List>
+std::vector<T> DecodeList(const List& list) {
+  std::vector<T> items;
+  items.reserve(list.size());
+  for (const auto item : list) items.push_back(Decode(item));
+  return items;
+}
+
 /// Serves peers' calls on the KJ thread.
 class PeerServer final : public wire::Peer::Server {
  public:
@@ -157,16 +172,67 @@
 
   kj::Promise<void> ownershipSnapshot(  // NOLINT
       OwnershipSnapshotContext context) override {
-    using Entries = std::vector<OwnershipEntry>;
     return bridge_
-        .Call<Entries>(
+        .Call<OwnershipSnapshot>(
             [this](auto reply) { reply(handlers_.ownership_snapshot()); })
-        .then([context](Entries entries) mutable {
-          auto list = context.getResults().initEntries(
-              static_cast<unsigned>(entries.size()));
-          for (unsigned i = 0; i < list.size(); ++i) {
-            Encode(entries[i], list[i]);
-          }
+        .then([context](OwnershipSnapshot snapshot) mutable {
+          auto results = context.getResults();
+          EncodeList(snapshot.entries,
+                     [&results](unsigned n) { return results.initEntries(n); });
+          EncodeList(snapshot.vms,
+                     [&results](unsigned n) { return results.initVms(n); });
+        });
+  }
+
+  kj::Promise<void> pushOwnership(  // NOLINT
+      PushOwnershipContext context) override {
+    auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
+    return bridge_
+        .Call<Done>([this, entries = std::move(entries)](auto reply) {
+          handlers_.push_ownership(entries);
+          reply(Done{});
+        })
+        .ignoreResult();
+  }
+
+  kj::Promise<void> taskCommand(  // NOLINT
+      TaskCommandContext context) override {
+    TaskCall call = Decode(context.getParams().getCall());
+    return bridge_
+        .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
+          handlers_.task_command(call, std::move(reply));
+        })
+        .then([context](Result<TaskReport> result) mutable {
+          Encode(result, context.getResults().initResult());
+        });
+  }
+
+  kj::Promise<void> reportTasks(  // NOLINT
+      ReportTasksContext context) override {
+    auto report =
+        std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
+    return bridge_
+        .Call<NodeReportReply>([this, report](auto reply) {
+          reply(handlers_.report_tasks(*report));
+        })
+        .then([context](NodeReportReply answer) mutable {
+          auto results = context.getResults();
+          results.setSchedulerEpoch(answer.scheduler_epoch.value());
+          results.setAccepted(answer.accepted);
+        });
+  }
+
+  kj::Promise<void> schedulerQuery(  // NOLINT
+      SchedulerQueryContext context) override {
+    std::string path = context.getParams().getPath();
+    return bridge_
+        .Call<QueryReply>([this, path = std::move(path)](auto reply) {
+          reply(handlers_.scheduler_query(path));
+        })
+        .then([context](QueryReply answer) mutable {
+          auto results = context.getResults();
+          results.setStatus(static_cast<std::uint16_t>(answer.status));
+          results.setBody(answer.body);
         });
   }
 
@@ -444,19 +510,77 @@
                            });
 }
 
-void PeerService::OwnershipSnapshot(
-    const Address& peer, Milliseconds timeout,
-    ReplyCallback<std::vector<OwnershipEntry>> done) {
-  using Entries = std::vector<OwnershipEntry>;
-  host_->Call<Entries>(
+void PeerService::FetchOwnership(const Address& peer, Milliseconds timeout,
+                                 ReplyCallback<OwnershipSnapshot> done) {
+  host_->Call<OwnershipSnapshot>(
       peer, timeout, detail::OnTimeout::kKeep, std::move(done),
       [](wire::Peer::Client& client) {
         return client.ownershipSnapshotRequest().send().then([](auto&& answer) {
-          Entries entries;
-          for (const auto entry : answer.getEntries()) {
-            entries.push_back(Decode(entry));
-          }
-          return entries;
+          return OwnershipSnapshot{
+              detail::DecodeList<OwnershipEntry>(answer.getEntries()),
+              detail::DecodeList<VmInfo>(answer.getVms())};
+        });
+      });
+}
+
+void PeerService::PushOwnership(const Address& peer,
+                                std::vector<OwnershipEntry> entries,
+                                Milliseconds timeout,
+                                ReplyCallback<Done> done) {
+  host_->Call<Done>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [entries = std::move(entries)](wire::Peer::Client& client) {
+        auto call = client.pushOwnershipRequest();
+        detail::EncodeList(entries,
+                           [&call](unsigned n) { return call.initEntries(n); });
+        return call.send().then([](auto&& /*answer*/) { return Done{}; });
+      });
+}
+
+void PeerService::TaskCommand(const Address& peer, TaskCall call,
+                              Milliseconds timeout,
+                              ReplyCallback<TaskReport> done) {
+  // The callee's refusal is part of its answer; only its own errors say that
+  // the command had no effect.
+  host_->Call<Result<TaskReport>>(
+      peer, timeout, detail::OnTimeout::kKeep,
+      [done = std::move(done)](const Result<Result<TaskReport>>& answer) {
+        if (!answer.ok()) return done(answer.error());
+        done(answer.value());
+      },
+      [call = std::move(call)](wire::Peer::Client& client) {
+        auto request = client.taskCommandRequest();
+        Encode(call, request.initCall());
+        return request.send().then(
+            [](auto&& answer) { return Decode(answer.getResult()); });
+      });
+}
+
+void PeerService::ReportTasks(const Address& peer, NodeReport report,
+                              Milliseconds timeout,
+                              ReplyCallback<NodeReportReply> done) {
+  host_->Call<NodeReportReply>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [report = std::move(report)](wire::Peer::Client& client) {
+        auto request = client.reportTasksRequest();
+        Encode(report, request.initReport());
+        return request.send().then([](auto&& answer) {
+          return NodeReportReply{Epoch(answer.getSchedulerEpoch()),
+                                 answer.getAccepted()};
+        });
+      });
+}
+
+void PeerService::SchedulerQuery(const Address& peer, std::string path,
+                                 Milliseconds timeout,
+                                 ReplyCallback<QueryReply> done) {
+  host_->Call<QueryReply>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [path = std::move(path)](wire::Peer::Client& client) {
+        auto request = client.schedulerQueryRequest();
+        request.setPath(path);
+        return request.send().then([](auto&& answer) {
+          return QueryReply{answer.getStatus(), answer.getBody()};
         });
       });
 }
--- a/standin/endpoint/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -11,6 +11,7 @@
 #include "base/clock.hpp"
 #include "endpoint/answer.hpp"
 #include "endpoint/raw_server.hpp"
+#include "endpoint/worker_tasks.hpp"
 #include "host.hpp"
 #include "worker/codec.hpp"
 
@@ -37,13 +38,6 @@
   return text.empty() ? 0 : std::atoi(std::string(text).c_str());
 }
 
-struct RunningTask {
-  TaskReport report;
-  std::int64_t started_ns = 0;
-  std::int64_t ended_ns = 0;
-  base::Timer timer;
-};
-
 class WorkerStandin {
  public:
   WorkerStandin(base::EventLoop& loop, const Options& options)
@@ -52,7 +46,9 @@
                 static_cast<std::size_t>(options.Number("connections", 64)),
                 [this](const Connection& connection) { Handle(connection); }),
         slots_(options.Number("slots", 8)),
-        boot_id_(std::to_string(base::WallNanoseconds())) {}
+        fence_(options.Number("fence", 1) != 0),
+        boot_id_(std::to_string(base::WallNanoseconds())),
+        tasks_(loop, options) {}
 
   Result<Address> Listen(const Address& address) {
     return server_.Listen(address);
@@ -78,10 +74,11 @@
                                                     base::MonotonicNow());
   }
 
-  static void Refuse(const Connection& connection, const char* reason) {
+  void Refuse(const Connection& connection, const char* reason) const {
     net::Response response;
     response.status = kConflict;
     response.headers.Add(worker::kRefusedHeader, reason);
+    response.headers.Add(worker::kEpochHeader, std::to_string(epoch_.value()));
     connection->Reply(response);
   }
 
@@ -95,22 +92,25 @@
     if (!decoded.ok()) return ReplyJson(*connection, kBadRequest, "{}");
     const auto& request = decoded.value();
     const bool same_owner = request.fence.owner == owner_;
-    if (request.fence.epoch < epoch_ ||
-        (request.fence.epoch == epoch_ && !same_owner)) {
+    Epoch epoch = request.fence.epoch;
+    if (request.basis == ClaimBasis::kLeaseExpired) {
+      if (!same_owner && LeaseRemaining().count() > 0) {
+        return Refuse(connection, "lease-held");
+      }
+      epoch = std::max(epoch, epoch_.next());
+    }
+    if (epoch < epoch_ || (epoch == epoch_ && !same_owner)) {
       ++stale_refused_;
       return Refuse(connection, "stale-epoch");
     }
-    if (request.basis == ClaimBasis::kLeaseExpired && !same_owner &&
-        LeaseRemaining().count() > 0) {
-      return Refuse(connection, "lease-held");
-    }
-    if (!Fenced(request.fence)) {
-      claims_.push_back({{"epoch", request.fence.epoch.value()},
-                         {"owner", request.fence.owner.str()}});
+    if (!Fenced({request.fence.owner, epoch})) {
+      claims_.push_back(
+          {{"epoch", epoch.value()}, {"owner", request.fence.owner.str()}});
     }
-    epoch_ = request.fence.epoch;
+    epoch_ = epoch;
     owner_ = request.fence.owner;
     lease_until_ = base::MonotonicNow() + request.lease;
+    tasks_.OnLease();
     ReplyJson(*connection, kOk, worker::EncodeReport(Report()));
   }
 
@@ -122,6 +122,7 @@
       return Refuse(connection, "stale-epoch");
     }
     lease_until_ = base::MonotonicNow() + decoded.value().lease;
+    tasks_.OnLease();
     ReplyJson(*connection, kOk, worker::EncodeReport(Report()));
   }
 
@@ -144,9 +145,7 @@
     report.leaving = leaving_;
     report.lease_remaining = LeaseRemaining();
     for (const auto& id : in_flight_) report.in_flight.emplace_back(id);
-    for (const auto& [name, task] : tasks_) {
-      report.tasks.push_back(task->report);
-    }
+    report.tasks = tasks_.Reports();
     return report;
   }
 
@@ -156,7 +155,7 @@
         NodeId(std::string(headers.Get(worker::kOwnerHeader))),
         Epoch(static_cast<std::uint64_t>(std::atoll(
             std::string(headers.Get(worker::kEpochHeader)).c_str())))};
-    if (!Fenced(fence)) {
+    if (fence_ && !Fenced(fence)) {
       ++stale_refused_;
       return Refuse(connection, owner_.empty() ? "no-owner" : "stale-epoch");
     }
@@ -194,73 +193,9 @@
       ++stale_refused_;
       return Refuse(connection, "stale-epoch");
     }
-    if (command.verb == TaskVerb::kStart) return StartTask(connection, command);
-    const auto it = tasks_.find(command.task);
-    if (it == tasks_.end() || it->second->report.attempt != command.attempt) {
-      return Refuse(connection, "unknown-task");
-    }
-    RunningTask& task = *it->second;
-    const TaskReport report = Apply(task, command);
-    if (command.verb == TaskVerb::kForget &&
-        report.phase != TaskPhase::kRunning) {
-      tasks_.erase(it);
-    }
-    ReplyJson(*connection, kOk, worker::EncodeTaskReport(report));
-  }
-
-  TaskReport Apply(RunningTask& task, const TaskCommand& command) {
-    const std::int64_t now = base::MonotonicNow().count();
-    constexpr std::int64_t kNanosPerMs = 1'000'000;
-    switch (command.verb) {
-      case TaskVerb::kThrottle:
-        task.report.throttle_percent = command.throttle_percent;
-        break;
-      case TaskVerb::kStop:
-        if (task.report.phase == TaskPhase::kRunning) {
-          End(task, TaskPhase::kStopped);
-        }
-        [[fallthrough]];
-      case TaskVerb::kCheckpoint:
-        task.report.checkpoint =
-            std::to_string((now - task.started_ns) / kNanosPerMs);
-        break;
-      default:
-        break;
-    }
-    return task.report;
-  }
-
-  void StartTask(const Connection& connection, const TaskCommand& command) {
-    auto& task = tasks_[command.task];
-    if (task != nullptr && task->report.attempt >= command.attempt) {
-      if (task->report.attempt > command.attempt) {
-        return Refuse(connection, "unknown-task");
-      }
-      return ReplyJson(*connection, kOk,
-                       worker::EncodeTaskReport(task->report));
-    }
-    task = std::make_unique<RunningTask>();
-    task->report.task = command.task;
-    task->report.attempt = command.attempt;
-    task->report.cpu_used = command.cpu;
-    task->report.memory_used = command.memory;
-    task->started_ns = base::MonotonicNow().count();
-    RunningTask* raw = task.get();
-    task->timer = loop_.After(command.run_time,
-                              [this, raw] { End(*raw, TaskPhase::kDone); });
-    ReplyJson(*connection, kOk, worker::EncodeTaskReport(task->report));
-  }
-
-  void End(RunningTask& task, TaskPhase phase) {
-    task.report.phase = phase;
-    task.report.cpu_used = Millicores();
-    task.report.memory_used = Mebibytes();
-    task.ended_ns = base::MonotonicNow().count();
-    task_runs_.push_back({{"task", task.report.task},
-                          {"attempt", task.report.attempt.value()},
-                          {"started_ns", task.started_ns},
-                          {"ended_ns", task.ended_ns}});
-    task.timer.reset();
+    const auto report = tasks_.Command(command);
+    if (!report) return Refuse(connection, "unknown-task");
+    ReplyJson(*connection, kOk, worker::EncodeTaskReport(*report));
   }
 
   void Record(const Connection& connection) {
@@ -273,7 +208,7 @@
                     {"stale_refused", stale_refused_},
                     {"runs_by_key", runs_by_key_},
                     {"claims", claims_},
-                    {"task_runs", task_runs_},
+                    {"task_runs", tasks_.Runs()},
                     {"running_tasks", tasks_.size()}};
     ReplyJson(*connection, kOk, body.dump());
   }
@@ -281,17 +216,18 @@
   base::EventLoop& loop_;
   RawServer server_;
   int slots_;
+  /// False for a plain endpoint that answers everybody.
+  bool fence_;
   std::string boot_id_;
   Epoch epoch_;
   NodeId owner_;
   MonotonicTime lease_until_{0};
   bool leaving_ = false;
   std::set<std::string> in_flight_;
-  std::map<std::string, std::unique_ptr<RunningTask>> tasks_;
+  WorkerTasks tasks_;
   std::map<int, int> arrived_concurrency_;
   std::map<std::string, int> runs_by_key_;
   json claims_ = json::array();
-  json task_runs_ = json::array();
   int max_in_flight_ = 0;
   std::uint64_t served_ = 0;
   std::uint64_t full_refused_ = 0;
