--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -190,6 +190,12 @@
       return {"guard_released", Severity::kInfo};
     case Event::kWorkerQuarantined:
       return {"worker_quarantined", Severity::kWarning};
+    case Event::kTaskLost:
+      return {"task_lost", Severity::kWarning};
+    case Event::kJobFinished:
+      return {"job_finished", Severity::kInfo};
+    case Event::kSchedulerRebuilt:
+      return {"scheduler_rebuilt", Severity::kInfo};
     case Event::kRequestInvalid:
       return {"request_invalid", Severity::kInfo};
     case Event::kWatchOpened:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -64,6 +64,9 @@
   kGuardThrottled = 1607,
   kGuardReleased = 1608,
   kWorkerQuarantined = 1609,
+  kTaskLost = 1610,
+  kJobFinished = 1611,
+  kSchedulerRebuilt = 1612,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- /dev/null
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -0,0 +1,338 @@
+// Reports of workers, and commands to them.
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.hpp"
+#include "scheduler/lifecycle/scheduler.hpp"
+
+namespace mangospread::scheduler {
+namespace {
+
+/// A start that was confirmed later than this before a report may be missing
+/// in it, because the report was on its way.
+constexpr MonotonicTime kReportTransit = std::chrono::seconds(2);
+
+/// Owners renew every 500 ms, and a report covers the time since the last one.
+constexpr double kReportsPerSecond = 2;
+
+/// True if the command definitely did not reach the worker.
+bool NotDelivered(Errc code) {
+  return code == Errc::kConnectFailed || code == Errc::kNotOwner ||
+         code == Errc::kStaleEpoch || code == Errc::kLeaseHeld ||
+         code == Errc::kShuttingDown || code == Errc::kUnavailable;
+}
+
+}  // namespace
+
+rpc::NodeReportReply Scheduler::OnReport(const rpc::NodeReport& report) {
+  const Epoch epoch = deps_.role.held() ? deps_.role.row().epoch : Epoch();
+  rpc::NodeReportReply reply{epoch, false};
+  // A report that was addressed to another scheduler does not keep its sender
+  // from carrying out that one's commands.
+  if (phase_ == Phase::kInactive || report.scheduler_epoch != epoch) {
+    return reply;
+  }
+  reply.accepted = true;
+  const MonotonicTime now = base::MonotonicNow();
+  for (const rpc::WorkerDigest& digest : report.workers) {
+    WorkerView& view = views_[digest.vm];
+    if (digest.epoch < view.digest.epoch) continue;
+    if (digest.full) {
+      if (view.digest.address != digest.address) view.address_since = now;
+      view.digest = digest;
+      view.owner = report.node;
+    } else if (view.owner != report.node || view.digest.epoch != digest.epoch) {
+      reply.accepted = false;
+      continue;
+    }
+    view.digest.age = digest.age;
+    view.heard_at = std::max<MonotonicTime>(view.heard_at, now - digest.age);
+    if (phase_ == Phase::kDeciding) Reconcile(digest.vm);
+  }
+  return reply;
+}
+
+bool Scheduler::IsCurrent(const Task* task, const VmName& vm,
+                          Attempt attempt) const {
+  return task != nullptr && IsLive(task->record.state) &&
+         task->record.vm == vm && task->record.attempt == attempt;
+}
+
+void Scheduler::Reconcile(const VmName& vm) {
+  WorkerView& view = views_[vm];
+  std::set<TaskId> listed;
+  for (const TaskReport& report : view.digest.tasks) {
+    const TaskId id(report.task);
+    if (IsCurrent(book_->Find(id), vm, report.attempt)) listed.insert(id);
+    OnListed(vm, report);
+  }
+  const std::set<TaskId> live = live_[vm];
+  for (const TaskId& id : live) {
+    Task* task = book_->Find(id);
+    if (task != nullptr && !listed.contains(id)) OnMissing(*task, view);
+  }
+  UpdateEngine(vm, view);
+}
+
+void Scheduler::OnListed(const VmName& vm, const TaskReport& report) {
+  Task* task = book_->Find(TaskId(report.task));
+  if (IsCurrent(task, vm, report.attempt)) return ApplyReport(*task, report);
+  QueuedCommand command{TaskId(report.task), report.attempt, TaskVerb::kForget};
+  if (report.phase == TaskPhase::kRunning) {
+    // Its job is gone, or its attempt was given up with a stop that the worker
+    // acknowledged before this report.
+    command.verb = TaskVerb::kStop;
+  } else if (task != nullptr && (task->dirty || task->writing)) {
+    // The worker's record is kept until the table has the end.
+    return;
+  }
+  commands_->Push(vm, command);
+}
+
+void Scheduler::OnMissing(Task& task, const WorkerView& view) {
+  // Another machine has taken the VM's name; only the lease ends the task.
+  if (task.record.address != view.digest.address) return;
+  if (task.record.state == TaskState::kAssigned) {
+    if (task.writing || task.dirty) return;
+    const bool stop = task.stop != StopReason::kNone;
+    return Push(task, stop ? TaskVerb::kStop : TaskVerb::kStart);
+  }
+  if (view.heard_at < task.confirmed_at + kReportTransit) return;
+  // Asks the worker; its answer, not the report, is what counts.
+  Push(task, TaskVerb::kCheckpoint);
+}
+
+void Scheduler::ApplyReport(Task& task, const TaskReport& report) {
+  if (!report.checkpoint.empty()) task.record.checkpoint = report.checkpoint;
+  switch (report.phase) {
+    case TaskPhase::kRunning:
+      task.cpu_used = report.cpu_used;
+      task.memory_used = report.memory_used;
+      task.throttle_percent = report.throttle_percent;
+      if (task.record.state == TaskState::kAssigned) {
+        task.record.state = TaskState::kRunning;
+        task.confirmed_at = base::MonotonicNow();
+        task.maybe_started = false;
+        return book_->Save(task);
+      }
+      if (task.stop == StopReason::kEvict && !task.checkpointed) {
+        return Push(task, TaskVerb::kCheckpoint);
+      }
+      if (task.stop != StopReason::kNone) return Push(task, TaskVerb::kStop);
+      if (task.throttle_percent != task.throttle_wanted) {
+        Push(task, TaskVerb::kThrottle);
+      }
+      return;
+    case TaskPhase::kDone:
+      return EndAttempt(task, TaskState::kDone, AttemptEnd::kDone, "");
+    case TaskPhase::kFailed: {
+      const Job* job = book_->FindJob(JobOf(task.id));
+      ++task.record.failures;
+      const std::string reason =
+          "failed " + std::to_string(task.record.failures) + " times";
+      if (job != nullptr && task.record.failures >= job->spec.max_attempts) {
+        return EndAttempt(task, TaskState::kFailed, AttemptEnd::kFailed,
+                          reason);
+      }
+      return Requeue(task, AttemptEnd::kFailed, reason);
+    }
+    case TaskPhase::kStopped: {
+      const StopReason stop = task.stop;
+      if (stop != StopReason::kAbandon) ++task.record.evictions;
+      // Without a stop of this scheduler, its predecessor evicted the task or
+      // the worker's task lease ran out.
+      return Requeue(task,
+                     stop == StopReason::kAbandon
+                         ? std::nullopt
+                         : std::optional(AttemptEnd::kEvicted),
+                     "stopped by its worker");
+    }
+  }
+}
+
+void Scheduler::UpdateEngine(const VmName& vm, WorkerView& view) {
+  const auto info = vms_.find(vm);
+  if (info == vms_.end()) return;
+  const MonotonicTime now = base::MonotonicNow();
+  WorkerState state;
+  state.vm = vm;
+  state.data_center = info->second.data_center;
+  state.rack = info->second.rack;
+  state.capacity = info->second.capacity;
+  state.accepts_work = view.digest.accepts_work &&
+                       info->second.state == VmState::kLive &&
+                       now - view.heard_at < options_.report_fresh &&
+                       view.digest.address == ToString(info->second.address);
+  state.report_at = view.heard_at;
+  for (const TaskReport& report : view.digest.tasks) {
+    state.cpu_used += report.cpu_used;
+    state.memory_used += report.memory_used;
+  }
+  for (const ServiceReport& report : view.digest.services) {
+    ServiceLoad load;
+    load.service = report.service;
+    load.p99_ms = report.p99_ms;
+    load.requests_per_second =
+        static_cast<double>(report.requests) * kReportsPerSecond;
+    if (const auto* spec = deps_.store.FindService(report.service)) {
+      load.task_class = TaskClass(spec->task_class);
+      load.objective_p99 = spec->objective_p99;
+      load.guard = spec->guard;
+    }
+    state.services.push_back(std::move(load));
+  }
+  for (const TaskId& id : live_[vm]) {
+    const Task* task = book_->Find(id);
+    if (task == nullptr) continue;
+    state.tasks.push_back({DemandOf(*task), task->placed_at, task->cpu_used,
+                           task->memory_used, task->throttle_percent});
+  }
+  view.in_engine = true;
+  engine_->UpdateWorker(state);
+}
+
+void Scheduler::RefreshVms() {
+  std::map<VmName, VmInfo> vms;
+  for (VmInfo& vm : deps_.vms()) vms[vm.name] = std::move(vm);
+  for (const auto& [name, vm] : vms_) {
+    if (vms.contains(name)) continue;
+    engine_->RemoveWorker(name);
+    if (const auto it = views_.find(name); it != views_.end()) {
+      it->second.in_engine = false;
+    }
+  }
+  vms_ = std::move(vms);
+  const MonotonicTime now = base::MonotonicNow();
+  for (auto& [name, view] : views_) {
+    const bool silent = now - view.heard_at >= options_.report_fresh;
+    if (silent && view.in_engine) UpdateEngine(name, view);
+  }
+}
+
+void Scheduler::LoseExpired(MonotonicTime now) {
+  const MonotonicTime limit = options_.task_lease + options_.lease_margin;
+  std::vector<Task*> expired;
+  for (const auto& [vm, ids] : live_) {
+    const auto view = views_.find(vm);
+    const bool listed = vms_.contains(vm);
+    for (const TaskId& id : ids) {
+      Task* task = book_->Find(id);
+      if (task == nullptr || task->writing || task->dirty) continue;
+      MonotonicTime last = activated_at_;
+      if (view != views_.end()) {
+        const bool same = task->record.address == view->second.digest.address;
+        if (listed && same) continue;
+        last = std::max(
+            last, same ? view->second.heard_at : view->second.address_since);
+      } else if (listed) {
+        continue;
+      }
+      if (now - std::max(last, task->placed_at) > limit) {
+        expired.push_back(task);
+      }
+    }
+  }
+  for (Task* task : expired) Lose(*task, "its VM is gone");
+}
+
+void Scheduler::Push(const Task& task, TaskVerb verb) {
+  commands_->Push(task.record.vm, {task.id, task.record.attempt, verb});
+}
+
+std::optional<TaskCommand> Scheduler::Prepare(const VmName& vm,
+                                              const QueuedCommand& queued) {
+  TaskCommand command;
+  command.verb = queued.verb;
+  command.task = queued.task.str();
+  command.attempt = queued.attempt;
+  Task* task = book_->Find(queued.task);
+  if (!IsCurrent(task, vm, queued.attempt)) {
+    const bool cleanup =
+        queued.verb == TaskVerb::kForget || queued.verb == TaskVerb::kStop;
+    return cleanup ? std::optional(command) : std::nullopt;
+  }
+  if (queued.verb == TaskVerb::kForget) return std::nullopt;
+  if (queued.verb == TaskVerb::kThrottle) {
+    command.throttle_percent = task->throttle_wanted;
+  }
+  if (queued.verb != TaskVerb::kStart) return command;
+  // The assignment is in the table, and the role still was a moment ago.
+  if (task->record.state != TaskState::kAssigned || task->writing ||
+      task->dirty || task->stop != StopReason::kNone || !deps_.role.IsFresh()) {
+    return std::nullopt;
+  }
+  const TaskDemand demand = DemandOf(*task);
+  command.checkpoint = task->record.checkpoint;
+  command.task_class = demand.task_class.str();
+  command.cpu = demand.cpu;
+  command.memory = demand.memory;
+  command.accelerators = demand.accelerators;
+  command.run_time = demand.run_time;
+  return command;
+}
+
+void Scheduler::Send(const VmName& vm, TaskCommand command,
+                     CommandQueue::Callback done) {
+  const auto view = views_.find(vm);
+  const auto info = vms_.find(vm);
+  // A VM that came back at another address is another machine.
+  if (view == views_.end() || view->second.owner.empty() ||
+      (info != vms_.end() &&
+       view->second.digest.address != ToString(info->second.address))) {
+    return deps_.loop.Post([done = std::move(done)] {
+      done(Error{Errc::kNotOwner, "unknown"});
+    });
+  }
+  deps_.send(view->second.owner,
+             {deps_.role.row().epoch, vm, std::move(command)}, std::move(done));
+}
+
+void Scheduler::OnCommandDone(const VmName& vm, const QueuedCommand& command,
+                              const Result<TaskReport>& result) {
+  Task* task = book_->Find(command.task);
+  if (!IsCurrent(task, vm, command.attempt)) return;
+  if (!result.ok()) return OnRefused(*task, command, result.error());
+  const TaskReport& report = result.value();
+  if (report.attempt != command.attempt) return;
+  const bool running = report.phase == TaskPhase::kRunning;
+  if (command.verb == TaskVerb::kCheckpoint && running) {
+    if (!report.checkpoint.empty()) task->record.checkpoint = report.checkpoint;
+    if (task->stop == StopReason::kEvict) {
+      task->checkpointed = true;
+      Push(*task, TaskVerb::kStop);
+    }
+    return;
+  }
+  ApplyReport(*task, report);
+}
+
+void Scheduler::OnRefused(Task& task, const QueuedCommand& command,
+                          const Error& error) {
+  if (NotDelivered(error.code)) return;  // The next report tries again.
+  const bool start = command.verb == TaskVerb::kStart;
+  switch (error.code) {
+    case Errc::kNotFound:
+      if (start || command.verb == TaskVerb::kStop) {
+        return Requeue(task, std::nullopt, "refused by its worker");
+      }
+      // It confirmed the attempt before, so it has restarted since.
+      if (task.record.state == TaskState::kRunning) {
+        Lose(task, "its worker restarted");
+      }
+      return;
+    case Errc::kNoCapacity:
+    case Errc::kLeaving:
+      if (!start) return;
+      if (!task.maybe_started) {
+        return Requeue(task, std::nullopt, "refused by its worker");
+      }
+      task.stop = StopReason::kAbandon;
+      return Push(task, TaskVerb::kStop);
+    default:
+      // The next report tells, or the same attempt is started again.
+      if (start) task.maybe_started = true;
+      return;
+  }
+}
+
+}  // namespace mangospread::scheduler
