--- a/include/mangospread/worker.hpp
+++ b/include/mangospread/worker.hpp
@@ -23,8 +23,11 @@
 
 /// Why a claim may be granted.
 enum class ClaimBasis : unsigned char {
-  kTable,         ///< The table's ownership row names the claimant.
-  kLeaseExpired,  ///< The worker itself decides: only if the lease ran out.
+  kTable,  ///< The table's ownership row names the claimant.
+  /// The worker itself decides: only if the lease of any other owner ran out.
+  /// It grants the claimed epoch or its own highest + 1, whichever is higher,
+  /// and says which in its report.
+  kLeaseExpired,
 };
 
 enum class TaskPhase : unsigned char { kRunning, kStopped, kDone, kFailed };
@@ -84,8 +87,9 @@
 
 /// Commands to one worker. Every call is fenced: a worker that knows a higher
 /// epoch, or the same epoch for another owner, refuses with kStaleEpoch and
-/// does nothing. A worker stops its tasks by itself when no owner renewed a
-/// lease for the task lease (60 s).
+/// does nothing. The error's subject is the epoch that it knows, if it says so.
+/// A worker stops its tasks by itself when no owner renewed a lease for the
+/// task lease (60 s).
 class Worker {
  public:
   using ReportCallback = std::function<void(Result<WorkerReport>)>;
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -13,6 +13,8 @@
 
 constexpr Milliseconds kPushTimeout{1'000};
 constexpr Milliseconds kPullTimeout{2'000};
+/// While the table or the VM list is down, peers are asked this often.
+constexpr MonotonicTime kOwnershipPullPeriod = std::chrono::seconds(2);
 constexpr Milliseconds kWorkerTimeout{1'000};
 constexpr Milliseconds kHandOverLimit{5'000};
 constexpr Milliseconds kStatePeriod{100};
@@ -24,11 +26,34 @@
 /// Time for the last RPC replies to leave before the process exits.
 constexpr Milliseconds kFlushTime{200};
 
+rpc::OwnershipEntry ToEntry(const ownership::KnownOwner& known) {
+  return {known.vm, known.row.node, known.row.incarnation, known.row.epoch,
+          known.version};
+}
+
+std::vector<ownership::KnownOwner> ToKnownOwners(
+    const std::vector<rpc::OwnershipEntry>& entries) {
+  std::vector<ownership::KnownOwner> rows;
+  rows.reserve(entries.size());
+  for (const auto& entry : entries) {
+    rows.push_back({entry.vm,
+                    {entry.node, entry.incarnation, entry.epoch},
+                    entry.version});
+  }
+  return rows;
+}
+
 /// Connections for requests; the worker's own limit also has to hold the
 /// control connections and those of a previous owner.
 constexpr std::size_t kRequestConnections = 16;
 constexpr std::size_t kControlConnections = 2;
 
+/// Transactions a second for idempotency keys: the deployment's 150 among six
+/// nodes.
+constexpr double kKeyBudget = 25;
+
+constexpr std::uint64_t kNanosPerMs = 1'000'000;
+
 std::string WriterRow(const Settings& settings, Incarnation incarnation,
                       const char* purpose) {
   return "writer/" + settings.node.str() + "/" +
@@ -49,8 +74,10 @@
 }
 
 ownership::ManagerOptions MakeOwnershipOptions(const Settings& settings,
-                                               Incarnation incarnation) {
+                                               Incarnation incarnation,
+                                               std::function<bool()> is_ready) {
   ownership::ManagerOptions options;
+  options.is_ready = std::move(is_ready);
   options.node = settings.node;
   options.incarnation = incarnation;
   options.data_center = settings.data_center;
@@ -67,6 +94,14 @@
   return options;
 }
 
+gateway::KeyStoreOptions MakeKeyOptions(const Settings& settings,
+                                        Incarnation incarnation) {
+  gateway::KeyStoreOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  return options;
+}
+
 ownership::LinkFactory MakeLinkFactory(base::EventLoop& loop) {
   return [&loop](const VmInfo& vm) {
     auto control = net::HttpClientPool::Create(loop, vm.address,
@@ -115,6 +150,9 @@
       ownership_writer_(loop_, *platform_.table,
                         WriterRow(settings_, incarnation_, "ownership"),
                         Budget(60)),
+      key_writer_(loop_, *platform_.table,
+                  WriterRow(settings_, incarnation_, "idempotency"),
+                  Budget(kKeyBudget)),
       sync_(loop_, *platform_.table, store_, {},
             [this](const Address& peer, Revision since, auto done) {
               peers_.ConfigSince(peer, since, kPullTimeout, std::move(done));
@@ -128,12 +166,25 @@
                  Milliseconds timeout, auto done) {
             peers_.Heartbeat(peer, view, timeout, std::move(done));
           }),
-      ownership_(loop_, MakeOwnershipOptions(settings_, incarnation_),
+      ownership_(loop_,
+                 MakeOwnershipOptions(
+                     settings_, incarnation_,
+                     [this] { return state_ != rpc::NodeState::kStarting; }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_),
+      keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
+            key_writer_,
+            [this](const NodeId& node, Incarnation incarnation) {
+              return IsGone(node, incarnation);
+            }),
+      key_sweep_(
+          loop_, {}, *platform_.table, key_writer_,
+          [this] { return IsFirstNode(); },
+          [] { return base::WallNanoseconds() / kNanosPerMs; }),
       gateway_(
           loop_, MakeGatewayOptions(settings_, incarnation_), store_, router_,
+          keys_,
           [this](const Address& peer, rpc::ForwardRequest request, auto done) {
             peers_.Forward(peer, std::move(request), std::move(done));
           },
@@ -149,6 +200,8 @@
       supervisor_(loop_, {}, [this](const Error& /*error*/) { stopped_(1); }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
+  ownership_.owner_changed().connect(
+      [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
   AddChildren();
 }
 
@@ -186,6 +239,7 @@
       {"ownership",
        [this]() -> Result<Done> {
          ownership_.Start();
+         key_sweep_.Start();
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
@@ -240,7 +294,9 @@
 
 void Node::WaitForRequests(std::function<void()> done) {
   watches_.CloseAll();
-  if (gateway_.in_flight() == 0 && config_writer_.idle()) return done();
+  if (gateway_.in_flight() == 0 && config_writer_.idle() && keys_.idle()) {
+    return done();
+  }
   stop_timer_ = loop_.After(kRecheck, [this, done = std::move(done)]() mutable {
     WaitForRequests(std::move(done));
   });
@@ -266,12 +322,17 @@
   };
   handlers.config_since = [this](Revision since) { return sync_.Since(since); };
   handlers.ownership_snapshot = [this] {
-    std::vector<rpc::OwnershipEntry> entries;
-    for (const auto& [vm, row] : ownership_.Rows()) {
-      entries.push_back({vm, row.node, row.incarnation, row.epoch});
+    rpc::OwnershipSnapshot snapshot;
+    for (const auto& known : ownership_.Rows()) {
+      snapshot.entries.push_back(ToEntry(known));
     }
-    return entries;
+    snapshot.vms = ownership_.Vms();
+    return snapshot;
   };
+  handlers.push_ownership =
+      [this](const std::vector<rpc::OwnershipEntry>& entries) {
+        ownership_.AdoptRows(ToKnownOwners(entries));
+      };
   return handlers;
 }
 
@@ -307,6 +368,27 @@
   return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
 }
 
+bool Node::IsGone(const NodeId& node, Incarnation incarnation) const {
+  if (node == settings_.node) return incarnation != incarnation_;
+  const membership::Peer* peer = membership_.Find(node);
+  if (peer == nullptr) {
+    return base::MonotonicNow() - membership_.started() > kIsolatedAfter;
+  }
+  return peer->liveness == membership::Liveness::kDead ||
+         peer->view.incarnation > incarnation;
+}
+
+bool Node::IsFirstNode() const {
+  if (state_ != rpc::NodeState::kReady) return false;
+  for (const auto& [node, peer] : membership_.peers()) {
+    if (peer.liveness == membership::Liveness::kAlive &&
+        peer.view.state == rpc::NodeState::kReady && node < settings_.node) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void Node::Dispatch(std::shared_ptr<net::HttpExchange> exchange) {
   constexpr std::string_view kServicePrefix = "/svc/";
   if (state_ == rpc::NodeState::kLeaving) exchange->CloseAfterReply();
@@ -331,6 +413,33 @@
 
 void Node::OnHeard(const rpc::NodeView& view) {
   sync_.OnPeerRevision(view.rpc_address, view.revision);
+  const MonotonicTime now = base::MonotonicNow();
+  if (!ownership_.needs_peers() || now < ownership_pull_at_ ||
+      view.state == rpc::NodeState::kStarting) {
+    return;
+  }
+  ownership_pull_at_ = now + kOwnershipPullPeriod;
+  peers_.FetchOwnership(
+      view.rpc_address, kPullTimeout,
+      [this](const Result<rpc::OwnershipSnapshot>& answer) {
+        if (!answer.ok()) return;
+        ownership_.AdoptVms(answer.value().vms);
+        ownership_.AdoptRows(ToKnownOwners(answer.value().entries));
+      });
+}
+
+void Node::OnOwnerChanged(const ownership::KnownOwner& known) {
+  // Changes of one loop turn, for example of a committed group, share a push.
+  changed_owners_.push_back(ToEntry(known));
+  if (changed_owners_.size() > 1) return;
+  loop_.Post([this] {
+    const auto entries = std::exchange(changed_owners_, {});
+    for (const auto& [node, peer] : membership_.peers()) {
+      if (peer.liveness == membership::Liveness::kDead) continue;
+      peers_.PushOwnership(peer.view.rpc_address, entries, kPushTimeout,
+                           [](const Result<Done>& /*done*/) {});
+    }
+  });
 }
 
 void Node::CollectSamples(std::vector<api::Sample>& samples) const {
@@ -359,15 +468,44 @@
       MetricType::kCounter, usage.cpu_seconds);
   add("process_resident_bytes", "Highest resident memory of this process.",
       MetricType::kGauge, usage.resident_bytes);
+  const auto& keys = keys_.counters();
+  for (const auto& [result, value] :
+       {std::pair{"claimed", keys.claimed},
+        std::pair{"replayed", keys.replayed},
+        std::pair{"unknown", keys.unknown},
+        std::pair{"mismatched", keys.mismatched},
+        std::pair{"unavailable", keys.unavailable}}) {
+    add("idempotency_claims_total", "Requests with an idempotency key.",
+        MetricType::kCounter, value, {{"result", result}});
+  }
+  add("idempotency_released_total", "Claims deleted because nothing ran.",
+      MetricType::kCounter, keys.released);
+  add("idempotency_release_delayed_total",
+      "Claims that could not be deleted at once.", MetricType::kCounter,
+      keys.release_failed);
+  add("idempotency_swept_total", "Keys deleted after their retention time.",
+      MetricType::kCounter, key_sweep_.swept());
   add("config_revision", "Installed configuration revision.",
       MetricType::kGauge, store_.revision().value());
   add("config_stale_total", "Dropped changes of a lower revision.",
       MetricType::kCounter, store_.counters().stale);
   add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
       ownership_.owned().size());
+  const auto& ownership = ownership_.counters();
+  add("ownership_claims_total", "Claims sent to workers.", MetricType::kCounter,
+      ownership.claims);
+  add("ownership_claims_refused_total", "Claims that workers refused.",
+      MetricType::kCounter, ownership.claims_refused);
+  add("ownership_grants_total", "Claims granted by a worker without the table.",
+      MetricType::kCounter, ownership.grants);
+  add("ownership_row_conflicts_total", "Ownership writes that lost a race.",
+      MetricType::kCounter, ownership.row_conflicts);
+  add("table_reads_total", "Table reads by purpose.", MetricType::kCounter,
+      ownership.reads, {{"purpose", "ownership"}});
   for (const auto& [purpose, writer] :
        {std::pair{"config", &config_writer_},
-        std::pair{"ownership", &ownership_writer_}}) {
+        std::pair{"ownership", &ownership_writer_},
+        std::pair{"idempotency", &key_writer_}}) {
     const auto& counters = writer->counters();
     add("table_transactions_total", "Table transactions by purpose.",
         MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -789,17 +789,17 @@
   1, 3, i_e8eaa5fe90b051f2, nullptr, nullptr, { &s_e8eaa5fe90b051f2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<79> b_db2e2de60f438739 = {
+static const ::capnp::_::AlignedData<110> b_db2e2de60f438739 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      57, 135,  67,  15, 230,  45,  46, 219,
-     11,   0,   0,   0,   1,   0,   2,   0,
+     11,   0,   0,   0,   1,   0,   4,   0,
     227, 167, 197, 208, 177, 177, 244, 192,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 231,   0,   0,   0,
+     29,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
@@ -807,35 +807,49 @@
     115, 104, 105, 112,  69, 110, 116, 114,
     121,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  26,   0,   0,   0,
+    153,   0,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     92,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,  42,   0,   0,   0,
+    157,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    108,   0,   0,   0,   2,   0,   1,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,  98,   0,   0,   0,
+    161,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    104,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    169,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    173,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0, 192,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    177,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,   0,   0,   0,   3,   0,   1,   0,
-    120,   0,   0,   0,   2,   0,   1,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
     118, 109,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -868,15 +882,229 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_db2e2de60f438739 = b_db2e2de60f438739.words;
 #if !CAPNP_LITE
-static const uint16_t m_db2e2de60f438739[] = {3, 2, 1, 0};
-static const uint16_t i_db2e2de60f438739[] = {0, 1, 2, 3};
+static const uint16_t m_db2e2de60f438739[] = {3, 2, 1, 5, 4, 0};
+static const uint16_t i_db2e2de60f438739[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_db2e2de60f438739 = {
-  0xdb2e2de60f438739, b_db2e2de60f438739.words, 79, nullptr, m_db2e2de60f438739,
-  0, 4, i_db2e2de60f438739, nullptr, nullptr, { &s_db2e2de60f438739, nullptr, nullptr, 0, 0, nullptr }
+  0xdb2e2de60f438739, b_db2e2de60f438739.words, 110, nullptr, m_db2e2de60f438739,
+  0, 6, i_db2e2de60f438739, nullptr, nullptr, { &s_db2e2de60f438739, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<186> b_ec66f5b22618c669 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    105, 198,  24,  38, 178, 245, 102, 236,
+     11,   0,   0,   0,   1,   0,   5,   0,
+    227, 167, 197, 208, 177, 177, 244, 192,
+      5,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 111,   2,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  86, 109,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     44,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     32,   1,   0,   0,   3,   0,   1,   0,
+     44,   1,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   1,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   1,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     56,   1,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   1,   0,   0,   3,   0,   1,   0,
+     60,   1,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     57,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     52,   1,   0,   0,   3,   0,   1,   0,
+     64,   1,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   1,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     56,   1,   0,   0,   3,   0,   1,   0,
+     68,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   1,   0,   0,   3,   0,   1,   0,
+     72,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   1,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   1,   0,   0,   3,   0,   1,   0,
+     80,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   1,   0,   0,   3,   0,   1,   0,
+     88,   1,   0,   0,   2,   0,   1,   0,
+      9,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   9,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   1,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     84,   1,   0,   0,   3,   0,   1,   0,
+     96,   1,   0,   0,   2,   0,   1,   0,
+     10,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,  10,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   1,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   1,   0,   0,   3,   0,   1,   0,
+    104,   1,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 116,  97,  67, 101, 110, 116,
+    101, 114,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114,  97,  99, 107,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 108, 111, 116, 115,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 110, 101,  99, 116, 105,
+    111, 110, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 112, 117,  77, 105, 108, 108, 105,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109, 111, 114, 121,  77,  98,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  99, 101, 108, 101, 114,  97,
+    116, 111, 114, 115,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ec66f5b22618c669 = b_ec66f5b22618c669.words;
+#if !CAPNP_LITE
+static const uint16_t m_ec66f5b22618c669[] = {10, 1, 7, 8, 2, 5, 9, 0, 4, 3, 6};
+static const uint16_t i_ec66f5b22618c669[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+const ::capnp::_::RawSchema s_ec66f5b22618c669 = {
+  0xec66f5b22618c669, b_ec66f5b22618c669.words, 186, nullptr, m_ec66f5b22618c669,
+  0, 11, i_ec66f5b22618c669, nullptr, nullptr, { &s_ec66f5b22618c669, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<174> b_a7b3b603bb16c118 = {
@@ -1688,7 +1916,7 @@
   1, 3, i_fdddec1ba90e7184, nullptr, nullptr, { &s_fdddec1ba90e7184, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<105> b_b91702a44fe2cd65 = {
+static const ::capnp::_::AlignedData<116> b_b91702a44fe2cd65 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     101, 205, 226,  79, 164,   2,  23, 185,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1698,77 +1926,85 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   2,   0,   0,
-    117,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   2,   0,   0,
+    161,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      88,  52, 189, 108,   2, 251, 241, 229,
     152, 255,  48, 133,  31, 173, 190, 219,
-    241,   0,   0,   0,  82,   0,   0,   0,
+     17,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      11,  40,   6, 127, 130, 226,  51, 197,
     200, 185,  43, 148,  86, 215,  74, 187,
-    221,   0,   0,   0,  66,   0,   0,   0,
+    253,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,   7,   0,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     162, 127, 137,  21, 175,  21,  64, 154,
     172, 150, 186,  44, 189, 213,  91, 208,
-    197,   0,   0,   0,  90,   0,   0,   0,
+    229,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    221,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     203, 179, 192,  64, 199,   6, 186, 164,
      97, 239, 142, 153, 137, 101, 104, 208,
-    177,   0,   0,   0,  98,   0,   0,   0,
+    209,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     210, 200, 226,  27, 138, 217, 152, 216,
      82, 159,  40, 208,  96,  88, 250, 189,
-    157,   0,   0,   0, 146,   0,   0,   0,
+    189,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    185,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     235,  82, 196,  84, 109, 175,  13, 190,
     208, 134, 242, 144, 156,  46, 133, 214,
-    141,   0,   0,   0,  98,   0,   0,   0,
+    173,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      70, 100, 232,  57, 120, 114, 228, 213,
     172,  72, 182, 117,  61, 102, 245, 162,
-    121,   0,   0,   0,  98,   0,   0,   0,
+    153,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,   7,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     223,  17,  24, 111, 236,  93,  71, 163,
     237,  95, 134, 157, 207, 124, 222, 188,
-    101,   0,   0,   0, 122,   0,   0,   0,
+    133,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+    187, 161,  28,  66,  84, 241,  39, 250,
+    102,   6,  60, 130,   1, 226,  27, 234,
+    113,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1784,6 +2020,9 @@
     112,  83, 110,  97, 112, 115, 104, 111,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
     116,  97, 115, 107,  67, 111, 109, 109,
      97, 110, 100,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1814,11 +2053,13 @@
   &s_d898d98a1be2c8d2,
   &s_dbbead1f8530ff98,
   &s_e5f1fb026cbd3458,
+  &s_ea1be201823c0666,
+  &s_fa27f154421ca1bb,
 };
-static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 6, 7, 5};
+static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 5, 7, 8, 6};
 const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
-  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 105, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
-  16, 8, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
+  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 116, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
+  18, 9, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_e5f1fb026cbd3458 = {
@@ -2218,17 +2459,17 @@
   0, 0, nullptr, nullptr, nullptr, { &s_d898d98a1be2c8d2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_bdfa5860d0289f52 = {
+static const ::capnp::_::AlignedData<57> b_bdfa5860d0289f52 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      82, 159,  40, 208,  96,  88, 250, 189,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  82,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
@@ -2237,14 +2478,21 @@
     112,  83, 110,  97, 112, 115, 104, 111,
     116,  36,  82, 101, 115, 117, 108, 116,
     115,   0,   0,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     56,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     101, 110, 116, 114, 105, 101, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2254,6 +2502,18 @@
      57, 135,  67,  15, 230,  45,  46, 219,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 109, 115,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    105, 198,  24,  38, 178, 245, 102, 236,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -2262,17 +2522,95 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_bdfa5860d0289f52[] = {
   &s_db2e2de60f438739,
+  &s_ec66f5b22618c669,
 };
-static const uint16_t m_bdfa5860d0289f52[] = {0};
-static const uint16_t i_bdfa5860d0289f52[] = {0};
+static const uint16_t m_bdfa5860d0289f52[] = {0, 1};
+static const uint16_t i_bdfa5860d0289f52[] = {0, 1};
 const ::capnp::_::RawSchema s_bdfa5860d0289f52 = {
-  0xbdfa5860d0289f52, b_bdfa5860d0289f52.words, 38, d_bdfa5860d0289f52, m_bdfa5860d0289f52,
-  1, 1, i_bdfa5860d0289f52, nullptr, nullptr, { &s_bdfa5860d0289f52, nullptr, nullptr, 0, 0, nullptr }
+  0xbdfa5860d0289f52, b_bdfa5860d0289f52.words, 57, d_bdfa5860d0289f52, m_bdfa5860d0289f52,
+  2, 2, i_bdfa5860d0289f52, nullptr, nullptr, { &s_bdfa5860d0289f52, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_be0daf6d54c452eb = {
+static const ::capnp::_::AlignedData<37> b_be0daf6d54c452eb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     235,  82, 196,  84, 109, 175,  13, 190,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 116, 114, 105, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     57, 135,  67,  15, 230,  45,  46, 219,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_be0daf6d54c452eb = b_be0daf6d54c452eb.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_be0daf6d54c452eb[] = {
+  &s_db2e2de60f438739,
+};
+static const uint16_t m_be0daf6d54c452eb[] = {0};
+static const uint16_t i_be0daf6d54c452eb[] = {0};
+const ::capnp::_::RawSchema s_be0daf6d54c452eb = {
+  0xbe0daf6d54c452eb, b_be0daf6d54c452eb.words, 37, d_be0daf6d54c452eb, m_be0daf6d54c452eb,
+  1, 1, i_be0daf6d54c452eb, nullptr, nullptr, { &s_be0daf6d54c452eb, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_d6852e9c90f286d0 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    208, 134, 242, 144, 156,  46, 133, 214,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_d6852e9c90f286d0 = b_d6852e9c90f286d0.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d6852e9c90f286d0 = {
+  0xd6852e9c90f286d0, b_d6852e9c90f286d0.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d6852e9c90f286d0, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_d5e4727839e86446 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     70, 100, 232,  57, 120, 114, 228, 213,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2305,21 +2643,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_be0daf6d54c452eb = b_be0daf6d54c452eb.words;
+::capnp::word const* const bp_d5e4727839e86446 = b_d5e4727839e86446.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_be0daf6d54c452eb[] = {
+static const ::capnp::_::RawSchema* const d_d5e4727839e86446[] = {
   &s_f7037622ea18a9d8,
 };
-static const uint16_t m_be0daf6d54c452eb[] = {0};
-static const uint16_t i_be0daf6d54c452eb[] = {0};
-const ::capnp::_::RawSchema s_be0daf6d54c452eb = {
-  0xbe0daf6d54c452eb, b_be0daf6d54c452eb.words, 33, d_be0daf6d54c452eb, m_be0daf6d54c452eb,
-  1, 1, i_be0daf6d54c452eb, nullptr, nullptr, { &s_be0daf6d54c452eb, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_d5e4727839e86446[] = {0};
+static const uint16_t i_d5e4727839e86446[] = {0};
+const ::capnp::_::RawSchema s_d5e4727839e86446 = {
+  0xd5e4727839e86446, b_d5e4727839e86446.words, 33, d_d5e4727839e86446, m_d5e4727839e86446,
+  1, 1, i_d5e4727839e86446, nullptr, nullptr, { &s_d5e4727839e86446, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_d6852e9c90f286d0 = {
+static const ::capnp::_::AlignedData<33> b_a2f5663d75b648ac = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    208, 134, 242, 144, 156,  46, 133, 214,
+    172,  72, 182, 117,  61, 102, 245, 162,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2352,21 +2690,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_d6852e9c90f286d0 = b_d6852e9c90f286d0.words;
+::capnp::word const* const bp_a2f5663d75b648ac = b_a2f5663d75b648ac.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d6852e9c90f286d0[] = {
+static const ::capnp::_::RawSchema* const d_a2f5663d75b648ac[] = {
   &s_fe404c09782da4b1,
 };
-static const uint16_t m_d6852e9c90f286d0[] = {0};
-static const uint16_t i_d6852e9c90f286d0[] = {0};
-const ::capnp::_::RawSchema s_d6852e9c90f286d0 = {
-  0xd6852e9c90f286d0, b_d6852e9c90f286d0.words, 33, d_d6852e9c90f286d0, m_d6852e9c90f286d0,
-  1, 1, i_d6852e9c90f286d0, nullptr, nullptr, { &s_d6852e9c90f286d0, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a2f5663d75b648ac[] = {0};
+static const uint16_t i_a2f5663d75b648ac[] = {0};
+const ::capnp::_::RawSchema s_a2f5663d75b648ac = {
+  0xa2f5663d75b648ac, b_a2f5663d75b648ac.words, 33, d_a2f5663d75b648ac, m_a2f5663d75b648ac,
+  1, 1, i_a2f5663d75b648ac, nullptr, nullptr, { &s_a2f5663d75b648ac, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_d5e4727839e86446 = {
+static const ::capnp::_::AlignedData<33> b_a3475dec6f1811df = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     70, 100, 232,  57, 120, 114, 228, 213,
+    223,  17,  24, 111, 236,  93,  71, 163,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2399,21 +2737,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_d5e4727839e86446 = b_d5e4727839e86446.words;
+::capnp::word const* const bp_a3475dec6f1811df = b_a3475dec6f1811df.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d5e4727839e86446[] = {
+static const ::capnp::_::RawSchema* const d_a3475dec6f1811df[] = {
   &s_fdddec1ba90e7184,
 };
-static const uint16_t m_d5e4727839e86446[] = {0};
-static const uint16_t i_d5e4727839e86446[] = {0};
-const ::capnp::_::RawSchema s_d5e4727839e86446 = {
-  0xd5e4727839e86446, b_d5e4727839e86446.words, 33, d_d5e4727839e86446, m_d5e4727839e86446,
-  1, 1, i_d5e4727839e86446, nullptr, nullptr, { &s_d5e4727839e86446, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a3475dec6f1811df[] = {0};
+static const uint16_t i_a3475dec6f1811df[] = {0};
+const ::capnp::_::RawSchema s_a3475dec6f1811df = {
+  0xa3475dec6f1811df, b_a3475dec6f1811df.words, 33, d_a3475dec6f1811df, m_a3475dec6f1811df,
+  1, 1, i_a3475dec6f1811df, nullptr, nullptr, { &s_a3475dec6f1811df, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_a2f5663d75b648ac = {
+static const ::capnp::_::AlignedData<50> b_bcde7ccf9d865fed = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    172,  72, 182, 117,  61, 102, 245, 162,
+    237,  95, 134, 157, 207, 124, 222, 188,
      16,   0,   0,   0,   1,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
@@ -2463,18 +2801,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_a2f5663d75b648ac = b_a2f5663d75b648ac.words;
+::capnp::word const* const bp_bcde7ccf9d865fed = b_bcde7ccf9d865fed.words;
 #if !CAPNP_LITE
-static const uint16_t m_a2f5663d75b648ac[] = {1, 0};
-static const uint16_t i_a2f5663d75b648ac[] = {0, 1};
-const ::capnp::_::RawSchema s_a2f5663d75b648ac = {
-  0xa2f5663d75b648ac, b_a2f5663d75b648ac.words, 50, nullptr, m_a2f5663d75b648ac,
-  0, 2, i_a2f5663d75b648ac, nullptr, nullptr, { &s_a2f5663d75b648ac, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_bcde7ccf9d865fed[] = {1, 0};
+static const uint16_t i_bcde7ccf9d865fed[] = {0, 1};
+const ::capnp::_::RawSchema s_bcde7ccf9d865fed = {
+  0xbcde7ccf9d865fed, b_bcde7ccf9d865fed.words, 50, nullptr, m_bcde7ccf9d865fed,
+  0, 2, i_bcde7ccf9d865fed, nullptr, nullptr, { &s_bcde7ccf9d865fed, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_a3475dec6f1811df = {
+static const ::capnp::_::AlignedData<33> b_fa27f154421ca1bb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    223,  17,  24, 111, 236,  93,  71, 163,
+    187, 161,  28,  66,  84, 241,  39, 250,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2507,18 +2845,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_a3475dec6f1811df = b_a3475dec6f1811df.words;
+::capnp::word const* const bp_fa27f154421ca1bb = b_fa27f154421ca1bb.words;
 #if !CAPNP_LITE
-static const uint16_t m_a3475dec6f1811df[] = {0};
-static const uint16_t i_a3475dec6f1811df[] = {0};
-const ::capnp::_::RawSchema s_a3475dec6f1811df = {
-  0xa3475dec6f1811df, b_a3475dec6f1811df.words, 33, nullptr, m_a3475dec6f1811df,
-  0, 1, i_a3475dec6f1811df, nullptr, nullptr, { &s_a3475dec6f1811df, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_fa27f154421ca1bb[] = {0};
+static const uint16_t i_fa27f154421ca1bb[] = {0};
+const ::capnp::_::RawSchema s_fa27f154421ca1bb = {
+  0xfa27f154421ca1bb, b_fa27f154421ca1bb.words, 33, nullptr, m_fa27f154421ca1bb,
+  0, 1, i_fa27f154421ca1bb, nullptr, nullptr, { &s_fa27f154421ca1bb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_bcde7ccf9d865fed = {
+static const ::capnp::_::AlignedData<48> b_ea1be201823c0666 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    237,  95, 134, 157, 207, 124, 222, 188,
+    102,   6,  60, 130,   1, 226,  27, 234,
      16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2566,13 +2904,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_bcde7ccf9d865fed = b_bcde7ccf9d865fed.words;
+::capnp::word const* const bp_ea1be201823c0666 = b_ea1be201823c0666.words;
 #if !CAPNP_LITE
-static const uint16_t m_bcde7ccf9d865fed[] = {1, 0};
-static const uint16_t i_bcde7ccf9d865fed[] = {0, 1};
-const ::capnp::_::RawSchema s_bcde7ccf9d865fed = {
-  0xbcde7ccf9d865fed, b_bcde7ccf9d865fed.words, 48, nullptr, m_bcde7ccf9d865fed,
-  0, 2, i_bcde7ccf9d865fed, nullptr, nullptr, { &s_bcde7ccf9d865fed, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_ea1be201823c0666[] = {1, 0};
+static const uint16_t i_ea1be201823c0666[] = {0, 1};
+const ::capnp::_::RawSchema s_ea1be201823c0666 = {
+  0xea1be201823c0666, b_ea1be201823c0666.words, 48, nullptr, m_ea1be201823c0666,
+  0, 2, i_ea1be201823c0666, nullptr, nullptr, { &s_ea1be201823c0666, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
@@ -2648,6 +2986,14 @@
 constexpr ::capnp::_::RawSchema const* OwnershipEntry::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Vm
+constexpr uint16_t Vm::_capnpPrivate::dataWordSize;
+constexpr uint16_t Vm::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Vm::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Vm::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // TaskCommand
 constexpr uint16_t TaskCommand::_capnpPrivate::dataWordSize;
 constexpr uint16_t TaskCommand::_capnpPrivate::pointerCount;
@@ -2755,35 +3101,45 @@
       "peer.capnp:Peer", "ownershipSnapshot",
       0xb91702a44fe2cd65ull, 4);
 }
+::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>
+Peer::Client::pushOwnershipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(
+      0xb91702a44fe2cd65ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::pushOwnership(PushOwnershipContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "pushOwnership",
+      0xb91702a44fe2cd65ull, 5);
+}
 ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>
 Peer::Client::taskCommandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(
-      0xb91702a44fe2cd65ull, 5, sizeHint);
+      0xb91702a44fe2cd65ull, 6, sizeHint);
 }
 ::kj::Promise<void> Peer::Server::taskCommand(TaskCommandContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
       "peer.capnp:Peer", "taskCommand",
-      0xb91702a44fe2cd65ull, 5);
+      0xb91702a44fe2cd65ull, 6);
 }
 ::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>
 Peer::Client::reportTasksRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>(
-      0xb91702a44fe2cd65ull, 6, sizeHint);
+      0xb91702a44fe2cd65ull, 7, sizeHint);
 }
 ::kj::Promise<void> Peer::Server::reportTasks(ReportTasksContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
       "peer.capnp:Peer", "reportTasks",
-      0xb91702a44fe2cd65ull, 6);
+      0xb91702a44fe2cd65ull, 7);
 }
 ::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>
 Peer::Client::schedulerQueryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(
-      0xb91702a44fe2cd65ull, 7, sizeHint);
+      0xb91702a44fe2cd65ull, 8, sizeHint);
 }
 ::kj::Promise<void> Peer::Server::schedulerQuery(SchedulerQueryContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
       "peer.capnp:Peer", "schedulerQuery",
-      0xb91702a44fe2cd65ull, 7);
+      0xb91702a44fe2cd65ull, 8);
 }
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
@@ -2830,18 +3186,24 @@
         false
       };
     case 5:
+      return {
+        pushOwnership(::capnp::Capability::Server::internalGetTypedContext<
+             ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
+        false
+      };
+    case 6:
       return {
         taskCommand(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(context)),
         false
       };
-    case 6:
+    case 7:
       return {
         reportTasks(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>(context)),
         false
       };
-    case 7:
+    case 8:
       return {
         schedulerQuery(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(context)),
@@ -2942,6 +3304,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::OwnershipSnapshotResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::PushOwnershipParams
+constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PushOwnershipParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PushOwnershipResults
+constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PushOwnershipResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Peer::TaskCommandParams
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::dataWordSize;
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::pointerCount;
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -27,6 +27,7 @@
 CAPNP_DECLARE_SCHEMA(f266133151355b33);
 CAPNP_DECLARE_SCHEMA(e8eaa5fe90b051f2);
 CAPNP_DECLARE_SCHEMA(db2e2de60f438739);
+CAPNP_DECLARE_SCHEMA(ec66f5b22618c669);
 CAPNP_DECLARE_SCHEMA(a7b3b603bb16c118);
 CAPNP_DECLARE_SCHEMA(f7037622ea18a9d8);
 CAPNP_DECLARE_SCHEMA(a57f76e752ea392a);
@@ -51,6 +52,8 @@
 CAPNP_DECLARE_SCHEMA(a2f5663d75b648ac);
 CAPNP_DECLARE_SCHEMA(a3475dec6f1811df);
 CAPNP_DECLARE_SCHEMA(bcde7ccf9d865fed);
+CAPNP_DECLARE_SCHEMA(fa27f154421ca1bb);
+CAPNP_DECLARE_SCHEMA(ea1be201823c0666);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -172,7 +175,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db2e2de60f438739, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(db2e2de60f438739, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Vm {
+  Vm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec66f5b22618c669, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -302,6 +320,8 @@
   struct ConfigSinceResults;
   struct OwnershipSnapshotParams;
   struct OwnershipSnapshotResults;
+  struct PushOwnershipParams;
+  struct PushOwnershipResults;
   struct TaskCommandParams;
   struct TaskCommandResults;
   struct ReportTasksParams;
@@ -460,7 +480,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdfa5860d0289f52, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bdfa5860d0289f52, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PushOwnershipParams {
+  PushOwnershipParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PushOwnershipResults {
+  PushOwnershipResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -475,7 +525,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -490,7 +540,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -505,7 +555,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -520,7 +570,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -535,7 +585,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fa27f154421ca1bb, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -550,7 +600,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ea1be201823c0666, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1359,6 +1409,10 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline  ::uint64_t getVersion() const;
+
+  inline bool getRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1407,6 +1461,12 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool getRecorded();
+  inline void setRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1433,6 +1493,157 @@
 };
 #endif  // !CAPNP_LITE
 
+class Vm::Reader {
+public:
+  typedef Vm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCenter() const;
+  inline  ::capnp::Text::Reader getDataCenter() const;
+
+  inline bool hasRack() const;
+  inline  ::capnp::Text::Reader getRack() const;
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::int32_t getSlots() const;
+
+  inline  ::int32_t getConnections() const;
+
+  inline  ::int64_t getCpuMillis() const;
+
+  inline  ::int64_t getMemoryMb() const;
+
+  inline  ::int64_t getAccelerators() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Vm::Builder {
+public:
+  typedef Vm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCenter();
+  inline  ::capnp::Text::Builder getDataCenter();
+  inline void setDataCenter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCenter(unsigned int size);
+  inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
+
+  inline bool hasRack();
+  inline  ::capnp::Text::Builder getRack();
+  inline void setRack( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRack(unsigned int size);
+  inline void adoptRack(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRack();
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
+
+  inline  ::int32_t getConnections();
+  inline void setConnections( ::int32_t value);
+
+  inline  ::int64_t getCpuMillis();
+  inline void setCpuMillis( ::int64_t value);
+
+  inline  ::int64_t getMemoryMb();
+  inline void setMemoryMb( ::int64_t value);
+
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Vm::Pipeline {
+public:
+  typedef Vm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class TaskCommand::Reader {
 public:
   typedef TaskCommand Reads;
@@ -2236,6 +2447,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults> taskCommandRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults> reportTasksRequest(
@@ -2278,6 +2491,10 @@
   typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
   typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
   virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
+  typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
+  virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandParams TaskCommandParams;
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandResults TaskCommandResults;
   typedef ::capnp::CallContext<TaskCommandParams, TaskCommandResults> TaskCommandContext;
@@ -3037,6 +3254,9 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3072,6 +3292,13 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline bool hasVms();
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>> disownVms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3098,9 +3325,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TaskCommandParams::Reader {
+class Peer::PushOwnershipParams::Reader {
 public:
-  typedef TaskCommandParams Reads;
+  typedef PushOwnershipParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3115,8 +3342,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall() const;
-  inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3130,9 +3357,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TaskCommandParams::Builder {
+class Peer::PushOwnershipParams::Builder {
 public:
-  typedef TaskCommandParams Builds;
+  typedef PushOwnershipParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3146,12 +3373,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall();
-  inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
-  inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
-  inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
-  inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
+  inline bool hasEntries();
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3163,15 +3390,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TaskCommandParams::Pipeline {
+class Peer::PushOwnershipParams::Pipeline {
 public:
-  typedef TaskCommandParams Pipelines;
+  typedef PushOwnershipParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3180,9 +3406,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TaskCommandResults::Reader {
+class Peer::PushOwnershipResults::Reader {
 public:
-  typedef TaskCommandResults Reads;
+  typedef PushOwnershipResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3197,9 +3423,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3212,9 +3435,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TaskCommandResults::Builder {
+class Peer::PushOwnershipResults::Builder {
 public:
-  typedef TaskCommandResults Builds;
+  typedef PushOwnershipResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3228,13 +3451,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
-  inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
-  inline  ::mangospread::rpc::wire::TaskCallResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3245,15 +3461,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TaskCommandResults::Pipeline {
+class Peer::PushOwnershipResults::Pipeline {
 public:
-  typedef TaskCommandResults Pipelines;
+  typedef PushOwnershipResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::TaskCallResult::Pipeline getResult();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3262,9 +3477,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportTasksParams::Reader {
+class Peer::TaskCommandParams::Reader {
 public:
-  typedef ReportTasksParams Reads;
+  typedef TaskCommandParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3279,8 +3494,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::mangospread::rpc::wire::NodeReport::Reader getReport() const;
+  inline bool hasCall() const;
+  inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3294,9 +3509,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReportTasksParams::Builder {
+class Peer::TaskCommandParams::Builder {
 public:
-  typedef ReportTasksParams Builds;
+  typedef TaskCommandParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3310,12 +3525,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::mangospread::rpc::wire::NodeReport::Builder getReport();
-  inline void setReport( ::mangospread::rpc::wire::NodeReport::Reader value);
-  inline  ::mangospread::rpc::wire::NodeReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::mangospread::rpc::wire::NodeReport>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeReport> disownReport();
+  inline bool hasCall();
+  inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
+  inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3327,15 +3542,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReportTasksParams::Pipeline {
+class Peer::TaskCommandParams::Pipeline {
 public:
-  typedef ReportTasksParams Pipelines;
+  typedef TaskCommandParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mangospread::rpc::wire::NodeReport::Pipeline getReport();
+  inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3344,9 +3559,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportTasksResults::Reader {
+class Peer::TaskCommandResults::Reader {
 public:
-  typedef ReportTasksResults Reads;
+  typedef TaskCommandResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3361,9 +3576,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSchedulerEpoch() const;
-
-  inline bool getAccepted() const;
+  inline bool hasResult() const;
+  inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3377,9 +3591,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReportTasksResults::Builder {
+class Peer::TaskCommandResults::Builder {
 public:
-  typedef ReportTasksResults Builds;
+  typedef TaskCommandResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3393,10 +3607,175 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSchedulerEpoch();
-  inline void setSchedulerEpoch( ::uint64_t value);
-
-  inline bool getAccepted();
+  inline bool hasResult();
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
+  inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TaskCommandResults::Pipeline {
+public:
+  typedef TaskCommandResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::TaskCallResult::Pipeline getResult();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportTasksParams::Reader {
+public:
+  typedef ReportTasksParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::mangospread::rpc::wire::NodeReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportTasksParams::Builder {
+public:
+  typedef ReportTasksParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::mangospread::rpc::wire::NodeReport::Builder getReport();
+  inline void setReport( ::mangospread::rpc::wire::NodeReport::Reader value);
+  inline  ::mangospread::rpc::wire::NodeReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::mangospread::rpc::wire::NodeReport>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::NodeReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportTasksParams::Pipeline {
+public:
+  typedef ReportTasksParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::rpc::wire::NodeReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportTasksResults::Reader {
+public:
+  typedef ReportTasksResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSchedulerEpoch() const;
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportTasksResults::Builder {
+public:
+  typedef ReportTasksResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSchedulerEpoch();
+  inline void setSchedulerEpoch( ::uint64_t value);
+
+  inline bool getAccepted();
   inline void setAccepted(bool value);
 
 private:
@@ -4578,6 +4957,288 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t OwnershipEntry::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OwnershipEntry::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OwnershipEntry::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OwnershipEntry::Reader::getRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool OwnershipEntry::Builder::getRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void OwnershipEntry::Builder::setRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Vm::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Vm::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Vm::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Vm::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Vm::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Vm::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Vm::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Vm::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Vm::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Vm::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Vm::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Vm::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Vm::Reader::getConnections() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Vm::Builder::getConnections() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setConnections( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getCpuMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setCpuMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setMemoryMb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Vm::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Vm::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Vm::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t TaskCommand::Reader::getVerb() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5780,6 +6441,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::OwnershipSnapshotResults::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::OwnershipSnapshotResults::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader Peer::OwnershipSnapshotResults::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::OwnershipSnapshotResults::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::OwnershipSnapshotResults::Builder::setVms( ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>::Builder Peer::OwnershipSnapshotResults::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::OwnershipSnapshotResults::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>> Peer::OwnershipSnapshotResults::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::Vm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::PushOwnershipParams::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushOwnershipParams::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader Peer::PushOwnershipParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::PushOwnershipParams::Builder::setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PushOwnershipParams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> Peer::PushOwnershipParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::TaskCommandParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/src/rpc/peer_server.hpp
@@ -0,0 +1,212 @@
+/// @file
+/// Serves peers' calls. Internal to src/rpc.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/event_loop.hpp"
+#include "rpc/codec.hpp"
+#include "rpc/peer.capnp.h"
+#include "rpc/peer_service.hpp"
+#include "rpc/rpc_thread.hpp"
+#include "rpc/task_codec.hpp"
+
+namespace mangospread::rpc::detail {
+
+/// Runs a handler on the core thread and returns its answer as a promise.
+class CoreBridge {
+ public:
+  CoreBridge(base::EventLoop& core, std::shared_ptr<RpcThread> thread)
+      : core_(core), thread_(std::move(thread)) {}
+
+  /// `start` is called on the core thread with the function to answer with.
+  template <typename T>
+  kj::Promise<T> Call(std::function<void(std::function<void(T)>)> start) {
+    auto paf = kj::newPromiseAndFulfiller<T>();
+    // Fulfillers belong to the KJ thread; the core thread only carries it.
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
+        kj::mv(paf.fulfiller));
+    auto hold = std::make_shared<Holder<T>>(thread_, std::move(fulfiller));
+    core_.Post([start = std::move(start), hold = std::move(hold)] {
+      start([hold](T value) { hold->Fulfill(std::move(value)); });
+    });
+    return kj::mv(paf.promise);
+  }
+
+ private:
+  /// Returns the fulfiller to the KJ thread even if it is never used.
+  template <typename T>
+  class Holder {
+   public:
+    using Fulfiller = std::shared_ptr<kj::Own<kj::PromiseFulfiller<T>>>;
+    Holder(std::shared_ptr<RpcThread> thread, Fulfiller fulfiller)
+        : thread_(std::move(thread)), fulfiller_(std::move(fulfiller)) {}
+    ~Holder() {
+      if (fulfiller_ == nullptr) return;
+      thread_->Post(
+          [moved = std::move(fulfiller_)]() mutable { moved.reset(); });
+    }
+    Holder(const Holder&) = delete;
+    Holder& operator=(const Holder&) = delete;
+
+    void Fulfill(T value) {
+      if (fulfiller_ == nullptr) return;
+      auto shared = std::make_shared<T>(std::move(value));
+      thread_->Post([moved = std::move(fulfiller_), shared]() mutable {
+        (*moved)->fulfill(kj::mv(*shared));
+        moved.reset();
+      });
+    }
+
+   private:
+    std::shared_ptr<RpcThread> thread_;
+    Fulfiller fulfiller_;
+  };
+
+  base::EventLoop& core_;
+  std::shared_ptr<RpcThread> thread_;
+};
+
+template <typename T, typename Init>
+void EncodeList(const std::vector<T>& items, Init init) {
+  auto list = init(static_cast<unsigned>(items.size()));
+  for (unsigned i = 0; i < list.size(); ++i) Encode(items[i], list[i]);
+}
+
+template <typename T, typename List>
+std::vector<T> DecodeList(const List& list) {
+  std::vector<T> items;
+  items.reserve(list.size());
+  for (const auto item : list) items.push_back(Decode(item));
+  return items;
+}
+
+/// Serves peers' calls on the KJ thread.
+class PeerServer final : public wire::Peer::Server {
+ public:
+  PeerServer(CoreBridge& bridge, const PeerHandlers& handlers)
+      : bridge_(bridge), handlers_(handlers) {}
+
+  kj::Promise<void> heartbeat(HeartbeatContext context) override {  // NOLINT
+    NodeView view = Decode(context.getParams().getView());
+    return bridge_
+        .Call<NodeView>([this, view = std::move(view)](auto reply) {
+          reply(handlers_.heartbeat(view));
+        })
+        .then([context](NodeView own) mutable {
+          Encode(own, context.getResults().initView());
+        });
+  }
+
+  kj::Promise<void> forward(ForwardContext context) override {  // NOLINT
+    auto request = std::make_shared<ForwardRequest>(
+        Decode(context.getParams().getRequest()));
+    context.releaseParams();
+    return bridge_
+        .Call<ForwardReply>([this, request](auto reply) {
+          handlers_.forward(std::move(*request), std::move(reply));
+        })
+        .then([context](ForwardReply answer) mutable {
+          Encode(answer, context.getResults().initReply());
+        });
+  }
+
+  kj::Promise<void> pushConfig(PushConfigContext context) override {  // NOLINT
+    ConfigDelta delta = Decode(context.getParams().getDelta());
+    return bridge_
+        .Call<Revision>([this, delta = std::move(delta)](auto reply) {
+          reply(handlers_.push_config(delta));
+        })
+        .then([context](Revision revision) mutable {
+          context.getResults().setRevision(revision.value());
+        });
+  }
+
+  kj::Promise<void> configSince(  // NOLINT
+      ConfigSinceContext context) override {
+    const Revision revision(context.getParams().getRevision());
+    return bridge_
+        .Call<ConfigDelta>([this, revision](auto reply) {
+          reply(handlers_.config_since(revision));
+        })
+        .then([context](ConfigDelta delta) mutable {
+          Encode(delta, context.getResults().initDelta());
+        });
+  }
+
+  kj::Promise<void> ownershipSnapshot(  // NOLINT
+      OwnershipSnapshotContext context) override {
+    return bridge_
+        .Call<OwnershipSnapshot>(
+            [this](auto reply) { reply(handlers_.ownership_snapshot()); })
+        .then([context](OwnershipSnapshot snapshot) mutable {
+          auto results = context.getResults();
+          EncodeList(snapshot.entries,
+                     [&results](unsigned n) { return results.initEntries(n); });
+          EncodeList(snapshot.vms,
+                     [&results](unsigned n) { return results.initVms(n); });
+        });
+  }
+
+  kj::Promise<void> taskCommand(  // NOLINT
+      TaskCommandContext context) override {
+    TaskCall call = Decode(context.getParams().getCall());
+    return bridge_
+        .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
+          handlers_.task_command(call, std::move(reply));
+        })
+        .then([context](Result<TaskReport> result) mutable {
+          Encode(result, context.getResults().initResult());
+        });
+  }
+
+  kj::Promise<void> reportTasks(  // NOLINT
+      ReportTasksContext context) override {
+    auto report =
+        std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
+    return bridge_
+        .Call<NodeReportReply>([this, report](auto reply) {
+          reply(handlers_.report_tasks(*report));
+        })
+        .then([context](NodeReportReply answer) mutable {
+          auto results = context.getResults();
+          results.setSchedulerEpoch(answer.scheduler_epoch.value());
+          results.setAccepted(answer.accepted);
+        });
+  }
+
+  kj::Promise<void> schedulerQuery(  // NOLINT
+      SchedulerQueryContext context) override {
+    std::string path = context.getParams().getPath();
+    return bridge_
+        .Call<QueryReply>([this, path = std::move(path)](auto reply) {
+          reply(handlers_.scheduler_query(path));
+        })
+        .then([context](QueryReply answer) mutable {
+          auto results = context.getResults();
+          results.setStatus(static_cast<std::uint16_t>(answer.status));
+          results.setBody(answer.body);
+        });
+  }
+
+  kj::Promise<void> pushOwnership(  // NOLINT
+      PushOwnershipContext context) override {
+    auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
+    return bridge_
+        .Call<Done>([this, entries = std::move(entries)](auto reply) {
+          handlers_.push_ownership(entries);
+          reply(Done{});
+        })
+        .ignoreResult();
+  }
+
+ private:
+  CoreBridge& bridge_;
+  const PeerHandlers& handlers_;
+};
+
+}  // namespace mangospread::rpc::detail
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -12,6 +12,7 @@
 
 #include "base/events.hpp"
 #include "rpc/codec.hpp"
+#include "rpc/peer_server.hpp"
 #include "rpc/rpc_thread.hpp"
 #include "rpc/task_codec.hpp"
 
@@ -49,174 +50,6 @@
 /// request may be slow on a healthy one.
 enum class OnTimeout : unsigned char { kKeep, kClose };
 
-/// Runs a handler on the core thread and returns its answer as a promise.
-class CoreBridge {
- public:
-  CoreBridge(base::EventLoop& core, std::shared_ptr<RpcThread> thread)
-      : core_(core), thread_(std::move(thread)) {}
-
-  /// `start` is called on the core thread with the function to answer with.
-  template <typename T>
-  kj::Promise<T> Call(std::function<void(std::function<void(T)>)> start) {
-    auto paf = kj::newPromiseAndFulfiller<T>();
-    // Fulfillers belong to the KJ thread; the core thread only carries it.
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
-        kj::mv(paf.fulfiller));
-    auto hold = std::make_shared<Holder<T>>(thread_, std::move(fulfiller));
-    core_.Post([start = std::move(start), hold = std::move(hold)] {
-      start([hold](T value) { hold->Fulfill(std::move(value)); });
-    });
-    return kj::mv(paf.promise);
-  }
-
- private:
-  /// Returns the fulfiller to the KJ thread even if it is never used.
-  template <typename T>
-  class Holder {
-   public:
-    using Fulfiller = std::shared_ptr<kj::Own<kj::PromiseFulfiller<T>>>;
-    Holder(std::shared_ptr<RpcThread> thread, Fulfiller fulfiller)
-        : thread_(std::move(thread)), fulfiller_(std::move(fulfiller)) {}
-    ~Holder() {
-      if (fulfiller_ == nullptr) return;
-      thread_->Post(
-          [moved = std::move(fulfiller_)]() mutable { moved.reset(); });
-    }
-    Holder(const Holder&) = delete;
-    Holder& operator=(const Holder&) = delete;
-
-    void Fulfill(T value) {
-      if (fulfiller_ == nullptr) return;
-      auto shared = std::make_shared<T>(std::move(value));
-      thread_->Post([moved = std::move(fulfiller_), shared]() mutable {
-        (*moved)->fulfill(kj::mv(*shared));
-        moved.reset();
-      });
-    }
-
-   private:
-    std::shared_ptr<RpcThread> thread_;
-    Fulfiller fulfiller_;
-  };
-
-  base::EventLoop& core_;
-  std::shared_ptr<RpcThread> thread_;
-};
-
-/// Serves peers' calls on the KJ thread.
-class PeerServer final : public wire::Peer::Server {
- public:
-  PeerServer(CoreBridge& bridge, const PeerHandlers& handlers)
-      : bridge_(bridge), handlers_(handlers) {}
-
-  kj::Promise<void> heartbeat(HeartbeatContext context) override {  // NOLINT
-    NodeView view = Decode(context.getParams().getView());
-    return bridge_
-        .Call<NodeView>([this, view = std::move(view)](auto reply) {
-          reply(handlers_.heartbeat(view));
-        })
-        .then([context](NodeView own) mutable {
-          Encode(own, context.getResults().initView());
-        });
-  }
-
-  kj::Promise<void> forward(ForwardContext context) override {  // NOLINT
-    auto request = std::make_shared<ForwardRequest>(
-        Decode(context.getParams().getRequest()));
-    context.releaseParams();
-    return bridge_
-        .Call<ForwardReply>([this, request](auto reply) {
-          handlers_.forward(std::move(*request), std::move(reply));
-        })
-        .then([context](ForwardReply answer) mutable {
-          Encode(answer, context.getResults().initReply());
-        });
-  }
-
-  kj::Promise<void> pushConfig(PushConfigContext context) override {  // NOLINT
-    ConfigDelta delta = Decode(context.getParams().getDelta());
-    return bridge_
-        .Call<Revision>([this, delta = std::move(delta)](auto reply) {
-          reply(handlers_.push_config(delta));
-        })
-        .then([context](Revision revision) mutable {
-          context.getResults().setRevision(revision.value());
-        });
-  }
-
-  kj::Promise<void> configSince(  // NOLINT
-      ConfigSinceContext context) override {
-    const Revision revision(context.getParams().getRevision());
-    return bridge_
-        .Call<ConfigDelta>([this, revision](auto reply) {
-          reply(handlers_.config_since(revision));
-        })
-        .then([context](ConfigDelta delta) mutable {
-          Encode(delta, context.getResults().initDelta());
-        });
-  }
-
-  kj::Promise<void> ownershipSnapshot(  // NOLINT
-      OwnershipSnapshotContext context) override {
-    using Entries = std::vector<OwnershipEntry>;
-    return bridge_
-        .Call<Entries>(
-            [this](auto reply) { reply(handlers_.ownership_snapshot()); })
-        .then([context](Entries entries) mutable {
-          auto list = context.getResults().initEntries(
-              static_cast<unsigned>(entries.size()));
-          for (unsigned i = 0; i < list.size(); ++i) {
-            Encode(entries[i], list[i]);
-          }
-        });
-  }
-
-  kj::Promise<void> taskCommand(  // NOLINT
-      TaskCommandContext context) override {
-    TaskCall call = Decode(context.getParams().getCall());
-    return bridge_
-        .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
-          handlers_.task_command(call, std::move(reply));
-        })
-        .then([context](Result<TaskReport> result) mutable {
-          Encode(result, context.getResults().initResult());
-        });
-  }
-
-  kj::Promise<void> reportTasks(  // NOLINT
-      ReportTasksContext context) override {
-    auto report =
-        std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
-    return bridge_
-        .Call<NodeReportReply>([this, report](auto reply) {
-          reply(handlers_.report_tasks(*report));
-        })
-        .then([context](NodeReportReply answer) mutable {
-          auto results = context.getResults();
-          results.setSchedulerEpoch(answer.scheduler_epoch.value());
-          results.setAccepted(answer.accepted);
-        });
-  }
-
-  kj::Promise<void> schedulerQuery(  // NOLINT
-      SchedulerQueryContext context) override {
-    std::string path = context.getParams().getPath();
-    return bridge_
-        .Call<QueryReply>([this, path = std::move(path)](auto reply) {
-          reply(handlers_.scheduler_query(path));
-        })
-        .then([context](QueryReply answer) mutable {
-          auto results = context.getResults();
-          results.setStatus(static_cast<std::uint16_t>(answer.status));
-          results.setBody(answer.body);
-        });
-  }
-
- private:
-  CoreBridge& bridge_;
-  const PeerHandlers& handlers_;
-};
-
 /// A connection to a peer, kept alive by the calls that use it.
 struct PeerConnection {
   PeerConnection(kj::Own<kj::AsyncIoStream> opened)  // NOLINT
@@ -486,19 +319,15 @@
                            });
 }
 
-void PeerService::OwnershipSnapshot(
-    const Address& peer, Milliseconds timeout,
-    ReplyCallback<std::vector<OwnershipEntry>> done) {
-  using Entries = std::vector<OwnershipEntry>;
-  host_->Call<Entries>(
+void PeerService::FetchOwnership(const Address& peer, Milliseconds timeout,
+                                 ReplyCallback<OwnershipSnapshot> done) {
+  host_->Call<OwnershipSnapshot>(
       peer, timeout, detail::OnTimeout::kKeep, std::move(done),
       [](wire::Peer::Client& client) {
         return client.ownershipSnapshotRequest().send().then([](auto&& answer) {
-          Entries entries;
-          for (const auto entry : answer.getEntries()) {
-            entries.push_back(Decode(entry));
-          }
-          return entries;
+          return OwnershipSnapshot{
+              detail::DecodeList<OwnershipEntry>(answer.getEntries()),
+              detail::DecodeList<VmInfo>(answer.getVms())};
         });
       });
 }
@@ -551,4 +380,18 @@
       });
 }
 
+void PeerService::PushOwnership(const Address& peer,
+                                std::vector<OwnershipEntry> entries,
+                                Milliseconds timeout,
+                                ReplyCallback<Done> done) {
+  host_->Call<Done>(
+      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
+      [entries = std::move(entries)](wire::Peer::Client& client) {
+        auto call = client.pushOwnershipRequest();
+        detail::EncodeList(entries,
+                           [&call](unsigned n) { return call.initEntries(n); });
+        return call.send().then([](auto&& /*answer*/) { return Done{}; });
+      });
+}
+
 }  // namespace mangospread::rpc
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -28,7 +28,8 @@
       forward;
   std::function<Revision(const ConfigDelta&)> push_config;
   std::function<ConfigDelta(Revision)> config_since;
-  std::function<std::vector<OwnershipEntry>()> ownership_snapshot;
+  std::function<OwnershipSnapshot()> ownership_snapshot;
+  std::function<void(const std::vector<OwnershipEntry>&)> push_ownership;
   std::function<void(TaskCall, ReplyCallback<TaskReport>)> task_command;
   std::function<NodeReportReply(const NodeReport&)> report_tasks;
   std::function<QueryReply(const std::string& path)> scheduler_query;
@@ -61,8 +62,10 @@
                   ReplyCallback<Revision> done);
   void ConfigSince(const Address& peer, Revision revision, Milliseconds timeout,
                    ReplyCallback<ConfigDelta> done);
-  void OwnershipSnapshot(const Address& peer, Milliseconds timeout,
-                         ReplyCallback<std::vector<OwnershipEntry>> done);
+  void FetchOwnership(const Address& peer, Milliseconds timeout,
+                      ReplyCallback<OwnershipSnapshot> done);
+  void PushOwnership(const Address& peer, std::vector<OwnershipEntry> entries,
+                     Milliseconds timeout, ReplyCallback<Done> done);
 
   /// The called node's own error, or that of the call.
   void TaskCommand(const Address& peer, TaskCall call, Milliseconds timeout,
