Connect the scheduler to the nodes and check that jobs complete

Each node reports its workers' tasks and carries out commands; the node that holds the role schedules with the policy engine. GET /v1/jobs/<name> and /v1/explain/<subject> are answered by any node, which asks the scheduler's.

job_complete_test runs three nodes and four workers: 150 tasks of two jobs each ran once, a job larger than any worker is reported as cannot_run and blocks nothing, 400 cancelled tasks stop and stay stopped over a new scheduler, and the workers' records are dropped.

--- a/src/api/api.cc
+++ b/src/api/api.cc
@@ -148,6 +148,9 @@
   if (path == "/v1/status/config") return GetConfigStatus(exchange);
   if (path == "/v1/status/nodes") return GetNodes(exchange);
   if (path == "/v1/status/workers") return GetWorkers(exchange);
+  if (path.starts_with("/v1/jobs/") || path.starts_with("/v1/explain/")) {
+    return AskScheduler(exchange, path);
+  }
   if (path == "/healthz") return GetHealth(exchange);
   if (path == "/metrics") return GetMetrics(exchange);
   ReplyError(*exchange, {Errc::kNotFound, std::string(path)});
@@ -269,6 +272,17 @@
   ReplyJson(*exchange, kOk, {{"workers", std::move(workers)}});
 }
 
+void Api::AskScheduler(const Exchange& exchange, std::string_view path) {
+  deps_.ask_scheduler(
+      std::string(path), [exchange](const rpc::QueryReply& reply) {
+        net::Response response;
+        response.status = reply.status;
+        response.headers.Add("Content-Type", "application/json");
+        response.body = reply.body;
+        exchange->Reply(response);
+      });
+}
+
 void Api::GetHealth(const Exchange& exchange) {
   const NotRunReason reason = deps_.health();
   if (reason == NotRunReason::kNone) {
--- a/src/api/api.hpp
+++ b/src/api/api.hpp
@@ -16,6 +16,7 @@
 #include "membership/membership.hpp"
 #include "net/http_server.hpp"
 #include "ownership/manager.hpp"
+#include "rpc/task_messages.hpp"
 
 namespace mangospread::api {
 
@@ -30,6 +31,10 @@
   /// kNone when the balancer should send callers to this node.
   std::function<NotRunReason()> health;
   SampleSource samples;
+  /// Answers questions about jobs and decisions.
+  std::function<void(const std::string& path,
+                     std::function<void(rpc::QueryReply)> done)>
+      ask_scheduler;
 };
 
 /// Serves every path but /svc/. Errors are JSON objects with "error" (the
@@ -53,6 +58,7 @@
   void GetConfigStatus(const Exchange& exchange);
   void GetNodes(const Exchange& exchange);
   void GetWorkers(const Exchange& exchange);
+  void AskScheduler(const Exchange& exchange, std::string_view path);
   void GetHealth(const Exchange& exchange);
   void GetMetrics(const Exchange& exchange);
 
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,7 +1,5 @@
 #include "app/node.hpp"
 
-#include <sys/resource.h>
-
 #include <utility>
 
 #include "base/clock.hpp"
@@ -117,24 +115,6 @@
   };
 }
 
-struct ProcessUsage {
-  double cpu_seconds = 0;
-  double resident_bytes = 0;
-};
-
-ProcessUsage ReadProcessUsage() {
-  constexpr double kMicrosPerSecond = 1e6;
-  constexpr double kBytesPerKibibyte = 1024;
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) +
-           static_cast<double>(time.tv_usec) / kMicrosPerSecond;
-  };
-  return {seconds(usage.ru_utime) + seconds(usage.ru_stime),
-          static_cast<double>(usage.ru_maxrss) * kBytesPerKibibyte};
-}
-
 }  // namespace
 
 Node::Node(base::EventLoop& loop, Settings settings, PlatformClients platform,
@@ -189,10 +169,20 @@
             peers_.Forward(peer, std::move(request), std::move(done));
           },
           [this] { return Admission(); }),
+      scheduling_(
+          settings_, incarnation_, WriterRow(settings_, incarnation_, "tasks"),
+          {loop_, *platform_.table, store_, membership_, ownership_, peers_,
+           [this](const NodeId& node, Incarnation incarnation) {
+             return IsGone(node, incarnation);
+           },
+           [this] { return state_ == rpc::NodeState::kReady; }}),
       watches_(loop_, store_, {}),
       api_({store_, editor_, watches_, membership_, ownership_,
             [this] { return SelfView(); }, [this] { return Health(); },
-            [this](auto& samples) { CollectSamples(samples); }}),
+            [this](auto& samples) { CollectSamples(samples); },
+            [this](const std::string& path, auto done) {
+              scheduling_.Query(path, std::move(done));
+            }}),
       server_(loop_, {},
               [this](std::shared_ptr<net::HttpExchange> exchange) {
                 Dispatch(std::move(exchange));
@@ -244,6 +234,14 @@
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
        kHandOverLimit + kFlushTime});
+  supervisor_.Add({"scheduler",
+                   [this]() -> Result<Done> {
+                     scheduling_.Start();
+                     return Done{};
+                   },
+                   [this](std::function<void()> done) {
+                     scheduling_.Stop(std::move(done));
+                   }});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
@@ -333,6 +331,7 @@
       [this](const std::vector<rpc::OwnershipEntry>& entries) {
         ownership_.AdoptRows(ToKnownOwners(entries));
       };
+  scheduling_.AddHandlers(handlers);
   return handlers;
 }
 
@@ -442,78 +441,4 @@
   });
 }
 
-void Node::CollectSamples(std::vector<api::Sample>& samples) const {
-  using api::MetricType;
-  const auto add =
-      [&samples](const char* name, const char* help, MetricType type,
-                 auto value,
-                 std::vector<std::pair<std::string, std::string>> labels = {}) {
-        samples.push_back(
-            {name, help, type, static_cast<double>(value), std::move(labels)});
-      };
-  const auto& requests = gateway_.counters();
-  constexpr const char* kRequestsHelp = "Requests of callers by outcome.";
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.answered,
-      {{"outcome", "answered"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.not_run,
-      {{"outcome", "not-run"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.unknown,
-      {{"outcome", "unknown"}});
-  add("requests_forwarded_total", "Requests passed on to another node.",
-      MetricType::kCounter, requests.forwarded);
-  add("requests_retried_total", "Further sends of a request.",
-      MetricType::kCounter, requests.retried);
-  const ProcessUsage usage = ReadProcessUsage();
-  add("process_cpu_seconds_total", "Processor time of this process.",
-      MetricType::kCounter, usage.cpu_seconds);
-  add("process_resident_bytes", "Highest resident memory of this process.",
-      MetricType::kGauge, usage.resident_bytes);
-  const auto& keys = keys_.counters();
-  for (const auto& [result, value] :
-       {std::pair{"claimed", keys.claimed},
-        std::pair{"replayed", keys.replayed},
-        std::pair{"unknown", keys.unknown},
-        std::pair{"mismatched", keys.mismatched},
-        std::pair{"unavailable", keys.unavailable}}) {
-    add("idempotency_claims_total", "Requests with an idempotency key.",
-        MetricType::kCounter, value, {{"result", result}});
-  }
-  add("idempotency_released_total", "Claims deleted because nothing ran.",
-      MetricType::kCounter, keys.released);
-  add("idempotency_release_delayed_total",
-      "Claims that could not be deleted at once.", MetricType::kCounter,
-      keys.release_failed);
-  add("idempotency_swept_total", "Keys deleted after their retention time.",
-      MetricType::kCounter, key_sweep_.swept());
-  add("config_revision", "Installed configuration revision.",
-      MetricType::kGauge, store_.revision().value());
-  add("config_stale_total", "Dropped changes of a lower revision.",
-      MetricType::kCounter, store_.counters().stale);
-  add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
-      ownership_.owned().size());
-  const auto& ownership = ownership_.counters();
-  add("ownership_claims_total", "Claims sent to workers.", MetricType::kCounter,
-      ownership.claims);
-  add("ownership_claims_refused_total", "Claims that workers refused.",
-      MetricType::kCounter, ownership.claims_refused);
-  add("ownership_grants_total", "Claims granted by a worker without the table.",
-      MetricType::kCounter, ownership.grants);
-  add("ownership_row_conflicts_total", "Ownership writes that lost a race.",
-      MetricType::kCounter, ownership.row_conflicts);
-  add("table_reads_total", "Table reads by purpose.", MetricType::kCounter,
-      ownership.reads, {{"purpose", "ownership"}});
-  for (const auto& [purpose, writer] :
-       {std::pair{"config", &config_writer_},
-        std::pair{"ownership", &ownership_writer_},
-        std::pair{"idempotency", &key_writer_}}) {
-    const auto& counters = writer->counters();
-    add("table_transactions_total", "Table transactions by purpose.",
-        MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
-    add("table_changes_total", "Changes sent in transactions by purpose.",
-        MetricType::kCounter, counters.changes, {{"purpose", purpose}});
-    add("table_unknown_total", "Transactions whose reply was lost.",
-        MetricType::kCounter, counters.unknown, {{"purpose", purpose}});
-  }
-}
-
 }  // namespace mangospread::app
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -7,6 +7,7 @@
 
 #include "api/api.hpp"
 #include "api/watch_hub.hpp"
+#include "app/scheduling.hpp"
 #include "app/settings.hpp"
 #include "app/supervisor.hpp"
 #include "base/event_loop.hpp"
@@ -99,6 +100,7 @@
   gateway::KeyStore keys_;
   gateway::KeySweep key_sweep_;
   gateway::Gateway gateway_;
+  Scheduling scheduling_;
   api::WatchHub watches_;
   api::Api api_;
   net::HttpServer server_;
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -40,6 +40,11 @@
       "longest time that a stop waits for requests in flight");
   add("worker-lease-ms", po::value<std::int64_t>()->default_value(3'000),
       "lease that workers keep for their owner");
+  add("task-lease-ms", po::value<std::int64_t>()->default_value(60'000),
+      "time without a renewal after which workers stop their tasks; has to "
+      "match the workers' own setting");
+  add("cell", po::value<std::string>()->default_value("default"),
+      "scope of one scheduler");
   add("claim-without-table", po::value<bool>()->default_value(true),
       "let a worker whose owner's lease ran out grant a claim while the "
       "table is down");
@@ -171,6 +176,8 @@
   reader.ReadMs("drain-notice-ms", 0, settings.drain_notice);
   reader.ReadMs("stop-limit-ms", 0, settings.stop_limit);
   reader.ReadMs("worker-lease-ms", 500, settings.worker_lease);
+  reader.ReadMs("task-lease-ms", 500, settings.task_lease);
+  settings.cell = reader.Text("cell", true);
   settings.claim_without_table = values["claim-without-table"].as<bool>();
   reader.ReadName<base::Severity>("log-level",
                                   {{"debug", base::Severity::kDebug},
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -31,6 +31,10 @@
   Milliseconds drain_notice{2'000};
   Milliseconds stop_limit{30'000};
   Milliseconds worker_lease{3'000};
+  /// After this time without an owner's renewal a worker stops its tasks.
+  Milliseconds task_lease{60'000};
+  /// Scope of one scheduler.
+  std::string cell = "default";
   bool claim_without_table = true;
   base::Severity log_level = base::Severity::kInfo;
 };
--- /dev/null
+++ b/tests/integration/harness/jobs.cc
@@ -0,0 +1,99 @@
+#include "integration/harness/jobs.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/clock.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kCreated = 201;
+
+}  // namespace
+
+std::map<std::string, std::vector<TaskRun>> CollectRuns(
+    const Cluster& cluster) {
+  std::map<std::string, std::vector<TaskRun>> runs;
+  for (int i = 0; i < cluster.workers(); ++i) {
+    const json record = cluster.WorkerRecord(i);
+    REQUIRE(record.is_object());
+    const std::int64_t now = base::MonotonicNow().count();
+    for (const json& item : record.at("task_runs")) {
+      TaskRun run;
+      run.task = item.at("task").get<std::string>();
+      run.attempt = item.at("attempt").get<int>();
+      run.worker = i;
+      run.started_ns = item.at("started_ns").get<std::int64_t>();
+      run.ended_ns = item.at("ended_ns").get<std::int64_t>();
+      if (run.ended_ns == 0) run.ended_ns = now;
+      run.from_checkpoint = item.at("from_checkpoint").get<std::int64_t>();
+      run.checkpoint =
+          std::atoll(item.at("checkpoint").get<std::string>().c_str());
+      run.phase = item.at("phase").get<std::string>();
+      runs[run.task].push_back(run);
+    }
+  }
+  for (auto& [task, list] : runs) {
+    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
+      return a.started_ns < b.started_ns;
+    });
+  }
+  return runs;
+}
+
+void CheckRunsDoNotOverlap(const Cluster& cluster) {
+  for (const auto& [task, runs] : CollectRuns(cluster)) {
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+      INFO("task ", task, " attempts ", runs[i - 1].attempt, " and ",
+           runs[i].attempt, " on workers ", runs[i - 1].worker, " and ",
+           runs[i].worker);
+      CHECK(runs[i].started_ns >= runs[i - 1].ended_ns);
+      CHECK(runs[i].attempt > runs[i - 1].attempt);
+    }
+  }
+}
+
+void CreateJob(const Cluster& cluster, int node, const std::string& name,
+               const std::string& spec) {
+  const Reply reply =
+      Put(cluster.direct_http(node), "/v1/resources/job/" + name, spec);
+  REQUIRE(reply.status == kCreated);
+}
+
+json JobStatus(const Cluster& cluster, const std::string& name) {
+  for (int i = 0; i < cluster.nodes(); ++i) {
+    const Reply reply = Get(cluster.direct_http(i), "/v1/jobs/" + name);
+    if (!reply.ok()) continue;
+    json body = json::parse(reply.body, nullptr, false);
+    if (body.is_object() && body.contains("counts")) return body;
+  }
+  return {};
+}
+
+int CountIn(const json& status, const std::string& state) {
+  if (!status.is_object()) return -1;
+  return status.at("counts").value(state, -1);
+}
+
+int SchedulerNode(const Cluster& cluster) {
+  for (int i = 0; i < cluster.nodes(); ++i) {
+    const Reply reply = Get(cluster.direct_http(i), "/metrics");
+    if (reply.body.find("scheduler_active 1") != std::string::npos) return i;
+  }
+  return -1;
+}
+
+void WaitForJob(const Cluster& cluster, const std::string& name) {
+  constexpr Milliseconds kDeadline{120'000};
+  WaitUntil("job " + name + " finished", kDeadline, [&cluster, &name] {
+    const json status = JobStatus(cluster, name);
+    return status.is_object() && status.at("finished").get<bool>();
+  });
+}
+
+}  // namespace mangospread::testing
--- /dev/null
+++ b/tests/integration/job_complete_test.cc
@@ -0,0 +1,102 @@
+// Guards against lost jobs, cancelled tasks that go on, and jobs that can never
+// run and block others.
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "integration/harness/jobs.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+
+/// Sum of the counts of all states.
+int Total(const json& status) {
+  int total = 0;
+  if (!status.is_object()) return total;
+  for (const auto& [state, count] : status.at("counts").items()) {
+    total += count.get<int>();
+  }
+  return total;
+}
+
+TEST_CASE("every task of every accepted job ends and is counted once") {
+  ClusterOptions options;
+  options.workers = 4;
+  Cluster cluster(options);
+  CreateJob(cluster, 0, "reconcile",
+            R"({"team":"night","tasks":120,"run_time_ms":200})");
+  CreateJob(cluster, 1, "impossible",
+            R"({"team":"night","tasks":2,"cpu_millis":900000})");
+  CreateJob(cluster, 2, "restock",
+            R"({"team":"day","tasks":30,"run_time_ms":100})");
+  WaitForJob(cluster, "impossible");
+  const json impossible = JobStatus(cluster, "impossible");
+  CHECK(CountIn(impossible, "cannot_run") == 2);
+  CHECK_FALSE(impossible.at("reason").get<std::string>().empty());
+  WaitForJob(cluster, "reconcile");
+  WaitForJob(cluster, "restock");
+  CHECK(CountIn(JobStatus(cluster, "reconcile"), "done") == 120);
+  CHECK(CountIn(JobStatus(cluster, "restock"), "done") == 30);
+  const auto runs = CollectRuns(cluster);
+  CHECK(runs.size() == 150);
+  for (const auto& [task, list] : runs) {
+    INFO("task ", task);
+    CHECK(list.size() == 1);
+  }
+  // The workers' records are dropped once the table has the ends.
+  WaitUntil("ended tasks forgotten", kWaitDeadline, [&cluster] {
+    for (int i = 0; i < cluster.workers(); ++i) {
+      if (cluster.WorkerRecord(i).at("running_tasks") != 0) return false;
+    }
+    return true;
+  });
+}
+
+TEST_CASE("cancelled tasks stop and stay stopped") {
+  ClusterOptions options;
+  options.workers = 4;
+  Cluster cluster(options);
+  constexpr int kTasks = 400;
+  CreateJob(cluster, 0, "wave",
+            R"({"team":"night","tasks":400,"run_time_ms":600000})");
+  WaitUntil("some tasks run", kWaitDeadline, [&cluster] {
+    const json status = JobStatus(cluster, "wave");
+    CHECK((status.is_null() || Total(status) == kTasks));
+    return CountIn(status, "running") >= 20;
+  });
+  REQUIRE(Put(cluster.direct_http(1), "/v1/resources/job/wave",
+              R"({"team":"night","tasks":400,"run_time_ms":600000,)"
+              R"("cancelled":true})")
+              .status == kOk);
+  WaitForJob(cluster, "wave");
+  CHECK(CountIn(JobStatus(cluster, "wave"), "cancelled") == kTasks);
+  const auto check_none_runs = [&cluster] {
+    for (const auto& [task, runs] : CollectRuns(cluster)) {
+      INFO("task ", task);
+      CHECK(runs.size() == 1);
+      CHECK(runs.back().phase == "stopped");
+    }
+  };
+  check_none_runs();
+  // A scheduler that starts afresh must not start them again.
+  const int active = SchedulerNode(cluster);
+  REQUIRE(active >= 0);
+  cluster.RestartNode(active);
+  WaitUntil("a scheduler again", kWaitDeadline,
+            [&cluster] { return SchedulerNode(cluster) >= 0; });
+  CreateJob(cluster, 1, "after",
+            R"({"team":"night","tasks":4,"run_time_ms":50})");
+  WaitForJob(cluster, "after");
+  auto runs = CollectRuns(cluster);
+  std::erase_if(
+      runs, [](const auto& item) { return !item.first.starts_with("wave/"); });
+  for (const auto& [task, list] : runs) CHECK(list.size() == 1);
+  CHECK(CountIn(JobStatus(cluster, "wave"), "cancelled") == kTasks);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
