--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -171,10 +171,20 @@
             peers_.Forward(peer, std::move(request), std::move(done));
           },
           [this] { return Admission(); }),
+      scheduling_(
+          settings_, incarnation_, WriterRow(settings_, incarnation_, "tasks"),
+          {loop_, *platform_.table, store_, membership_, ownership_, peers_,
+           [this](const NodeId& node, Incarnation incarnation) {
+             return IsGone(node, incarnation);
+           },
+           [this] { return state_ == rpc::NodeState::kReady; }}),
       watches_(loop_, store_, {}),
       api_({store_, editor_, watches_, membership_, ownership_,
             [this] { return SelfView(); }, [this] { return Health(); },
-            [this](auto& samples) { CollectSamples(samples); }}),
+            [this](auto& samples) { CollectSamples(samples); },
+            [this](const std::string& path, auto done) {
+              scheduling_.Query(path, std::move(done));
+            }}),
       server_(loop_, {},
               [this](std::shared_ptr<net::HttpExchange> exchange) {
                 Dispatch(std::move(exchange));
@@ -226,6 +236,14 @@
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
        kHandOverLimit + kRecheck});
+  supervisor_.Add({"scheduler",
+                   [this]() -> Result<Done> {
+                     scheduling_.Start();
+                     return Done{};
+                   },
+                   [this](std::function<void()> done) {
+                     scheduling_.Stop(std::move(done));
+                   }});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
@@ -315,6 +333,7 @@
       [this](const std::vector<rpc::OwnershipEntry>& entries) {
         ownership_.AdoptRows(ToKnownOwners(entries));
       };
+  scheduling_.AddHandlers(handlers);
   return handlers;
 }
 
