Add wait queue, limits, retry budget and worker backoff to the gateway

Causes: a request without a free slot was refused at once although slots turn over in milliseconds; limits in ServiceSpec and TeamSpec were not applied; after an owner's death every idempotent request in flight was sent again; a worker that fails at once looked idle and attracted all requests.

WaitQueue keeps 64 requests a service in order of arrival and serves them on slot_free and on heartbeats. A wait ends at the deadline less the median service time, or when the caller has closed its connection (MSG_PEEK, since evhttp does not read while a request is served). A request whose expected wait exceeds its deadline is refused at once. Limiter applies rate (token bucket, one second's burst) and concurrency with 429 and Retry-After. RetryBudget allows a tenth of recent requests (at most 20 saved up, floor one a second), after a random pause. WorkerBackoff takes a worker out by its decaying share of failures, probes it after an exponential pause, and leaves at least half of the owned workers in. Router prefers the own data centre. Samples move to node_samples.cc, router and endpoint call to gateway/routing.

In the case "death of an owner" 200 requests fail at once and at most 21 are sent again.

--- a/include/mangospread/outcome.hpp
+++ b/include/mangospread/outcome.hpp
@@ -28,6 +28,7 @@
   kRefusedByEndpoint,
   kConnectFailed,
   kKeyMismatch,  ///< The idempotency key was used for another request.
+  kCallerGone,   ///< The caller closed its connection; nobody hears of it.
 };
 
 /// Value of the Mangospread-Outcome header: "answered", "not-run" or
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -128,7 +128,7 @@
       ownership_(loop_, MakeOwnershipOptions(settings_, incarnation_),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
-      router_(store_, ownership_, membership_),
+      router_(store_, ownership_, membership_, settings_.data_center),
       keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
             key_writer_,
             [this](const NodeId& node, Incarnation incarnation) {
@@ -156,6 +156,7 @@
       supervisor_(loop_, {}, [this](const Error& /*error*/) { stopped_(1); }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
+  ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   AddChildren();
 }
 
@@ -361,64 +362,7 @@
 
 void Node::OnHeard(const rpc::NodeView& view) {
   sync_.OnPeerRevision(view.rpc_address, view.revision);
-}
-
-void Node::CollectSamples(std::vector<api::Sample>& samples) const {
-  using api::MetricType;
-  const auto add =
-      [&samples](const char* name, const char* help, MetricType type,
-                 auto value,
-                 std::vector<std::pair<std::string, std::string>> labels = {}) {
-        samples.push_back(
-            {name, help, type, static_cast<double>(value), std::move(labels)});
-      };
-  const auto& requests = gateway_.counters();
-  constexpr const char* kRequestsHelp = "Requests of callers by outcome.";
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.answered,
-      {{"outcome", "answered"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.not_run,
-      {{"outcome", "not-run"}});
-  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.unknown,
-      {{"outcome", "unknown"}});
-  add("requests_forwarded_total", "Requests passed on to another node.",
-      MetricType::kCounter, requests.forwarded);
-  add("requests_retried_total", "Further sends of a request.",
-      MetricType::kCounter, requests.retried);
-  const auto& keys = keys_.counters();
-  for (const auto& [result, value] :
-       {std::pair{"claimed", keys.claimed},
-        std::pair{"replayed", keys.replayed},
-        std::pair{"unknown", keys.unknown},
-        std::pair{"mismatched", keys.mismatched},
-        std::pair{"unavailable", keys.unavailable}}) {
-    add("idempotency_claims_total", "Requests with an idempotency key.",
-        MetricType::kCounter, value, {{"result", result}});
-  }
-  add("idempotency_released_total", "Claims deleted because nothing ran.",
-      MetricType::kCounter, keys.released);
-  add("idempotency_release_delayed_total",
-      "Claims that could not be deleted at once.", MetricType::kCounter,
-      keys.release_failed);
-  add("idempotency_swept_total", "Keys deleted after their retention time.",
-      MetricType::kCounter, key_sweep_.swept());
-  add("config_revision", "Installed configuration revision.",
-      MetricType::kGauge, store_.revision().value());
-  add("config_stale_total", "Dropped changes of a lower revision.",
-      MetricType::kCounter, store_.counters().stale);
-  add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
-      ownership_.owned().size());
-  for (const auto& [purpose, writer] :
-       {std::pair{"config", &config_writer_},
-        std::pair{"ownership", &ownership_writer_},
-        std::pair{"idempotency", &key_writer_}}) {
-    const auto& counters = writer->counters();
-    add("table_transactions_total", "Table transactions by purpose.",
-        MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
-    add("table_changes_total", "Changes sent in transactions by purpose.",
-        MetricType::kCounter, counters.changes, {{"purpose", purpose}});
-    add("table_unknown_total", "Transactions whose reply was lost.",
-        MetricType::kCounter, counters.unknown, {{"purpose", purpose}});
-  }
+  gateway_.OnCapacity();
 }
 
 }  // namespace mangospread::app
--- /dev/null
+++ b/src/app/node_samples.cc
@@ -0,0 +1,85 @@
+#include <utility>
+
+#include "app/node.hpp"
+
+namespace mangospread::app {
+
+void Node::CollectSamples(std::vector<api::Sample>& samples) const {
+  using api::MetricType;
+  const auto add =
+      [&samples](const char* name, const char* help, MetricType type,
+                 auto value,
+                 std::vector<std::pair<std::string, std::string>> labels = {}) {
+        samples.push_back(
+            {name, help, type, static_cast<double>(value), std::move(labels)});
+      };
+  const auto& requests = gateway_.counters();
+  constexpr const char* kRequestsHelp = "Requests of callers by outcome.";
+  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.answered,
+      {{"outcome", "answered"}});
+  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.not_run,
+      {{"outcome", "not-run"}});
+  add("requests_total", kRequestsHelp, MetricType::kCounter, requests.unknown,
+      {{"outcome", "unknown"}});
+  add("requests_forwarded_total", "Requests passed on to another node.",
+      MetricType::kCounter, requests.forwarded);
+  add("requests_retried_total", "Further sends of a request.",
+      MetricType::kCounter, requests.retried);
+  add("requests_in_flight", "Requests without an outcome yet.",
+      MetricType::kGauge, gateway_.in_flight());
+  add("retries_denied_total", "Retries that the budget did not allow.",
+      MetricType::kCounter, requests.retries_denied);
+  add("limit_refused_total", "Requests above a limit of team or service.",
+      MetricType::kCounter, gateway_.limiter().refused());
+  add("workers_backed_off", "Workers without requests since they fail them.",
+      MetricType::kGauge, router_.workers_out());
+  const auto& queue = gateway_.queue().counters();
+  add("queue_waiting", "Requests that wait for a slot.", MetricType::kGauge,
+      gateway_.queue().waiting());
+  add("queue_joined_total", "Requests that waited for a slot.",
+      MetricType::kCounter, queue.joined);
+  for (const auto& [end, value] :
+       {std::pair{"sent", queue.sent}, std::pair{"expired", queue.expired},
+        std::pair{"abandoned", queue.abandoned}, std::pair{"full", queue.full},
+        std::pair{"hopeless", requests.hopeless}}) {
+    add("queue_ended_total", "Ends of waits, and requests that did not wait.",
+        MetricType::kCounter, value, {{"end", end}});
+  }
+  const auto& keys = keys_.counters();
+  for (const auto& [result, value] :
+       {std::pair{"claimed", keys.claimed},
+        std::pair{"replayed", keys.replayed},
+        std::pair{"unknown", keys.unknown},
+        std::pair{"mismatched", keys.mismatched},
+        std::pair{"unavailable", keys.unavailable}}) {
+    add("idempotency_claims_total", "Requests with an idempotency key.",
+        MetricType::kCounter, value, {{"result", result}});
+  }
+  add("idempotency_released_total", "Claims deleted because nothing ran.",
+      MetricType::kCounter, keys.released);
+  add("idempotency_release_delayed_total",
+      "Claims that could not be deleted at once.", MetricType::kCounter,
+      keys.release_failed);
+  add("idempotency_swept_total", "Keys deleted after their retention time.",
+      MetricType::kCounter, key_sweep_.swept());
+  add("config_revision", "Installed configuration revision.",
+      MetricType::kGauge, store_.revision().value());
+  add("config_stale_total", "Dropped changes of a lower revision.",
+      MetricType::kCounter, store_.counters().stale);
+  add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
+      ownership_.owned().size());
+  for (const auto& [purpose, writer] :
+       {std::pair{"config", &config_writer_},
+        std::pair{"ownership", &ownership_writer_},
+        std::pair{"idempotency", &key_writer_}}) {
+    const auto& counters = writer->counters();
+    add("table_transactions_total", "Table transactions by purpose.",
+        MetricType::kCounter, counters.transactions, {{"purpose", purpose}});
+    add("table_changes_total", "Changes sent in transactions by purpose.",
+        MetricType::kCounter, counters.changes, {{"purpose", purpose}});
+    add("table_unknown_total", "Transactions whose reply was lost.",
+        MetricType::kCounter, counters.unknown, {{"purpose", purpose}});
+  }
+}
+
+}  // namespace mangospread::app
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -176,6 +176,10 @@
       return {"key_release_delayed", Severity::kWarning};
     case Event::kKeysSwept:
       return {"keys_swept", Severity::kInfo};
+    case Event::kWorkerBackedOff:
+      return {"worker_backed_off", Severity::kWarning};
+    case Event::kWorkerBackInUse:
+      return {"worker_back_in_use", Severity::kInfo};
     case Event::kSchedulerActive:
       return {"scheduler_active", Severity::kInfo};
     case Event::kSchedulerInactive:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -56,6 +56,8 @@
   kSlotHeld = 1507,
   kKeyReleaseDelayed = 1510,
   kKeysSwept = 1511,
+  kWorkerBackedOff = 1520,
+  kWorkerBackInUse = 1521,
   // Scheduler.
   kSchedulerActive = 1601,
   kSchedulerInactive = 1602,
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -42,6 +42,8 @@
       return "connect-failed";
     case NotRunReason::kKeyMismatch:
       return "key-mismatch";
+    case NotRunReason::kCallerGone:
+      return "caller-gone";
   }
   return "none";
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,9 +1,11 @@
 #include "gateway/gateway.hpp"
 
+#include <random>
 #include <utility>
 
-#include "gateway/endpoint_call.hpp"
+#include "base/clock.hpp"
 #include "gateway/request_session.hpp"
+#include "gateway/routing/endpoint_call.hpp"
 
 namespace mangospread::gateway {
 
@@ -16,7 +18,10 @@
       router_(router),
       keys_(keys),
       forward_(std::move(forward)),
-      admission_(std::move(admission)) {}
+      admission_(std::move(admission)),
+      limiter_(store, base::MonotonicNow),
+      queue_(loop, options_.queue),
+      random_(std::random_device{}()) {}
 
 void Gateway::Handle(std::shared_ptr<net::HttpExchange> exchange) {
   std::make_shared<RequestSession>(*this, std::move(exchange))->Start();
@@ -28,14 +33,16 @@
   if (service == nullptr) {
     return done({Outcome::kNotRun, NotRunReason::kUnknownService, {}});
   }
-  const auto worker = router_.PickLocal(*service);
+  // Requests that wait here came first; the peer saw an old advertisement.
+  const bool others_wait = queue_.waiting(request.service) > 0;
+  const auto worker = others_wait ? nullptr : router_.PickLocal(*service);
   ++in_flight_;
-  const bool sent =
-      worker != nullptr &&
-      SendToEndpoint(worker, request, [this, done](rpc::ForwardReply reply) {
-        --in_flight_;
-        done(std::move(reply));
-      });
+  const bool sent = worker != nullptr &&
+                    SendToEndpoint(router_, worker, request,
+                                   [this, done](rpc::ForwardReply reply) {
+                                     --in_flight_;
+                                     done(std::move(reply));
+                                   });
   if (sent) return;
   --in_flight_;
   done({Outcome::kNotRun, NotRunReason::kNoCapacity, {}});
@@ -47,4 +54,25 @@
                    std::to_string(++next_request_));
 }
 
+ServiceStats& Gateway::StatsOf(const ServiceName& service) {
+  const auto it = stats_.find(service);
+  if (it != stats_.end()) return it->second;
+  return stats_.try_emplace(service, base::MonotonicNow()).first->second;
+}
+
+MonotonicTime Gateway::ExpectedWait(const ServiceName& name,
+                                    const ServiceSpec& service) {
+  const int slots = router_.LocalSlots(service);
+  if (slots == 0) return MonotonicTime(0);
+  const auto ahead = static_cast<std::int64_t>(queue_.waiting(name)) + 1;
+  return StatsOf(name).median.value() * ahead / slots;
+}
+
+MonotonicTime Gateway::RetryPause(int sends) {
+  const double most = static_cast<double>(
+      MonotonicTime(options_.retry_pause).count() << (sends - 1));
+  return MonotonicTime(static_cast<std::int64_t>(
+      std::uniform_real_distribution<double>(0, most)(random_)));
+}
+
 }  // namespace mangospread::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,13 +4,17 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
 #include "base/event_loop.hpp"
 #include "config/store.hpp"
 #include "gateway/keys/key_store.hpp"
-#include "gateway/router.hpp"
+#include "gateway/limits/limiter.hpp"
+#include "gateway/limits/service_stats.hpp"
+#include "gateway/limits/wait_queue.hpp"
+#include "gateway/routing/router.hpp"
 #include "net/http_server.hpp"
 #include "rpc/messages.hpp"
 
@@ -28,6 +32,11 @@
   std::size_t max_body_bytes = 8 * 1024 * 1024;
   /// Sends of one request to different places, the first included.
   int max_sends = 3;
+  /// Longest pause before the second send; it doubles with each further one.
+  /// The pause itself is random, so that requests that failed together do not
+  /// come back together.
+  Milliseconds retry_pause{10};
+  WaitQueueOptions queue{};
 };
 
 struct GatewayCounters {
@@ -36,6 +45,8 @@
   std::uint64_t unknown = 0;
   std::uint64_t forwarded = 0;
   std::uint64_t retried = 0;
+  std::uint64_t retries_denied = 0;  ///< The retry budget was used up.
+  std::uint64_t hopeless = 0;        ///< Refused since a wait was too long.
 };
 
 class Gateway {
@@ -54,16 +65,27 @@
   void HandleForwarded(rpc::ForwardRequest request,
                        std::function<void(rpc::ForwardReply)> done);
 
+  /// A slot may have become free, here or at a peer.
+  void OnCapacity() { queue_.Wake(); }
+
   /// Requests that have not been answered yet.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
   [[nodiscard]] const GatewayCounters& counters() const noexcept {
     return counters_;
   }
+  [[nodiscard]] const WaitQueue& queue() const noexcept { return queue_; }
+  [[nodiscard]] const Limiter& limiter() const noexcept { return limiter_; }
 
  private:
   friend class RequestSession;
 
   [[nodiscard]] RequestId NextRequestId();
+  [[nodiscard]] ServiceStats& StatsOf(const ServiceName& service);
+  /// How long one more waiting request would wait, judged by the queue and the
+  /// slots of this node; zero when that cannot be judged.
+  [[nodiscard]] MonotonicTime ExpectedWait(const ServiceName& name,
+                                           const ServiceSpec& service);
+  [[nodiscard]] MonotonicTime RetryPause(int sends);
 
   base::EventLoop& loop_;
   GatewayOptions options_;
@@ -73,6 +95,10 @@
   SendForward forward_;
   std::function<NotRunReason()> admission_;
   GatewayCounters counters_;
+  Limiter limiter_;
+  WaitQueue queue_;
+  std::map<ServiceName, ServiceStats> stats_;
+  std::minstd_rand random_;
   std::uint64_t next_request_ = 0;
   int in_flight_ = 0;
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -1,12 +1,13 @@
 #include "gateway/request_session.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <utility>
 
 #include "base/clock.hpp"
 #include "base/events.hpp"
-#include "gateway/endpoint_call.hpp"
+#include "gateway/routing/endpoint_call.hpp"
 
 namespace mangospread::gateway {
 namespace {
@@ -38,6 +39,11 @@
   return valid ? value : 0;
 }
 
+/// Whole seconds, rounded up.
+std::string RetryAfterSeconds(Milliseconds wait) {
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
+}
+
 }  // namespace
 
 RequestSession::RequestSession(Gateway& gateway,
@@ -46,13 +52,25 @@
   ++gateway_.in_flight_;
 }
 
-RequestSession::~RequestSession() { --gateway_.in_flight_; }
+RequestSession::~RequestSession() {
+  if (limited_) gateway_.limiter_.Leave(request_.service, team_);
+  --gateway_.in_flight_;
+}
 
 void RequestSession::Start() {
   const NotRunReason not_ready = gateway_.admission_();
   if (not_ready != NotRunReason::kNone) return Refuse(not_ready);
   const NotRunReason invalid = Parse();
   if (invalid != NotRunReason::kNone) return Refuse(invalid);
+  const Milliseconds wait =
+      gateway_.limiter_.Enter(request_.service, *service_);
+  if (wait.count() > 0) {
+    retry_after_ = wait;
+    return Refuse(NotRunReason::kLimitExceeded);
+  }
+  limited_ = true;
+  team_ = service_->team;
+  gateway_.StatsOf(request_.service).retries.OnRequest();
   if (key_) return ClaimKey();
   Route();
 }
@@ -118,27 +136,68 @@
 }
 
 void RequestSession::Route() {
+  // Requests that arrived earlier are served first.
+  const bool others_wait = gateway_.queue_.waiting(request_.service) > 0;
+  if (!UpdateForSend()) return;
+  if (others_wait || !TrySend()) Wait();
+}
+
+bool RequestSession::UpdateForSend() {
   const MonotonicTime left = deadline_ - base::MonotonicNow();
   request_.timeout = std::chrono::duration_cast<Milliseconds>(left);
-  if (request_.timeout.count() <= 0) return Refuse(NotRunReason::kDeadline);
-  // Configuration may have changed since the last send.
+  // Configuration may have changed since the request came.
   service_ = gateway_.store_.FindService(request_.service);
-  if (service_ == nullptr) return Refuse(NotRunReason::kUnknownService);
-  if (sends_ >= gateway_.options_.max_sends || !(SendLocal() || SendToPeer())) {
+  if (request_.timeout.count() <= 0) {
+    Refuse(NotRunReason::kDeadline);
+    return false;
+  }
+  if (service_ == nullptr) {
+    Refuse(NotRunReason::kUnknownService);
+    return false;
+  }
+  return true;
+}
+
+bool RequestSession::TrySend() { return SendLocal() || SendToPeer(); }
+
+void RequestSession::Wait() {
+  const MonotonicTime now = base::MonotonicNow();
+  const MonotonicTime usual = gateway_.StatsOf(request_.service).median.value();
+  const MonotonicTime expected =
+      gateway_.ExpectedWait(request_.service, *service_);
+  if (now + expected + usual >= deadline_) {
+    ++gateway_.counters_.hopeless;
+    retry_after_ = std::max(retry_after_,
+                            std::chrono::duration_cast<Milliseconds>(expected));
     return Refuse(NotRunReason::kNoCapacity);
   }
+  WaitEntry entry;
+  entry.service = request_.service;
+  entry.leave_at = deadline_ - usual;
+  const auto self = shared_from_this();
+  // A session that was refused instead has left the queue as well.
+  entry.send = [self] { return !self->UpdateForSend() || self->TrySend(); };
+  entry.caller_gone = [self] { return self->exchange_->caller_gone(); };
+  entry.expired = [self] { self->Refuse(NotRunReason::kNoCapacity); };
+  entry.abandoned = [self] { self->Refuse(NotRunReason::kCallerGone); };
+  if (!gateway_.queue_.Join(std::move(entry))) {
+    Refuse(NotRunReason::kNoCapacity);
+  }
 }
 
 bool RequestSession::SendLocal() {
   const auto worker = gateway_.router_.PickLocal(*service_);
   if (worker == nullptr) return false;
   request_.request_id = gateway_.NextRequestId();
-  const bool sent = SendToEndpoint(
-      worker, request_, [self = shared_from_this()](rpc::ForwardReply reply) {
-        self->OnReply(std::move(reply));
-      });
-  if (sent) ++sends_;
-  return sent;
+  const bool sent =
+      SendToEndpoint(gateway_.router_, worker, request_,
+                     [self = shared_from_this()](rpc::ForwardReply reply) {
+                       self->OnReply(std::move(reply));
+                     });
+  if (!sent) return false;
+  ++sends_;
+  sent_at_ = base::MonotonicNow();
+  return true;
 }
 
 bool RequestSession::SendToPeer() {
@@ -149,13 +208,18 @@
   gateway_.router_.CountForward(peer->node, request_.service);
   ++gateway_.counters_.forwarded;
   ++sends_;
+  sent_at_ = base::MonotonicNow();
   base::Log(base::Event::kRequestForwarded,
             {{"request", request_.request_id.str()},
              {"service", request_.service.str()},
              {"peer", peer->node.str()}});
   gateway_.forward_(
       peer->address, request_,
-      [self = shared_from_this()](Result<rpc::ForwardReply> result) {
+      [self = shared_from_this(),
+       node = peer->node](Result<rpc::ForwardReply> result) {
+        if (!result.ok() || result.value().outcome == Outcome::kNotRun) {
+          self->gateway_.router_.OnForwardFailed(node, self->request_.service);
+        }
         if (result.ok()) return self->OnReply(std::move(result.value()));
         const bool never_sent = result.error().code == Errc::kConnectFailed;
         self->OnReply({never_sent ? Outcome::kNotRun : Outcome::kUnknown,
@@ -166,18 +230,34 @@
 }
 
 void RequestSession::OnReply(rpc::ForwardReply reply) {
-  if (reply.outcome == Outcome::kAnswered) return Finish(reply);
+  if (reply.outcome == Outcome::kAnswered) {
+    gateway_.StatsOf(request_.service)
+        .median.Add(base::MonotonicNow() - sent_at_);
+    return Finish(std::move(reply));
+  }
   if (reply.outcome == Outcome::kUnknown) {
     maybe_run_ = true;
-    if (!request_.idempotent) return Finish(reply);
+    if (!request_.idempotent) return Finish(std::move(reply));
+  }
+  if (!Retry(reply)) Refuse(reply.reason);
+}
+
+bool RequestSession::Retry(const rpc::ForwardReply& reply) {
+  if (sends_ >= gateway_.options_.max_sends) return false;
+  auto& budget = gateway_.StatsOf(request_.service).retries;
+  if (!budget.Take(base::MonotonicNow())) {
+    ++gateway_.counters_.retries_denied;
+    return false;
   }
-  if (sends_ >= gateway_.options_.max_sends) return Refuse(reply.reason);
   ++gateway_.counters_.retried;
   base::Log(base::Event::kRequestRetried,
             {{"request", request_.request_id.str()},
              {"service", request_.service.str()},
              {"outcome", OutcomeName(reply.outcome)}});
-  Route();
+  retry_timer_ =
+      gateway_.loop_.After(gateway_.RetryPause(sends_),
+                           [self = shared_from_this()] { self->Route(); });
+  return true;
 }
 
 void RequestSession::Refuse(NotRunReason reason) {
@@ -222,8 +302,9 @@
       out.status = NotRunStatus(reply.reason);
       out.headers.Add(kReasonHeader,
                       std::string(NotRunReasonName(reply.reason)));
-      if (out.status == NotRunStatus(NotRunReason::kNoCapacity)) {
-        out.headers.Add("Retry-After", "1");
+      if (out.status == NotRunStatus(NotRunReason::kNoCapacity) ||
+          reply.reason == NotRunReason::kLimitExceeded) {
+        out.headers.Add("Retry-After", RetryAfterSeconds(retry_after_));
       }
       base::Log(base::Event::kRequestRefused,
                 {{"service", request_.service.str()},
--- a/src/gateway/request_session.hpp
+++ b/src/gateway/request_session.hpp
@@ -27,7 +27,16 @@
   [[nodiscard]] NotRunReason Parse();
   void ClaimKey();
   void OnClaim(ClaimResult result);
+  /// Sends the request, or lets it wait for a slot.
   void Route();
+  /// Sends the request to a worker or a peer with a free slot.
+  [[nodiscard]] bool TrySend();
+  void Wait();
+  /// Updates deadline and service before a send.
+  /// @return false when the request was refused instead.
+  [[nodiscard]] bool UpdateForSend();
+  /// Whether the outcome of a send allows another; plans it if so.
+  [[nodiscard]] bool Retry(const rpc::ForwardReply& reply);
   [[nodiscard]] bool SendLocal();
   [[nodiscard]] bool SendToPeer();
   void OnReply(rpc::ForwardReply reply);
@@ -42,6 +51,11 @@
   const ServiceSpec* service_ = nullptr;
   MonotonicTime deadline_{0};
   std::set<NodeId> tried_;
+  TeamName team_;  ///< Set while the request counts against limits.
+  bool limited_ = false;
+  Milliseconds retry_after_{1'000};
+  MonotonicTime sent_at_{0};
+  base::Timer retry_timer_;
   int sends_ = 0;
   bool maybe_run_ = false;
   std::optional<KeyUse> key_;
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/routing/endpoint_call.cc
@@ -1,4 +1,4 @@
-#include "gateway/endpoint_call.hpp"
+#include "gateway/routing/endpoint_call.hpp"
 
 #include <string>
 #include <utility>
@@ -67,10 +67,12 @@
 
 }  // namespace
 
-bool SendToEndpoint(const std::shared_ptr<ownership::OwnedWorker>& worker,
+bool SendToEndpoint(Router& router,
+                    const std::shared_ptr<ownership::OwnedWorker>& worker,
                     const rpc::ForwardRequest& request,
                     std::function<void(rpc::ForwardReply)> done) {
   if (!worker->Acquire(request.request_id)) return false;
+  router.OnSent(worker->vm().name);
   base::Log(base::Event::kRequestRouted,
             {{"request", request.request_id.str()},
              {"service", request.service.str()},
@@ -82,9 +84,11 @@
   options.echo_header = worker::kRequestIdHeader;
   worker->requests().Send(MakeEndpointRequest(request, worker->fence()),
                           options,
-                          [worker, id = request.request_id,
+                          [&router, worker, id = request.request_id,
                            done = std::move(done)](net::CallResult call) {
-                            done(Settle(*worker, id, std::move(call)));
+                            auto reply = Settle(*worker, id, std::move(call));
+                            router.OnResult(worker->vm().name, reply);
+                            done(std::move(reply));
                           });
   return true;
 }
--- a/src/gateway/endpoint_call.hpp
+++ b/src/gateway/routing/endpoint_call.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "gateway/routing/router.hpp"
 #include "mangospread/outcome.hpp"
 #include "ownership/owned_worker.hpp"
 #include "rpc/messages.hpp"
@@ -25,7 +26,7 @@
 ///
 /// @return false, without calling `done`, when there is no free slot.
 [[nodiscard]] bool SendToEndpoint(
-    const std::shared_ptr<ownership::OwnedWorker>& worker,
+    Router& router, const std::shared_ptr<ownership::OwnedWorker>& worker,
     const rpc::ForwardRequest& request,
     std::function<void(rpc::ForwardReply)> done);
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -121,6 +122,17 @@
   return raw_ != nullptr && evhttp_request_get_connection(raw_) != nullptr;
 }
 
+bool HttpExchange::caller_gone() const noexcept {
+  if (raw_ == nullptr) return false;
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  if (connection == nullptr) return true;
+  const int fd =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  char byte = 0;
+  const ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 HttpServer::HttpServer(base::EventLoop& loop, HttpServerLimits limits,
                        Handler handler)
     : http_(evhttp_new(loop.raw())), handler_(std::move(handler)) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -45,6 +45,9 @@
 
   /// False once the client's connection is gone.
   [[nodiscard]] bool connected() const noexcept;
+  /// True if the client has closed its connection before the reply. evhttp
+  /// does not read while a request is served, so this asks the socket.
+  [[nodiscard]] bool caller_gone() const noexcept;
   [[nodiscard]] bool replied() const noexcept { return raw_ == nullptr; }
 
  private:
--- a/src/rpc/codec.cc
+++ b/src/rpc/codec.cc
@@ -132,7 +132,7 @@
   ForwardReply reply;
   reply.outcome =
       DecodeEnum(in.getOutcome(), Outcome::kUnknown, Outcome::kUnknown);
-  reply.reason = DecodeEnum(in.getReason(), NotRunReason::kKeyMismatch,
+  reply.reason = DecodeEnum(in.getReason(), NotRunReason::kCallerGone,
                             NotRunReason::kNone);
   reply.response.status = in.getStatus();
   reply.response.headers = DecodeHeaders(in.getHeaders());
