Check the right to send at the write, and filter header fields

A caller's own Mangospread-Owner and Mangospread-Epoch were passed on before the system's fields, so an endpoint read the caller's fence first. Fields listed in Connection and Expect reached the endpoint. The right to send was checked only at the routing decision; on a new connection the bytes leave after the connect, so a pause in between was not noticed. The client now asks CallOptions::may_send when the bytes are queued and shuts the socket down for writing if the worker no longer accepts work; a posted close alone was tried and is too late, since libevent writes before it returns to the loop. An interim response such as 103 was taken as the final one. HEAD and 304 lost the Content-Length of the body they describe.

Ruled out by tests that passed before any change: a close-delimited body, a cut body, 204, 304, HEAD and 100-continue responses, and targets with query and encoded characters were handled correctly.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -8,11 +8,13 @@
 #include "base/clock.hpp"
 #include "base/events.hpp"
 #include "gateway/routing/endpoint_call.hpp"
+#include "gateway/routing/headers.hpp"
 
 namespace mangospread::gateway {
 namespace {
 
 constexpr std::string_view kServicePrefix = "/svc/";
+constexpr int kNotModified = 304;
 constexpr int kGatewayTimeout = 504;
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 
@@ -289,12 +291,10 @@
       ++gateway_.counters_.answered;
       out.status = reply.response.status;
       out.body = reply.response.body;
-      for (const auto& [name, value] : reply.response.headers) {
-        if (!net::IsHopByHop(name) &&
-            !net::EqualsIgnoreCase(name, kOutcomeHeader)) {
-          out.headers.Add(name, value);
-        }
-      }
+      out.headers =
+          ResponseHeaders(reply.response.headers,
+                          request_.request.method == net::Method::kHead ||
+                              reply.response.status == kNotModified);
       if (replayed_) out.headers.Add(kReplayedHeader, "true");
       break;
     case Outcome::kNotRun:
--- a/src/gateway/routing/endpoint_call.cc
+++ b/src/gateway/routing/endpoint_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/events.hpp"
+#include "gateway/routing/headers.hpp"
 #include "worker/codec.hpp"
 
 namespace mangospread::gateway {
@@ -22,9 +23,9 @@
   out.method = request.request.method;
   out.target = request.request.target;
   out.body = request.request.body;
-  for (const auto& [name, value] : request.request.headers) {
-    if (!net::IsHopByHop(name)) out.headers.Add(name, value);
-  }
+  // A forwarded request is filtered here as well: this is the last point
+  // before the endpoint.
+  out.headers = RequestHeaders(request.request.headers);
   out.headers.Add(worker::kServiceHeader, request.service.str());
   out.headers.Add(worker::kOwnerHeader, fence.owner.str());
   out.headers.Add(worker::kEpochHeader, std::to_string(fence.epoch.value()));
@@ -82,6 +83,7 @@
   options.timeout = request.timeout;
   options.max_idle = request.idempotent ? kMaxIdle : kProvenAlive;
   options.echo_header = worker::kRequestIdHeader;
+  options.may_send = [worker] { return worker->accepts_work(); };
   worker->requests().Send(MakeEndpointRequest(request, worker->fence()),
                           options,
                           [&router, worker, id = request.request_id,
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -54,8 +54,11 @@
 /// evhttp takes a body that ends with the connection as complete wherever the
 /// peer stops, so only a declared length or chunks prove the end.
 bool HasVerifiableEnd(const Response& response, Method method) {
+  constexpr int kFirstFinal = 200;
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
+  // evhttp takes an interim response other than 100 for the final one.
+  if (response.status < kFirstFinal) return false;
   return method == Method::kHead || response.status == kNoContent ||
          response.status == kNotModified ||
          response.headers.Has("Content-Length") ||
@@ -127,6 +130,7 @@
   void Start(const Request& request, std::unique_ptr<PendingCall> call) {
     call_ = std::move(call);
     sent_ = false;
+    forbidden_ = false;
     error_ = Errc::kConnectionLost;
     evhttp_request* raw = evhttp_request_new(OnDone, this);
     evhttp_request_set_error_cb(raw, OnError);
@@ -158,7 +162,24 @@
  private:
   static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                        void* arg) {
-    if (info->n_deleted > 0) static_cast<ClientConnection*>(arg)->sent_ = true;
+    auto* self = static_cast<ClientConnection*>(arg);
+    // After the shutdown bytes leave the buffer only to be dropped.
+    if (info->n_deleted > 0 && !self->forbidden_) self->sent_ = true;
+    if (info->n_added > 0) self->CheckMaySend();
+  }
+
+  /// Bytes were queued and libevent may write them before it returns to the
+  /// loop, so the socket itself is kept from sending them.
+  void CheckMaySend() {
+    if (call_ == nullptr || forbidden_ || !call_->options.may_send) return;
+    if (call_->options.may_send()) return;
+    forbidden_ = true;
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)),
+             SHUT_WR);
+    pool_.loop_.Post([self = shared_from_this()] {
+      if (!self->forbidden_ || self->call_ == nullptr) return;
+      self->Finish(Errc::kNotOwner);
+    });
   }
 
   static void OnError(evhttp_request_error error, void* arg) {
@@ -257,6 +278,7 @@
   MonotonicTime last_answer_{0};
   Errc error_ = Errc::kConnectionLost;
   bool sent_ = false;
+  bool forbidden_ = false;
   bool starting_ = false;
   bool no_delay_ = false;
 };
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -37,6 +37,10 @@
   Milliseconds max_idle{30'000};
   /// Header that the peer may echo; an echo with another value is an error.
   std::string echo_header;
+  /// Asked again when the request's bytes are about to be written, which on a
+  /// new connection is later than Send: the process may have been paused since.
+  /// When it says no, nothing is written and the error is kNotOwner.
+  std::function<bool()> may_send{};
 };
 
 struct PoolLimits {
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -32,10 +32,11 @@
 }
 
 bool IsHopByHop(std::string_view name) noexcept {
-  static constexpr std::array<std::string_view, 9> kNames = {
+  static constexpr std::array<std::string_view, 10> kNames = {
       "connection",          "keep-alive", "proxy-authenticate",
       "proxy-authorization", "te",         "trailer",
-      "transfer-encoding",   "upgrade",    "content-length"};
+      "transfer-encoding",   "upgrade",    "content-length",
+      "proxy-connection"};
   return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view own) {
     return EqualsIgnoreCase(own, name);
   });
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -17,6 +17,7 @@
   void Add(std::string name, std::string value) {
     entries_.emplace_back(std::move(name), std::move(value));
   }
+  void Reserve(std::size_t count) { entries_.reserve(count); }
   /// First value, or an empty view when there is none.
   [[nodiscard]] std::string_view Get(std::string_view name) const noexcept;
   [[nodiscard]] bool Has(std::string_view name) const noexcept;
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -128,6 +128,22 @@
   CHECK(gateway.in_flight() == 0);
 }
 
+// Guards against targets and fields that are changed, or fencing fields that
+// are passed on, between caller and endpoint.
+TEST_CASE_FIXTURE(Fixture, "target is passed on as received") {
+  const auto target_for = [this](const char* target) {
+    Advertise("p", 1);
+    gateway.Handle(std::make_shared<net::HttpExchange>(
+        nullptr, net::Request{net::Method::kGet, target, {}, ""}));
+    Answer(Answered());
+    return sent.back().request.target;
+  };
+  CHECK(target_for("/svc/s/a%2Fb%20c?x=%26&y=/svc/s/") ==
+        "/a%2Fb%20c?x=%26&y=/svc/s/");
+  CHECK(target_for("/svc/s?q=1") == "/?q=1");
+  CHECK(target_for("/svc/s") == "/");
+}
+
 // Guards against a refusal while a peer is about to have room.
 TEST_CASE_FIXTURE(Fixture, "request waits until a peer has a slot") {
   Send(net::Method::kPost);
--- /dev/null
+++ b/tests/unit/headers_test.cc
@@ -0,0 +1,48 @@
+#include "gateway/routing/headers.hpp"
+
+#include <doctest/doctest.h>
+
+namespace mangospread::gateway {
+namespace {
+
+net::Headers Make(
+    std::initializer_list<std::pair<const char*, const char*>> fields) {
+  net::Headers headers;
+  for (const auto& [name, value] : fields) headers.Add(name, value);
+  return headers;
+}
+
+// Guards against callers that command a worker past its owner's fence, and
+// against fields of one connection that reach the next.
+TEST_CASE("request fields for the endpoint") {
+  const auto out = RequestHeaders(Make({{"Accept", "a"},
+                                        {"mangospread-epoch", "99"},
+                                        {"Mangospread-Owner", "evil"},
+                                        {"Mangospread-Refused", "full"},
+                                        {"Expect", "100-continue"},
+                                        {"Connection", "close, X-Hop"},
+                                        {"x-hop", "1"},
+                                        {"TE", "trailers"},
+                                        {"Proxy-Connection", "close"},
+                                        {"Content-Length", "5"},
+                                        {"Idempotency-Key", "k"}}));
+  CHECK(out.size() == 2);
+  CHECK(out.Has("Accept"));
+  CHECK(out.Has("Idempotency-Key"));
+}
+
+// Guards against an endpoint that reports an outcome in the system's name.
+TEST_CASE("response fields for the caller") {
+  const auto in = Make({{"Mangospread-Outcome", "not-run"},
+                        {"Mangospread-Replayed", "true"},
+                        {"Mangospread-Request-Id", "n-1-1"},
+                        {"Connection", "X-Hop"},
+                        {"X-Hop", "1"},
+                        {"Content-Length", "500"},
+                        {"ETag", "e"}});
+  CHECK(ResponseHeaders(in, false).size() == 2);
+  CHECK(ResponseHeaders(in, true).Get("content-length") == "500");
+}
+
+}  // namespace
+}  // namespace mangospread::gateway
