--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -154,7 +154,7 @@
                      [this] { return state_ != rpc::NodeState::kStarting; }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
-      router_(store_, ownership_, membership_),
+      router_(store_, ownership_, membership_, settings_.data_center),
       keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
             key_writer_,
             [this](const NodeId& node, Incarnation incarnation) {
@@ -194,6 +194,7 @@
       [this](const rpc::NodeView& view) { OnHeard(view); });
   ownership_.owner_changed().connect(
       [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
+  ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   AddChildren();
 }
 
@@ -449,6 +450,7 @@
                            [](const Result<Done>& /*done*/) {});
     }
   });
+  gateway_.OnCapacity();
 }
 
 }  // namespace mangospread::app
--- a/src/app/node_samples.cc
+++ b/src/app/node_samples.cc
@@ -54,6 +54,26 @@
       MetricType::kCounter, usage.cpu_seconds);
   add("process_resident_bytes", "Highest resident memory of this process.",
       MetricType::kGauge, usage.resident_bytes);
+  add("requests_in_flight", "Requests without an outcome yet.",
+      MetricType::kGauge, gateway_.in_flight());
+  add("retries_denied_total", "Retries that the budget did not allow.",
+      MetricType::kCounter, requests.retries_denied);
+  add("limit_refused_total", "Requests above a limit of team or service.",
+      MetricType::kCounter, gateway_.limiter().refused());
+  add("workers_backed_off", "Workers without requests since they fail them.",
+      MetricType::kGauge, router_.workers_out());
+  const auto& queue = gateway_.queue().counters();
+  add("queue_waiting", "Requests that wait for a slot.", MetricType::kGauge,
+      gateway_.queue().waiting());
+  add("queue_joined_total", "Requests that waited for a slot.",
+      MetricType::kCounter, queue.joined);
+  for (const auto& [end, value] :
+       {std::pair{"sent", queue.sent}, std::pair{"expired", queue.expired},
+        std::pair{"abandoned", queue.abandoned}, std::pair{"full", queue.full},
+        std::pair{"hopeless", requests.hopeless}}) {
+    add("queue_ended_total", "Ends of waits, and requests that did not wait.",
+        MetricType::kCounter, value, {{"end", end}});
+  }
   const auto& keys = keys_.counters();
   for (const auto& [result, value] :
        {std::pair{"claimed", keys.claimed},
