Speed up placement and offer the benchmark's wave at two levels

A refused request now answers for equal or larger ones within a round, and pairs are looked up once a decision. The wave is now offered at half of the processors (a night) and above what fits (overload).

--- a/src/scheduler/policy/engine.cc
+++ b/src/scheduler/policy/engine.cc
@@ -13,7 +13,7 @@
 constexpr MonotonicTime kFleetStable = std::chrono::seconds(5);
 /// Groups of tasks that may fail to be placed in one call; the others are
 /// tried in the next calls, because a failed group backs off.
-constexpr int kMostFailures = 32;
+constexpr std::size_t kMostFailures = 32;
 /// After this, urgent work takes any interference.
 constexpr MonotonicTime kUrgentPatience = std::chrono::seconds(1);
 /// An eviction that has not freed room by then is planned elsewhere; twice
@@ -163,9 +163,10 @@
 
 void Engine::DecideQueued(std::size_t limit, std::vector<Decision>& decisions) {
   queue_.BeginRound(now_, {book_.total_cpu(), book_.total_accelerators()});
+  refused_.clear();
+  attempts_ = 0;
   std::size_t placed = 0;
-  int failures = 0;
-  while (placed < limit && failures < kMostFailures) {
+  while (placed < limit && attempts_ < placed + kMostFailures) {
     const Queue::Offer* offer = queue_.Next();
     if (offer == nullptr) return;
     if (DropImpossible(*offer, decisions)) continue;
@@ -173,7 +174,6 @@
       ++placed;
     } else {
       queue_.Skip();
-      ++failures;
     }
   }
 }
@@ -210,15 +210,33 @@
   tuning.interference_limit *= std::min(
       kMostRelaxed,
       1.0 + std::chrono::duration<double>(waited).count() / kRelaxSeconds);
+  if (RefusedBefore(request, tuning.interference_limit)) return false;
+  ++attempts_;
   Choice choice = placement_.Choose(request, tuning);
   if (choice.refusal == Refusal::kNone) {
     queue_.Take();
     PlaceOn(demand, task_class, std::move(choice), decisions);
     return true;
   }
-  if (choice.refusal != Refusal::kNoRoom) return false;
-  if (demand.urgent) return HoldForUrgent(offer, need, decisions);
-  return waited >= kHoldAfter && HoldForLarge(offer, need);
+  const bool no_room = choice.refusal == Refusal::kNoRoom;
+  if (no_room && demand.urgent) return HoldForUrgent(offer, need, decisions);
+  if (no_room && waited >= kHoldAfter && HoldForLarge(offer, need)) return true;
+  refused_.push_back(
+      {task_class, need, no_room ? -1.0 : tuning.interference_limit});
+  return false;
+}
+
+bool Engine::RefusedBefore(const PlacementRequest& request,
+                           double limit) const {
+  if (request.demand->urgent) return false;
+  return std::any_of(
+      refused_.begin(), refused_.end(), [&](const Refused& refused) {
+        return refused.task_class == request.task_class &&
+               (refused.limit < 0 || limit <= refused.limit) &&
+               refused.need.cpu <= request.need.cpu &&
+               refused.need.memory <= request.need.memory &&
+               refused.need.accelerators <= request.need.accelerators;
+      });
 }
 
 bool Engine::HoldForUrgent(const Queue::Offer& offer, const Need& need,
@@ -320,6 +338,8 @@
 void Engine::Predict(WorkerEntry& entry) const {
   for (ServiceSlot& slot : entry.services) {
     slot.predicted = 0;
+    slot.pressure_slope = model_.PressureSlope(slot.service_class);
+    slot.alone = model_.PredictAlone(slot.service_class, slot.level);
     for (const Resident& resident : entry.residents) {
       const double running = 1.0 - resident.ordered_throttle / 100.0;
       slot.predicted +=
--- a/src/scheduler/policy/engine_impl.hpp
+++ b/src/scheduler/policy/engine_impl.hpp
@@ -48,6 +48,14 @@
     MonotonicTime expires_at{0};
   };
 
+  /// A request that was refused in the present round. Room only shrinks within
+  /// a round, so that an equal or larger one needs no second look.
+  struct Refused {
+    ClassIndex task_class = kOtherClass;
+    Need need;
+    double limit = 0;  ///< Interference limit; below 0 there was no room.
+  };
+
   // Decisions.
   void DecideHeld(std::vector<Decision>& decisions);
   void DecideQueued(std::size_t limit, std::vector<Decision>& decisions);
@@ -55,6 +63,8 @@
   bool DropImpossible(const Queue::Offer& offer,
                       std::vector<Decision>& decisions);
   bool TryPlace(const Queue::Offer& offer, std::vector<Decision>& decisions);
+  [[nodiscard]] bool RefusedBefore(const PlacementRequest& request,
+                                   double limit) const;
   bool HoldForUrgent(const Queue::Offer& offer, const Need& need,
                      std::vector<Decision>& decisions);
   bool HoldForLarge(const Queue::Offer& offer, const Need& need);
@@ -90,6 +100,8 @@
   Guard guard_;
   Queue queue_;
   std::map<TaskId, Held> held_;
+  std::vector<Refused> refused_;
+  std::size_t attempts_ = 0;
   /// Workers whose allowance was limited when last looked at.
   std::vector<VmName> limited_;
   std::uint64_t seen_arrivals_ = 0;
--- a/src/scheduler/policy/interference.cc
+++ b/src/scheduler/policy/interference.cc
@@ -78,19 +78,22 @@
           kPriorVariance};
 }
 
-Effect InterferenceModel::Predict(ClassIndex aggressor, ClassIndex victim,
-                                  double level) const {
-  const double high = std::clamp(level, 0.0, 1.0);
-  const double low = 1 - high;
+Effect PairEffect::At(double level) const {
+  const double share = std::clamp(level, 0.0, 1.0);
+  const double rest = 1 - share;
+  return {std::max(0.0, rest * low.mean + share * high.mean),
+          rest * rest * low.variance + share * share * high.variance};
+}
+
+PairEffect InterferenceModel::Find(ClassIndex aggressor,
+                                   ClassIndex victim) const {
   const auto found = pairs_.find(Key(aggressor, victim));
   if (found == pairs_.end() ||
       found->second.generations != Generations(aggressor, victim)) {
     const Coefficient prior = Prior(aggressor);
-    return {prior.mean, prior.variance};
+    return {prior, prior};
   }
-  const Pair& pair = found->second;
-  return {std::max(0.0, low * pair.low.mean + high * pair.high.mean),
-          low * low * pair.low.variance + high * high * pair.high.variance};
+  return {found->second.low, found->second.high};
 }
 
 double InterferenceModel::PredictAlone(ClassIndex victim, double level) const {
@@ -102,12 +105,9 @@
          span.share_above * knots[span.below + 1].mean;
 }
 
-double InterferenceModel::PressureEffect(ClassIndex victim,
-                                         double pressure) const {
+double InterferenceModel::PressureSlope(ClassIndex victim) const {
   const auto found = victims_.find(victim);
-  const double slope =
-      found == victims_.end() ? kPressurePrior : found->second.pressure.mean;
-  return slope * pressure;
+  return found == victims_.end() ? kPressurePrior : found->second.pressure.mean;
 }
 
 InterferenceModel::Pair& InterferenceModel::FindPair(ClassIndex aggressor,
--- a/src/scheduler/policy/interference.hpp
+++ b/src/scheduler/policy/interference.hpp
@@ -25,6 +25,13 @@
   double amount = 0;
 };
 
+/// Effect of a pair, linear in the victim's load.
+struct PairEffect {
+  Effect low;
+  Effect high;
+  [[nodiscard]] Effect At(double level) const;
+};
+
 /// One measurement of a service's p99, or of a task's run time.
 struct Observation {
   ClassIndex victim = kOtherClass;
@@ -50,12 +57,15 @@
 
   explicit InterferenceModel(const ClassTable& classes) : classes_(classes) {}
 
+  [[nodiscard]] PairEffect Find(ClassIndex aggressor, ClassIndex victim) const;
   [[nodiscard]] Effect Predict(ClassIndex aggressor, ClassIndex victim,
-                               double level) const;
+                               double level) const {
+    return Find(aggressor, victim).At(level);
+  }
   /// Expected ln(p99) of the victim without tasks.
   [[nodiscard]] double PredictAlone(ClassIndex victim, double level) const;
-  /// Increase of ln(p99) by the worker's processor use.
-  [[nodiscard]] double PressureEffect(ClassIndex victim, double pressure) const;
+  /// Increase of ln(p99) for each unit of CpuPressure.
+  [[nodiscard]] double PressureSlope(ClassIndex victim) const;
 
   void Learn(const Observation& observation);
   /// Learns from a deliberate change of one aggressor, all else being equal.
@@ -65,10 +75,7 @@
   [[nodiscard]] std::size_t pairs() const noexcept { return pairs_.size(); }
 
  private:
-  struct Coefficient {
-    double mean = 0;
-    double variance = 0;
-  };
+  using Coefficient = Effect;
   /// Effect at no load and at full load.
   struct Pair {
     Coefficient low;
--- a/src/scheduler/policy/placement.cc
+++ b/src/scheduler/policy/placement.cc
@@ -59,7 +59,7 @@
 
 double Placement::ServiceCost(const WorkerEntry& entry,
                               const PlacementRequest& request,
-                              const Tuning& tuning, Scored& scored) const {
+                              const Tuning& tuning, Scored& scored) {
   double cost = 0;
   const double capacity =
       std::max(1.0, static_cast<double>(entry.capacity.cpu.value()));
@@ -69,20 +69,16 @@
       std::max(0.0, CpuPressure(scored.cpu_share) - before);
   for (const ServiceSlot& slot : entry.services) {
     const Effect effect =
-        model_.Predict(request.task_class, slot.service_class, slot.level);
-    const double added =
-        effect.mean + tuning.pessimism * std::sqrt(effect.variance) +
-        model_.PressureEffect(slot.service_class, added_pressure);
-    const double total = slot.predicted +
-                         model_.PressureEffect(slot.service_class, before) +
-                         added;
+        CachedEffect(request.task_class, slot.service_class).At(slot.level);
+    const double added = effect.mean +
+                         tuning.pessimism * std::sqrt(effect.variance) +
+                         slot.pressure_slope * added_pressure;
+    const double total = slot.predicted + slot.pressure_slope * before + added;
     double excess = std::max(0.0, total - tuning.interference_limit);
     const auto objective = static_cast<double>(slot.load.objective_p99.count());
     if (objective > 0) {
-      const double expected =
-          model_.PredictAlone(slot.service_class, slot.level) + total;
-      excess =
-          std::max(excess, expected - std::log(kObjectiveShare * objective));
+      excess = std::max(
+          excess, slot.alone + total - std::log(kObjectiveShare * objective));
     }
     if (slot.load.guard && excess > 0) scored.acceptable = false;
     cost += (slot.load.guard ? 1.0 : kUnguardedWeight) *
@@ -93,11 +89,22 @@
   return cost;
 }
 
+const PairEffect& Placement::CachedEffect(ClassIndex aggressor,
+                                          ClassIndex victim) {
+  if (victim >= effects_.size()) effects_.resize(victim + std::size_t{1});
+  CachedPair& cached = effects_[victim];
+  if (cached.decision != decision_) {
+    cached.decision = decision_;
+    cached.effect = model_.Find(aggressor, victim);
+  }
+  return cached.effect;
+}
+
 double Placement::TaskCost(const WorkerEntry& entry,
-                           const PlacementRequest& request) const {
+                           const PlacementRequest& request) {
   double cost = 0;
   for (const Resident& resident : entry.residents) {
-    cost += model_.Predict(request.task_class, resident.task_class, 0).mean +
+    cost += CachedEffect(request.task_class, resident.task_class).At(0).mean +
             model_.Predict(resident.task_class, request.task_class, 0).mean;
   }
   return cost;
@@ -113,7 +120,7 @@
 
 Placement::Scored Placement::Score(std::size_t worker,
                                    const PlacementRequest& request,
-                                   const Tuning& tuning) const {
+                                   const Tuning& tuning) {
   const WorkerEntry& entry = book_.entries()[worker];
   const Room& room = book_.rooms()[worker];
   Scored scored;
@@ -168,6 +175,7 @@
                          const Tuning& tuning) {
   Collect(request);
   if (candidates_.empty()) return Choice{};
+  ++decision_;
   scored_.clear();
   for (const std::size_t worker : candidates_) {
     scored_.push_back(Score(worker, request, tuning));
--- a/src/scheduler/policy/placement.hpp
+++ b/src/scheduler/policy/placement.hpp
@@ -78,12 +78,15 @@
   void Collect(const PlacementRequest& request);
   [[nodiscard]] Scored Score(std::size_t worker,
                              const PlacementRequest& request,
-                             const Tuning& tuning) const;
+                             const Tuning& tuning);
   [[nodiscard]] double ServiceCost(const WorkerEntry& entry,
                                    const PlacementRequest& request,
-                                   const Tuning& tuning, Scored& scored) const;
+                                   const Tuning& tuning, Scored& scored);
   [[nodiscard]] double TaskCost(const WorkerEntry& entry,
-                                const PlacementRequest& request) const;
+                                const PlacementRequest& request);
+  /// Effect of the present newcomer's class, looked up once a decision.
+  [[nodiscard]] const PairEffect& CachedEffect(ClassIndex aggressor,
+                                               ClassIndex victim);
   [[nodiscard]] double RackShare(const JobName& job, std::uint32_t rack) const;
   [[nodiscard]] bool TakeExploration(const Scored& scored);
   [[nodiscard]] Choice Finish(const PlacementRequest& request,
@@ -96,6 +99,12 @@
   std::unordered_map<JobName, JobSpread> spread_;
   std::vector<std::size_t> candidates_;
   std::vector<Scored> scored_;
+  struct CachedPair {
+    std::uint64_t decision = 0;
+    PairEffect effect;
+  };
+  std::vector<CachedPair> effects_;
+  std::uint64_t decision_ = 0;
   double exploration_tokens_ = 3;
 };
 
--- a/src/scheduler/policy/worker_book.hpp
+++ b/src/scheduler/policy/worker_book.hpp
@@ -47,6 +47,8 @@
   double level = 0;
   /// Predicted ln(p99 / p99 alone) from the tasks there.
   double predicted = 0;
+  double pressure_slope = 0;  ///< ln(p99) for each unit of CpuPressure.
+  double alone = 0;           ///< ln(p99) expected without tasks.
 };
 
 struct WorkerEntry {
--- a/tests/bench/baseline_policies.hpp
+++ b/tests/bench/baseline_policies.hpp
@@ -46,11 +46,11 @@
   [[nodiscard]] std::vector<Decision> Decide(MonotonicTime now,
                                              std::size_t limit) override;
   void OnNotStarted(const TaskId& task, const VmName& vm) override {
-    workers_[vm].tasks.erase(task);
+    Drop(task, vm);
   }
   void OnEnded(const TaskId& task, const VmName& vm, AttemptEnd,
                MonotonicTime) override {
-    workers_[vm].tasks.erase(task);
+    Drop(task, vm);
   }
 
  private:
@@ -63,10 +63,20 @@
   struct Host {
     WorkerState state;
     std::map<TaskId, Held> tasks;
+    std::int64_t cpu = kServiceCpu;
+    std::int64_t memory = kServiceMemory;
     bool fresh = false;
   };
 
   [[nodiscard]] bool Fits(const Host& host, const TaskDemand& task) const;
+  void Drop(const TaskId& task, const VmName& vm) {
+    Host& host = workers_[vm];
+    const auto found = host.tasks.find(task);
+    if (found == host.tasks.end()) return;
+    host.cpu -= found->second.demand.cpu.value();
+    host.memory -= found->second.demand.memory.value();
+    host.tasks.erase(found);
+  }
   void EvictAbove(Host& host, std::vector<Decision>& decisions) const;
   void PlaceFrom(std::deque<TaskDemand>& queue, std::size_t limit,
                  std::vector<Decision>& decisions);
@@ -97,12 +107,8 @@
 
 inline bool FirstFit::Fits(const Host& host, const TaskDemand& task) const {
   const WorkerCapacity& capacity = host.state.capacity;
-  std::int64_t cpu = kServiceCpu + task.cpu.value();
-  std::int64_t memory = kServiceMemory + task.memory.value();
-  for (const auto& [id, held] : host.tasks) {
-    cpu += held.demand.cpu.value();
-    memory += held.demand.memory.value();
-  }
+  const std::int64_t cpu = host.cpu + task.cpu.value();
+  const std::int64_t memory = host.memory + task.memory.value();
   if (threshold_ > 0 &&
       static_cast<double>(host.state.cpu_used.value()) >
           threshold_ * static_cast<double>(capacity.cpu.value())) {
@@ -138,27 +144,29 @@
                                 std::vector<Decision>& decisions) {
   // Sizes that did not fit anywhere are not tried again in this call.
   std::set<std::pair<std::int64_t, std::int64_t>> too_large;
-  for (auto it = queue.begin();
-       it != queue.end() && decisions.size() < limit;) {
-    const std::pair size{it->cpu.value(), it->memory.value()};
+  std::deque<TaskDemand> left;
+  for (TaskDemand& task : queue) {
+    const std::pair size{task.cpu.value(), task.memory.value()};
     Host* chosen = nullptr;
-    if (!too_large.contains(size)) {
+    if (decisions.size() < limit && !too_large.contains(size)) {
       for (auto& [vm, host] : workers_) {
-        if (!Fits(host, *it)) continue;
+        if (!Fits(host, task)) continue;
         chosen = &host;
         break;
       }
+      if (chosen == nullptr) too_large.insert(size);
     }
     if (chosen == nullptr) {
-      too_large.insert(size);
-      ++it;
+      left.push_back(std::move(task));
       continue;
     }
-    chosen->tasks[it->id] = Held{*it, ++sequence_};
+    chosen->cpu += task.cpu.value();
+    chosen->memory += task.memory.value();
     decisions.emplace_back(
-        PlaceDecision{it->id, chosen->state.vm, 0, {}, "first fit"});
-    it = queue.erase(it);
+        PlaceDecision{task.id, chosen->state.vm, 0, {}, "first fit"});
+    chosen->tasks[task.id] = Held{task, ++sequence_};
   }
+  queue = std::move(left);
 }
 
 inline std::vector<Decision> FirstFit::Decide(MonotonicTime,
--- a/tests/bench/fake_worker.hpp
+++ b/tests/bench/fake_worker.hpp
@@ -159,6 +159,7 @@
   /// The newest report that has arrived, with everything placed by now.
   [[nodiscard]] bool Deliver(double now, WorkerState& state);
 
+  [[nodiscard]] const VmName& name() const { return name_; }
   [[nodiscard]] const std::vector<int>& services() const { return services_; }
   /// p99 relative to alone at the last step.
   [[nodiscard]] double ratio(std::size_t service) const {
@@ -180,7 +181,7 @@
   void ComputeRatios(double now);
 
   const World& world_;
-  std::string name_;
+  VmName name_;
   std::string rack_;
   bool fails_;
   std::mt19937_64 random_;
@@ -331,7 +332,7 @@
     arrived = true;
   }
   if (!arrived) return false;
-  state.vm = VmName(name_);
+  state.vm = name_;
   state.data_center = DataCenter("dc1");
   state.rack = RackName(rack_);
   return true;
--- a/tests/bench/policy_bench.cc
+++ b/tests/bench/policy_bench.cc
@@ -133,8 +133,12 @@
       "of the wave, relative to services alone; worst: any service "
       "and seed; work: core-seconds relative to (a); urgent starts "
       "in seconds\n");
-  for (const Shape& shape : {Shape{"Asociacion", 50, 6, 3},
-                             Shape{"Imanes Cantabricos", 65, 11, 4}}) {
+  // The wave offers half of the processors, or more than there is.
+  for (const Shape& shape :
+       {Shape{"Asociacion, night", 50, 6, 3, 16},
+        Shape{"Imanes Cantabricos, night", 65, 11, 4, 16},
+        Shape{"Asociacion, overload", 50, 6, 3, 26},
+        Shape{"Imanes Cantabricos, overload", 65, 11, 4, 26}}) {
     mangospread::bench::CompareOn(shape, seeds, first);
   }
   return 0;
--- a/tests/bench/simulation.hpp
+++ b/tests/bench/simulation.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   int workers;
   int per_rack;
   int failing;  ///< Workers that fail everything.
+  /// Batch work that the wave offers for each worker, in cores.
+  double offered;
 };
 
 /// Request-weighted distribution of a service's p99 over workers and steps.
@@ -94,10 +97,9 @@
     std::size_t worker;
     RunningTask task;
     double starts_at;
-    bool started = false;
   };
 
-  void MakeArrivals(std::uint64_t seed);
+  void MakeArrivals(std::uint64_t seed, double offered_cores);
   void AddJob(double at, int task_class, int tasks, bool urgent,
               std::mt19937_64& random);
   void Submit(DecisionEngine& engine, double now);
@@ -115,6 +117,8 @@
   int jobs_ = 0;
   std::map<TaskId, RunningTask> waiting_;
   std::map<TaskId, Placed> placed_;
+  std::vector<TaskId> starting_;
+  std::vector<std::set<TaskId>> on_worker_;
   std::map<TaskId, double> urgent_since_;
   std::vector<Ending> endings_;
   std::mt19937_64 delays_;
@@ -135,7 +139,8 @@
                           "rack-" + std::to_string(i / shape.per_rack), i,
                           fails, seed * 1000 + static_cast<std::uint64_t>(i));
   }
-  if (batch) MakeArrivals(seed);
+  on_worker_.resize(workers_.size());
+  if (batch) MakeArrivals(seed, shape.offered);
 }
 
 inline void Simulation::AddJob(double at, int task_class, int tasks,
@@ -166,22 +171,24 @@
   }
 }
 
-inline void Simulation::MakeArrivals(std::uint64_t seed) {
+inline void Simulation::MakeArrivals(std::uint64_t seed, double offered_cores) {
   std::mt19937_64 random(seed * 31 + 5);
   std::uniform_real_distribution<double> uniform(0, 1);
   const auto pick = [&](int count) {
     return static_cast<int>(uniform(random) * count);
   };
-  // A trickle in quiet time, then more work than the fleet can do.
-  const double cores = 24.0 * static_cast<double>(workers_.size());
+  // A trickle in quiet time, then the wave.
+  const double cores = offered_cores * static_cast<double>(workers_.size());
   for (double at = 20; at < kWaveStart; at += 20) {
     AddJob(at, pick(kTaskClasses), 1 + pick(3), false, random);
   }
   double offered = 0;
   for (double at = kWaveStart; at < kEnd; at += 5) {
-    // The first fifth of the wave brings most of the work.
+    // Most of the work arrives early; the last tenth of the wave brings none,
+    // so that what arrived can be finished.
+    const double share = (at - kWaveStart) / (0.9 * (kEnd - kWaveStart));
     const double target =
-        cores * (at - kWaveStart + std::min(600.0, 4 * (at - kWaveStart)));
+        cores * (kEnd - kWaveStart) * std::min(1.0, std::sqrt(share));
     while (offered < target) {
       const int task_class = pick(kTaskClasses);
       const int tasks = 5 + pick(30);
@@ -222,6 +229,8 @@
     task.stops_at = -1;
     task.throttle = 0;
     task.throttles_at = -1;
+    on_worker_[index_.at(place->vm)].insert(place->task);
+    starting_.push_back(place->task);
     placed_[place->task] =
         Placed{index_.at(place->vm), task, now + delay(delays_)};
   } else if (const auto* evict =
@@ -238,9 +247,13 @@
 }
 
 inline void Simulation::StartPlaced(double now) {
-  for (auto& [id, placed] : placed_) {
-    if (placed.started || placed.starts_at > now) continue;
-    placed.started = true;
+  std::vector<TaskId> later;
+  for (const TaskId& id : std::exchange(starting_, {})) {
+    Placed& placed = placed_.at(id);
+    if (placed.starts_at > now) {
+      later.push_back(id);
+      continue;
+    }
     placed.task.started_at = now;
     FakeWorker& worker = workers_[placed.worker];
     worker.Start(placed.task);
@@ -251,6 +264,7 @@
     result_.urgent_starts.push_back(now - since->second);
     urgent_since_.erase(since);
   }
+  starting_ = std::move(later);
 }
 
 inline void Simulation::EndTasks(DecisionEngine& engine, double now) {
@@ -258,10 +272,8 @@
     const TaskId& id = ending.task.demand.id;
     const Placed placed = placed_.at(id);
     placed_.erase(id);
-    VmName vm;
-    for (const auto& [name, index] : index_) {
-      if (index == placed.worker) vm = name;
-    }
+    on_worker_[placed.worker].erase(id);
+    const VmName& vm = workers_[placed.worker].name();
     engine.OnEnded(id, vm, ending.end, FromSeconds(now));
     const double full = placed.task.work_left;
     if (ending.end == AttemptEnd::kDone) {
@@ -292,8 +304,8 @@
       measured[task.demand.id] = std::move(task);
     }
     state.tasks.clear();
-    for (const auto& [id, placed] : placed_) {
-      if (placed.worker != i) continue;
+    for (const TaskId& id : on_worker_[i]) {
+      const Placed& placed = placed_.at(id);
       scheduler::PlacedTask task;
       const auto found = measured.find(id);
       if (found != measured.end()) task = found->second;
