--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -1916,7 +1916,11 @@
   1, 3, i_fdddec1ba90e7184, nullptr, nullptr, { &s_fdddec1ba90e7184, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+<<<<<<< HEAD
 static const ::capnp::_::AlignedData<116> b_b91702a44fe2cd65 = {
+=======
+static const ::capnp::_::AlignedData<126> b_b91702a44fe2cd65 = {
+>>>>>>> main
   {   0,   0,   0,   0,   5,   0,   6,   0,
     101, 205, 226,  79, 164,   2,  23, 185,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1926,12 +1930,18 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+<<<<<<< HEAD
      21,   0,   0,   0,  71,   2,   0,   0,
     161,   1,   0,   0,   7,   0,   0,   0,
+=======
+     21,   0,   0,   0, 135,   2,   0,   0,
+    201,   1,   0,   0,   7,   0,   0,   0,
+>>>>>>> main
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
+<<<<<<< HEAD
      36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      88,  52, 189, 108,   2, 251, 241, 229,
@@ -2005,6 +2015,89 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     105,   0,   0,   0,   7,   0,   0,   0,
+=======
+     40,   0,   0,   0,   3,   0,   5,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     88,  52, 189, 108,   2, 251, 241, 229,
+    152, 255,  48, 133,  31, 173, 190, 219,
+     49,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   1,   0,   0,   7,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     11,  40,   6, 127, 130, 226,  51, 197,
+    200, 185,  43, 148,  86, 215,  74, 187,
+     29,   1,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     17,   1,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    162, 127, 137,  21, 175,  21,  64, 154,
+    172, 150, 186,  44, 189, 213,  91, 208,
+      5,   1,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    253,   0,   0,   0,   7,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+    203, 179, 192,  64, 199,   6, 186, 164,
+     97, 239, 142, 153, 137, 101, 104, 208,
+    241,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    210, 200, 226,  27, 138, 217, 152, 216,
+     82, 159,  40, 208,  96,  88, 250, 189,
+    221,   0,   0,   0, 146,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+    235,  82, 196,  84, 109, 175,  13, 190,
+    208, 134, 242, 144, 156,  46, 133, 214,
+    205,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+     70, 100, 232,  57, 120, 114, 228, 213,
+    172,  72, 182, 117,  61, 102, 245, 162,
+    185,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    223,  17,  24, 111, 236,  93,  71, 163,
+    237,  95, 134, 157, 207, 124, 222, 188,
+    165,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+    187, 161,  28,  66,  84, 241,  39, 250,
+    102,   6,  60, 130,   1, 226,  27, 234,
+    145,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+     32, 251, 103, 125, 111,  68, 228, 209,
+    168, 189, 136,  28, 127, 208, 130, 220,
+    125,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
+>>>>>>> main
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2020,9 +2113,12 @@
     112,  83, 110,  97, 112, 115, 104, 111,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+<<<<<<< HEAD
     112, 117, 115, 104,  79, 119, 110, 101,
     114, 115, 104, 105, 112,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+=======
+>>>>>>> main
     116,  97, 115, 107,  67, 111, 109, 109,
      97, 110, 100,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2031,6 +2127,14 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     115,  99, 104, 101, 100, 117, 108, 101,
     114,  81, 117, 101, 114, 121,   0,   0,
+<<<<<<< HEAD
+=======
+      0,   0,   0,   0,   0,   0,   1,   0,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    112, 105, 110, 103,   0,   0,   0,   0,
+>>>>>>> main
       0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
@@ -2048,18 +2152,30 @@
   &s_c533e2827f06280b,
   &s_d05bd5bd2cba96ac,
   &s_d0686589998eef61,
+<<<<<<< HEAD
+=======
+  &s_d1e4446f7d67fb20,
+>>>>>>> main
   &s_d5e4727839e86446,
   &s_d6852e9c90f286d0,
   &s_d898d98a1be2c8d2,
   &s_dbbead1f8530ff98,
+  &s_dc82d07f1c88bda8,
   &s_e5f1fb026cbd3458,
   &s_ea1be201823c0666,
   &s_fa27f154421ca1bb,
 };
+<<<<<<< HEAD
 static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 5, 7, 8, 6};
 const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
   0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 116, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
   18, 9, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
+=======
+static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 9, 2, 8, 6, 7, 5};
+const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
+  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 126, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
+  20, 10, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
+>>>>>>> main
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_e5f1fb026cbd3458 = {
@@ -2531,6 +2647,7 @@
   2, 2, i_bdfa5860d0289f52, nullptr, nullptr, { &s_bdfa5860d0289f52, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+<<<<<<< HEAD
 static const ::capnp::_::AlignedData<37> b_be0daf6d54c452eb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     235,  82, 196,  84, 109, 175,  13, 190,
@@ -2609,6 +2726,9 @@
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_d5e4727839e86446 = {
+=======
+static const ::capnp::_::AlignedData<33> b_be0daf6d54c452eb = {
+>>>>>>> main
   {   0,   0,   0,   0,   5,   0,   6,   0,
      70, 100, 232,  57, 120, 114, 228, 213,
      16,   0,   0,   0,   1,   0,   0,   0,
@@ -2913,6 +3033,133 @@
   0, 2, i_ea1be201823c0666, nullptr, nullptr, { &s_ea1be201823c0666, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_fa27f154421ca1bb = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    187, 161,  28,  66,  84, 241,  39, 250,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 116, 114, 105, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     57, 135,  67,  15, 230,  45,  46, 219,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fa27f154421ca1bb = b_fa27f154421ca1bb.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fa27f154421ca1bb[] = {
+  &s_db2e2de60f438739,
+};
+static const uint16_t m_fa27f154421ca1bb[] = {0};
+static const uint16_t i_fa27f154421ca1bb[] = {0};
+const ::capnp::_::RawSchema s_fa27f154421ca1bb = {
+  0xfa27f154421ca1bb, b_fa27f154421ca1bb.words, 37, d_fa27f154421ca1bb, m_fa27f154421ca1bb,
+  1, 1, i_fa27f154421ca1bb, nullptr, nullptr, { &s_fa27f154421ca1bb, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_ea1be201823c0666 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    102,   6,  60, 130,   1, 226,  27, 234,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 117, 115, 104,  79, 119, 110, 101,
+    114, 115, 104, 105, 112,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_ea1be201823c0666 = b_ea1be201823c0666.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_ea1be201823c0666 = {
+  0xea1be201823c0666, b_ea1be201823c0666.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_ea1be201823c0666, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_d1e4446f7d67fb20 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     32, 251, 103, 125, 111,  68, 228, 209,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d1e4446f7d67fb20 = b_d1e4446f7d67fb20.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d1e4446f7d67fb20 = {
+  0xd1e4446f7d67fb20, b_d1e4446f7d67fb20.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d1e4446f7d67fb20, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_dc82d07f1c88bda8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    168, 189, 136,  28, 127, 208, 130, 220,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dc82d07f1c88bda8 = b_dc82d07f1c88bda8.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_dc82d07f1c88bda8 = {
+  0xdc82d07f1c88bda8, b_dc82d07f1c88bda8.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_dc82d07f1c88bda8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3101,16 +3348,60 @@
       "peer.capnp:Peer", "ownershipSnapshot",
       0xb91702a44fe2cd65ull, 4);
 }
+<<<<<<< HEAD
+=======
+::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>
+Peer::Client::taskCommandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(
+      0xb91702a44fe2cd65ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::taskCommand(TaskCommandContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "taskCommand",
+      0xb91702a44fe2cd65ull, 5);
+}
+::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>
+Peer::Client::reportTasksRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>(
+      0xb91702a44fe2cd65ull, 6, sizeHint);
+}
+::kj::Promise<void> Peer::Server::reportTasks(ReportTasksContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "reportTasks",
+      0xb91702a44fe2cd65ull, 6);
+}
+::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>
+Peer::Client::schedulerQueryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(
+      0xb91702a44fe2cd65ull, 7, sizeHint);
+}
+::kj::Promise<void> Peer::Server::schedulerQuery(SchedulerQueryContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "schedulerQuery",
+      0xb91702a44fe2cd65ull, 7);
+}
+>>>>>>> main
 ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>
 Peer::Client::pushOwnershipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(
-      0xb91702a44fe2cd65ull, 5, sizeHint);
+      0xb91702a44fe2cd65ull, 8, sizeHint);
 }
 ::kj::Promise<void> Peer::Server::pushOwnership(PushOwnershipContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
       "peer.capnp:Peer", "pushOwnership",
-      0xb91702a44fe2cd65ull, 5);
+      0xb91702a44fe2cd65ull, 8);
 }
+::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>
+Peer::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(
+      0xb91702a44fe2cd65ull, 9, sizeHint);
+}
+::kj::Promise<void> Peer::Server::ping(PingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "ping",
+      0xb91702a44fe2cd65ull, 9);
+}
+<<<<<<< HEAD
 ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>
 Peer::Client::taskCommandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(
@@ -3141,6 +3432,8 @@
       "peer.capnp:Peer", "schedulerQuery",
       0xb91702a44fe2cd65ull, 8);
 }
+=======
+>>>>>>> main
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3187,12 +3480,15 @@
       };
     case 5:
       return {
+<<<<<<< HEAD
         pushOwnership(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
         false
       };
     case 6:
       return {
+=======
+>>>>>>> main
         taskCommand(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(context)),
         false
@@ -3207,6 +3503,21 @@
       return {
         schedulerQuery(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(context)),
+<<<<<<< HEAD
+=======
+        false
+      };
+    case 8:
+      return {
+        pushOwnership(::capnp::Capability::Server::internalGetTypedContext<
+             ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
+        false
+      };
+    case 9:
+      return {
+        ping(::capnp::Capability::Server::internalGetTypedContext<
+             ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(context)),
+>>>>>>> main
         false
       };
     default:
@@ -3304,6 +3615,7 @@
 constexpr ::capnp::_::RawSchema const* Peer::OwnershipSnapshotResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
 // Peer::PushOwnershipParams
 constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::dataWordSize;
 constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::pointerCount;
@@ -3320,6 +3632,8 @@
 constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+=======
+>>>>>>> main
 // Peer::TaskCommandParams
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::dataWordSize;
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::pointerCount;
@@ -3366,6 +3680,41 @@
 #if !CAPNP_LITE
 constexpr ::capnp::Kind Peer::SchedulerQueryResults::_capnpPrivate::kind;
 constexpr ::capnp::_::RawSchema const* Peer::SchedulerQueryResults::_capnpPrivate::schema;
+<<<<<<< HEAD
+=======
+#endif  // !CAPNP_LITE
+
+// Peer::PushOwnershipParams
+constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PushOwnershipParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PushOwnershipResults
+constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PushOwnershipResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PingParams
+constexpr uint16_t Peer::PingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PingResults
+constexpr uint16_t Peer::PingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingResults::_capnpPrivate::schema;
+>>>>>>> main
 #endif  // !CAPNP_LITE
 
 
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -54,6 +54,11 @@
 CAPNP_DECLARE_SCHEMA(bcde7ccf9d865fed);
 CAPNP_DECLARE_SCHEMA(fa27f154421ca1bb);
 CAPNP_DECLARE_SCHEMA(ea1be201823c0666);
+<<<<<<< HEAD
+=======
+CAPNP_DECLARE_SCHEMA(d1e4446f7d67fb20);
+CAPNP_DECLARE_SCHEMA(dc82d07f1c88bda8);
+>>>>>>> main
 
 }  // namespace schemas
 }  // namespace capnp
@@ -320,14 +325,24 @@
   struct ConfigSinceResults;
   struct OwnershipSnapshotParams;
   struct OwnershipSnapshotResults;
+<<<<<<< HEAD
   struct PushOwnershipParams;
   struct PushOwnershipResults;
+=======
+>>>>>>> main
   struct TaskCommandParams;
   struct TaskCommandResults;
   struct ReportTasksParams;
   struct ReportTasksResults;
   struct SchedulerQueryParams;
   struct SchedulerQueryResults;
+<<<<<<< HEAD
+=======
+  struct PushOwnershipParams;
+  struct PushOwnershipResults;
+  struct PingParams;
+  struct PingResults;
+>>>>>>> main
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -487,98 +502,98 @@
   };
 };
 
-struct Peer::PushOwnershipParams {
-  PushOwnershipParams() = delete;
+struct Peer::TaskCommandParams {
+  TaskCommandParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::PushOwnershipResults {
-  PushOwnershipResults() = delete;
+struct Peer::TaskCommandResults {
+  TaskCommandResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::TaskCommandParams {
-  TaskCommandParams() = delete;
+struct Peer::ReportTasksParams {
+  ReportTasksParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::TaskCommandResults {
-  TaskCommandResults() = delete;
+struct Peer::ReportTasksResults {
+  ReportTasksResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::ReportTasksParams {
-  ReportTasksParams() = delete;
+struct Peer::SchedulerQueryParams {
+  SchedulerQueryParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fa27f154421ca1bb, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::ReportTasksResults {
-  ReportTasksResults() = delete;
+struct Peer::SchedulerQueryResults {
+  SchedulerQueryResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ea1be201823c0666, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::SchedulerQueryParams {
-  SchedulerQueryParams() = delete;
+struct Peer::PushOwnershipParams {
+  PushOwnershipParams() = delete;
 
   class Reader;
   class Builder;
@@ -592,15 +607,45 @@
   };
 };
 
-struct Peer::SchedulerQueryResults {
-  SchedulerQueryResults() = delete;
+struct Peer::PushOwnershipResults {
+  PushOwnershipResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea1be201823c0666, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ea1be201823c0666, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PingParams {
+  PingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1e4446f7d67fb20, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PingResults {
+  PingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc82d07f1c88bda8, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2447,13 +2492,23 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+<<<<<<< HEAD
   ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+=======
+>>>>>>> main
   ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults> taskCommandRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults> reportTasksRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults> schedulerQueryRequest(
+<<<<<<< HEAD
+=======
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults> pingRequest(
+>>>>>>> main
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -2491,10 +2546,13 @@
   typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
   typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
   virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
+<<<<<<< HEAD
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
   typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
   virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
+=======
+>>>>>>> main
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandParams TaskCommandParams;
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandResults TaskCommandResults;
   typedef ::capnp::CallContext<TaskCommandParams, TaskCommandResults> TaskCommandContext;
@@ -2507,6 +2565,17 @@
   typedef  ::mangospread::rpc::wire::Peer::SchedulerQueryResults SchedulerQueryResults;
   typedef ::capnp::CallContext<SchedulerQueryParams, SchedulerQueryResults> SchedulerQueryContext;
   virtual ::kj::Promise<void> schedulerQuery(SchedulerQueryContext context);
+<<<<<<< HEAD
+=======
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
+  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
+  typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
+  virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
+  typedef  ::mangospread::rpc::wire::Peer::PingParams PingParams;
+  typedef  ::mangospread::rpc::wire::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+>>>>>>> main
 
   inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3325,9 +3394,15 @@
 };
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
 class Peer::PushOwnershipParams::Reader {
 public:
   typedef PushOwnershipParams Reads;
+=======
+class Peer::TaskCommandParams::Reader {
+public:
+  typedef TaskCommandParams Reads;
+>>>>>>> main
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3342,8 +3417,13 @@
   }
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
   inline bool hasEntries() const;
   inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+=======
+  inline bool hasCall() const;
+  inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
+>>>>>>> main
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3357,9 +3437,15 @@
   friend class ::capnp::Orphanage;
 };
 
+<<<<<<< HEAD
 class Peer::PushOwnershipParams::Builder {
 public:
   typedef PushOwnershipParams Builds;
+=======
+class Peer::TaskCommandParams::Builder {
+public:
+  typedef TaskCommandParams Builds;
+>>>>>>> main
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3373,12 +3459,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
   inline bool hasEntries();
   inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
   inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
   inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+=======
+  inline bool hasCall();
+  inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
+  inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
+>>>>>>> main
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3390,14 +3485,24 @@
 };
 
 #if !CAPNP_LITE
+<<<<<<< HEAD
 class Peer::PushOwnershipParams::Pipeline {
 public:
   typedef PushOwnershipParams Pipelines;
+=======
+class Peer::TaskCommandParams::Pipeline {
+public:
+  typedef TaskCommandParams Pipelines;
+>>>>>>> main
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+<<<<<<< HEAD
+=======
+  inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
+>>>>>>> main
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3406,9 +3511,15 @@
 };
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
 class Peer::PushOwnershipResults::Reader {
 public:
   typedef PushOwnershipResults Reads;
+=======
+class Peer::TaskCommandResults::Reader {
+public:
+  typedef TaskCommandResults Reads;
+>>>>>>> main
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3423,6 +3534,12 @@
   }
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
+=======
+  inline bool hasResult() const;
+  inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
+
+>>>>>>> main
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3435,9 +3552,15 @@
   friend class ::capnp::Orphanage;
 };
 
+<<<<<<< HEAD
 class Peer::PushOwnershipResults::Builder {
 public:
   typedef PushOwnershipResults Builds;
+=======
+class Peer::TaskCommandResults::Builder {
+public:
+  typedef TaskCommandResults Builds;
+>>>>>>> main
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3451,6 +3574,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+<<<<<<< HEAD
+=======
+  inline bool hasResult();
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
+  inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
+  inline  ::mangospread::rpc::wire::TaskCallResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
+  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
+
+>>>>>>> main
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3461,6 +3594,7 @@
 };
 
 #if !CAPNP_LITE
+<<<<<<< HEAD
 class Peer::PushOwnershipResults::Pipeline {
 public:
   typedef PushOwnershipResults Pipelines;
@@ -3624,6 +3758,8 @@
 };
 
 #if !CAPNP_LITE
+=======
+>>>>>>> main
 class Peer::TaskCommandResults::Pipeline {
 public:
   typedef TaskCommandResults Pipelines;
@@ -3958,6 +4094,303 @@
 class Peer::SchedulerQueryResults::Pipeline {
 public:
   typedef SchedulerQueryResults Pipelines;
+<<<<<<< HEAD
+=======
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushOwnershipParams::Reader {
+public:
+  typedef PushOwnershipParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushOwnershipParams::Builder {
+public:
+  typedef PushOwnershipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushOwnershipParams::Pipeline {
+public:
+  typedef PushOwnershipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushOwnershipResults::Reader {
+public:
+  typedef PushOwnershipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushOwnershipResults::Builder {
+public:
+  typedef PushOwnershipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushOwnershipResults::Pipeline {
+public:
+  typedef PushOwnershipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingResults::Builder {
+public:
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+>>>>>>> main
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6475,6 +6908,7 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+<<<<<<< HEAD
 inline bool Peer::PushOwnershipParams::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6509,6 +6943,8 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+=======
+>>>>>>> main
 inline bool Peer::TaskCommandParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6733,6 +7169,43 @@
 }
 inline ::capnp::Orphan< ::capnp::Text> Peer::SchedulerQueryResults::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+<<<<<<< HEAD
+=======
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::PushOwnershipParams::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushOwnershipParams::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader Peer::PushOwnershipParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::PushOwnershipParams::Builder::setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PushOwnershipParams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> Peer::PushOwnershipParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+>>>>>>> main
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/scheduler/lifecycle/rows.cc
+++ b/src/scheduler/lifecycle/rows.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/json_reader.hpp"
+#include "base/json_writer.hpp"
 
 namespace mangospread::scheduler {
 namespace {
@@ -57,10 +58,9 @@
 }
 
 std::string Encode(const RoleRow& row) {
-  return json{{"node", row.node.str()},
-              {"incarnation", row.incarnation.value()},
-              {"epoch", row.epoch.value()}}
-      .dump();
+  return base::DumpJson({{"node", row.node.str()},
+                         {"incarnation", row.incarnation.value()},
+                         {"epoch", row.epoch.value()}});
 }
 
 std::string Encode(const TaskRecord& record) {
@@ -76,7 +76,7 @@
   if (!record.reason.empty()) out["reason"] = record.reason;
   if (record.evictions != 0) out["evictions"] = record.evictions;
   if (record.failures != 0) out["failures"] = record.failures;
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  return base::DumpJson(out);
 }
 
 std::string Encode(const JobSummary& summary) {
@@ -86,10 +86,9 @@
       counts[std::string(kStateNames[i])] = summary.counts[i];
     }
   }
-  return json{{"counts", std::move(counts)},
-              {"reason", summary.reason},
-              {"cancelled", summary.cancelled}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
+  return base::DumpJson({{"counts", std::move(counts)},
+                         {"reason", summary.reason},
+                         {"cancelled", summary.cancelled}});
 }
 
 Result<RoleRow> DecodeRole(const Row& row) {
--- a/src/scheduler/lifecycle/scheduler_status.cc
+++ b/src/scheduler/lifecycle/scheduler_status.cc
@@ -1,6 +1,7 @@
 // Answers to operators.
 #include <nlohmann/json.hpp>
 
+#include "base/json_writer.hpp"
 #include "scheduler/lifecycle/scheduler.hpp"
 
 namespace mangospread::scheduler {
@@ -13,8 +14,7 @@
 constexpr int kServiceUnavailable = 503;
 
 rpc::QueryReply Reply(int status, const json& body) {
-  return {status,
-          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
+  return {status, base::DumpJson(body) + "\n"};
 }
 
 json CountsToJson(const std::array<int, kTaskStates>& counts) {
--- a/standin/endpoint/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -104,8 +104,9 @@
       return Refuse(connection, "stale-epoch");
     }
     if (!Fenced({request.fence.owner, epoch})) {
-      claims_.push_back(
-          {{"epoch", epoch.value()}, {"owner", request.fence.owner.str()}});
+      claims_.push_back({{"epoch", epoch.value()},
+                         {"owner", request.fence.owner.str()},
+                         {"at_ns", base::MonotonicNow().count()}});
     }
     epoch_ = epoch;
     owner_ = request.fence.owner;
@@ -168,6 +169,7 @@
     const std::string id(headers.Get(worker::kRequestIdHeader));
     in_flight_.insert(id);
     ++served_;
+    ++served_by_[std::to_string(epoch_.value()) + " " + owner_.str()];
     max_in_flight_ =
         std::max(max_in_flight_, static_cast<int>(in_flight_.size()));
     auto key = headers.Get(kRunKeyHeader);
@@ -208,6 +210,7 @@
                     {"stale_refused", stale_refused_},
                     {"runs_by_key", runs_by_key_},
                     {"claims", claims_},
+                    {"served_by", served_by_},
                     {"task_runs", tasks_.Runs()},
                     {"running_tasks", tasks_.size()}};
     ReplyJson(*connection, kOk, body.dump());
@@ -228,6 +231,8 @@
   std::map<int, int> arrived_concurrency_;
   std::map<std::string, int> runs_by_key_;
   json claims_ = json::array();
+  /// Requests served for each "<epoch> <owner>".
+  std::map<std::string, std::uint64_t> served_by_;
   int max_in_flight_ = 0;
   std::uint64_t served_ = 0;
   std::uint64_t full_refused_ = 0;
--- a/tests/integration/harness/jobs.cc
+++ b/tests/integration/harness/jobs.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/clock.hpp"
 
@@ -14,27 +16,50 @@
 
 constexpr int kCreated = 201;
 
+TaskRun ReadRun(const json& item, int worker) {
+  TaskRun run;
+  run.task = item.at("task").get<std::string>();
+  run.attempt = item.at("attempt").get<int>();
+  run.worker = worker;
+  run.started_ns = item.at("started_ns").get<std::int64_t>();
+  run.ended_ns = item.at("ended_ns").get<std::int64_t>();
+  run.from_checkpoint = item.at("from_checkpoint").get<std::int64_t>();
+  run.checkpoint = std::atoll(item.at("checkpoint").get<std::string>().c_str());
+  run.phase = item.at("phase").get<std::string>();
+  return run;
+}
+
 }  // namespace
 
 std::map<std::string, std::vector<TaskRun>> CollectRuns(
     const Cluster& cluster) {
   std::map<std::string, std::vector<TaskRun>> runs;
   for (int i = 0; i < cluster.workers(); ++i) {
-    const json record = cluster.WorkerRecord(i);
-    REQUIRE(record.is_object());
-    const std::int64_t now = base::MonotonicNow().count();
-    for (const json& item : record.at("task_runs")) {
-      TaskRun run;
-      run.task = item.at("task").get<std::string>();
-      run.attempt = item.at("attempt").get<int>();
-      run.worker = i;
-      run.started_ns = item.at("started_ns").get<std::int64_t>();
-      run.ended_ns = item.at("ended_ns").get<std::int64_t>();
-      if (run.ended_ns == 0) run.ended_ns = now;
-      run.from_checkpoint = item.at("from_checkpoint").get<std::int64_t>();
-      run.checkpoint =
-          std::atoll(item.at("checkpoint").get<std::string>().c_str());
-      run.phase = item.at("phase").get<std::string>();
+    std::map<std::pair<std::string, int>, TaskRun> open;
+    std::ifstream log(cluster.TaskLog(i));
+    for (std::string line; std::getline(log, line);) {
+      const json item = json::parse(line);
+      const std::string event = item.at("event").get<std::string>();
+      const std::int64_t ended = item.at("ended_ns").get<std::int64_t>();
+      if (event == "killed") {
+        for (auto& [key, run] : open) {
+          run.ended_ns = ended;
+          run.phase = "killed";
+          runs[run.task].push_back(run);
+        }
+        open.clear();
+        continue;
+      }
+      const TaskRun run = ReadRun(item, i);
+      open.erase({run.task, run.attempt});
+      if (event == "start") {
+        open[{run.task, run.attempt}] = run;
+      } else {
+        runs[run.task].push_back(run);
+      }
+    }
+    for (auto& [key, run] : open) {
+      run.ended_ns = base::MonotonicNow().count();
       runs[run.task].push_back(run);
     }
   }
