--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,9 +1,6 @@
 #include "app/node.hpp"
 
-<<<<<<< HEAD
-=======
 #include <algorithm>
->>>>>>> main
 #include <utility>
 
 #include "base/clock.hpp"
@@ -238,8 +235,7 @@
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
-<<<<<<< HEAD
-       kHandOverLimit + kFlushTime});
+       kHandOverLimit + kRecheck});
   supervisor_.Add({"scheduler",
                    [this]() -> Result<Done> {
                      scheduling_.Start();
@@ -248,9 +244,6 @@
                    [this](std::function<void()> done) {
                      scheduling_.Stop(std::move(done));
                    }});
-=======
-       kHandOverLimit + kRecheck});
->>>>>>> main
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -154,14 +154,6 @@
   pushConfig @2 (delta :ConfigDelta) -> (revision :UInt64);
   configSince @3 (revision :UInt64) -> (delta :ConfigDelta);
   ownershipSnapshot @4 () -> (entries :List(OwnershipEntry), vms :List(Vm));
-<<<<<<< HEAD
-  pushOwnership @5 (entries :List(OwnershipEntry)) -> ();
-  taskCommand @6 (call :TaskCall) -> (result :TaskCallResult);
-  reportTasks @7 (report :NodeReport)
-      -> (schedulerEpoch :UInt64, accepted :Bool);
-  # Answers GET /v1/jobs/... and /v1/explain/... on the scheduler's node.
-  schedulerQuery @8 (path :Text) -> (status :UInt16, body :Text);
-=======
   taskCommand @5 (call :TaskCall) -> (result :TaskCallResult);
   reportTasks @6 (report :NodeReport)
       -> (schedulerEpoch :UInt64, accepted :Bool);
@@ -170,5 +162,4 @@
   pushOwnership @8 (entries :List(OwnershipEntry)) -> ();
   # Answered by the RPC thread alone; shows that the connection is alive.
   ping @9 () -> ();
->>>>>>> main
 }
--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -1916,11 +1916,7 @@
   1, 3, i_fdddec1ba90e7184, nullptr, nullptr, { &s_fdddec1ba90e7184, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-<<<<<<< HEAD
-static const ::capnp::_::AlignedData<116> b_b91702a44fe2cd65 = {
-=======
 static const ::capnp::_::AlignedData<126> b_b91702a44fe2cd65 = {
->>>>>>> main
   {   0,   0,   0,   0,   5,   0,   6,   0,
     101, 205, 226,  79, 164,   2,  23, 185,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1930,92 +1926,12 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-<<<<<<< HEAD
-     21,   0,   0,   0,  71,   2,   0,   0,
-    161,   1,   0,   0,   7,   0,   0,   0,
-=======
      21,   0,   0,   0, 135,   2,   0,   0,
     201,   1,   0,   0,   7,   0,   0,   0,
->>>>>>> main
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-<<<<<<< HEAD
-     36,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     88,  52, 189, 108,   2, 251, 241, 229,
-    152, 255,  48, 133,  31, 173, 190, 219,
-     17,   1,   0,   0,  82,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   1,   0,   0,   7,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-     11,  40,   6, 127, 130, 226,  51, 197,
-    200, 185,  43, 148,  86, 215,  74, 187,
-    253,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
-      2,   0,   0,   0,   0,   0,   0,   0,
-    162, 127, 137,  21, 175,  21,  64, 154,
-    172, 150, 186,  44, 189, 213,  91, 208,
-    229,   0,   0,   0,  90,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,   7,   0,   0,   0,
-      3,   0,   0,   0,   0,   0,   0,   0,
-    203, 179, 192,  64, 199,   6, 186, 164,
-     97, 239, 142, 153, 137, 101, 104, 208,
-    209,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
-      4,   0,   0,   0,   0,   0,   0,   0,
-    210, 200, 226,  27, 138, 217, 152, 216,
-     82, 159,  40, 208,  96,  88, 250, 189,
-    189,   0,   0,   0, 146,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-    235,  82, 196,  84, 109, 175,  13, 190,
-    208, 134, 242, 144, 156,  46, 133, 214,
-    173,   0,   0,   0, 114,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
-      6,   0,   0,   0,   0,   0,   0,   0,
-     70, 100, 232,  57, 120, 114, 228, 213,
-    172,  72, 182, 117,  61, 102, 245, 162,
-    153,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
-      7,   0,   0,   0,   0,   0,   0,   0,
-    223,  17,  24, 111, 236,  93,  71, 163,
-    237,  95, 134, 157, 207, 124, 222, 188,
-    133,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
-    187, 161,  28,  66,  84, 241,  39, 250,
-    102,   6,  60, 130,   1, 226,  27, 234,
-    113,   0,   0,   0, 122,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
-=======
      40,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      88,  52, 189, 108,   2, 251, 241, 229,
@@ -2097,7 +2013,6 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     113,   0,   0,   0,   7,   0,   0,   0,
->>>>>>> main
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2113,12 +2028,6 @@
     112,  83, 110,  97, 112, 115, 104, 111,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-<<<<<<< HEAD
-    112, 117, 115, 104,  79, 119, 110, 101,
-    114, 115, 104, 105, 112,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-=======
->>>>>>> main
     116,  97, 115, 107,  67, 111, 109, 109,
      97, 110, 100,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2127,14 +2036,11 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     115,  99, 104, 101, 100, 117, 108, 101,
     114,  81, 117, 101, 114, 121,   0,   0,
-<<<<<<< HEAD
-=======
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 117, 115, 104,  79, 119, 110, 101,
     114, 115, 104, 105, 112,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
->>>>>>> main
       0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
@@ -2152,10 +2058,7 @@
   &s_c533e2827f06280b,
   &s_d05bd5bd2cba96ac,
   &s_d0686589998eef61,
-<<<<<<< HEAD
-=======
   &s_d1e4446f7d67fb20,
->>>>>>> main
   &s_d5e4727839e86446,
   &s_d6852e9c90f286d0,
   &s_d898d98a1be2c8d2,
@@ -2165,17 +2068,10 @@
   &s_ea1be201823c0666,
   &s_fa27f154421ca1bb,
 };
-<<<<<<< HEAD
-static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 2, 5, 7, 8, 6};
-const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
-  0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 116, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
-  18, 9, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
-=======
 static const uint16_t m_b91702a44fe2cd65[] = {3, 1, 0, 4, 9, 2, 8, 6, 7, 5};
 const ::capnp::_::RawSchema s_b91702a44fe2cd65 = {
   0xb91702a44fe2cd65, b_b91702a44fe2cd65.words, 126, d_b91702a44fe2cd65, m_b91702a44fe2cd65,
   20, 10, nullptr, nullptr, nullptr, { &s_b91702a44fe2cd65, nullptr, nullptr, 0, 0, nullptr }
->>>>>>> main
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_e5f1fb026cbd3458 = {
@@ -2647,90 +2543,9 @@
   2, 2, i_bdfa5860d0289f52, nullptr, nullptr, { &s_bdfa5860d0289f52, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-<<<<<<< HEAD
-static const ::capnp::_::AlignedData<37> b_be0daf6d54c452eb = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    235,  82, 196,  84, 109, 175,  13, 190,
-     16,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    112, 117, 115, 104,  79, 119, 110, 101,
-    114, 115, 104, 105, 112,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-    101, 110, 116, 114, 105, 101, 115,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     57, 135,  67,  15, 230,  45,  46, 219,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_be0daf6d54c452eb = b_be0daf6d54c452eb.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_be0daf6d54c452eb[] = {
-  &s_db2e2de60f438739,
-};
-static const uint16_t m_be0daf6d54c452eb[] = {0};
-static const uint16_t i_be0daf6d54c452eb[] = {0};
-const ::capnp::_::RawSchema s_be0daf6d54c452eb = {
-  0xbe0daf6d54c452eb, b_be0daf6d54c452eb.words, 37, d_be0daf6d54c452eb, m_be0daf6d54c452eb,
-  1, 1, i_be0daf6d54c452eb, nullptr, nullptr, { &s_be0daf6d54c452eb, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_d6852e9c90f286d0 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    208, 134, 242, 144, 156,  46, 133, 214,
-     16,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  80, 101, 101, 114,  46,
-    112, 117, 115, 104,  79, 119, 110, 101,
-    114, 115, 104, 105, 112,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0, }
-};
-::capnp::word const* const bp_d6852e9c90f286d0 = b_d6852e9c90f286d0.words;
-#if !CAPNP_LITE
-const ::capnp::_::RawSchema s_d6852e9c90f286d0 = {
-  0xd6852e9c90f286d0, b_d6852e9c90f286d0.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_d6852e9c90f286d0, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_d5e4727839e86446 = {
-=======
 static const ::capnp::_::AlignedData<33> b_be0daf6d54c452eb = {
->>>>>>> main
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     70, 100, 232,  57, 120, 114, 228, 213,
+    235,  82, 196,  84, 109, 175,  13, 190,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2763,21 +2578,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_d5e4727839e86446 = b_d5e4727839e86446.words;
+::capnp::word const* const bp_be0daf6d54c452eb = b_be0daf6d54c452eb.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d5e4727839e86446[] = {
+static const ::capnp::_::RawSchema* const d_be0daf6d54c452eb[] = {
   &s_f7037622ea18a9d8,
 };
-static const uint16_t m_d5e4727839e86446[] = {0};
-static const uint16_t i_d5e4727839e86446[] = {0};
-const ::capnp::_::RawSchema s_d5e4727839e86446 = {
-  0xd5e4727839e86446, b_d5e4727839e86446.words, 33, d_d5e4727839e86446, m_d5e4727839e86446,
-  1, 1, i_d5e4727839e86446, nullptr, nullptr, { &s_d5e4727839e86446, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_be0daf6d54c452eb[] = {0};
+static const uint16_t i_be0daf6d54c452eb[] = {0};
+const ::capnp::_::RawSchema s_be0daf6d54c452eb = {
+  0xbe0daf6d54c452eb, b_be0daf6d54c452eb.words, 33, d_be0daf6d54c452eb, m_be0daf6d54c452eb,
+  1, 1, i_be0daf6d54c452eb, nullptr, nullptr, { &s_be0daf6d54c452eb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_a2f5663d75b648ac = {
+static const ::capnp::_::AlignedData<33> b_d6852e9c90f286d0 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    172,  72, 182, 117,  61, 102, 245, 162,
+    208, 134, 242, 144, 156,  46, 133, 214,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2810,21 +2625,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_a2f5663d75b648ac = b_a2f5663d75b648ac.words;
+::capnp::word const* const bp_d6852e9c90f286d0 = b_d6852e9c90f286d0.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_a2f5663d75b648ac[] = {
+static const ::capnp::_::RawSchema* const d_d6852e9c90f286d0[] = {
   &s_fe404c09782da4b1,
 };
-static const uint16_t m_a2f5663d75b648ac[] = {0};
-static const uint16_t i_a2f5663d75b648ac[] = {0};
-const ::capnp::_::RawSchema s_a2f5663d75b648ac = {
-  0xa2f5663d75b648ac, b_a2f5663d75b648ac.words, 33, d_a2f5663d75b648ac, m_a2f5663d75b648ac,
-  1, 1, i_a2f5663d75b648ac, nullptr, nullptr, { &s_a2f5663d75b648ac, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_d6852e9c90f286d0[] = {0};
+static const uint16_t i_d6852e9c90f286d0[] = {0};
+const ::capnp::_::RawSchema s_d6852e9c90f286d0 = {
+  0xd6852e9c90f286d0, b_d6852e9c90f286d0.words, 33, d_d6852e9c90f286d0, m_d6852e9c90f286d0,
+  1, 1, i_d6852e9c90f286d0, nullptr, nullptr, { &s_d6852e9c90f286d0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_a3475dec6f1811df = {
+static const ::capnp::_::AlignedData<33> b_d5e4727839e86446 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    223,  17,  24, 111, 236,  93,  71, 163,
+     70, 100, 232,  57, 120, 114, 228, 213,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2857,21 +2672,21 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_a3475dec6f1811df = b_a3475dec6f1811df.words;
+::capnp::word const* const bp_d5e4727839e86446 = b_d5e4727839e86446.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_a3475dec6f1811df[] = {
+static const ::capnp::_::RawSchema* const d_d5e4727839e86446[] = {
   &s_fdddec1ba90e7184,
 };
-static const uint16_t m_a3475dec6f1811df[] = {0};
-static const uint16_t i_a3475dec6f1811df[] = {0};
-const ::capnp::_::RawSchema s_a3475dec6f1811df = {
-  0xa3475dec6f1811df, b_a3475dec6f1811df.words, 33, d_a3475dec6f1811df, m_a3475dec6f1811df,
-  1, 1, i_a3475dec6f1811df, nullptr, nullptr, { &s_a3475dec6f1811df, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_d5e4727839e86446[] = {0};
+static const uint16_t i_d5e4727839e86446[] = {0};
+const ::capnp::_::RawSchema s_d5e4727839e86446 = {
+  0xd5e4727839e86446, b_d5e4727839e86446.words, 33, d_d5e4727839e86446, m_d5e4727839e86446,
+  1, 1, i_d5e4727839e86446, nullptr, nullptr, { &s_d5e4727839e86446, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_bcde7ccf9d865fed = {
+static const ::capnp::_::AlignedData<50> b_a2f5663d75b648ac = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    237,  95, 134, 157, 207, 124, 222, 188,
+    172,  72, 182, 117,  61, 102, 245, 162,
      16,   0,   0,   0,   1,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
@@ -2921,18 +2736,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_bcde7ccf9d865fed = b_bcde7ccf9d865fed.words;
+::capnp::word const* const bp_a2f5663d75b648ac = b_a2f5663d75b648ac.words;
 #if !CAPNP_LITE
-static const uint16_t m_bcde7ccf9d865fed[] = {1, 0};
-static const uint16_t i_bcde7ccf9d865fed[] = {0, 1};
-const ::capnp::_::RawSchema s_bcde7ccf9d865fed = {
-  0xbcde7ccf9d865fed, b_bcde7ccf9d865fed.words, 50, nullptr, m_bcde7ccf9d865fed,
-  0, 2, i_bcde7ccf9d865fed, nullptr, nullptr, { &s_bcde7ccf9d865fed, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a2f5663d75b648ac[] = {1, 0};
+static const uint16_t i_a2f5663d75b648ac[] = {0, 1};
+const ::capnp::_::RawSchema s_a2f5663d75b648ac = {
+  0xa2f5663d75b648ac, b_a2f5663d75b648ac.words, 50, nullptr, m_a2f5663d75b648ac,
+  0, 2, i_a2f5663d75b648ac, nullptr, nullptr, { &s_a2f5663d75b648ac, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_fa27f154421ca1bb = {
+static const ::capnp::_::AlignedData<33> b_a3475dec6f1811df = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    187, 161,  28,  66,  84, 241,  39, 250,
+    223,  17,  24, 111, 236,  93,  71, 163,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -2965,18 +2780,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_fa27f154421ca1bb = b_fa27f154421ca1bb.words;
+::capnp::word const* const bp_a3475dec6f1811df = b_a3475dec6f1811df.words;
 #if !CAPNP_LITE
-static const uint16_t m_fa27f154421ca1bb[] = {0};
-static const uint16_t i_fa27f154421ca1bb[] = {0};
-const ::capnp::_::RawSchema s_fa27f154421ca1bb = {
-  0xfa27f154421ca1bb, b_fa27f154421ca1bb.words, 33, nullptr, m_fa27f154421ca1bb,
-  0, 1, i_fa27f154421ca1bb, nullptr, nullptr, { &s_fa27f154421ca1bb, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a3475dec6f1811df[] = {0};
+static const uint16_t i_a3475dec6f1811df[] = {0};
+const ::capnp::_::RawSchema s_a3475dec6f1811df = {
+  0xa3475dec6f1811df, b_a3475dec6f1811df.words, 33, nullptr, m_a3475dec6f1811df,
+  0, 1, i_a3475dec6f1811df, nullptr, nullptr, { &s_a3475dec6f1811df, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_ea1be201823c0666 = {
+static const ::capnp::_::AlignedData<48> b_bcde7ccf9d865fed = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    102,   6,  60, 130,   1, 226,  27, 234,
+    237,  95, 134, 157, 207, 124, 222, 188,
      16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
@@ -3024,13 +2839,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_ea1be201823c0666 = b_ea1be201823c0666.words;
+::capnp::word const* const bp_bcde7ccf9d865fed = b_bcde7ccf9d865fed.words;
 #if !CAPNP_LITE
-static const uint16_t m_ea1be201823c0666[] = {1, 0};
-static const uint16_t i_ea1be201823c0666[] = {0, 1};
-const ::capnp::_::RawSchema s_ea1be201823c0666 = {
-  0xea1be201823c0666, b_ea1be201823c0666.words, 48, nullptr, m_ea1be201823c0666,
-  0, 2, i_ea1be201823c0666, nullptr, nullptr, { &s_ea1be201823c0666, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_bcde7ccf9d865fed[] = {1, 0};
+static const uint16_t i_bcde7ccf9d865fed[] = {0, 1};
+const ::capnp::_::RawSchema s_bcde7ccf9d865fed = {
+  0xbcde7ccf9d865fed, b_bcde7ccf9d865fed.words, 48, nullptr, m_bcde7ccf9d865fed,
+  0, 2, i_bcde7ccf9d865fed, nullptr, nullptr, { &s_bcde7ccf9d865fed, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<37> b_fa27f154421ca1bb = {
@@ -3348,8 +3163,6 @@
       "peer.capnp:Peer", "ownershipSnapshot",
       0xb91702a44fe2cd65ull, 4);
 }
-<<<<<<< HEAD
-=======
 ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>
 Peer::Client::taskCommandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(
@@ -3380,7 +3193,6 @@
       "peer.capnp:Peer", "schedulerQuery",
       0xb91702a44fe2cd65ull, 7);
 }
->>>>>>> main
 ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>
 Peer::Client::pushOwnershipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
   return newCall< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(
@@ -3401,39 +3213,6 @@
       "peer.capnp:Peer", "ping",
       0xb91702a44fe2cd65ull, 9);
 }
-<<<<<<< HEAD
-::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>
-Peer::Client::taskCommandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(
-      0xb91702a44fe2cd65ull, 6, sizeHint);
-}
-::kj::Promise<void> Peer::Server::taskCommand(TaskCommandContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "taskCommand",
-      0xb91702a44fe2cd65ull, 6);
-}
-::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>
-Peer::Client::reportTasksRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>(
-      0xb91702a44fe2cd65ull, 7, sizeHint);
-}
-::kj::Promise<void> Peer::Server::reportTasks(ReportTasksContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "reportTasks",
-      0xb91702a44fe2cd65ull, 7);
-}
-::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>
-Peer::Client::schedulerQueryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(
-      0xb91702a44fe2cd65ull, 8, sizeHint);
-}
-::kj::Promise<void> Peer::Server::schedulerQuery(SchedulerQueryContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "schedulerQuery",
-      0xb91702a44fe2cd65ull, 8);
-}
-=======
->>>>>>> main
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3480,31 +3259,20 @@
       };
     case 5:
       return {
-<<<<<<< HEAD
-        pushOwnership(::capnp::Capability::Server::internalGetTypedContext<
-             ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults>(context)),
-        false
-      };
-    case 6:
-      return {
-=======
->>>>>>> main
         taskCommand(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults>(context)),
         false
       };
-    case 7:
+    case 6:
       return {
         reportTasks(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults>(context)),
         false
       };
-    case 8:
+    case 7:
       return {
         schedulerQuery(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults>(context)),
-<<<<<<< HEAD
-=======
         false
       };
     case 8:
@@ -3517,7 +3285,6 @@
       return {
         ping(::capnp::Capability::Server::internalGetTypedContext<
              ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults>(context)),
->>>>>>> main
         false
       };
     default:
@@ -3615,25 +3382,6 @@
 constexpr ::capnp::_::RawSchema const* Peer::OwnershipSnapshotResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-// Peer::PushOwnershipParams
-constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::PushOwnershipParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::PushOwnershipParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Peer::PushOwnershipResults
-constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::PushOwnershipResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::PushOwnershipResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::PushOwnershipResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-=======
->>>>>>> main
 // Peer::TaskCommandParams
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::dataWordSize;
 constexpr uint16_t Peer::TaskCommandParams::_capnpPrivate::pointerCount;
@@ -3680,8 +3428,6 @@
 #if !CAPNP_LITE
 constexpr ::capnp::Kind Peer::SchedulerQueryResults::_capnpPrivate::kind;
 constexpr ::capnp::_::RawSchema const* Peer::SchedulerQueryResults::_capnpPrivate::schema;
-<<<<<<< HEAD
-=======
 #endif  // !CAPNP_LITE
 
 // Peer::PushOwnershipParams
@@ -3714,7 +3460,6 @@
 #if !CAPNP_LITE
 constexpr ::capnp::Kind Peer::PingResults::_capnpPrivate::kind;
 constexpr ::capnp::_::RawSchema const* Peer::PingResults::_capnpPrivate::schema;
->>>>>>> main
 #endif  // !CAPNP_LITE
 
 
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -54,11 +54,8 @@
 CAPNP_DECLARE_SCHEMA(bcde7ccf9d865fed);
 CAPNP_DECLARE_SCHEMA(fa27f154421ca1bb);
 CAPNP_DECLARE_SCHEMA(ea1be201823c0666);
-<<<<<<< HEAD
-=======
 CAPNP_DECLARE_SCHEMA(d1e4446f7d67fb20);
 CAPNP_DECLARE_SCHEMA(dc82d07f1c88bda8);
->>>>>>> main
 
 }  // namespace schemas
 }  // namespace capnp
@@ -325,24 +322,16 @@
   struct ConfigSinceResults;
   struct OwnershipSnapshotParams;
   struct OwnershipSnapshotResults;
-<<<<<<< HEAD
-  struct PushOwnershipParams;
-  struct PushOwnershipResults;
-=======
->>>>>>> main
   struct TaskCommandParams;
   struct TaskCommandResults;
   struct ReportTasksParams;
   struct ReportTasksResults;
   struct SchedulerQueryParams;
   struct SchedulerQueryResults;
-<<<<<<< HEAD
-=======
   struct PushOwnershipParams;
   struct PushOwnershipResults;
   struct PingParams;
   struct PingResults;
->>>>>>> main
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -510,7 +499,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(be0daf6d54c452eb, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -525,7 +514,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d6852e9c90f286d0, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -540,7 +529,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5e4727839e86446, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -555,7 +544,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a2f5663d75b648ac, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -570,7 +559,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa27f154421ca1bb, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a3475dec6f1811df, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -585,7 +574,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea1be201823c0666, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bcde7ccf9d865fed, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2492,23 +2481,15 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::OwnershipSnapshotParams,  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults> ownershipSnapshotRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-<<<<<<< HEAD
-  ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-=======
->>>>>>> main
   ::capnp::Request< ::mangospread::rpc::wire::Peer::TaskCommandParams,  ::mangospread::rpc::wire::Peer::TaskCommandResults> taskCommandRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::ReportTasksParams,  ::mangospread::rpc::wire::Peer::ReportTasksResults> reportTasksRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::SchedulerQueryParams,  ::mangospread::rpc::wire::Peer::SchedulerQueryResults> schedulerQueryRequest(
-<<<<<<< HEAD
-=======
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::PushOwnershipParams,  ::mangospread::rpc::wire::Peer::PushOwnershipResults> pushOwnershipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mangospread::rpc::wire::Peer::PingParams,  ::mangospread::rpc::wire::Peer::PingResults> pingRequest(
->>>>>>> main
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -2546,13 +2527,6 @@
   typedef  ::mangospread::rpc::wire::Peer::OwnershipSnapshotResults OwnershipSnapshotResults;
   typedef ::capnp::CallContext<OwnershipSnapshotParams, OwnershipSnapshotResults> OwnershipSnapshotContext;
   virtual ::kj::Promise<void> ownershipSnapshot(OwnershipSnapshotContext context);
-<<<<<<< HEAD
-  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
-  typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
-  typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
-  virtual ::kj::Promise<void> pushOwnership(PushOwnershipContext context);
-=======
->>>>>>> main
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandParams TaskCommandParams;
   typedef  ::mangospread::rpc::wire::Peer::TaskCommandResults TaskCommandResults;
   typedef ::capnp::CallContext<TaskCommandParams, TaskCommandResults> TaskCommandContext;
@@ -2565,8 +2539,6 @@
   typedef  ::mangospread::rpc::wire::Peer::SchedulerQueryResults SchedulerQueryResults;
   typedef ::capnp::CallContext<SchedulerQueryParams, SchedulerQueryResults> SchedulerQueryContext;
   virtual ::kj::Promise<void> schedulerQuery(SchedulerQueryContext context);
-<<<<<<< HEAD
-=======
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipParams PushOwnershipParams;
   typedef  ::mangospread::rpc::wire::Peer::PushOwnershipResults PushOwnershipResults;
   typedef ::capnp::CallContext<PushOwnershipParams, PushOwnershipResults> PushOwnershipContext;
@@ -2575,7 +2547,6 @@
   typedef  ::mangospread::rpc::wire::Peer::PingResults PingResults;
   typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
   virtual ::kj::Promise<void> ping(PingContext context);
->>>>>>> main
 
   inline  ::mangospread::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3394,15 +3365,9 @@
 };
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-class Peer::PushOwnershipParams::Reader {
-public:
-  typedef PushOwnershipParams Reads;
-=======
 class Peer::TaskCommandParams::Reader {
 public:
   typedef TaskCommandParams Reads;
->>>>>>> main
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3417,13 +3382,8 @@
   }
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-=======
   inline bool hasCall() const;
   inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
->>>>>>> main
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3437,15 +3397,9 @@
   friend class ::capnp::Orphanage;
 };
 
-<<<<<<< HEAD
-class Peer::PushOwnershipParams::Builder {
-public:
-  typedef PushOwnershipParams Builds;
-=======
 class Peer::TaskCommandParams::Builder {
 public:
   typedef TaskCommandParams Builds;
->>>>>>> main
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3459,21 +3413,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-  inline bool hasEntries();
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> disownEntries();
-=======
   inline bool hasCall();
   inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
   inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
   inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
   inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
   inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
->>>>>>> main
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3485,24 +3430,15 @@
 };
 
 #if !CAPNP_LITE
-<<<<<<< HEAD
-class Peer::PushOwnershipParams::Pipeline {
-public:
-  typedef PushOwnershipParams Pipelines;
-=======
 class Peer::TaskCommandParams::Pipeline {
 public:
   typedef TaskCommandParams Pipelines;
->>>>>>> main
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-<<<<<<< HEAD
-=======
   inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
->>>>>>> main
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3511,15 +3447,9 @@
 };
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-class Peer::PushOwnershipResults::Reader {
-public:
-  typedef PushOwnershipResults Reads;
-=======
 class Peer::TaskCommandResults::Reader {
 public:
   typedef TaskCommandResults Reads;
->>>>>>> main
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3534,12 +3464,9 @@
   }
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-=======
   inline bool hasResult() const;
   inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
 
->>>>>>> main
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3552,15 +3479,9 @@
   friend class ::capnp::Orphanage;
 };
 
-<<<<<<< HEAD
-class Peer::PushOwnershipResults::Builder {
-public:
-  typedef PushOwnershipResults Builds;
-=======
 class Peer::TaskCommandResults::Builder {
 public:
   typedef TaskCommandResults Builds;
->>>>>>> main
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3574,8 +3495,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-<<<<<<< HEAD
-=======
   inline bool hasResult();
   inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
   inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
@@ -3583,89 +3502,6 @@
   inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
   inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
 
->>>>>>> main
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-<<<<<<< HEAD
-class Peer::PushOwnershipResults::Pipeline {
-public:
-  typedef PushOwnershipResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::TaskCommandParams::Reader {
-public:
-  typedef TaskCommandParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasCall() const;
-  inline  ::mangospread::rpc::wire::TaskCall::Reader getCall() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::TaskCommandParams::Builder {
-public:
-  typedef TaskCommandParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasCall();
-  inline  ::mangospread::rpc::wire::TaskCall::Builder getCall();
-  inline void setCall( ::mangospread::rpc::wire::TaskCall::Reader value);
-  inline  ::mangospread::rpc::wire::TaskCall::Builder initCall();
-  inline void adoptCall(::capnp::Orphan< ::mangospread::rpc::wire::TaskCall>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCall> disownCall();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3676,90 +3512,6 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TaskCommandParams::Pipeline {
-public:
-  typedef TaskCommandParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::mangospread::rpc::wire::TaskCall::Pipeline getCall();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::TaskCommandResults::Reader {
-public:
-  typedef TaskCommandResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasResult() const;
-  inline  ::mangospread::rpc::wire::TaskCallResult::Reader getResult() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::TaskCommandResults::Builder {
-public:
-  typedef TaskCommandResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasResult();
-  inline  ::mangospread::rpc::wire::TaskCallResult::Builder getResult();
-  inline void setResult( ::mangospread::rpc::wire::TaskCallResult::Reader value);
-  inline  ::mangospread::rpc::wire::TaskCallResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult>&& value);
-  inline ::capnp::Orphan< ::mangospread::rpc::wire::TaskCallResult> disownResult();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-=======
->>>>>>> main
 class Peer::TaskCommandResults::Pipeline {
 public:
   typedef TaskCommandResults Pipelines;
@@ -4094,8 +3846,6 @@
 class Peer::SchedulerQueryResults::Pipeline {
 public:
   typedef SchedulerQueryResults Pipelines;
-<<<<<<< HEAD
-=======
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4390,7 +4140,6 @@
 class Peer::PingResults::Pipeline {
 public:
   typedef PingResults Pipelines;
->>>>>>> main
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6908,43 +6657,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-<<<<<<< HEAD
-inline bool Peer::PushOwnershipParams::Reader::hasEntries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::PushOwnershipParams::Builder::hasEntries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader Peer::PushOwnershipParams::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::PushOwnershipParams::Builder::setEntries( ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>::Builder Peer::PushOwnershipParams::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::PushOwnershipParams::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> Peer::PushOwnershipParams::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-=======
->>>>>>> main
 inline bool Peer::TaskCommandParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7169,8 +6881,6 @@
 }
 inline ::capnp::Orphan< ::capnp::Text> Peer::SchedulerQueryResults::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-<<<<<<< HEAD
-=======
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7205,7 +6915,6 @@
 }
 inline ::capnp::Orphan< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>> Peer::PushOwnershipParams::Builder::disownEntries() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::rpc::wire::OwnershipEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
->>>>>>> main
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/rpc/peer_server.hpp
+++ b/src/rpc/peer_server.hpp
@@ -1,18 +1,4 @@
 /// @file
-<<<<<<< HEAD
-/// Serves peers' calls. Internal to src/rpc.
-#pragma once
-
-#include <functional>
-#include <memory>
-#include <string>
-#include <utility>
-#include <vector>
-
-#include "base/event_loop.hpp"
-#include "rpc/codec.hpp"
-#include "rpc/peer.capnp.h"
-=======
 /// The serving side of a peer connection. Included by peer_service.cc alone,
 /// since KJ headers are slow to compile.
 #pragma once
@@ -27,15 +13,12 @@
 #include "base/clock.hpp"
 #include "base/event_loop.hpp"
 #include "rpc/codec.hpp"
->>>>>>> main
 #include "rpc/peer_service.hpp"
 #include "rpc/rpc_thread.hpp"
 #include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc::detail {
 
-<<<<<<< HEAD
-=======
 template <typename T, typename Init>
 void EncodeList(const std::vector<T>& items, Init init) {
   auto list = init(static_cast<unsigned>(items.size()));
@@ -50,7 +33,6 @@
   return items;
 }
 
->>>>>>> main
 /// Runs a handler on the core thread and returns its answer as a promise.
 class CoreBridge {
  public:
@@ -68,11 +50,6 @@
     core_.Post([start = std::move(start), hold = std::move(hold)] {
       start([hold](T value) { hold->Fulfill(std::move(value)); });
     });
-<<<<<<< HEAD
-    return kj::mv(paf.promise);
-  }
-
-=======
     ++pending_;
     return paf.promise.attach(kj::defer([this] { --pending_; }));
   }
@@ -80,7 +57,6 @@
   /// Calls of peers that wait for the core thread's answer.
   [[nodiscard]] int pending() const noexcept { return pending_; }
 
->>>>>>> main
  private:
   /// Returns the fulfiller to the KJ thread even if it is never used.
   template <typename T>
@@ -113,23 +89,6 @@
 
   base::EventLoop& core_;
   std::shared_ptr<RpcThread> thread_;
-<<<<<<< HEAD
-};
-
-template <typename T, typename Init>
-void EncodeList(const std::vector<T>& items, Init init) {
-  auto list = init(static_cast<unsigned>(items.size()));
-  for (unsigned i = 0; i < list.size(); ++i) Encode(items[i], list[i]);
-}
-
-template <typename T, typename List>
-std::vector<T> DecodeList(const List& list) {
-  std::vector<T> items;
-  items.reserve(list.size());
-  for (const auto item : list) items.push_back(Decode(item));
-  return items;
-}
-=======
   int pending_ = 0;
 };
 
@@ -137,19 +96,10 @@
 struct ServerActivity {
   MonotonicTime last_call = base::MonotonicNow();
 };
->>>>>>> main
 
 /// Serves peers' calls on the KJ thread.
 class PeerServer final : public wire::Peer::Server {
  public:
-<<<<<<< HEAD
-  PeerServer(CoreBridge& bridge, const PeerHandlers& handlers)
-      : bridge_(bridge), handlers_(handlers) {}
-
-  kj::Promise<void> heartbeat(HeartbeatContext context) override {  // NOLINT
-    NodeView view = Decode(context.getParams().getView());
-    return bridge_
-=======
   PeerServer(CoreBridge& bridge, const PeerHandlers& handlers,
              std::shared_ptr<ServerActivity> activity)
       : bridge_(bridge), handlers_(handlers), activity_(std::move(activity)) {}
@@ -162,7 +112,6 @@
   kj::Promise<void> heartbeat(HeartbeatContext context) override {  // NOLINT
     NodeView view = Decode(context.getParams().getView());
     return Counted()
->>>>>>> main
         .Call<NodeView>([this, view = std::move(view)](auto reply) {
           reply(handlers_.heartbeat(view));
         })
@@ -175,11 +124,7 @@
     auto request = std::make_shared<ForwardRequest>(
         Decode(context.getParams().getRequest()));
     context.releaseParams();
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<ForwardReply>([this, request](auto reply) {
           handlers_.forward(std::move(*request), std::move(reply));
         })
@@ -190,11 +135,7 @@
 
   kj::Promise<void> pushConfig(PushConfigContext context) override {  // NOLINT
     ConfigDelta delta = Decode(context.getParams().getDelta());
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<Revision>([this, delta = std::move(delta)](auto reply) {
           reply(handlers_.push_config(delta));
         })
@@ -206,11 +147,7 @@
   kj::Promise<void> configSince(  // NOLINT
       ConfigSinceContext context) override {
     const Revision revision(context.getParams().getRevision());
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<ConfigDelta>([this, revision](auto reply) {
           reply(handlers_.config_since(revision));
         })
@@ -221,11 +158,7 @@
 
   kj::Promise<void> ownershipSnapshot(  // NOLINT
       OwnershipSnapshotContext context) override {
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<OwnershipSnapshot>(
             [this](auto reply) { reply(handlers_.ownership_snapshot()); })
         .then([context](OwnershipSnapshot snapshot) mutable {
@@ -237,12 +170,6 @@
         });
   }
 
-<<<<<<< HEAD
-  kj::Promise<void> taskCommand(  // NOLINT
-      TaskCommandContext context) override {
-    TaskCall call = Decode(context.getParams().getCall());
-    return bridge_
-=======
   kj::Promise<void> pushOwnership(  // NOLINT
       PushOwnershipContext context) override {
     auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
@@ -258,7 +185,6 @@
       TaskCommandContext context) override {
     TaskCall call = Decode(context.getParams().getCall());
     return Counted()
->>>>>>> main
         .Call<Result<TaskReport>>([this, call = std::move(call)](auto reply) {
           handlers_.task_command(call, std::move(reply));
         })
@@ -271,11 +197,7 @@
       ReportTasksContext context) override {
     auto report =
         std::make_shared<NodeReport>(Decode(context.getParams().getReport()));
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<NodeReportReply>([this, report](auto reply) {
           reply(handlers_.report_tasks(*report));
         })
@@ -289,11 +211,7 @@
   kj::Promise<void> schedulerQuery(  // NOLINT
       SchedulerQueryContext context) override {
     std::string path = context.getParams().getPath();
-<<<<<<< HEAD
-    return bridge_
-=======
     return Counted()
->>>>>>> main
         .Call<QueryReply>([this, path = std::move(path)](auto reply) {
           reply(handlers_.scheduler_query(path));
         })
@@ -304,22 +222,6 @@
         });
   }
 
-<<<<<<< HEAD
-  kj::Promise<void> pushOwnership(  // NOLINT
-      PushOwnershipContext context) override {
-    auto entries = DecodeList<OwnershipEntry>(context.getParams().getEntries());
-    return bridge_
-        .Call<Done>([this, entries = std::move(entries)](auto reply) {
-          handlers_.push_ownership(entries);
-          reply(Done{});
-        })
-        .ignoreResult();
-  }
-
- private:
-  CoreBridge& bridge_;
-  const PeerHandlers& handlers_;
-=======
  private:
   /// Notes a call that is passed to the core thread.
   CoreBridge& Counted() {
@@ -330,7 +232,6 @@
   CoreBridge& bridge_;
   const PeerHandlers& handlers_;
   std::shared_ptr<ServerActivity> activity_;
->>>>>>> main
 };
 
 }  // namespace mangospread::rpc::detail
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -457,8 +457,6 @@
       });
 }
 
-<<<<<<< HEAD
-=======
 void PeerService::PushOwnership(const Address& peer,
                                 std::vector<OwnershipEntry> entries,
                                 Milliseconds timeout,
@@ -474,7 +472,6 @@
       });
 }
 
->>>>>>> main
 void PeerService::TaskCommand(const Address& peer, TaskCall call,
                               Milliseconds timeout,
                               ReplyCallback<TaskReport> done) {
@@ -521,23 +518,6 @@
         return request.send().then([](auto&& answer) {
           return QueryReply{answer.getStatus(), answer.getBody()};
         });
-<<<<<<< HEAD
-      });
-}
-
-void PeerService::PushOwnership(const Address& peer,
-                                std::vector<OwnershipEntry> entries,
-                                Milliseconds timeout,
-                                ReplyCallback<Done> done) {
-  host_->Call<Done>(
-      peer, timeout, detail::OnTimeout::kKeep, std::move(done),
-      [entries = std::move(entries)](wire::Peer::Client& client) {
-        auto call = client.pushOwnershipRequest();
-        detail::EncodeList(entries,
-                           [&call](unsigned n) { return call.initEntries(n); });
-        return call.send().then([](auto&& /*answer*/) { return Done{}; });
-=======
->>>>>>> main
       });
 }
 
