--- a/tests/integration/harness/cluster.hpp
+++ b/tests/integration/harness/cluster.hpp
@@ -42,6 +42,7 @@
   bool proxy_rpc = false;
   bool proxy_http = false;
   std::vector<std::string> node_arguments;
+  std::vector<std::string> worker_arguments;
   /// Spec of the service "coverage".
   std::string service =
       R"({"team":"branches","pool":"counter","timeout_ms":2000})";
@@ -80,6 +81,12 @@
   /// Starts a node again under its old name, with fresh ports.
   void RestartNode(int index);
 
+  /// Kills a worker process and starts a new one behind the same proxy.
+  void RestartWorker(int index);
+  /// File with a line for each start and end of a task on the worker, and one
+  /// for each time that it was killed.
+  [[nodiscard]] std::string TaskLog(int worker) const;
+
   /// Faults of the table stand-in.
   void SetTableFaults(const std::string& json);
   /// Replaces the VM list by all workers.
@@ -103,6 +110,7 @@
  private:
   [[nodiscard]] std::vector<std::string> NodeArguments(int index) const;
   void StartNode(int index);
+  [[nodiscard]] std::unique_ptr<Process> StartWorker(int index);
   void StartProxies();
 
   ClusterOptions options_;
