--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -154,7 +154,7 @@
                      [this] { return state_ != rpc::NodeState::kStarting; }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
-      router_(store_, ownership_, membership_),
+      router_(store_, ownership_, membership_, settings_.data_center),
       keys_(loop_, MakeKeyOptions(settings_, incarnation_), *platform_.table,
             key_writer_,
             [this](const NodeId& node, Incarnation incarnation) {
@@ -171,10 +171,20 @@
             peers_.Forward(peer, std::move(request), std::move(done));
           },
           [this] { return Admission(); }),
+      scheduling_(
+          settings_, incarnation_, WriterRow(settings_, incarnation_, "tasks"),
+          {loop_, *platform_.table, store_, membership_, ownership_, peers_,
+           [this](const NodeId& node, Incarnation incarnation) {
+             return IsGone(node, incarnation);
+           },
+           [this] { return state_ == rpc::NodeState::kReady; }}),
       watches_(loop_, store_, {}),
       api_({store_, editor_, watches_, membership_, ownership_,
             [this] { return SelfView(); }, [this] { return Health(); },
-            [this](auto& samples) { CollectSamples(samples); }}),
+            [this](auto& samples) { CollectSamples(samples); },
+            [this](const std::string& path, auto done) {
+              scheduling_.Query(path, std::move(done));
+            }}),
       server_(loop_, {},
               [this](std::shared_ptr<net::HttpExchange> exchange) {
                 Dispatch(std::move(exchange));
@@ -184,6 +194,7 @@
       [this](const rpc::NodeView& view) { OnHeard(view); });
   ownership_.owner_changed().connect(
       [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
+  ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   AddChildren();
 }
 
@@ -226,6 +237,14 @@
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
        kHandOverLimit + kRecheck});
+  supervisor_.Add({"scheduler",
+                   [this]() -> Result<Done> {
+                     scheduling_.Start();
+                     return Done{};
+                   },
+                   [this](std::function<void()> done) {
+                     scheduling_.Stop(std::move(done));
+                   }});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
@@ -315,6 +334,7 @@
       [this](const std::vector<rpc::OwnershipEntry>& entries) {
         ownership_.AdoptRows(ToKnownOwners(entries));
       };
+  scheduling_.AddHandlers(handlers);
   return handlers;
 }
 
@@ -430,6 +450,7 @@
                            [](const Result<Done>& /*done*/) {});
     }
   });
+  gateway_.OnCapacity();
 }
 
 }  // namespace mangospread::app
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -56,6 +56,8 @@
   kSlotHeld = 1507,
   kKeyReleaseDelayed = 1510,
   kKeysSwept = 1511,
+  kWorkerBackedOff = 1520,
+  kWorkerBackInUse = 1521,
   // Scheduler.
   kSchedulerActive = 1601,
   kSchedulerInactive = 1602,
@@ -66,6 +68,9 @@
   kGuardThrottled = 1607,
   kGuardReleased = 1608,
   kWorkerQuarantined = 1609,
+  kTaskLost = 1610,
+  kJobFinished = 1611,
+  kSchedulerRebuilt = 1612,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/routing/endpoint_call.cc
@@ -1,9 +1,10 @@
-#include "gateway/endpoint_call.hpp"
+#include "gateway/routing/endpoint_call.hpp"
 
 #include <string>
 #include <utility>
 
 #include "base/events.hpp"
+#include "gateway/routing/headers.hpp"
 #include "worker/codec.hpp"
 
 namespace mangospread::gateway {
@@ -22,9 +23,9 @@
   out.method = request.request.method;
   out.target = request.request.target;
   out.body = request.request.body;
-  for (const auto& [name, value] : request.request.headers) {
-    if (!net::IsHopByHop(name)) out.headers.Add(name, value);
-  }
+  // A forwarded request is filtered here as well: this is the last point
+  // before the endpoint.
+  out.headers = RequestHeaders(request.request.headers);
   out.headers.Add(worker::kServiceHeader, request.service.str());
   out.headers.Add(worker::kOwnerHeader, fence.owner.str());
   out.headers.Add(worker::kEpochHeader, std::to_string(fence.epoch.value()));
@@ -78,10 +79,12 @@
 
 }  // namespace
 
-bool SendToEndpoint(const std::shared_ptr<ownership::OwnedWorker>& worker,
+bool SendToEndpoint(Router& router,
+                    const std::shared_ptr<ownership::OwnedWorker>& worker,
                     const rpc::ForwardRequest& request,
                     std::function<void(rpc::ForwardReply)> done) {
   if (!worker->Acquire(request.request_id)) return false;
+  router.OnSent(worker->vm().name);
   base::Log(base::Event::kRequestRouted,
             {{"request", request.request_id.str()},
              {"service", request.service.str()},
@@ -91,11 +94,14 @@
   options.timeout = request.timeout;
   options.max_idle = request.idempotent ? kMaxIdle : kProvenAlive;
   options.echo_header = worker::kRequestIdHeader;
+  options.may_send = [worker] { return worker->accepts_work(); };
   worker->requests().Send(MakeEndpointRequest(request, worker->fence()),
                           options,
-                          [worker, id = request.request_id,
+                          [&router, worker, id = request.request_id,
                            done = std::move(done)](net::CallResult call) {
-                            done(Settle(*worker, id, std::move(call)));
+                            auto reply = Settle(*worker, id, std::move(call));
+                            router.OnResult(worker->vm().name, reply);
+                            done(std::move(reply));
                           });
   return true;
 }
--- a/src/gateway/router.cc
+++ b/src/gateway/routing/router.cc
@@ -1,6 +1,6 @@
-#include "gateway/router.hpp"
+#include "gateway/routing/router.hpp"
 
-#include <vector>
+#include <utility>
 
 #include "base/clock.hpp"
 
@@ -10,42 +10,69 @@
 /// An older advertisement says nothing about free slots.
 constexpr MonotonicTime kMaxAdvertisementAge = std::chrono::seconds(1);
 
+constexpr int kServerError = 500;
+
+SendVerdict Judge(const rpc::ForwardReply& reply) {
+  if (reply.outcome != Outcome::kAnswered) return SendVerdict::kRefused;
+  return reply.response.status >= kServerError ? SendVerdict::kError
+                                               : SendVerdict::kGood;
+}
+
 }  // namespace
 
 Router::Router(const config::Store& store, ownership::Manager& ownership,
-               membership::Membership& membership)
+               membership::Membership& membership, DataCenter data_center)
     : store_(store),
       ownership_(ownership),
       membership_(membership),
-      random_(std::random_device{}()) {
+      data_center_(std::move(data_center)),
+      random_(std::random_device{}()),
+      backoff_({}, base::MonotonicNow, [this] {
+        return std::uniform_real_distribution<double>()(random_);
+      }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
 }
 
-std::shared_ptr<ownership::OwnedWorker> Router::PickLocal(
-    const ServiceSpec& service) {
+bool Router::IsUsable(const ownership::OwnedWorker& worker,
+                      const ServiceSpec& service) const {
+  return worker.vm().pool == service.pool && worker.free_slots() > 0 &&
+         backoff_.MayUse(worker.vm().name);
+}
+
+const std::shared_ptr<ownership::OwnedWorker>* Router::PickFrom(
+    const ServiceSpec& service, bool near) {
   const auto& owned = ownership_.owned();
-  if (owned.empty()) return nullptr;
   const std::size_t start = random_() % owned.size();
-  std::shared_ptr<ownership::OwnedWorker> best;
-  int seen = 0;
-  for (std::size_t i = 0; i < owned.size() && seen < 2; ++i) {
+  for (std::size_t i = 0; i < owned.size(); ++i) {
     const auto& worker = owned[(start + i) % owned.size()];
-    if (worker->vm().pool != service.pool || worker->free_slots() == 0) {
-      continue;
-    }
-    ++seen;
-    if (best == nullptr || worker->occupied_slots() < best->occupied_slots()) {
-      best = worker;
-    }
+    if (near && worker->vm().data_center != data_center_) continue;
+    if (IsUsable(*worker, service)) return &worker;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<ownership::OwnedWorker> Router::PickLocal(
+    const ServiceSpec& service) {
+  if (ownership_.owned().empty()) return nullptr;
+  bool near = true;
+  const auto* first = PickFrom(service, near);
+  if (first == nullptr) {
+    near = false;
+    first = PickFrom(service, near);
   }
-  return best;
+  if (first == nullptr) return nullptr;
+  const auto* second = PickFrom(service, near);
+  return (*second)->occupied_slots() < (*first)->occupied_slots() ? *second
+                                                                  : *first;
 }
 
 std::optional<PeerChoice> Router::PickPeer(const ServiceName& service,
                                            const std::set<NodeId>& tried) {
   const MonotonicTime now = base::MonotonicNow();
-  std::vector<std::pair<int, const membership::Peer*>> candidates;
+  using Candidates = std::vector<std::pair<int, const membership::Peer*>>;
+  Candidates near;
+  Candidates far;
   for (const auto& [node, peer] : membership_.peers()) {
     if (peer.liveness != membership::Liveness::kAlive || tried.contains(node)) {
       continue;
@@ -57,8 +84,10 @@
         now - slots->second.at > kMaxAdvertisementAge) {
       continue;
     }
-    candidates.emplace_back(slots->second.free(), &peer);
+    auto& list = peer.view.data_center == data_center_ ? near : far;
+    list.emplace_back(slots->second.free(), &peer);
   }
+  const Candidates& candidates = near.empty() ? far : near;
   if (candidates.empty()) return std::nullopt;
   const auto& first = candidates[random_() % candidates.size()];
   const auto& second = candidates[random_() % candidates.size()];
@@ -74,6 +103,21 @@
   --advertised_[node][service].forwards;
 }
 
+void Router::OnForwardFailed(const NodeId& node, const ServiceName& service) {
+  Advertised& known = advertised_[node][service];
+  known.available = known.forwards;
+}
+
+void Router::OnResult(const VmName& vm, const rpc::ForwardReply& reply) {
+  const auto& owned = ownership_.owned();
+  const SendVerdict verdict = Judge(reply);
+  backoff_.OnResult(vm, verdict, owned.size());
+  if (verdict == SendVerdict::kGood) return;
+  backoff_.Prune([this](const VmName& name) {
+    return ownership_.FindOwned(name) != nullptr;
+  });
+}
+
 void Router::OnHeard(const rpc::NodeView& view) {
   auto& slots = advertised_[view.node];
   for (auto& [service, known] : slots) known.available = 0;
@@ -93,7 +137,7 @@
     for (const auto& worker : ownership_.owned()) {
       if (worker->vm().pool != spec.pool) continue;
       owns_any = true;
-      free += worker->free_slots();
+      if (IsUsable(*worker, spec)) free += worker->free_slots();
     }
     // Zero is advertised too: slots that a peer's own forwards occupy become
     // free for that peer when they end.
@@ -102,4 +146,14 @@
   return list;
 }
 
+int Router::LocalSlots(const ServiceSpec& service) const {
+  int slots = 0;
+  for (const auto& worker : ownership_.owned()) {
+    if (worker->vm().pool == service.pool && worker->accepts_work()) {
+      slots += worker->vm().capacity.slots;
+    }
+  }
+  return slots;
+}
+
 }  // namespace mangospread::gateway
