--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,5 +1,6 @@
 #include "app/node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -11,6 +12,8 @@
 
 constexpr Milliseconds kPushTimeout{1'000};
 constexpr Milliseconds kPullTimeout{2'000};
+/// While the table or the VM list is down, peers are asked this often.
+constexpr MonotonicTime kOwnershipPullPeriod = std::chrono::seconds(2);
 constexpr Milliseconds kWorkerTimeout{1'000};
 constexpr Milliseconds kHandOverLimit{5'000};
 constexpr Milliseconds kStatePeriod{100};
@@ -19,8 +22,26 @@
 /// A node that hears neither the table nor a peer for this long refuses.
 constexpr MonotonicTime kIsolatedAfter = std::chrono::seconds(3);
 
-/// Time for the last RPC replies to leave before the process exits.
-constexpr Milliseconds kFlushTime{200};
+/// Bound of the time in which the last RPC replies leave before the process
+/// exits; a peer that reads nothing must not hold it up.
+constexpr Milliseconds kFlushLimit{2'000};
+
+rpc::OwnershipEntry ToEntry(const ownership::KnownOwner& known) {
+  return {known.vm, known.row.node, known.row.incarnation, known.row.epoch,
+          known.version};
+}
+
+std::vector<ownership::KnownOwner> ToKnownOwners(
+    const std::vector<rpc::OwnershipEntry>& entries) {
+  std::vector<ownership::KnownOwner> rows;
+  rows.reserve(entries.size());
+  for (const auto& entry : entries) {
+    rows.push_back({entry.vm,
+                    {entry.node, entry.incarnation, entry.epoch},
+                    entry.version});
+  }
+  return rows;
+}
 
 /// Connections for requests; the worker's own limit also has to hold the
 /// control connections and those of a previous owner.
@@ -53,8 +74,10 @@
 }
 
 ownership::ManagerOptions MakeOwnershipOptions(const Settings& settings,
-                                               Incarnation incarnation) {
+                                               Incarnation incarnation,
+                                               std::function<bool()> is_ready) {
   ownership::ManagerOptions options;
+  options.is_ready = std::move(is_ready);
   options.node = settings.node;
   options.incarnation = incarnation;
   options.data_center = settings.data_center;
@@ -125,7 +148,10 @@
                  Milliseconds timeout, auto done) {
             peers_.Heartbeat(peer, view, timeout, std::move(done));
           }),
-      ownership_(loop_, MakeOwnershipOptions(settings_, incarnation_),
+      ownership_(loop_,
+                 MakeOwnershipOptions(
+                     settings_, incarnation_,
+                     [this] { return state_ != rpc::NodeState::kStarting; }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_, settings_.data_center),
@@ -157,6 +183,8 @@
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
   ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
+  ownership_.owner_changed().connect(
+      [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
   AddChildren();
 }
 
@@ -169,13 +197,14 @@
                      auto bound = peers_.Listen(settings_.rpc_listen,
                                                 MakePeerHandlers());
                      if (!bound.ok()) return bound.error();
+                     rpc_bound_ = bound.value();
                      rpc_address_ = settings_.rpc_advertise.port != 0
                                         ? settings_.rpc_advertise
-                                        : bound.value();
+                                        : rpc_bound_;
                      return Done{};
                    },
                    [this](std::function<void()> done) {
-                     stop_timer_ = loop_.After(kFlushTime, std::move(done));
+                     peers_.Flush(kFlushLimit, std::move(done));
                    }});
   supervisor_.Add({"config",
                    [this]() -> Result<Done> {
@@ -197,7 +226,7 @@
          return Done{};
        },
        [this](std::function<void()> done) { WaitForHandOver(std::move(done)); },
-       kHandOverLimit + kFlushTime});
+       kHandOverLimit + kRecheck});
   supervisor_.Add(
       {"http",
        [this]() -> Result<Done> {
@@ -276,12 +305,17 @@
   };
   handlers.config_since = [this](Revision since) { return sync_.Since(since); };
   handlers.ownership_snapshot = [this] {
-    std::vector<rpc::OwnershipEntry> entries;
-    for (const auto& [vm, row] : ownership_.Rows()) {
-      entries.push_back({vm, row.node, row.incarnation, row.epoch});
+    rpc::OwnershipSnapshot snapshot;
+    for (const auto& known : ownership_.Rows()) {
+      snapshot.entries.push_back(ToEntry(known));
     }
-    return entries;
+    snapshot.vms = ownership_.Vms();
+    return snapshot;
   };
+  handlers.push_ownership =
+      [this](const std::vector<rpc::OwnershipEntry>& entries) {
+        ownership_.AdoptRows(ToKnownOwners(entries));
+      };
   return handlers;
 }
 
@@ -311,12 +345,20 @@
 
 NotRunReason Node::Admission() const {
   if (state_ == rpc::NodeState::kStarting) return NotRunReason::kNodeNotReady;
+  if (IsAlone()) return NotRunReason::kNone;
   const MonotonicTime last_contact =
       std::max(sync_.last_table_answer(), membership_.last_heard());
   const bool isolated = base::MonotonicNow() - last_contact > kIsolatedAfter;
   return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
 }
 
+bool Node::IsAlone() const {
+  if (membership_.last_heard().count() != 0) return false;
+  return std::all_of(
+      settings_.seeds.begin(), settings_.seeds.end(),
+      [this](const Address& seed) { return seed == rpc_address_; });
+}
+
 bool Node::IsGone(const NodeId& node, Incarnation incarnation) const {
   if (node == settings_.node) return incarnation != incarnation_;
   const membership::Peer* peer = membership_.Find(node);
@@ -363,6 +405,33 @@
 void Node::OnHeard(const rpc::NodeView& view) {
   sync_.OnPeerRevision(view.rpc_address, view.revision);
   gateway_.OnCapacity();
+  const MonotonicTime now = base::MonotonicNow();
+  if (!ownership_.needs_peers() || now < ownership_pull_at_ ||
+      view.state == rpc::NodeState::kStarting) {
+    return;
+  }
+  ownership_pull_at_ = now + kOwnershipPullPeriod;
+  peers_.FetchOwnership(
+      view.rpc_address, kPullTimeout,
+      [this](const Result<rpc::OwnershipSnapshot>& answer) {
+        if (!answer.ok()) return;
+        ownership_.AdoptVms(answer.value().vms);
+        ownership_.AdoptRows(ToKnownOwners(answer.value().entries));
+      });
+}
+
+void Node::OnOwnerChanged(const ownership::KnownOwner& known) {
+  // Changes of one loop turn, for example of a committed group, share a push.
+  changed_owners_.push_back(ToEntry(known));
+  if (changed_owners_.size() > 1) return;
+  loop_.Post([this] {
+    const auto entries = std::exchange(changed_owners_, {});
+    for (const auto& [node, peer] : membership_.peers()) {
+      if (peer.liveness == membership::Liveness::kDead) continue;
+      peers_.PushOwnership(peer.view.rpc_address, entries, kPushTimeout,
+                           [](const Result<Done>& /*done*/) {});
+    }
+  });
 }
 
 }  // namespace mangospread::app
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -46,7 +46,8 @@
   void Stop();
 
   [[nodiscard]] const Address& http_address() const { return http_address_; }
-  [[nodiscard]] const Address& rpc_address() const { return rpc_address_; }
+  /// The address listened on, which may differ from the one advertised.
+  [[nodiscard]] const Address& rpc_address() const { return rpc_bound_; }
 
  private:
   void AddChildren();
@@ -57,6 +58,9 @@
   /// What the balancer's health check sees. A leaving node fails it while it
   /// still serves.
   [[nodiscard]] NotRunReason Health() const;
+  /// True in a deployment of one node. It cannot be cut off from others that
+  /// would serve in its place, so it serves on while the table is down.
+  [[nodiscard]] bool IsAlone() const;
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
   void OnAccepted(const Change& change);
   void OnHeard(const rpc::NodeView& view);
@@ -64,6 +68,8 @@
   [[nodiscard]] bool IsGone(const NodeId& node, Incarnation incarnation) const;
   /// True on the live node with the lowest name, which sweeps old keys.
   [[nodiscard]] bool IsFirstNode() const;
+  /// Tells peers, so that they need not read the table.
+  void OnOwnerChanged(const ownership::KnownOwner& known);
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
@@ -76,7 +82,11 @@
   std::function<void(int)> stopped_;
   rpc::NodeState state_ = rpc::NodeState::kStarting;
   bool handed_over_ = false;
+  MonotonicTime ownership_pull_at_{0};
+  std::vector<rpc::OwnershipEntry> changed_owners_;
   Address http_address_;
+  Address rpc_bound_;
+  /// What peers connect to.
   Address rpc_address_;
 
   rpc::PeerService peers_;
--- a/src/app/node_samples.cc
+++ b/src/app/node_samples.cc
@@ -1,8 +1,32 @@
+// What a node reports on /metrics.
+#include <sys/resource.h>
+
 #include <utility>
 
 #include "app/node.hpp"
 
 namespace mangospread::app {
+namespace {
+
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  double resident_bytes = 0;
+};
+
+ProcessUsage ReadProcessUsage() {
+  constexpr double kMicrosPerSecond = 1e6;
+  constexpr double kBytesPerKibibyte = 1024;
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / kMicrosPerSecond;
+  };
+  return {seconds(usage.ru_utime) + seconds(usage.ru_stime),
+          static_cast<double>(usage.ru_maxrss) * kBytesPerKibibyte};
+}
+
+}  // namespace
 
 void Node::CollectSamples(std::vector<api::Sample>& samples) const {
   using api::MetricType;
@@ -45,6 +69,11 @@
     add("queue_ended_total", "Ends of waits, and requests that did not wait.",
         MetricType::kCounter, value, {{"end", end}});
   }
+  const ProcessUsage usage = ReadProcessUsage();
+  add("process_cpu_seconds_total", "Processor time of this process.",
+      MetricType::kCounter, usage.cpu_seconds);
+  add("process_resident_bytes", "Highest resident memory of this process.",
+      MetricType::kGauge, usage.resident_bytes);
   const auto& keys = keys_.counters();
   for (const auto& [result, value] :
        {std::pair{"claimed", keys.claimed},
@@ -68,6 +97,17 @@
       MetricType::kCounter, store_.counters().stale);
   add("owned_workers", "Workers owned by this node.", MetricType::kGauge,
       ownership_.owned().size());
+  const auto& ownership = ownership_.counters();
+  add("ownership_claims_total", "Claims sent to workers.", MetricType::kCounter,
+      ownership.claims);
+  add("ownership_claims_refused_total", "Claims that workers refused.",
+      MetricType::kCounter, ownership.claims_refused);
+  add("ownership_grants_total", "Claims granted by a worker without the table.",
+      MetricType::kCounter, ownership.grants);
+  add("ownership_row_conflicts_total", "Ownership writes that lost a race.",
+      MetricType::kCounter, ownership.row_conflicts);
+  add("table_reads_total", "Table reads by purpose.", MetricType::kCounter,
+      ownership.reads, {{"purpose", "ownership"}});
   for (const auto& [purpose, writer] :
        {std::pair{"config", &config_writer_},
         std::pair{"ownership", &ownership_writer_},
--- a/src/gateway/routing/router.cc
+++ b/src/gateway/routing/router.cc
@@ -1,5 +1,6 @@
 #include "gateway/routing/router.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -80,12 +81,12 @@
     const auto known = advertised_.find(node);
     if (known == advertised_.end()) continue;
     const auto slots = known->second.find(service);
-    if (slots == known->second.end() || slots->second.free <= 0 ||
+    if (slots == known->second.end() || slots->second.free() <= 0 ||
         now - slots->second.at > kMaxAdvertisementAge) {
       continue;
     }
     auto& list = peer.view.data_center == data_center_ ? near : far;
-    list.emplace_back(slots->second.free, &peer);
+    list.emplace_back(slots->second.free(), &peer);
   }
   const Candidates& candidates = near.empty() ? far : near;
   if (candidates.empty()) return std::nullopt;
@@ -95,12 +96,17 @@
   return PeerChoice{chosen.second->view.node, chosen.second->view.rpc_address};
 }
 
-void Router::CountForward(const NodeId& node, const ServiceName& service) {
-  --advertised_[node][service].free;
+void Router::OnForwardStarted(const NodeId& node, const ServiceName& service) {
+  ++advertised_[node][service].forwards;
+}
+
+void Router::OnForwardEnded(const NodeId& node, const ServiceName& service) {
+  --advertised_[node][service].forwards;
 }
 
 void Router::OnForwardFailed(const NodeId& node, const ServiceName& service) {
-  advertised_[node][service].free = 0;
+  Advertised& known = advertised_[node][service];
+  known.available = std::min(known.available, known.forwards);
 }
 
 void Router::OnResult(const VmName& vm, const rpc::ForwardReply& reply) {
@@ -115,10 +121,12 @@
 
 void Router::OnHeard(const rpc::NodeView& view) {
   auto& slots = advertised_[view.node];
-  slots.clear();
+  for (auto& [service, known] : slots) known.available = 0;
   const MonotonicTime now = base::MonotonicNow();
   for (const auto& advertised : view.free_slots) {
-    slots[advertised.service] = {advertised.free, now};
+    Advertised& known = slots[advertised.service];
+    known.available = advertised.free + known.forwards;
+    known.at = now;
   }
 }
 
@@ -126,10 +134,15 @@
   std::vector<rpc::FreeSlots> list;
   for (const auto& [name, spec] : store_.services()) {
     int free = 0;
+    bool owns_any = false;
     for (const auto& worker : ownership_.owned()) {
+      if (worker->vm().pool != spec.pool) continue;
+      owns_any = true;
       if (IsUsable(*worker, spec)) free += worker->free_slots();
     }
-    if (free > 0) list.push_back({name, free});
+    // Zero is advertised too: slots that a peer's own forwards occupy become
+    // free for that peer when they end.
+    if (owns_any) list.push_back({name, free});
   }
   return list;
 }
