Say not-run for a repeated key that nobody could claim

Cause: with a table that gives no replies, the first request with a key heard not-run at its deadline, but a repeat at the same node met the undecided claim and heard unknown, although nothing had run or would run. A waiting request now remembers the claim it met. It hears unknown if that claim was granted or its own caller still waits for it, and not-run if the claim will be released unused. Ruled out: asking the table, which is what does not answer here.

The case "repeated request while the table is silent" fails when every claim met counts as sent, and when the claim's own caller is ignored.

--- a/src/gateway/keys/key_store.cc
+++ b/src/gateway/keys/key_store.cc
@@ -23,6 +23,8 @@
   std::function<void(ClaimResult)> done;
   /// Another request's claim was seen, so "not run" would be a guess.
   bool saw_claim = false;
+  /// A claim of this process that was not decided yet when it was met.
+  HeldPtr met;
   Milliseconds pause{0};
   base::Timer deadline_timer;
   base::Timer poll_timer;
@@ -41,6 +43,9 @@
   KeyRow row;
   RowVersion version;
   Phase phase = Phase::kClaiming;
+  /// The request may have been sent.
+  bool granted = false;
+  std::weak_ptr<Waiter> claimant;
   std::function<void()> released;
   base::Timer release_timer;
   base::Timer retry_timer;
@@ -75,17 +80,19 @@
 
 void KeyStore::Proceed(const WaiterPtr& waiter) {
   if (!waiter->done) return;
+  if (waiter->met != nullptr && waiter->met->granted) waiter->saw_claim = true;
   const auto held = held_.find(waiter->use.row_key);
-  if (held != held_.end()) return JoinHeld(waiter, *held->second);
+  if (held != held_.end()) return JoinHeld(waiter, held->second);
   if (waiter->saw_claim) return ReadRow(waiter);
   SubmitClaim(waiter);
 }
 
-void KeyStore::JoinHeld(const WaiterPtr& waiter, const Held& held) {
+void KeyStore::JoinHeld(const WaiterPtr& waiter, const HeldPtr& claim) {
+  const Held& held = *claim;
   // A claim under release never ran, whatever request it was for.
   if (held.phase == Held::Phase::kReleasing) return Poll(waiter);
   if (held.phase == Held::Phase::kClaiming) {
-    waiter->saw_claim = true;
+    waiter->met = claim;
     return Poll(waiter);
   }
   if (held.row.fingerprint != waiter->use.fingerprint) {
@@ -106,6 +113,7 @@
   held->row.incarnation = options_.incarnation;
   held->row.claimed_ms = base::WallNanoseconds() / kNanosPerMs;
   held->row.fingerprint = waiter->use.fingerprint;
+  held->claimant = waiter;
   held_[held->row_key] = held;
   Transaction change;
   change.conditions.push_back({held->row_key, RowVersion()});
@@ -122,9 +130,7 @@
     held_.erase(held->row_key);
     if (!waiter->done) return;
     if (result.status == WriteStatus::kUnavailable) {
-      return Finish(waiter, {waiter->saw_claim ? ClaimStatus::kUnknown
-                                               : ClaimStatus::kUnavailable,
-                             {}});
+      return Finish(waiter, {Unclaimed(*waiter), {}});
     }
     waiter->saw_claim = true;
     return ReadRow(waiter);
@@ -133,6 +139,7 @@
   held->phase = Held::Phase::kRunning;
   // The deadline passed while the table took the claim: nothing was sent.
   if (!waiter->done) return Release(held->row_key, nullptr);
+  held->granted = true;
   Finish(waiter, {ClaimStatus::kGranted, {}});
 }
 
@@ -181,9 +188,18 @@
 
 void KeyStore::Expire(const WaiterPtr& waiter) {
   if (!waiter->done) return;
-  Finish(waiter,
-         {waiter->saw_claim ? ClaimStatus::kUnknown : ClaimStatus::kUnavailable,
-          {}});
+  Finish(waiter, {Unclaimed(*waiter), {}});
+}
+
+ClaimStatus KeyStore::Unclaimed(const Waiter& waiter) {
+  bool may_have_run = waiter.saw_claim;
+  if (waiter.met != nullptr) {
+    // A claim whose own caller has gone is released unused.
+    const auto claimant = waiter.met->claimant.lock();
+    may_have_run = may_have_run || waiter.met->granted ||
+                   (claimant != nullptr && claimant->done);
+  }
+  return may_have_run ? ClaimStatus::kUnknown : ClaimStatus::kUnavailable;
 }
 
 void KeyStore::Finish(const WaiterPtr& waiter, ClaimResult result) {
@@ -241,6 +257,7 @@
   }
   const HeldPtr held = it->second;
   held->phase = Held::Phase::kReleasing;
+  held->granted = false;
   held->released = std::move(done);
   held->release_timer =
       loop_.After(options_.release_wait, [this, weak = std::weak_ptr(held)] {
--- a/src/gateway/keys/key_store.hpp
+++ b/src/gateway/keys/key_store.hpp
@@ -105,7 +105,7 @@
 
   void Proceed(const WaiterPtr& waiter);
   /// Answers or delays a request whose key this process holds.
-  void JoinHeld(const WaiterPtr& waiter, const Held& held);
+  void JoinHeld(const WaiterPtr& waiter, const HeldPtr& claim);
   void SubmitClaim(const WaiterPtr& waiter);
   void OnClaim(const WaiterPtr& waiter, const HeldPtr& held,
                const table::WriteResult& result);
@@ -113,6 +113,8 @@
   void OnRow(const WaiterPtr& waiter, const Row& row);
   void Poll(const WaiterPtr& waiter);
   void Expire(const WaiterPtr& waiter);
+  /// What a request is told that could not claim its key in time.
+  [[nodiscard]] static ClaimStatus Unclaimed(const Waiter& waiter);
   void Finish(const WaiterPtr& waiter, ClaimResult result);
   void Settle(const HeldPtr& held);
   void OnSettled(const HeldPtr& held, const table::WriteResult& result);
--- a/tests/unit/key_store_test.cc
+++ b/tests/unit/key_store_test.cc
@@ -128,6 +128,25 @@
   CHECK(a.idle());
 }
 
+// Guards against "unknown" for a key that nobody could claim in an outage, and
+// against "not run" while another request may still get the claim.
+TEST_CASE_FIXTURE(Fixture, "repeated request while the table is silent") {
+  const auto first = Claim(a, use);
+  const auto early = Claim(a, use, MonotonicTime(1));
+  RunUntil(loop, [&] { return early->has_value(); });
+  CHECK((*early)->status == ClaimStatus::kUnknown);
+  table.Step(FaultyTable::Fault::kRefuse);
+  REQUIRE((*first)->status == ClaimStatus::kUnavailable);
+
+  const auto silent = Claim(a, use, MonotonicTime(1));
+  RunUntil(loop, [&] { return silent->has_value(); });
+  CHECK((*silent)->status == ClaimStatus::kUnavailable);
+  const auto repeated = Claim(a, use, MonotonicTime(1));
+  RunUntil(loop, [&] { return repeated->has_value(); });
+  CHECK((*repeated)->status == ClaimStatus::kUnavailable);
+  CHECK(Wait(Claim(a, use)) == ClaimStatus::kGranted);
+}
+
 // Guards against "not run" before the key can be used again.
 TEST_CASE_FIXTURE(Fixture, "claim is released before the caller hears") {
   REQUIRE(Wait(Claim(a, use)) == ClaimStatus::kGranted);
