--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -192,9 +192,9 @@
       supervisor_(loop_, {}, [this](const Error& /*error*/) { stopped_(1); }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
+  ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   ownership_.owner_changed().connect(
       [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
-  ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   AddChildren();
 }
 
@@ -423,6 +423,7 @@
 
 void Node::OnHeard(const rpc::NodeView& view) {
   sync_.OnPeerRevision(view.rpc_address, view.revision);
+  gateway_.OnCapacity();
   const MonotonicTime now = base::MonotonicNow();
   if (!ownership_.needs_peers() || now < ownership_pull_at_ ||
       view.state == rpc::NodeState::kStarting) {
@@ -450,7 +451,6 @@
                            [](const Result<Done>& /*done*/) {});
     }
   });
-  gateway_.OnCapacity();
 }
 
 }  // namespace mangospread::app
--- a/src/app/node_samples.cc
+++ b/src/app/node_samples.cc
@@ -49,11 +49,6 @@
       MetricType::kCounter, requests.forwarded);
   add("requests_retried_total", "Further sends of a request.",
       MetricType::kCounter, requests.retried);
-  const ProcessUsage usage = ReadProcessUsage();
-  add("process_cpu_seconds_total", "Processor time of this process.",
-      MetricType::kCounter, usage.cpu_seconds);
-  add("process_resident_bytes", "Highest resident memory of this process.",
-      MetricType::kGauge, usage.resident_bytes);
   add("requests_in_flight", "Requests without an outcome yet.",
       MetricType::kGauge, gateway_.in_flight());
   add("retries_denied_total", "Retries that the budget did not allow.",
@@ -74,6 +69,11 @@
     add("queue_ended_total", "Ends of waits, and requests that did not wait.",
         MetricType::kCounter, value, {{"end", end}});
   }
+  const ProcessUsage usage = ReadProcessUsage();
+  add("process_cpu_seconds_total", "Processor time of this process.",
+      MetricType::kCounter, usage.cpu_seconds);
+  add("process_resident_bytes", "Highest resident memory of this process.",
+      MetricType::kGauge, usage.resident_bytes);
   const auto& keys = keys_.counters();
   for (const auto& [result, value] :
        {std::pair{"claimed", keys.claimed},
--- a/src/gateway/routing/router.cc
+++ b/src/gateway/routing/router.cc
@@ -1,5 +1,6 @@
 #include "gateway/routing/router.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -105,7 +106,7 @@
 
 void Router::OnForwardFailed(const NodeId& node, const ServiceName& service) {
   Advertised& known = advertised_[node][service];
-  known.available = known.forwards;
+  known.available = std::min(known.available, known.forwards);
 }
 
 void Router::OnResult(const VmName& vm, const rpc::ForwardReply& reply) {
