Test the modules of the scheduling decisions

One fault found by the guard's test: before its first action the guard ignored reports of the first four seconds of the clock, as if it had acted at time zero. It now waits only after a real action. Ruled out as a cause: the smoothing of p99, which delays a mild breach by one report as intended.

--- a/src/scheduler/policy/guard.cc
+++ b/src/scheduler/policy/guard.cc
@@ -85,7 +85,8 @@
                            ServiceState& state) {
   const double p99 = slot.load.p99_ms;
   // A report measured before the last action had settled says nothing of it.
-  if (entry.report_at < state.acted_at + kSettle) return;
+  const bool acted = state.acted_at.count() > 0;
+  if (acted && entry.report_at < state.acted_at + kSettle) return;
   if (state.reports == 0) {
     state.smoothed = p99;
     state.breaches = 0;
--- /dev/null
+++ b/tests/unit/policy_guard_test.cc
@@ -0,0 +1,145 @@
+#include <doctest/doctest.h>
+
+#include "policy_fixture.hpp"
+#include "scheduler/policy/engine.hpp"
+#include "scheduler/policy/quarantine.hpp"
+#include "scheduler/policy/weights.hpp"
+
+namespace mangospread::scheduler::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One worker with a guarded service and one task.
+class GuardFixture {
+ public:
+  explicit GuardFixture(const char* preset = "latency-first")
+      : engine(MakeEngine(*PresetWeights(preset), 3)) {
+    worker = MakeWorker("w1", "r1");
+    ServiceLoad load;
+    load.service = ServiceName("checks");
+    load.objective_p99 = milliseconds(100);
+    load.requests_per_second = 10;
+    load.p99_ms = 50;
+    worker.services = {load};
+    Report(seconds(1), 50);
+    engine->Enqueue(MakeTask("j/0"), seconds(1));
+    REQUIRE(PlacesIn(engine->Decide(seconds(1), 1)).size() == 1);
+    PlacedTask task;
+    task.demand = MakeTask("j/0");
+    task.placed_at = seconds(1);
+    task.cpu_used = Millicores(1'000);
+    worker.tasks = {task};
+  }
+
+  std::vector<Decision> Report(MonotonicTime at, double p99) {
+    worker.report_at = at;
+    worker.services[0].p99_ms = p99;
+    engine->UpdateWorker(worker);
+    std::vector<Decision> decisions = engine->Decide(at, 10);
+    for (const Decision& decision : decisions) {
+      if (const auto* throttle = std::get_if<ThrottleDecision>(&decision)) {
+        worker.tasks[0].throttle_percent = throttle->throttle_percent;
+      }
+    }
+    return decisions;
+  }
+
+  std::unique_ptr<DecisionEngine> engine;
+  WorkerState worker;
+};
+
+// Guards against acting on one noisy report, against a second action before
+// the first could show, and against eviction without throttling first.
+TEST_CASE("a breach is throttled first and evicted only after patience") {
+  // The patience of this preset is 80 s.
+  GuardFixture f("throughput-first");
+  CHECK(f.Report(seconds(3), 300).empty());
+  const auto first = f.Report(seconds(5), 300);
+  REQUIRE(first.size() == 1);
+  CHECK(std::get<ThrottleDecision>(first[0]).throttle_percent == 50);
+  CHECK(f.Report(seconds(7), 300).empty());
+  CHECK(f.Report(seconds(8), 300).empty());
+  bool evicted = false;
+  int at = 9;
+  for (; at < 120 && !evicted; ++at) {
+    for (const Decision& decision : f.Report(seconds(at), 300)) {
+      evicted = evicted || std::holds_alternative<EvictDecision>(decision);
+    }
+  }
+  CHECK(evicted);
+  CHECK(at > 85);
+}
+
+// Guards against a guard that acts on services whose guard is off.
+TEST_CASE("guard off means no action") {
+  GuardFixture f;
+  f.worker.services[0].guard = false;
+  for (int at = 3; at < 60; at += 2) {
+    CHECK(f.Report(seconds(at), 300).empty());
+  }
+}
+
+// Guards against oscillation: release waits, and waits longer after a relapse.
+TEST_CASE("release is slow and slower after a relapse") {
+  GuardFixture f;
+  f.Report(seconds(3), 120);
+  f.Report(seconds(5), 120);
+  REQUIRE(f.Report(seconds(7), 120).size() == 1);
+  const auto released_after = [&f](int throttled_at) {
+    for (int at = throttled_at + 2;; at += 2) {
+      if (!f.Report(seconds(at), 50).empty()) return at - throttled_at;
+    }
+  };
+  const int first = released_after(7);
+  CHECK(first >= 30);
+  CHECK(f.worker.tasks[0].throttle_percent == 0);
+  int at = 7 + first;
+  while (f.worker.tasks[0].throttle_percent == 0) {
+    at += 2;
+    f.Report(seconds(at), 120);
+  }
+  CHECK(released_after(at) >= 60);
+}
+
+// Guards against a worker that fails at once and so always looks free, and
+// against one that is never tried again.
+TEST_CASE("a failing worker is taken out and tried again") {
+  Quarantine quarantine;
+  const VmName vm("w1");
+  int failures = 0;
+  MonotonicTime now = seconds(1);
+  while (!quarantine.IsOut(vm, now)) {
+    REQUIRE(++failures < 10);
+    now += seconds(10);
+    quarantine.OnPlaced(vm);
+    quarantine.OnFailure(vm, 1.0, 50, now);
+    CHECK(quarantine.StartsAllowed(vm, now) == 0);
+  }
+  CHECK(quarantine.StartsAllowed(vm, now + seconds(30)) == 0);
+  now += seconds(61);
+  CHECK(quarantine.StartsAllowed(vm, now) == 1);
+  quarantine.OnPlaced(vm);
+  CHECK(quarantine.StartsAllowed(vm, now) == 0);
+  quarantine.OnFailure(vm, 1.0, 50, now);
+  CHECK(quarantine.IsOut(vm, now + seconds(100)));
+  now += seconds(200);
+  for (int i = 0; i < 5; ++i) quarantine.OnSuccess(vm);
+  CHECK(quarantine.StartsAllowed(vm, now) == Quarantine::kUnlimited);
+}
+
+// Guards against a fault common to all workers that takes all of them out.
+TEST_CASE("only some workers are out at once") {
+  Quarantine quarantine;
+  for (int round = 0; round < 10; ++round) {
+    for (int i = 0; i < 50; ++i) {
+      quarantine.OnFailure(VmName("w" + std::to_string(i)), 1.0, 50,
+                           seconds(1 + round));
+    }
+  }
+  CHECK(quarantine.CountOut(seconds(20)) == 5);
+}
+
+}  // namespace
+}  // namespace mangospread::scheduler::policy
--- /dev/null
+++ b/tests/unit/policy_interference_test.cc
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <random>
+
+#include "policy_fixture.hpp"
+#include "scheduler/policy/interference.hpp"
+
+namespace mangospread::scheduler::policy {
+namespace {
+
+using std::chrono::seconds;
+
+class Fixture {
+ public:
+  ClassIndex Task(const std::string& name) {
+    TaskDemand task = MakeTask("j/0");
+    task.task_class = TaskClass(name);
+    return classes.ForTask(task);
+  }
+  ClassIndex Service(const std::string& name) {
+    ServiceLoad load;
+    load.service = ServiceName(name);
+    return classes.ForService(load);
+  }
+
+  ClassTable classes;
+  InterferenceModel model{classes};
+};
+
+// Guards against blaming a harmless class that runs beside a harmful one, and
+// against one effect for all loads.
+TEST_CASE("pairs are told apart from noisy measurements") {
+  Fixture f;
+  const ClassIndex victim = f.Service("quotes");
+  const ClassIndex noisy = f.Task("noisy");
+  const ClassIndex quiet = f.Task("quiet");
+  std::mt19937_64 random(1);
+  std::normal_distribution<double> noise(0, 0.1);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  for (int i = 0; i < 4'000; ++i) {
+    Observation seen;
+    seen.victim = victim;
+    seen.level = uniform(random);
+    seen.at = seconds(2 * i);
+    const double a = std::floor(3 * uniform(random));
+    const double b = std::floor(3 * uniform(random));
+    seen.exposures = {{noisy, a}, {quiet, b}};
+    // 0.1 without load, 0.3 at full load.
+    seen.value = 20 * std::exp(a * (0.1 + 0.2 * seen.level) + noise(random));
+    f.model.Learn(seen);
+  }
+  CHECK(f.model.Predict(noisy, victim, 0).mean ==
+        doctest::Approx(0.1).epsilon(0.3));
+  CHECK(f.model.Predict(noisy, victim, 1).mean ==
+        doctest::Approx(0.3).epsilon(0.2));
+  CHECK(f.model.Predict(quiet, victim, 1).mean < 0.03);
+  CHECK(f.model.PredictAlone(victim, 0.5) ==
+        doctest::Approx(std::log(20.0)).epsilon(0.02));
+  const ClassIndex fresh = f.Task("fresh");
+  CHECK(f.model.Predict(fresh, victim, 0).variance >
+        10 * f.model.Predict(quiet, victim, 0).variance);
+}
+
+// Guards against an estimate that never changes when a class changes.
+TEST_CASE("old knowledge fades") {
+  Fixture f;
+  const ClassIndex victim = f.Service("quotes");
+  const ClassIndex task = f.Task("batch");
+  for (int i = 0; i < 500; ++i) {
+    f.model.Learn({victim,
+                   0,
+                   0,
+                   i % 2 ? 10.0 : 15.0,
+                   seconds(i),
+                   {{task, i % 2 ? 0.0 : 1.0}}});
+  }
+  const double before = f.model.Predict(task, victim, 0).variance;
+  f.model.Learn({victim, 0, 0, 15.0, std::chrono::hours(24), {{task, 1.0}}});
+  CHECK(f.model.Predict(task, victim, 0).variance > 5 * before);
+}
+
+// Guards against memory that grows with the number of classes.
+TEST_CASE("the table of pairs is bounded") {
+  Fixture f;
+  for (int t = 0; t < 1'500; ++t) {
+    const ClassIndex task = f.Task("t" + std::to_string(t));
+    for (int s = 0; s < 70; ++s) {
+      const ClassIndex victim = f.Service("s" + std::to_string(s));
+      f.model.Learn({victim, 0.5, 0, 10.0, seconds(t), {{task, 1.0}}});
+    }
+  }
+  CHECK(f.model.pairs() <= InterferenceModel::kMaxPairs);
+  CHECK(f.model.pairs() > InterferenceModel::kMaxPairs / 2);
+}
+
+// Guards against trusting declarations that are off by ten.
+TEST_CASE("measured use replaces declared sizes") {
+  Fixture f;
+  const ClassIndex task = f.Task("batch");
+  CHECK(f.classes.ExpectedCpu(task, Millicores(500)) == Millicores(500));
+  for (int i = 0; i < 10; ++i) {
+    f.classes.Measure(task, Millicores(2'500), Mebibytes(9'000), 50);
+  }
+  CHECK(f.classes.ExpectedCpu(task, Millicores(500)) == Millicores(5'000));
+  CHECK(f.classes.SafeMemory(task, Mebibytes(900)) >= Mebibytes(9'000));
+}
+
+}  // namespace
+}  // namespace mangospread::scheduler::policy
