--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -7,6 +7,7 @@
 
 #include "api/api.hpp"
 #include "api/watch_hub.hpp"
+#include "app/scheduling.hpp"
 #include "app/settings.hpp"
 #include "app/supervisor.hpp"
 #include "base/event_loop.hpp"
@@ -14,6 +15,8 @@
 #include "config/store.hpp"
 #include "config/sync.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/keys/key_store.hpp"
+#include "gateway/keys/key_sweep.hpp"
 #include "membership/membership.hpp"
 #include "net/http_server.hpp"
 #include "ownership/manager.hpp"
@@ -44,7 +47,8 @@
   void Stop();
 
   [[nodiscard]] const Address& http_address() const { return http_address_; }
-  [[nodiscard]] const Address& rpc_address() const { return rpc_address_; }
+  /// The address listened on, which may differ from the one advertised.
+  [[nodiscard]] const Address& rpc_address() const { return rpc_bound_; }
 
  private:
   void AddChildren();
@@ -55,9 +59,18 @@
   /// What the balancer's health check sees. A leaving node fails it while it
   /// still serves.
   [[nodiscard]] NotRunReason Health() const;
+  /// True in a deployment of one node. It cannot be cut off from others that
+  /// would serve in its place, so it serves on while the table is down.
+  [[nodiscard]] bool IsAlone() const;
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
   void OnAccepted(const Change& change);
   void OnHeard(const rpc::NodeView& view);
+  /// True if the process that claimed a key cannot finish it any more.
+  [[nodiscard]] bool IsGone(const NodeId& node, Incarnation incarnation) const;
+  /// True on the live node with the lowest name, which sweeps old keys.
+  [[nodiscard]] bool IsFirstNode() const;
+  /// Tells peers, so that they need not read the table.
+  void OnOwnerChanged(const ownership::KnownOwner& known);
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
@@ -70,19 +83,27 @@
   std::function<void(int)> stopped_;
   rpc::NodeState state_ = rpc::NodeState::kStarting;
   bool handed_over_ = false;
+  MonotonicTime ownership_pull_at_{0};
+  std::vector<rpc::OwnershipEntry> changed_owners_;
   Address http_address_;
+  Address rpc_bound_;
+  /// What peers connect to.
   Address rpc_address_;
 
   rpc::PeerService peers_;
   table::Writer config_writer_;
   table::Writer ownership_writer_;
+  table::Writer key_writer_;
   config::Store store_;
   config::Sync sync_;
   config::Editor editor_;
   membership::Membership membership_;
   ownership::Manager ownership_;
   gateway::Router router_;
+  gateway::KeyStore keys_;
+  gateway::KeySweep key_sweep_;
   gateway::Gateway gateway_;
+  Scheduling scheduling_;
   api::WatchHub watches_;
   api::Api api_;
   net::HttpServer server_;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -172,6 +172,14 @@
       return {"connection_discarded", Severity::kInfo};
     case Event::kSlotHeld:
       return {"slot_held", Severity::kInfo};
+    case Event::kKeyReleaseDelayed:
+      return {"key_release_delayed", Severity::kWarning};
+    case Event::kKeysSwept:
+      return {"keys_swept", Severity::kInfo};
+    case Event::kWorkerBackedOff:
+      return {"worker_backed_off", Severity::kWarning};
+    case Event::kWorkerBackInUse:
+      return {"worker_back_in_use", Severity::kInfo};
     case Event::kSchedulerActive:
       return {"scheduler_active", Severity::kInfo};
     case Event::kSchedulerInactive:
@@ -190,6 +198,12 @@
       return {"guard_released", Severity::kInfo};
     case Event::kWorkerQuarantined:
       return {"worker_quarantined", Severity::kWarning};
+    case Event::kTaskLost:
+      return {"task_lost", Severity::kWarning};
+    case Event::kJobFinished:
+      return {"job_finished", Severity::kInfo};
+    case Event::kSchedulerRebuilt:
+      return {"scheduler_rebuilt", Severity::kInfo};
     case Event::kRequestInvalid:
       return {"request_invalid", Severity::kInfo};
     case Event::kWatchOpened:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -54,6 +54,10 @@
   kRequestRetried = 1505,
   kConnectionDiscarded = 1506,
   kSlotHeld = 1507,
+  kKeyReleaseDelayed = 1510,
+  kKeysSwept = 1511,
+  kWorkerBackedOff = 1520,
+  kWorkerBackInUse = 1521,
   // Scheduler.
   kSchedulerActive = 1601,
   kSchedulerInactive = 1602,
@@ -64,6 +68,9 @@
   kGuardThrottled = 1607,
   kGuardReleased = 1608,
   kWorkerQuarantined = 1609,
+  kTaskLost = 1610,
+  kJobFinished = 1611,
+  kSchedulerRebuilt = 1612,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/gateway/endpoint_call.hpp
+++ b/src/gateway/routing/endpoint_call.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "gateway/routing/router.hpp"
 #include "mangospread/outcome.hpp"
 #include "ownership/owned_worker.hpp"
 #include "rpc/messages.hpp"
@@ -17,13 +18,15 @@
 inline constexpr char kTimeoutHeader[] = "Mangospread-Timeout-Ms";
 inline constexpr char kIdempotentHeader[] = "Mangospread-Idempotent";
 inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+/// "true" on a stored response of an earlier request with the same key.
+inline constexpr char kReplayedHeader[] = "Mangospread-Replayed";
 
 /// Occupies a slot, sends the request and says what became of it. The slot is
 /// freed when the end is certain and held otherwise.
 ///
 /// @return false, without calling `done`, when there is no free slot.
 [[nodiscard]] bool SendToEndpoint(
-    const std::shared_ptr<ownership::OwnedWorker>& worker,
+    Router& router, const std::shared_ptr<ownership::OwnedWorker>& worker,
     const rpc::ForwardRequest& request,
     std::function<void(rpc::ForwardReply)> done);
 
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -9,6 +9,7 @@
 #include "base/event_loop.hpp"
 #include "mangospread/error.hpp"
 #include "rpc/messages.hpp"
+#include "rpc/task_messages.hpp"
 
 namespace mangospread::rpc {
 
@@ -27,14 +28,21 @@
       forward;
   std::function<Revision(const ConfigDelta&)> push_config;
   std::function<ConfigDelta(Revision)> config_since;
-  std::function<std::vector<OwnershipEntry>()> ownership_snapshot;
+  std::function<OwnershipSnapshot()> ownership_snapshot;
+  std::function<void(const std::vector<OwnershipEntry>&)> push_ownership;
+  std::function<void(TaskCall, ReplyCallback<TaskReport>)> task_command;
+  std::function<NodeReportReply(const NodeReport&)> report_tasks;
+  std::function<QueryReply(const std::string& path)> scheduler_query;
 };
 
 /// Connections to and from peers. Owns the KJ thread. All members are for the
 /// core thread; callbacks run on it.
 ///
-/// A heartbeat that exceeds its time bound closes the connection, since a
-/// silent connection gives no error; the next call opens a new one.
+/// Each peer has a control connection (heartbeats, pushes) and a data
+/// connection (forwarded requests, snapshots). A heartbeat that exceeds its
+/// time bound closes the control connection, since a silent connection gives
+/// no error; the data connection has a probe of its own. The calls on a closed
+/// connection fail at once and the next call opens a new one.
 class PeerService {
  public:
   explicit PeerService(base::EventLoop& core);
@@ -57,8 +65,21 @@
                   ReplyCallback<Revision> done);
   void ConfigSince(const Address& peer, Revision revision, Milliseconds timeout,
                    ReplyCallback<ConfigDelta> done);
-  void OwnershipSnapshot(const Address& peer, Milliseconds timeout,
-                         ReplyCallback<std::vector<OwnershipEntry>> done);
+  void FetchOwnership(const Address& peer, Milliseconds timeout,
+                      ReplyCallback<OwnershipSnapshot> done);
+  void PushOwnership(const Address& peer, std::vector<OwnershipEntry> entries,
+                     Milliseconds timeout, ReplyCallback<Done> done);
+
+  /// The called node's own error, or that of the call.
+  void TaskCommand(const Address& peer, TaskCall call, Milliseconds timeout,
+                   ReplyCallback<TaskReport> done);
+  void ReportTasks(const Address& peer, NodeReport report, Milliseconds timeout,
+                   ReplyCallback<NodeReportReply> done);
+  void SchedulerQuery(const Address& peer, std::string path,
+                      Milliseconds timeout, ReplyCallback<QueryReply> done);
+
+  /// Waits until every answer to a peer has been written, at most `limit`.
+  void Flush(Milliseconds limit, std::function<void()> done);
 
  private:
   std::unique_ptr<detail::PeerHost> host_;
