--- /dev/null
+++ b/tests/integration/eviction_test.cc
@@ -0,0 +1,72 @@
+// Guards against evicted work that is lost, resumed twice or resumed from
+// elsewhere than its last checkpoint, also when the scheduler dies meanwhile.
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "integration/harness/jobs.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+/// Ended runs of the job that were stopped.
+int CountStopped(const Cluster& cluster, const std::string& job) {
+  int stopped = 0;
+  for (const auto& [task, runs] : CollectRuns(cluster)) {
+    for (const TaskRun& run : runs) {
+      if (task.starts_with(job) && run.phase == "stopped") ++stopped;
+    }
+  }
+  return stopped;
+}
+
+void CheckResumes(const Cluster& cluster) {
+  for (const auto& [task, runs] : CollectRuns(cluster)) {
+    INFO("task ", task);
+    CHECK(runs.front().from_checkpoint == 0);
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+      CHECK(runs[i].from_checkpoint == runs[i - 1].checkpoint);
+    }
+    CHECK(runs.back().phase == "done");
+  }
+}
+
+/// Fills the workers with batch tasks, which urgent tasks then displace.
+void EvictByUrgentWork(bool kill_scheduler) {
+  constexpr int kBatch = 16;
+  constexpr int kUrgent = 6;
+  Cluster cluster({});
+  CreateJob(cluster, 0, "batch",
+            R"({"team":"night","tasks":16,"cpu_millis":4000,)"
+            R"("memory_mb":8000,"run_time_ms":15000})");
+  WaitUntil("the workers are full", kWaitDeadline, [&cluster] {
+    return CountIn(JobStatus(cluster, "batch"), "running") >= 12;
+  });
+  CreateJob(cluster, 1, "urgent",
+            R"({"team":"day","tasks":6,"cpu_millis":4000,"urgent":true,)"
+            R"("memory_mb":8000,"run_time_ms":1000})");
+  WaitUntil("a batch task was evicted", kWaitDeadline,
+            [&cluster] { return CountStopped(cluster, "batch/") > 0; });
+  if (kill_scheduler) {
+    const int active = SchedulerNode(cluster);
+    REQUIRE(active >= 0);
+    cluster.RestartNode(active);
+  }
+  WaitForJob(cluster, "urgent");
+  WaitForJob(cluster, "batch");
+  CheckRunsDoNotOverlap(cluster);
+  CheckResumes(cluster);
+  CHECK(CountIn(JobStatus(cluster, "batch"), "done") == kBatch);
+  CHECK(CountIn(JobStatus(cluster, "urgent"), "done") == kUrgent);
+}
+
+TEST_CASE("evicted work resumes once from its checkpoint") {
+  EvictByUrgentWork(false);
+}
+
+TEST_CASE("evicted work resumes once when the scheduler dies") {
+  EvictByUrgentWork(true);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
--- a/tests/unit/lifecycle_test.cc
+++ b/tests/unit/lifecycle_test.cc
@@ -186,6 +186,28 @@
   }
 }
 
+// Guards against a record that a scheduler writes after it lost the role while
+// it was paused.
+TEST_CASE("a task is not recorded under another scheduler's role") {
+  LifecycleFixture f;
+  const auto old =
+      f.table.rows.Transact({{}, {{"role/scheduler/default", "a"}}});
+  f.table.rows.Transact({{}, {{"role/scheduler/default", "b"}}});
+  table::Writer writer(f.loop, f.table, "writer/a/1/tasks", f.writer_options);
+  std::vector<std::string> failed;
+  scheduler::TaskBook book(
+      f.table, writer, {"role/scheduler/default", old.version},
+      {[](auto&) {}, [](auto&) {}, [&](const auto& keys) { failed = keys; },
+       [](const auto&) {}});
+  scheduler::Job& job = book.AddJob(JobName("j"));
+  book.AddTasks(job);
+  job.tasks[0]->record.state = scheduler::TaskState::kAssigned;
+  book.Save(*job.tasks[0]);
+  RunUntil(f.loop, [&] { return writer.idle(); });
+  CHECK(failed == std::vector<std::string>{"role/scheduler/default"});
+  CHECK(f.table.rows.Read({{"task/j/0"}, {}}).empty());
+}
+
 // Guards against commands of a scheduler that was paused while another one
 // took over.
 TEST_CASE("an owner refuses an earlier scheduler than the one it knows") {
