Keep the scheduler's rows readable and show unreadable ones as failed

A checkpoint longer than a row may hold was written and could not be read again; its task would have counted as queued without a row, and every assignment would have conflicted and reloaded all rows. Longer checkpoints are no longer taken, reasons are cut, and a task with an unreadable row is shown as failed and never started, since nobody knows whether it runs.

--- a/src/scheduler/lifecycle/rows.cc
+++ b/src/scheduler/lifecycle/rows.cc
@@ -17,7 +17,6 @@
     "done",   "failed",   "cancelled", "cannot_run"};
 
 constexpr std::size_t kMaxName = 256;
-constexpr std::size_t kMaxCheckpoint = 64 * 1024;
 constexpr std::size_t kMaxReason = 4096;
 constexpr int kMaxCount = 1'000'000'000;
 
@@ -73,7 +72,8 @@
     out["epoch"] = record.worker_epoch.value();
   }
   if (!record.checkpoint.empty()) out["checkpoint"] = record.checkpoint;
-  if (!record.reason.empty()) out["reason"] = record.reason;
+  if (!record.reason.empty())
+    out["reason"] = record.reason.substr(0, kMaxReason);
   if (record.evictions != 0) out["evictions"] = record.evictions;
   if (record.failures != 0) out["failures"] = record.failures;
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -87,7 +87,7 @@
     }
   }
   return json{{"counts", std::move(counts)},
-              {"reason", summary.reason},
+              {"reason", summary.reason.substr(0, kMaxReason)},
               {"cancelled", summary.cancelled}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -121,7 +121,7 @@
   reader.String("vm", kMaxName, vm);
   reader.String("address", kMaxName, record.address);
   reader.Integer("epoch", 0, INT64_MAX, epoch);
-  reader.String("checkpoint", kMaxCheckpoint, record.checkpoint);
+  reader.String("checkpoint", kMaxCheckpointBytes, record.checkpoint);
   reader.String("reason", kMaxReason, record.reason);
   reader.Integer("evictions", 0, kMaxCount, record.evictions);
   reader.Integer("failures", 0, kMaxCount, record.failures);
--- a/src/scheduler/lifecycle/rows.hpp
+++ b/src/scheduler/lifecycle/rows.hpp
@@ -28,6 +28,9 @@
 };
 inline constexpr std::size_t kTaskStates = 8;
 
+/// Longer checkpoints are not taken: a row has to stay readable.
+inline constexpr std::size_t kMaxCheckpointBytes = 64 * 1024;
+
 [[nodiscard]] std::string_view TaskStateName(TaskState state) noexcept;
 /// Assigned or running: an attempt may exist on a worker.
 [[nodiscard]] bool IsLive(TaskState state) noexcept;
--- a/src/scheduler/lifecycle/scheduler.cc
+++ b/src/scheduler/lifecycle/scheduler.cc
@@ -186,8 +186,9 @@
   const auto vm = vms_.find(decision.vm);
   if (task == nullptr || !task->enqueued || vm == vms_.end()) {
     engine_->OnNotStarted(decision.task, decision.vm);
-    if (task != nullptr && task->enqueued)
+    if (task != nullptr && task->enqueued) {
       engine_->Enqueue(DemandOf(*task), now);
+    }
     return;
   }
   task->enqueued = false;
--- a/src/scheduler/lifecycle/scheduler_workers.cc
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -22,6 +22,12 @@
          code == Errc::kShuttingDown || code == Errc::kUnavailable;
 }
 
+void TakeCheckpoint(const TaskReport& report, TaskRecord& record) {
+  if (report.checkpoint.empty()) return;
+  if (report.checkpoint.size() > kMaxCheckpointBytes) return;
+  record.checkpoint = report.checkpoint;
+}
+
 }  // namespace
 
 rpc::NodeReportReply Scheduler::OnReport(const rpc::NodeReport& report) {
@@ -103,7 +109,7 @@
 }
 
 void Scheduler::ApplyReport(Task& task, const TaskReport& report) {
-  if (!report.checkpoint.empty()) task.record.checkpoint = report.checkpoint;
+  TakeCheckpoint(report, task.record);
   switch (report.phase) {
     case TaskPhase::kRunning:
       task.cpu_used = report.cpu_used;
@@ -296,7 +302,7 @@
   if (report.attempt != command.attempt) return;
   const bool running = report.phase == TaskPhase::kRunning;
   if (command.verb == TaskVerb::kCheckpoint && running) {
-    if (!report.checkpoint.empty()) task->record.checkpoint = report.checkpoint;
+    TakeCheckpoint(report, task->record);
     if (task->stop == StopReason::kEvict) {
       task->checkpointed = true;
       Push(*task, TaskVerb::kStop);
--- a/src/scheduler/lifecycle/task_book.cc
+++ b/src/scheduler/lifecycle/task_book.cc
@@ -65,9 +65,16 @@
 void TaskBook::TakeRow(const Row& row) {
   const TaskId id(row.key.substr(std::size(kTaskPrefix) - 1));
   const auto record = DecodeTask(row);
-  if (!record.ok() || JobOf(id).empty()) return;
+  if (JobOf(id).empty()) return;
   Task& task = AddTask(AddJob(JobOf(id)), id);
-  task.record = task.saved = record.value();
+  if (record.ok()) {
+    task.record = record.value();
+  } else {
+    // Nobody knows whether it runs, so it must not be started.
+    task.record.state = TaskState::kFailed;
+    task.record.reason = "unreadable row";
+  }
+  task.saved = task.record;
   task.version = row.version;
 }
 
--- a/tests/unit/fuzz_test.cc
+++ b/tests/unit/fuzz_test.cc
@@ -16,6 +16,7 @@
 #include "mangospread/address.hpp"
 #include "mangospread/resource.hpp"
 #include "ownership/rows.hpp"
+#include "scheduler/lifecycle/rows.hpp"
 #include "table/codec.hpp"
 #include "worker/codec.hpp"
 
@@ -119,6 +120,26 @@
   });
 }
 
+// Guards against a scheduler that cannot start because of a damaged row.
+TEST_CASE("mutated scheduler rows are decoded or refused") {
+  scheduler::TaskRecord record;
+  record.state = scheduler::TaskState::kEvicted;
+  record.attempt = Attempt(3);
+  record.vm = VmName("vm-1");
+  record.checkpoint = "c";
+  Fuzz(31, scheduler::Encode(record), [](const auto& text) {
+    (void)scheduler::DecodeTask({"task/j/0", text, {}}).ok();
+  });
+  scheduler::JobSummary summary;
+  summary.counts[4] = 7;
+  Fuzz(32, scheduler::Encode(summary), [](const auto& text) {
+    (void)scheduler::DecodeJob({"job/j", text, {}}).ok();
+  });
+  Fuzz(33, R"({"node":"n","incarnation":5,"epoch":7})", [](const auto& text) {
+    (void)scheduler::DecodeRole({"role/scheduler/c", text, {}}).ok();
+  });
+}
+
 // Guards against a crash on what workers and the VM list send.
 TEST_CASE("mutated worker messages are decoded or refused") {
   WorkerReport report;
--- a/tests/unit/lifecycle_fixture.hpp
+++ b/tests/unit/lifecycle_fixture.hpp
@@ -135,7 +135,7 @@
     if (running && command.verb == TaskVerb::kStop) {
       End(command.task, TaskPhase::kStopped);
     }
-    const TaskReport answer = *it;
+    TaskReport answer = *it;
     if (command.verb == TaskVerb::kForget && !running) {
       forgotten_[command.task] = command.attempt;
       report.tasks.erase(it);
