--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -46,6 +46,13 @@
   return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
 }
 
+rpc::ForwardReply FailedForward(const Error& error) {
+  const bool never_sent = error.code == Errc::kConnectFailed;
+  return {never_sent ? Outcome::kNotRun : Outcome::kUnknown,
+          NotRunReason::kConnectFailed,
+          {}};
+}
+
 }  // namespace
 
 RequestSession::RequestSession(Gateway& gateway,
@@ -224,12 +231,10 @@
         if (!result.ok() || result.value().outcome == Outcome::kNotRun) {
           self->gateway_.router_.OnForwardFailed(node, self->request_.service);
         }
+        self->OnReply(result.ok() ? std::move(result.value())
+                                  : FailedForward(result.error()));
+        // The forward's slot at the peer is free for a waiting request.
         self->gateway_.OnCapacity();
-        if (result.ok()) return self->OnReply(std::move(result.value()));
-        const bool never_sent = result.error().code == Errc::kConnectFailed;
-        self->OnReply({never_sent ? Outcome::kNotRun : Outcome::kUnknown,
-                       NotRunReason::kConnectFailed,
-                       {}});
       });
   return true;
 }
--- a/src/scheduler/lifecycle/rows.cc
+++ b/src/scheduler/lifecycle/rows.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/json_reader.hpp"
+#include "base/json_writer.hpp"
 
 namespace mangospread::scheduler {
 namespace {
@@ -57,10 +58,9 @@
 }
 
 std::string Encode(const RoleRow& row) {
-  return json{{"node", row.node.str()},
-              {"incarnation", row.incarnation.value()},
-              {"epoch", row.epoch.value()}}
-      .dump();
+  return base::DumpJson(json{{"node", row.node.str()},
+                             {"incarnation", row.incarnation.value()},
+                             {"epoch", row.epoch.value()}});
 }
 
 std::string Encode(const TaskRecord& record) {
--- a/tests/integration/harness/cluster.cc
+++ b/tests/integration/harness/cluster.cc
@@ -1,9 +1,12 @@
 #include "integration/harness/cluster.hpp"
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
+#include "base/clock.hpp"
+
 namespace mangospread::testing {
 namespace {
 
@@ -59,7 +62,7 @@
   table_ = standin("table", "table");
   vm_list_ = standin("vm-list", "vm-list");
   for (int i = 0; i < options_.workers; ++i) {
-    workers_.push_back(standin("worker-" + std::to_string(i), "worker"));
+    workers_.push_back(StartWorker(i));
   }
   StartProxies();
   PublishVms();
@@ -76,6 +79,31 @@
 
 Cluster::~Cluster() = default;
 
+std::string Cluster::TaskLog(int worker) const {
+  return logs_.path() + "/tasks-" + std::to_string(worker);
+}
+
+std::unique_ptr<Process> Cluster::StartWorker(int index) {
+  std::vector<std::string> arguments = {"worker", "--listen", kAnyPort,
+                                        "--task-log", TaskLog(index)};
+  arguments.insert(arguments.end(), options_.worker_arguments.begin(),
+                   options_.worker_arguments.end());
+  return std::make_unique<Process>(
+      logs_.path(),
+      "worker-" + std::to_string(index) + "-" + std::to_string(++starts_),
+      StandinProgram(), arguments);
+}
+
+void Cluster::RestartWorker(int index) {
+  workers_[index]->Kill();
+  std::ofstream(TaskLog(index), std::ios::app)
+      << json{{"event", "killed"}, {"ended_ns", base::MonotonicNow().count()}}
+             .dump()
+      << "\n";
+  workers_[index] = StartWorker(index);
+  worker_proxies_.at(index)->SetTarget(workers_[index]->address("http"));
+}
+
 void Cluster::StartProxies() {
   const auto start = [this](const std::string& name) {
     return std::make_unique<ProxyControl>(logs_.path(), "proxy-" + name);
--- /dev/null
+++ b/tests/unit/lifecycle_fixture.hpp
@@ -0,0 +1,375 @@
+/// @file
+/// Schedulers, an owner, workers and a table in one process, with faults.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "scheduler/lifecycle/owner_agent.hpp"
+#include "scheduler/lifecycle/scheduler.hpp"
+#include "table/memory_table.hpp"
+#include "unit/run_until.hpp"
+
+namespace mangospread::test {
+
+using scheduler::TaskId;
+
+/// Answers after a delay; counts transactions.
+class SlowTable final : public Table {
+ public:
+  explicit SlowTable(base::EventLoop& loop) : loop_(loop) {}
+
+  void Read(ReadRequest request, ReadCallback done) override {
+    Later([this, request, done] {
+      if (down) return done(Error{Errc::kUnavailable, "table"});
+      done(rows.Read(request));
+    });
+  }
+  void Transact(Transaction transaction, TransactCallback done) override {
+    Later([this, transaction, done] {
+      using Status = TransactResult::Status;
+      if (down) return done({Status::kUnavailable, {}, {}});
+      ++transactions;
+      if (on_event) on_event();
+      done(rows.Transact(transaction));
+    });
+  }
+
+  table::MemoryRows rows;
+  bool down = false;
+  Milliseconds delay{0};
+  int transactions = 0;
+  std::function<void()> on_event;
+
+ private:
+  void Later(std::function<void()> fn) {
+    if (delay.count() == 0) return loop_.Post(std::move(fn));
+    auto timer = std::make_shared<base::Timer>();
+    *timer = loop_.After(delay, [timer, fn = std::move(fn)] { fn(); });
+  }
+  base::EventLoop& loop_;
+};
+
+/// A run of an attempt. Times count the events of the worker.
+struct FakeRun {
+  Attempt attempt;
+  std::string from;
+  std::string checkpoint;
+  int started = 0;
+  int ended = 0;
+};
+
+/// Executes task commands as the worker protocol demands. `clock` is shared by
+/// all workers, so that runs can be compared.
+class FakeWorker {
+ public:
+  explicit FakeWorker(int& clock) : clock_(clock) {}
+
+  Result<TaskReport> Command(const TaskCommand& command) {
+    const Error unknown{Errc::kNotFound, command.task};
+    auto it = report.tasks.begin();
+    while (it != report.tasks.end() && it->task != command.task) ++it;
+    const bool present = it != report.tasks.end();
+    if (forgotten_[command.task] >= command.attempt) return unknown;
+    if (present && it->attempt > command.attempt) return unknown;
+    if (present && it->attempt == command.attempt) {
+      return Existing(command, it);
+    }
+    const bool start = command.verb == TaskVerb::kStart;
+    if (!start && command.verb != TaskVerb::kStop) return unknown;
+    if (present) report.tasks.erase(it);
+    TaskReport added;
+    added.task = command.task;
+    added.attempt = command.attempt;
+    added.checkpoint = command.checkpoint;
+    added.phase = start ? TaskPhase::kRunning : TaskPhase::kStopped;
+    if (start) {
+      runs[command.task].push_back(
+          {command.attempt, command.checkpoint, "", ++clock_, 0});
+    }
+    report.tasks.push_back(added);
+    return added;
+  }
+
+  /// Ends a running task.
+  void End(const std::string& task, TaskPhase phase) {
+    for (TaskReport& item : report.tasks) {
+      if (item.task != task || item.phase != TaskPhase::kRunning) continue;
+      item.phase = phase;
+      runs[task].back().ended = ++clock_;
+      runs[task].back().checkpoint = item.checkpoint;
+    }
+  }
+  [[nodiscard]] std::vector<std::string> Running() const {
+    std::vector<std::string> names;
+    for (const TaskReport& item : report.tasks) {
+      if (item.phase == TaskPhase::kRunning) names.push_back(item.task);
+    }
+    return names;
+  }
+  void Restart() {
+    for (const std::string& task : Running()) End(task, TaskPhase::kStopped);
+    report.tasks.clear();
+    forgotten_.clear();
+    report.boot_id += "+";
+  }
+
+  WorkerReport report;
+  std::map<std::string, std::vector<FakeRun>> runs;
+
+ private:
+  using Position = std::vector<TaskReport>::iterator;
+  TaskReport Existing(const TaskCommand& command, Position it) {
+    const bool running = it->phase == TaskPhase::kRunning;
+    if (running && (command.verb == TaskVerb::kCheckpoint ||
+                    command.verb == TaskVerb::kStop)) {
+      it->checkpoint = "cp" + std::to_string(++clock_);
+    }
+    if (running && command.verb == TaskVerb::kStop) {
+      End(command.task, TaskPhase::kStopped);
+    }
+    const TaskReport answer = *it;
+    if (command.verb == TaskVerb::kForget && !running) {
+      forgotten_[command.task] = command.attempt;
+      report.tasks.erase(it);
+    }
+    return answer;
+  }
+
+  int& clock_;
+  std::map<std::string, Attempt> forgotten_;
+};
+
+/// Places the oldest task on the worker with the fewest tasks.
+class FirstFitEngine final : public scheduler::DecisionEngine {
+ public:
+  explicit FirstFitEngine(std::size_t room) : room_(room) {}
+
+  void SetWeights(const scheduler::Weights& /*weights*/) override {}
+  void SetQuotas(const std::vector<scheduler::TeamQuota>& /*quotas*/) override {
+  }
+  void UpdateWorker(const scheduler::WorkerState& worker) override {
+    auto& [accepts, tasks] = workers_[worker.vm];
+    accepts = worker.accepts_work;
+    tasks.clear();
+    for (const auto& task : worker.tasks) tasks.insert(task.demand.id);
+  }
+  void RemoveWorker(const VmName& vm) override { workers_.erase(vm); }
+  void Enqueue(const scheduler::TaskDemand& task, MonotonicTime) override {
+    queue_.push_back(task.id);
+  }
+  void Dequeue(const TaskId& task) override { std::erase(queue_, task); }
+  [[nodiscard]] std::size_t queued() const override { return queue_.size(); }
+  [[nodiscard]] std::vector<scheduler::Decision> Decide(
+      MonotonicTime, std::size_t limit) override {
+    std::vector<scheduler::Decision> decisions;
+    for (; limit > 0 && !queue_.empty(); --limit) {
+      auto best = workers_.end();
+      for (auto it = workers_.begin(); it != workers_.end(); ++it) {
+        const auto& [accepts, tasks] = it->second;
+        if (!accepts || tasks.size() >= room_) continue;
+        if (best == workers_.end() ||
+            tasks.size() < best->second.second.size()) {
+          best = it;
+        }
+      }
+      if (best == workers_.end()) break;
+      best->second.second.insert(queue_.front());
+      decisions.emplace_back(scheduler::PlaceDecision{
+          queue_.front(), best->first, 0, {}, "first fit"});
+      queue_.pop_front();
+    }
+    for (const auto& [task, vm] : std::exchange(evict, {})) {
+      decisions.emplace_back(scheduler::EvictDecision{task, vm, "test"});
+    }
+    return decisions;
+  }
+  void OnNotStarted(const TaskId& task, const VmName& vm) override {
+    workers_[vm].second.erase(task);
+  }
+  void OnEnded(const TaskId& task, const VmName& vm, scheduler::AttemptEnd,
+               MonotonicTime) override {
+    workers_[vm].second.erase(task);
+  }
+
+  std::vector<std::pair<TaskId, VmName>> evict;
+
+ private:
+  std::size_t room_;
+  std::deque<TaskId> queue_;
+  std::map<VmName, std::pair<bool, std::set<TaskId>>> workers_;
+};
+
+class LifecycleFixture {
+ public:
+  /// A node that can schedule.
+  struct Node {
+    Node(LifecycleFixture& fixture, const std::string& name)
+        : writer(fixture.loop, fixture.table, "writer/" + name + "/1/tasks",
+                 fixture.writer_options),
+          role(
+              fixture.loop, RoleOptions(name), fixture.table, writer,
+              [&fixture](const scheduler::RoleRow& row) {
+                return !fixture.nodes.contains(row.node);
+              },
+              [] { return true; }),
+          scheduler(fixture.Dependencies(*this), fixture.options) {
+      scheduler.Start();
+      role.Start();
+    }
+    static scheduler::RoleOptions RoleOptions(const std::string& name) {
+      scheduler::RoleOptions options;
+      options.node = NodeId(name);
+      options.incarnation = Incarnation(1);
+      options.period = Milliseconds(10);
+      return options;
+    }
+    table::Writer writer;
+    scheduler::Role role;
+    FirstFitEngine* engine = nullptr;
+    scheduler::Scheduler scheduler;
+  };
+
+  explicit LifecycleFixture(int worker_count = 2, std::size_t room = 4)
+      : room_(room) {
+    options.tick = Milliseconds(2);
+    options.report_wait = Milliseconds(20);
+    writer_options.budget = writer_options.burst = 100'000;
+    store.InstallSnapshot(Revision(0), {});
+    for (int i = 0; i < worker_count; ++i) {
+      const VmName vm("vm-" + std::to_string(i));
+      workers.emplace(vm, clock);
+      workers.at(vm).report.boot_id = "boot";
+      VmInfo info;
+      info.name = vm;
+      info.address = {"127.0.0.1", static_cast<std::uint16_t>(1'000 + i)};
+      vms.push_back(info);
+    }
+    agent.Start();
+  }
+
+  Node& AddNode(const std::string& name) {
+    auto& node = nodes[NodeId(name)];
+    node = std::make_unique<Node>(*this, name);
+    return *node;
+  }
+  void AddJob(const std::string& name, const std::string& spec) {
+    Change change{
+        store.revision().next(), {ResourceKind::kJob, name}, false, spec};
+    store.Install(change);
+  }
+  [[nodiscard]] std::string Status(const std::string& job) const {
+    for (const auto& [name, node] : nodes) {
+      const auto reply = node->scheduler.Query("/v1/jobs/" + job);
+      if (reply.status == 200) return reply.body;
+    }
+    return "";
+  }
+  [[nodiscard]] bool Finished(const std::string& job) const {
+    return Status(job).find("\"finished\":true") != std::string::npos;
+  }
+  /// Ends all running tasks.
+  void EndAll() {
+    for (auto& [vm, worker] : workers) {
+      for (const std::string& task : worker.Running()) {
+        worker.End(task, TaskPhase::kDone);
+      }
+    }
+  }
+  /// Runs of a task on all workers, in order.
+  [[nodiscard]] std::vector<FakeRun> Runs(const std::string& task) {
+    std::vector<FakeRun> all;
+    for (auto& [vm, worker] : workers) {
+      const auto& runs = worker.runs[task];
+      all.insert(all.end(), runs.begin(), runs.end());
+    }
+    std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+      return a.started < b.started;
+    });
+    return all;
+  }
+
+  base::EventLoop loop;
+  int clock = 0;
+  int commands = 0;
+  /// Commands that are carried out and whose reply is lost.
+  int lose_replies = 0;
+  std::function<void()> on_command;
+  scheduler::SchedulerOptions options;
+  table::WriterOptions writer_options;
+  SlowTable table{loop};
+  config::Store store;
+  std::map<VmName, FakeWorker> workers;
+  std::vector<VmInfo> vms;
+  std::map<NodeId, std::unique_ptr<Node>> nodes;
+  scheduler::OwnerAgent agent{
+      loop, {NodeId("owner"), Milliseconds(5)}, AgentHooks()};
+
+ private:
+  scheduler::AgentHooks AgentHooks() {
+    scheduler::AgentHooks hooks;
+    hooks.owned = [this] {
+      std::vector<scheduler::OwnedState> owned;
+      for (const VmInfo& vm : vms) {
+        owned.push_back({vm.name, ToString(vm.address), Epoch(1), true,
+                         base::MonotonicNow(), &workers.at(vm.name).report});
+      }
+      return owned;
+    };
+    hooks.command = [this](const VmName& vm, const TaskCommand& command,
+                           auto done) {
+      ++commands;
+      Result<TaskReport> result = workers.at(vm).Command(command);
+      if (lose_replies > 0) {
+        --lose_replies;
+        result = Error{Errc::kTimeout, "lost"};
+      }
+      if (on_command) on_command();
+      loop.Post([done, result] { done(result); });
+    };
+    hooks.role = [this] {
+      const auto rows = table.rows.Read({{"role/scheduler/default"}, {}});
+      return rows.empty() ? scheduler::RoleRow()
+                          : scheduler::DecodeRole(rows[0]).value();
+    };
+    hooks.send_report = [this](const NodeId& node, rpc::NodeReport report,
+                               auto done) {
+      loop.Post([this, node, report = std::move(report), done] {
+        const auto it = nodes.find(node);
+        if (it == nodes.end()) {
+          return done(Error{Errc::kConnectFailed, node.str()});
+        }
+        done(it->second->scheduler.OnReport(report));
+      });
+    };
+    return hooks;
+  }
+
+  scheduler::SchedulerDependencies Dependencies(Node& node) {
+    return {loop,
+            table,
+            node.writer,
+            node.role,
+            store,
+            [this] { return vms; },
+            [this](const NodeId&, rpc::TaskCall call, auto done) {
+              loop.Post([this, call, done] { agent.OnCommand(call, done); });
+            },
+            [this, &node] {
+              auto engine = std::make_unique<FirstFitEngine>(room_);
+              node.engine = engine.get();
+              return engine;
+            }};
+  }
+
+  std::size_t room_;
+};
+
+}  // namespace mangospread::test
