--- a/src/gateway/routing/router.cc
+++ b/src/gateway/routing/router.cc
@@ -1,6 +1,5 @@
 #include "gateway/routing/router.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include "base/clock.hpp"
