--- a/src/api/api.cc
+++ b/src/api/api.cc
@@ -22,6 +22,7 @@
 constexpr int kConflict = 409;
 constexpr int kTooLarge = 413;
 constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 void ReplyJson(net::HttpExchange& exchange, int status, const json& body) {
   net::Response response;
@@ -43,6 +44,8 @@
     case Errc::kNoConfiguration:
     case Errc::kShuttingDown:
       return kServiceUnavailable;
+    case Errc::kUnknown:
+      return kGatewayTimeout;
     default:
       return kBadRequest;
   }
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -139,7 +139,7 @@
             [this](const Address& peer, Revision since, auto done) {
               peers_.ConfigSince(peer, since, kPullTimeout, std::move(done));
             }),
-      editor_(*platform_.table, config_writer_,
+      editor_(loop_, *platform_.table, config_writer_,
               [this](const Change& change) { OnAccepted(change); }),
       membership_(
           loop_, MakeMembershipOptions(settings_),
--- a/src/config/editor.cc
+++ b/src/config/editor.cc
@@ -19,6 +19,12 @@
 }  // namespace
 
 struct Editor::Attempt {
+  void Answer(const Result<Change>& result) {
+    timer.reset();
+    if (const auto fn = std::exchange(done, nullptr)) fn(result);
+  }
+
+  base::Timer timer;
   Edit edit;
   Callback done;
   Change change;
@@ -27,9 +33,14 @@
   int races = 0;
 };
 
-Editor::Editor(Table& table, table::Writer& writer,
-               std::function<void(const Change&)> accepted)
-    : table_(table), writer_(writer), accepted_(std::move(accepted)) {}
+Editor::Editor(base::EventLoop& loop, Table& table, table::Writer& writer,
+               std::function<void(const Change&)> accepted,
+               Milliseconds answer_within)
+    : loop_(loop),
+      table_(table),
+      writer_(writer),
+      accepted_(std::move(accepted)),
+      answer_within_(answer_within) {}
 
 Editor::~Editor() { *alive_ = false; }
 
@@ -37,6 +48,11 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->edit = std::move(edit);
   attempt->done = std::move(done);
+  attempt->timer =
+      loop_.After(answer_within_, [weak = std::weak_ptr<Attempt>(attempt)] {
+        const auto late = weak.lock();
+        if (late != nullptr) late->Answer(Error{Errc::kUnknown, "table"});
+      });
   Read(attempt);
 }
 
@@ -46,7 +62,7 @@
       [this, attempt, alive = alive_](const Result<std::vector<Row>>& rows) {
         if (!*alive) return;
         if (!rows.ok()) {
-          return attempt->done(Error{Errc::kUnavailable, "table"});
+          return attempt->Answer(Error{Errc::kUnavailable, "table"});
         }
         Commit(attempt, rows.value());
       });
@@ -54,12 +70,14 @@
 
 void Editor::Commit(const std::shared_ptr<Attempt>& attempt,
                     const std::vector<Row>& rows) {
+  // The operator was answered; the change may have been sent again.
+  if (attempt->done == nullptr) return;
   const Edit& edit = attempt->edit;
   const std::string key = ResourceRowKey(edit.key);
   const Row* row = FindRow(rows, key);
   const Row* revision_row = FindRow(rows, kRevisionKey);
   const auto revision = DecodeRevision(revision_row);
-  if (!revision.ok()) return attempt->done(revision.error());
+  if (!revision.ok()) return attempt->Answer(revision.error());
 
   Revision seen;
   if (row != nullptr) {
@@ -70,10 +88,10 @@
   const bool overtaken =
       attempt->read_before && version != attempt->resource_version;
   if (overtaken || (edit.expected && *edit.expected != seen)) {
-    return attempt->done(Error{Errc::kConflict, edit.key.name});
+    return attempt->Answer(Error{Errc::kConflict, edit.key.name});
   }
   if (!edit.spec && row == nullptr) {
-    return attempt->done(Error{Errc::kNotFound, edit.key.name});
+    return attempt->Answer(Error{Errc::kNotFound, edit.key.name});
   }
   attempt->read_before = true;
   attempt->resource_version = version;
@@ -116,9 +134,9 @@
                  {"resource", edit.key.name},
                  {"deleted", attempt->change.deleted}});
       accepted_(attempt->change);
-      return attempt->done(attempt->change);
+      return attempt->Answer(attempt->change);
     case table::WriteStatus::kUnavailable:
-      return attempt->done(Error{Errc::kUnavailable, "table"});
+      return attempt->Answer(Error{Errc::kUnavailable, "table"});
     case table::WriteStatus::kConflict: {
       const auto& failed = result.failed_keys;
       const bool resource_changed =
@@ -129,7 +147,7 @@
                   {{"kind", ResourceKindName(edit.key.kind)},
                    {"resource", edit.key.name},
                    {"races", attempt->races}});
-        return attempt->done(Error{Errc::kConflict, edit.key.name});
+        return attempt->Answer(Error{Errc::kConflict, edit.key.name});
       }
       return Read(attempt);
     }
--- a/src/config/editor.hpp
+++ b/src/config/editor.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "base/event_loop.hpp"
 #include "config/store.hpp"
 #include "mangospread/table.hpp"
 #include "table/writer.hpp"
@@ -27,16 +28,23 @@
  public:
   using Callback = std::function<void(Result<Change>)>;
 
+  /// Operators' tools give up soon after; a table outage lasts hours.
+  static constexpr Milliseconds kAnswerWithin{10'000};
+
   /// @param accepted called with each committed change before the operator is
   ///   told, to install and push it.
-  Editor(Table& table, table::Writer& writer,
-         std::function<void(const Change&)> accepted);
+  /// @param answer_within the operator hears kUnknown after this time; a
+  ///   change that is found committed later is still installed and pushed.
+  Editor(base::EventLoop& loop, Table& table, table::Writer& writer,
+         std::function<void(const Change&)> accepted,
+         Milliseconds answer_within = kAnswerWithin);
   ~Editor();
   Editor(const Editor&) = delete;
   Editor& operator=(const Editor&) = delete;
 
   /// @errors kConflict (another operator's change came first), kNotFound
-  ///   (delete of an absent resource), kUnavailable (not accepted).
+  ///   (delete of an absent resource), kUnavailable (not accepted), kUnknown
+  ///   (the table's answer is still awaited).
   void Apply(Edit edit, Callback done);
 
  private:
@@ -48,9 +56,11 @@
   void OnCommitted(const std::shared_ptr<Attempt>& attempt,
                    const table::WriteResult& result);
 
+  base::EventLoop& loop_;
   Table& table_;
   table::Writer& writer_;
   std::function<void(const Change&)> accepted_;
+  Milliseconds answer_within_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/standin/endpoint/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -160,7 +160,10 @@
       ++stale_refused_;
       return Refuse(connection, owner_.empty() ? "no-owner" : "stale-epoch");
     }
-    if (leaving_) return Refuse(connection, "leaving");
+    if (leaving_) {
+      ++leaving_refused_;
+      return Refuse(connection, "leaving");
+    }
     ++arrived_concurrency_[static_cast<int>(in_flight_.size()) + 1];
     if (static_cast<int>(in_flight_.size()) >= slots_) {
       ++full_refused_;
@@ -208,6 +211,7 @@
                     {"served", served_},
                     {"full_refused", full_refused_},
                     {"stale_refused", stale_refused_},
+                    {"leaving_refused", leaving_refused_},
                     {"runs_by_key", runs_by_key_},
                     {"claims", claims_},
                     {"served_by", served_by_},
@@ -237,6 +241,7 @@
   std::uint64_t served_ = 0;
   std::uint64_t full_refused_ = 0;
   std::uint64_t stale_refused_ = 0;
+  std::uint64_t leaving_refused_ = 0;
 };
 
 }  // namespace
--- a/tests/integration/harness/cluster.cc
+++ b/tests/integration/harness/cluster.cc
@@ -95,7 +95,7 @@
   }
 }
 
-void Cluster::PublishVms() {
+void Cluster::PublishVms(const std::set<int>& leaving) {
   json vms = json::array();
   for (int i = 0; i < options_.workers; ++i) {
     const Address address = options_.proxy_workers
@@ -106,7 +106,7 @@
                    {"data_center", DataCenterOf(i)},
                    {"rack", "rack-" + std::to_string(i)},
                    {"pool", "counter"},
-                   {"state", "live"}});
+                   {"state", leaving.contains(i) ? "leaving" : "live"}});
   }
   Require(Put(vm_list_->address("http"), "/standin/vms",
               json{{"vms", std::move(vms)}}.dump()),
--- a/tests/integration/harness/cluster.hpp
+++ b/tests/integration/harness/cluster.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,7 +84,8 @@
   /// Faults of the table stand-in.
   void SetTableFaults(const std::string& json);
   /// Replaces the VM list by all workers.
-  void PublishVms();
+  /// Those in `leaving` have that state.
+  void PublishVms(const std::set<int>& leaving = {});
 
   /// /standin/record of a worker stand-in.
   [[nodiscard]] nlohmann::json WorkerRecord(int worker) const;
--- a/tests/unit/ownership_cluster.hpp
+++ b/tests/unit/ownership_cluster.hpp
@@ -174,7 +174,7 @@
 
   void Read(ReadRequest request, ReadCallback done) override {
     link_->Send([this, link = link_, request, done] {
-      if (state_.mode == Mode::kUp) {
+      if (state_.mode == Mode::kUp || state_.mode == Mode::kReadOnly) {
         return link->Send(
             [done, rows = state_.rows.Read(request)] { done(rows); });
       }
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/ownership_test.cc
@@ -20,8 +20,12 @@
   for (const Mode mode :
        {Mode::kRefusing, Mode::kSilent, Mode::kRepliesLost, Mode::kReadOnly}) {
     CAPTURE(static_cast<int>(mode));
-    for (const bool before : {true, false}) {
-      Cluster cluster(4);
+    // A single worker's write has nothing queued behind it that would expire.
+    for (const auto& [vms, before] :
+         {std::pair(4, true), std::pair(4, false), std::pair(1, true)}) {
+      const int count = vms;
+      CAPTURE(count);
+      Cluster cluster(count);
       for (const char* name : {"a", "b", "c"}) cluster.Start(name);
       REQUIRE(cluster.RunUntil([&] { return cluster.Settled(); }));
       if (before) {
@@ -53,7 +57,7 @@
   cluster.Kill(proposed);
   REQUIRE(cluster.RunUntil([&] { return cluster.Served(); }));
   auto& holder = OwnerOf(cluster, vm);
-  auto& again = cluster.Start(name.c_str());
+  auto& again = cluster.Start(name);
   again.manager.AdoptVms(holder.manager.Vms());
   again.manager.AdoptRows(holder.manager.Rows());
   cluster.RunFor(Milliseconds(300));
