Satisfy clang-tidy in the scheduler's tests

doctest's INFO captures by reference in a lambda, which clang refuses for structured bindings; the loops use the map entry instead.

--- a/src/scheduler/lifecycle/rows.cc
+++ b/src/scheduler/lifecycle/rows.cc
@@ -72,8 +72,9 @@
     out["epoch"] = record.worker_epoch.value();
   }
   if (!record.checkpoint.empty()) out["checkpoint"] = record.checkpoint;
-  if (!record.reason.empty())
+  if (!record.reason.empty()) {
     out["reason"] = record.reason.substr(0, kMaxReason);
+  }
   if (record.evictions != 0) out["evictions"] = record.evictions;
   if (record.failures != 0) out["failures"] = record.failures;
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/tests/integration/eviction_test.cc
+++ b/tests/integration/eviction_test.cc
@@ -21,8 +21,9 @@
 }
 
 void CheckResumes(const Cluster& cluster) {
-  for (const auto& [task, runs] : CollectRuns(cluster)) {
-    INFO("task ", task);
+  for (const auto& entry : CollectRuns(cluster)) {
+    const std::vector<TaskRun>& runs = entry.second;
+    INFO("task ", entry.first);
     CHECK(runs.front().from_checkpoint == 0);
     for (std::size_t i = 1; i < runs.size(); ++i) {
       CHECK(runs[i].from_checkpoint == runs[i - 1].checkpoint);
--- a/tests/integration/harness/jobs.cc
+++ b/tests/integration/harness/jobs.cc
@@ -72,9 +72,10 @@
 }
 
 void CheckRunsDoNotOverlap(const Cluster& cluster) {
-  for (const auto& [task, runs] : CollectRuns(cluster)) {
+  for (const auto& entry : CollectRuns(cluster)) {
+    const std::vector<TaskRun>& runs = entry.second;
     for (std::size_t i = 1; i < runs.size(); ++i) {
-      INFO("task ", task, " attempts ", runs[i - 1].attempt, " and ",
+      INFO("task ", entry.first, " attempts ", runs[i - 1].attempt, " and ",
            runs[i].attempt, " on workers ", runs[i - 1].worker, " and ",
            runs[i].worker);
       CHECK(runs[i].started_ns >= runs[i - 1].ended_ns);
--- a/tests/integration/job_complete_test.cc
+++ b/tests/integration/job_complete_test.cc
@@ -43,9 +43,9 @@
   CHECK(CountIn(JobStatus(cluster, "restock"), "done") == 30);
   const auto runs = CollectRuns(cluster);
   CHECK(runs.size() == 150);
-  for (const auto& [task, list] : runs) {
-    INFO("task ", task);
-    CHECK(list.size() == 1);
+  for (const auto& entry : runs) {
+    INFO("task ", entry.first);
+    CHECK(entry.second.size() == 1);
   }
   // The workers' records are dropped once the table has the ends.
   WaitUntil("ended tasks forgotten", kWaitDeadline, [&cluster] {
@@ -75,10 +75,10 @@
   WaitForJob(cluster, "wave");
   CHECK(CountIn(JobStatus(cluster, "wave"), "cancelled") == kTasks);
   const auto check_none_runs = [&cluster] {
-    for (const auto& [task, runs] : CollectRuns(cluster)) {
-      INFO("task ", task);
-      CHECK(runs.size() == 1);
-      CHECK(runs.back().phase == "stopped");
+    for (const auto& entry : CollectRuns(cluster)) {
+      INFO("task ", entry.first);
+      CHECK(entry.second.size() == 1);
+      CHECK(entry.second.back().phase == "stopped");
     }
   };
   check_none_runs();
--- a/tests/integration/task_once_test.cc
+++ b/tests/integration/task_once_test.cc
@@ -123,9 +123,9 @@
   CheckRunsDoNotOverlap(cluster);
   const auto runs = CollectRuns(cluster);
   CHECK(runs.size() == 120);
-  for (const auto& [task, list] : runs) {
-    INFO("task ", task);
-    CHECK(list.size() == 1);
+  for (const auto& entry : runs) {
+    INFO("task ", entry.first);
+    CHECK(entry.second.size() == 1);
   }
 }
 
