Settle clang-tidy findings in the bad input and graceful stop tests

clang-tidy took two adjacent string literals for a missing comma, refused a structured binding captured in a doctest INFO and asked for reserve.

--- a/tests/integration/bad_input_test.cc
+++ b/tests/integration/bad_input_test.cc
@@ -144,8 +144,8 @@
           "\r\n\r\n",
       "POST /svc/coverage/x HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
       "POST /svc/coverage/x HTTP/1.1\r\nContent-Length: 1e3\r\n\r\n",
-      "POST /svc/coverage/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "zz\r\n"};
+      std::string("POST /svc/coverage/x HTTP/1.1\r\n") +
+          "Transfer-Encoding: chunked\r\n\r\nzz\r\n"};
   for (const std::string& bytes : garbage) {
     constexpr Milliseconds kShort{1'000};
     HttpConnection connection(address);
@@ -160,7 +160,11 @@
 
 TEST_CASE("a process with absurd settings ends with the setting's name") {
   LogDirectory logs;
-  const std::vector<std::pair<std::string, std::string>> settings = {
+  struct BadSetting {
+    std::string argument;
+    std::string name;
+  };
+  const std::vector<BadSetting> settings = {
       {"--http-listen=nowhere", "http-listen"},
       {"--http-listen=127.0.0.1:99999", "http-listen"},
       {"--worker-lease-ms=0", "worker-lease-ms"},
@@ -168,13 +172,13 @@
       {"--log-level=loud", "log-level"},
       {"--no-such-setting=1", "no-such-setting"}};
   int index = 0;
-  for (const auto& [argument, name] : settings) {
+  for (const BadSetting& bad : settings) {
     const std::string process = "bad-" + std::to_string(++index);
-    INFO(argument);
+    INFO(bad.argument);
     CHECK_THROWS(Process(logs.path(), process, NodeProgram(),
                          {"serve", "--node=n", "--data-center=d",
-                          "--platform=embedded", argument}));
-    CHECK(ReadLog(logs.path(), process).find(name) != std::string::npos);
+                          "--platform=embedded", bad.argument}));
+    CHECK(ReadLog(logs.path(), process).find(bad.name) != std::string::npos);
   }
 }
 
--- a/tests/integration/graceful_stop_test.cc
+++ b/tests/integration/graceful_stop_test.cc
@@ -140,6 +140,7 @@
   Tally tally;
   constexpr int kThreads = 8;
   std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     callers.push_back(std::make_unique<Caller>(balancer, tally));
   }
