Fix urgent tasks held up by aged batch without room

An aged group without room was followed by the next aged group until the round's limit of refused groups was reached, and urgent tasks were not offered at all, with 57 of 65 workers having room. Every offer counts now.

Three smaller changes for urgent tasks: no tenfold reserve for an unknown class (a declared 20 cores waited 30 s), 3 cores of slack when an eviction has made room, and no urgent task as the trial of a worker that failed others.

--- a/src/scheduler/policy/engine.cc
+++ b/src/scheduler/policy/engine.cc
@@ -19,7 +19,11 @@
 /// An eviction that has not freed room by then is planned elsewhere; twice
 /// this and a report's lag stay within the 8.7 s of urgent work.
 constexpr MonotonicTime kEvictionTime = std::chrono::seconds(3);
-/// After this, a task of an unknown class is tried with its declared size.
+/// Processor time that may be short when an eviction has made room: load that
+/// rose meanwhile must not make an urgent task wait for another eviction.
+constexpr Millicores kUrgentCpuSlack{3'000};
+/// After this, a batch task of an unknown class is tried with its declared
+/// size.
 constexpr MonotonicTime kCautionLimit = std::chrono::seconds(30);
 /// After this, a worker is kept free for a large task, and for how long.
 constexpr MonotonicTime kHoldAfter = std::chrono::minutes(2);
@@ -128,7 +132,9 @@
 
 bool Engine::PlaceHeld(const Held& held, std::vector<Decision>& decisions) {
   const ClassIndex task_class = classes_.ForTask(held.demand);
-  if (placement_.Fits(held.worker, held.need)) {
+  Need need = held.need;
+  if (held.demand.urgent) need.cpu -= kUrgentCpuSlack;
+  if (placement_.Fits(held.worker, need)) {
     Choice choice;
     choice.worker = held.worker;
     choice.why = held.demand.urgent ? "room made by eviction"
@@ -203,7 +209,8 @@
   const TaskDemand& demand = offer.demand;
   const ClassIndex task_class = classes_.ForTask(demand);
   const MonotonicTime waited = now_ - offer.enqueued_at;
-  const Need need = book_.NeedOf(demand, task_class, waited < kCautionLimit);
+  const bool cautious = !demand.urgent && waited < kCautionLimit;
+  const Need need = book_.NeedOf(demand, task_class, cautious);
   const PlacementRequest request{&demand, task_class, need,
                                  demand.urgent && waited >= kUrgentPatience};
   Tuning tuning = tuning_;
--- a/src/scheduler/policy/eviction.cc
+++ b/src/scheduler/policy/eviction.cc
@@ -88,7 +88,8 @@
   std::size_t seen = 0;
   for (std::size_t i = 0; i < count && seen < kSample; ++i) {
     index = index + 1 == count ? 0 : index + 1;
-    if (book.rooms()[index].starts <= 0) continue;
+    // One start is the allowance of a worker that failed others.
+    if (book.rooms()[index].starts <= 1) continue;
     const WorkerEntry& entry = book.entries()[index];
     if (need.accelerators > entry.capacity.accelerators) continue;
     ++seen;
--- a/src/scheduler/policy/placement.cc
+++ b/src/scheduler/policy/placement.cc
@@ -53,7 +53,10 @@
   const std::size_t stride = StrideFor(count);
   std::size_t index = random_() % count;
   for (std::size_t i = 0; i < count; ++i) {
-    if (Fits(index, request.need)) {
+    // An urgent task must not be the trial of a worker that failed others.
+    const bool allowed =
+        !request.demand->urgent || book_.rooms()[index].starts > 1;
+    if (allowed && Fits(index, request.need)) {
       candidates_.push_back(index);
       if (candidates_.size() == kCandidates) return;
     }
--- a/src/scheduler/policy/queue.cc
+++ b/src/scheduler/policy/queue.cc
@@ -206,7 +206,7 @@
 const Queue::Offer* Queue::Next() {
   Team* team = nullptr;
   bool urgent = false;
-  if (taken_ % kAgedEvery == kAgedEvery - 1) team = PickAged();
+  if (offers_ % kAgedEvery == kAgedEvery - 1) team = PickAged();
   if (team == nullptr) {
     team = PickTeam(true);
     urgent = team != nullptr;
@@ -227,6 +227,9 @@
 }
 
 void Queue::Skip() {
+  // Refused offers count too, or aged tasks without room would be offered until
+  // the round ends and urgent ones never.
+  ++offers_;
   Group& group = *offered_group_;
   if (group.prototype.urgent) {
     group.retry_at = now_ + kUrgentBackoff;
@@ -245,7 +248,7 @@
   --group.live;
   waiting_.erase(offer_.demand.id);
   if (group.live > 0) DropStale(group);
-  ++taken_;
+  ++offers_;
 }
 
 void Queue::AddCharge(const TeamName& team, const Charge& charge) {
--- a/src/scheduler/policy/queue.hpp
+++ b/src/scheduler/policy/queue.hpp
@@ -32,7 +32,7 @@
 /// more than the number of groups.
 class Queue {
  public:
-  /// Batch that has waited this long gets every fourth placement, also when
+  /// Batch that has waited this long gets every fourth offer, also when
   /// urgent work never ends.
   static constexpr MonotonicTime kAgeLimit = std::chrono::minutes(10);
 
@@ -110,7 +110,7 @@
   Offer offer_;
   Team* offered_team_ = nullptr;
   Group* offered_group_ = nullptr;
-  std::uint64_t taken_ = 0;
+  std::uint64_t offers_ = 0;
 };
 
 }  // namespace mangospread::scheduler::policy
--- a/tests/unit/policy_queue_test.cc
+++ b/tests/unit/policy_queue_test.cc
@@ -80,6 +80,32 @@
   CHECK(batch == 5);
 }
 
+// Guards against aged tasks without room that use up every offer of a round.
+TEST_CASE("aged batch without room does not hold up urgent work") {
+  Queue queue;
+  for (int i = 0; i < 40; ++i) {
+    TaskDemand task = TeamTask("b", i);
+    task.job = JobName("b" + std::to_string(i));
+    queue.Add(task, seconds(1));
+  }
+  for (int i = 0; i < 4; ++i) {
+    TaskDemand task = TeamTask("u", i);
+    task.urgent = true;
+    queue.Add(task, minutes(20));
+  }
+  int urgent = 0;
+  queue.BeginRound(minutes(20), kFleet);
+  for (int offers = 0; offers < 8; ++offers) {
+    if (queue.Next()->demand.urgent) {
+      ++urgent;
+      queue.Take();
+    } else {
+      queue.Skip();
+    }
+  }
+  CHECK(urgent == 4);
+}
+
 // Guards against cancelled tasks that are offered, and against a queue that
 // keeps what was cancelled.
 TEST_CASE("thousands of cancelled tasks leave the queue") {
