Divide the table budgets among live nodes

Cause: each node took a whole budget of each purpose, or a sixth of it for keys whatever the number of nodes. Ruled out: a fixed share, wrong while nodes are replaced. Conclusion: shares follow membership.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -48,10 +48,6 @@
 constexpr std::size_t kRequestConnections = 16;
 constexpr std::size_t kControlConnections = 2;
 
-/// Transactions a second for idempotency keys: the deployment's 150 among six
-/// nodes.
-constexpr double kKeyBudget = 25;
-
 constexpr std::uint64_t kNanosPerMs = 1'000'000;
 
 std::string WriterRow(const Settings& settings, Incarnation incarnation,
@@ -60,6 +56,12 @@
          std::to_string(incarnation.value()) + "/" + purpose;
 }
 
+/// Transactions a second of the deployment for each purpose; live nodes share
+/// them.
+constexpr double kConfigBudget = 20;
+constexpr double kOwnershipBudget = 60;
+constexpr double kKeyBudget = 150;
+
 table::WriterOptions Budget(double per_second) {
   table::WriterOptions options;
   options.budget = per_second;
@@ -128,10 +130,11 @@
       stopped_(std::move(stopped)),
       peers_(loop_),
       config_writer_(loop_, *platform_.table,
-                     WriterRow(settings_, incarnation_, "config"), Budget(20)),
+                     WriterRow(settings_, incarnation_, "config"),
+                     Budget(kConfigBudget)),
       ownership_writer_(loop_, *platform_.table,
                         WriterRow(settings_, incarnation_, "ownership"),
-                        Budget(60)),
+                        Budget(kOwnershipBudget)),
       key_writer_(loop_, *platform_.table,
                   WriterRow(settings_, incarnation_, "idempotency"),
                   Budget(kKeyBudget)),
@@ -192,6 +195,8 @@
       supervisor_(loop_, {}, [this](const Error& /*error*/) { stopped_(1); }) {
   membership_.heard().connect(
       [this](const rpc::NodeView& view) { OnHeard(view); });
+  membership_.changed().connect(
+      [this](const membership::Peer& /*peer*/) { ShareBudgets(); });
   ownership_.slot_free().connect([this] { gateway_.OnCapacity(); });
   ownership_.owner_changed().connect(
       [this](const ownership::KnownOwner& known) { OnOwnerChanged(known); });
@@ -267,6 +272,18 @@
   return Done{};
 }
 
+void Node::ShareBudgets() {
+  const auto& peers = membership_.peers();
+  const auto dead = std::count_if(peers.begin(), peers.end(), [](auto& item) {
+    return item.second.liveness == membership::Liveness::kDead;
+  });
+  const auto live =
+      static_cast<double>(peers.size() + 1) - static_cast<double>(dead);
+  config_writer_.SetBudget(kConfigBudget / live);
+  ownership_writer_.SetBudget(kOwnershipBudget / live);
+  key_writer_.SetBudget(kKeyBudget / live);
+}
+
 void Node::UpdateState() {
   if (state_ != rpc::NodeState::kStarting || !store_.loaded()) return;
   state_ = rpc::NodeState::kReady;
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -74,6 +74,8 @@
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
+  /// Divides the table budgets among live nodes.
+  void ShareBudgets();
   void UpdateState();
 
   base::EventLoop& loop_;
--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -80,6 +80,12 @@
 
 Writer::~Writer() { *alive_ = false; }
 
+void Writer::SetBudget(double per_second) {
+  constexpr double kBurstSeconds = 2;
+  options_.budget = per_second;
+  options_.burst = std::max(kBurstSeconds, kBurstSeconds * per_second);
+}
+
 bool Writer::idle() const noexcept { return queue_.empty() && !in_flight_; }
 
 void Writer::Submit(Transaction change, Callback done) {
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -76,6 +76,9 @@
   /// destroyed first.
   void Submit(Transaction change, Callback done);
 
+  /// Changes the transactions a second that this writer may send.
+  void SetBudget(double per_second);
+
   /// True if nothing is queued or in flight.
   [[nodiscard]] bool idle() const noexcept;
   /// False from the first failed transaction until one is answered again.
