--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -342,7 +342,7 @@
   // Asking the socket costs a system call, so only the connection to be used
   // is asked.
   for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
-    const auto connection = *it;
+    auto connection = *it;
     if (connection->busy() || connection->idle_time() > max_idle) continue;
     if (connection->Healthy()) return connection;
     Retire([&connection](const auto& candidate) {
