--- /dev/null
+++ b/tests/integration/start_reply_test.cc
@@ -0,0 +1,37 @@
+// Guards against a second attempt after a start whose reply was lost.
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "integration/harness/jobs.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+TEST_CASE("starts whose replies are lost are not made elsewhere") {
+  ClusterOptions options;
+  options.workers = 4;
+  options.proxy_workers = true;
+  options.proxy_rpc = true;
+  Cluster cluster(options);
+  WaitUntil("a scheduler", kWaitDeadline,
+            [&cluster] { return SchedulerNode(cluster) >= 0; });
+  CreateJob(cluster, 0, "lost",
+            R"({"team":"night","tasks":120,"run_time_ms":8000})");
+  WaitUntil("tasks start", kWaitDeadline,
+            [&cluster] { return !CollectRuns(cluster).empty(); });
+  for (int i = 0; i < cluster.workers(); ++i) {
+    cluster.worker_proxy(i).SetFaults(R"({"cut_replies":12})");
+  }
+  WaitForJob(cluster, "lost");
+  CheckRunsDoNotOverlap(cluster);
+  const auto runs = CollectRuns(cluster);
+  CHECK(runs.size() == 120);
+  for (const auto& entry : runs) {
+    INFO("task ", entry.first);
+    CHECK(entry.second.size() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace mangospread::testing
--- a/tests/integration/task_once_test.cc
+++ b/tests/integration/task_once_test.cc
@@ -103,32 +103,6 @@
   CHECK(CollectRuns(cluster).size() == kTasks);
 }
 
-// The faults are set before the job, so that they hit its starts.
-TEST_CASE("starts whose replies are lost are not made elsewhere") {
-  ClusterOptions options;
-  options.workers = 4;
-  options.proxy_workers = true;
-  options.proxy_rpc = true;
-  Cluster cluster(options);
-  WaitUntil("a scheduler", kWaitDeadline,
-            [&cluster] { return SchedulerNode(cluster) >= 0; });
-  CreateJob(cluster, 0, "lost",
-            R"({"team":"night","tasks":120,"run_time_ms":8000})");
-  WaitUntil("tasks start", kWaitDeadline,
-            [&cluster] { return !CollectRuns(cluster).empty(); });
-  for (int i = 0; i < cluster.workers(); ++i) {
-    cluster.worker_proxy(i).SetFaults(R"({"cut_replies":12})");
-  }
-  WaitForJob(cluster, "lost");
-  CheckRunsDoNotOverlap(cluster);
-  const auto runs = CollectRuns(cluster);
-  CHECK(runs.size() == 120);
-  for (const auto& entry : runs) {
-    INFO("task ", entry.first);
-    CHECK(entry.second.size() == 1);
-  }
-}
-
 TEST_CASE("a task never runs in two places, seed 1") { RunSeed(1); }
 TEST_CASE("a task never runs in two places, seed 2") { RunSeed(2); }
 
