--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -181,6 +181,10 @@
                             std::chrono::duration_cast<Milliseconds>(expected));
     return Refuse(NotRunReason::kNoCapacity);
   }
+  // A peer that refused may have room by the time it advertises again. If it
+  // stayed excluded, a request whose only peer refused would hold up all that
+  // wait behind it until its deadline.
+  tried_.clear();
   WaitEntry entry;
   entry.service = request_.service;
   entry.leave_at = deadline_ - usual;
