--- a/src/app/node_samples.cc
+++ b/src/app/node_samples.cc
@@ -120,6 +120,7 @@
     add("table_unknown_total", "Transactions whose reply was lost.",
         MetricType::kCounter, counters.unknown, {{"purpose", purpose}});
   }
+  scheduling_.CollectSamples(samples);
 }
 
 }  // namespace mangospread::app
--- a/src/scheduler/lifecycle/scheduler_workers.cc
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -303,6 +303,7 @@
   const bool running = report.phase == TaskPhase::kRunning;
   if (command.verb == TaskVerb::kCheckpoint && running) {
     TakeCheckpoint(report, task->record);
+    if (task->record.state == TaskState::kAssigned) ApplyReport(*task, report);
     if (task->stop == StopReason::kEvict) {
       task->checkpointed = true;
       Push(*task, TaskVerb::kStop);
@@ -323,7 +324,12 @@
       }
       // It confirmed the attempt before, so it has restarted since.
       if (task.record.state == TaskState::kRunning) {
-        Lose(task, "its worker restarted");
+        return Lose(task, "its worker restarted");
+      }
+      if (task.record.state == TaskState::kAssigned && task.maybe_started) {
+        // Makes the worker refuse a start that is still on its way.
+        task.stop = StopReason::kAbandon;
+        Push(task, TaskVerb::kStop);
       }
       return;
     case Errc::kNoCapacity:
@@ -332,8 +338,9 @@
       if (!task.maybe_started) {
         return Requeue(task, std::nullopt, "refused by its worker");
       }
-      task.stop = StopReason::kAbandon;
-      return Push(task, TaskVerb::kStop);
+      // The reply of an earlier start was lost, so the attempt may run there;
+      // stopping it unasked would throw its work away.
+      return Push(task, TaskVerb::kCheckpoint);
     default:
       // The next report tells, or the same attempt is started again.
       if (start) task.maybe_started = true;
--- a/tests/integration/harness/ownership.cc
+++ b/tests/integration/harness/ownership.cc
@@ -25,9 +25,10 @@
     std::map<std::string, std::string> owners;
     for (const auto& [key, count] : record.at("served_by").items()) {
       const auto space = key.find(' ');
-      const auto [it, added] =
+      const auto inserted =
           owners.emplace(key.substr(0, space), key.substr(space + 1));
-      CHECK_MESSAGE(added, "two owners in epoch " << it->first);
+      CHECK_MESSAGE(inserted.second,
+                    "two owners in epoch " << inserted.first->first);
     }
   }
 }
