--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -44,12 +44,14 @@
 }
 
 void Membership::Announce() {
+  // A heartbeat in flight carries the view from before the change.
+  announce_again_ = in_flight_;
   for (const Address& address : targets_) SendTo(address);
 }
 
 void Membership::Tick() {
   Judge();
-  Announce();
+  for (const Address& address : targets_) SendTo(address);
 }
 
 void Membership::SendTo(const Address& address) {
@@ -61,6 +63,7 @@
         [this, address](const Result<rpc::NodeView>& answer) {
           in_flight_.erase(address);
           if (answer.ok()) Record(answer.value());
+          if (announce_again_.erase(address) > 0) SendTo(address);
         });
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -88,6 +88,7 @@
   std::map<NodeId, Peer> peers_;
   std::set<Address> targets_;
   std::set<Address> in_flight_;
+  std::set<Address> announce_again_;
   MonotonicTime last_heard_{0};
   MonotonicTime started_{0};
   base::Timer timer_;
--- a/tests/unit/ownership_cluster.hpp
+++ b/tests/unit/ownership_cluster.hpp
@@ -239,6 +239,7 @@
   [[nodiscard]] rpc::NodeView View() const;
 
   std::shared_ptr<Link> link;
+  rpc::NodeState state = rpc::NodeState::kReady;
   NodeId id;
   Incarnation incarnation;
   Address address;
@@ -433,7 +434,7 @@
   rpc::NodeView view;
   view.node = id;
   view.incarnation = incarnation;
-  view.state = rpc::NodeState::kReady;
+  view.state = state;
   view.rpc_address = address;
   view.known_peers = membership.KnownAddresses();
   return view;
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/ownership_test.cc
@@ -211,6 +211,10 @@
            cluster.nodes[1]->membership.peers().size() == 2;
   }));
   bool done = false;
+  // As a node does at its stop: without the new state, peers propose the
+  // leaving node and hand workers back to it.
+  leaving.state = rpc::NodeState::kLeaving;
+  leaving.membership.Announce();
   leaving.manager.HandOverAll(Milliseconds(10'000), [&] { done = true; });
   const std::string self = "a/" + std::to_string(leaving.incarnation.value());
   bool always_owned = true;
