--- /dev/null
+++ b/src/rpc/peer_connection.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// RPC systems over one connection, for the KJ thread. Included by
+/// peer_service.cc alone, since KJ headers are slow to compile.
+#pragma once
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include "rpc/peer.capnp.h"
+
+namespace mangospread::rpc::detail {
+
+/// Bodies are limited to 8 MiB at the gateway; a message holds one body and
+/// its headers.
+inline constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
+
+[[nodiscard]] inline capnp::ReaderOptions MakeReaderOptions() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMaxMessageWords;
+  return options;
+}
+
+/// A connection to a peer, kept alive by the calls that use it.
+struct PeerConnection {
+  PeerConnection(kj::Own<kj::AsyncIoStream> opened)  // NOLINT
+      : stream(kj::mv(opened)),
+        network(*stream, capnp::rpc::twoparty::Side::CLIENT,
+                MakeReaderOptions()),
+        rpc(capnp::makeRpcClient(network)),
+        peer(Bootstrap()) {}
+
+  wire::Peer::Client Bootstrap() {
+    capnp::MallocMessageBuilder message;
+    auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
+    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return rpc.bootstrap(vat).castAs<wire::Peer>();
+  }
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+  wire::Peer::Client peer;
+  int calls = 0;
+};
+
+/// Accepted connection and its RPC system.
+struct AcceptedPeer {
+  AcceptedPeer(kj::Own<kj::AsyncIoStream> accepted,
+               capnp::Capability::Client bootstrap)
+      : stream(kj::mv(accepted)),
+        network(*stream, capnp::rpc::twoparty::Side::SERVER,
+                MakeReaderOptions()),
+        rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+}  // namespace mangospread::rpc::detail
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -1,6 +1,5 @@
 #include "rpc/peer_service.hpp"
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +12,7 @@
 
 #include "base/events.hpp"
 #include "rpc/codec.hpp"
+#include "rpc/peer_connection.hpp"
 #include "rpc/peer_server.hpp"
 #include "rpc/rpc_thread.hpp"
 #include "rpc/task_codec.hpp"
@@ -20,10 +20,6 @@
 namespace mangospread::rpc {
 namespace {
 
-/// Bodies are limited to 8 MiB at the gateway; a message holds one body and
-/// its headers.
-constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
-
 constexpr Milliseconds kConnectTimeout{500};
 /// Added to a forwarded request's own deadline, so that the owner's answer
 /// about a timeout still arrives.
@@ -44,12 +40,6 @@
 
 constexpr Milliseconds kFlushRecheck{5};
 
-capnp::ReaderOptions MakeReaderOptions() {
-  capnp::ReaderOptions options;
-  options.traversalLimitInWords = kMaxMessageWords;
-  return options;
-}
-
 kj::Duration ToKj(Milliseconds time) { return time.count() * kj::MILLISECONDS; }
 
 void SetNoDelay(kj::AsyncIoStream& stream) {
@@ -70,43 +60,6 @@
 /// request may be slow on a healthy one.
 enum class OnTimeout : unsigned char { kKeep, kClose };
 
-/// A connection to a peer, kept alive by the calls that use it.
-struct PeerConnection {
-  PeerConnection(kj::Own<kj::AsyncIoStream> opened)  // NOLINT
-      : stream(kj::mv(opened)),
-        network(*stream, capnp::rpc::twoparty::Side::CLIENT,
-                MakeReaderOptions()),
-        rpc(capnp::makeRpcClient(network)),
-        peer(Bootstrap()) {}
-
-  wire::Peer::Client Bootstrap() {
-    capnp::MallocMessageBuilder message;
-    auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
-    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-    return rpc.bootstrap(vat).castAs<wire::Peer>();
-  }
-
-  kj::Own<kj::AsyncIoStream> stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
-  wire::Peer::Client peer;
-  int calls = 0;
-};
-
-/// Accepted connection and its RPC system.
-struct AcceptedPeer {
-  AcceptedPeer(kj::Own<kj::AsyncIoStream> accepted,
-               capnp::Capability::Client bootstrap)
-      : stream(kj::mv(accepted)),
-        network(*stream, capnp::rpc::twoparty::Side::SERVER,
-                MakeReaderOptions()),
-        rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
-
-  kj::Own<kj::AsyncIoStream> stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
-};
-
 /// Everything that lives on the KJ thread.
 class PeerHost final : private kj::TaskSet::ErrorHandler {
  public:
