Take a worker's refusal for leaving as its word at once

The probe after that pause reached it again when the next renewal (every 500 ms) had not yet said that it leaves, or when an answer requested before the refusal said that it does not.

Ruled out: forwards from other nodes (they end at the owner, which refuses without asking the worker) and the lagging VM list (the test leaves it as it is in that case).

Conclusion: the refusal marks the worker as leaving until a report that was requested later says otherwise.

--- a/src/gateway/routing/endpoint_call.cc
+++ b/src/gateway/routing/endpoint_call.cc
@@ -36,10 +36,13 @@
          response.headers.Has(worker::kRefusedHeader);
 }
 
-/// True if another node owns the worker now.
-bool IsFencedOff(const net::Response& response) {
+/// Applies what a refusal says about the worker. Waiting for the next renewal
+/// to say so would refuse the requests of half a second, or send new ones to
+/// a leaving endpoint when its backoff of 200 ms ends.
+void OnRefusal(ownership::OwnedWorker& worker, const net::Response& response) {
   const auto refusal = response.headers.Get(worker::kRefusedHeader);
-  return refusal == "stale-epoch" || refusal == "no-owner";
+  if (refusal == "stale-epoch" || refusal == "no-owner") worker.OnFenced();
+  if (refusal == "leaving") worker.OnLeaving();
 }
 
 rpc::ForwardReply Settle(ownership::OwnedWorker& worker, const RequestId& id,
@@ -48,9 +51,7 @@
     worker.Release(id);
     net::Response& response = call.response.value();
     if (IsRefusal(response)) {
-      // Waiting for the next renewal to say so would refuse the requests of
-      // half a second.
-      if (IsFencedOff(response)) worker.OnFenced();
+      OnRefusal(worker, response);
       return NotRun(NotRunReason::kRefusedByEndpoint);
     }
     return {Outcome::kAnswered, NotRunReason::kNone, std::move(response)};
--- a/src/ownership/owned_worker.cc
+++ b/src/ownership/owned_worker.cc
@@ -48,7 +48,7 @@
 }
 
 bool OwnedWorker::accepts_work() const noexcept {
-  return !draining_ && !report_.leaving && vm_.state == VmState::kLive &&
+  return !draining_ && !leaving_ && vm_.state == VmState::kLive &&
          reachable();
 }
 
@@ -118,10 +118,19 @@
   lost();
 }
 
+void OwnedWorker::OnLeaving() {
+  leaving_since_ = base::MonotonicNow();
+  if (std::exchange(leaving_, true)) return;
+  base::Log(base::Event::kWorkerLeaving, {{"vm", vm_.name.str()}});
+}
+
 void OwnedWorker::TakeReport(const WorkerReport& report,
                              MonotonicTime asked_at) {
-  if (report.leaving && !report_.leaving) {
-    base::Log(base::Event::kWorkerLeaving, {{"vm", vm_.name.str()}});
+  if (report.leaving) {
+    OnLeaving();
+  } else if (asked_at > leaving_since_) {
+    // An answer that was under way when the worker refused is older.
+    leaving_ = false;
   }
   report_ = report;
   report_asked_at_ = asked_at;
--- a/src/ownership/owned_worker.hpp
+++ b/src/ownership/owned_worker.hpp
@@ -73,6 +73,9 @@
   void Retire();
   /// The worker refused this owner's fence, so another node has claimed it.
   void OnFenced();
+  /// The worker refused a request since it is leaving. Holds until a report
+  /// that was requested later says otherwise.
+  void OnLeaving();
 
   /// Called when a slot becomes free.
   void OnSlotFree(std::function<void()> fn) { slot_free_ = std::move(fn); }
@@ -101,6 +104,8 @@
   std::function<void()> on_report_;
   WorkerReport report_;
   MonotonicTime report_asked_at_{0};
+  bool leaving_ = false;
+  MonotonicTime leaving_since_{0};  ///< Last time that the worker said so.
   std::map<RequestId, Slot> occupied_;
   bool draining_ = false;
   bool renewing_ = false;
