Split the folders that held more than ten files

Cause: src/rpc, src/app, src/base, src/scheduler/lifecycle, the public headers and the test folders had grown to 11 to 26 files, which hid what belongs together.

Ruled out: splitting src/scheduler/policy here, which follows by topic.

Before: nine folders over ten files.

Conclusion: the folders show the modules.

--- a/include/mangospread/worker.hpp
+++ b/include/mangospread/platform/worker.hpp
@@ -10,8 +10,8 @@
 
 #include "mangospread/error.hpp"
 #include "mangospread/ids.hpp"
+#include "mangospread/platform/vm.hpp"
 #include "mangospread/units.hpp"
-#include "mangospread/vm.hpp"
 
 namespace mangospread {
 
--- a/src/api/api.cc
+++ b/src/api/api.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "base/events.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_writer.hpp"
 
 namespace mangospread::api {
 namespace {
--- a/src/app/embedded_platform.hpp
+++ b/src/app/node/embedded_platform.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/event_loop.hpp"
-#include "mangospread/vm.hpp"
+#include "mangospread/platform/vm.hpp"
 
 namespace mangospread::app {
 
--- a/src/app/node.cc
+++ b/src/app/node/node.cc
@@ -1,4 +1,4 @@
-#include "app/node.hpp"
+#include "app/node/node.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/app/node.hpp
+++ b/src/app/node/node.hpp
@@ -7,7 +7,7 @@
 
 #include "api/api.hpp"
 #include "api/watch_hub.hpp"
-#include "app/scheduling.hpp"
+#include "app/node/scheduling.hpp"
 #include "app/settings.hpp"
 #include "app/supervisor.hpp"
 #include "base/event_loop.hpp"
--- a/src/app/node_samples.cc
+++ b/src/app/node/node_samples.cc
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-#include "app/node.hpp"
+#include "app/node/node.hpp"
 
 namespace mangospread::app {
 namespace {
--- a/src/app/scheduling.cc
+++ b/src/app/node/scheduling.cc
@@ -1,4 +1,4 @@
-#include "app/scheduling.hpp"
+#include "app/node/scheduling.hpp"
 
 #include <utility>
 
--- a/src/app/serve.cc
+++ b/src/app/serve.cc
@@ -7,8 +7,8 @@
 #include <cstdio>
 #include <memory>
 
-#include "app/embedded_platform.hpp"
-#include "app/node.hpp"
+#include "app/node/embedded_platform.hpp"
+#include "app/node/node.hpp"
 #include "app/settings.hpp"
 #include "base/events.hpp"
 #include "table/http_table.hpp"
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -8,8 +8,8 @@
 #include "base/events.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/ids.hpp"
+#include "mangospread/platform/vm.hpp"
 #include "mangospread/units.hpp"
-#include "mangospread/vm.hpp"
 
 namespace mangospread::app {
 
--- a/src/base/json_reader.cc
+++ b/src/base/json/json_reader.cc
@@ -1,4 +1,4 @@
-#include "base/json_reader.hpp"
+#include "base/json/json_reader.hpp"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/base/json_writer.cc
+++ b/src/base/json/json_writer.cc
@@ -1,4 +1,4 @@
-#include "base/json_writer.hpp"
+#include "base/json/json_writer.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/base/resource.cc
+++ b/src/base/resource.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/json_reader.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
 
 namespace mangospread {
 namespace {
--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -9,7 +9,7 @@
 
 #include "base/clock.hpp"
 #include "base/event_loop.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_writer.hpp"
 #include "cli/commands.hpp"
 #include "cli/histogram.hpp"
 #include "net/http_client.hpp"
--- a/src/config/editor.hpp
+++ b/src/config/editor.hpp
@@ -9,7 +9,7 @@
 
 #include "base/event_loop.hpp"
 #include "config/store.hpp"
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
 
 namespace mangospread::config {
--- a/src/config/rows.hpp
+++ b/src/config/rows.hpp
@@ -4,8 +4,8 @@
 
 #include <string>
 
+#include "mangospread/platform/table.hpp"
 #include "mangospread/resource.hpp"
-#include "mangospread/table.hpp"
 
 namespace mangospread::config {
 
--- a/src/gateway/keys/key_row.cc
+++ b/src/gateway/keys/key_row.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "base/json_reader.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
 
 namespace mangospread::gateway {
 namespace {
--- a/src/gateway/keys/key_row.hpp
+++ b/src/gateway/keys/key_row.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "mangospread/ids.hpp"
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 #include "net/http_message.hpp"
 
 namespace mangospread::gateway {
--- a/src/ownership/manager.hpp
+++ b/src/ownership/manager.hpp
@@ -12,8 +12,8 @@
 
 #include "base/event_loop.hpp"
 #include "config/store.hpp"
-#include "mangospread/table.hpp"
-#include "mangospread/vm.hpp"
+#include "mangospread/platform/table.hpp"
+#include "mangospread/platform/vm.hpp"
 #include "membership/membership.hpp"
 #include "ownership/owned_worker.hpp"
 #include "table/writer.hpp"
--- a/src/ownership/owned_worker.cc
+++ b/src/ownership/owned_worker.cc
@@ -48,8 +48,7 @@
 }
 
 bool OwnedWorker::accepts_work() const noexcept {
-  return !draining_ && !leaving_ && vm_.state == VmState::kLive &&
-         reachable();
+  return !draining_ && !leaving_ && vm_.state == VmState::kLive && reachable();
 }
 
 int OwnedWorker::free_slots() const noexcept {
--- a/src/ownership/owned_worker.hpp
+++ b/src/ownership/owned_worker.hpp
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "base/event_loop.hpp"
-#include "mangospread/vm.hpp"
-#include "mangospread/worker.hpp"
+#include "mangospread/platform/vm.hpp"
+#include "mangospread/platform/worker.hpp"
 #include "net/http_client.hpp"
 
 namespace mangospread::ownership {
--- a/src/ownership/rows.hpp
+++ b/src/ownership/rows.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "mangospread/ids.hpp"
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 #include "ownership/manager.hpp"
 
 namespace mangospread::ownership {
--- a/src/rpc/codec.cc
+++ b/src/rpc/codec/codec.cc
@@ -1,4 +1,4 @@
-#include "rpc/codec.hpp"
+#include "rpc/codec/codec.hpp"
 
 #include <string>
 
--- a/src/rpc/codec.hpp
+++ b/src/rpc/codec/codec.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "rpc/messages.hpp"
-#include "rpc/peer.capnp.h"
+#include "rpc/schema/peer.capnp.h"
 
 namespace mangospread::rpc {
 
--- a/src/rpc/task_codec.cc
+++ b/src/rpc/codec/task_codec.cc
@@ -1,4 +1,4 @@
-#include "rpc/task_codec.hpp"
+#include "rpc/codec/task_codec.hpp"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
--- a/src/rpc/task_codec.hpp
+++ b/src/rpc/codec/task_codec.hpp
@@ -2,7 +2,7 @@
 /// Conversion of task messages to and from their Cap'n Proto form.
 #pragma once
 
-#include "rpc/peer.capnp.h"
+#include "rpc/schema/peer.capnp.h"
 #include "rpc/task_messages.hpp"
 
 namespace mangospread::rpc {
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -10,9 +10,9 @@
 #include "mangospread/address.hpp"
 #include "mangospread/ids.hpp"
 #include "mangospread/outcome.hpp"
+#include "mangospread/platform/vm.hpp"
 #include "mangospread/resource.hpp"
 #include "mangospread/units.hpp"
-#include "mangospread/vm.hpp"
 #include "net/http_message.hpp"
 
 namespace mangospread::rpc {
--- a/src/rpc/peer_connection.hpp
+++ b/src/rpc/peer_connection.hpp
@@ -6,7 +6,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
-#include "rpc/peer.capnp.h"
+#include "rpc/schema/peer.capnp.h"
 
 namespace mangospread::rpc::detail {
 
--- a/src/rpc/peer_server.hpp
+++ b/src/rpc/peer_server.hpp
@@ -12,10 +12,10 @@
 
 #include "base/clock.hpp"
 #include "base/event_loop.hpp"
-#include "rpc/codec.hpp"
+#include "rpc/codec/codec.hpp"
+#include "rpc/codec/task_codec.hpp"
 #include "rpc/peer_service.hpp"
 #include "rpc/rpc_thread.hpp"
-#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc::detail {
 
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -11,11 +11,11 @@
 #include <utility>
 
 #include "base/events.hpp"
-#include "rpc/codec.hpp"
+#include "rpc/codec/codec.hpp"
+#include "rpc/codec/task_codec.hpp"
 #include "rpc/peer_connection.hpp"
 #include "rpc/peer_server.hpp"
 #include "rpc/rpc_thread.hpp"
-#include "rpc/task_codec.hpp"
 
 namespace mangospread::rpc {
 namespace {
--- a/src/rpc/task_messages.hpp
+++ b/src/rpc/task_messages.hpp
@@ -8,8 +8,8 @@
 
 #include "mangospread/error.hpp"
 #include "mangospread/ids.hpp"
+#include "mangospread/platform/worker.hpp"
 #include "mangospread/units.hpp"
-#include "mangospread/worker.hpp"
 
 namespace mangospread::rpc {
 
--- a/src/scheduler/lifecycle/owner_agent.cc
+++ b/src/scheduler/lifecycle/owner_agent.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/clock.hpp"
-#include "rpc/task_codec.hpp"
+#include "rpc/codec/task_codec.hpp"
 
 namespace mangospread::scheduler {
 namespace {
--- a/src/scheduler/lifecycle/owner_agent.hpp
+++ b/src/scheduler/lifecycle/owner_agent.hpp
@@ -9,7 +9,7 @@
 
 #include "base/event_loop.hpp"
 #include "rpc/task_messages.hpp"
-#include "scheduler/lifecycle/rows.hpp"
+#include "scheduler/lifecycle/tasks/rows.hpp"
 
 namespace mangospread::scheduler {
 
--- a/src/scheduler/lifecycle/role.hpp
+++ b/src/scheduler/lifecycle/role.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/event_loop.hpp"
-#include "scheduler/lifecycle/rows.hpp"
+#include "scheduler/lifecycle/tasks/rows.hpp"
 #include "table/writer.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/scheduler.hpp
+++ b/src/scheduler/lifecycle/scheduler.hpp
@@ -14,10 +14,10 @@
 #include "base/event_loop.hpp"
 #include "config/store.hpp"
 #include "rpc/task_messages.hpp"
-#include "scheduler/lifecycle/command_queue.hpp"
-#include "scheduler/lifecycle/decision_log.hpp"
 #include "scheduler/lifecycle/role.hpp"
-#include "scheduler/lifecycle/task_book.hpp"
+#include "scheduler/lifecycle/tasks/command_queue.hpp"
+#include "scheduler/lifecycle/tasks/decision_log.hpp"
+#include "scheduler/lifecycle/tasks/task_book.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/scheduler_status.cc
+++ b/src/scheduler/lifecycle/scheduler_status.cc
@@ -1,7 +1,7 @@
 // Answers to operators.
 #include <nlohmann/json.hpp>
 
-#include "base/json_writer.hpp"
+#include "base/json/json_writer.hpp"
 #include "scheduler/lifecycle/scheduler.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/command_queue.cc
+++ b/src/scheduler/lifecycle/tasks/command_queue.cc
@@ -1,4 +1,4 @@
-#include "scheduler/lifecycle/command_queue.hpp"
+#include "scheduler/lifecycle/tasks/command_queue.hpp"
 
 #include <utility>
 
--- a/src/scheduler/lifecycle/decision_log.cc
+++ b/src/scheduler/lifecycle/tasks/decision_log.cc
@@ -1,4 +1,4 @@
-#include "scheduler/lifecycle/decision_log.hpp"
+#include "scheduler/lifecycle/tasks/decision_log.hpp"
 
 #include <utility>
 
--- a/src/scheduler/lifecycle/rows.cc
+++ b/src/scheduler/lifecycle/tasks/rows.cc
@@ -1,9 +1,9 @@
-#include "scheduler/lifecycle/rows.hpp"
+#include "scheduler/lifecycle/tasks/rows.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include "base/json_reader.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
 
 namespace mangospread::scheduler {
 namespace {
--- a/src/scheduler/lifecycle/rows.hpp
+++ b/src/scheduler/lifecycle/tasks/rows.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "mangospread/address.hpp"
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/task_book.hpp
+++ b/src/scheduler/lifecycle/tasks/task_book.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "mangospread/resource.hpp"
-#include "scheduler/lifecycle/rows.hpp"
+#include "scheduler/lifecycle/tasks/rows.hpp"
 #include "table/writer.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/types.hpp
+++ b/src/scheduler/types.hpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "mangospread/ids.hpp"
+#include "mangospread/platform/vm.hpp"
+#include "mangospread/platform/worker.hpp"
 #include "mangospread/units.hpp"
-#include "mangospread/vm.hpp"
-#include "mangospread/worker.hpp"
 
 namespace mangospread::scheduler {
 
--- a/src/table/codec.cc
+++ b/src/table/codec.cc
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/json_reader.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
 
 namespace mangospread::table {
 namespace {
--- a/src/table/codec.hpp
+++ b/src/table/codec.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 
 namespace mangospread::table {
 
--- a/src/table/http_table.hpp
+++ b/src/table/http_table.hpp
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 #include "net/http_client.hpp"
 
 namespace mangospread::table {
--- a/src/table/memory_table.hpp
+++ b/src/table/memory_table.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 
 namespace mangospread::table {
 
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -11,7 +11,7 @@
 
 #include "base/event_loop.hpp"
 #include "mangospread/ids.hpp"
-#include "mangospread/table.hpp"
+#include "mangospread/platform/table.hpp"
 
 namespace mangospread::table {
 
--- a/src/worker/codec.hpp
+++ b/src/worker/codec.hpp
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <vector>
 
-#include "mangospread/vm.hpp"
-#include "mangospread/worker.hpp"
+#include "mangospread/platform/vm.hpp"
+#include "mangospread/platform/worker.hpp"
 
 namespace mangospread::worker {
 
--- a/src/worker/http_worker.hpp
+++ b/src/worker/http_worker.hpp
@@ -4,8 +4,8 @@
 
 #include <memory>
 
-#include "mangospread/vm.hpp"
-#include "mangospread/worker.hpp"
+#include "mangospread/platform/vm.hpp"
+#include "mangospread/platform/worker.hpp"
 #include "net/http_client.hpp"
 
 namespace mangospread::worker {
--- a/standin/endpoint/worker_tasks.hpp
+++ b/standin/endpoint/worker_tasks.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/event_loop.hpp"
-#include "mangospread/worker.hpp"
+#include "mangospread/platform/worker.hpp"
 #include "options.hpp"
 
 namespace mangospread::standin {
--- a/standin/proxy/run.cc
+++ b/standin/proxy/run.cc
@@ -2,7 +2,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
-#include "base/json_reader.hpp"
+#include "base/json/json_reader.hpp"
 #include "host.hpp"
 #include "proxy/proxy.hpp"
 
--- a/standin/table.cc
+++ b/standin/table.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/json_reader.hpp"
+#include "base/json/json_reader.hpp"
 #include "host.hpp"
 #include "table/codec.hpp"
 #include "table/memory_table.hpp"
--- a/tests/bench/lifecycle_bench.cc
+++ b/tests/bench/lifecycle_bench.cc
@@ -2,7 +2,7 @@
 // through the scheduler, with a table that answers after 4 ms.
 #include <cstdio>
 
-#include "unit/lifecycle_fixture.hpp"
+#include "unit/scheduler/lifecycle_fixture.hpp"
 
 int main() {
   using namespace mangospread;  // NOLINT
--- a/tests/integration/harness/jobs.cc
+++ b/tests/integration/harness/checks/jobs.cc
@@ -1,4 +1,4 @@
-#include "integration/harness/jobs.hpp"
+#include "integration/harness/checks/jobs.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/integration/harness/ownership.cc
+++ b/tests/integration/harness/checks/ownership.cc
@@ -1,4 +1,4 @@
-#include "integration/harness/ownership.hpp"
+#include "integration/harness/checks/ownership.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/integration/harness/keyed_load.cc
+++ b/tests/integration/harness/load/keyed_load.cc
@@ -1,4 +1,4 @@
-#include "integration/harness/keyed_load.hpp"
+#include "integration/harness/load/keyed_load.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/integration/harness/keyed_load.hpp
+++ b/tests/integration/harness/load/keyed_load.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "integration/harness/cluster.hpp"
-#include "integration/harness/load.hpp"
+#include "integration/harness/load/load.hpp"
 
 namespace mangospread::testing {
 
--- a/tests/integration/harness/load.cc
+++ b/tests/integration/harness/load/load.cc
@@ -1,4 +1,4 @@
-#include "integration/harness/load.hpp"
+#include "integration/harness/load/load.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/integration/job_complete_test.cc
+++ b/tests/integration/jobs/job_complete_test.cc
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "integration/harness/jobs.hpp"
+#include "integration/harness/checks/jobs.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/task_once_test.cc
+++ b/tests/integration/jobs/task_once_test.cc
@@ -7,7 +7,7 @@
 #include <random>
 #include <thread>
 
-#include "integration/harness/jobs.hpp"
+#include "integration/harness/checks/jobs.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/requests/at_most_once_test.cc
@@ -10,8 +10,8 @@
 #include <thread>
 
 #include "integration/harness/cluster.hpp"
-#include "integration/harness/keyed_load.hpp"
-#include "integration/harness/load.hpp"
+#include "integration/harness/load/keyed_load.hpp"
+#include "integration/harness/load/load.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/graceful_stop_test.cc
+++ b/tests/integration/requests/graceful_stop_test.cc
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "integration/harness/cluster.hpp"
-#include "integration/harness/load.hpp"
+#include "integration/harness/load/load.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/silent_connections_test.cc
+++ b/tests/integration/requests/silent_connections_test.cc
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "integration/harness/cluster.hpp"
-#include "integration/harness/keyed_load.hpp"
+#include "integration/harness/load/keyed_load.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/whole_answer_test.cc
+++ b/tests/integration/requests/whole_answer_test.cc
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "integration/harness/cluster.hpp"
-#include "integration/harness/load.hpp"
+#include "integration/harness/load/load.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/owner_failover_test.cc
+++ b/tests/integration/state/owner_failover_test.cc
@@ -7,7 +7,7 @@
 #include <thread>
 
 #include "base/clock.hpp"
-#include "integration/harness/ownership.hpp"
+#include "integration/harness/checks/ownership.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/table_outage_test.cc
+++ b/tests/integration/state/table_outage_test.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/clock.hpp"
-#include "integration/harness/ownership.hpp"
+#include "integration/harness/checks/ownership.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/cluster/ownership_test.cc
@@ -1,4 +1,4 @@
-#include "unit/ownership_cluster.hpp"
+#include "unit/cluster/ownership_cluster.hpp"
 
 namespace mangospread::test {
 namespace {
--- a/tests/unit/fuzz_test.cc
+++ b/tests/unit/fuzz_test.cc
@@ -10,13 +10,13 @@
 #include <vector>
 
 #include "app/settings.hpp"
-#include "base/json_reader.hpp"
-#include "base/json_writer.hpp"
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
 #include "config/rows.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/resource.hpp"
 #include "ownership/rows.hpp"
-#include "scheduler/lifecycle/rows.hpp"
+#include "scheduler/lifecycle/tasks/rows.hpp"
 #include "table/codec.hpp"
 #include "worker/codec.hpp"
 
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "gateway/routing/endpoint_call.hpp"
-#include "unit/faulty_table.hpp"
 #include "unit/run_until.hpp"
+#include "unit/state/faulty_table.hpp"
 
 namespace mangospread::gateway {
 namespace {
--- a/tests/unit/key_store_test.cc
+++ b/tests/unit/gateway/key_store_test.cc
@@ -6,8 +6,8 @@
 
 #include "base/clock.hpp"
 #include "gateway/keys/key_sweep.hpp"
-#include "unit/faulty_table.hpp"
 #include "unit/run_until.hpp"
+#include "unit/state/faulty_table.hpp"
 
 namespace mangospread::gateway {
 namespace {
--- a/tests/unit/lifecycle_test.cc
+++ b/tests/unit/scheduler/lifecycle_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "unit/lifecycle_fixture.hpp"
+#include "unit/scheduler/lifecycle_fixture.hpp"
 
 namespace mangospread::test {
 namespace {
--- a/tests/unit/role_test.cc
+++ b/tests/unit/scheduler/role_test.cc
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-#include "unit/faulty_table.hpp"
+#include "unit/state/faulty_table.hpp"
 
 namespace mangospread::scheduler {
 namespace {
--- a/tests/unit/config_test.cc
+++ b/tests/unit/state/config_test.cc
@@ -6,7 +6,7 @@
 #include "config/editor.hpp"
 #include "config/rows.hpp"
 #include "config/sync.hpp"
-#include "unit/faulty_table.hpp"
+#include "unit/state/faulty_table.hpp"
 
 namespace mangospread::config {
 namespace {
