Let the test worker's calls outlive the client that made them

Cause: the calls of the test's FakeWorker run after 1 ms on the node's link and read the worker's state through the client object. A node that loses a worker or claims it again frees that client, so a renewal under way read a freed reference. Found with a core of unit_tests: the fault is in the lambda of FakeWorker::Renew, called from OnTimer in "random faults never give a worker two owners", with state_ = 0x6060606060606060, the value with which the allocator had filled freed memory. Ruled out: the same pattern in src/worker, whose callbacks hold no client. Before: with MALLOC_PERTURB_ set, 2 of 26 runs of unit_tests ended with SIGBUS in ownership_test (3 and 6 copies at once); without it the freed block is usually reused by the next client, which hides the fault. 18 runs of ownership_test alone and 18 under the address sanitizer did not show it. After: 24 of 24 runs of unit_tests with MALLOC_PERTURB_, 4 copies at once.

--- a/tests/unit/ownership_cluster.hpp
+++ b/tests/unit/ownership_cluster.hpp
@@ -109,6 +109,8 @@
   std::map<std::pair<int, Epoch>, std::set<NodeId>> served_by;
 };
 
+/// A node drops its client when it loses or claims the worker again, while
+/// calls are still under way, so calls refer to the state alone.
 class FakeWorker final : public Worker {
  public:
   FakeWorker(FakeWorkerState& state, std::shared_ptr<Link> link)
@@ -117,10 +119,11 @@
   void Claim(Fence fence, ClaimBasis basis, Milliseconds lease,
              ReportCallback done) override {
     Call(std::move(done),
-         [=, this] { return state_.Claim(fence, basis, lease); });
+         [=, &state = state_] { return state.Claim(fence, basis, lease); });
   }
   void Renew(Fence fence, Milliseconds lease, ReportCallback done) override {
-    Call(std::move(done), [=, this] { return state_.Renew(fence, lease); });
+    Call(std::move(done),
+         [=, &state = state_] { return state.Renew(fence, lease); });
   }
   void Release(Fence /*fence*/, ReportCallback /*done*/) override {}
   void Command(Fence /*fence*/, TaskCommand /*command*/,
