Let connections and exchanges outlive their pool, server and loop

Cause, three uses after free. A connection that was told that it may not send posts its failure and used its pool then, which may have been destroyed. An HTTP exchange that outlived its server replied on a request that evhttp_free had freed, as when a process ends with requests in progress. The loop freed its events before the functions still in its mailbox, whose connections and timers are freed through them. Ruled out: owners that wait for all calls; a stop has a deadline after which calls are still open. The pool now detaches its connections, an exchange asks whether its server is alive, and the loop empties its mailbox first.

--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -113,6 +113,11 @@
 }
 
 EventLoop::~EventLoop() {
+  // What a function holds may free events of this loop or post again when it
+  // is destroyed.
+  while (!mailbox_.empty()) {
+    const auto unused = std::exchange(mailbox_, {});
+  }
   event_free(wakeup_);
   event_base_free(base_);
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -158,8 +158,11 @@
     if (!made) FailLater();
   }
 
-  void Abort() {
-    if (busy()) Finish(Errc::kConnectionLost);
+  /// Drops the request in progress, since the pool is gone. Whoever still
+  /// holds the connection only closes it.
+  void Detach() {
+    timer_.reset();
+    call_.reset();
   }
 
  private:
@@ -299,7 +302,13 @@
                                PoolLimits limits)
     : loop_(loop), address_(std::move(address)), limits_(limits) {}
 
-HttpClientPool::~HttpClientPool() = default;
+HttpClientPool::~HttpClientPool() {
+  for (auto& connection : std::exchange(connections_, {})) {
+    // The pool may be destroyed inside this connection's callback.
+    loop_.Post([connection] { (void)connection; });
+    connection->Detach();
+  }
+}
 
 void HttpClientPool::Send(const Request& request, const Headers& further,
                           CallOptions options, Callback done) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -63,7 +63,8 @@
   HttpClientPool(const HttpClientPool&) = delete;
   HttpClientPool& operator=(const HttpClientPool&) = delete;
 
-  /// Sends a request. `done` is called exactly once, never from within Send.
+  /// Sends a request. `done` is called exactly once, unless the pool is
+  /// destroyed first, and never from within Send.
   /// @errors kConnectFailed, kConnectionLost, kTimeout, kBodyIncomplete,
   ///   kBodyUnverifiable, kAnswerMismatch, kNoCapacity (all connections busy).
   void Send(const Request& request, CallOptions options, Callback done) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -72,11 +72,14 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(evhttp_request* raw, Request request)
-    : raw_(raw), request_(std::move(request)) {}
+HttpExchange::HttpExchange(evhttp_request* raw, Request request,
+                           std::shared_ptr<const bool> server_alive)
+    : raw_(raw),
+      server_alive_(std::move(server_alive)),
+      request_(std::move(request)) {}
 
 HttpExchange::~HttpExchange() {
-  if (raw_ == nullptr) return;
+  if (raw() == nullptr) return;
   if (streaming_) {
     EndStream();
   } else {
@@ -85,21 +88,21 @@
 }
 
 void HttpExchange::Reply(const Response& response) {
-  if (raw_ == nullptr || streaming_) return;
-  evhttp_request* raw = std::exchange(raw_, nullptr);
-  AddHeaders(raw, response.headers);
+  if (raw() == nullptr || streaming_) return;
+  evhttp_request* answered = std::exchange(raw_, nullptr);
+  AddHeaders(answered, response.headers);
   if (close_) {
-    evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection",
+    evhttp_add_header(evhttp_request_get_output_headers(answered), "Connection",
                       "close");
   }
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, response.body.data(), response.body.size());
-  evhttp_send_reply(raw, response.status, nullptr, body);
+  evhttp_send_reply(answered, response.status, nullptr, body);
   evbuffer_free(body);
 }
 
 void HttpExchange::StartStream(const Response& head) {
-  if (raw_ == nullptr || streaming_) return;
+  if (raw() == nullptr || streaming_) return;
   streaming_ = true;
   AddHeaders(raw_, head.headers);
   evhttp_send_reply_start(raw_, head.status, nullptr);
@@ -114,16 +117,16 @@
 }
 
 void HttpExchange::EndStream() {
-  if (raw_ == nullptr || !streaming_) return;
+  if (raw() == nullptr || !streaming_) return;
   evhttp_send_reply_end(std::exchange(raw_, nullptr));
 }
 
 bool HttpExchange::connected() const noexcept {
-  return raw_ != nullptr && evhttp_request_get_connection(raw_) != nullptr;
+  return raw() != nullptr && evhttp_request_get_connection(raw_) != nullptr;
 }
 
 bool HttpExchange::caller_gone() const noexcept {
-  if (raw_ == nullptr) return false;
+  if (raw() == nullptr) return false;
   evhttp_connection* connection = evhttp_request_get_connection(raw_);
   if (connection == nullptr) return true;
   const int fd =
@@ -156,13 +159,16 @@
           return;
         }
         SetNoDelay(raw);
-        self->handler_(
-            std::make_shared<HttpExchange>(raw, ReadRequest(raw, *method)));
+        self->handler_(std::make_shared<HttpExchange>(
+            raw, ReadRequest(raw, *method), self->alive_));
       },
       this);
 }
 
-HttpServer::~HttpServer() { evhttp_free(http_); }
+HttpServer::~HttpServer() {
+  *alive_ = false;
+  evhttp_free(http_);
+}
 
 Result<Address> HttpServer::Listen(const Address& address) {
   socket_ =
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -20,11 +20,15 @@
 
 namespace mangospread::net {
 
-/// One request and its reply. Keeps itself usable when the client has gone:
-/// replies are then dropped. An exchange destroyed without a reply sends 500.
+/// One request and its reply. Keeps itself usable when the client or the
+/// server has gone: replies are then dropped. An exchange destroyed without a
+/// reply sends 500.
 class HttpExchange {
  public:
-  HttpExchange(evhttp_request* raw, Request request);
+  /// @param server_alive becomes false when the server, which owns the requests
+  ///   of open connections, is destroyed.
+  HttpExchange(evhttp_request* raw, Request request,
+               std::shared_ptr<const bool> server_alive = nullptr);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -51,7 +55,13 @@
   [[nodiscard]] bool replied() const noexcept { return raw_ == nullptr; }
 
  private:
+  /// The request, or null when it was answered or freed with its server.
+  [[nodiscard]] evhttp_request* raw() const noexcept {
+    return server_alive_ == nullptr || *server_alive_ ? raw_ : nullptr;
+  }
+
   evhttp_request* raw_;
+  std::shared_ptr<const bool> server_alive_;
   bool streaming_ = false;
   bool close_ = false;
   Request request_;
@@ -84,6 +94,7 @@
   evhttp* http_;
   evhttp_bound_socket* socket_ = nullptr;
   Handler handler_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace mangospread::net
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -2,9 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "net/http_server.hpp"
 #include "unit/raw_server.hpp"
 #include "unit/run_until.hpp"
 
@@ -108,5 +112,91 @@
   CHECK(server.received.find("POST") == std::string::npos);
 }
 
+// Guards against a connection that uses its pool after the pool was destroyed;
+// the address sanitizer reports the access.
+TEST_CASE_FIXTURE(Fixture, "pool may be destroyed during a call") {
+  test::RawServer server(loop, "HTTP/1.1 204 No Content\r\n\r\n", false);
+  REQUIRE(Call(server).response.ok());
+  // Runs before the failure that the connection posts after it was told no.
+  CallOptions options;
+  options.may_send = [this] {
+    loop.Post([this] { pool.reset(); });
+    return false;
+  };
+  bool called = false;
+  pool->Send(Request{Method::kPost, "/", {}, ""}, options,
+             [&](const CallResult&) { called = true; });
+  bool drained = false;
+  loop.Post([&] { drained = true; });
+  test::RunUntil(loop, [&] { return drained; });
+  CHECK(pool == nullptr);
+  CHECK_FALSE(called);
+}
+
+/// Posts to the loop when it is destroyed, as a connection does that ends.
+class PostsAtEnd {
+ public:
+  PostsAtEnd(base::EventLoop& loop, std::shared_ptr<base::Timer> kept)
+      : loop_(loop), kept_(std::move(kept)) {}
+  ~PostsAtEnd() {
+    loop_.Post([kept = std::move(kept_)] {});
+  }
+  PostsAtEnd(const PostsAtEnd&) = delete;
+  PostsAtEnd& operator=(const PostsAtEnd&) = delete;
+
+ private:
+  base::EventLoop& loop_;
+  std::shared_ptr<base::Timer> kept_;
+};
+
+// Guards against connections and timers that are freed after their loop, or
+// never, when a function that was not run holds them.
+TEST_CASE("loop destroys what was posted before its events") {
+  auto loop = std::make_unique<base::EventLoop>();
+  auto timer =
+      std::make_shared<base::Timer>(loop->After(std::chrono::hours(1), [] {}));
+  const std::weak_ptr<base::Timer> held = timer;
+  {
+    auto last = std::make_shared<PostsAtEnd>(*loop, std::move(timer));
+    loop->Post([last = std::move(last)] {});
+  }
+  {
+    test::RawServer server(*loop, "HTTP/1.1 204 No Content\r\n\r\n", false);
+    const auto pool = HttpClientPool::Create(*loop, server.address(), {});
+    pool->Send(Request{Method::kGet, "/", {}, ""}, {}, [](const auto&) {});
+  }
+  CHECK_FALSE(held.expired());
+  loop.reset();
+  CHECK(held.expired());
+}
+
+// Guards against a reply on a request that was freed with its server, as when
+// a process ends while requests are in progress; the address sanitizer reports
+// the access.
+TEST_CASE_FIXTURE(Fixture, "reply after the server was destroyed is dropped") {
+  std::vector<std::shared_ptr<HttpExchange>> exchanges;
+  auto server = std::make_unique<HttpServer>(
+      loop, HttpServerLimits{}, [&](std::shared_ptr<HttpExchange> exchange) {
+        exchanges.push_back(std::move(exchange));
+      });
+  const auto bound = server->Listen({"127.0.0.1", 0});
+  REQUIRE(bound.ok());
+  pool = HttpClientPool::Create(loop, bound.value(), {});
+  CallOptions options;
+  options.timeout = Milliseconds(60'000);
+  for (int i = 0; i < 3; ++i) {
+    pool->Send(Request{Method::kGet, "/", {}, ""}, options,
+               [](const CallResult&) {});
+  }
+  test::RunUntil(loop, [&] { return exchanges.size() == 3; });
+  exchanges[1]->StartStream({200, {}, ""});
+  CHECK(exchanges[1]->connected());
+  server.reset();
+  CHECK_FALSE(exchanges[1]->connected());
+  exchanges[0]->Reply({200, {}, ""});
+  exchanges[1]->SendChunk("x");
+  exchanges.clear();
+}
+
 }  // namespace
 }  // namespace mangospread::net
