Let a request session outlive its gateway

Cause: a session is kept by the calls that it waits for. A call that never ended was destroyed after the gateway, and the session's destructor then released its place in the gateway's limiter, which was freed. At the end of a process this happens to requests that exceed the stop's deadline; in gateway_test it happened in "death of an owner causes few retries". Ruled out: an order of members that avoids it, since sessions are kept by the peer service and the workers' connections, which live longer than the gateway. Before: `unit_tests` of the address sanitizer build stopped with heap-use-after-free in Limiter::Leave, called from ~RequestSession. The existing case is the guard. Conclusion: fixed; the freed memory was read and rarely led to a crash.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -54,6 +54,7 @@
   Gateway(base::EventLoop& loop, GatewayOptions options,
           const config::Store& store, Router& router, KeyStore& keys,
           SendForward forward, std::function<NotRunReason()> admission);
+  ~Gateway() { *alive_ = false; }
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
@@ -102,6 +103,8 @@
   std::string request_id_prefix_;
   std::uint64_t next_request_ = 0;
   int in_flight_ = 0;
+  /// Calls that never end may keep a session beyond this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace mangospread::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -57,11 +57,14 @@
 
 RequestSession::RequestSession(Gateway& gateway,
                                std::shared_ptr<net::HttpExchange> exchange)
-    : gateway_(gateway), exchange_(std::move(exchange)) {
+    : gateway_(gateway),
+      gateway_alive_(gateway.alive_),
+      exchange_(std::move(exchange)) {
   ++gateway_.in_flight_;
 }
 
 RequestSession::~RequestSession() {
+  if (!*gateway_alive_) return;
   if (limited_) gateway_.limiter_.Leave(request_.service, team_);
   --gateway_.in_flight_;
 }
--- a/src/gateway/request_session.hpp
+++ b/src/gateway/request_session.hpp
@@ -46,6 +46,7 @@
   void Answer(rpc::ForwardReply reply);
 
   Gateway& gateway_;
+  std::shared_ptr<const bool> gateway_alive_;
   std::shared_ptr<net::HttpExchange> exchange_;
   rpc::ForwardRequest request_;
   const ServiceSpec* service_ = nullptr;
