Copy the name of a job before the job is erased

Cause: TaskBook::Remove got a reference to the name inside the job that it erases, when a job without rows is deleted, and passed it on afterwards. The scheduler then noted a freed string as a changed job. Found by reading the code while looking for the crash of unit_tests. Ruled out: the other callers, which pass a name that their callback holds. Before: the new case stops with heap-use-after-free in TaskBook::Remove in an address sanitizer build (`unit_tests -tc="a job deleted before*"`). After: it passes, as do all 97 cases there. Conclusion: fixed; a scheduler could crash or miss a job of the same name when a job was deleted before its first assignment.

--- a/src/scheduler/lifecycle/task_book.cc
+++ b/src/scheduler/lifecycle/task_book.cc
@@ -224,7 +224,7 @@
                  });
 }
 
-void TaskBook::Remove(const JobName& name) {
+void TaskBook::Remove(JobName name) {
   for (const Task* task : jobs_.at(name).tasks) {
     const TaskId id = task->id;
     tasks_.erase(id);
--- a/src/scheduler/lifecycle/task_book.hpp
+++ b/src/scheduler/lifecycle/task_book.hpp
@@ -116,7 +116,8 @@
   void OnWritten(const TaskId& id, const TaskRecord& record,
                  const table::WriteResult& result);
   void DeleteRows(const JobName& name);
-  void Remove(const JobName& name);
+  /// Takes a copy, since callers pass the name in the job that is erased.
+  void Remove(JobName name);
 
   Table& table_;
   table::Writer& writer_;
--- a/tests/unit/lifecycle_test.cc
+++ b/tests/unit/lifecycle_test.cc
@@ -186,6 +186,25 @@
   }
 }
 
+// Guards against a use of the name of a job that was just erased, by which a
+// later job of the same name is not seen; the address sanitizer reports the
+// access.
+TEST_CASE("a job deleted before it has rows may be created again") {
+  LifecycleFixture f(0);
+  f.AddNode("a");
+  // Long names are not stored in the object itself.
+  const std::string job(100, 'j');
+  for (int i = 0; i < 3; ++i) {
+    f.AddJob(job, R"({"team":"t","tasks":2})");
+    RunUntil(f.loop, [&] {
+      return f.Status(job).find("\"queued\":2") != std::string::npos;
+    });
+    f.store.Install(
+        {f.store.revision().next(), {ResourceKind::kJob, job}, true, ""});
+  }
+  RunUntil(f.loop, [&] { return f.Status(job).empty(); });
+}
+
 // Guards against a record that a scheduler writes after it lost the role while
 // it was paused.
 TEST_CASE("a task is not recorded under another scheduler's role") {
