Keep the writer to one transaction in flight when changes expire

Cause: before it sends, the writer tells the callbacks of expired changes. A callback that submits again made the writer send from within, and the outer call then sent what was left as a second transaction beside the first. The result of one was taken for both. Found by reading the code; it needs changes that wait for longer than max_wait, as on a stalled or overloaded process. Ruled out: the other places that call back, which look at the state again. Before: the new case counts 2 pending transactions (`unit_tests -tc="change submitted when*"`). Conclusion: fixed; a change of the second transaction could be reported as committed although it was not.

--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -111,7 +111,8 @@
     return;
   }
   ExpireQueued();
-  if (queue_.empty()) return;
+  // A change that expired may have been submitted again and sent.
+  if (queue_.empty() || in_flight_) return;
   if (!TakeBudget()) {
     timer_ = loop_.After(kBudgetRecheck, [this] { Pump(); });
     return;
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "base/clock.hpp"
 #include "unit/faulty_table.hpp"
 
 namespace mangospread::table {
@@ -55,6 +56,31 @@
   CHECK_FALSE(Exists("a"));
 }
 
+// Guards against two transactions in flight, whose results would be taken for
+// one another's: a change that expires is submitted again by its callback while
+// the writer is about to send what waits behind it.
+TEST_CASE("change submitted when another expires is not sent beside the next") {
+  base::EventLoop loop;
+  FaultyTable table;
+  WriterOptions options;
+  options.max_wait = Milliseconds(50);
+  Writer writer(loop, table, "writer/n/1/test", options);
+  const auto ignore = [](const WriteResult&) {};
+  writer.Submit(Put("a", "1"), ignore);
+  writer.Submit(Put("b", "1"), [&](const WriteResult& result) {
+    CHECK(result.status == WriteStatus::kUnavailable);
+    writer.Submit(Put("c", "2"), ignore);
+  });
+  const MonotonicTime expired = base::MonotonicNow() + options.max_wait;
+  while (base::MonotonicNow() <= expired) {
+  }
+  writer.Submit(Put("c", "1"), ignore);
+  table.Step();
+  CHECK(table.pending() == 1);
+  while (table.pending() > 0) table.Step();
+  CHECK(writer.idle());
+}
+
 // Guards against one operator's conflict failing another's change.
 TEST_CASE_FIXTURE(Fixture, "conflict fails only its own change") {
   table.rows.Transact({{}, {{"taken", "x"}}});
