Free the delayed messages of the ownership tests with their cluster

Cause: each delayed message of the tests' links was a timer that kept itself alive, and messages that waited on a held link kept that link alive. Both were never freed when a cluster ended first, so that the address sanitizer build could not be run with leak detection. The cluster owns the timers now and a node that ends drops its waiting messages. Ruled out: leaks of src; without these there are none in unit_tests. A message sent by or to an ended node was never delivered before either.

--- a/tests/unit/ownership_cluster.hpp
+++ b/tests/unit/ownership_cluster.hpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,20 +26,34 @@
 using ownership::KnownOwner;
 using ownership::OwnershipRow;
 
-inline void Delay(base::EventLoop& loop, Milliseconds time,
-                  std::function<void()> fn) {
-  auto timer = std::make_shared<base::Timer>();
-  *timer = loop.After(time, [timer, fn = std::move(fn)] { fn(); });
-}
+/// Functions that run later. Those that are left when the cluster ends are
+/// destroyed with it, and with them what they keep alive.
+class Delays {
+ public:
+  explicit Delays(base::EventLoop& loop) : loop_(loop) {}
+
+  void Run(Milliseconds time, std::function<void()> fn) {
+    const auto timer = timers_.emplace(timers_.end());
+    *timer = loop_.After(time, [this, timer, fn = std::move(fn)] {
+      timers_.erase(timer);
+      fn();
+    });
+  }
+
+ private:
+  base::EventLoop& loop_;
+  std::list<base::Timer> timers_;
+};
 
 /// Everything that one node sends and receives. While held, messages in both
 /// directions wait, as they do for a paused process.
 struct Link : std::enable_shared_from_this<Link> {
-  explicit Link(base::EventLoop& loop) : loop(loop) {}
+  explicit Link(Delays& delays) : delays(delays) {}
 
   void Send(std::function<void()> fn) {
+    if (dead) return;
     if (held) return waiting.push_back(std::move(fn));
-    Delay(loop, Milliseconds(1), [self = shared_from_this(), fn] {
+    delays.Run(Milliseconds(1), [self = shared_from_this(), fn] {
       if (!self->dead) self->held ? self->waiting.push_back(fn) : fn();
     });
   }
@@ -47,7 +62,13 @@
     for (auto& fn : std::exchange(waiting, {})) Send(std::move(fn));
   }
 
-  base::EventLoop& loop;
+  /// Drops what waits, which keeps this link alive.
+  void End() {
+    dead = true;
+    std::exchange(waiting, {}).clear();
+  }
+
+  Delays& delays;
   bool held = false;
   bool dead = false;
   std::deque<std::function<void()>> waiting;
@@ -205,8 +226,8 @@
   using Mode = FakeTableState::Mode;
 
   void Later(std::function<void()> fn) {
-    Delay(link_->loop, Milliseconds(30),
-          [link = link_, fn = std::move(fn)] { link->Send(fn); });
+    link_->delays.Run(Milliseconds(30),
+                      [link = link_, fn = std::move(fn)] { link->Send(fn); });
   }
 
   FakeTableState& state_;
@@ -235,7 +256,7 @@
 
 struct ClusterNode {
   ClusterNode(Cluster& cluster, const std::string& name, std::uint64_t number);
-  ~ClusterNode() { link->dead = true; }
+  ~ClusterNode() { link->End(); }
   ClusterNode(const ClusterNode&) = delete;
   ClusterNode& operator=(const ClusterNode&) = delete;
 
@@ -343,6 +364,7 @@
   }
 
   base::EventLoop loop;
+  Delays delays{loop};
   FakeTableState table;
   std::vector<VmInfo> vms;
   bool vm_list_up = true;
@@ -388,7 +410,7 @@
 
 inline ClusterNode::ClusterNode(Cluster& cluster, const std::string& name,
                                 std::uint64_t number)
-    : link(std::make_shared<Link>(cluster.loop)),
+    : link(std::make_shared<Link>(cluster.delays)),
       id(name),
       incarnation(number),
       address{"127.0.0.1", static_cast<std::uint16_t>(number)},
@@ -403,12 +425,12 @@
             link->Send([this, &cluster, to, view, done] {
               ClusterNode* peer = cluster.At(to);
               if (peer == nullptr || peer->link->held) {
-                return Delay(cluster.loop, Milliseconds(30),
-                             [link = link, done] {
-                               if (!link->dead) {
-                                 done(Error{Errc::kTimeout, ""});
-                               }
-                             });
+                return cluster.delays.Run(Milliseconds(30),
+                                          [link = link, done] {
+                                            if (!link->dead) {
+                                              done(Error{Errc::kTimeout, ""});
+                                            }
+                                          });
               }
               link->Send([done, answer = peer->membership.OnHeartbeat(view)] {
                 done(answer);
