Add a simulated clock for tests on the event loop

Cause: the unit tests of ownership run scaled real timers, so they take about 30 s and a busy machine can expire a lease between two callbacks. Scaling the timers further was ruled out, because libevent's timers have a resolution of a millisecond and the shortest scaled ones are there already. While a SimulatedClock exists on a thread, MonotonicNow and the timers of its event loops follow that clock, which jumps to the next timer; jitter comes from a fixed seed. Production code never creates one, and costs one thread-local read for each reading of the clock.

--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -2,6 +2,8 @@
 
 #include <ctime>
 
+#include "base/simulated_clock.hpp"
+
 namespace mangospread::base {
 namespace {
 
@@ -16,6 +18,9 @@
 }  // namespace
 
 MonotonicTime MonotonicNow() noexcept {
+  if (const SimulatedClock* clock = SimulatedClock::Current()) {
+    return clock->now();
+  }
   return MonotonicTime(static_cast<std::int64_t>(Read(CLOCK_BOOTTIME)));
 }
 
--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include "base/simulated_clock.hpp"
+
 namespace mangospread::base {
 
 namespace detail {
@@ -14,6 +16,7 @@
 /// destroy its timer.
 struct TimerState : std::enable_shared_from_this<TimerState> {
   event* ev = nullptr;
+  bool simulated = false;  ///< Waits in a SimulatedClock instead of `ev`.
   std::function<void()> fn;
   MonotonicTime period{0};
   double jitter = 0;
@@ -25,6 +28,7 @@
 
   void Cancel() noexcept {
     if (ev != nullptr) event_free(std::exchange(ev, nullptr));
+    simulated = false;
   }
 };
 
@@ -39,25 +43,35 @@
           static_cast<suseconds_t>(nanos % kNanosPerSecond / 1'000)};
 }
 
-MonotonicTime WithJitter(MonotonicTime period, double jitter) {
-  thread_local std::mt19937_64 rng{std::random_device{}()};
+MonotonicTime WithJitter(MonotonicTime period, double jitter,
+                         std::mt19937_64& rng) {
   std::uniform_real_distribution<double> shift(-jitter, jitter);
   const double factor = 1.0 + shift(rng);
   return MonotonicTime(
       static_cast<std::int64_t>(static_cast<double>(period.count()) * factor));
 }
 
+std::mt19937_64& ThreadRandom() {
+  thread_local std::mt19937_64 rng{std::random_device{}()};
+  return rng;
+}
+
+void RunOnce(detail::TimerState& state) {
+  state.Cancel();
+  auto fn = std::move(state.fn);
+  fn();
+}
+
 void OnTimer(evutil_socket_t /*fd*/, short /*what*/, void* arg) {  // NOLINT
   auto state = static_cast<detail::TimerState*>(arg)->shared_from_this();
   if (state->period.count() > 0) {
-    const timeval tv = ToTimeval(WithJitter(state->period, state->jitter));
+    const timeval tv =
+        ToTimeval(WithJitter(state->period, state->jitter, ThreadRandom()));
     event_add(state->ev, &tv);
     state->fn();
     return;
   }
-  state->Cancel();
-  auto fn = std::move(state->fn);
-  fn();
+  RunOnce(*state);
 }
 
 void EnableThreads() {
@@ -83,7 +97,7 @@
 Timer::~Timer() { reset(); }
 
 bool Timer::active() const noexcept {
-  return state_ != nullptr && state_->ev != nullptr;
+  return state_ != nullptr && (state_->ev != nullptr || state_->simulated);
 }
 
 void Timer::reset() noexcept {
@@ -92,7 +106,8 @@
   state_.reset();
 }
 
-EventLoop::EventLoop(TimerResolution resolution) {
+EventLoop::EventLoop(TimerResolution resolution)
+    : simulated_(SimulatedClock::Current()) {
   EnableThreads();
   event_config* config = event_config_new();
   if (resolution == TimerResolution::kMicrosecond) {
@@ -117,25 +132,34 @@
   event_base_free(base_);
 }
 
-Timer EventLoop::After(MonotonicTime delay, std::function<void()> fn) {
-  auto state = std::make_shared<detail::TimerState>();
-  state->fn = std::move(fn);
+Timer EventLoop::Schedule(std::shared_ptr<detail::TimerState> state,
+                          MonotonicTime delay) {
+  if (simulated_ != nullptr) {
+    state->simulated = true;
+    simulated_->Add(delay, state);
+    return Timer(std::move(state));
+  }
   state->ev = event_new(base_, -1, 0, OnTimer, state.get());
   const timeval tv = ToTimeval(delay);
   event_add(state->ev, &tv);
   return Timer(std::move(state));
 }
 
+Timer EventLoop::After(MonotonicTime delay, std::function<void()> fn) {
+  auto state = std::make_shared<detail::TimerState>();
+  state->fn = std::move(fn);
+  return Schedule(std::move(state), delay);
+}
+
 Timer EventLoop::Every(MonotonicTime period, double jitter,
                        std::function<void()> fn) {
   auto state = std::make_shared<detail::TimerState>();
   state->fn = std::move(fn);
   state->period = period;
   state->jitter = jitter;
-  state->ev = event_new(base_, -1, 0, OnTimer, state.get());
-  const timeval tv = ToTimeval(WithJitter(period, jitter));
-  event_add(state->ev, &tv);
-  return Timer(std::move(state));
+  std::mt19937_64& rng =
+      simulated_ != nullptr ? simulated_->random_ : ThreadRandom();
+  return Schedule(std::move(state), WithJitter(period, jitter, rng));
 }
 
 void EventLoop::Post(std::function<void()> fn) {
@@ -157,11 +181,34 @@
   for (auto& fn : batch) fn();
 }
 
+void EventLoop::RunSimulated() {
+  for (stopped_ = false; !stopped_;) {
+    event_base_loop(base_, EVLOOP_NONBLOCK);
+    if (stopped_) break;
+    const auto state = simulated_->Next();
+    if (state == nullptr || !state->simulated) continue;
+    if (state->period.count() == 0) {
+      RunOnce(*state);
+      continue;
+    }
+    simulated_->Add(
+        WithJitter(state->period, state->jitter, simulated_->random_), state);
+    state->fn();
+  }
+}
+
 void EventLoop::Run() {
+  if (simulated_ != nullptr) {
+    RunSimulated();
+    return Drain();
+  }
   event_base_dispatch(base_);
   Drain();
 }
 
-void EventLoop::Stop() { event_base_loopexit(base_, nullptr); }
+void EventLoop::Stop() {
+  stopped_ = true;
+  if (simulated_ == nullptr) event_base_loopexit(base_, nullptr);
+}
 
 }  // namespace mangospread::base
--- a/src/base/event_loop.hpp
+++ b/src/base/event_loop.hpp
@@ -14,6 +14,8 @@
 
 namespace mangospread::base {
 
+class SimulatedClock;
+
 namespace detail {
 struct TimerState;
 }  // namespace detail
@@ -41,7 +43,8 @@
 /// Resolution of a loop's timers. Precise timers cost a system call each.
 enum class TimerResolution : unsigned char { kMillisecond, kMicrosecond };
 
-/// One libevent loop. All members but Post are for the loop's own thread.
+/// One libevent loop. With a SimulatedClock on the thread, timers run by that
+/// clock. All members but Post are for the loop's own thread.
 class EventLoop {
  public:
   explicit EventLoop(
@@ -70,8 +73,14 @@
 
  private:
   void Drain();
+  Timer Schedule(std::shared_ptr<detail::TimerState> state,
+                 MonotonicTime delay);
+  void RunSimulated();
 
   event_base* base_;
+  /// Null outside tests.
+  SimulatedClock* simulated_;
+  bool stopped_ = false;
   event* wakeup_;
   std::mutex mutex_;
   std::vector<std::function<void()>> mailbox_;
