Ask the worker before taking over a silent owner's workers

Cause: a node took a silent owner's row over by compare-and-set. Two live nodes that reach the table but not each other both do so, each fences the other off, and the workers change hands without end. A silent owner's worker is now claimed with the worker's own grant, which it refuses while the owner renews its lease; the table is written afterwards.

Isolated and stopping owners renew with a lease of 0, so that the lease does not keep their workers from others and a planned stop hands over without the table.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -77,9 +77,11 @@
 
 ownership::ManagerOptions MakeOwnershipOptions(const Settings& settings,
                                                Incarnation incarnation,
-                                               std::function<bool()> is_ready) {
+                                               std::function<bool()> is_ready,
+                                               std::function<bool()> isolated) {
   ownership::ManagerOptions options;
   options.is_ready = std::move(is_ready);
+  options.is_isolated = std::move(isolated);
   options.node = settings.node;
   options.incarnation = incarnation;
   options.data_center = settings.data_center;
@@ -154,7 +156,8 @@
       ownership_(loop_,
                  MakeOwnershipOptions(
                      settings_, incarnation_,
-                     [this] { return state_ != rpc::NodeState::kStarting; }),
+                     [this] { return state_ != rpc::NodeState::kStarting; },
+                     [this] { return IsIsolated(); }),
                  *platform_.table, ownership_writer_, *platform_.vm_list,
                  membership_, store_, MakeLinkFactory(loop_)),
       router_(store_, ownership_, membership_, settings_.data_center),
@@ -381,11 +384,14 @@
 
 NotRunReason Node::Admission() const {
   if (state_ == rpc::NodeState::kStarting) return NotRunReason::kNodeNotReady;
-  if (IsAlone()) return NotRunReason::kNone;
+  return IsIsolated() ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
+}
+
+bool Node::IsIsolated() const {
+  if (IsAlone()) return false;
   const MonotonicTime last_contact =
       std::max(sync_.last_table_answer(), membership_.last_heard());
-  const bool isolated = base::MonotonicNow() - last_contact > kIsolatedAfter;
-  return isolated ? NotRunReason::kNodeNotReady : NotRunReason::kNone;
+  return base::MonotonicNow() - last_contact > kIsolatedAfter;
 }
 
 bool Node::IsAlone() const {
--- a/src/ownership/manager.cc
+++ b/src/ownership/manager.cc
@@ -16,6 +16,12 @@
 constexpr MonotonicTime kBackoffBase = std::chrono::milliseconds(100);
 constexpr int kBackoffMaxShift = 5;
 
+/// Claims refused for a held lease are repeated at the base period while a
+/// lease that a dead owner left can still run, then four times as slowly: with
+/// the lease of 3 s that still leaves half a second of the 5 s bound.
+constexpr int kRefusalsPerStep = 4;
+constexpr int kMaxLeaseHeldShift = 2;
+
 NodeId FenceOwner(const ManagerOptions& options) {
   return NodeId(options.node.str() + "/" +
                 std::to_string(options.incarnation.value()));
@@ -65,10 +71,12 @@
   const MonotonicTime now = base::MonotonicNow();
   const bool ready = !options_.is_ready || options_.is_ready();
   if (std::exchange(ready_, ready) != ready) ++view_version_;
+  const bool yields = leaving_ || IsIsolated();
   bool stale = false;
   for (auto& [name, entry] : entries_) {
     stale = stale || entry->stale;
     if (entry->worker != nullptr) {
+      entry->worker->SetYielding(yields);
       if (store_.IsDrained(name)) {
         entry->worker->StopNewWork();
       } else {
@@ -109,14 +117,34 @@
   return !entry.writing || now - entry.writing_since < options_.write_patience;
 }
 
-bool Manager::OwnerIsGone(const OwnershipRow& row) const {
-  if (row.node.empty() || row.node == options_.node) return true;
+bool Manager::OwnerIsReplaced(const OwnershipRow& row) const {
+  // An epoch without a node is known from a worker's refusal: somebody holds
+  // it.
+  if (row.node.empty()) return row.epoch == Epoch();
+  if (row.node == options_.node) return true;
   const membership::Peer* peer = membership_.Find(row.node);
-  if (peer == nullptr) {
-    return HadTimeToHear();
-  }
-  return peer->liveness == membership::Liveness::kDead ||
-         peer->view.incarnation > row.incarnation;
+  return peer != nullptr && peer->view.incarnation > row.incarnation;
+}
+
+bool Manager::OwnerIsSilent(const OwnershipRow& row) const {
+  if (row.node.empty()) return true;
+  const membership::Peer* peer = membership_.Find(row.node);
+  if (peer == nullptr) return HadTimeToHear();
+  return peer->liveness == membership::Liveness::kDead;
+}
+
+bool Manager::OwnerYields(const Entry& entry) const {
+  const membership::Peer* peer = membership_.Find(entry.latest().node);
+  return peer != nullptr && peer->view.state == rpc::NodeState::kLeaving &&
+         !(TableDecides(entry) && peer->view.table_reachable);
+}
+
+bool Manager::OwnerIsGone(const OwnershipRow& row) const {
+  return OwnerIsReplaced(row) || OwnerIsSilent(row);
+}
+
+bool Manager::IsIsolated() const {
+  return options_.is_isolated && options_.is_isolated();
 }
 
 bool Manager::HadTimeToHear() const {
@@ -161,14 +189,22 @@
   // to act even when another node is proposed.
   const bool entitled =
       named ||
-      (OwnerIsGone(entry.latest()) &&
+      ((OwnerIsGone(entry.latest()) || OwnerYields(entry)) &&
        (entry.last_held > entry.row.epoch || Propose(entry) == options_.node));
-  if (!entitled) return;
-  if (table_decides) {
+  if (!entitled) {
+    entry.lease_refusals = 0;
+    return;
+  }
+  if (table_decides && (named || OwnerIsReplaced(entry.latest()))) {
     if (!entry.writing) TakeOver(entry);
-  } else if (options_.claim_without_table && HadTimeToHear()) {
-    // Only the worker can decide now. It is asked only when its owner is
-    // believed gone, and refuses while that owner renews its lease.
+    return;
+  }
+  // Silence may come from a cut link between two live nodes, so it gives no
+  // right to the row: both would take it in turn. The worker knows better, as
+  // it refuses while its owner renews the lease. It also decides when the table
+  // cannot.
+  const bool may_ask = table_decides || options_.claim_without_table;
+  if (may_ask && HadTimeToHear() && !IsIsolated()) {
     Claim(entry, entry.latest().epoch.next(), ClaimBasis::kLeaseExpired);
   }
 }
@@ -189,10 +225,9 @@
   if (named) return ConsiderHandOver(entry);
   // The row names another node with this epoch or a higher one. That node
   // claims with a higher epoch and fences this one off, so that the worker is
-  // served until then. If it is gone, this node takes the row over.
-  if (OwnerIsGone(entry.row) && Propose(entry) == options_.node) {
-    TakeOver(entry);
-  }
+  // served until then. If it is gone, this node takes the row over, whoever is
+  // proposed: no other node is granted a worker whose lease is renewed.
+  if (OwnerIsGone(entry.row)) TakeOver(entry);
 }
 
 void Manager::ConsiderHandOver(Entry& entry) {
@@ -247,17 +282,28 @@
 
 void Manager::OnRefused(Entry& entry, Epoch epoch, const Error& error) {
   ++counters_.claims_refused;
-  base::Log(base::Event::kWorkerClaimRefused, {{"vm", entry.vm.name.str()},
-                                               {"epoch", epoch.value()},
-                                               {"error", ErrcName(error.code)},
-                                               {"known", error.subject}});
-  if (error.code == Errc::kLeaseHeld) {
-    entry.retry_at = base::MonotonicNow() + options_.lease_held_retry;
+  const bool held = error.code == Errc::kLeaseHeld;
+  // A link that stays cut repeats this refusal for as long.
+  if (!held || entry.lease_refusals == 0) {
+    base::Log(base::Event::kWorkerClaimRefused,
+              {{"vm", entry.vm.name.str()},
+               {"epoch", epoch.value()},
+               {"error", ErrcName(error.code)},
+               {"known", error.subject}});
+  }
+  if (held) {
+    const int shift =
+        std::min(entry.lease_refusals++ / kRefusalsPerStep, kMaxLeaseHeldShift);
+    entry.retry_at =
+        base::MonotonicNow() + options_.lease_held_retry * (1 << shift);
     return;
   }
   if (error.code == Errc::kStaleEpoch) {
     const Epoch known = std::max(epoch, EpochOfRefusal(error));
-    if (known > entry.grant.epoch) entry.grant = {{}, {}, known};
+    // A worker that restarted may have granted this node's epoch once more, to
+    // another node.
+    const bool regranted = known == entry.grant.epoch && IsSelf(entry.grant);
+    if (known > entry.grant.epoch || regranted) entry.grant = {{}, {}, known};
     entry.stale = true;
   }
   Backoff(entry);
@@ -266,6 +312,7 @@
 void Manager::Own(Entry& entry, Epoch epoch, const WorkerReport& report) {
   DropWorker(entry);
   entry.failures = 0;
+  entry.lease_refusals = 0;
   entry.worker = std::make_shared<OwnedWorker>(
       loop_, entry.vm, Fence{fence_owner_, epoch}, entry.link.make_control(),
       entry.link.requests, options_.lease,
--- a/src/ownership/manager.hpp
+++ b/src/ownership/manager.hpp
@@ -53,7 +53,7 @@
   Milliseconds write_patience{500};
   /// After a failed write the table counts as down for this long.
   Milliseconds write_retry{1'000};
-  /// Time between claims of a worker whose lease has not run out.
+  /// Time between the first claims of a worker whose lease has not run out.
   Milliseconds lease_held_retry{300};
   Milliseconds vm_list_period{1'000};
   /// Owners that were never heard of count as gone after this time.
@@ -64,6 +64,10 @@
   bool claim_without_table = true;
   /// A node that does not serve yet takes no workers; empty means ready.
   std::function<bool()> is_ready;
+  /// Whether the node refuses requests because it hears neither the table nor
+  /// a peer. It then claims nothing and others may claim its workers. Empty
+  /// means never.
+  std::function<bool()> is_isolated;
 };
 
 struct ManagerCounters {
@@ -164,7 +168,14 @@
   void RebuildOwned();
   void Backoff(Entry& entry);
   void Announce(const Entry& entry, const OwnershipRow& row, bool recorded);
+  /// True when the owner has certainly ended or there never was one.
+  [[nodiscard]] bool OwnerIsReplaced(const OwnershipRow& row) const;
+  /// True when the owner was not heard for long; it may still live.
+  [[nodiscard]] bool OwnerIsSilent(const OwnershipRow& row) const;
+  /// True when the owner stops and cannot hand over through the table.
+  [[nodiscard]] bool OwnerYields(const Entry& entry) const;
   [[nodiscard]] bool OwnerIsGone(const OwnershipRow& row) const;
+  [[nodiscard]] bool IsIsolated() const;
   /// Whether peers and the table had time to be heard since the start.
   [[nodiscard]] bool HadTimeToHear() const;
   [[nodiscard]] bool IsSelf(const OwnershipRow& row) const;
--- a/src/ownership/manager_entry.hpp
+++ b/src/ownership/manager_entry.hpp
@@ -37,6 +37,8 @@
   MonotonicTime writing_since{0};
   bool claiming = false;
   int failures = 0;
+  /// Claims in a row that were refused because the lease was held.
+  int lease_refusals = 0;
   MonotonicTime retry_at{0};
   NodeId proposed;
   std::uint64_t proposed_in = 0;
--- a/src/ownership/owned_worker.cc
+++ b/src/ownership/owned_worker.cc
@@ -88,7 +88,7 @@
   renewing_ = true;
   const MonotonicTime asked_at = base::MonotonicNow();
   control_->Renew(
-      fence_, options_.lease,
+      fence_, yielding_ ? Milliseconds(0) : options_.lease,
       [weak = weak_from_this(), asked_at](const Result<WorkerReport>& report) {
         if (const auto self = weak.lock()) {
           self->OnRenewed(report, asked_at);
@@ -103,6 +103,10 @@
   if (report.error().code == Errc::kStaleEpoch) OnFenced();
 }
 
+void OwnedWorker::SetYielding(bool yielding) {
+  if (std::exchange(yielding_, yielding) != yielding) Renew();
+}
+
 void OwnedWorker::Retire() {
   timer_.reset();
   draining_ = true;
--- a/src/ownership/owned_worker.hpp
+++ b/src/ownership/owned_worker.hpp
@@ -69,6 +69,10 @@
   /// Stops new work: an operator drains the VM or ownership moves.
   void StopNewWork() noexcept { draining_ = true; }
   void ResumeNewWork() noexcept { draining_ = false; }
+  /// While yielding, renewals keep the worker's tasks running but hold no
+  /// lease, so that another node's claim is granted; this one serves until
+  /// then.
+  void SetYielding(bool yielding);
   /// Ends renewals for good; requests in progress go on.
   void Retire();
   /// The worker refused this owner's fence, so another node has claimed it.
@@ -103,6 +107,7 @@
   MonotonicTime report_asked_at_{0};
   std::map<RequestId, Slot> occupied_;
   bool draining_ = false;
+  bool yielding_ = false;
   bool renewing_ = false;
   bool was_reachable_ = true;
   base::Timer timer_;
--- a/tests/unit/ownership_cluster.hpp
+++ b/tests/unit/ownership_cluster.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Entry nodes, a table and workers in one process, with time scaled down
-/// thirtyfold and links that a test can hold back.
+/// Entry nodes, a table and workers in one process, with simulated time scaled
+/// down thirtyfold and links that a test can hold back or cut.
 #pragma once
 
 #include <doctest/doctest.h>
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "base/simulated_clock.hpp"
 #include "ownership/manager.hpp"
 #include "ownership/rows.hpp"
 #include "table/memory_table.hpp"
@@ -117,10 +118,11 @@
   void Claim(Fence fence, ClaimBasis basis, Milliseconds lease,
              ReportCallback done) override {
     Call(std::move(done),
-         [=, this] { return state_.Claim(fence, basis, lease); });
+         [=, &state = state_] { return state.Claim(fence, basis, lease); });
   }
   void Renew(Fence fence, Milliseconds lease, ReportCallback done) override {
-    Call(std::move(done), [=, this] { return state_.Renew(fence, lease); });
+    Call(std::move(done),
+         [=, &state = state_] { return state.Renew(fence, lease); });
   }
   void Release(Fence /*fence*/, ReportCallback /*done*/) override {}
   void Command(Fence /*fence*/, TaskCommand /*command*/,
@@ -174,6 +176,7 @@
 
   void Read(ReadRequest request, ReadCallback done) override {
     link_->Send([this, link = link_, request, done] {
+      if (cut) return Later([done] { done(Error{Errc::kTimeout, "table"}); });
       if (state_.mode == Mode::kUp || state_.mode == Mode::kReadOnly) {
         return link->Send(
             [done, rows = state_.rows.Read(request)] { done(rows); });
@@ -184,7 +187,7 @@
   void Transact(Transaction transaction, TransactCallback done) override {
     link_->Send([this, link = link_, transaction, done] {
       using Status = TransactResult::Status;
-      if (state_.mode == Mode::kRefusing) {
+      if (cut || state_.mode == Mode::kRefusing) {
         return link->Send([done] { done({Status::kUnavailable, {}, {}}); });
       }
       if (state_.mode == Mode::kSilent || state_.mode == Mode::kReadOnly) {
@@ -198,6 +201,9 @@
     });
   }
 
+  /// This node alone does not reach the table.
+  bool cut = false;
+
  private:
   using Mode = FakeTableState::Mode;
 
@@ -240,6 +246,8 @@
 
   std::shared_ptr<Link> link;
   rpc::NodeState state = rpc::NodeState::kReady;
+  /// As a node judges itself that hears neither the table nor a peer.
+  bool isolated = false;
   NodeId id;
   Incarnation incarnation;
   Address address;
@@ -274,9 +282,24 @@
     }
     return nullptr;
   }
+  /// Cuts the link between two nodes both ways; the table and the workers stay
+  /// in reach of both.
+  void Cut(const ClusterNode& a, const ClusterNode& b) {
+    cut.insert({a.address.port, b.address.port});
+    cut.insert({b.address.port, a.address.port});
+  }
+  [[nodiscard]] bool IsCut(const Address& a, const Address& b) const {
+    return cut.contains({a.port, b.port});
+  }
+  /// Claims that the workers granted so far.
+  [[nodiscard]] int Claims() const {
+    int claims = 0;
+    for (const auto& [vm, worker] : workers) claims += worker.claims;
+    return claims;
+  }
   void Push(const ClusterNode& from, const KnownOwner& known) const {
     for (const auto& node : nodes) {
-      if (node.get() == &from) continue;
+      if (node.get() == &from || IsCut(from.address, node->address)) continue;
       from.link->Send([this, to = node->address, known] {
         ClusterNode* node = At(to);
         if (node == nullptr) return;
@@ -339,18 +362,22 @@
     }
   }
 
+  base::SimulatedClock clock;
   base::EventLoop loop;
   FakeTableState table;
   std::vector<VmInfo> vms;
   bool vm_list_up = true;
   std::map<VmName, FakeWorkerState> workers;
   std::uint64_t started = 0;
+  std::set<std::pair<std::uint16_t, std::uint16_t>> cut;
   std::vector<std::unique_ptr<ClusterNode>> nodes;
 };
 
 inline ownership::ManagerOptions ScaledOptions(const NodeId& id,
-                                               Incarnation incarnation) {
+                                               Incarnation incarnation,
+                                               const bool& isolated) {
   ownership::ManagerOptions options;
+  options.is_isolated = [&isolated] { return isolated; };
   options.node = id;
   options.incarnation = incarnation;
   options.lease = {Milliseconds(100), Milliseconds(15), Milliseconds(70)};
@@ -399,7 +426,8 @@
                            Milliseconds /*timeout*/, auto done) {
             link->Send([this, &cluster, to, view, done] {
               ClusterNode* peer = cluster.At(to);
-              if (peer == nullptr || peer->link->held) {
+              if (peer == nullptr || peer->link->held ||
+                  cluster.IsCut(address, to)) {
                 return Delay(cluster.loop, Milliseconds(30),
                              [link = link, done] {
                                if (!link->dead) {
@@ -412,17 +440,17 @@
               });
             });
           }),
-      manager(cluster.loop, ScaledOptions(id, incarnation), table, writer,
-              vm_list, membership, store, [this, &cluster](const VmInfo& vm) {
-                ownership::WorkerLink made;
-                made.make_control = [this, &cluster, name = vm.name] {
-                  return std::make_unique<FakeWorker>(cluster.workers[name],
-                                                      link);
-                };
-                made.requests =
-                    net::HttpClientPool::Create(cluster.loop, vm.address, {});
-                return made;
-              }) {
+      manager(
+          cluster.loop, ScaledOptions(id, incarnation, isolated), table, writer,
+          vm_list, membership, store, [this, &cluster](const VmInfo& vm) {
+            ownership::WorkerLink made;
+            made.make_control = [this, &cluster, name = vm.name] {
+              return std::make_unique<FakeWorker>(cluster.workers[name], link);
+            };
+            made.requests =
+                net::HttpClientPool::Create(cluster.loop, vm.address, {});
+            return made;
+          }) {
   manager.owner_changed().connect([this, &cluster](const KnownOwner& known) {
     cluster.Push(*this, known);
   });
--- a/tests/unit/ownership_test.cc
+++ b/tests/unit/ownership_test.cc
@@ -237,7 +237,7 @@
 void Disturb(Cluster& cluster, std::mt19937& random, int& names) {
   auto& nodes = cluster.nodes;
   ClusterNode& node = *nodes[random() % nodes.size()];
-  switch (random() % 8) {
+  switch (random() % 11) {
     case 0:
     case 1:
       cluster.table.mode = static_cast<Mode>(random() % 5);
@@ -258,18 +258,25 @@
         added.manager.AdoptVms(cluster.vms);
       }
       return;
+    case 7:
+    case 8:
+      cluster.Cut(node, *nodes[random() % nodes.size()]);
+      return;
+    case 9:
+      cluster.cut.clear();
+      return;
     default:
       cluster.workers[cluster.vms[random() % cluster.vms.size()].name]
           .Restart();
   }
 }
 
-// Guards against interleavings of outages, pauses, deaths and restarts that
-// no single test above foresees: two owners of one epoch, an epoch in the
-// table that goes back, a worker that stays unserved, or nodes that claim a
-// worker in turn without end.
+// Guards against interleavings of outages, cut links, pauses, deaths and
+// restarts that no single test above foresees: two owners of one epoch, an
+// epoch in the table that goes back, a worker that stays unserved, or nodes
+// that claim a worker in turn without end.
 TEST_CASE("random faults never give a worker two owners") {
-  constexpr unsigned kSeeds = 8;
+  constexpr unsigned kSeeds = 200;
   constexpr int kFaults = 25;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
@@ -284,6 +291,7 @@
       (void)cluster.Served();  // Records who is served now.
     }
     cluster.table.mode = Mode::kUp;
+    cluster.cut.clear();
     for (const auto& node : cluster.nodes) node->link->Resume();
     // Two processes of one name do not both stay in a real deployment.
     std::set<NodeId> seen;
