--- a/tests/integration/harness/ownership.cc
+++ b/tests/integration/harness/ownership.cc
@@ -52,6 +52,34 @@
   return owned;
 }
 
+void WaitUntilOwnedByOthers(const Cluster& cluster, int except) {
+  WaitUntil("all workers owned by others", kWaitDeadline, [&] {
+    int owned = 0;
+    for (int i = 0; i < cluster.nodes(); ++i) {
+      if (i != except) owned += std::max(0, cluster.OwnedWorkers(i));
+    }
+    return owned == cluster.workers();
+  });
+}
+
+std::size_t Claims(const Cluster& cluster) {
+  std::size_t claims = 0;
+  for (int i = 0; i < cluster.workers(); ++i) {
+    claims += cluster.WorkerRecord(i).at("claims").size();
+  }
+  return claims;
+}
+
+std::string Liveness(const Cluster& cluster, int node, int other) {
+  const json status = cluster.Status(node, "/v1/status/nodes");
+  if (!status.is_object()) return "";
+  const std::string name = "node-" + std::to_string(other);
+  for (const json& item : status.at("nodes")) {
+    if (item.at("node") == name) return item.at("liveness").get<std::string>();
+  }
+  return "";
+}
+
 bool Serves(const Cluster& cluster, int node) {
   const Reply reply = Post(cluster.http(node), kServicePath, "x");
   return reply.ok() && reply.outcome() == "answered";
--- a/tests/integration/harness/ownership.hpp
+++ b/tests/integration/harness/ownership.hpp
@@ -2,7 +2,9 @@
 /// Checks of ownership from outside: what the workers recorded.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "integration/harness/cluster.hpp"
 
@@ -22,6 +24,15 @@
 /// none.
 [[nodiscard]] int OwnedByAll(const Cluster& cluster);
 
+/// Waits until the running nodes other than `except` own all workers.
+void WaitUntilOwnedByOthers(const Cluster& cluster, int except);
+
+/// Claims that the workers granted so far; each is a change of owner or epoch.
+[[nodiscard]] std::size_t Claims(const Cluster& cluster);
+
+/// Liveness of `other` as the node reports it; empty when it does not know it.
+[[nodiscard]] std::string Liveness(const Cluster& cluster, int node, int other);
+
 /// True if a request through the node is answered.
 [[nodiscard]] bool Serves(const Cluster& cluster, int node);
 
--- a/tests/integration/owner_failover_test.cc
+++ b/tests/integration/owner_failover_test.cc
@@ -35,30 +35,33 @@
   std::thread thread_;
 };
 
-/// Workers owned by the nodes other than `except`.
-int OwnedByOthers(const Cluster& cluster, int except) {
-  int owned = 0;
-  for (int i = 0; i < cluster.nodes(); ++i) {
-    if (i != except) owned += std::max(0, cluster.OwnedWorkers(i));
+/// A cluster with traffic at all nodes but one that owns workers, and with or
+/// without its table.
+struct Failover {
+  explicit Failover(bool table_down)
+      : cluster(Options()), owner(AnyOwner(cluster)), traffic(cluster, owner) {
+    REQUIRE(owner >= 0);
+    if (table_down) cluster.SetTableFaults(R"({"down":true})");
   }
-  return owned;
-}
+  static ClusterOptions Options() {
+    ClusterOptions options;
+    options.workers = 6;
+    return options;
+  }
+
+  Cluster cluster;
+  const int owner;
+  const Traffic traffic;
+};
 
 TEST_CASE("a killed owner's workers are served by others") {
   for (const bool table_down : {false, true}) {
     CAPTURE(table_down);
-    ClusterOptions options;
-    options.workers = 6;
-    Cluster cluster(options);
-    const int killed = AnyOwner(cluster);
-    REQUIRE(killed >= 0);
-    const Traffic traffic(cluster, killed);
-    if (table_down) cluster.SetTableFaults(R"({"down":true})");
+    Failover failover(table_down);
+    Cluster& cluster = failover.cluster;
     const MonotonicTime begun = base::MonotonicNow();
-    cluster.node(killed).Kill();
-    WaitUntil("all workers owned by others", kWaitDeadline, [&] {
-      return OwnedByOthers(cluster, killed) == cluster.workers();
-    });
+    cluster.node(failover.owner).Kill();
+    WaitUntilOwnedByOthers(cluster, failover.owner);
     const auto gap =
         std::chrono::duration_cast<Milliseconds>(base::MonotonicNow() - begun);
     MESSAGE("without service for " << gap.count() << " ms");
@@ -69,17 +72,11 @@
 TEST_CASE("a paused owner loses its workers and takes none back by force") {
   for (const bool table_down : {false, true}) {
     CAPTURE(table_down);
-    ClusterOptions options;
-    options.workers = 6;
-    Cluster cluster(options);
-    const int paused = AnyOwner(cluster);
-    REQUIRE(paused >= 0);
-    const Traffic traffic(cluster, paused);
-    if (table_down) cluster.SetTableFaults(R"({"down":true})");
+    Failover failover(table_down);
+    Cluster& cluster = failover.cluster;
+    const int paused = failover.owner;
     cluster.node(paused).Pause();
-    WaitUntil("all workers owned by others", kWaitDeadline, [&] {
-      return OwnedByOthers(cluster, paused) == cluster.workers();
-    });
+    WaitUntilOwnedByOthers(cluster, paused);
     cluster.node(paused).Resume();
     WaitUntil("the resumed node serves", kWaitDeadline,
               [&] { return Serves(cluster, paused); });
