Test a planned stop without the table with real processes

Cause: only a unit test showed that a stopping node yields its workers when it cannot hand them over through the table. The new case of table_outage_test stops an owner while the table refuses or is silent and checks that each worker's last claim is another node's and was granted before the stopped node exited. Both halves pass. The order of two events is compared, not a time; the node waits up to 5 s for its successors.

--- a/tests/integration/table_outage_test.cc
+++ b/tests/integration/table_outage_test.cc
@@ -76,6 +76,33 @@
   }
 }
 
+// Guards against workers that wait for a stopped node's lease to run out.
+TEST_CASE("a planned stop hands workers over without the table") {
+  for (const bool silent : {false, true}) {
+    CAPTURE(silent);
+    ClusterOptions options;
+    options.workers = 4;
+    Cluster cluster(options);
+    StartOutage(cluster, silent);
+    const int stopped = AnyOwner(cluster);
+    REQUIRE(stopped >= 0);
+    cluster.node(stopped).Terminate();
+    CHECK(cluster.node(stopped).Wait(kWaitDeadline) == 0);
+    const MonotonicTime exited = base::MonotonicNow();
+    WaitUntilOwnedByOthers(cluster, stopped);
+    const std::string name = "node-" + std::to_string(stopped) + "/";
+    for (int i = 0; i < cluster.workers(); ++i) {
+      const nlohmann::json record = cluster.WorkerRecord(i);
+      const nlohmann::json& last = record.at("claims").back();
+      CHECK_FALSE(last.at("owner").get<std::string>().starts_with(name));
+      // The node waits for its successors before it exits.
+      CHECK(last.at("at_ns").get<std::int64_t>() < exited.count());
+    }
+    CheckOwnershipRecords(cluster);
+    EndOutage(cluster, silent);
+  }
+}
+
 TEST_CASE("a deployment of one node serves on without the table") {
   ClusterOptions options;
   options.nodes = 1;
