Fail the health check of a node without workers and peers

Cause: a node that owns no worker and loses the link to the owners still passed its health check while it reached the table, so the balancer kept sending it requests that it could only refuse. It now fails the check when it owns nothing, knows VMs and heard no peer for 3 s after it had heard one. It still admits requests, which wait and are refused as before.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -379,7 +379,13 @@
 
 NotRunReason Node::Health() const {
   if (state_ == rpc::NodeState::kLeaving) return NotRunReason::kShuttingDown;
-  return Admission();
+  return HasNoWorkers() ? NotRunReason::kNodeNotReady : Admission();
+}
+
+bool Node::HasNoWorkers() const {
+  if (!ownership_.owned().empty() || ownership_.Vms().empty()) return false;
+  const MonotonicTime heard = membership_.last_heard();
+  return heard.count() != 0 && base::MonotonicNow() - heard > kIsolatedAfter;
 }
 
 NotRunReason Node::Admission() const {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -62,6 +62,9 @@
   /// True in a deployment of one node. It cannot be cut off from others that
   /// would serve in its place, so it serves on while the table is down.
   [[nodiscard]] bool IsAlone() const;
+  /// The node owns no worker and lost the peers that do, so it would refuse
+  /// every request that the balancer sends.
+  [[nodiscard]] bool HasNoWorkers() const;
   /// Neither the table nor a peer was heard for a while.
   [[nodiscard]] bool IsIsolated() const;
   void Dispatch(std::shared_ptr<net::HttpExchange> exchange);
