Test partitions and the isolation of one node with real processes

The proxy gains refuse_process, which closes the connections of one local client, because a proxy in front of a server cannot otherwise cut off one of its several clients.

--- a/standin/proxy/proxy.cc
+++ b/standin/proxy/proxy.cc
@@ -42,6 +42,11 @@
                                       sizeof(address)) == 0;
   }
 
+  [[nodiscard]] bool IsFrom(int pid) const {
+    bufferevent* client = ends_[kClient].bev;
+    return client != nullptr && IsFromProcess(bufferevent_getfd(client), pid);
+  }
+
   void Silence() {
     silent_ = true;
     for (const End& end : ends_) {
@@ -221,10 +226,23 @@
   } else if (!faults.refuse && listener_ == nullptr) {
     (void)Listen(address_);
   }
+  if (faults.refuse_process == 0) return;
+  const auto open = links_;
+  for (const auto& link : open) {
+    if (!link->IsFrom(faults.refuse_process)) continue;
+    ++counters_.cut;
+    link->Close();
+  }
 }
 
 void Proxy::Accept(int fd) {
   ++counters_.accepted;
+  if (faults_.refuse_process != 0 &&
+      IsFromProcess(fd, faults_.refuse_process)) {
+    ++counters_.cut;
+    evutil_closesocket(fd);
+    return;
+  }
   auto link = std::make_shared<detail::ProxyLink>(*this);
   links_.insert(link);
   if (!link->Start(fd, target_)) link->Close();
--- a/standin/proxy/proxy.hpp
+++ b/standin/proxy/proxy.hpp
@@ -22,6 +22,9 @@
   bool drop_up = false;    ///< Discards what clients send.
   bool drop_down = false;  ///< Discards what the target sends.
   bool refuse = false;     ///< Nothing listens: connections are refused.
+  /// Connections from this local process are closed, so that one of several
+  /// clients loses the target. 0 means none.
+  int refuse_process = 0;
   std::int64_t cut_after_up = -1;    ///< Closes after this many bytes.
   std::int64_t cut_after_down = -1;  ///< Closes after this many bytes.
   /// The next replies are discarded, each with all later bytes of its
--- a/standin/proxy/run.cc
+++ b/standin/proxy/run.cc
@@ -26,6 +26,7 @@
   reader.Boolean("drop_up", faults.drop_up);
   reader.Boolean("drop_down", faults.drop_down);
   reader.Boolean("refuse", faults.refuse);
+  reader.Integer("refuse_process", 0, INT32_MAX, faults.refuse_process);
   reader.Integer("cut_after_up", -1, kMaxBytes, faults.cut_after_up);
   reader.Integer("cut_after_down", -1, kMaxBytes, faults.cut_after_down);
   reader.Integer("lose_replies", 0, kMaxCount, faults.lose_replies);
--- a/standin/sockets.hpp
+++ b/standin/sockets.hpp
@@ -15,6 +15,9 @@
 /// Small writes must not wait for an acknowledgement.
 void SetNoDelay(int fd);
 
+/// True if the other end of the connection is a socket of the local process.
+[[nodiscard]] bool IsFromProcess(int fd, int pid);
+
 /// @return null when the address is in use.
 [[nodiscard]] evconnlistener* ListenOn(base::EventLoop& loop,
                                        const Address& address,
--- a/tests/integration/harness/process.cc
+++ b/tests/integration/harness/process.cc
@@ -60,6 +60,8 @@
   return addresses_.at(name);
 }
 
+int Process::pid() const { return child_->process.id(); }
+
 void Process::Pause() { kill(child_->process.id(), SIGSTOP); }
 void Process::Resume() { kill(child_->process.id(), SIGCONT); }
 
--- a/tests/integration/harness/process.hpp
+++ b/tests/integration/harness/process.hpp
@@ -27,6 +27,8 @@
   /// Address printed under `name`, for example "http".
   [[nodiscard]] Address address(const std::string& name) const;
 
+  [[nodiscard]] int pid() const;
+
   void Pause();
   void Resume();
   /// Ends the process without notice and waits for it.
