--- a/tests/unit/cluster/ownership_cluster.hpp
+++ b/tests/unit/cluster/ownership_cluster.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Entry nodes, a table and workers in one process, with time scaled down
-/// thirtyfold and links that a test can hold back.
+/// Entry nodes, a table and workers in one process, with simulated time scaled
+/// down thirtyfold and links that a test can hold back or cut.
 #pragma once
 
 #include <doctest/doctest.h>
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "base/simulated_clock.hpp"
 #include "ownership/manager.hpp"
 #include "ownership/rows.hpp"
 #include "table/memory_table.hpp"
@@ -198,6 +199,7 @@
 
   void Read(ReadRequest request, ReadCallback done) override {
     link_->Send([this, link = link_, request, done] {
+      if (cut) return Later([done] { done(Error{Errc::kTimeout, "table"}); });
       if (state_.mode == Mode::kUp || state_.mode == Mode::kReadOnly) {
         return link->Send(
             [done, rows = state_.rows.Read(request)] { done(rows); });
@@ -208,7 +210,7 @@
   void Transact(Transaction transaction, TransactCallback done) override {
     link_->Send([this, link = link_, transaction, done] {
       using Status = TransactResult::Status;
-      if (state_.mode == Mode::kRefusing) {
+      if (cut || state_.mode == Mode::kRefusing) {
         return link->Send([done] { done({Status::kUnavailable, {}, {}}); });
       }
       if (state_.mode == Mode::kSilent || state_.mode == Mode::kReadOnly) {
@@ -222,6 +224,9 @@
     });
   }
 
+  /// This node alone does not reach the table.
+  bool cut = false;
+
  private:
   using Mode = FakeTableState::Mode;
 
@@ -264,6 +269,8 @@
 
   std::shared_ptr<Link> link;
   rpc::NodeState state = rpc::NodeState::kReady;
+  /// As a node judges itself that hears neither the table nor a peer.
+  bool isolated = false;
   NodeId id;
   Incarnation incarnation;
   Address address;
@@ -298,9 +305,24 @@
     }
     return nullptr;
   }
+  /// Cuts the link between two nodes both ways; the table and the workers stay
+  /// in reach of both.
+  void Cut(const ClusterNode& a, const ClusterNode& b) {
+    cut.insert({a.address.port, b.address.port});
+    cut.insert({b.address.port, a.address.port});
+  }
+  [[nodiscard]] bool IsCut(const Address& a, const Address& b) const {
+    return cut.contains({a.port, b.port});
+  }
+  /// Claims that the workers granted so far.
+  [[nodiscard]] int Claims() const {
+    int claims = 0;
+    for (const auto& [vm, worker] : workers) claims += worker.claims;
+    return claims;
+  }
   void Push(const ClusterNode& from, const KnownOwner& known) const {
     for (const auto& node : nodes) {
-      if (node.get() == &from) continue;
+      if (node.get() == &from || IsCut(from.address, node->address)) continue;
       from.link->Send([this, to = node->address, known] {
         ClusterNode* node = At(to);
         if (node == nullptr) return;
@@ -363,6 +385,7 @@
     }
   }
 
+  base::SimulatedClock clock;
   base::EventLoop loop;
   Delays delays{loop};
   FakeTableState table;
@@ -370,12 +393,15 @@
   bool vm_list_up = true;
   std::map<VmName, FakeWorkerState> workers;
   std::uint64_t started = 0;
+  std::set<std::pair<std::uint16_t, std::uint16_t>> cut;
   std::vector<std::unique_ptr<ClusterNode>> nodes;
 };
 
 inline ownership::ManagerOptions ScaledOptions(const NodeId& id,
-                                               Incarnation incarnation) {
+                                               Incarnation incarnation,
+                                               const bool& isolated) {
   ownership::ManagerOptions options;
+  options.is_isolated = [&isolated] { return isolated; };
   options.node = id;
   options.incarnation = incarnation;
   options.lease = {Milliseconds(100), Milliseconds(15), Milliseconds(70)};
@@ -424,7 +450,8 @@
                            Milliseconds /*timeout*/, auto done) {
             link->Send([this, &cluster, to, view, done] {
               ClusterNode* peer = cluster.At(to);
-              if (peer == nullptr || peer->link->held) {
+              if (peer == nullptr || peer->link->held ||
+                  cluster.IsCut(address, to)) {
                 return cluster.delays.Run(Milliseconds(30),
                                           [link = link, done] {
                                             if (!link->dead) {
@@ -437,17 +464,17 @@
               });
             });
           }),
-      manager(cluster.loop, ScaledOptions(id, incarnation), table, writer,
-              vm_list, membership, store, [this, &cluster](const VmInfo& vm) {
-                ownership::WorkerLink made;
-                made.make_control = [this, &cluster, name = vm.name] {
-                  return std::make_unique<FakeWorker>(cluster.workers[name],
-                                                      link);
-                };
-                made.requests =
-                    net::HttpClientPool::Create(cluster.loop, vm.address, {});
-                return made;
-              }) {
+      manager(
+          cluster.loop, ScaledOptions(id, incarnation, isolated), table, writer,
+          vm_list, membership, store, [this, &cluster](const VmInfo& vm) {
+            ownership::WorkerLink made;
+            made.make_control = [this, &cluster, name = vm.name] {
+              return std::make_unique<FakeWorker>(cluster.workers[name], link);
+            };
+            made.requests =
+                net::HttpClientPool::Create(cluster.loop, vm.address, {});
+            return made;
+          }) {
   manager.owner_changed().connect([this, &cluster](const KnownOwner& known) {
     cluster.Push(*this, known);
   });
