Report the longest stall of each event loop as a metric

Cause of the work: traces of epoll_wait, write, and the threads' schedstat (a preloaded library, not part of the repository) at 5,000 and 10,000 requests/s and load 17 to 20. Iterations of the node's loops longer than 2 ms had at most 1.9 ms of processor time; the rest was time in which the thread was ready but not running, up to 6.6 ms at a wake-up and 4 ms in an iteration (the kernel has no preemption and a tick of 4 ms). Ruled out: log writes (about 50 a second, at most 0.13 ms), new connections (none after the start), periodic work (none seen above 1 ms).

--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -11,6 +11,7 @@
 #include "app/settings.hpp"
 #include "app/supervisor.hpp"
 #include "base/event_loop.hpp"
+#include "base/loop_stall.hpp"
 #include "config/editor.hpp"
 #include "config/store.hpp"
 #include "config/sync.hpp"
@@ -92,6 +93,8 @@
   /// What peers connect to.
   Address rpc_address_;
 
+  base::StallRecord core_stalls_;
+  base::LoopStallProbe stall_probe_;
   rpc::PeerService peers_;
   table::Writer config_writer_;
   table::Writer ownership_writer_;
--- a/src/app/node_samples.cc
+++ b/src/app/node_samples.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "app/node.hpp"
+#include "base/clock.hpp"
 
 namespace mangospread::app {
 namespace {
@@ -69,6 +70,15 @@
     add("queue_ended_total", "Ends of waits, and requests that did not wait.",
         MetricType::kCounter, value, {{"end", end}});
   }
+  const MonotonicTime now = base::MonotonicNow();
+  for (const auto& [loop, stalls] :
+       {std::pair{"core", &core_stalls_}, std::pair{"rpc", &peers_.stalls()}}) {
+    add("loop_stall_seconds",
+        "Longest delay of a callback in the last half to one minute.",
+        MetricType::kGauge,
+        std::chrono::duration<double>(stalls->Longest(now)).count(),
+        {{"loop", loop}});
+  }
   const ProcessUsage usage = ReadProcessUsage();
   add("process_cpu_seconds_total", "Processor time of this process.",
       MetricType::kCounter, usage.cpu_seconds);
--- a/src/rpc/peer_service.cc
+++ b/src/rpc/peer_service.cc
@@ -119,6 +119,10 @@
     return bound.get_future().get();
   }
 
+  [[nodiscard]] const base::StallRecord& stalls() const noexcept {
+    return thread_->stalls();
+  }
+
   /// Makes a call on the peer's connection. `send` issues the request and
   /// returns its promise; the result or error reaches `done` on the core
   /// thread.
@@ -337,6 +341,10 @@
   host_->Flush(limit, std::move(done));
 }
 
+const base::StallRecord& PeerService::stalls() const noexcept {
+  return host_->stalls();
+}
+
 Result<Address> PeerService::Listen(const Address& address,
                                     PeerHandlers handlers) {
   return host_->Listen(address, std::move(handlers));
--- a/src/rpc/peer_service.hpp
+++ b/src/rpc/peer_service.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/event_loop.hpp"
+#include "base/loop_stall.hpp"
 #include "mangospread/error.hpp"
 #include "rpc/messages.hpp"
 #include "rpc/task_messages.hpp"
@@ -81,6 +82,9 @@
   /// Waits until every answer to a peer has been written, at most `limit`.
   void Flush(Milliseconds limit, std::function<void()> done);
 
+  /// Stalls of the KJ loop.
+  [[nodiscard]] const base::StallRecord& stalls() const noexcept;
+
  private:
   std::unique_ptr<detail::PeerHost> host_;
 };
--- a/src/rpc/rpc_thread.cc
+++ b/src/rpc/rpc_thread.cc
@@ -6,6 +6,8 @@
 #include <future>
 #include <utility>
 
+#include "base/clock.hpp"
+
 namespace mangospread::rpc {
 
 RpcThread::RpcThread()
@@ -61,7 +63,9 @@
   auto wakeups = io.lowLevelProvider->wrapInputFd(
       wakeup_fd_, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK |
                       kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC);
-  stop.promise.exclusiveJoin(ReadLoop(*wakeups)).wait(io.waitScope);
+  stop.promise.exclusiveJoin(ReadLoop(*wakeups))
+      .exclusiveJoin(ProbeStalls(io.provider->getTimer()))
+      .wait(io.waitScope);
   Drain();
 }
 
@@ -73,6 +77,16 @@
       });
 }
 
+kj::Promise<void> RpcThread::ProbeStalls(kj::Timer& timer) {
+  const MonotonicTime due = base::MonotonicNow() + base::kStallProbePeriod;
+  return timer.afterDelay(base::kStallProbePeriod.count() * kj::MILLISECONDS)
+      .then([this, &timer, due] {
+        const MonotonicTime now = base::MonotonicNow();
+        stalls_.Add(now - due, now);
+        return ProbeStalls(timer);
+      });
+}
+
 void RpcThread::Drain() {
   std::vector<std::function<void()>> batch;
   {
--- a/src/rpc/rpc_thread.hpp
+++ b/src/rpc/rpc_thread.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <kj/async-io.h>
+#include <kj/timer.h>
 
 #include <cstdint>
 #include <functional>
@@ -10,6 +11,8 @@
 #include <thread>
 #include <vector>
 
+#include "base/loop_stall.hpp"
+
 namespace mangospread::rpc {
 
 /// Runs a KJ event loop on its own thread. kj::Executor needs a KJ loop on the
@@ -30,12 +33,18 @@
   /// Runs what was posted and ends the thread. Later posts are dropped.
   void Stop();
 
+  /// Stalls of the KJ loop.
+  [[nodiscard]] const base::StallRecord& stalls() const noexcept {
+    return stalls_;
+  }
+
   /// For use on the KJ thread only.
   [[nodiscard]] kj::AsyncIoContext& io() noexcept { return *io_; }
 
  private:
   void Main();
   kj::Promise<void> ReadLoop(kj::AsyncInputStream& wakeups);
+  kj::Promise<void> ProbeStalls(kj::Timer& timer);
   void Drain();
 
   int wakeup_fd_;
@@ -45,6 +54,7 @@
   kj::AsyncIoContext* io_ = nullptr;
   kj::Own<kj::PromiseFulfiller<void>> stop_fulfiller_;
   std::uint64_t wakeup_count_ = 0;
+  base::StallRecord stalls_;
   std::thread thread_;
 };
 
