Divide the limits of teams and services among the live nodes

Cause: each entry node applied the whole limit for itself, so six nodes admitted six times a service's limit on concurrency or rate.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -283,6 +283,21 @@
   config_writer_.SetBudget(kConfigBudget / live);
   ownership_writer_.SetBudget(kOwnershipBudget / live);
   key_writer_.SetBudget(kKeyBudget / live);
+  gateway_.SetLimitShare(LimitShare());
+}
+
+gateway::NodeShare Node::LimitShare() const {
+  gateway::NodeShare share;
+  for (const auto& [node, peer] : membership_.peers()) {
+    // A suspect node may still admit requests; a starting one refuses them.
+    if (peer.liveness == membership::Liveness::kDead ||
+        peer.view.state == rpc::NodeState::kStarting) {
+      continue;
+    }
+    ++share.nodes;
+    if (node < settings_.node) ++share.index;
+  }
+  return share;
 }
 
 void Node::UpdateState() {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -75,8 +75,9 @@
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
-  /// Divides the table budgets among live nodes.
+  /// Divides the table budgets and the limits of callers among live nodes.
   void ShareBudgets();
+  [[nodiscard]] gateway::NodeShare LimitShare() const;
   void UpdateState();
 
   base::EventLoop& loop_;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -68,6 +68,9 @@
   /// A slot may have become free, here or at a peer.
   void OnCapacity() { queue_.Wake(); }
 
+  /// Sets the node's share of the limits of teams and services.
+  void SetLimitShare(NodeShare share) noexcept { limiter_.SetShare(share); }
+
   /// Requests that have not been answered yet.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
   [[nodiscard]] const GatewayCounters& counters() const noexcept {
--- a/tests/unit/limits_test.cc
+++ b/tests/unit/limits_test.cc
@@ -56,6 +56,62 @@
   CHECK(limiter.refused() > 0);
 }
 
+/// The requests that all nodes together admit in the same instant.
+int AdmittedByAll(std::size_t nodes, const char* name, ServiceSpec service) {
+  int admitted = 0;
+  for (std::size_t index = 0; index < nodes; ++index) {
+    LimitFixture node;
+    service.team = TeamName("unlimited");
+    node.limiter.SetShare({index, nodes});
+    while (node.limiter.Enter(ServiceName(name), service).count() == 0) {
+      ++admitted;
+    }
+  }
+  return admitted;
+}
+
+// Guards against nodes that each admit the whole limit, or that together admit
+// less, also when the limit does not divide by the nodes.
+TEST_CASE("the nodes' shares add up to the limit") {
+  for (const int limit : {1, 2, 6, 13}) {
+    for (const std::size_t nodes : {1U, 2U, 5U, 6U}) {
+      CAPTURE(limit);
+      CAPTURE(nodes);
+      ServiceSpec service;
+      service.max_concurrency = limit;
+      CHECK(AdmittedByAll(nodes, "s", service) == limit);
+      CHECK(AdmittedByAll(nodes, "other", service) == limit);
+    }
+  }
+  ServiceSpec service;
+  service.max_rate = 60;
+  CHECK(AdmittedByAll(6, "s", service) == 60);
+}
+
+// Guards against a share that stays as it was when the nodes change.
+TEST_CASE_FIXTURE(LimitFixture, "a changed share applies to the next request") {
+  service.team = TeamName("unlimited");
+  service.max_concurrency = 6;
+  limiter.SetShare({0, 3});
+  CHECK(EnterMany(10) == 2);
+  limiter.SetShare({0, 2});
+  CHECK(EnterMany(10) == 1);
+  limiter.SetShare({0, 6});
+  CHECK(EnterMany(10) == 0);
+  for (int i = 0; i < 3; ++i) limiter.Leave(kName, service.team);
+  CHECK(EnterMany(10) == 1);
+  service.max_concurrency = 0;
+  service.max_rate = 6;
+  limiter.SetShare({0, 3});
+  now += seconds(10);
+  CHECK(EnterMany(10) == 2);
+  now += seconds(1);
+  CHECK(EnterMany(10) == 2);
+  now += seconds(1);
+  limiter.SetShare({0, 2});
+  CHECK(EnterMany(10) == 3);
+}
+
 // Guards against retries that multiply the load of a failing service.
 TEST_CASE("retry budget is a tenth of requests with a floor") {
   const MonotonicTime start = seconds(100);
