--- a/src/api/watch_hub.hpp
+++ b/src/api/watch_hub.hpp
@@ -6,7 +6,7 @@
 #include <memory>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "config/store.hpp"
 #include "net/http_server.hpp"
 
--- a/src/app/node/embedded_platform.hpp
+++ b/src/app/node/embedded_platform.hpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/platform/vm.hpp"
 
 namespace mangospread::app {
--- a/src/app/node/node.cc
+++ b/src/app/node/node.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 #include "worker/http_worker.hpp"
 
 namespace mangospread::app {
@@ -130,6 +130,7 @@
       incarnation_(base::WallNanoseconds()),
       platform_(std::move(platform)),
       stopped_(std::move(stopped)),
+      stall_probe_(loop_, core_stalls_),
       peers_(loop_),
       config_writer_(loop_, *platform_.table,
                      WriterRow(settings_, incarnation_, "config"),
@@ -286,6 +287,21 @@
   config_writer_.SetBudget(kConfigBudget / live);
   ownership_writer_.SetBudget(kOwnershipBudget / live);
   key_writer_.SetBudget(kKeyBudget / live);
+  gateway_.SetLimitShare(LimitShare());
+}
+
+gateway::NodeShare Node::LimitShare() const {
+  gateway::NodeShare share;
+  for (const auto& [node, peer] : membership_.peers()) {
+    // A suspect node may still admit requests; a starting one refuses them.
+    if (peer.liveness == membership::Liveness::kDead ||
+        peer.view.state == rpc::NodeState::kStarting) {
+      continue;
+    }
+    ++share.nodes;
+    if (node < settings_.node) ++share.index;
+  }
+  return share;
 }
 
 void Node::UpdateState() {
--- a/src/app/node/node.hpp
+++ b/src/app/node/node.hpp
@@ -10,7 +10,8 @@
 #include "app/node/scheduling.hpp"
 #include "app/settings.hpp"
 #include "app/supervisor.hpp"
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
+#include "base/loop/loop_stall.hpp"
 #include "config/editor.hpp"
 #include "config/store.hpp"
 #include "config/sync.hpp"
@@ -79,8 +80,9 @@
   void CollectSamples(std::vector<api::Sample>& samples) const;
   void WaitForRequests(std::function<void()> done);
   void WaitForHandOver(std::function<void()> done);
-  /// Divides the table budgets among live nodes.
+  /// Divides the table budgets and the limits of callers among live nodes.
   void ShareBudgets();
+  [[nodiscard]] gateway::NodeShare LimitShare() const;
   void UpdateState();
 
   base::EventLoop& loop_;
@@ -97,6 +99,8 @@
   /// What peers connect to.
   Address rpc_address_;
 
+  base::StallRecord core_stalls_;
+  base::LoopStallProbe stall_probe_;
   rpc::PeerService peers_;
   table::Writer config_writer_;
   table::Writer ownership_writer_;
--- a/src/app/supervisor.cc
+++ b/src/app/supervisor.cc
@@ -4,8 +4,8 @@
 #include <memory>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::app {
 
--- a/src/app/supervisor.hpp
+++ b/src/app/supervisor.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/error.hpp"
 
 namespace mangospread::app {
--- a/src/base/clock.cc
+++ b/src/base/loop/clock.cc
@@ -1,8 +1,8 @@
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 #include <ctime>
 
-#include "base/simulated_clock.hpp"
+#include "base/loop/simulated_clock.hpp"
 
 namespace mangospread::base {
 namespace {
--- a/src/base/event_loop.cc
+++ b/src/base/loop/event_loop.cc
@@ -1,4 +1,4 @@
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 
 #include <event2/event.h>
 #include <event2/thread.h>
@@ -6,7 +6,7 @@
 #include <random>
 #include <utility>
 
-#include "base/simulated_clock.hpp"
+#include "base/loop/simulated_clock.hpp"
 
 namespace mangospread::base {
 
--- a/src/base/simulated_clock.cc
+++ b/src/base/loop/simulated_clock.cc
@@ -1,4 +1,4 @@
-#include "base/simulated_clock.hpp"
+#include "base/loop/simulated_clock.hpp"
 
 #include <utility>
 
--- a/src/cli/changes.cc
+++ b/src/cli/changes.cc
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::cli {
 namespace {
@@ -22,7 +22,7 @@
 constexpr int kFirstError = 400;
 
 Error ErrorOf(const net::Response& response, const std::string& subject) {
-  const json body = json::parse(response.body, nullptr, false);
+  const json body = json::parse(response.body.str(), nullptr, false);
   const std::string name = body.is_object() ? body.value("error", "") : "";
   for (const Errc code : {Errc::kNotFound, Errc::kConflict, Errc::kForbidden,
                           Errc::kUnauthenticated, Errc::kUnavailable,
@@ -47,7 +47,7 @@
   if (response.value().status >= kFirstError) {
     return ErrorOf(response.value(), path);
   }
-  const json body = json::parse(response.value().body, nullptr, false);
+  const json body = json::parse(response.value().body.str(), nullptr, false);
   if (!body.is_object() || !body.contains("spec") ||
       !body.contains("version")) {
     return Error{Errc::kMalformed, path};
@@ -75,7 +75,7 @@
     if (response.value().status >= kFirstError) {
       return ErrorOf(response.value(), resource);
     }
-    return AcceptedRevision(response.value().body);
+    return AcceptedRevision(response.value().body.str());
   }
   return Error{Errc::kConflict, resource};
 }
@@ -98,9 +98,9 @@
     net::Request request;
     request.target = "/v1/status/config";
     const auto response = Call(server, std::move(request), kTimeout);
-    const json body = response.ok()
-                          ? json::parse(response.value().body, nullptr, false)
-                          : json();
+    const json body =
+        response.ok() ? json::parse(response.value().body.str(), nullptr, false)
+                      : json();
     if (body.is_object()) {
       if (body.value("in_force", std::uint64_t{0}) >= revision.value()) {
         return Done{};
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -116,7 +116,7 @@
 int Print(const Result<net::Response>& response) {
   if (!response.ok()) return PrintError(response.error());
   const bool failed = response.value().status >= kFirstErrorStatus;
-  std::fputs(response.value().body.c_str(), failed ? stderr : stdout);
+  std::fputs(response.value().body.str().c_str(), failed ? stderr : stdout);
   return failed ? kExitFailure : kExitOk;
 }
 
@@ -157,7 +157,7 @@
   const auto response = Call(arguments.server, std::move(request), kTimeout);
   const int status = Print(response);
   if (status != kExitOk || !arguments.wait) return status;
-  const auto revision = AcceptedRevision(response.value().body);
+  const auto revision = AcceptedRevision(response.value().body.str());
   return revision.ok() ? Wait(arguments, revision.value())
                        : PrintError(revision.error());
 }
--- a/src/cli/http_call.cc
+++ b/src/cli/http_call.cc
@@ -3,7 +3,7 @@
 #include <optional>
 #include <utility>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "net/http_client.hpp"
 
 namespace mangospread::cli {
--- a/src/cli/watch.cc
+++ b/src/cli/watch.cc
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <string>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 
 namespace mangospread::cli {
 namespace {
--- a/src/config/editor.hpp
+++ b/src/config/editor.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "config/store.hpp"
 #include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 #include "config/rows.hpp"
 
 namespace mangospread::config {
--- a/src/config/sync.hpp
+++ b/src/config/sync.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "config/store.hpp"
 #include "mangospread/platform/table.hpp"
 #include "rpc/messages.hpp"
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,7 +3,7 @@
 #include <random>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "gateway/request_session.hpp"
 #include "gateway/routing/endpoint_call.hpp"
 #include "gateway/routing/headers.hpp"
--- a/src/gateway/keys/key_store.hpp
+++ b/src/gateway/keys/key_store.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "gateway/keys/key_row.hpp"
 #include "table/writer.hpp"
 
--- a/src/gateway/keys/key_sweep.hpp
+++ b/src/gateway/keys/key_sweep.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
 
--- a/src/gateway/limits/wait_queue.cc
+++ b/src/gateway/limits/wait_queue.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::gateway {
 
--- a/src/gateway/limits/wait_queue.hpp
+++ b/src/gateway/limits/wait_queue.hpp
@@ -9,7 +9,7 @@
 #include <map>
 #include <memory>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/ids.hpp"
 
 namespace mangospread::gateway {
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -5,8 +5,8 @@
 #include <string>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 #include "gateway/routing/endpoint_call.hpp"
 #include "gateway/routing/headers.hpp"
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::membership {
 namespace {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -11,7 +11,7 @@
 #include <set>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/ids.hpp"
 #include "rpc/messages.hpp"
 
--- a/src/ownership/manager.cc
+++ b/src/ownership/manager.cc
@@ -4,8 +4,8 @@
 #include <charconv>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 #include "ownership/manager_entry.hpp"
 #include "ownership/rendezvous.hpp"
 
--- a/src/ownership/manager.hpp
+++ b/src/ownership/manager.hpp
@@ -10,7 +10,7 @@
 #include <optional>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "config/store.hpp"
 #include "mangospread/platform/table.hpp"
 #include "mangospread/platform/vm.hpp"
--- a/src/ownership/manager_rows.cc
+++ b/src/ownership/manager_rows.cc
@@ -1,8 +1,8 @@
 #include <set>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 #include "ownership/manager_entry.hpp"
 #include "ownership/rows.hpp"
 
--- a/src/ownership/owned_worker.cc
+++ b/src/ownership/owned_worker.cc
@@ -5,8 +5,8 @@
 #include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::ownership {
 namespace {
--- a/src/ownership/owned_worker.hpp
+++ b/src/ownership/owned_worker.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/platform/vm.hpp"
 #include "mangospread/platform/worker.hpp"
 #include "net/http_client.hpp"
--- a/src/rpc/peer_server.hpp
+++ b/src/rpc/peer_server.hpp
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
-#include "base/event_loop.hpp"
+#include "base/loop/clock.hpp"
+#include "base/loop/event_loop.hpp"
 #include "rpc/codec/codec.hpp"
 #include "rpc/codec/task_codec.hpp"
 #include "rpc/peer_service.hpp"
--- a/src/scheduler/lifecycle/owner_agent.cc
+++ b/src/scheduler/lifecycle/owner_agent.cc
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "rpc/codec/task_codec.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/owner_agent.hpp
+++ b/src/scheduler/lifecycle/owner_agent.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "rpc/task_messages.hpp"
 #include "scheduler/lifecycle/tasks/rows.hpp"
 
--- a/src/scheduler/lifecycle/role.hpp
+++ b/src/scheduler/lifecycle/role.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "scheduler/lifecycle/tasks/rows.hpp"
 #include "table/writer.hpp"
 
--- a/src/scheduler/lifecycle/scheduler.cc
+++ b/src/scheduler/lifecycle/scheduler.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::scheduler {
 namespace {
--- a/src/scheduler/lifecycle/scheduler.hpp
+++ b/src/scheduler/lifecycle/scheduler.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "config/store.hpp"
 #include "rpc/task_messages.hpp"
 #include "scheduler/lifecycle/role.hpp"
--- a/src/scheduler/lifecycle/scheduler_records.cc
+++ b/src/scheduler/lifecycle/scheduler_records.cc
@@ -1,7 +1,7 @@
 // Jobs, and the states of their tasks.
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "scheduler/lifecycle/scheduler.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/scheduler_workers.cc
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "scheduler/lifecycle/scheduler.hpp"
 
 namespace mangospread::scheduler {
--- a/src/scheduler/lifecycle/tasks/decision_log.cc
+++ b/src/scheduler/lifecycle/tasks/decision_log.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::scheduler {
 
--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -5,8 +5,8 @@
 #include <set>
 #include <utility>
 
-#include "base/clock.hpp"
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::table {
 namespace {
--- a/standin/endpoint/raw_server.hpp
+++ b/standin/endpoint/raw_server.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/error.hpp"
 #include "net/http_message.hpp"
--- a/standin/endpoint/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "endpoint/answer.hpp"
 #include "endpoint/raw_server.hpp"
 #include "endpoint/worker_tasks.hpp"
--- a/standin/endpoint/worker_tasks.cc
+++ b/standin/endpoint/worker_tasks.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::standin {
 namespace {
--- a/standin/endpoint/worker_tasks.hpp
+++ b/standin/endpoint/worker_tasks.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/platform/worker.hpp"
 #include "options.hpp"
 
--- a/standin/host.hpp
+++ b/standin/host.hpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "net/http_server.hpp"
 #include "options.hpp"
 
--- a/standin/proxy/proxy.hpp
+++ b/standin/proxy/proxy.hpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/error.hpp"
 
--- a/standin/sockets.hpp
+++ b/standin/sockets.hpp
@@ -5,7 +5,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
 
 namespace mangospread::standin {
--- a/tests/integration/harness/checks/jobs.cc
+++ b/tests/integration/harness/checks/jobs.cc
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/harness/cluster.cc
+++ b/tests/integration/harness/cluster.cc
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::testing {
 namespace {
--- a/tests/integration/requests/leaving_endpoint_test.cc
+++ b/tests/integration/requests/leaving_endpoint_test.cc
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "integration/harness/checks/ownership.hpp"
 
 namespace mangospread::testing {
--- a/tests/integration/state/owner_failover_test.cc
+++ b/tests/integration/state/owner_failover_test.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "integration/harness/checks/ownership.hpp"
 
 namespace mangospread::testing {
--- a/tests/unit/cluster/ownership_cluster.hpp
+++ b/tests/unit/cluster/ownership_cluster.hpp
@@ -16,8 +16,8 @@
 #include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
-#include "base/simulated_clock.hpp"
+#include "base/loop/clock.hpp"
+#include "base/loop/simulated_clock.hpp"
 #include "ownership/manager.hpp"
 #include "ownership/rows.hpp"
 #include "table/memory_table.hpp"
--- a/tests/unit/cluster/peer_service_test.cc
+++ b/tests/unit/cluster/peer_service_test.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <thread>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::rpc {
 namespace {
--- a/tests/unit/gateway/key_store_test.cc
+++ b/tests/unit/gateway/key_store_test.cc
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "gateway/keys/key_sweep.hpp"
 #include "unit/run_until.hpp"
 #include "unit/state/faulty_table.hpp"
--- a/tests/unit/raw_server.hpp
+++ b/tests/unit/raw_server.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/event_loop.hpp"
+#include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
 
 namespace mangospread::test {
--- a/tests/unit/run_until.hpp
+++ b/tests/unit/run_until.hpp
@@ -7,8 +7,8 @@
 #include <functional>
 #include <stdexcept>
 
-#include "base/clock.hpp"
-#include "base/event_loop.hpp"
+#include "base/loop/clock.hpp"
+#include "base/loop/event_loop.hpp"
 
 namespace mangospread::test {
 
--- a/tests/unit/scheduler/lifecycle_fixture.hpp
+++ b/tests/unit/scheduler/lifecycle_fixture.hpp
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "scheduler/lifecycle/owner_agent.hpp"
 #include "scheduler/lifecycle/scheduler.hpp"
 #include "table/memory_table.hpp"
--- a/tests/unit/state/writer_test.cc
+++ b/tests/unit/state/writer_test.cc
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-#include "base/clock.hpp"
+#include "base/loop/clock.hpp"
 #include "unit/state/faulty_table.hpp"
 
 namespace mangospread::table {
