Split the policy folder by topic

The files move with git mv into queue/, interference/ (with the class table), placement/ (with the worker book and eviction plans) and guard/ (with quarantine); five files of the engine itself stay. Conclusion: no behaviour changes.

--- a/src/scheduler/policy/engine_impl.hpp
+++ b/src/scheduler/policy/engine_impl.hpp
@@ -7,15 +7,15 @@
 #include <unordered_map>
 #include <vector>
 
-#include "scheduler/policy/class_table.hpp"
-#include "scheduler/policy/eviction.hpp"
-#include "scheduler/policy/guard.hpp"
-#include "scheduler/policy/interference.hpp"
-#include "scheduler/policy/placement.hpp"
-#include "scheduler/policy/quarantine.hpp"
-#include "scheduler/policy/queue.hpp"
+#include "scheduler/policy/guard/guard.hpp"
+#include "scheduler/policy/guard/quarantine.hpp"
+#include "scheduler/policy/interference/class_table.hpp"
+#include "scheduler/policy/interference/interference.hpp"
+#include "scheduler/policy/placement/eviction.hpp"
+#include "scheduler/policy/placement/placement.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
+#include "scheduler/policy/queue/queue.hpp"
 #include "scheduler/policy/weights.hpp"
-#include "scheduler/policy/worker_book.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler::policy {
--- a/src/scheduler/policy/guard.cc
+++ b/src/scheduler/policy/guard/guard.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/guard.hpp"
+#include "scheduler/policy/guard/guard.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/guard.hpp
+++ b/src/scheduler/policy/guard/guard.hpp
@@ -7,9 +7,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "scheduler/policy/interference.hpp"
+#include "scheduler/policy/interference/interference.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
 #include "scheduler/policy/weights.hpp"
-#include "scheduler/policy/worker_book.hpp"
 
 namespace mangospread::scheduler::policy {
 
--- a/src/scheduler/policy/quarantine.cc
+++ b/src/scheduler/policy/guard/quarantine.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/quarantine.hpp"
+#include "scheduler/policy/guard/quarantine.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/class_table.cc
+++ b/src/scheduler/policy/interference/class_table.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/class_table.hpp"
+#include "scheduler/policy/interference/class_table.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/interference.cc
+++ b/src/scheduler/policy/interference/interference.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/interference.hpp"
+#include "scheduler/policy/interference/interference.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/interference.hpp
+++ b/src/scheduler/policy/interference/interference.hpp
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "scheduler/policy/class_table.hpp"
+#include "scheduler/policy/interference/class_table.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler::policy {
--- a/src/scheduler/policy/eviction.cc
+++ b/src/scheduler/policy/placement/eviction.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/eviction.hpp"
+#include "scheduler/policy/placement/eviction.hpp"
 
 #include <algorithm>
 
--- a/src/scheduler/policy/eviction.hpp
+++ b/src/scheduler/policy/placement/eviction.hpp
@@ -5,9 +5,9 @@
 #include <random>
 #include <vector>
 
-#include "scheduler/policy/class_table.hpp"
+#include "scheduler/policy/interference/class_table.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
 #include "scheduler/policy/weights.hpp"
-#include "scheduler/policy/worker_book.hpp"
 
 namespace mangospread::scheduler::policy {
 
--- a/src/scheduler/policy/placement.cc
+++ b/src/scheduler/policy/placement/placement.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/placement.hpp"
+#include "scheduler/policy/placement/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/placement.hpp
+++ b/src/scheduler/policy/placement/placement.hpp
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "scheduler/policy/class_table.hpp"
-#include "scheduler/policy/interference.hpp"
-#include "scheduler/policy/quarantine.hpp"
+#include "scheduler/policy/guard/quarantine.hpp"
+#include "scheduler/policy/interference/class_table.hpp"
+#include "scheduler/policy/interference/interference.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
 #include "scheduler/policy/weights.hpp"
-#include "scheduler/policy/worker_book.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler::policy {
--- a/src/scheduler/policy/worker_book.cc
+++ b/src/scheduler/policy/placement/worker_book.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/worker_book.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/scheduler/policy/queue.cc
+++ b/src/scheduler/policy/queue/queue.cc
@@ -1,4 +1,4 @@
-#include "scheduler/policy/queue.hpp"
+#include "scheduler/policy/queue/queue.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/tests/unit/policy_guard_test.cc
+++ b/tests/unit/policy_guard_test.cc
@@ -2,7 +2,7 @@
 
 #include "policy_fixture.hpp"
 #include "scheduler/policy/engine.hpp"
-#include "scheduler/policy/quarantine.hpp"
+#include "scheduler/policy/guard/quarantine.hpp"
 #include "scheduler/policy/weights.hpp"
 
 namespace mangospread::scheduler::policy {
--- a/tests/unit/policy_interference_test.cc
+++ b/tests/unit/policy_interference_test.cc
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "policy_fixture.hpp"
-#include "scheduler/policy/interference.hpp"
+#include "scheduler/policy/interference/interference.hpp"
 
 namespace mangospread::scheduler::policy {
 namespace {
--- a/tests/unit/policy_queue_test.cc
+++ b/tests/unit/policy_queue_test.cc
@@ -3,7 +3,7 @@
 #include <map>
 
 #include "policy_fixture.hpp"
-#include "scheduler/policy/queue.hpp"
+#include "scheduler/policy/queue/queue.hpp"
 
 namespace mangospread::scheduler::policy {
 namespace {
