Price harm to services, give waiting tasks a reason, report quarantine

A price for each service class now follows the mean predicted effect, includes processor pressure and is capped; up to 16 refusals are allowed in a round.

The repeated setup in policy_engine_test becomes one fixture.

--- a/src/scheduler/lifecycle/scheduler.cc
+++ b/src/scheduler/lifecycle/scheduler.cc
@@ -258,6 +258,15 @@
   book_->Save(*task);
 }
 
+void Scheduler::CarryOut(const QuarantineDecision& decision) {
+  log_.Record({base::Event::kWorkerQuarantined,
+               decision.vm.str(),
+               decision.vm,
+               decision.why,
+               0,
+               {}});
+}
+
 void Scheduler::Enqueue(Task& task) {
   task.enqueued = true;
   engine_->Enqueue(DemandOf(task), base::MonotonicNow());
--- a/src/scheduler/lifecycle/scheduler.hpp
+++ b/src/scheduler/lifecycle/scheduler.hpp
@@ -121,6 +121,7 @@
   void CarryOut(const EvictDecision& decision);
   void CarryOut(const ThrottleDecision& decision);
   void CarryOut(const CannotRunDecision& decision);
+  void CarryOut(const QuarantineDecision& decision);
   void Enqueue(Task& task);
   void DrainLost(MonotonicTime now);
 
--- a/src/scheduler/lifecycle/scheduler_status.cc
+++ b/src/scheduler/lifecycle/scheduler_status.cc
@@ -54,12 +54,17 @@
   }
   std::array<int, kTaskStates> counts{};
   std::string reason;
+  const Task* waiting = nullptr;
   for (const Task* task : job->tasks) {
     ++counts[static_cast<std::size_t>(task->record.state)];
     // The reason of a task that ended for good says more than another's.
     if (reason.empty() || task->record.state == TaskState::kCannotRun) {
       reason = task->record.reason;
     }
+    if (waiting == nullptr && task->enqueued) waiting = task;
+  }
+  if (reason.empty() && waiting != nullptr) {
+    reason = engine_->WaitReason(waiting->id);
   }
   return Reply(kOk, {{"job", name.str()},
                      {"finished", false},
@@ -86,7 +91,10 @@
                          {"cost", entry.cost},
                          {"runners_up", std::move(others)}});
   }
-  return Reply(kOk, {{"subject", key}, {"decisions", std::move(decisions)}});
+  json reply = {{"subject", key}, {"decisions", std::move(decisions)}};
+  const std::string waits = engine_->WaitReason(TaskId(key));
+  if (!waits.empty()) reply["waits"] = waits;
+  return Reply(kOk, reply);
 }
 
 }  // namespace mangospread::scheduler
--- a/src/scheduler/policy/engine.cc
+++ b/src/scheduler/policy/engine.cc
@@ -1,6 +1,8 @@
 #include "scheduler/policy/engine.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include "scheduler/policy/engine_impl.hpp"
 
@@ -13,7 +15,7 @@
 constexpr MonotonicTime kFleetStable = std::chrono::seconds(5);
 /// Groups of tasks that may fail to be placed in one call; the others are
 /// tried in the next calls, because a failed group backs off.
-constexpr std::size_t kMostFailures = 8;
+constexpr std::size_t kMostFailures = 16;
 /// After this, urgent work takes any interference.
 constexpr MonotonicTime kUrgentPatience = std::chrono::seconds(1);
 /// An eviction that has not freed room by then is planned elsewhere; twice
@@ -29,7 +31,7 @@
 constexpr MonotonicTime kHoldAfter = std::chrono::minutes(2);
 constexpr MonotonicTime kHoldTime = std::chrono::minutes(10);
 constexpr std::size_t kMostHeldLarge = 2;
-/// Waiting time that adds once the interference limit to it.
+/// Waiting time that adds once the limits of harm to them.
 constexpr double kRelaxSeconds = 600;
 constexpr double kMostRelaxed = 3.0;
 /// Blame of a worker for a task that could not be started at all; the cause
@@ -50,7 +52,7 @@
           [this](Resident& resident, const WorkerEntry& entry) {
             OnResidentRemoved(resident, entry);
           }),
-      placement_(book_, model_, quarantine_, random_),
+      placement_(book_, model_, quarantine_, prices_, random_),
       guard_(book_, model_) {
   book_.set_cpu_bound(tuning_.cpu_bound);
 }
@@ -90,6 +92,7 @@
     it = held_.erase(it);
   }
   guard_.Forget(index);
+  prices_.Set(index, {});
   quarantine_.OnWorkerGone(vm);
   book_.Remove(vm);
 }
@@ -109,6 +112,23 @@
 
 std::size_t Engine::queued() const { return queue_.size() + held_.size(); }
 
+std::string Engine::WaitReason(const TaskId& task) const {
+  if (held_.contains(task)) return "a worker is kept free for it";
+  const Queue::Refused refused = queue_.FindRefused(task);
+  if (refused.demand == nullptr) return {};
+  if (refused.over_quota) return "its team is over its quota";
+  if (refused.refusal == Refusal::kNone) return {};
+  if (refused.refusal == Refusal::kInterference) {
+    return "would slow the services of every worker with room";
+  }
+  const ClassIndex task_class = classes_.FindTask(*refused.demand);
+  if (!book_.FitsBesideServices(
+          book_.NeedOf(*refused.demand, task_class, false))) {
+    return "fits no worker beside its services";
+  }
+  return "no worker has room now";
+}
+
 std::vector<Decision> Engine::Decide(MonotonicTime now, std::size_t limit) {
   now_ = now;
   if (book_.arrivals() != seen_arrivals_) {
@@ -123,7 +143,8 @@
     if (index != WorkerBook::kNone) Refresh(index);
   }
   limited_ = std::move(limited);
-  std::vector<Decision> decisions;
+  std::vector<Decision> decisions = std::exchange(quarantined_, {});
+  prices_.Update(now, placement_.TakePriceRefusal(), tuning_.harm_target);
   guard_.Act(tuning_, now, decisions);
   DecideHeld(decisions);
   DecideQueued(limit, decisions);
@@ -176,10 +197,11 @@
     const Queue::Offer* offer = queue_.Next();
     if (offer == nullptr) return;
     if (DropImpossible(*offer, decisions)) continue;
-    if (TryPlace(*offer, decisions)) {
+    const Refusal refusal = TryPlace(*offer, decisions);
+    if (refusal == Refusal::kNone) {
       ++placed;
     } else {
-      queue_.Skip();
+      queue_.Skip(refusal);
     }
   }
 }
@@ -203,8 +225,8 @@
   return true;
 }
 
-bool Engine::TryPlace(const Queue::Offer& offer,
-                      std::vector<Decision>& decisions) {
+Refusal Engine::TryPlace(const Queue::Offer& offer,
+                         std::vector<Decision>& decisions) {
   // Taking the task from the queue does not change the offer's content.
   const TaskDemand& demand = offer.demand;
   const ClassIndex task_class = classes_.ForTask(demand);
@@ -214,36 +236,44 @@
   const PlacementRequest request{&demand, task_class, need,
                                  demand.urgent && waited >= kUrgentPatience};
   Tuning tuning = tuning_;
-  tuning.interference_limit *= std::min(
+  tuning.price_factor = std::min(
       kMostRelaxed,
       1.0 + std::chrono::duration<double>(waited).count() / kRelaxSeconds);
-  if (RefusedBefore(request, tuning.interference_limit)) return false;
+  tuning.interference_limit *= tuning.price_factor;
+  const Refusal before = RefusedBefore(request, tuning.price_factor);
+  if (before != Refusal::kNone) return before;
   ++attempts_;
   Choice choice = placement_.Choose(request, tuning);
   if (choice.refusal == Refusal::kNone) {
     queue_.Take();
     PlaceOn(demand, task_class, std::move(choice), decisions);
-    return true;
+    return Refusal::kNone;
   }
   const bool no_room = choice.refusal == Refusal::kNoRoom;
-  if (no_room && demand.urgent) return HoldForUrgent(offer, need, decisions);
-  if (no_room && waited >= kHoldAfter && HoldForLarge(offer, need)) return true;
-  refused_.push_back(
-      {task_class, need, no_room ? -1.0 : tuning.interference_limit});
-  return false;
+  if (no_room && demand.urgent) {
+    return HoldForUrgent(offer, need, decisions) ? Refusal::kNone
+                                                 : Refusal::kNoRoom;
+  }
+  if (no_room && waited >= kHoldAfter && HoldForLarge(offer, need)) {
+    return Refusal::kNone;
+  }
+  refused_.push_back({task_class, need, no_room ? -1.0 : tuning.price_factor});
+  return choice.refusal;
 }
 
-bool Engine::RefusedBefore(const PlacementRequest& request,
-                           double limit) const {
-  if (request.demand->urgent) return false;
-  return std::any_of(
+Refusal Engine::RefusedBefore(const PlacementRequest& request,
+                              double factor) const {
+  if (request.demand->urgent) return Refusal::kNone;
+  const auto found = std::find_if(
       refused_.begin(), refused_.end(), [&](const Refused& refused) {
         return refused.task_class == request.task_class &&
-               (refused.limit < 0 || limit <= refused.limit) &&
+               (refused.factor < 0 || factor <= refused.factor) &&
                refused.need.cpu <= request.need.cpu &&
                refused.need.memory <= request.need.memory &&
                refused.need.accelerators <= request.need.accelerators;
       });
+  if (found == refused_.end()) return Refusal::kNone;
+  return found->factor < 0 ? Refusal::kNoRoom : Refusal::kInterference;
 }
 
 bool Engine::HoldForUrgent(const Queue::Offer& offer, const Need& need,
@@ -271,22 +301,14 @@
   std::size_t best = WorkerBook::kNone;
   double best_missing = 0;
   for (std::size_t i = 0; i < book_.entries().size(); ++i) {
-    const WorkerEntry& entry = book_.entries()[i];
     const Room& room = book_.rooms()[i];
     if (room.starts <= 0) continue;
-    Need free{Millicores(room.cpu), Mebibytes(room.memory),
-              Accelerators(room.accelerators)};
     const double missing =
         std::max(0.0,
-                 static_cast<double>((need.cpu - free.cpu).value()) / 1000.0) +
-        std::max(0.0, static_cast<double>((need.memory - free.memory).value()) /
+                 static_cast<double>(need.cpu.value() - room.cpu) / 1000.0) +
+        std::max(0.0, static_cast<double>(need.memory.value() - room.memory) /
                           4000.0);
-    for (const Resident& resident : entry.residents) {
-      const Need freed = book_.FreedBy(entry, resident);
-      free.cpu += freed.cpu;
-      free.memory += freed.memory;
-      free.accelerators += freed.accelerators;
-    }
+    const Need free = book_.RoomWithoutTasks(i);
     if (free.cpu < need.cpu || free.memory < need.memory ||
         free.accelerators < need.accelerators) {
       continue;
@@ -334,6 +356,21 @@
   WorkerEntry& entry = book_.entries()[worker];
   book_.Refresh(worker, quarantine_.StartsAllowed(entry.vm, now_));
   Predict(entry);
+  CountHarm(worker);
+}
+
+void Engine::CountHarm(std::size_t worker) {
+  const WorkerEntry& entry = book_.entries()[worker];
+  const double pressure = CpuPressure(
+      static_cast<double>(entry.cpu_used.value()) /
+      std::max(1.0, static_cast<double>(entry.capacity.cpu.value())));
+  shares_.clear();
+  for (const ServiceSlot& slot : entry.services) {
+    if (!slot.load.guard) continue;
+    shares_.push_back({slot.service_class, slot.level,
+                       slot.predicted + slot.pressure_slope * pressure});
+  }
+  prices_.Set(worker, shares_);
 }
 
 void Engine::RefreshAll() {
@@ -374,6 +411,14 @@
   placement_.OnDeparted(resident.demand.job, entry.rack_index);
 }
 
+void Engine::NoteFailure(const VmName& vm, double blame, MonotonicTime now) {
+  if (!quarantine_.OnFailure(vm, blame, book_.live(), now)) return;
+  const double share = 100 * quarantine_.FailureRate(vm);
+  quarantined_.emplace_back(
+      QuarantineDecision{vm, "failed " + std::to_string(std::lround(share)) +
+                                 "% of its recent attempts"});
+}
+
 void Engine::OnNotStarted(const TaskId& task, const VmName& vm) {
   const std::size_t index = book_.Find(vm);
   if (index == WorkerBook::kNone ||
@@ -381,7 +426,7 @@
     return;
   }
   book_.Depart(index, task, false, now_);
-  quarantine_.OnFailure(vm, kNotStartedBlame, book_.live(), now_);
+  NoteFailure(vm, kNotStartedBlame, now_);
   Refresh(index);
 }
 
@@ -402,7 +447,7 @@
   } else if (end == AttemptEnd::kFailed) {
     const double blame = 1.0 - classes_.use(task_class).failures;
     classes_.RecordFailure(task_class, 1.0 - quarantine_.FailureRate(vm));
-    quarantine_.OnFailure(vm, blame, book_.live(), now);
+    NoteFailure(vm, blame, now);
   } else {
     quarantine_.OnEnded(vm);
   }
--- a/src/scheduler/policy/engine_impl.hpp
+++ b/src/scheduler/policy/engine_impl.hpp
@@ -10,6 +10,7 @@
 #include "scheduler/policy/guard/guard.hpp"
 #include "scheduler/policy/guard/quarantine.hpp"
 #include "scheduler/policy/interference/class_table.hpp"
+#include "scheduler/policy/interference/harm_price.hpp"
 #include "scheduler/policy/interference/interference.hpp"
 #include "scheduler/policy/placement/eviction.hpp"
 #include "scheduler/policy/placement/placement.hpp"
@@ -31,6 +32,7 @@
   void Enqueue(const TaskDemand& task, MonotonicTime now) override;
   void Dequeue(const TaskId& task) override;
   [[nodiscard]] std::size_t queued() const override;
+  [[nodiscard]] std::string WaitReason(const TaskId& task) const override;
   [[nodiscard]] std::vector<Decision> Decide(MonotonicTime now,
                                              std::size_t limit) override;
   void OnNotStarted(const TaskId& task, const VmName& vm) override;
@@ -53,7 +55,7 @@
   struct Refused {
     ClassIndex task_class = kOtherClass;
     Need need;
-    double limit = 0;  ///< Interference limit; below 0 there was no room.
+    double factor = 0;  ///< Relaxation; below 0 there was no room.
   };
 
   // Decisions.
@@ -62,9 +64,12 @@
   /// Reports and drops the offered task if it can never run.
   bool DropImpossible(const Queue::Offer& offer,
                       std::vector<Decision>& decisions);
-  bool TryPlace(const Queue::Offer& offer, std::vector<Decision>& decisions);
-  [[nodiscard]] bool RefusedBefore(const PlacementRequest& request,
-                                   double limit) const;
+  /// @return kNone if the task has left the queue.
+  Refusal TryPlace(const Queue::Offer& offer, std::vector<Decision>& decisions);
+  void NoteFailure(const VmName& vm, double blame, MonotonicTime now);
+  /// @return why an equal or smaller task was refused, or kNone.
+  [[nodiscard]] Refusal RefusedBefore(const PlacementRequest& request,
+                                      double factor) const;
   bool HoldForUrgent(const Queue::Offer& offer, const Need& need,
                      std::vector<Decision>& decisions);
   bool HoldForLarge(const Queue::Offer& offer, const Need& need);
@@ -80,6 +85,7 @@
   void Refresh(std::size_t worker);
   void RefreshAll();
   void Predict(WorkerEntry& entry) const;
+  void CountHarm(std::size_t worker);
   void OnResidentAdded(Resident& resident, const WorkerEntry& entry);
   void OnResidentRemoved(const Resident& resident, const WorkerEntry& entry);
 
@@ -96,12 +102,16 @@
   InterferenceModel model_;
   WorkerBook book_;
   Quarantine quarantine_;
+  HarmPrice prices_;
+  std::vector<HarmPrice::Share> shares_;
   Placement placement_;
   Guard guard_;
   Queue queue_;
   std::map<TaskId, Held> held_;
   std::vector<Refused> refused_;
   std::size_t attempts_ = 0;
+  /// Taken out since the last call of Decide.
+  std::vector<Decision> quarantined_;
   /// Workers whose allowance was limited when last looked at.
   std::vector<VmName> limited_;
   std::uint64_t seen_arrivals_ = 0;
--- a/src/scheduler/policy/interference/class_table.cc
+++ b/src/scheduler/policy/interference/class_table.cc
@@ -19,6 +19,11 @@
 /// not make a new class look broken.
 constexpr double kAssumedSuccesses = 4.0;
 
+TaskClass NameOf(const TaskDemand& task) {
+  if (!task.task_class.empty()) return task.task_class;
+  return TaskClass("team:" + task.team.str());
+}
+
 double Rate(std::uint32_t samples) {
   return std::max(kLearningRate, 1.0 / (samples + 1.0));
 }
@@ -28,8 +33,12 @@
 ClassTable::ClassTable() { entries_.resize(1); }
 
 ClassIndex ClassTable::ForTask(const TaskDemand& task) {
-  if (!task.task_class.empty()) return Find(task.task_class);
-  return Find(TaskClass("team:" + task.team.str()));
+  return Find(NameOf(task));
+}
+
+ClassIndex ClassTable::FindTask(const TaskDemand& task) const {
+  const auto found = by_name_.find(NameOf(task));
+  return found == by_name_.end() ? kOtherClass : found->second;
 }
 
 ClassIndex ClassTable::ForService(const ServiceLoad& service) {
--- a/src/scheduler/policy/interference/class_table.hpp
+++ b/src/scheduler/policy/interference/class_table.hpp
@@ -40,6 +40,8 @@
 
   /// Index of the class of a task; tasks without a class share one per team.
   [[nodiscard]] ClassIndex ForTask(const TaskDemand& task);
+  /// The same without adding a class; kOtherClass if it is not known.
+  [[nodiscard]] ClassIndex FindTask(const TaskDemand& task) const;
   /// Index of the class of a service; one without a class is its own.
   [[nodiscard]] ClassIndex ForService(const ServiceLoad& service);
 
--- a/src/scheduler/policy/placement/placement.cc
+++ b/src/scheduler/policy/placement/placement.cc
@@ -22,10 +22,8 @@
 constexpr double kTaskInterferenceCost = 0.2;
 /// Share of the objective that a placement may plan to use.
 constexpr double kObjectiveShare = 0.95;
-/// A task may add at most this share of the interference limit for each core
-/// that it uses, over all services there. Of the work that waits, this runs
-/// what costs the services least first.
-constexpr double kPricePerCore = 0.125;
+/// Cost of the price of harm, which decides between workers of equal harm.
+constexpr double kChargeCost = 0.01;
 constexpr std::size_t kRunnersUp = 3;
 
 std::size_t StrideFor(std::size_t count) {
@@ -76,8 +74,10 @@
       std::max(0.0, CpuPressure(scored.cpu_share) - before);
   const double cores =
       std::max(0.25, static_cast<double>(request.need.cpu.value()) / 1000.0);
-  double sum_effect = 0;
-  const double price = kPricePerCore * tuning.interference_limit;
+  // Of the work that waits, what costs the services least for each core runs
+  // first. Processor use counts as harm too: above 70% a core slows every
+  // service of the worker more than most tasks do by interference.
+  double charge = 0;
   for (const ServiceSlot& slot : entry.services) {
     const Effect effect =
         CachedEffect(request.task_class, slot.service_class).At(slot.level);
@@ -86,7 +86,10 @@
                          slot.pressure_slope * added_pressure;
     const double total = slot.predicted + slot.pressure_slope * before + added;
     double excess = std::max(0.0, total - tuning.interference_limit);
-    if (slot.load.guard) sum_effect += effect.mean;
+    if (slot.load.guard) {
+      charge += prices_.At(slot.service_class) * slot.level *
+                (effect.mean + slot.pressure_slope * added_pressure);
+    }
     const auto objective = static_cast<double>(slot.load.objective_p99.count());
     if (objective > 0) {
       excess = std::max(
@@ -98,8 +101,11 @@
     scored.predicted = std::max(scored.predicted, total);
     scored.uncertainty = std::max(scored.uncertainty, effect.variance);
   }
-  if (sum_effect > price * cores) scored.acceptable = false;
-  return cost;
+  if (charge > tuning.price_factor * cores) {
+    price_refusal_ = price_refusal_ || scored.acceptable;
+    scored.acceptable = false;
+  }
+  return cost + kChargeCost * charge;
 }
 
 const PairEffect& Placement::CachedEffect(ClassIndex aggressor,
--- a/src/scheduler/policy/placement/placement.hpp
+++ b/src/scheduler/policy/placement/placement.hpp
@@ -6,24 +6,20 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "scheduler/policy/guard/quarantine.hpp"
 #include "scheduler/policy/interference/class_table.hpp"
+#include "scheduler/policy/interference/harm_price.hpp"
 #include "scheduler/policy/interference/interference.hpp"
 #include "scheduler/policy/placement/worker_book.hpp"
+#include "scheduler/policy/queue/queue.hpp"
 #include "scheduler/policy/weights.hpp"
 #include "scheduler/types.hpp"
 
 namespace mangospread::scheduler::policy {
 
-/// Why no worker was chosen.
-enum class Refusal : unsigned char {
-  kNone,
-  kNoRoom,        ///< No worker has room now.
-  kInterference,  ///< Every worker with room would slow a service too much.
-};
-
 struct Choice {
   Refusal refusal = Refusal::kNoRoom;
   std::size_t worker = WorkerBook::kNone;
@@ -49,14 +45,24 @@
   static constexpr std::size_t kCandidates = 64;
 
   Placement(const WorkerBook& book, const InterferenceModel& model,
-            const Quarantine& quarantine, std::mt19937_64& random)
-      : book_(book), model_(model), quarantine_(quarantine), random_(random) {}
+            const Quarantine& quarantine, const HarmPrice& prices,
+            std::mt19937_64& random)
+      : book_(book),
+        model_(model),
+        quarantine_(quarantine),
+        prices_(prices),
+        random_(random) {}
 
   [[nodiscard]] Choice Choose(const PlacementRequest& request,
                               const Tuning& tuning);
   /// True if the worker has the room.
   [[nodiscard]] bool Fits(std::size_t worker, const Need& need) const;
 
+  /// True if a task was refused for the price of harm since the last call.
+  [[nodiscard]] bool TakePriceRefusal() {
+    return std::exchange(price_refusal_, false);
+  }
+
   /// Counts a job's tasks by rack, to spread them.
   void OnPlaced(const JobName& job, std::uint32_t rack);
   void OnDeparted(const JobName& job, std::uint32_t rack);
@@ -95,6 +101,7 @@
   const WorkerBook& book_;
   const InterferenceModel& model_;
   const Quarantine& quarantine_;
+  const HarmPrice& prices_;
   std::mt19937_64& random_;
   std::unordered_map<JobName, JobSpread> spread_;
   std::vector<std::size_t> candidates_;
@@ -106,6 +113,7 @@
   std::vector<CachedPair> effects_;
   std::uint64_t decision_ = 0;
   double exploration_tokens_ = 3;
+  bool price_refusal_ = false;
 };
 
 }  // namespace mangospread::scheduler::policy
--- a/src/scheduler/policy/placement/worker_book.cc
+++ b/src/scheduler/policy/placement/worker_book.cc
@@ -280,6 +280,32 @@
   return freed;
 }
 
+Need WorkerBook::RoomWithoutTasks(std::size_t worker) const {
+  const WorkerEntry& entry = entries_[worker];
+  const Room& room = rooms_[worker];
+  Need free{Millicores(room.cpu), Mebibytes(room.memory),
+            Accelerators(room.accelerators)};
+  for (const Resident& resident : entry.residents) {
+    const Need freed = FreedBy(entry, resident);
+    free.cpu += freed.cpu;
+    free.memory += freed.memory;
+    free.accelerators += freed.accelerators;
+  }
+  return free;
+}
+
+bool WorkerBook::FitsBesideServices(const Need& need) const {
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (!entries_[i].known || !entries_[i].accepts_work) continue;
+    const Need free = RoomWithoutTasks(i);
+    if (need.cpu <= free.cpu && need.memory <= free.memory &&
+        need.accelerators <= free.accelerators) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Room WorkerBook::ComputeRoom(const WorkerEntry& entry) const {
   const double kept = kCpuDeviations * std::sqrt(entry.cpu_var);
   Room room;
--- a/src/scheduler/policy/placement/worker_book.hpp
+++ b/src/scheduler/policy/placement/worker_book.hpp
@@ -141,6 +141,11 @@
   [[nodiscard]] Need FreedBy(const WorkerEntry& worker,
                              const Resident& resident) const;
 
+  /// Room once all tasks of the worker have ended.
+  [[nodiscard]] Need RoomWithoutTasks(std::size_t worker) const;
+  /// True if some worker could hold the need beside its services.
+  [[nodiscard]] bool FitsBesideServices(const Need& need) const;
+
   [[nodiscard]] std::size_t live() const { return by_name_.size(); }
   [[nodiscard]] Millicores total_cpu() const { return total_cpu_; }
   [[nodiscard]] Accelerators total_accelerators() const {
--- a/src/scheduler/policy/queue/queue.cc
+++ b/src/scheduler/policy/queue/queue.cc
@@ -226,11 +226,21 @@
   return &offer_;
 }
 
-void Queue::Skip() {
+Queue::Refused Queue::FindRefused(const TaskId& task) const {
+  const auto found = waiting_.find(task);
+  if (found == waiting_.end()) return {};
+  const Group& group = *found->second.group;
+  const auto team = teams_.find(group.prototype.team);
+  return {&group.prototype, group.refusal,
+          team != teams_.end() && !WithinQuota(team->second, group.prototype)};
+}
+
+void Queue::Skip(Refusal refusal) {
   // Refused offers count too, or aged tasks without room would be offered until
   // the round ends and urgent ones never.
   ++offers_;
   Group& group = *offered_group_;
+  group.refusal = refusal;
   if (group.prototype.urgent) {
     group.retry_at = now_ + kUrgentBackoff;
     ++offered_team_->next_urgent;
--- a/src/scheduler/policy/queue/queue.hpp
+++ b/src/scheduler/policy/queue/queue.hpp
@@ -26,6 +26,13 @@
   Accelerators accelerators;
 };
 
+/// Why no worker was chosen.
+enum class Refusal : unsigned char {
+  kNone,
+  kNoRoom,        ///< No worker has room now.
+  kInterference,  ///< Every worker with room would slow a service too much.
+};
+
 /// Orders urgent tasks first, then teams by weighted dominant share reduced by
 /// the waiting time of their oldest task. Equal tasks of a job form a group;
 /// one failed placement backs off the whole group, so that a round costs no
@@ -55,13 +62,21 @@
   /// The next task to place; null when the round is over.
   [[nodiscard]] const Offer* Next();
   /// The offered task and its equals do not fit now.
-  void Skip();
+  void Skip(Refusal refusal);
   /// The offered task leaves the queue.
   void Take();
 
   /// True if the task is larger than its team's whole quota.
   [[nodiscard]] bool ExceedsQuota(const TaskDemand& task) const;
 
+  /// A waiting task as last refused.
+  struct Refused {
+    const TaskDemand* demand = nullptr;  ///< Of an equal task; null if unknown.
+    Refusal refusal = Refusal::kNone;
+    bool over_quota = false;
+  };
+  [[nodiscard]] Refused FindRefused(const TaskId& task) const;
+
   void AddCharge(const TeamName& team, const Charge& charge);
   void RemoveCharge(const TeamName& team, const Charge& charge);
 
@@ -73,6 +88,7 @@
     MonotonicTime retry_at{0};
     MonotonicTime backoff{0};
     MonotonicTime oldest{0};
+    Refusal refusal = Refusal::kNone;
   };
   struct Waiting {
     Group* group = nullptr;
--- a/src/scheduler/policy/weights.hpp
+++ b/src/scheduler/policy/weights.hpp
@@ -29,6 +29,10 @@
   double cpu_bound = 0.85;
   /// Time that throttling has to help before a task is evicted.
   MonotonicTime eviction_patience = std::chrono::seconds(20);
+  /// Mean predicted ln(p99 / p99 alone) that prices aim at.
+  double harm_target = 0.1;
+  /// Factor by which a task may exceed the price of harm.
+  double price_factor = 1.0;
   double latency_cost = 1.0;
   double throughput_cost = 1.0;
   double eviction_cost = 1.0;
@@ -43,7 +47,9 @@
   // 0..1: how far latency outweighs throughput, 0.5 when they are equal.
   const double lean = (ratio - 0.25) / (ratio + 0.9375);
   Tuning tuning;
-  tuning.interference_limit = 0.095 - 0.01 * lean;
+  // The limit bounds single services; the mean is held by the target.
+  tuning.interference_limit = 0.15;
+  tuning.harm_target = 0.1 - 0.008 * lean;
   tuning.pessimism = 0.25 + 0.75 * lean;
   tuning.cpu_bound = 0.92 - 0.05 * lean;
   const double patience = std::clamp(evictions / latency, 0.25, 4.0);
--- a/src/scheduler/types.hpp
+++ b/src/scheduler/types.hpp
@@ -114,8 +114,14 @@
   std::string why;
 };
 
+/// A worker fails what it starts and gets no task for a while.
+struct QuarantineDecision {
+  VmName vm;
+  std::string why;
+};
+
 using Decision = std::variant<PlaceDecision, EvictDecision, ThrottleDecision,
-                              CannotRunDecision>;
+                              CannotRunDecision, QuarantineDecision>;
 
 /// How an attempt ended, for learning and quarantine.
 enum class AttemptEnd : unsigned char {
@@ -145,6 +151,11 @@
   /// Drops a waiting task.
   virtual void Dequeue(const TaskId& task) = 0;
   [[nodiscard]] virtual std::size_t queued() const = 0;
+  /// Why a waiting task was not placed when it was last tried; empty for one
+  /// that was not tried or does not wait.
+  [[nodiscard]] virtual std::string WaitReason(const TaskId& /*task*/) const {
+    return {};
+  }
 
   /// The next decisions, at most `limit` placements. A placed task has left
   /// the queue and occupies its worker from then on.
--- a/tests/unit/policy_engine_test.cc
+++ b/tests/unit/policy_engine_test.cc
@@ -15,6 +15,21 @@
   return MakeEngine(*PresetWeights("latency-first"), 7);
 }
 
+/// One worker with one accelerator, and a task that occupies it.
+struct FullWorker {
+  FullWorker() {
+    worker.capacity.accelerators = Accelerators(1);
+    engine->UpdateWorker(worker);
+    task.accelerators = Accelerators(1);
+    engine->Enqueue(task, seconds(1));
+    REQUIRE(PlacesIn(engine->Decide(seconds(1), 10)).size() == 1);
+  }
+
+  std::unique_ptr<DecisionEngine> engine = TestEngine();
+  WorkerState worker = MakeWorker("w1", "r1");
+  TaskDemand task = MakeTask("j/0");
+};
+
 // Guards against room computed from lagging reports: what was placed since the
 // report has to count, or one worker gets everything at once.
 TEST_CASE("placements since the last report count in full") {
@@ -52,17 +67,10 @@
 
 // Guards against room that stays taken after an attempt that never started.
 TEST_CASE("room of a task that did not start is free again") {
-  auto engine = TestEngine();
-  WorkerState worker = MakeWorker("w1", "r1");
-  worker.capacity.accelerators = Accelerators(1);
-  engine->UpdateWorker(worker);
-  TaskDemand task = MakeTask("j/0");
-  task.accelerators = Accelerators(1);
-  engine->Enqueue(task, seconds(1));
-  REQUIRE(PlacesIn(engine->Decide(seconds(1), 10)).size() == 1);
-  engine->OnNotStarted(task.id, worker.vm);
-  engine->Enqueue(task, seconds(2));
-  CHECK(PlacesIn(engine->Decide(seconds(9), 10)).size() == 1);
+  FullWorker f;
+  f.engine->OnNotStarted(f.task.id, f.worker.vm);
+  f.engine->Enqueue(f.task, seconds(2));
+  CHECK(PlacesIn(f.engine->Decide(seconds(9), 10)).size() == 1);
 }
 
 // Guards against urgent work that waits behind a full fleet, and against
@@ -100,19 +108,50 @@
 
 // Guards against an unlisted placement that a report written earlier erases.
 TEST_CASE("an older listing does not drop a newer placement") {
+  FullWorker f;
+  f.worker.report_at = seconds(2);
+  f.engine->UpdateWorker(f.worker);
+  f.task.id = TaskId("j/1");
+  f.engine->Enqueue(f.task, seconds(2));
+  CHECK(f.engine->Decide(seconds(3), 10).empty());
+}
+
+// Guards against a task that waits for ever without a reason because it fits
+// an empty worker but none beside its services.
+TEST_CASE("a waiting task has a reason") {
+  FullWorker f;
+  f.worker.report_at = seconds(2);
+  f.worker.memory_used = Mebibytes(60'000);
+  f.engine->UpdateWorker(f.worker);
+  TaskDemand large = MakeTask("large/0");
+  large.memory = Mebibytes(100'000);
+  f.task.id = TaskId("j/1");
+  CHECK(f.engine->WaitReason(large.id).empty());
+  f.engine->Enqueue(large, seconds(2));
+  f.engine->Enqueue(f.task, seconds(2));
+  CHECK(f.engine->Decide(seconds(40), 10).empty());
+  CHECK(f.engine->WaitReason(large.id) == "fits no worker beside its services");
+  CHECK(f.engine->WaitReason(f.task.id) == "no worker has room now");
+}
+
+// Guards against a worker that is taken out without the operator being told.
+TEST_CASE("a quarantine is reported once") {
   auto engine = TestEngine();
-  WorkerState worker = MakeWorker("w1", "r1");
-  worker.capacity.accelerators = Accelerators(1);
-  engine->UpdateWorker(worker);
-  TaskDemand task = MakeTask("j/0");
-  task.accelerators = Accelerators(1);
-  engine->Enqueue(task, seconds(1));
-  REQUIRE(PlacesIn(engine->Decide(seconds(1), 10)).size() == 1);
-  worker.report_at = seconds(2);
-  engine->UpdateWorker(worker);
-  task.id = TaskId("j/1");
-  engine->Enqueue(task, seconds(2));
-  CHECK(engine->Decide(seconds(3), 10).empty());
+  engine->UpdateWorker(MakeWorker("w1", "r1"));
+  int reported = 0;
+  for (int t = 1; t < 60; ++t) {
+    engine->Enqueue(MakeTask("j/0"), seconds(t));
+    for (const Decision& decision : engine->Decide(seconds(t), 10)) {
+      if (const auto* place = std::get_if<PlaceDecision>(&decision)) {
+        engine->OnEnded(place->task, place->vm, AttemptEnd::kFailed,
+                        seconds(t));
+      } else if (std::holds_alternative<QuarantineDecision>(decision)) {
+        CHECK(std::get<QuarantineDecision>(decision).vm == VmName("w1"));
+        ++reported;
+      }
+    }
+  }
+  CHECK(reported == 1);
 }
 
 }  // namespace
--- a/tests/unit/policy_interference_test.cc
+++ b/tests/unit/policy_interference_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "policy_fixture.hpp"
+#include "scheduler/policy/interference/harm_price.hpp"
 #include "scheduler/policy/interference/interference.hpp"
 
 namespace mangospread::scheduler::policy {
@@ -106,5 +107,34 @@
   CHECK(f.classes.SafeMemory(task, Mebibytes(900)) >= Mebibytes(9'000));
 }
 
+// Guards against a price that ignores harm done, falls although nothing waits
+// for it, or refuses nearly harmless work.
+TEST_CASE("the price of harm follows the mean beside a service class") {
+  HarmPrice prices;
+  const ClassIndex service = 3;
+  prices.Set(0, {{service, 0.5, 0.1}});
+  prices.Update(std::chrono::seconds(1), false, 0.1);
+  const double on_target = prices.At(service);
+  // What is placed counts at once.
+  prices.Set(1, {{service, 0.5, 0.12}});
+  CHECK(prices.At(service) > on_target);
+  prices.Set(1, {});
+  CHECK(prices.At(service) == doctest::Approx(on_target));
+  prices.Set(0, {{service, 0.5, 0.08}});
+  const double below = prices.At(service);
+  prices.Update(std::chrono::seconds(3), false, 0.1);
+  CHECK(prices.At(service) == doctest::Approx(below));
+  for (int t = 4; t < 600; ++t) {
+    prices.Update(std::chrono::seconds(t), t < 300, 0.1);
+  }
+  CHECK(prices.At(service) < below);
+  prices.Set(0, {{service, 0.5, 5.0}});
+  for (int t = 600; t < 6'000; ++t) {
+    prices.Update(std::chrono::seconds(t), true, 0.1);
+  }
+  CHECK(prices.At(service) > on_target);
+  CHECK(prices.At(service) * 0.001 < 1);
+}
+
 }  // namespace
 }  // namespace mangospread::scheduler::policy
--- a/tests/unit/policy_queue_test.cc
+++ b/tests/unit/policy_queue_test.cc
@@ -100,7 +100,7 @@
       ++urgent;
       queue.Take();
     } else {
-      queue.Skip();
+      queue.Skip(Refusal::kNoRoom);
     }
   }
   CHECK(urgent == 4);
@@ -130,7 +130,7 @@
   queue.Add(TeamTask("b", 1), seconds(2));
   queue.BeginRound(seconds(3), kFleet);
   REQUIRE(queue.Next()->demand.team == TeamName("a"));
-  queue.Skip();
+  queue.Skip(Refusal::kNoRoom);
   CHECK(queue.Next()->demand.team == TeamName("b"));
   queue.BeginRound(seconds(3), kFleet);
   CHECK(queue.Next()->demand.team == TeamName("b"));
