--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -6,7 +6,7 @@
 
 #include "app/serve.hpp"
 #include "cli/commands.hpp"
-#include "cli/load.hpp"
+#include "cli/load/load.hpp"
 #include "mangospread/preprocessor.hpp"
 
 namespace {
--- a/src/cli/load.cc
+++ b/src/cli/load/load.cc
@@ -1,4 +1,4 @@
-#include "cli/load.hpp"
+#include "cli/load/load.hpp"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
@@ -12,7 +12,7 @@
 #include "base/loop/clock.hpp"
 #include "base/loop/event_loop.hpp"
 #include "cli/commands.hpp"
-#include "cli/histogram.hpp"
+#include "cli/load/histogram.hpp"
 #include "net/http_client.hpp"
 
 namespace mangospread::cli {
--- a/src/scheduler/policy/guard.hpp
+++ b/src/scheduler/policy/guard/guard.hpp
@@ -7,9 +7,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "scheduler/policy/interference.hpp"
+#include "scheduler/policy/interference/interference.hpp"
+#include "scheduler/policy/placement/worker_book.hpp"
 #include "scheduler/policy/weights.hpp"
-#include "scheduler/policy/worker_book.hpp"
 
 namespace mangospread::scheduler::policy {
 
@@ -25,7 +25,8 @@
   void Observe(std::size_t worker);
   void Forget(std::size_t worker) { states_.erase(worker); }
 
-  /// Appends what to do on workers that reported since the last call.
+  /// Appends what to do on workers that reported since they were last looked
+  /// at, the first 1,000 of them.
   void Act(const Tuning& tuning, MonotonicTime now,
            std::vector<Decision>& decisions);
 
--- a/tests/unit/histogram_test.cc
+++ b/tests/unit/histogram_test.cc
@@ -1,4 +1,4 @@
-#include "cli/histogram.hpp"
+#include "cli/load/histogram.hpp"
 
 #include <doctest/doctest.h>
 
