Report stand-ins that end during a test, and log their ends

Cause looked into: task_once_test failed with every claim of vm-1 answered by connection_lost, and nothing said whether a process had ended. Before: an ended stand-in left an empty log and the wait said nothing. Conclusion: why the stand-in ended is not found yet.

--- a/standin/endpoint/raw_server.cc
+++ b/standin/endpoint/raw_server.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "host.hpp"
 #include "sockets.hpp"
 
 namespace mangospread::standin {
@@ -169,6 +170,8 @@
 void RawServer::Accept(int fd) {
   if (connections_.size() >= max_connections_) {
     ++refused_;
+    Log("refused a connection: " + std::to_string(connections_.size()) +
+        " are open");
     close(fd);
     return;
   }
--- a/standin/endpoint/worker.cc
+++ b/standin/endpoint/worker.cc
@@ -253,8 +253,7 @@
   if (!address.ok()) return 2;
   const auto bound = standin.Listen(address.value());
   if (!bound.ok()) return 1;
-  std::printf("listening http=%s\n", ToString(bound.value()).c_str());
-  std::fflush(stdout);
+  Announce("http=" + ToString(bound.value()));
   RunUntilTerminated(loop);
   return 0;
 }
--- a/standin/host.cc
+++ b/standin/host.cc
@@ -1,12 +1,81 @@
 #include "host.hpp"
 
 #include <event2/event.h>
+#include <execinfo.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <utility>
 
+#include "base/clock.hpp"
+
 namespace mangospread::standin {
+namespace {
+
+constexpr std::int64_t kNanosPerMs = 1'000'000;
+
+/// Calls only functions that are safe in a signal handler; the first call of
+/// backtrace, which may allocate, is made by LogFatalEnds.
+void OnFatalSignal(int number) {
+  char text[] = "standin: ended by signal 00\n";
+  constexpr int kBase = 10;
+  constexpr std::size_t kTens = sizeof(text) - 4;
+  text[kTens] = static_cast<char>('0' + number / kBase % kBase);
+  text[kTens + 1] = static_cast<char>('0' + number % kBase);
+  (void)!write(STDERR_FILENO, text, sizeof(text) - 1);
+  constexpr int kFrames = 40;
+  std::array<void*, kFrames> frames{};
+  const int count = backtrace(frames.data(), kFrames);
+  backtrace_symbols_fd(frames.data(), count, STDERR_FILENO);
+  // SA_RESETHAND has restored the default action.
+  (void)raise(number);
+}
+
+void OnTerminate() {
+  try {
+    if (std::current_exception() != nullptr) {
+      std::rethrow_exception(std::current_exception());
+    }
+  } catch (const std::exception& problem) {
+    Log(std::string("uncaught exception: ") + problem.what());
+  } catch (...) {
+    Log("uncaught exception of unknown type");
+  }
+  std::abort();
+}
+
+}  // namespace
+
+void Log(const std::string& line) {
+  std::fprintf(
+      stderr, "%lld standin[%d]: %s\n",
+      static_cast<long long>(base::WallNanoseconds() / kNanosPerMs),  // NOLINT
+      static_cast<int>(getpid()), line.c_str());
+}
+
+void LogFatalEnds() {
+  std::array<void*, 1> frame{};
+  (void)backtrace(frame.data(), static_cast<int>(frame.size()));
+  struct sigaction action {};
+  action.sa_handler = OnFatalSignal;
+  action.sa_flags = static_cast<int>(SA_RESETHAND | SA_NODEFER);
+  for (const int number : {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT}) {
+    sigaction(number, &action, nullptr);
+  }
+  std::set_terminate(OnTerminate);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void Announce(const std::string& addresses) {
+  Log("listening " + addresses);
+  std::printf("listening %s\n", addresses.c_str());
+  std::fflush(stdout);
+}
 
 int RunHost(base::EventLoop& loop, const Options& options,
             std::function<void(Exchange)> handler) {
@@ -15,23 +84,33 @@
   if (!address.ok()) return 2;
   const auto bound = server.Listen(address.value());
   if (!bound.ok()) return 1;
-  std::printf("listening http=%s\n", ToString(bound.value()).c_str());
-  std::fflush(stdout);
+  Announce("http=" + ToString(bound.value()));
   RunUntilTerminated(loop);
   return 0;
 }
 
 void RunUntilTerminated(base::EventLoop& loop) {
-  std::signal(SIGPIPE, SIG_IGN);
-  event* term = evsignal_new(
-      loop.raw(), SIGTERM,
-      [](evutil_socket_t, short, void* arg) {  // NOLINT
+  // A signalfd tells who sent the signal, unlike a signal event.
+  sigset_t ends;
+  sigemptyset(&ends);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&ends, number);
+  sigprocmask(SIG_BLOCK, &ends, nullptr);
+  const int fd = signalfd(-1, &ends, SFD_NONBLOCK | SFD_CLOEXEC);
+  event* ended = event_new(
+      loop.raw(), fd, EV_READ,
+      [](evutil_socket_t from, short, void* arg) {  // NOLINT
+        signalfd_siginfo info{};
+        (void)!read(from, &info, sizeof(info));
+        Log("ending by signal " + std::to_string(info.ssi_signo) +
+            " from pid " + std::to_string(info.ssi_pid));
         static_cast<base::EventLoop*>(arg)->Stop();
       },
       &loop);
-  event_add(term, nullptr);
+  event_add(ended, nullptr);
   loop.Run();
-  event_free(term);
+  Log("ended");
+  event_free(ended);
+  close(fd);
 }
 
 void ReplyText(net::HttpExchange& exchange, int status,
--- a/standin/host.hpp
+++ b/standin/host.hpp
@@ -1,10 +1,11 @@
 /// @file
-/// Common frame of the HTTP stand-ins: listens, prints the address, runs until
-/// SIGTERM.
+/// Common frame of the stand-ins: logs start, end and fatal signals, prints
+/// the address, runs until SIGTERM.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/event_loop.hpp"
 #include "net/http_server.hpp"
@@ -14,12 +15,22 @@
 
 using Exchange = std::shared_ptr<net::HttpExchange>;
 
+/// Writes a line with the time and the pid to stderr.
+void Log(const std::string& line);
+
+/// Logs fatal signals with a backtrace, and uncaught exceptions, before the
+/// process ends by them. Ignores SIGPIPE.
+void LogFatalEnds();
+
+/// Prints "listening <addresses>", which tests wait for, and logs the same.
+void Announce(const std::string& addresses);
+
 /// Serves `handler` on --listen (default 127.0.0.1:0) until SIGTERM.
 /// @return the exit status.
 int RunHost(base::EventLoop& loop, const Options& options,
             std::function<void(Exchange)> handler);
 
-/// Runs the loop until SIGTERM.
+/// Runs the loop until SIGTERM, SIGINT or SIGHUP and logs who sent it.
 void RunUntilTerminated(base::EventLoop& loop);
 
 /// Replies with a JSON document.
--- a/standin/proxy/run.cc
+++ b/standin/proxy/run.cc
@@ -52,6 +52,7 @@
   if (request.target == "/standin/record") {
     return ReplyText(exchange, kOk, Describe(proxy));
   }
+  Log(request.target + " " + request.body + " at " + Describe(proxy));
   if (request.target == "/standin/cut") {
     proxy.CutAll();
   } else if (request.target == "/standin/silence") {
@@ -88,10 +89,8 @@
   const auto bound = proxy.Listen(listen.value());
   const auto control_bound = server.Listen(control.value());
   if (!bound.ok() || !control_bound.ok()) return 1;
-  std::printf("listening proxy=%s control=%s\n",
-              ToString(bound.value()).c_str(),
-              ToString(control_bound.value()).c_str());
-  std::fflush(stdout);
+  Announce("proxy=" + ToString(bound.value()) +
+           " control=" + ToString(control_bound.value()));
   RunUntilTerminated(loop);
   return 0;
 }
--- a/tests/integration/harness/process.cc
+++ b/tests/integration/harness/process.cc
@@ -9,9 +9,11 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <mutex>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -23,6 +25,24 @@
 
 namespace bp = boost::process;
 
+namespace {
+
+/// Processes that exist, so that a failed wait can tell which of them ended.
+std::mutex all_mutex;
+std::vector<Process*> all;
+
+/// True if a signal stopped the process and none has resumed it.
+bool IsStopped(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  const auto end_of_name = text.rfind(')');
+  return end_of_name != std::string::npos &&
+         text.compare(end_of_name + 1, 2, " T") == 0;
+}
+
+}  // namespace
+
 struct Process::Child {
   bp::ipstream out;
   bp::child process;
@@ -32,10 +52,12 @@
 Process::Process(const std::string& directory, std::string name,
                  const std::string& program,
                  const std::vector<std::string>& arguments)
-    : name_(std::move(name)), child_(std::make_unique<Child>()) {
+    : name_(std::move(name)),
+      log_(directory + "/" + name_ + ".log"),
+      child_(std::make_unique<Child>()) {
   child_->process = bp::child(bp::exe = program, bp::args = arguments,
                               bp::std_in<bp::null, bp::std_out> child_->out,
-                              bp::std_err > directory + "/" + name_ + ".log");
+                              bp::std_err > log_);
   // Boost.Process 1.74 leaves the pipe open to processes started later.
   fcntl(child_->out.pipe().native_source(), F_SETFD, FD_CLOEXEC);
   std::string line;
@@ -52,9 +74,20 @@
     const auto address = ParseAddress(word.substr(equals + 1));
     if (address.ok()) addresses_[word.substr(0, equals)] = address.value();
   }
+  const std::lock_guard<std::mutex> lock(all_mutex);
+  all.push_back(this);
 }
 
-Process::~Process() { Kill(); }
+Process::~Process() {
+  {
+    const std::lock_guard<std::mutex> lock(all_mutex);
+    std::erase(all, this);
+  }
+  if (!running() && !end_expected_) {
+    std::fprintf(stderr, "%s\n", Unexpected().c_str());
+  }
+  Kill();
+}
 
 Address Process::address(const std::string& name) const {
   return addresses_.at(name);
@@ -64,11 +97,13 @@
 void Process::Resume() { kill(child_->process.id(), SIGCONT); }
 
 void Process::Terminate() {
+  end_expected_ = true;
   if (running()) kill(child_->process.id(), SIGTERM);
 }
 
 void Process::Kill() {
   if (!running()) return;
+  end_expected_ = true;
   kill(child_->process.id(), SIGKILL);
   constexpr Milliseconds kLimit{10'000};
   (void)Wait(kLimit);
@@ -92,6 +127,30 @@
   return false;
 }
 
+std::string Process::Unexpected() {
+  if (running()) {
+    const pid_t pid = child_->process.id();
+    return IsStopped(pid) ? name_ + " is stopped by a signal" : "";
+  }
+  if (end_expected_) return "";
+  const int status = *child_->status;
+  const std::string how = status < 0
+                              ? "by signal " + std::to_string(-status) + " (" +
+                                    strsignal(-status) + ")"
+                              : "with exit status " + std::to_string(status);
+  return name_ + " ended unexpectedly " + how + ", see " + log_;
+}
+
+std::string UnexpectedEnds() {
+  const std::lock_guard<std::mutex> lock(all_mutex);
+  std::string text;
+  for (Process* process : all) {
+    const std::string line = process->Unexpected();
+    if (!line.empty()) text += "\n  " + line;
+  }
+  return text;
+}
+
 namespace {
 
 std::string Variable(const char* name) {
--- a/tests/integration/harness/process.hpp
+++ b/tests/integration/harness/process.hpp
@@ -37,15 +37,25 @@
   /// `deadline`, and -signal when a signal ended it.
   [[nodiscard]] std::optional<int> Wait(Milliseconds deadline);
   [[nodiscard]] bool running();
+  /// Empty while the process runs or after Kill or Terminate; otherwise its
+  /// name with its exit status or signal, or that it is stopped.
+  [[nodiscard]] std::string Unexpected();
 
  private:
   struct Child;
 
   std::string name_;
+  std::string log_;
   std::unique_ptr<Child> child_;
+  /// The test itself asked the process to end.
+  bool end_expected_ = false;
   std::map<std::string, Address> addresses_;
 };
 
+/// One line for each child process of the test that ended although the test
+/// did not end it, or that is stopped. Empty if there is none.
+[[nodiscard]] std::string UnexpectedEnds();
+
 /// Program of the node and of the stand-ins, from MANGOSPREAD_BIN and
 /// MANGOSPREAD_STANDIN_BIN.
 [[nodiscard]] std::string NodeProgram();
--- a/tests/integration/harness/wait.cc
+++ b/tests/integration/harness/wait.cc
@@ -4,6 +4,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include "integration/harness/process.hpp"
+
 namespace mangospread::testing {
 
 void WaitUntil(const std::string& description, Milliseconds deadline,
@@ -12,7 +14,8 @@
   const auto until = std::chrono::steady_clock::now() + deadline;
   while (!condition()) {
     if (std::chrono::steady_clock::now() >= until) {
-      throw std::runtime_error("deadline passed, waiting for: " + description);
+      throw std::runtime_error("deadline passed, waiting for: " + description +
+                               UnexpectedEnds());
     }
     std::this_thread::sleep_for(kPeriod);
   }
--- a/tests/integration/harness/wait.hpp
+++ b/tests/integration/harness/wait.hpp
@@ -13,7 +13,8 @@
 inline constexpr Milliseconds kWaitDeadline{30'000};
 
 /// Calls `condition` until it holds. Fails the test case, with `description`,
-/// when it does not hold by the deadline.
+/// and with the processes that ended unexpectedly, when it does not hold by the
+/// deadline.
 void WaitUntil(const std::string& description, Milliseconds deadline,
                const std::function<bool()>& condition);
 
