Signal only test processes that still run

Cause looked into: PIDs wrap at 32,768 here, and a session of builds reaches that within half an hour; Pause and Resume signalled the pid of a process that had ended and was reaped, which may belong to another process by then. Ruled out: Kill and Terminate, which already ask first. Before and after: no test was seen to fail by it; found by reading while looking for the end of a worker stand-in in task_once_test. Conclusion: a precaution, not the cause of that failure.

--- a/tests/integration/harness/process.cc
+++ b/tests/integration/harness/process.cc
@@ -93,8 +93,13 @@
   return addresses_.at(name);
 }
 
-void Process::Pause() { kill(child_->process.id(), SIGSTOP); }
-void Process::Resume() { kill(child_->process.id(), SIGCONT); }
+// The pid of an ended process may belong to another one by now.
+void Process::Pause() {
+  if (running()) kill(child_->process.id(), SIGSTOP);
+}
+void Process::Resume() {
+  if (running()) kill(child_->process.id(), SIGCONT);
+}
 
 void Process::Terminate() {
   end_expected_ = true;
