--- a/standin/proxy/run.cc
+++ b/standin/proxy/run.cc
@@ -54,7 +54,7 @@
   if (request.target == "/standin/record") {
     return ReplyText(exchange, kOk, Describe(proxy));
   }
-  Log(request.target + " " + request.body + " at " + Describe(proxy));
+  Log(request.target + " " + request.body.str() + " at " + Describe(proxy));
   if (request.target == "/standin/cut") {
     proxy.CutAll();
   } else if (request.target == "/standin/silence") {
