Pass requests of commands by reference

Ruled out: a Send that takes its request by value; callers that retry keep theirs. Conclusion: the token goes in as a further header.

--- a/src/cli/changes.cc
+++ b/src/cli/changes.cc
@@ -42,7 +42,7 @@
 Result<Read> ReadResource(const Server& server, const std::string& path) {
   net::Request request;
   request.target = path;
-  const auto response = Call(server, std::move(request), kTimeout);
+  const auto response = Call(server, request, kTimeout);
   if (!response.ok()) return response.error();
   if (response.value().status == kNotFound) return Read{json::object(), 0};
   if (response.value().status >= kFirstError) {
@@ -70,7 +70,7 @@
     request.target = path;
     request.headers.Add("If-Match", std::to_string(read.value().version));
     request.body = base::DumpJson(read.value().spec);
-    const auto response = Call(server, std::move(request), kTimeout);
+    const auto response = Call(server, request, kTimeout);
     if (!response.ok()) return response.error();
     if (response.value().status == kConflict) continue;
     if (response.value().status >= kFirstError) {
@@ -98,7 +98,7 @@
   while (base::MonotonicNow() < limit) {
     net::Request request;
     request.target = "/v1/status/config";
-    const auto response = Call(server, std::move(request), kTimeout);
+    const auto response = Call(server, request, kTimeout);
     const json body =
         response.ok() ? json::parse(response.value().body.str(), nullptr, false)
                       : json();
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -153,8 +153,8 @@
 }
 
 /// Sends a change and prints the answer.
-int PrintChange(const Arguments& arguments, net::Request request) {
-  const auto response = Call(arguments.server, std::move(request), kTimeout);
+int PrintChange(const Arguments& arguments, const net::Request& request) {
+  const auto response = Call(arguments.server, request, kTimeout);
   const int status = Print(response);
   if (status != kExitOk || !arguments.wait) return status;
   const auto revision = AcceptedRevision(response.value().body.str());
@@ -177,7 +177,7 @@
       net::Method::kPut, "/v1/resources/" + arguments.positional[0]);
   request.body = std::move(spec.value());
   AddVersion(arguments, request);
-  return PrintChange(arguments, std::move(request));
+  return PrintChange(arguments, request);
 }
 
 /// Validates a specification without a node.
@@ -225,7 +225,7 @@
   net::Request request = MakeRequest(
       net::Method::kDelete, "/v1/resources/" + arguments.positional[0]);
   AddVersion(arguments, request);
-  return PrintChange(arguments, std::move(request));
+  return PrintChange(arguments, request);
 }
 
 int RunStatus(const Arguments& arguments) {
--- a/src/cli/http_call.cc
+++ b/src/cli/http_call.cc
@@ -12,17 +12,18 @@
   return server.token.empty() ? "" : "Bearer " + server.token;
 }
 
-Result<net::Response> Call(const Server& server, net::Request request,
+Result<net::Response> Call(const Server& server, const net::Request& request,
                            Milliseconds timeout) {
+  net::Headers further;
   if (auto value = Authorization(server); !value.empty()) {
-    request.headers.Add("Authorization", std::move(value));
+    further.Add("Authorization", std::move(value));
   }
   base::EventLoop loop;
   const auto pool = net::HttpClientPool::Create(loop, server.address, {});
   std::optional<Result<net::Response>> result;
   net::CallOptions options;
   options.timeout = timeout;
-  pool->Send(std::move(request), options, [&](net::CallResult call) {
+  pool->Send(request, further, options, [&](net::CallResult call) {
     result = std::move(call.response);
     loop.Stop();
   });
--- a/src/cli/http_call.hpp
+++ b/src/cli/http_call.hpp
@@ -23,7 +23,7 @@
 /// Sends a request and waits for the response.
 /// @errors those of net::HttpClientPool::Send.
 [[nodiscard]] Result<net::Response> Call(const Server& server,
-                                         net::Request request,
+                                         const net::Request& request,
                                          Milliseconds timeout);
 
 }  // namespace mangospread::cli
