--- a/scripts/bench_requests.sh
+++ b/scripts/bench_requests.sh
@@ -7,19 +7,8 @@
 build=${1:-build}
 duration=${2:-5000}
 rounds=${3:-3}
-logs=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-}
-trap cleanup EXIT
-
-start() {  # name, command...
-  local name=$1
-  shift
-  "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-  pids+=($!)
-}
+# shellcheck source=scripts/bench_lib.sh
+source "$(dirname "$0")/bench_lib.sh"
 wait_for() {
   for _ in $(seq 1 300); do
     if eval "$1" >/dev/null 2>&1; then return 0; fi
--- a/scripts/bench_table_load.sh
+++ b/scripts/bench_table_load.sh
@@ -7,29 +7,8 @@
 nodes=${2:-6}
 duration=${3:-10000}
 rates=${4:-"100 500 1000"}
-logs=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-}
-trap cleanup EXIT
-
-start() {  # name, command...
-  local name=$1
-  shift
-  "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-  pids+=($!)
-}
-address() {  # process name, field
-  local text=""
-  for _ in $(seq 1 200); do
-    text=$(sed -n "s/.*$2=\([0-9.:]*\).*/\1/p" "$logs/$1.out" | head -1)
-    [ -n "$text" ] && break
-    sleep 0.05
-  done
-  [ -n "$text" ] || { echo "$1 did not start (logs in $logs)" >&2; exit 1; }
-  echo "$text"
-}
+# shellcheck source=scripts/bench_lib.sh
+source "$(dirname "$0")/bench_lib.sh"
 
 start table "$build/mangospread-standin" table --delay-ms 4
 start vms "$build/mangospread-standin" vm-list
