--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
 # Regenerates the Cap'n Proto sources. Needs the Debian package "capnproto".
 set -euo pipefail
-cd "$(dirname "$0")/../src/rpc/schema"
-capnp compile -oc++ --src-prefix=. peer.capnp
+root=$(cd "$(dirname "$0")/.." && pwd)
+for schema in src/rpc/schema/peer src/dispatch/peer/schema/dispatch; do
+  cd "$root/$(dirname "$schema")"
+  capnp compile -oc++ --src-prefix=. "$(basename "$schema").capnp"
+done
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl jq bc
   libsigc++-3.0-dev libevent-dev libcapnp-dev prometheus-cpp-dev
   libboost-program-options-dev libboost-filesystem-dev libboost-dev
-  libspdlog-dev doctest-dev nlohmann-json3-dev libxxhash-dev
+  libspdlog-dev doctest-dev nlohmann-json3-dev libxxhash-dev libtomlplusplus-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/app/platform_serve.cc
@@ -0,0 +1,285 @@
+#include "app/platform_serve.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "app/signal_handler.hpp"
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+#include "base/loop/event_loop.hpp"
+#include "dispatch/node/node.hpp"
+#include "net/http_server.hpp"
+#include "platform/codec.hpp"
+#include "platform/front.hpp"
+#include "platform/settings.hpp"
+#include "platform/store.hpp"
+#include "platform/worker_link.hpp"
+
+namespace mangospread::app {
+namespace {
+
+using dispatch::Catalog;
+using dispatch::LeaderRecord;
+using dispatch::WorkerInfo;
+using platform::ChangedRow;
+
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+constexpr int kReady = 200;
+constexpr int kNotReady = 503;
+constexpr Milliseconds kStoreTimeout{1'000};
+constexpr Milliseconds kOrderTimeout{700};
+constexpr Milliseconds kLogFlushPeriod{250};
+/// The balancer stops sending connections after two failed probes, one a
+/// second.
+constexpr Milliseconds kDrainNotice{2'300};
+constexpr Milliseconds kStopCheckPeriod{50};
+/// Left of the grace time when the process ends at the latest.
+constexpr Milliseconds kStopMargin{700};
+constexpr const char* kPartition = "g0";
+
+/// Keeps a process's parts together and connects them.
+class ManagedNode {
+ public:
+  ManagedNode(base::EventLoop& loop, platform::SiteSettings settings)
+      : loop_(loop),
+        settings_(std::move(settings)),
+        store_pool_(net::HttpClientPool::Create(loop, settings_.store, {})),
+        table_(store_pool_, kPartition, kStoreTimeout),
+        node_(MakeDependencies(), MakeOptions()),
+        front_({[this] { return catalog_ ? &*catalog_ : nullptr; },
+                [this](dispatch::ServiceCall call,
+                       dispatch::ServiceCallback done) {
+                  node_.Handle(std::move(call), std::move(done));
+                }}),
+        front_server_(loop, {},
+                      [this](std::shared_ptr<net::HttpExchange> exchange) {
+                        front_.Handle(std::move(exchange));
+                      }),
+        ready_server_(loop, {},
+                      [this](const std::shared_ptr<net::HttpExchange>& probe) {
+                        probe->Reply({ready() ? kReady : kNotReady, {}, {}});
+                      }) {}
+
+  [[nodiscard]] Result<Done> Start() {
+    auto peer = node_.Start();
+    if (!peer.ok()) return peer.error();
+    auto front = front_server_.Listen(settings_.front);
+    if (!front.ok()) return front.error();
+    auto probe = ready_server_.Listen(settings_.ready_probe);
+    if (!probe.ok()) return probe.error();
+    FollowCatalog();
+    FollowLeader();
+    return Done();
+  }
+
+  /// Ends new work, hands the leadership over and stops the loop when all
+  /// requests are answered.
+  void Stop() {
+    if (stopping_) return;
+    stopping_ = true;
+    base::Log(base::Event::kShutdownBegun, {});
+    front_server_.CloseConnections();
+    stop_begun_ = base::MonotonicNow();
+    node_.Resign([] {});
+    stop_timer_ = loop_.Every(kStopCheckPeriod, 0, [this] { CheckStopped(); });
+  }
+
+ private:
+  [[nodiscard]] bool ready() const {
+    return !stopping_ && catalog_ && node_.ready();
+  }
+
+  dispatch::NodeOptions MakeOptions() const {
+    dispatch::NodeOptions options;
+    options.node = settings_.node;
+    options.incarnation = Incarnation(base::WallNanoseconds());
+    options.data_center = settings_.data_center;
+    options.peer_address = {settings_.ip, settings_.first_port};
+    return options;
+  }
+
+  dispatch::NodeDependencies MakeDependencies() {
+    return {loop_, table_,
+            [this](const WorkerInfo& worker) {
+              return std::make_shared<platform::HttpWorkerLink>(loop_, worker,
+                                                                kOrderTimeout);
+            },
+            platform::DecodeSubmission,
+            [this](bool leading) {
+              if (leading) {
+                FollowWorkers();
+              } else {
+                loop_.Post([this] { workers_feed_.reset(); });
+              }
+            }};
+  }
+
+  void FollowCatalog() {
+    const auto install = [this](const std::vector<ChangedRow>& rows) {
+      for (const ChangedRow& row : rows) {
+        if (row.key == "config" && row.value) InstallCatalog(*row.value);
+      }
+    };
+    catalog_feed_ = std::make_unique<platform::StoreFeed>(
+        loop_, store_pool_, "op", "",
+        platform::FeedHooks{install, install, {}});
+  }
+
+  void InstallCatalog(const std::string& value) {
+    auto catalog = platform::DecodeCatalog(value);
+    if (!catalog.ok()) {
+      base::Log(
+          base::Event::kEntryMalformed,
+          {{"source", "configuration"}, {"subject", catalog.error().subject}});
+      return;
+    }
+    if (catalog_ && catalog.value().revision <= catalog_->revision) return;
+    catalog_ = std::move(catalog.value());
+    base::Log(base::Event::kCatalogInstalled,
+              {{"revision", catalog_->revision.value()},
+               {"routes", catalog_->routes.size()}});
+  }
+
+  void FollowLeader() {
+    const auto install = [this](const std::vector<ChangedRow>& rows) {
+      for (const ChangedRow& row : rows) {
+        if (row.key == "leader") InstallLeader(row);
+      }
+    };
+    const auto install_all = [this,
+                              install](const std::vector<ChangedRow>& rows) {
+      if (rows.empty()) node_.OnLeaderRow(std::nullopt);
+      install(rows);
+    };
+    leader_feed_ = std::make_unique<platform::StoreFeed>(
+        loop_, store_pool_, "role", kPartition,
+        platform::FeedHooks{install_all, install, {}});
+  }
+
+  void InstallLeader(const ChangedRow& row) {
+    if (!row.value) return;
+    auto leader = dispatch::DecodeLeader(*row.value);
+    if (!leader.ok()) return;
+    leader.value().version = row.version;
+    node_.OnLeaderRow(leader.value());
+  }
+
+  void FollowWorkers() {
+    workers_feed_ = std::make_unique<platform::StoreFeed>(
+        loop_, store_pool_, "servers", "",
+        platform::FeedHooks{[this](const std::vector<ChangedRow>& rows) {
+                              workers_.clear();
+                              for (const ChangedRow& row : rows)
+                                InstallWorker(row);
+                              node_.OnWorkers(workers_);
+                            },
+                            [this](const std::vector<ChangedRow>& rows) {
+                              bool changed = false;
+                              for (const ChangedRow& row : rows) {
+                                changed = InstallWorker(row) || changed;
+                              }
+                              if (changed) node_.OnWorkers(workers_);
+                            },
+                            {}});
+  }
+
+  /// Returns true if the list changed.
+  bool InstallWorker(const ChangedRow& row) {
+    const VmName vm(row.key);
+    if (!row.value) return workers_.erase(vm) > 0;
+    auto worker = platform::DecodeWorker(row.key, *row.value);
+    if (!worker.ok()) {
+      base::Log(base::Event::kEntryMalformed,
+                {{"source", "worker"},
+                 {"vm", row.key},
+                 {"subject", worker.error().subject}});
+      return workers_.erase(vm) > 0;
+    }
+    const auto it = workers_.find(vm);
+    if (it != workers_.end() && it->second == worker.value()) return false;
+    workers_[vm] = std::move(worker.value());
+    return true;
+  }
+
+  void CheckStopped() {
+    const auto elapsed = base::MonotonicNow() - stop_begun_;
+    const bool idle = front_.in_flight() == 0 && front_server_.unwritten() == 0;
+    if (elapsed < kDrainNotice ||
+        (!idle && elapsed < settings_.stop_grace - kStopMargin)) {
+      return;
+    }
+    base::Log(base::Event::kShutdownDone, {{"in_flight", front_.in_flight()}});
+    loop_.Stop();
+  }
+
+  base::EventLoop& loop_;
+  platform::SiteSettings settings_;
+  std::shared_ptr<net::HttpClientPool> store_pool_;
+  platform::StoreTable table_;
+  std::optional<Catalog> catalog_;
+  std::map<VmName, WorkerInfo> workers_;
+  dispatch::Node node_;
+  platform::Front front_;
+  net::HttpServer front_server_;
+  net::HttpServer ready_server_;
+  std::unique_ptr<platform::StoreFeed> catalog_feed_;
+  std::unique_ptr<platform::StoreFeed> leader_feed_;
+  std::unique_ptr<platform::StoreFeed> workers_feed_;
+  bool stopping_ = false;
+  MonotonicTime stop_begun_{0};
+  base::Timer stop_timer_;
+};
+
+std::optional<platform::SiteSettings> LoadSettings() {
+  const char* path = std::getenv(platform::kSettingsPathVariable);
+  auto settings =
+      path == nullptr
+          ? Result<platform::SiteSettings>(
+                Error{Errc::kMissingField, platform::kSettingsPathVariable})
+          : platform::ReadSettings(path);
+  if (settings.ok()) return std::move(settings.value());
+  base::Log(base::Event::kSettingsInvalid,
+            {{"setting", settings.error().subject},
+             {"error", ErrcName(settings.error().code)}});
+  return std::nullopt;
+}
+
+}  // namespace
+
+int ServeManaged(bool check_only) {
+  const auto settings = LoadSettings();
+  if (!settings) return kExitUsage;
+  if (check_only) {
+    std::puts("settings are valid");
+    return 0;
+  }
+  base::ConfigureLog(base::Severity::kInfo, settings->node.str());
+  std::signal(SIGPIPE, SIG_IGN);
+  base::EventLoop loop;
+  ManagedNode node(loop, *settings);
+  const SignalHandler term(loop, SIGTERM, [&node] { node.Stop(); });
+  const SignalHandler interrupt(loop, SIGINT, [&node] { node.Stop(); });
+  const auto started = node.Start();
+  if (!started.ok()) {
+    base::Log(base::Event::kChildFailed,
+              {{"error", ErrcName(started.error().code)},
+               {"subject", started.error().subject}});
+    return kExitFailure;
+  }
+  base::Log(base::Event::kNodeStarting,
+            {{"node", settings->node.str()},
+             {"data_center", settings->data_center.str()},
+             {"front", ToString(settings->front)}});
+  const auto flush = loop.Every(kLogFlushPeriod, 0, [] { base::FlushLog(); });
+  loop.Run();
+  base::FlushLog();
+  return 0;
+}
+
+}  // namespace mangospread::app
--- a/src/app/serve.cc
+++ b/src/app/serve.cc
@@ -1,7 +1,5 @@
 #include "app/serve.hpp"
 
-#include <event2/event.h>
-
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -9,7 +7,9 @@
 
 #include "app/node/embedded_platform.hpp"
 #include "app/node/node.hpp"
+#include "app/platform_serve.hpp"
 #include "app/settings.hpp"
+#include "app/signal_handler.hpp"
 #include "base/events.hpp"
 #include "table/http_table.hpp"
 #include "table/memory_table.hpp"
@@ -42,28 +42,6 @@
   return platform;
 }
 
-/// Calls `fn` on a signal for as long as it exists.
-class SignalHandler {
- public:
-  SignalHandler(base::EventLoop& loop, int signal, std::function<void()> fn)
-      : fn_(std::move(fn)) {
-    event_ = evsignal_new(
-        loop.raw(), signal,
-        [](evutil_socket_t, short, void* arg) {  // NOLINT
-          static_cast<SignalHandler*>(arg)->fn_();
-        },
-        this);
-    event_add(event_, nullptr);
-  }
-  ~SignalHandler() { event_free(event_); }
-  SignalHandler(const SignalHandler&) = delete;
-  SignalHandler& operator=(const SignalHandler&) = delete;
-
- private:
-  event* event_;
-  std::function<void()> fn_;
-};
-
 bool HasFlag(const std::vector<std::string>& arguments, const char* flag) {
   return std::find(arguments.begin(), arguments.end(), flag) != arguments.end();
 }
@@ -100,6 +78,9 @@
     std::fputs(SettingsHelp().c_str(), stdout);
     return 0;
   }
+  if (HasFlag(arguments, "--managed")) {
+    return ServeManaged(HasFlag(arguments, "--check"));
+  }
   std::vector<Error> problems;
   const Settings settings = ParseSettings(arguments, problems);
   for (const Error& problem : problems) {
--- /dev/null
+++ b/src/app/signal_handler.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// Signals as callbacks of the loop.
+#pragma once
+
+#include <event2/event.h>
+
+#include <functional>
+#include <utility>
+
+#include "base/loop/event_loop.hpp"
+
+namespace mangospread::app {
+
+/// Calls `fn` on a signal for as long as it exists.
+class SignalHandler {
+ public:
+  SignalHandler(base::EventLoop& loop, int signal, std::function<void()> fn)
+      : fn_(std::move(fn)) {
+    event_ = evsignal_new(
+        loop.raw(), signal,
+        [](evutil_socket_t, short, void* arg) {  // NOLINT
+          static_cast<SignalHandler*>(arg)->fn_();
+        },
+        this);
+    event_add(event_, nullptr);
+  }
+  ~SignalHandler() { event_free(event_); }
+  SignalHandler(const SignalHandler&) = delete;
+  SignalHandler& operator=(const SignalHandler&) = delete;
+
+ private:
+  event* event_;
+  std::function<void()> fn_;
+};
+
+}  // namespace mangospread::app
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -204,6 +204,46 @@
       return {"job_finished", Severity::kInfo};
     case Event::kSchedulerRebuilt:
       return {"scheduler_rebuilt", Severity::kInfo};
+    case Event::kSubmissionAccepted:
+      return {"submission_accepted", Severity::kInfo};
+    case Event::kSubmissionRefused:
+      return {"submission_refused", Severity::kInfo};
+    case Event::kSubmissionEnded:
+      return {"submission_ended", Severity::kInfo};
+    case Event::kRunDecided:
+      return {"run_decided", Severity::kInfo};
+    case Event::kOrderUnanswered:
+      return {"order_unanswered", Severity::kInfo};
+    case Event::kFillThrottled:
+      return {"fill_throttled", Severity::kInfo};
+    case Event::kWorkerAttached:
+      return {"worker_attached", Severity::kInfo};
+    case Event::kWorkerOver:
+      return {"worker_over", Severity::kInfo};
+    case Event::kLeaderActive:
+      return {"leader_active", Severity::kInfo};
+    case Event::kLeaderInactive:
+      return {"leader_inactive", Severity::kInfo};
+    case Event::kLeaderFollowed:
+      return {"leader_followed", Severity::kInfo};
+    case Event::kLeaderLost:
+      return {"leader_lost", Severity::kInfo};
+    case Event::kCatalogInstalled:
+      return {"catalog_installed", Severity::kInfo};
+    case Event::kStoreLost:
+      return {"store_lost", Severity::kInfo};
+    case Event::kStoreRegained:
+      return {"store_regained", Severity::kInfo};
+    case Event::kEntryMalformed:
+      return {"entry_malformed", Severity::kInfo};
+    case Event::kSettingsReloaded:
+      return {"settings_reloaded", Severity::kInfo};
+    case Event::kSubmissionCancelled:
+      return {"submission_cancelled", Severity::kInfo};
+    case Event::kHoldFailed:
+      return {"hold_failed", Severity::kInfo};
+    case Event::kWorkerListed:
+      return {"worker_listed", Severity::kInfo};
     case Event::kRequestInvalid:
       return {"request_invalid", Severity::kInfo};
     case Event::kWatchOpened:
--- /dev/null
+++ b/src/dispatch/core/dispatcher.hpp
@@ -0,0 +1,155 @@
+/// @file
+/// Decides what runs where. Has no sockets and no clock.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dispatch/core/end_ledger.hpp"
+#include "dispatch/core/job.hpp"
+#include "dispatch/model/messages.hpp"
+#include "dispatch/policy/order.hpp"
+#include "dispatch/policy/placement.hpp"
+#include "dispatch/policy/worker_book.hpp"
+#include "dispatch/policy/worker_health.hpp"
+
+namespace mangospread::dispatch {
+
+struct DispatcherHooks {
+  /// Sends an order to the agent of the worker that it names.
+  std::function<void(AgentOrder)> send;
+  /// The submission's progress must be stored; SavedUpTo follows.
+  std::function<void(const SubmissionId&)> save;
+  /// Records a decision for the log.
+  std::function<void(const TaskName&, const VmName&, std::string_view what,
+                     std::string_view why)>
+      log;
+};
+
+/// Counts of decisions since the start.
+struct DispatcherCounters {
+  std::uint64_t started = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t done = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t requeued = 0;
+  std::uint64_t stalled = 0;
+  std::uint64_t excluded = 0;
+};
+
+/// State of all submissions of a group and of the workers that run them.
+///
+/// A task is started again only when its previous run certainly cannot run any
+/// more: its worker listed its end, refused the start for good, ended itself,
+/// or its lease is over. An end is acknowledged to the worker only after the
+/// progress that it causes was stored, and a final state is shown only then.
+class Dispatcher {
+ public:
+  /// @param first_run lowest number for starts, above those of any earlier
+  ///   scheduler of the group.
+  Dispatcher(DispatcherHooks hooks, std::uint32_t first_run);
+
+  // Submissions.
+
+  /// Adds an accepted (stored) submission.
+  void Add(Submission submission, QueuePolicy policy, MonotonicTime now);
+  /// Adds a submission read back from the store. Its tasks start only after
+  /// Resume: until then a worker may still list them as running.
+  void Restore(Submission submission, QueuePolicy policy,
+               const JobProgress& progress, MonotonicTime accepted_at);
+  /// Every worker that may run restored tasks is attached or certainly ended.
+  void Resume() { resumed_ = true; }
+  /// Ends a submission at the caller's wish; its runs are stopped once the
+  /// cancellation is stored. False if there is no such submission.
+  bool Cancel(const SubmissionId& id, MonotonicTime now);
+  /// The state that callers may be shown: final states only once stored.
+  [[nodiscard]] std::optional<SubmissionState> State(
+      const SubmissionId& id) const;
+  [[nodiscard]] int Pending(const QueueName& queue) const;
+  /// Progress to be stored and the generation that it stands for.
+  [[nodiscard]] JobProgress Progress(const SubmissionId& id) const;
+  [[nodiscard]] const QueueName& Queue(const SubmissionId& id) const {
+    return entries_.at(id).job->policy().queue;
+  }
+  [[nodiscard]] std::uint64_t Generation(const SubmissionId& id) const;
+  /// Progress of that generation is stored.
+  void OnSaved(const SubmissionId& id, std::uint64_t generation,
+               MonotonicTime now);
+
+  // Workers.
+
+  void OnWorker(const WorkerInfo& info);
+  /// The worker left the list; its runs count until its end is certain.
+  void OnEvent(const AgentEvent& event, MonotonicTime now);
+  /// The worker's process or its lease is certainly over.
+  void OnWorkerOver(const VmName& vm, std::string_view why, MonotonicTime now);
+
+  /// Starts waiting tasks where there is room.
+  void Decide(MonotonicTime now);
+
+  [[nodiscard]] const WorkerBook& book() const noexcept { return book_; }
+  [[nodiscard]] const DispatcherCounters& counters() const noexcept {
+    return counters_;
+  }
+  [[nodiscard]] std::size_t active() const noexcept { return active_.size(); }
+
+ private:
+  struct Entry {
+    std::unique_ptr<Job> job;
+    std::uint64_t generation = 0;
+    std::uint64_t saved_generation = 0;
+    SubmissionState shown = SubmissionState::kQueued;
+    bool restored = false;
+  };
+  struct Candidate;
+
+  void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
+  void Adopt(WorkerSlot slot, const RunningRun& running, MonotonicTime now);
+  void OnEnded(WorkerSlot slot, WorkerBirth born, const EndedRun& end,
+               MonotonicTime now);
+  void ApplyEnd(Entry& entry, const TaskName& name, Task& task,
+                const EndedRun& end, const VmName& vm, MonotonicTime now);
+  void OnNotStarted(WorkerSlot slot, const RunNotStarted& event,
+                    MonotonicTime now);
+  void OnStarted(const RunStarted& event, MonotonicTime now);
+  void OnStalled(WorkerSlot slot, const RunStalled& event, MonotonicTime now);
+
+  Entry* FindEntry(const SubmissionId& id);
+  void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
+             MonotonicTime now);
+  /// Takes a run off its worker's books.
+  void Vacate(const TaskName& name, Task& task);
+  void Requeue(Entry& entry, const TaskName& name, Task& task,
+               std::string_view why, MonotonicTime now);
+  void StopTask(const TaskName& name, Task& task, MonotonicTime now);
+  void StopAll(Entry& entry, MonotonicTime now);
+  void MarkChanged(Entry& entry);
+  void Blame(const VmName& vm, const SubmissionId& id, MonotonicTime now);
+  void Acknowledge(const VmName& vm, WorkerBirth born);
+  [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
+  /// Places waiting tasks of a step; returns false if one found no room.
+  bool PlaceStep(Candidate& candidate, MonotonicTime now);
+  [[nodiscard]] int TasksOfStep(const Entry& entry, int step,
+                                WorkerSlot slot) const;
+  [[nodiscard]] static RunTraits TraitsOf(const StepSpec& spec);
+
+  DispatcherHooks hooks_;
+  std::uint32_t first_run_;
+  bool resumed_ = true;
+  std::unordered_map<SubmissionId, Entry> entries_;
+  /// Submissions that are not final, in order of acceptance.
+  std::vector<Entry*> active_;
+  WorkerBook book_;
+  WorkerHealth health_;
+  EndLedger ledger_;
+  DispatcherCounters counters_;
+};
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/core/job.cc
@@ -0,0 +1,136 @@
+#include "dispatch/core/job.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangospread::dispatch {
+namespace {
+
+/// Completions later than this multiple of the objective earn nothing.
+constexpr int kLateFactor = 3;
+
+Milliseconds LongestChain(const std::vector<StepSpec>& steps) {
+  std::vector<Milliseconds> finish(steps.size(), Milliseconds(0));
+  Milliseconds longest{0};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    Milliseconds begin{0};
+    for (const int earlier : steps[i].after) {
+      begin = std::max(begin, finish[static_cast<std::size_t>(earlier)]);
+    }
+    finish[i] = begin + steps[i].estimate;
+    longest = std::max(longest, finish[i]);
+  }
+  return longest;
+}
+
+}  // namespace
+
+Job::Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at)
+    : submission_(std::move(submission)),
+      policy_(std::move(policy)),
+      accepted_at_(accepted_at) {
+  const std::chrono::duration<double, std::milli> chain =
+      LongestChain(submission_.steps);
+  const auto objective = std::chrono::duration_cast<MonotonicTime>(
+      chain * policy_.stretch + policy_.latency_target);
+  objective_ = accepted_at + objective;
+  last_useful_ = accepted_at + kLateFactor * objective;
+  steps_.reserve(submission_.steps.size());
+  for (const StepSpec& spec : submission_.steps) {
+    Step step;
+    step.spec = spec;
+    step.tasks.resize(static_cast<std::size_t>(spec.count));
+    step.undone = spec.count;
+    step.waiting = spec.count;
+    steps_.push_back(std::move(step));
+  }
+  UpdateReady();
+}
+
+bool Job::has_waiting() const noexcept {
+  return std::any_of(steps_.begin(), steps_.end(), [](const Step& step) {
+    return step.ready && step.waiting > 0;
+  });
+}
+
+bool Job::long_running() const noexcept {
+  return std::any_of(steps_.begin(), steps_.end(),
+                     [](const Step& step) { return step.spec.long_running; });
+}
+
+Task* Job::Find(const TaskIndex& index) {
+  if (index.step < 0 || static_cast<std::size_t>(index.step) >= steps_.size()) {
+    return nullptr;
+  }
+  auto& tasks = steps_[static_cast<std::size_t>(index.step)].tasks;
+  if (index.index < 0 ||
+      static_cast<std::size_t>(index.index) >= tasks.size()) {
+    return nullptr;
+  }
+  return &tasks[static_cast<std::size_t>(index.index)];
+}
+
+void Job::SetPhase(const TaskIndex& index, TaskPhase phase, MonotonicTime now) {
+  Task& task = *Find(index);
+  Step& step = steps_[static_cast<std::size_t>(index.step)];
+  step.waiting += static_cast<int>(phase == TaskPhase::kWaiting) -
+                  static_cast<int>(task.phase == TaskPhase::kWaiting);
+  step.undone += static_cast<int>(task.phase == TaskPhase::kDone) -
+                 static_cast<int>(phase == TaskPhase::kDone);
+  task.phase = phase;
+  task.since = now;
+  if (phase == TaskPhase::kStarting && state_ == SubmissionState::kQueued) {
+    state_ = SubmissionState::kRunning;
+  }
+}
+
+bool Job::Finish(const TaskIndex& index, MonotonicTime now) {
+  SetPhase(index, TaskPhase::kDone, now);
+  if (steps_[static_cast<std::size_t>(index.step)].undone > 0) return false;
+  UpdateReady();
+  return std::all_of(steps_.begin(), steps_.end(),
+                     [](const Step& step) { return step.undone == 0; });
+}
+
+void Job::UpdateReady() {
+  for (Step& step : steps_) {
+    step.ready = std::all_of(
+        step.spec.after.begin(), step.spec.after.end(), [this](int earlier) {
+          return steps_[static_cast<std::size_t>(earlier)].undone == 0;
+        });
+  }
+}
+
+JobProgress Job::Progress() const {
+  JobProgress progress;
+  progress.state = state_;
+  if (IsFinal(state_)) return progress;
+  for (std::size_t s = 0; s < steps_.size(); ++s) {
+    for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t) {
+      const Task& task = steps_[s].tasks[t];
+      const bool done = task.phase == TaskPhase::kDone;
+      if (!done && task.failures == 0 && task.checkpoint.empty()) continue;
+      progress.tasks.push_back({{static_cast<int>(s), static_cast<int>(t)},
+                                done,
+                                task.run,
+                                task.failures,
+                                done ? std::string() : task.checkpoint});
+    }
+  }
+  return progress;
+}
+
+void Job::Restore(const JobProgress& progress) {
+  state_ = progress.state;
+  for (const TaskProgress& saved : progress.tasks) {
+    Task* task = Find(saved.task);
+    if (task == nullptr) continue;
+    task->run = saved.run;
+    task->failures = saved.failures;
+    task->checkpoint = saved.checkpoint;
+    if (saved.done) SetPhase(saved.task, TaskPhase::kDone, accepted_at_);
+  }
+  UpdateReady();
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/leader/group_leader.cc
@@ -0,0 +1,608 @@
+#include "dispatch/leader/group_leader.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using table::WriteStatus;
+
+/// Starts that one leadership may order of a task.
+constexpr std::uint32_t kRunsPerEpoch = 1'000;
+/// Fences of one leadership; each assignment takes kFenceStride of them.
+constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 32;
+constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
+constexpr Milliseconds kRetrySoon{500};
+constexpr Milliseconds kRetryStoreDown{1'500};
+constexpr MonotonicTime kLoadRetry = milliseconds(300);
+
+table::WriterOptions MakeWriterOptions() {
+  table::WriterOptions options;
+  options.budget = 120;
+  options.burst = 240;
+  // Each change has up to four entries of the hundred that a call may hold.
+  options.max_group = 24;
+  return options;
+}
+
+std::uint64_t WallMilliseconds() {
+  return base::WallNanoseconds() / kNanosecondsPerMillisecond;
+}
+
+ServiceReply Refused(Milliseconds retry_after) {
+  ServiceReply reply;
+  reply.result = ServiceResult::kRefused;
+  reply.retry_after = retry_after;
+  return reply;
+}
+
+ServiceReply Plain(ServiceResult result) {
+  ServiceReply reply;
+  reply.result = result;
+  return reply;
+}
+
+}  // namespace
+
+GroupLeader::GroupLeader(GroupLeaderDependencies dependencies,
+                         GroupLeaderOptions options)
+    : deps_(std::move(dependencies)),
+      options_(options),
+      writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()) {
+  const auto first_run = static_cast<std::uint32_t>(
+      (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
+  DispatcherHooks hooks;
+  hooks.send = [this](const AgentOrder& order) { SendToAgent(order); };
+  hooks.save = [this](const SubmissionId& id) { MarkDirty(id); };
+  hooks.log = [this](const TaskName& name, const VmName& vm,
+                     std::string_view what, std::string_view why) {
+    LogDecision(name, vm, what, why);
+  };
+  dispatcher_ = std::make_unique<Dispatcher>(std::move(hooks), first_run);
+}
+
+GroupLeader::~GroupLeader() { *alive_ = false; }
+
+void GroupLeader::LogDecision(const TaskName& name, const VmName& vm,
+                              std::string_view what,
+                              std::string_view why) const {
+  base::Log(base::Event::kRunDecided, {{"request", name.submission.str()},
+                                       {"task", ToString(name)},
+                                       {"vm", vm.str()},
+                                       {"decision", what},
+                                       {"reason", why}});
+}
+
+// Loading.
+
+void GroupLeader::Start() {
+  started_at_ = base::MonotonicNow();
+  tick_timer_ = deps_.loop.Every(options_.tick, 0.1, [this] { Tick(); });
+  Load();
+}
+
+void GroupLeader::Load() {
+  constexpr std::size_t kAll = 1'000'000;
+  ReadRequest request;
+  request.keys = {"roster/workers"};
+  request.ranges = {{kJobPrefix, {}, kAll}, {kProgressPrefix, {}, kAll}};
+  deps_.table.Read(
+      std::move(request),
+      [this, alive = alive_](const Result<std::vector<Row>>& rows) {
+        if (!*alive) return;
+        if (rows.ok()) return OnLoaded(rows.value());
+        base::Log(base::Event::kStoreLost,
+                  {{"reading", "submissions"},
+                   {"error", ErrcName(rows.error().code)}});
+        load_timer_ = deps_.loop.After(kLoadRetry, [this] { Load(); });
+      });
+}
+
+void GroupLeader::OnLoaded(const std::vector<Row>& rows) {
+  std::map<SubmissionId, JobRow> jobs;
+  std::map<SubmissionId, ProgressRow> progress;
+  for (const Row& row : rows) {
+    const std::size_t slash = row.key.find('/');
+    const SubmissionId id(row.key.substr(slash + 1));
+    const std::string prefix = row.key.substr(0, slash + 1);
+    if (prefix == kJobPrefix) {
+      auto job = DecodeJobRow(row.value);
+      if (job.ok()) jobs.emplace(id, std::move(job.value()));
+    } else if (prefix == kProgressPrefix) {
+      auto entry = DecodeProgressRow(row.value);
+      if (entry.ok()) progress.emplace(id, std::move(entry.value()));
+    } else {
+      std::size_t from = 0;
+      while (from < row.value.size()) {
+        const std::size_t to =
+            std::min(row.value.find('\n', from), row.value.size());
+        roster_.emplace(row.value.substr(from, to - from));
+        from = to + 1;
+      }
+    }
+  }
+  for (const auto& [id, row] : jobs) {
+    const auto it = progress.find(id);
+    RestoreJob(id, row,
+               it == progress.end() ? std::nullopt : std::optional(it->second));
+  }
+  for (const auto& [id, row] : progress) {
+    if (!jobs.contains(id) && IsFinal(row.progress.state)) {
+      QueuePolicy policy;
+      policy.queue = row.queue;
+      Submission submission;
+      submission.id = id;
+      dispatcher_->Restore(std::move(submission), std::move(policy),
+                           row.progress, base::MonotonicNow());
+    }
+  }
+  loaded_ = true;
+  unresolved_ = roster_;
+  base::Log(base::Event::kSchedulerRebuilt,
+            {{"epoch", deps_.leadership.epoch.value()},
+             {"submissions", jobs.size()},
+             {"ended", progress.size()},
+             {"workers", roster_.size()},
+             {"took_ms",
+              duration_cast<milliseconds>(base::MonotonicNow() - started_at_)
+                  .count()}});
+  CheckResume();
+  OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+}
+
+void GroupLeader::RestoreJob(const SubmissionId& id, const JobRow& row,
+                             const std::optional<ProgressRow>& progress) {
+  auto submission = deps_.decode(id, row.payload);
+  if (!submission.ok()) {
+    base::Log(base::Event::kEntryMalformed,
+              {{"source", "job"}, {"request", id.str()}});
+    return;
+  }
+  const std::uint64_t now = WallMilliseconds();
+  const std::uint64_t age =
+      now > row.accepted_at_ms ? now - row.accepted_at_ms : 0;
+  dispatcher_->Restore(
+      std::move(submission.value()), row.policy,
+      progress ? progress->progress : JobProgress(),
+      base::MonotonicNow() - milliseconds(static_cast<std::int64_t>(age)));
+}
+
+void GroupLeader::CheckResume() {
+  if (resumed_ || !loaded_ || !unresolved_.empty()) return;
+  resumed_ = true;
+  dispatcher_->Resume();
+  base::Log(base::Event::kLeaderActive,
+            {{"epoch", deps_.leadership.epoch.value()},
+             {"after_ms",
+              duration_cast<milliseconds>(base::MonotonicNow() - started_at_)
+                  .count()}});
+  RequestDecision();
+}
+
+// Calls.
+
+void GroupLeader::Handle(ServiceCall call, ServiceCallback done) {
+  if (!loaded_) return done(Refused(kRetrySoon));
+  switch (call.verb) {
+    case ServiceVerb::kSubmit:
+      return Submit(std::move(call), std::move(done));
+    case ServiceVerb::kCancel:
+      return Cancel(call.submission, std::move(done));
+    case ServiceVerb::kState: {
+      const auto state = dispatcher_->State(call.submission);
+      ServiceReply reply =
+          Plain(state ? ServiceResult::kOk : ServiceResult::kNotFound);
+      if (state) reply.state = *state;
+      return done(reply);
+    }
+    case ServiceVerb::kPending: {
+      ServiceReply reply = Plain(ServiceResult::kOk);
+      reply.pending = dispatcher_->Pending(call.policy.queue);
+      return done(reply);
+    }
+  }
+}
+
+void GroupLeader::Submit(ServiceCall call, ServiceCallback done) {
+  const SubmissionId id = call.submission;
+  if (dispatcher_->State(id)) return done(Plain(ServiceResult::kOk));
+  if (const auto it = accepting_.find(id); it != accepting_.end()) {
+    it->second.push_back(std::move(done));
+    return;
+  }
+  const auto submission = deps_.decode(id, call.payload);
+  if (!submission.ok()) {
+    base::Log(base::Event::kSubmissionRefused,
+              {{"request", id.str()},
+               {"error", ErrcName(submission.error().code)},
+               {"subject", submission.error().subject}});
+    return done(Plain(ServiceResult::kInvalid));
+  }
+  if (!writer_.table_reachable()) return done(Refused(kRetryStoreDown));
+  JobRow row{call.policy, WallMilliseconds(), call.payload};
+  Transaction change = Conditioned();
+  const std::string key = kJobPrefix + id.str();
+  change.conditions.push_back({key, RowVersion()});
+  change.conditions.push_back({kProgressPrefix + id.str(), RowVersion()});
+  change.writes.push_back({key, EncodeJobRow(row)});
+  accepting_[id].push_back(std::move(done));
+  accepting_calls_.emplace(id, std::move(call));
+  writer_.Submit(std::move(change), [this, id](const table::WriteResult& r) {
+    OnSubmitted(id, r);
+  });
+}
+
+void GroupLeader::OnSubmitted(const SubmissionId& id,
+                              const table::WriteResult& result) {
+  const auto waiting = std::exchange(accepting_[id], {});
+  accepting_.erase(id);
+  const auto node = accepting_calls_.extract(id);
+  ServiceReply reply = Plain(ServiceResult::kOk);
+  if (result.status == WriteStatus::kCommitted) {
+    const ServiceCall& call = node.mapped();
+    auto submission = deps_.decode(id, call.payload);
+    dispatcher_->Add(std::move(submission.value()), call.policy,
+                     base::MonotonicNow());
+    base::Log(base::Event::kSubmissionAccepted,
+              {{"request", id.str()},
+               {"queue", call.policy.queue.str()},
+               {"row_version", result.version.value()}});
+    RequestDecision();
+  } else {
+    reply = Refused(kRetrySoon);
+    base::Log(base::Event::kSubmissionRefused,
+              {{"request", id.str()},
+               {"reason", result.status == WriteStatus::kConflict
+                              ? "conflict"
+                              : "store_unavailable"}});
+  }
+  for (const ServiceCallback& done : waiting) done(reply);
+  CheckConflict(result);
+}
+
+void GroupLeader::Cancel(const SubmissionId& id, ServiceCallback done) {
+  const auto state = dispatcher_->State(id);
+  if (!state) return done(Plain(ServiceResult::kNotFound));
+  if (IsFinal(*state)) return done(Plain(ServiceResult::kOk));
+  cancelling_[id].push_back(std::move(done));
+  dispatcher_->Cancel(id, base::MonotonicNow());
+}
+
+// Storing.
+
+Transaction GroupLeader::Conditioned() const {
+  Transaction change;
+  change.conditions.push_back({kLeaderKey, deps_.leadership.version});
+  return change;
+}
+
+bool GroupLeader::CheckConflict(const table::WriteResult& result) {
+  if (result.status != WriteStatus::kConflict) return false;
+  const auto& keys = result.failed_keys;
+  if (std::find(keys.begin(), keys.end(), kLeaderKey) == keys.end()) {
+    return false;
+  }
+  deps_.on_conflict();
+  return true;
+}
+
+void GroupLeader::MarkDirty(const SubmissionId& id) {
+  dirty_.insert(id);
+  if (flush_timer_.active()) return;
+  flush_timer_ = deps_.loop.After(options_.save_delay, [this] { Flush(); });
+}
+
+void GroupLeader::Flush() {
+  for (const SubmissionId& id : std::exchange(dirty_, {})) {
+    if (saving_.contains(id)) {
+      dirty_.insert(id);  // Saved again when the write in progress ends.
+      continue;
+    }
+    Save(id);
+  }
+}
+
+void GroupLeader::Save(const SubmissionId& id) {
+  const std::uint64_t generation = dispatcher_->Generation(id);
+  const ProgressRow row{dispatcher_->Queue(id), dispatcher_->Progress(id)};
+  Transaction change = Conditioned();
+  change.writes.push_back({kProgressPrefix + id.str(), EncodeProgressRow(row)});
+  if (IsFinal(row.progress.state)) {
+    change.writes.push_back({kJobPrefix + id.str(), std::nullopt});
+  }
+  saving_.insert(id);
+  writer_.Submit(std::move(change),
+                 [this, id, generation](const table::WriteResult& result) {
+                   OnSaved(id, generation, result);
+                 });
+}
+
+void GroupLeader::OnSaved(const SubmissionId& id, std::uint64_t generation,
+                          const table::WriteResult& result) {
+  saving_.erase(id);
+  if (result.status != WriteStatus::kCommitted) {
+    if (CheckConflict(result)) return;
+    dirty_.insert(id);
+    if (!flush_timer_.active()) {
+      flush_timer_ = deps_.loop.After(options_.save_retry, [this] { Flush(); });
+    }
+    const auto waiting = cancelling_.extract(id);
+    if (!waiting.empty()) {
+      for (const auto& done : waiting.mapped()) {
+        done(Plain(ServiceResult::kUnknown));
+      }
+    }
+    return;
+  }
+  dispatcher_->OnSaved(id, generation, base::MonotonicNow());
+  const auto state = dispatcher_->State(id);
+  if (state && IsFinal(*state)) {
+    base::Log(base::Event::kSubmissionEnded,
+              {{"request", id.str()},
+               {"state", StateName(*state)},
+               {"row_version", result.version.value()}});
+    const auto waiting = cancelling_.extract(id);
+    if (!waiting.empty()) {
+      for (const auto& done : waiting.mapped()) done(Plain(ServiceResult::kOk));
+    }
+  }
+  if (dirty_.contains(id)) MarkDirty(id);
+  RequestDecision();
+}
+
+// Workers.
+
+void GroupLeader::OnWorkers(const std::map<VmName, WorkerInfo>& listed) {
+  listed_ = listed;
+  if (!loaded_) return;
+  bool enlisting = false;
+  for (const auto& [vm, info] : listed_) {
+    const auto it = workers_.find(vm);
+    if (it == workers_.end()) {
+      enlisting = enlisting || !roster_.contains(vm);
+      continue;
+    }
+    const bool moved = it->second.info.address != info.address;
+    it->second.listed = true;
+    if (it->second.info == info && !moved) continue;
+    it->second.info = info;
+    dispatcher_->OnWorker(info);
+    if (moved) Unassign(it->second);
+  }
+  for (auto& [vm, entry] : workers_) {
+    if (!entry.listed || listed_.contains(vm)) continue;
+    // It has left or is silent; what runs there counts until that is certain.
+    entry.listed = false;
+    entry.info.draining = true;
+    dispatcher_->OnWorker(entry.info);
+    base::Log(base::Event::kWorkerListed,
+              {{"vm", vm.str()}, {"listed", false}});
+  }
+  for (const auto& [vm, info] : listed_) {
+    if (roster_.contains(vm)) Enlist(vm);
+  }
+  if (enlisting) SaveRoster();
+  AssignWorkers();
+}
+
+void GroupLeader::SaveRoster() {
+  if (roster_saving_) return;
+  roster_saving_ = true;
+  std::set<VmName> next = roster_;
+  for (const auto& [vm, info] : listed_) next.insert(vm);
+  std::string value;
+  for (const VmName& vm : next) value += vm.str() + "\n";
+  Transaction change = Conditioned();
+  change.writes.push_back({"roster/workers", std::move(value)});
+  writer_.Submit(std::move(change),
+                 [this, next](const table::WriteResult& result) {
+                   roster_saving_ = false;
+                   if (CheckConflict(result)) return;
+                   if (result.status == WriteStatus::kCommitted) roster_ = next;
+                   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+                 });
+}
+
+void GroupLeader::Enlist(const VmName& vm) {
+  const auto [it, added] = workers_.try_emplace(vm);
+  if (!added) return;
+  it->second.info = listed_.at(vm);
+  dispatcher_->OnWorker(it->second.info);
+}
+
+int GroupLeader::LoadOf(const NodeId& agent) const {
+  const int own = agent == deps_.self ? options_.own_load : 0;
+  return agents_.at(agent).workers + own;
+}
+
+std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
+  std::optional<NodeId> best;
+  for (const auto& [agent, info] : agents_) {
+    if (entry.failed.contains(agent)) continue;
+    if (!best || LoadOf(agent) < LoadOf(*best)) best = agent;
+  }
+  return best;
+}
+
+void GroupLeader::AssignWorkers() {
+  const MonotonicTime now = base::MonotonicNow();
+  for (auto& [vm, entry] : workers_) {
+    if (entry.agent || now < entry.retry_at) continue;
+    if (entry.failed.size() >= agents_.size()) entry.failed.clear();
+    if (const auto agent = PickAgent(entry)) Assign(entry, *agent);
+  }
+}
+
+void GroupLeader::Assign(WorkerEntry& entry, const NodeId& agent) {
+  entry.agent = agent;
+  entry.attached = false;
+  ++agents_.at(agent).workers;
+  entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
+                            ++fences_used_ * kFenceStride);
+  const WorkerSlot slot = dispatcher_->book().Find(entry.info.vm);
+  const std::uint64_t before =
+      slot == kNoWorker ? 0
+                        : dispatcher_->book()
+                              .rooms()[static_cast<std::size_t>(slot)]
+                              .starts_ordered;
+  deps_.send(agent, Assignment{entry.info, entry.fence, before});
+}
+
+void GroupLeader::Unassign(WorkerEntry& entry) {
+  if (!entry.agent) return;
+  deps_.send(*entry.agent, Release{entry.info.vm});
+  const auto it = agents_.find(*entry.agent);
+  if (it != agents_.end()) --it->second.workers;
+  entry.agent.reset();
+  entry.attached = false;
+  const MonotonicTime bound =
+      base::MonotonicNow() + MonotonicTime(options_.lease) * 105 / 100;
+  entry.lease_over_at = std::max(entry.lease_over_at, bound);
+}
+
+void GroupLeader::MoveWorkers() {
+  if (agents_.size() < 2) return;
+  const auto by_load = [this](const auto& a, const auto& b) {
+    return LoadOf(a.first) < LoadOf(b.first);
+  };
+  for (int moves = 0; moves < options_.moves_per_tick; ++moves) {
+    const auto [least, most] =
+        std::minmax_element(agents_.begin(), agents_.end(), by_load);
+    if (LoadOf(most->first) - LoadOf(least->first) < 2) return;
+    const auto it =
+        std::find_if(workers_.begin(), workers_.end(), [&](const auto& worker) {
+          return worker.second.agent == most->first &&
+                 !worker.second.failed.contains(least->first);
+        });
+    if (it == workers_.end()) return;
+    Unassign(it->second);
+    Assign(it->second, least->first);
+  }
+}
+
+void GroupLeader::OnAgentUp(const NodeId& agent,
+                            const DataCenter& data_center) {
+  agents_[agent] = {data_center, 0};
+  base::Log(base::Event::kPeerAlive, {{"peer", agent.str()}});
+  if (loaded_) AssignWorkers();
+}
+
+void GroupLeader::OnAgentDown(const NodeId& agent) {
+  base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
+  for (auto& [vm, entry] : workers_) {
+    if (entry.agent == agent) Unassign(entry);
+    entry.failed.erase(agent);
+  }
+  agents_.erase(agent);
+  if (loaded_) AssignWorkers();
+}
+
+void GroupLeader::SendToAgent(const AgentOrder& order) {
+  const VmName& vm = std::visit(
+      [](const auto& kind) -> const VmName& {
+        if constexpr (requires { kind.worker; }) {
+          return kind.worker.vm;
+        } else {
+          return kind.vm;
+        }
+      },
+      order);
+  const auto it = workers_.find(vm);
+  if (it == workers_.end() || !it->second.agent) return;
+  deps_.send(*it->second.agent, order);
+}
+
+void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
+  const auto it = workers_.find(event.vm);
+  if (it == workers_.end() || it->second.agent != agent ||
+      it->second.fence != event.assignment) {
+    return;
+  }
+  WorkerEntry& entry = it->second;
+  const MonotonicTime now = base::MonotonicNow();
+  if (std::holds_alternative<Attached>(event.what)) {
+    entry.attached = true;
+    entry.failed.clear();
+    base::Log(base::Event::kWorkerAttached,
+              {{"vm", event.vm.str()}, {"agent", agent.str()}});
+    dispatcher_->OnEvent(event, now);
+    unresolved_.erase(event.vm);
+    CheckResume();
+  } else if (const auto* lost = std::get_if<WorkerUnreachable>(&event.what)) {
+    base::Log(base::Event::kWorkerUnreachable,
+              {{"vm", event.vm.str()},
+               {"agent", agent.str()},
+               {"lease_left_ms", lost->lease_left.count()}});
+    dispatcher_->OnEvent(event, now);
+    const MonotonicTime before = entry.lease_over_at;
+    Unassign(entry);
+    entry.lease_over_at = std::max(before, now + lost->lease_left);
+    entry.failed.insert(agent);
+    AssignWorkers();
+  } else if (std::holds_alternative<WorkerEnded>(event.what)) {
+    OnWorkerOver(event.vm, "worker_ended");
+  } else {
+    dispatcher_->OnEvent(event, now);
+  }
+  RequestDecision();
+}
+
+void GroupLeader::OnWorkerOver(const VmName& vm, std::string_view why) {
+  base::Log(base::Event::kWorkerOver, {{"vm", vm.str()}, {"reason", why}});
+  const auto it = workers_.find(vm);
+  if (it != workers_.end()) {
+    Unassign(it->second);
+    workers_.erase(it);
+  }
+  dispatcher_->OnWorkerOver(vm, why, base::MonotonicNow());
+  unresolved_.erase(vm);
+  CheckResume();
+  if (listed_.contains(vm)) {
+    Enlist(vm);
+    // The list lags behind the end of a process.
+    constexpr MonotonicTime kRetryListed = milliseconds(500);
+    workers_.at(vm).retry_at = base::MonotonicNow() + kRetryListed;
+  }
+  RequestDecision();
+}
+
+void GroupLeader::RequestDecision() {
+  if (!loaded_ || decide_timer_.active()) return;
+  decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
+    dispatcher_->Decide(base::MonotonicNow());
+  });
+}
+
+void GroupLeader::Tick() {
+  if (!loaded_) return;
+  const MonotonicTime now = base::MonotonicNow();
+  std::vector<VmName> over;
+  for (const auto& [vm, entry] : workers_) {
+    if (!entry.attached && entry.lease_over_at.count() > 0 &&
+        now > entry.lease_over_at) {
+      over.push_back(vm);
+    }
+  }
+  for (const VmName& vm : over) OnWorkerOver(vm, "lease_over");
+  // Workers of earlier leaderships that are no longer listed.
+  const MonotonicTime bound =
+      MonotonicTime(options_.lease) * 105 / 100 + std::chrono::seconds(4);
+  if (!resumed_ && now - started_at_ > bound) {
+    for (const VmName& vm : std::exchange(unresolved_, {})) {
+      base::Log(base::Event::kWorkerOver,
+                {{"vm", vm.str()}, {"reason", "never_attached"}});
+    }
+    CheckResume();
+  }
+  AssignWorkers();
+  MoveWorkers();
+  RequestDecision();
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/leader/job_rows.cc
@@ -0,0 +1,108 @@
+#include "dispatch/leader/job_rows.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxText = 1024 * 1024;
+constexpr std::int64_t kMaxCount = INT64_MAX;
+constexpr std::size_t kTaskFields = 6;
+
+json EncodeTask(const TaskProgress& task) {
+  return json::array({task.task.step, task.task.index, task.done, task.run,
+                      task.failures, task.checkpoint});
+}
+
+bool DecodeTask(const json& row, TaskProgress& task) {
+  if (!row.is_array() || row.size() != kTaskFields ||
+      !row[0].is_number_integer() || !row[1].is_number_integer() ||
+      !row[2].is_boolean() || !row[3].is_number_unsigned() ||
+      !row[4].is_number_unsigned() || !row[5].is_string()) {
+    return false;
+  }
+  task = {{row[0].get<int>(), row[1].get<int>()},
+          row[2].get<bool>(),
+          row[3].get<std::uint32_t>(),
+          row[4].get<std::uint16_t>(),
+          row[5].get<std::string>()};
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeJobRow(const JobRow& row) {
+  return base::DumpJson({{"queue", row.policy.queue.str()},
+                         {"service", row.policy.service.str()},
+                         {"priority", row.policy.priority},
+                         {"attempts", row.policy.attempts},
+                         {"stretch", row.policy.stretch},
+                         {"target_ms", row.policy.latency_target.count()},
+                         {"accepted_at_ms", row.accepted_at_ms},
+                         {"payload", row.payload}});
+}
+
+Result<JobRow> DecodeJobRow(std::string_view value) {
+  const auto parsed = base::ParseJson(value, "job");
+  if (!parsed.ok()) return parsed.error();
+  base::ObjectReader reader(parsed.value(), "job");
+  constexpr auto kRequired = base::Presence::kRequired;
+  JobRow row;
+  std::string queue;
+  std::string service;
+  std::int64_t target = 0;
+  reader.String("queue", kMaxText, queue, kRequired);
+  reader.String("service", kMaxText, service, kRequired);
+  reader.Integer("priority", 0, kMaxCount, row.policy.priority);
+  reader.Integer("attempts", 1, kMaxCount, row.policy.attempts);
+  reader.Number("stretch", 0, 1e9, row.policy.stretch);
+  reader.Integer("target_ms", 0, kMaxCount, target);
+  reader.Integer("accepted_at_ms", 0, kMaxCount, row.accepted_at_ms);
+  reader.String("payload", kMaxText, row.payload, kRequired);
+  if (const auto error = reader.Finish()) return *error;
+  row.policy.queue = QueueName(std::move(queue));
+  row.policy.service = ServiceName(std::move(service));
+  row.policy.latency_target = Milliseconds(target);
+  return row;
+}
+
+std::string EncodeProgressRow(const ProgressRow& row) {
+  json tasks = json::array();
+  for (const TaskProgress& task : row.progress.tasks) {
+    tasks.push_back(EncodeTask(task));
+  }
+  return base::DumpJson({{"queue", row.queue.str()},
+                         {"state", std::string(StateName(row.progress.state))},
+                         {"tasks", std::move(tasks)}});
+}
+
+Result<ProgressRow> DecodeProgressRow(std::string_view value) {
+  const auto parsed = base::ParseJson(value, "progress");
+  if (!parsed.ok()) return parsed.error();
+  const json& object = parsed.value();
+  const Error malformed{Errc::kMalformed, "progress"};
+  if (!object.is_object() || !object.contains("queue") ||
+      !object.contains("state") || !object.contains("tasks") ||
+      !object["queue"].is_string() || !object["state"].is_string() ||
+      !object["tasks"].is_array()) {
+    return malformed;
+  }
+  ProgressRow row;
+  row.queue = QueueName(object["queue"].get<std::string>());
+  const auto state = ParseState(object["state"].get<std::string>());
+  if (!state) return malformed;
+  row.progress.state = *state;
+  for (const json& entry : object["tasks"]) {
+    TaskProgress task;
+    if (!DecodeTask(entry, task)) return malformed;
+    row.progress.tasks.push_back(std::move(task));
+  }
+  return row;
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/model/catalog.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// The operator's configuration: which queue a request reaches and the rules
+/// that hold for its submissions.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dispatch/model/submission.hpp"
+#include "mangospread/ids.hpp"
+
+namespace mangospread::dispatch {
+
+/// A queue and the requests that reach it.
+struct QueueRoute {
+  std::string host;
+  std::string path_prefix;
+  QueuePolicy policy;
+  /// The queue's steps may only run on workers that an external service names.
+  bool needs_placement_advice = false;
+};
+
+/// One version of the whole configuration.
+struct Catalog {
+  Revision revision;
+  std::vector<QueueRoute> routes;
+  /// Services whose workers start whatever they are told to.
+  std::vector<ServiceName> unguarded_services;
+  std::size_t max_body_bytes = 256 * 1024;
+
+  /// The route with the longest matching prefix, or null.
+  [[nodiscard]] const QueueRoute* Find(std::string_view host,
+                                       std::string_view path) const;
+};
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/model/submission.hpp
@@ -0,0 +1,117 @@
+/// @file
+/// Submissions: directed graphs of steps whose tasks run on the workers of a
+/// queue's service.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mangospread/error.hpp"
+#include "mangospread/ids.hpp"
+#include "mangospread/units.hpp"
+
+namespace mangospread::dispatch {
+
+/// Chosen by the caller; a repeated hand-in with the same id is idempotent.
+using SubmissionId = mangospread::detail::StrongString<struct SubmissionIdTag>;
+using QueueName = mangospread::detail::StrongString<struct QueueNameTag>;
+/// What a step's tasks execute. Tasks of one image interfere alike.
+using ImageName = mangospread::detail::StrongString<struct ImageNameTag>;
+/// A property that a worker has or lacks.
+using Label = mangospread::detail::StrongString<struct LabelTag>;
+
+/// Equal tasks of a submission.
+struct StepSpec {
+  int count = 1;
+  Millicores cpu;
+  Mebibytes memory;
+  Accelerators accelerators;
+  /// The caller's rough estimate of one task's run time.
+  Milliseconds estimate{0};
+  /// Indices of earlier steps whose tasks must all be done first.
+  std::vector<int> after;
+  bool checkpoints = false;
+  bool gang = false;
+  /// A gang spread over several racks runs slower.
+  bool same_rack = false;
+  bool speculative = false;
+  /// Runs until the submission is cancelled and is restarted when it ends.
+  bool long_running = false;
+  /// Uses only processor time that other tasks leave unused.
+  bool fills = false;
+  Label required_label;
+  /// Rack that holds the input; elsewhere the tasks run slower.
+  RackName data_rack;
+  /// Most tasks of the step on one worker; 0 is unlimited.
+  int max_per_worker = 0;
+  ImageName image;
+  /// Response time that a serving task must keep; 0 for none.
+  Milliseconds latency_target{0};
+  /// Most tasks that the scheduler itself may interrupt at a time.
+  int max_unavailable = 0;
+};
+
+struct Submission {
+  SubmissionId id;
+  std::string spec;  ///< Passed to the workers unchanged.
+  std::vector<StepSpec> steps;
+  /// Number of scheduled repetitions; 0 for one run at once.
+  int occurrences = 0;
+  Milliseconds first_due{0};  ///< Since the Unix epoch.
+  Milliseconds interval{0};
+};
+
+/// Queue settings that a submission keeps from its acceptance on.
+struct QueuePolicy {
+  QueueName queue;
+  ServiceName service;
+  int priority = 0;  ///< 0 is the most urgent.
+  int attempts = 1;  ///< Failed runs after which a task is given up.
+  /// The completion objective is `stretch` times the longest chain of work
+  /// plus `latency_target`.
+  double stretch = 1;
+  Milliseconds latency_target{0};
+};
+
+enum class SubmissionState : unsigned char {
+  kQueued,
+  kRunning,
+  kComplete,
+  kFailed,
+  kCancelled,
+};
+
+[[nodiscard]] constexpr bool IsFinal(SubmissionState state) noexcept {
+  return state >= SubmissionState::kComplete;
+}
+
+/// Lower-case name for logs and records.
+[[nodiscard]] std::string_view StateName(SubmissionState state) noexcept;
+[[nodiscard]] std::optional<SubmissionState> ParseState(
+    std::string_view name) noexcept;
+
+/// Identifies a task within a submission.
+struct TaskIndex {
+  int step = 0;
+  int index = 0;
+
+  friend auto operator<=>(const TaskIndex&, const TaskIndex&) = default;
+};
+
+/// A task of a submission. Its text form is "<id>.<occurrence>.<step>.<index>".
+struct TaskName {
+  SubmissionId submission;
+  int occurrence = 0;
+  TaskIndex task;
+
+  friend auto operator<=>(const TaskName&, const TaskName&) = default;
+};
+
+[[nodiscard]] std::string ToString(const TaskName& name);
+/// @errors kMalformed with the text as subject.
+[[nodiscard]] Result<TaskName> ParseTaskName(std::string_view text);
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/node/node.cc
@@ -0,0 +1,303 @@
+#include "dispatch/node/node.hpp"
+
+#include <utility>
+
+#include "base/events.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+constexpr Milliseconds kRetryNoLeader{1'000};
+
+ServiceReply RefusedForNow() {
+  ServiceReply reply;
+  reply.result = ServiceResult::kRefused;
+  reply.retry_after = kRetryNoLeader;
+  return reply;
+}
+
+}  // namespace
+
+Node::Node(NodeDependencies dependencies, NodeOptions options)
+    : deps_(std::move(dependencies)),
+      options_(std::move(options)),
+      agent_(deps_.loop, deps_.make_link, options_.session,
+             [this](AgentEvent event) { OnAgentEvent(std::move(event)); }),
+      listener_(deps_.loop, options_.channel,
+                [this](std::shared_ptr<Channel> channel) {
+                  Accept(std::move(channel));
+                }) {}
+
+Node::~Node() {
+  *alive_ = false;
+  if (leader_channel_) leader_channel_->Close();
+  for (const auto& [channel, node] : peers_) channel->Close();
+}
+
+Result<Address> Node::Start() {
+  auto bound = listener_.Listen(options_.peer_address);
+  if (!bound.ok()) return bound.error();
+  LeaderRecord self;
+  self.node = options_.node;
+  self.incarnation = options_.incarnation;
+  self.address = bound.value();
+  LeadershipHooks hooks;
+  hooks.on_leader = [this](const LeaderRecord& leader) { Follow(leader); };
+  hooks.on_lead = [this](const LeaderRecord& leader) { Lead(leader); };
+  hooks.on_deposed = [this] { Depose(); };
+  hooks.on_yield = [this](bool yielding) { AnnounceYield(yielding); };
+  leadership_ = std::make_unique<Leadership>(
+      deps_.loop, deps_.table, self, options_.leadership, std::move(hooks));
+  return bound;
+}
+
+void Node::Resign(std::function<void()> done) {
+  leadership_->Resign(std::move(done));
+}
+
+bool Node::ready() const noexcept {
+  return leader_ ? leader_->loaded() : connected_;
+}
+
+void Node::OnWorkers(std::map<VmName, WorkerInfo> listed) {
+  listed_ = std::move(listed);
+  if (leader_) leader_->OnWorkers(listed_);
+}
+
+void Node::Handle(ServiceCall call, ServiceCallback done) {
+  if (leader_) return leader_->Handle(std::move(call), std::move(done));
+  if (!connected_) return done(RefusedForNow());
+  const std::uint64_t id = ++calls_made_;
+  Call& entry = calls_[id];
+  entry.verb = call.verb;
+  entry.done = std::move(done);
+  entry.timeout = deps_.loop.After(
+      options_.call_timeout, [this, id] { FinishCall(id, ServiceReply()); });
+  leader_channel_->Send(CallFrame{id, std::move(call)});
+}
+
+void Node::FinishCall(std::uint64_t id, const ServiceReply& reply) {
+  const auto node = calls_.extract(id);
+  if (!node.empty()) node.mapped().done(reply);
+}
+
+void Node::FailCalls() {
+  for (auto& [id, call] : std::exchange(calls_, {})) {
+    // A change may have taken effect; a question has none.
+    const bool change =
+        call.verb == ServiceVerb::kSubmit || call.verb == ServiceVerb::kCancel;
+    call.done(change ? ServiceReply() : RefusedForNow());
+  }
+}
+
+// As a follower.
+
+void Node::Follow(const LeaderRecord& leader) {
+  followed_ = leader;
+  if (leader_channel_) leader_channel_->Close();
+  leader_channel_.reset();
+  OnLeaderClosed(Errc::kNotOwner);
+  reconnect_timer_.reset();
+  Connect();
+}
+
+void Node::Connect() {
+  if (leader_ || !followed_) return;
+  ChannelHooks hooks;
+  hooks.on_frame = [this](Frame frame) { OnLeaderFrame(std::move(frame)); };
+  hooks.on_closed = [this](Errc why) { OnLeaderClosed(why); };
+  leader_channel_ = Channel::Connect(deps_.loop, followed_->address,
+                                     options_.channel, std::move(hooks));
+  leader_channel_->Send(MakeHello(false));
+}
+
+Hello Node::MakeHello(bool leading) const {
+  const auto& leader = leadership_->leader();
+  return {options_.node, options_.incarnation, leader ? leader->epoch : Epoch(),
+          leading, options_.data_center};
+}
+
+void Node::OnLeaderFrame(Frame frame) {
+  if (const auto* hello = std::get_if<Hello>(&frame)) {
+    OnLeaderHello(*hello);
+  } else if (auto* order = std::get_if<AgentOrder>(&frame)) {
+    agent_.Carry(std::move(*order));
+  } else if (const auto* reply = std::get_if<ReplyFrame>(&frame)) {
+    FinishCall(reply->id, reply->reply);
+  }
+}
+
+void Node::OnLeaderHello(const Hello& hello) {
+  if (hello.leading && followed_ && hello.epoch == followed_->epoch) {
+    if (connected_) return;
+    connected_ = true;
+    orphan_timer_.reset();
+    base::Log(base::Event::kLeaderFollowed,
+              {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
+    leadership_->SetLeaderConnected(true);
+    return;
+  }
+  base::Log(base::Event::kLeaderLost, {{"leader", hello.node.str()},
+                                       {"reason", "does_not_lead"},
+                                       {"epoch", hello.epoch.value()}});
+  if (!followed_) return;
+  // A process that does not know the epoch yet may be about to learn of it.
+  const bool replaced = hello.incarnation != followed_->incarnation;
+  if (replaced || hello.epoch == followed_->epoch) {
+    leadership_->OnLeaderDenied();
+  }
+  if (leader_channel_) leader_channel_->Close();
+  OnLeaderClosed(Errc::kNotOwner);
+}
+
+void Node::OnLeaderClosed(Errc why) {
+  if (leader_) return;
+  if (connected_) {
+    base::Log(base::Event::kLeaderLost,
+              {{"leader", followed_ ? followed_->node.str() : ""},
+               {"reason", ErrcName(why)}});
+  }
+  connected_ = false;
+  leader_channel_.reset();
+  leadership_->SetLeaderConnected(false);
+  FailCalls();
+  if (!orphan_timer_.active()) {
+    orphan_timer_ = deps_.loop.After(options_.orphan_limit, [this] {
+      if (!connected_ && !leader_) agent_.ReleaseAll();
+    });
+  }
+  reconnect_timer_ =
+      deps_.loop.After(options_.reconnect_pause, [this] { Connect(); });
+}
+
+// As the leader.
+
+void Node::Lead(const LeaderRecord& leader) {
+  if (leader_channel_) leader_channel_->Close();
+  leader_channel_.reset();
+  reconnect_timer_.reset();
+  connected_ = false;
+  FailCalls();
+  followed_ = leader;
+  GroupLeaderDependencies deps{
+      deps_.loop,
+      deps_.table,
+      options_.node,
+      options_.data_center,
+      "writer/" + options_.node.str() + "-" +
+          std::to_string(options_.incarnation.value()) + "-" +
+          std::to_string(leader.epoch.value()),
+      leader,
+      deps_.decode,
+      [this](const NodeId& agent, AgentOrder order) {
+        SendOrder(agent, std::move(order));
+      },
+      [this] { leadership_->OnConflict(); }};
+  leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
+  leader_->OnAgentUp(options_.node, options_.data_center);
+  leader_->OnWorkers(listed_);
+  leader_->Start();
+  deps_.on_leading(true);
+  AnnounceYield(false);
+}
+
+void Node::Depose() {
+  base::Log(base::Event::kLeaderInactive, {{"node", options_.node.str()}});
+  deps_.on_leading(false);
+  // Called from the leader's own callbacks.
+  deps_.loop.Post([old = std::shared_ptr<GroupLeader>(std::move(leader_))] {});
+  AnnounceYield(true);
+  for (const auto& [node, channel] : std::exchange(agents_, {})) {
+    peers_.erase(channel);
+    channel->Close();
+  }
+  reconnect_timer_ =
+      deps_.loop.After(options_.reconnect_pause, [this] { Connect(); });
+}
+
+void Node::AnnounceYield(bool yielding) {
+  for (const auto& [channel, node] : peers_) {
+    channel->Send(MakeHello(!yielding));
+  }
+}
+
+void Node::Accept(std::shared_ptr<Channel> channel) {
+  ChannelHooks hooks;
+  Channel* raw = channel.get();
+  hooks.on_frame = [this, raw](Frame frame) {
+    OnPeerFrame(raw->shared_from_this(), std::move(frame));
+  };
+  hooks.on_closed = [this, raw](Errc /*why*/) {
+    OnPeerClosed(raw->shared_from_this());
+  };
+  channel->SetHooks(std::move(hooks));
+  peers_.emplace(std::move(channel), NodeId());
+}
+
+void Node::OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame) {
+  if (const auto* hello = std::get_if<Hello>(&frame)) {
+    return OnPeerHello(channel, *hello);
+  }
+  const auto it = peers_.find(channel);
+  if (it == peers_.end()) return;
+  if (const auto* event = std::get_if<AgentEvent>(&frame)) {
+    if (leader_) leader_->OnAgentEvent(it->second, *event);
+  } else if (auto* call = std::get_if<CallFrame>(&frame)) {
+    const std::uint64_t id = call->id;
+    if (!leader_) {
+      channel->Send(ReplyFrame{id, RefusedForNow()});
+      return;
+    }
+    leader_->Handle(std::move(call->call),
+                    [channel, id](const ServiceReply& reply) {
+                      channel->Send(ReplyFrame{id, reply});
+                    });
+  }
+}
+
+void Node::OnPeerHello(const std::shared_ptr<Channel>& channel,
+                       const Hello& hello) {
+  const bool leading = leader_ != nullptr;
+  channel->Send(MakeHello(leading));
+  if (!leading) return;
+  const auto old = agents_.find(hello.node);
+  if (old != agents_.end()) {
+    leader_->OnAgentDown(hello.node);
+    peers_.erase(old->second);
+    old->second->Close();
+  }
+  peers_[channel] = hello.node;
+  agents_[hello.node] = channel;
+  leader_->OnAgentUp(hello.node, hello.data_center);
+}
+
+void Node::OnPeerClosed(const std::shared_ptr<Channel>& channel) {
+  const auto node = peers_.extract(channel);
+  if (node.empty()) return;
+  const auto agent = agents_.find(node.mapped());
+  if (agent == agents_.end() || agent->second != channel) return;
+  agents_.erase(agent);
+  if (leader_) leader_->OnAgentDown(node.mapped());
+}
+
+void Node::SendOrder(const NodeId& agent, AgentOrder order) {
+  if (agent == options_.node) {
+    agent_.Carry(std::move(order));
+    return;
+  }
+  const auto it = agents_.find(agent);
+  if (it != agents_.end()) it->second->Send(std::move(order));
+}
+
+void Node::OnAgentEvent(AgentEvent event) {
+  if (!leader_) {
+    if (connected_) leader_channel_->Send(std::move(event));
+    return;
+  }
+  // Sessions report from within orders, which come from the leader.
+  deps_.loop.Post([this, alive = alive_, event = std::move(event)] {
+    if (*alive && leader_) leader_->OnAgentEvent(options_.node, event);
+  });
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/peer/frames.cc
@@ -0,0 +1,404 @@
+#include "dispatch/peer/frames.hpp"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cstring>
+#include <utility>
+#include <vector>
+
+#include "dispatch/peer/schema/dispatch.capnp.h"
+
+namespace mangospread::dispatch {
+namespace {
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+std::string Str(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+// Parts.
+
+void Put(wire::Traits::Builder out, const RunTraits& traits) {
+  out.setLongRunning(traits.long_running);
+  out.setFills(traits.fills);
+  out.setCpu(traits.cpu.value());
+  out.setLatencyTargetMs(traits.latency_target.count());
+  out.setImage(traits.image.str());
+}
+
+RunTraits Get(wire::Traits::Reader in) {
+  return {in.getLongRunning(), in.getFills(), Millicores(in.getCpu()),
+          Milliseconds(in.getLatencyTargetMs()), ImageName(Str(in.getImage()))};
+}
+
+void Put(wire::Ended::Builder out, const EndedRun& end) {
+  out.setNumber(end.number.value());
+  out.setTask(end.task);
+  out.setRun(end.run.value());
+  out.setHow(static_cast<std::uint8_t>(end.how));
+  out.setCheckpoint(end.checkpoint);
+}
+
+EndedRun Get(wire::Ended::Reader in) {
+  return {EndNumber(in.getNumber()), Str(in.getTask()), Attempt(in.getRun()),
+          static_cast<RunEnd>(in.getHow()), Str(in.getCheckpoint())};
+}
+
+void Put(wire::Running::Builder out, const RunningRun& running) {
+  out.setTask(running.task);
+  out.setRun(running.run.value());
+  out.setCheckpoint(running.checkpoint);
+  out.setPercent(running.percent);
+  out.setMeasured(running.measured);
+}
+
+RunningRun Get(wire::Running::Reader in) {
+  return {Str(in.getTask()), Attempt(in.getRun()), Str(in.getCheckpoint()),
+          in.getPercent(), in.getMeasured()};
+}
+
+// Orders.
+
+void Put(wire::Order::Builder out, const Assignment& order) {
+  auto assign = out.initAssign();
+  assign.setFence(order.fence.value());
+  assign.setStartsBefore(order.starts_before);
+  auto worker = assign.initWorker();
+  worker.setVm(order.worker.vm.str());
+  worker.setService(order.worker.service.str());
+  worker.setIp(order.worker.address.ip);
+  worker.setPort(order.worker.address.port);
+  worker.setDataCenter(order.worker.data_center.str());
+  worker.setRack(order.worker.rack.str());
+  worker.setConnections(
+      static_cast<std::uint32_t>(order.worker.capacity.connections));
+}
+
+void Put(wire::Order::Builder out, const StartRun& order) {
+  auto start = out.initStart();
+  start.setVm(order.vm.str());
+  start.setNumber(order.number);
+  start.setTask(order.task);
+  start.setRun(order.run.value());
+  start.setSpec(order.spec);
+  start.setCheckpoint(order.checkpoint);
+  Put(start.initTraits(), order.traits);
+}
+
+void Put(wire::Order::Builder out, const DescribeRun& order) {
+  auto describe = out.initDescribe();
+  describe.setVm(order.vm.str());
+  describe.setTask(order.task);
+  describe.setRun(order.run.value());
+  Put(describe.initTraits(), order.traits);
+}
+
+void Put(wire::Order::Builder out, const StopRun& order) {
+  auto stop = out.initStop();
+  stop.setVm(order.vm.str());
+  stop.setTask(order.task);
+  stop.setRun(order.run.value());
+}
+
+void Put(wire::Order::Builder out, const AcknowledgeEnds& order) {
+  auto acknowledge = out.initAcknowledge();
+  acknowledge.setVm(order.vm.str());
+  acknowledge.setBorn(order.born.value());
+  acknowledge.setNumber(order.number.value());
+}
+
+void Put(wire::Order::Builder out, const Release& order) {
+  out.setRelease(order.vm.str());
+}
+
+Assignment GetAssignment(wire::Assignment::Reader in) {
+  const auto worker = in.getWorker();
+  Assignment assignment;
+  assignment.fence = WorkerFence(in.getFence());
+  assignment.starts_before = in.getStartsBefore();
+  assignment.worker.vm = VmName(Str(worker.getVm()));
+  assignment.worker.service = ServiceName(Str(worker.getService()));
+  assignment.worker.address = {Str(worker.getIp()), worker.getPort()};
+  assignment.worker.data_center = DataCenter(Str(worker.getDataCenter()));
+  assignment.worker.rack = RackName(Str(worker.getRack()));
+  assignment.worker.capacity.connections =
+      static_cast<int>(worker.getConnections());
+  return assignment;
+}
+
+Result<Frame> Get(wire::Order::Reader in) {
+  switch (in.which()) {
+    case wire::Order::ASSIGN:
+      return Frame(AgentOrder(GetAssignment(in.getAssign())));
+    case wire::Order::START: {
+      const auto start = in.getStart();
+      return Frame(AgentOrder(StartRun{
+          VmName(Str(start.getVm())), start.getNumber(), Str(start.getTask()),
+          Attempt(start.getRun()), Str(start.getSpec()),
+          Str(start.getCheckpoint()), Get(start.getTraits())}));
+    }
+    case wire::Order::DESCRIBE: {
+      const auto describe = in.getDescribe();
+      return Frame(AgentOrder(
+          DescribeRun{VmName(Str(describe.getVm())), Str(describe.getTask()),
+                      Attempt(describe.getRun()), Get(describe.getTraits())}));
+    }
+    case wire::Order::STOP: {
+      const auto stop = in.getStop();
+      return Frame(
+          AgentOrder(StopRun{VmName(Str(stop.getVm())), Str(stop.getTask()),
+                             Attempt(stop.getRun())}));
+    }
+    case wire::Order::ACKNOWLEDGE: {
+      const auto acknowledge = in.getAcknowledge();
+      return Frame(AgentOrder(AcknowledgeEnds{
+          VmName(Str(acknowledge.getVm())), WorkerBirth(acknowledge.getBorn()),
+          EndNumber(acknowledge.getNumber())}));
+    }
+    case wire::Order::RELEASE:
+      return Frame(AgentOrder(Release{VmName(Str(in.getRelease()))}));
+  }
+  return Error{Errc::kMalformed, "order"};
+}
+
+// Events.
+
+void Put(wire::Event::Builder out, const Attached& event) {
+  auto attached = out.initAttached();
+  attached.setBorn(event.born.value());
+  attached.setStartsSeen(event.starts_seen);
+  auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
+  for (unsigned i = 0; i < event.unsent.size(); ++i) {
+    unsent.set(i, event.unsent[i]);
+  }
+  auto running =
+      attached.initRunning(static_cast<unsigned>(event.running.size()));
+  for (unsigned i = 0; i < event.running.size(); ++i) {
+    Put(running[i], event.running[i]);
+  }
+  auto ended = attached.initEnded(static_cast<unsigned>(event.ended.size()));
+  for (unsigned i = 0; i < event.ended.size(); ++i) {
+    Put(ended[i], event.ended[i]);
+  }
+}
+
+void Put(wire::RunEvent::Builder out, const std::string& task, Attempt run,
+         OrderOutcome outcome) {
+  out.setTask(task);
+  out.setRun(run.value());
+  out.setOutcome(static_cast<std::uint8_t>(outcome));
+}
+
+void Put(wire::Event::Builder out, const RunEnded& event) {
+  auto ended = out.initEnded();
+  ended.setBorn(event.born.value());
+  Put(ended.initEnd(), event.end);
+}
+
+void Put(wire::Event::Builder out, const RunNotStarted& event) {
+  Put(out.initNotStarted(), event.task, event.run, event.why);
+}
+
+void Put(wire::Event::Builder out, const RunStarted& event) {
+  Put(out.initStarted(), event.task, event.run, OrderOutcome::kAccepted);
+}
+
+void Put(wire::Event::Builder out, const RunStalled& event) {
+  Put(out.initStalled(), event.task, event.run, OrderOutcome::kAccepted);
+}
+
+void Put(wire::Event::Builder out, const WorkerUnreachable& event) {
+  out.setUnreachable(event.lease_left.count());
+}
+
+void Put(wire::Event::Builder out, const WorkerEnded& /*event*/) {
+  out.setWorkerEnded();
+}
+
+void Put(wire::Event::Builder out, const WorkerLoad& event) {
+  auto load = out.initLoad();
+  load.setFillPercent(event.fill_percent);
+  load.setFillUsed(event.fill_used.value());
+  load.setTailRatio(event.tail_ratio);
+}
+
+Attached GetAttached(wire::Attached::Reader in) {
+  Attached attached;
+  attached.born = WorkerBirth(in.getBorn());
+  attached.starts_seen = in.getStartsSeen();
+  for (const auto task : in.getUnsent()) attached.unsent.push_back(Str(task));
+  for (const auto running : in.getRunning()) {
+    attached.running.push_back(Get(running));
+  }
+  for (const auto end : in.getEnded()) attached.ended.push_back(Get(end));
+  return attached;
+}
+
+decltype(AgentEvent::what) GetWhat(wire::Event::Reader in) {
+  switch (in.which()) {
+    case wire::Event::ATTACHED:
+      return GetAttached(in.getAttached());
+    case wire::Event::ENDED:
+      return RunEnded{WorkerBirth(in.getEnded().getBorn()),
+                      Get(in.getEnded().getEnd())};
+    case wire::Event::NOT_STARTED:
+      return RunNotStarted{
+          Str(in.getNotStarted().getTask()),
+          Attempt(in.getNotStarted().getRun()),
+          static_cast<OrderOutcome>(in.getNotStarted().getOutcome())};
+    case wire::Event::STARTED:
+      return RunStarted{Str(in.getStarted().getTask()),
+                        Attempt(in.getStarted().getRun())};
+    case wire::Event::STALLED:
+      return RunStalled{Str(in.getStalled().getTask()),
+                        Attempt(in.getStalled().getRun())};
+    case wire::Event::UNREACHABLE:
+      return WorkerUnreachable{Milliseconds(in.getUnreachable())};
+    case wire::Event::WORKER_ENDED:
+      return WorkerEnded{};
+    case wire::Event::LOAD:
+      return WorkerLoad{in.getLoad().getFillPercent(),
+                        Millicores(in.getLoad().getFillUsed()),
+                        in.getLoad().getTailRatio()};
+  }
+  return WorkerUnreachable{};
+}
+
+// Calls.
+
+void Put(wire::Call::Builder out, const CallFrame& frame) {
+  const ServiceCall& call = frame.call;
+  out.setId(frame.id);
+  out.setKind(static_cast<std::uint8_t>(call.verb));
+  out.setSubmission(call.submission.str());
+  out.setQueue(call.policy.queue.str());
+  out.setService(call.policy.service.str());
+  out.setPriority(call.policy.priority);
+  out.setAttempts(call.policy.attempts);
+  out.setStretch(call.policy.stretch);
+  out.setLatencyTargetMs(call.policy.latency_target.count());
+  out.setPayload(
+      kj::arrayPtr(reinterpret_cast<const kj::byte*>(call.payload.data()),
+                   call.payload.size()));
+}
+
+CallFrame Get(wire::Call::Reader in) {
+  CallFrame frame;
+  frame.id = in.getId();
+  frame.call.verb = static_cast<ServiceVerb>(in.getKind());
+  frame.call.submission = SubmissionId(Str(in.getSubmission()));
+  frame.call.policy = {QueueName(Str(in.getQueue())),
+                       ServiceName(Str(in.getService())),
+                       in.getPriority(),
+                       in.getAttempts(),
+                       in.getStretch(),
+                       Milliseconds(in.getLatencyTargetMs())};
+  const auto payload = in.getPayload();
+  frame.call.payload.assign(reinterpret_cast<const char*>(payload.begin()),
+                            payload.size());
+  return frame;
+}
+
+void Put(wire::Reply::Builder out, const ReplyFrame& frame) {
+  out.setId(frame.id);
+  out.setResult(static_cast<std::uint8_t>(frame.reply.result));
+  out.setState(static_cast<std::uint8_t>(frame.reply.state));
+  out.setPending(frame.reply.pending);
+  out.setRetryAfterMs(frame.reply.retry_after.count());
+}
+
+ReplyFrame Get(wire::Reply::Reader in) {
+  return {in.getId(),
+          {static_cast<ServiceResult>(in.getResult()),
+           static_cast<SubmissionState>(in.getState()), in.getPending(),
+           Milliseconds(in.getRetryAfterMs())}};
+}
+
+void Put(wire::Hello::Builder out, const Hello& hello) {
+  out.setNode(hello.node.str());
+  out.setIncarnation(hello.incarnation.value());
+  out.setEpoch(hello.epoch.value());
+  out.setLeading(hello.leading);
+  out.setDataCenter(hello.data_center.str());
+}
+
+Hello Get(wire::Hello::Reader in) {
+  return {NodeId(Str(in.getNode())), Incarnation(in.getIncarnation()),
+          Epoch(in.getEpoch()), in.getLeading(),
+          DataCenter(Str(in.getDataCenter()))};
+}
+
+Result<Frame> Get(wire::Frame::Reader in) {
+  switch (in.which()) {
+    case wire::Frame::HELLO:
+      return Frame(Get(in.getHello()));
+    case wire::Frame::ORDER:
+      return Get(in.getOrder());
+    case wire::Frame::EVENT: {
+      const auto event = in.getEvent();
+      return Frame(AgentEvent{VmName(Str(event.getVm())),
+                              WorkerFence(event.getAssignment()),
+                              GetWhat(event)});
+    }
+    case wire::Frame::CALL:
+      return Frame(Get(in.getCall()));
+    case wire::Frame::REPLY:
+      return Frame(Get(in.getReply()));
+    case wire::Frame::PING:
+      return Frame(Ping());
+  }
+  return Error{Errc::kMalformed, "frame"};
+}
+
+}  // namespace
+
+std::string EncodeFrame(const Frame& frame) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::Frame>();
+  std::visit(
+      Overloaded{
+          [&](const Hello& hello) { Put(root.initHello(), hello); },
+          [&](const AgentOrder& order) {
+            std::visit([&](const auto& kind) { Put(root.initOrder(), kind); },
+                       order);
+          },
+          [&](const AgentEvent& event) {
+            auto out = root.initEvent();
+            out.setVm(event.vm.str());
+            out.setAssignment(event.assignment.value());
+            std::visit([&](const auto& what) { Put(out, what); }, event.what);
+          },
+          [&](const CallFrame& call) { Put(root.initCall(), call); },
+          [&](const ReplyFrame& reply) { Put(root.initReply(), reply); },
+          [&](const Ping& /*ping*/) { root.setPing(); }},
+      frame);
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+Result<Frame> DecodeFrame(std::string_view bytes) {
+  if (bytes.size() % sizeof(capnp::word) != 0) {
+    return Error{Errc::kMalformed, "frame"};
+  }
+  // The bytes need not be aligned for words.
+  std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.data(), bytes.data(), bytes.size());
+  try {
+    capnp::FlatArrayMessageReader reader(
+        kj::arrayPtr(words.data(), words.size()));
+    return Get(reader.getRoot<wire::Frame>());
+  } catch (const kj::Exception& error) {
+    return Error{Errc::kMalformed, "frame"};
+  }
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -0,0 +1,161 @@
+@0xd3a1f06c2b7e94c5;
+# Frames between the leader of a group and the other nodes. Regenerate with
+# scripts/generate.sh; the generated files are committed so that the build
+# needs no generator.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("mangospread::dispatch::wire");
+
+struct Hello {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;      # Of the leadership that the sender follows or holds.
+  leading @3 :Bool;
+  dataCenter @4 :Text;
+}
+
+struct Worker {
+  vm @0 :Text;
+  service @1 :Text;
+  ip @2 :Text;
+  port @3 :UInt16;
+  dataCenter @4 :Text;
+  rack @5 :Text;
+  connections @6 :UInt32;
+}
+
+struct Assignment {
+  worker @0 :Worker;
+  fence @1 :UInt64;
+  startsBefore @2 :UInt64;
+}
+
+struct Traits {
+  longRunning @0 :Bool;
+  fills @1 :Bool;
+  cpu @2 :Int64;
+  latencyTargetMs @3 :Int64;
+  image @4 :Text;
+}
+
+struct Start {
+  vm @0 :Text;
+  number @1 :UInt64;
+  task @2 :Text;
+  run @3 :UInt64;
+  spec @4 :Text;
+  checkpoint @5 :Text;
+  traits @6 :Traits;
+}
+
+struct RunRef {
+  vm @0 :Text;
+  task @1 :Text;
+  run @2 :UInt64;
+  traits @3 :Traits;
+}
+
+struct Acknowledge {
+  vm @0 :Text;
+  born @1 :UInt64;
+  number @2 :UInt64;
+}
+
+struct Order {
+  union {
+    assign @0 :Assignment;
+    start @1 :Start;
+    describe @2 :RunRef;
+    stop @3 :RunRef;
+    acknowledge @4 :Acknowledge;
+    release @5 :Text;
+  }
+}
+
+struct Running {
+  task @0 :Text;
+  run @1 :UInt64;
+  checkpoint @2 :Text;
+  percent @3 :Int32;
+  measured @4 :Float64;
+}
+
+struct Ended {
+  number @0 :UInt64;
+  task @1 :Text;
+  run @2 :UInt64;
+  how @3 :UInt8;
+  checkpoint @4 :Text;
+}
+
+struct Attached {
+  born @0 :UInt64;
+  startsSeen @1 :UInt64;
+  unsent @2 :List(Text);
+  running @3 :List(Running);
+  ended @4 :List(Ended);
+}
+
+struct RunEvent {
+  task @0 :Text;
+  run @1 :UInt64;
+  outcome @2 :UInt8;
+}
+
+struct Load {
+  fillPercent @0 :Int32;
+  fillUsed @1 :Int64;
+  tailRatio @2 :Float64;
+}
+
+struct EndedEvent {
+  born @0 :UInt64;
+  end @1 :Ended;
+}
+
+struct Event {
+  vm @0 :Text;
+  assignment @1 :UInt64;
+  union {
+    attached @2 :Attached;
+    ended @3 :EndedEvent;
+    notStarted @4 :RunEvent;
+    started @5 :RunEvent;
+    stalled @6 :RunEvent;
+    unreachable @7 :Int64;   # Milliseconds left of the lease.
+    workerEnded @8 :Void;
+    load @9 :Load;
+  }
+}
+
+struct Call {
+  id @0 :UInt64;
+  kind @1 :UInt8;
+  submission @2 :Text;
+  queue @3 :Text;
+  service @4 :Text;
+  priority @5 :Int32;
+  attempts @6 :Int32;
+  stretch @7 :Float64;
+  latencyTargetMs @8 :Int64;
+  payload @9 :Data;
+}
+
+struct Reply {
+  id @0 :UInt64;
+  result @1 :UInt8;
+  state @2 :UInt8;
+  pending @3 :Int32;
+  retryAfterMs @4 :Int64;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    order @1 :Order;
+    event @2 :Event;
+    call @3 :Call;
+    reply @4 :Reply;
+    ping @5 :Void;
+  }
+}
--- /dev/null
+++ b/src/dispatch/policy/worker_book.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// Room on the workers as the scheduler counts it.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dispatch/core/job.hpp"
+#include "dispatch/model/worker_types.hpp"
+
+namespace mangospread::dispatch {
+
+/// A run placed on a worker.
+struct PlacedRun {
+  std::uint32_t run = 0;
+  std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
+};
+
+/// A worker's room. Counts everything that was ordered to start there and is
+/// not known to have ended.
+struct WorkerRoom {
+  WorkerInfo info;
+  bool attached = false;   ///< Its agent reaches it.
+  bool gone = false;       ///< The slot is free for another worker.
+  Millicores cpu_used;     ///< Of tasks that count against the capacity.
+  Millicores serving_cpu;  ///< The part of cpu_used that serves requests.
+  Millicores fill_cpu;     ///< Requested by filling tasks.
+  Mebibytes memory_used;
+  Accelerators accelerators_used;
+  int fill_percent = 100;
+  double tail_ratio = 0;
+  MonotonicTime excluded_until{0};  ///< Fails what it starts.
+  std::uint64_t starts_ordered = 0;
+  std::map<TaskName, PlacedRun> runs;
+
+  [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
+    return attached && !gone && !info.draining && now >= excluded_until;
+  }
+  void Add(const StepSpec& spec);
+  void Remove(const StepSpec& spec);
+};
+
+/// All workers of a group, by slot and by name.
+class WorkerBook {
+ public:
+  /// Adds a worker or updates what it says of itself.
+  WorkerSlot Upsert(const WorkerInfo& info);
+  void Erase(WorkerSlot slot);
+  [[nodiscard]] WorkerSlot Find(const VmName& vm) const;
+  [[nodiscard]] WorkerRoom& at(WorkerSlot slot) {
+    return rooms_[static_cast<std::size_t>(slot)];
+  }
+  [[nodiscard]] const std::vector<WorkerRoom>& rooms() const noexcept {
+    return rooms_;
+  }
+
+ private:
+  std::vector<WorkerRoom> rooms_;
+  std::map<VmName, WorkerSlot> by_name_;
+};
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/worker/worker_session.cc
@@ -0,0 +1,368 @@
+#include "dispatch/worker/worker_session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A worker's clock may run 2% slow, so a lease lasts longer here.
+constexpr int kLeaseStretchPercent = 103;
+constexpr MonotonicTime kLeaseMargin = milliseconds(150);
+constexpr Milliseconds kHoldAnswerTime{700};
+constexpr MonotonicTime kLoadPeriod = milliseconds(900);
+
+}  // namespace
+
+std::shared_ptr<WorkerSession> WorkerSession::Create(
+    base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
+    Assignment assignment, WorkerSessionOptions options, Emit emit) {
+  return std::shared_ptr<WorkerSession>(new WorkerSession(
+      loop, std::move(link), std::move(assignment), options, std::move(emit)));
+}
+
+WorkerSession::WorkerSession(base::EventLoop& loop,
+                             std::shared_ptr<WorkerLink> link,
+                             Assignment assignment,
+                             WorkerSessionOptions options, Emit emit)
+    : loop_(loop),
+      link_(std::move(link)),
+      assignment_(std::move(assignment)),
+      options_(options),
+      emit_(std::move(emit)),
+      fence_(assignment_.fence),
+      starts_seen_(assignment_.starts_before),
+      answered_at_(base::MonotonicNow()) {}
+
+void WorkerSession::Begin() { SendHold(Milliseconds(0)); }
+
+void WorkerSession::Close() {
+  closed_ = true;
+  hold_timer_.reset();
+}
+
+void WorkerSession::Report(decltype(AgentEvent::what) what) {
+  emit_({assignment_.worker.vm, assignment_.fence, std::move(what)});
+}
+
+WorkerTime WorkerSession::LeaseUntil() {
+  if (clock_.value() == 0) return {};
+  const MonotonicTime now = base::MonotonicNow();
+  const auto elapsed = duration_cast<milliseconds>(now - clock_at_);
+  lease_over_at_ = std::max(
+      lease_over_at_,
+      now + MonotonicTime(options_.lease) * kLeaseStretchPercent / 100 +
+          kLeaseMargin);
+  return WorkerTime(clock_.value() + static_cast<std::uint64_t>(
+                                         (elapsed + options_.lease).count()));
+}
+
+void WorkerSession::SendHold(Milliseconds wait) {
+  if (closed_ || hold_in_flight_) return;
+  hold_timer_.reset();
+  hold_in_flight_ = true;
+  const std::uint64_t generation = ++hold_generation_;
+  link_->Hold({fence_, acknowledged_, LeaseUntil(), wait},
+              [self = shared_from_this(),
+               generation](const Result<HoldReport>& result) {
+                self->OnHold(result, generation);
+              });
+  // The link has its own timeout; this one notices a worker that stays silent.
+  hold_timer_ = loop_.After(wait + kHoldAnswerTime + milliseconds(100),
+                            [this] { ReportUnreachable(); });
+}
+
+void WorkerSession::OnHold(const Result<HoldReport>& result,
+                           std::uint64_t generation) {
+  if (closed_ || generation != hold_generation_) return;
+  hold_in_flight_ = false;
+  hold_timer_.reset();
+  if (!result.ok()) return OnHoldFailed(result.error());
+  OnReport(result.value());
+}
+
+void WorkerSession::OnHoldFailed(const Error& error) {
+  if (error.code == Errc::kNotOwner) {
+    closed_ = true;
+    Report(WorkerEnded{});
+    return;
+  }
+  if (error.code == Errc::kStaleEpoch) {
+    // Another agent holds the worker.
+    closed_ = true;
+    ReportUnreachable();
+    return;
+  }
+  base::Log(base::Event::kHoldFailed, {{"vm", assignment_.worker.vm.str()},
+                                       {"error", ErrcName(error.code)},
+                                       {"subject", error.subject}});
+  if (base::MonotonicNow() - answered_at_ > options_.unreachable_after) {
+    ReportUnreachable();
+  }
+  hold_timer_ =
+      loop_.After(options_.retry_pause, [this] { SendHold(Milliseconds(0)); });
+}
+
+void WorkerSession::ReportUnreachable() {
+  if (unreachable_reported_) return;
+  unreachable_reported_ = true;
+  // Orders of before the silence may still be under way.
+  Invalidate();
+  if (!closed_) {
+    hold_timer_ = loop_.After(options_.retry_pause,
+                              [this] { SendHold(Milliseconds(0)); });
+  }
+  const MonotonicTime left = lease_over_at_ - base::MonotonicNow();
+  Report(WorkerUnreachable{
+      std::max(Milliseconds(0), duration_cast<milliseconds>(left))});
+}
+
+void WorkerSession::OnReport(const HoldReport& report) {
+  const MonotonicTime now = base::MonotonicNow();
+  answered_at_ = now;
+  clock_ = report.clock;
+  clock_at_ = now;
+  unreachable_reported_ = false;
+  if (synchronised_ && report.born != born_) return Resynchronise();
+  if (!synchronised_) Synchronise(report);
+  for (const EndedRun& end : report.ended) {
+    highest_listed_ = std::max(highest_listed_, end.number);
+    if (end.number <= reported_) continue;
+    reported_ = end.number;
+    const auto it = runs_.find(end.task);
+    if (it != runs_.end() && it->second.number == end.run) runs_.erase(it);
+    Report(RunEnded{born_, end});
+  }
+  UpdateRuns(report);
+  GuardServing(report);
+  ScheduleHold();
+}
+
+void WorkerSession::ScheduleHold() {
+  if (closed_) return;
+  if (highest_listed_ > acknowledged_) {
+    hold_timer_ = loop_.After(options_.acknowledge_wait,
+                              [this] { SendHold(options_.hold_wait); });
+    return;
+  }
+  SendHold(options_.hold_wait);
+}
+
+void WorkerSession::Synchronise(const HoldReport& report) {
+  synchronised_ = true;
+  if (report.born != born_) {
+    born_ = report.born;
+    acknowledged_ = reported_ = highest_listed_ = EndNumber();
+    runs_.clear();
+  }
+  Attached attached{born_, starts_seen_, {}, report.running, report.ended};
+  for (const StartRun& start : waiting_starts_) {
+    attached.unsent.push_back(start.task);
+  }
+  for (const EndedRun& end : report.ended) {
+    reported_ = std::max(reported_, end.number);
+  }
+  Report(std::move(attached));
+  for (StartRun& start : std::exchange(waiting_starts_, {})) {
+    SendStart(std::move(start));
+  }
+}
+
+void WorkerSession::Invalidate() {
+  synchronised_ = false;
+  if (fence_.value() + 1 < assignment_.fence.value() + kFenceStride) {
+    fence_ = fence_.next();
+  }
+  // A hold in flight carries the old fence; its answer is not awaited.
+  ++hold_generation_;
+  hold_in_flight_ = false;
+}
+
+void WorkerSession::Resynchronise() {
+  Invalidate();
+  SendHold(Milliseconds(0));
+}
+
+void WorkerSession::Start(StartRun order) {
+  starts_seen_ = order.number;
+  if (!synchronised_) {
+    waiting_starts_.push_back(std::move(order));
+    return;
+  }
+  SendStart(std::move(order));
+}
+
+void WorkerSession::SendStart(StartRun order) {
+  Run& run = runs_[order.task];
+  run = Run();
+  run.number = order.run;
+  run.traits = order.traits;
+  run.described = true;
+  run.progress_at = base::MonotonicNow();
+  const StartOrder start{order.task,       order.run,    order.spec,
+                         order.checkpoint, LeaseUntil(), fence_};
+  link_->Start(start, [self = shared_from_this(),
+                       order = std::move(order)](OrderOutcome outcome) {
+    if (!self->closed_) self->OnStartAnswer(order, outcome);
+  });
+}
+
+void WorkerSession::OnStartAnswer(const StartRun& order, OrderOutcome outcome) {
+  const auto it = runs_.find(order.task);
+  const bool current = it != runs_.end() && it->second.number == order.run;
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      Report(RunStarted{order.task, order.run});
+      if (current && it->second.traits.fills && guard_.percent() < 100) {
+        Throttle(order.task, it->second, guard_.percent());
+      }
+      return;
+    case OrderOutcome::kUnknown:
+      base::Log(base::Event::kOrderUnanswered,
+                {{"task", order.task},
+                 {"run", order.run.value()},
+                 {"vm", assignment_.worker.vm.str()}});
+      if (synchronised_) Resynchronise();
+      return;
+    case OrderOutcome::kOtherIncarnation:
+      closed_ = true;
+      Report(WorkerEnded{});
+      return;
+    default:
+      if (current) runs_.erase(it);
+      Report(RunNotStarted{order.task, order.run, outcome});
+  }
+}
+
+void WorkerSession::Describe(const DescribeRun& order) {
+  Run& run = runs_[order.task];
+  run.number = order.run;
+  run.traits = order.traits;
+  run.described = true;
+  if (run.progress_at.count() == 0) run.progress_at = base::MonotonicNow();
+}
+
+void WorkerSession::Stop(const StopRun& order) {
+  const auto waiting =
+      std::find_if(waiting_starts_.begin(), waiting_starts_.end(),
+                   [&](const StartRun& start) {
+                     return start.task == order.task && start.run == order.run;
+                   });
+  if (waiting != waiting_starts_.end()) {
+    waiting_starts_.erase(waiting);
+    Report(RunNotStarted{order.task, order.run, OrderOutcome::kNotSent});
+    return;
+  }
+  SendStop(order);
+}
+
+void WorkerSession::SendStop(StopRun order) {
+  if (closed_) return;
+  link_->Stop(order.task, order.run, fence_,
+              [self = shared_from_this(), order](OrderOutcome outcome) {
+                if (outcome != OrderOutcome::kUnknown &&
+                    outcome != OrderOutcome::kNotSent &&
+                    outcome != OrderOutcome::kUnhealthy &&
+                    outcome != OrderOutcome::kStaleFence) {
+                  return;
+                }
+                auto timer = std::make_shared<base::Timer>();
+                *timer = self->loop_.After(self->options_.retry_pause,
+                                           [self, order, timer] {
+                                             if (!self->closed_)
+                                               self->SendStop(order);
+                                             timer->reset();
+                                           });
+              });
+}
+
+void WorkerSession::Acknowledge(const AcknowledgeEnds& order) {
+  if (order.born != born_ || order.number <= acknowledged_) return;
+  acknowledged_ = order.number;
+  if (synchronised_ && !hold_in_flight_ && highest_listed_ <= acknowledged_) {
+    SendHold(options_.hold_wait);
+  }
+}
+
+void WorkerSession::UpdateRuns(const HoldReport& report) {
+  for (const RunningRun& running : report.running) {
+    const auto it = runs_.find(running.task);
+    if (it == runs_.end() || it->second.number != running.run) continue;
+    CheckProgress(running, it->second);
+  }
+}
+
+void WorkerSession::CheckProgress(const RunningRun& running, Run& run) {
+  const MonotonicTime now = base::MonotonicNow();
+  const bool at_work = run.traits.long_running && running.percent >= 100;
+  if (running.percent != run.percent || run.pace == 0 || at_work) {
+    run.percent = running.percent;
+    run.progress_at = now;
+    run.stall_reported = false;
+    return;
+  }
+  Milliseconds limit = options_.stalled_after;
+  if (run.traits.long_running) limit = options_.startup_limit;
+  if (run.traits.fills) limit = options_.fill_stalled_after;
+  if (run.stall_reported || now - run.progress_at < limit) return;
+  run.stall_reported = true;
+  Report(RunStalled{running.task, running.run});
+}
+
+void WorkerSession::GuardServing(const HoldReport& report) {
+  double worst = 0;
+  double fill_used = 0;
+  for (const RunningRun& running : report.running) {
+    const auto it = runs_.find(running.task);
+    if (it == runs_.end() || !it->second.described) continue;
+    const RunTraits& traits = it->second.traits;
+    if (traits.latency_target.count() > 0) {
+      worst = std::max(worst,
+                       running.measured /
+                           static_cast<double>(traits.latency_target.count()));
+    } else if (traits.fills) {
+      fill_used += running.measured;
+    }
+  }
+  const MonotonicTime now = base::MonotonicNow();
+  const int before = guard_.percent();
+  const int percent = guard_.Update(worst, now);
+  if (percent != before) {
+    base::Log(base::Event::kFillThrottled, {{"vm", assignment_.worker.vm.str()},
+                                            {"percent", percent},
+                                            {"tail_ratio", worst}});
+  }
+  for (const RunningRun& running : report.running) {
+    const auto it = runs_.find(running.task);
+    if (it == runs_.end() || !it->second.traits.fills) continue;
+    if (it->second.pace != percent) {
+      Throttle(running.task, it->second, percent);
+    }
+  }
+  if (percent == before && now - load_reported_at_ < kLoadPeriod) return;
+  load_reported_at_ = now;
+  Report(WorkerLoad{percent, Millicores(static_cast<std::int64_t>(fill_used)),
+                    worst});
+}
+
+void WorkerSession::Throttle(const std::string& task, Run& run, int percent) {
+  if (run.pacing) return;
+  run.pacing = true;
+  const Attempt number = run.number;
+  link_->Throttle(
+      task, number, percent, fence_,
+      [self = shared_from_this(), task, number, percent](OrderOutcome outcome) {
+        const auto it = self->runs_.find(task);
+        if (it == self->runs_.end() || it->second.number != number) return;
+        it->second.pacing = false;
+        if (outcome == OrderOutcome::kAccepted) it->second.pace = percent;
+      });
+}
+
+}  // namespace mangospread::dispatch
