Learn which filling images harm which serving images, and place by it

The leader learns the pairs by recursive least squares, places a filling task where the serving tasks have room for it, slows only the tasks with an effect, and moves one that stays paused. Serving tasks are grouped by image, since a worker with all images has room for no filling image.

Ruled out: one speed for all filling tasks of a worker; spreading serving tasks.

Conclusion: interference is sparse by pair; grouping uses that.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace mangospread::dispatch {
+namespace {
+
+/// At this speed or less a filling task is better off elsewhere.
+constexpr int kPausedPercent = 30;
+constexpr MonotonicTime kMaxPause = std::chrono::milliseconds(1'200);
+
+}  // namespace
 
 Dispatcher::Dispatcher(DispatcherHooks hooks, std::uint32_t first_run)
     : hooks_(std::move(hooks)), first_run_(first_run) {}
@@ -121,8 +128,7 @@
   } else if (std::holds_alternative<WorkerEnded>(event.what)) {
     OnWorkerOver(event.vm, "worker_ended", now);
   } else if (const auto* load = std::get_if<WorkerLoad>(&event.what)) {
-    book_.at(slot).fill_percent = load->fill_percent;
-    book_.at(slot).tail_ratio = load->tail_ratio;
+    OnLoad(slot, *load, now);
   }
 }
 
@@ -178,7 +184,7 @@
     task->run = run;
     task->worker = slot;
     book_.at(slot).Add(spec);
-    book_.at(slot).runs[name] = {run, 0};
+    book_.at(slot).runs[name] = {run, &spec, 100, MonotonicTime(0), 0};
     entry->job->SetPhase(name.task, TaskPhase::kStarting, now);
   }
   hooks_.send(DescribeRun{vm, running.task, running.run, TraitsOf(spec)});
@@ -306,6 +312,65 @@
   StopTask(name.value(), *task, now);
 }
 
+void Dispatcher::OnLoad(WorkerSlot slot, const WorkerLoad& load,
+                        MonotonicTime now) {
+  constexpr double kMillicoresPerCore = 1'000;
+  WorkerRoom& room = book_.at(slot);
+  std::vector<ServingSample> serving;
+  std::vector<FillSample> fills;
+  std::vector<FillUse> uses;
+  for (const RunSample& sample : load.runs) {
+    const auto name = ParseTaskName(sample.task);
+    if (!name.ok()) continue;
+    const auto it = room.runs.find(name.value());
+    if (it == room.runs.end() || it->second.run != sample.run.value()) continue;
+    const StepSpec& spec = *it->second.spec;
+    if (!spec.fills) {
+      // A task that is not at work yet has no tail of its own.
+      if (sample.percent < 100) continue;
+      serving.push_back({spec.image, sample.measured, spec.latency_target});
+      continue;
+    }
+    const double used = sample.measured / kMillicoresPerCore;
+    fills.push_back({sample.task, spec.image,
+                     static_cast<double>(spec.cpu.value()) / kMillicoresPerCore,
+                     used, it->second.percent});
+    uses.push_back({spec.image, used});
+  }
+  for (const ServingSample& sample : serving) {
+    sharing_.Learn(sample.image, sample.tail_ms, uses);
+  }
+  for (const FillSpeed& speed : AdjustFills(sharing_, serving, fills)) {
+    const auto name = ParseTaskName(speed.task);
+    PlacedRun& placed = room.runs.at(name.value());
+    if (placed.percent > kPausedPercent || placed.slowed_since.count() == 0) {
+      placed.slowed_since = now;
+    }
+    placed.percent = speed.percent;
+    hooks_.log(name.value(), room.info.vm, "paced",
+               std::to_string(speed.percent));
+    hooks_.send(
+        PaceRun{room.info.vm, speed.task, Attempt(placed.run), speed.percent});
+  }
+  MovePaused(slot, now);
+}
+
+void Dispatcher::MovePaused(WorkerSlot slot, MonotonicTime now) {
+  std::vector<TaskName> paused;
+  for (const auto& [name, placed] : book_.at(slot).runs) {
+    if (placed.percent <= kPausedPercent && placed.spec->checkpoints &&
+        now - placed.slowed_since > kMaxPause) {
+      paused.push_back(name);
+    }
+  }
+  for (const TaskName& name : paused) {
+    Task& task = *FindEntry(name.submission)->job->Find(name.task);
+    if (task.phase != TaskPhase::kRunning) continue;
+    hooks_.log(name, book_.at(slot).info.vm, "moved", "paused_too_long");
+    StopTask(name, task, now);
+  }
+}
+
 void Dispatcher::OnWorkerOver(const VmName& vm, std::string_view why,
                               MonotonicTime now) {
   const WorkerSlot slot = book_.Find(vm);
@@ -430,8 +495,8 @@
   for (int i = 0; i < count; ++i) {
     const TaskIndex index{candidate.step, i};
     if (entry.job->Find(index)->phase != TaskPhase::kWaiting) continue;
-    const Placement placement = ChooseWorker(book_, entry.job->policy().service,
-                                             spec, tasks_of_step, now);
+    const Placement placement = ChooseWorker(
+        book_, sharing_, entry.job->policy().service, spec, tasks_of_step, now);
     if (placement.worker == kNoWorker) return false;
     Place(entry, index, placement.worker, now);
   }
@@ -448,7 +513,8 @@
   task.worker = slot;
   const TaskName name{job.submission().id, 0, index};
   room.Add(spec);
-  room.runs[name] = {task.run, ++room.starts_ordered};
+  room.runs[name] = {task.run, &spec, 100, MonotonicTime(0),
+                     ++room.starts_ordered};
   job.SetPhase(index, TaskPhase::kStarting, now);
   ++counters_.started;
   hooks_.log(name, room.info.vm, "placed", "");
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include "dispatch/core/end_ledger.hpp"
 #include "dispatch/core/job.hpp"
 #include "dispatch/model/messages.hpp"
+#include "dispatch/policy/fill_guard.hpp"
 #include "dispatch/policy/order.hpp"
 #include "dispatch/policy/placement.hpp"
 #include "dispatch/policy/worker_book.hpp"
@@ -119,6 +120,9 @@
   void OnNotStarted(WorkerSlot slot, const RunNotStarted& event,
                     MonotonicTime now);
   void OnStarted(const RunStarted& event, MonotonicTime now);
+  /// Stops filling tasks that are paused for too long, to run elsewhere.
+  void MovePaused(WorkerSlot slot, MonotonicTime now);
+  void OnLoad(WorkerSlot slot, const WorkerLoad& load, MonotonicTime now);
   void OnStalled(WorkerSlot slot, const RunStalled& event, MonotonicTime now);
 
   Entry* FindEntry(const SubmissionId& id);
@@ -148,6 +152,7 @@
   std::vector<Entry*> active_;
   WorkerBook book_;
   WorkerHealth health_;
+  SharingModel sharing_;
   EndLedger ledger_;
   DispatcherCounters counters_;
 };
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -57,6 +57,14 @@
   Attempt run;
 };
 
+/// Lets a run work at a share of its speed.
+struct PaceRun {
+  VmName vm;
+  std::string task;
+  Attempt run;
+  int percent = 100;
+};
+
 /// Ends up to `number` are stored.
 struct AcknowledgeEnds {
   VmName vm;
@@ -69,7 +77,7 @@
 };
 
 using AgentOrder = std::variant<Assignment, StartRun, DescribeRun, StopRun,
-                                AcknowledgeEnds, Release>;
+                                PaceRun, AcknowledgeEnds, Release>;
 
 /// The worker obeys the assignment's fence: no earlier order can take effect.
 struct Attached {
@@ -115,14 +123,18 @@
 /// The worker process is over and its runs with it.
 struct WorkerEnded {};
 
-/// A worker's measured load.
+/// What a worker's list says of one run, without the checkpoint.
+struct RunSample {
+  std::string task;
+  Attempt run;
+  /// Tail latency in ms for a serving task, else millicores in use.
+  double measured = 0;
+  int percent = 0;  ///< Progress, or 100 for a long-running task at work.
+};
+
+/// Measurements of the last half second of all runs that share a worker.
 struct WorkerLoad {
-  /// Share of their speed that filling tasks run at, 0 to 100.
-  int fill_percent = 100;
-  /// Millicores that filling tasks used.
-  Millicores fill_used;
-  /// Highest tail latency of a serving task relative to its target.
-  double tail_ratio = 0;
+  std::vector<RunSample> runs;
 };
 
 struct AgentEvent {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -108,6 +108,14 @@
   stop.setRun(order.run.value());
 }
 
+void Put(wire::Order::Builder out, const PaceRun& order) {
+  auto pace = out.initPace();
+  pace.setVm(order.vm.str());
+  pace.setTask(order.task);
+  pace.setRun(order.run.value());
+  pace.setPercent(order.percent);
+}
+
 void Put(wire::Order::Builder out, const AcknowledgeEnds& order) {
   auto acknowledge = out.initAcknowledge();
   acknowledge.setVm(order.vm.str());
@@ -157,6 +165,12 @@
           AgentOrder(StopRun{VmName(Str(stop.getVm())), Str(stop.getTask()),
                              Attempt(stop.getRun())}));
     }
+    case wire::Order::PACE: {
+      const auto pace = in.getPace();
+      return Frame(
+          AgentOrder(PaceRun{VmName(Str(pace.getVm())), Str(pace.getTask()),
+                             Attempt(pace.getRun()), pace.getPercent()}));
+    }
     case wire::Order::ACKNOWLEDGE: {
       const auto acknowledge = in.getAcknowledge();
       return Frame(AgentOrder(AcknowledgeEnds{
@@ -224,10 +238,23 @@
 }
 
 void Put(wire::Event::Builder out, const WorkerLoad& event) {
-  auto load = out.initLoad();
-  load.setFillPercent(event.fill_percent);
-  load.setFillUsed(event.fill_used.value());
-  load.setTailRatio(event.tail_ratio);
+  auto runs = out.initLoad().initRuns(static_cast<unsigned>(event.runs.size()));
+  for (unsigned i = 0; i < event.runs.size(); ++i) {
+    const RunSample& sample = event.runs[i];
+    runs[i].setTask(sample.task);
+    runs[i].setRun(sample.run.value());
+    runs[i].setPercent(sample.percent);
+    runs[i].setMeasured(sample.measured);
+  }
+}
+
+WorkerLoad GetLoad(wire::Load::Reader in) {
+  WorkerLoad load;
+  for (const auto run : in.getRuns()) {
+    load.runs.push_back({Str(run.getTask()), Attempt(run.getRun()),
+                         run.getMeasured(), run.getPercent()});
+  }
+  return load;
 }
 
 Attached GetAttached(wire::Attached::Reader in) {
@@ -265,9 +292,7 @@
     case wire::Event::WORKER_ENDED:
       return WorkerEnded{};
     case wire::Event::LOAD:
-      return WorkerLoad{in.getLoad().getFillPercent(),
-                        Millicores(in.getLoad().getFillUsed()),
-                        in.getLoad().getTailRatio()};
+      return GetLoad(in.getLoad());
   }
   return WorkerUnreachable{};
 }
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -69,6 +69,7 @@
     stop @3 :RunRef;
     acknowledge @4 :Acknowledge;
     release @5 :Text;
+    pace @6 :Pace;
   }
 }
 
@@ -103,9 +104,14 @@
 }
 
 struct Load {
-  fillPercent @0 :Int32;
-  fillUsed @1 :Int64;
-  tailRatio @2 :Float64;
+  runs @0 :List(Running);   # Without checkpoints.
+}
+
+struct Pace {
+  vm @0 :Text;
+  task @1 :Text;
+  run @2 :UInt64;
+  percent @3 :Int32;
 }
 
 struct EndedEvent {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(f7c658347af1b89d);
 CAPNP_DECLARE_SCHEMA(bf79209fa6d03e43);
 CAPNP_DECLARE_SCHEMA(917a03a16feb775d);
+CAPNP_DECLARE_SCHEMA(c97543dd2a5283d7);
 CAPNP_DECLARE_SCHEMA(ff4c0b3113ee124b);
 CAPNP_DECLARE_SCHEMA(8b6a709a6603385d);
 CAPNP_DECLARE_SCHEMA(87f227d46b03a0ce);
@@ -160,6 +161,7 @@
     STOP,
     ACKNOWLEDGE,
     RELEASE,
+    PACE,
   };
 
   struct _capnpPrivate {
@@ -238,7 +240,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Pace {
+  Pace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c97543dd2a5283d7, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1142,6 +1159,10 @@
   inline bool hasRelease() const;
   inline  ::capnp::Text::Reader getRelease() const;
 
+  inline bool isPace() const;
+  inline bool hasPace() const;
+  inline  ::mangospread::dispatch::wire::Pace::Reader getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1219,6 +1240,14 @@
   inline void adoptRelease(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRelease();
 
+  inline bool isPace();
+  inline bool hasPace();
+  inline  ::mangospread::dispatch::wire::Pace::Builder getPace();
+  inline void setPace( ::mangospread::dispatch::wire::Pace::Reader value);
+  inline  ::mangospread::dispatch::wire::Pace::Builder initPace();
+  inline void adoptPace(::capnp::Orphan< ::mangospread::dispatch::wire::Pace>&& value);
+  inline ::capnp::Orphan< ::mangospread::dispatch::wire::Pace> disownPace();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1677,11 +1706,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getFillPercent() const;
-
-  inline  ::int64_t getFillUsed() const;
-
-  inline double getTailRatio() const;
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1711,14 +1737,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getFillPercent();
-  inline void setFillPercent( ::int32_t value);
-
-  inline  ::int64_t getFillUsed();
-  inline void setFillUsed( ::int64_t value);
-
-  inline double getTailRatio();
-  inline void setTailRatio(double value);
+  inline bool hasRuns();
+  inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>> disownRuns();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1746,6 +1770,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class Pace::Reader {
+public:
+  typedef Pace Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasTask() const;
+  inline  ::capnp::Text::Reader getTask() const;
+
+  inline  ::uint64_t getRun() const;
+
+  inline  ::int32_t getPercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Pace::Builder {
+public:
+  typedef Pace Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasTask();
+  inline  ::capnp::Text::Builder getTask();
+  inline void setTask( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTask(unsigned int size);
+  inline void adoptTask(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTask();
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline  ::int32_t getPercent();
+  inline void setPercent( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Pace::Pipeline {
+public:
+  typedef Pace Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EndedEvent::Reader {
 public:
   typedef EndedEvent Reads;
@@ -3570,6 +3695,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Order::Reader::isPace() const {
+  return which() == Order::PACE;
+}
+inline bool Order::Builder::isPace() {
+  return which() == Order::PACE;
+}
+inline bool Order::Reader::hasPace() const {
+  if (which() != Order::PACE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Order::Builder::hasPace() {
+  if (which() != Order::PACE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::dispatch::wire::Pace::Reader Order::Reader::getPace() const {
+  KJ_IREQUIRE((which() == Order::PACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::dispatch::wire::Pace::Builder Order::Builder::getPace() {
+  KJ_IREQUIRE((which() == Order::PACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Order::Builder::setPace( ::mangospread::dispatch::wire::Pace::Reader value) {
+  _builder.setDataField<Order::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Order::PACE);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::dispatch::wire::Pace::Builder Order::Builder::initPace() {
+  _builder.setDataField<Order::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Order::PACE);
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Order::Builder::adoptPace(
+    ::capnp::Orphan< ::mangospread::dispatch::wire::Pace>&& value) {
+  _builder.setDataField<Order::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Order::PACE);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::dispatch::wire::Pace> Order::Builder::disownPace() {
+  KJ_IREQUIRE((which() == Order::PACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Pace>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Running::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3986,45 +4165,133 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t Load::Reader::getFillPercent() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Load::Reader::hasRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Reader Load::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Builder Load::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setRuns( ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Builder Load::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>> Load::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t Load::Builder::getFillPercent() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Pace::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setFillPercent( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Pace::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Pace::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Pace::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Pace::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Pace::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Pace::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Pace::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Load::Reader::getFillUsed() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Pace::Reader::hasTask() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Pace::Builder::hasTask() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Pace::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Pace::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Pace::Builder::setTask( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Pace::Builder::initTask(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Pace::Builder::adoptTask(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Pace::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Load::Builder::getFillUsed() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Pace::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setFillUsed( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t Pace::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Pace::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double Load::Reader::getTailRatio() const {
-  return _reader.getDataField<double>(
+inline  ::int32_t Pace::Reader::getPercent() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double Load::Builder::getTailRatio() {
-  return _builder.getDataField<double>(
+inline  ::int32_t Pace::Builder::getPercent() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setTailRatio(double value) {
-  _builder.setDataField<double>(
+inline void Pace::Builder::setPercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -6,10 +6,10 @@
 namespace {
 
 /// Share of its request that a serving task uses on average.
-constexpr double kServingUse = 0.55;
-/// A worker whose serving tasks are this close to their targets gets no
-/// further filling task.
-constexpr double kTailRatioLimit = 0.8;
+constexpr double kServingUse = 0.5;
+constexpr double kSameImageCost = -0.3;
+/// Utilisation that a filling task adds without its being worth a thought.
+constexpr double kHarmlessEffect = 0.02;
 /// Cost of running away from the data, in shares of a worker's processors.
 constexpr double kRemoteDataCost = 2.0;
 
@@ -30,6 +30,32 @@
          kServingUse * value(room.serving_cpu) - value(room.fill_cpu);
 }
 
+/// Utilisation left on the worst-off serving task if the fill is added; not
+/// negative where the fill harms none.
+double ServingRoom(const WorkerRoom& room, const SharingModel& model,
+                   const StepSpec& spec) {
+  constexpr double kMillicoresPerCore = 1'000;
+  const auto cores = [](const StepSpec& step) {
+    return static_cast<double>(step.cpu.value()) / kMillicoresPerCore;
+  };
+  double least = 1;
+  for (const auto& [name, victim] : room.runs) {
+    if (victim.spec->latency_target.count() == 0) continue;
+    const ImageName& image = victim.spec->image;
+    const double own = model.Effect(spec.image, image) * cores(spec);
+    if (own < kHarmlessEffect) continue;
+    double used = model.HighLevel(image) + own;
+    for (const auto& [other, fill] : room.runs) {
+      if (fill.spec->fills) {
+        used += model.Effect(fill.spec->image, image) * cores(*fill.spec);
+      }
+    }
+    const double left = model.Limit(image, victim.spec->latency_target) - used;
+    least = std::min(least, left);
+  }
+  return least;
+}
+
 bool Fits(const WorkerRoom& room, const StepSpec& spec) {
   const WorkerCapacity& capacity = room.info.capacity;
   if (room.memory_used + spec.memory > capacity.memory) return false;
@@ -37,8 +63,19 @@
     return false;
   }
   if (!spec.fills) return room.cpu_used + spec.cpu <= capacity.cpu;
-  return room.fill_percent >= 100 && room.tail_ratio < kTailRatioLimit &&
-         Unused(room) >= static_cast<double>(spec.cpu.value());
+  return Unused(room) >= static_cast<double>(spec.cpu.value());
+}
+
+/// Serving tasks of other images on the worker, less some for each of the same.
+/// Each filling image harms few serving images, so workers that serve one image
+/// leave room for most filling tasks.
+double ServingMismatch(const WorkerRoom& room, const StepSpec& spec) {
+  double mismatch = 0;
+  for (const auto& [name, placed] : room.runs) {
+    if (!placed.spec->long_running) continue;
+    mismatch += placed.spec->image == spec.image ? kSameImageCost : 1.0;
+  }
+  return mismatch;
 }
 
 /// Lower is better.
@@ -48,7 +85,7 @@
   double cost = spec.fills
                     ? -Unused(room) / capacity
                     : static_cast<double>(room.cpu_used.value()) / capacity;
-  if (spec.fills) cost += room.tail_ratio;
+  if (spec.long_running) cost += ServingMismatch(room, spec);
   if (!spec.data_rack.empty() && room.info.rack != spec.data_rack) {
     cost += kRemoteDataCost;
   }
@@ -57,8 +94,8 @@
 
 }  // namespace
 
-Placement ChooseWorker(const WorkerBook& book, const ServiceName& service,
-                       const StepSpec& spec,
+Placement ChooseWorker(const WorkerBook& book, const SharingModel& model,
+                       const ServiceName& service, const StepSpec& spec,
                        const std::function<int(WorkerSlot)>& tasks_of_step,
                        MonotonicTime now) {
   Placement best{kNoWorker, NoPlace::kNoWorker};
@@ -76,6 +113,10 @@
       if (best.worker == kNoWorker) best.why = NoPlace::kNoRoom;
       continue;
     }
+    if (spec.fills && ServingRoom(room, model, spec) < 0) {
+      if (best.worker == kNoWorker) best.why = NoPlace::kNoRoom;
+      continue;
+    }
     const double cost = Cost(room, spec);
     if (best.worker == kNoWorker || cost < best_cost) {
       best = {slot, NoPlace::kNone};
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "dispatch/policy/sharing_model.hpp"
 #include "dispatch/policy/worker_book.hpp"
 
 namespace mangospread::dispatch {
@@ -23,7 +24,8 @@
 /// @param tasks_of_step number of the step's tasks on a worker; asked only for
 ///   a step with a limit per worker.
 [[nodiscard]] Placement ChooseWorker(
-    const WorkerBook& book, const ServiceName& service, const StepSpec& spec,
+    const WorkerBook& book, const SharingModel& model,
+    const ServiceName& service, const StepSpec& spec,
     const std::function<int(WorkerSlot)>& tasks_of_step, MonotonicTime now);
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -14,6 +14,10 @@
 /// A run placed on a worker.
 struct PlacedRun {
   std::uint32_t run = 0;
+  /// The step's description; lives as long as its submission is active.
+  const StepSpec* spec = nullptr;
+  int percent = 100;               ///< Speed that was ordered.
+  MonotonicTime slowed_since{0};   ///< 0 at full speed.
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
 };
 
@@ -28,8 +32,8 @@
   Millicores fill_cpu;     ///< Requested by filling tasks.
   Mebibytes memory_used;
   Accelerators accelerators_used;
-  int fill_percent = 100;
-  double tail_ratio = 0;
+  /// Filling tasks were slowed down here until then.
+  MonotonicTime strained_until{0};
   MonotonicTime excluded_until{0};  ///< Fails what it starts.
   std::uint64_t starts_ordered = 0;
   std::map<TaskName, PlacedRun> runs;
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -48,6 +48,10 @@
                           if (auto* session = Find(stop.vm))
                             session->Stop(stop);
                         },
+                        [this](PaceRun& pace) {
+                          if (auto* session = Find(pace.vm))
+                            session->Pace(pace);
+                        },
                         [this](AcknowledgeEnds& ends) {
                           if (auto* session = Find(ends.vm))
                             session->Acknowledge(ends);
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -16,7 +16,7 @@
 constexpr int kLeaseStretchPercent = 103;
 constexpr MonotonicTime kLeaseMargin = milliseconds(150);
 constexpr Milliseconds kHoldAnswerTime{700};
-constexpr MonotonicTime kLoadPeriod = milliseconds(900);
+constexpr MonotonicTime kLoadPeriod = milliseconds(400);
 
 }  // namespace
 
@@ -140,7 +140,7 @@
     Report(RunEnded{born_, end});
   }
   UpdateRuns(report);
-  GuardServing(report);
+  ReportLoad(report);
   ScheduleHold();
 }
 
@@ -219,9 +219,6 @@
   switch (outcome) {
     case OrderOutcome::kAccepted:
       Report(RunStarted{order.task, order.run});
-      if (current && it->second.traits.fills && guard_.percent() < 100) {
-        Throttle(order.task, it->second, guard_.percent());
-      }
       return;
     case OrderOutcome::kUnknown:
       base::Log(base::Event::kOrderUnanswered,
@@ -315,53 +312,46 @@
   Report(RunStalled{running.task, running.run});
 }
 
-void WorkerSession::GuardServing(const HoldReport& report) {
-  double worst = 0;
-  double fill_used = 0;
+void WorkerSession::ReportLoad(const HoldReport& report) {
+  const MonotonicTime now = base::MonotonicNow();
+  if (now - load_reported_at_ < kLoadPeriod) return;
+  bool serving = false;
+  WorkerLoad load;
   for (const RunningRun& running : report.running) {
     const auto it = runs_.find(running.task);
     if (it == runs_.end() || !it->second.described) continue;
     const RunTraits& traits = it->second.traits;
-    if (traits.latency_target.count() > 0) {
-      worst = std::max(worst,
-                       running.measured /
-                           static_cast<double>(traits.latency_target.count()));
-    } else if (traits.fills) {
-      fill_used += running.measured;
-    }
-  }
-  const MonotonicTime now = base::MonotonicNow();
-  const int before = guard_.percent();
-  const int percent = guard_.Update(worst, now);
-  if (percent != before) {
-    base::Log(base::Event::kFillThrottled, {{"vm", assignment_.worker.vm.str()},
-                                            {"percent", percent},
-                                            {"tail_ratio", worst}});
+    serving = serving || traits.latency_target.count() > 0;
+    if (traits.latency_target.count() == 0 && !traits.fills) continue;
+    load.runs.push_back(
+        {running.task, running.run, running.measured, running.percent});
   }
-  for (const RunningRun& running : report.running) {
-    const auto it = runs_.find(running.task);
-    if (it == runs_.end() || !it->second.traits.fills) continue;
-    if (it->second.pace != percent) {
-      Throttle(running.task, it->second, percent);
-    }
-  }
-  if (percent == before && now - load_reported_at_ < kLoadPeriod) return;
+  if (!serving) return;
   load_reported_at_ = now;
-  Report(WorkerLoad{percent, Millicores(static_cast<std::int64_t>(fill_used)),
-                    worst});
+  Report(std::move(load));
+}
+
+void WorkerSession::Pace(const PaceRun& order) {
+  const auto it = runs_.find(order.task);
+  if (it == runs_.end() || it->second.number != order.run) return;
+  it->second.wanted_pace = order.percent;
+  if (!it->second.pacing) SendPace(order);
 }
 
-void WorkerSession::Throttle(const std::string& task, Run& run, int percent) {
-  if (run.pacing) return;
-  run.pacing = true;
-  const Attempt number = run.number;
+void WorkerSession::SendPace(const PaceRun& order) {
+  runs_.at(order.task).pacing = true;
   link_->Throttle(
-      task, number, percent, fence_,
-      [self = shared_from_this(), task, number, percent](OrderOutcome outcome) {
-        const auto it = self->runs_.find(task);
-        if (it == self->runs_.end() || it->second.number != number) return;
-        it->second.pacing = false;
-        if (outcome == OrderOutcome::kAccepted) it->second.pace = percent;
+      order.task, order.run, order.percent, fence_,
+      [self = shared_from_this(), order](OrderOutcome outcome) {
+        const auto it = self->runs_.find(order.task);
+        if (it == self->runs_.end() || it->second.number != order.run) return;
+        Run& run = it->second;
+        run.pacing = false;
+        if (outcome == OrderOutcome::kAccepted) run.pace = order.percent;
+        const bool again = outcome == OrderOutcome::kUnknown ||
+                           run.wanted_pace != order.percent;
+        if (!again || self->closed_) return;
+        self->SendPace({order.vm, order.task, order.run, run.wanted_pace});
       });
 }
 
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -10,7 +10,6 @@
 
 #include "base/loop/event_loop.hpp"
 #include "dispatch/model/messages.hpp"
-#include "dispatch/policy/pace_guard.hpp"
 
 namespace mangospread::dispatch {
 
@@ -55,6 +54,7 @@
   void Start(StartRun order);
   void Describe(const DescribeRun& order);
   void Stop(const StopRun& order);
+  void Pace(const PaceRun& order);
   void Acknowledge(const AcknowledgeEnds& order);
 
   [[nodiscard]] WorkerFence assignment() const noexcept {
@@ -68,7 +68,8 @@
     RunTraits traits;
     bool described = false;
     int percent = -1;
-    int pace = 100;  ///< Last speed that the worker confirmed.
+    int pace = 100;         ///< Last speed that the worker confirmed.
+    int wanted_pace = 100;  ///< Last speed that the leader ordered.
     bool pacing = false;
     bool stall_reported = false;
     MonotonicTime progress_at{0};
@@ -93,8 +94,9 @@
   void SendStop(StopRun order);
   void UpdateRuns(const HoldReport& report);
   void CheckProgress(const RunningRun& running, Run& run);
-  void GuardServing(const HoldReport& report);
-  void Throttle(const std::string& task, Run& run, int percent);
+  /// Reports the measurements where serving and filling tasks share.
+  void ReportLoad(const HoldReport& report);
+  void SendPace(const PaceRun& order);
   void Report(decltype(AgentEvent::what) what);
   [[nodiscard]] WorkerTime LeaseUntil();
   void ReportUnreachable();
@@ -104,7 +106,6 @@
   Assignment assignment_;
   WorkerSessionOptions options_;
   Emit emit_;
-  PaceGuard guard_;
   WorkerFence fence_;
   /// Of the hold that is awaited; replies to earlier ones are dropped.
   std::uint64_t hold_generation_ = 0;
