Keep ends of a submission until its cancellation is stored; name the later leader

The next leader read the submission as running, found no ends and started its tasks again.

An end now waits for the newest unstored change of its submission. A leader whose worker obeys a higher fence stands down, and a new leader tells the former one, whose followers without a store learn the leader from it.

Conclusion: nothing may be acknowledged on the strength of unstored state.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -206,11 +206,12 @@
   const auto name = ParseTaskName(end.task);
   Entry* entry = name.ok() ? FindEntry(name.value().submission) : nullptr;
   Task* task = entry == nullptr ? nullptr : entry->job->Find(name.value().task);
-  const std::uint64_t before = entry == nullptr ? 0 : entry->generation;
   if (task != nullptr) {
     ApplyEnd(*entry, name.value(), *task, end, vm, now);
   }
-  if (entry != nullptr && entry->generation != before) {
+  // Also when the end itself changed nothing: whoever takes over knows only
+  // what is stored, so it must find the state that made the end irrelevant.
+  if (entry != nullptr && entry->generation > entry->saved_generation) {
     ledger_.SettleWith(entry->job->submission().id, entry->generation, vm, born,
                        end.number);
     return;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 constexpr Milliseconds kRetrySoon{500};
 constexpr Milliseconds kRetryStoreDown{1'500};
+constexpr MonotonicTime kRetryUnreachable = milliseconds(800);
 constexpr MonotonicTime kLoadRetry = milliseconds(300);
 
 table::WriterOptions MakeWriterOptions() {
@@ -434,7 +435,12 @@
   const MonotonicTime now = base::MonotonicNow();
   for (auto& [vm, entry] : workers_) {
     if (entry.agent || now < entry.retry_at) continue;
-    if (entry.failed.size() >= agents_.size()) entry.failed.clear();
+    if (entry.failed.size() >= agents_.size()) {
+      // None reaches it now.
+      entry.failed.clear();
+      entry.retry_at = now + kRetryUnreachable;
+      continue;
+    }
     if (const auto agent = PickAgent(entry)) Assign(entry, *agent);
   }
 }
@@ -545,6 +551,12 @@
     entry.lease_over_at = std::max(before, now + lost->lease_left);
     entry.failed.insert(agent);
     AssignWorkers();
+  } else if (std::holds_alternative<WorkerSuperseded>(event.what)) {
+    // Only a later leadership gives higher fences than the newest assignment.
+    base::Log(base::Event::kLeaderLost, {{"leader", deps_.self.str()},
+                                         {"reason", "superseded"},
+                                         {"vm", event.vm.str()}});
+    return deps_.on_conflict();
   } else if (std::holds_alternative<WorkerEnded>(event.what)) {
     OnWorkerOver(event.vm, "worker_ended");
   } else {
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -120,6 +120,9 @@
   Milliseconds lease_left{0};
 };
 
+/// The worker obeys a higher fence than this leadership gave.
+struct WorkerSuperseded {};
+
 /// The worker process is over and its runs with it.
 struct WorkerEnded {};
 
@@ -142,7 +145,7 @@
   /// Of the assignment under which it happened.
   WorkerFence assignment;
   std::variant<Attached, RunEnded, RunNotStarted, RunStarted, RunStalled,
-               WorkerUnreachable, WorkerEnded, WorkerLoad>
+               WorkerUnreachable, WorkerSuperseded, WorkerEnded, WorkerLoad>
       what;
 };
 
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -113,8 +113,9 @@
 
 Hello Node::MakeHello(bool leading) const {
   const auto& leader = leadership_->leader();
-  return {options_.node, options_.incarnation, leader ? leader->epoch : Epoch(),
-          leading, options_.data_center};
+  return {
+      options_.node, options_.incarnation, leader ? leader->epoch : Epoch(),
+      leading,       options_.data_center, leader ? *leader : LeaderRecord()};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
@@ -140,7 +141,7 @@
   base::Log(base::Event::kLeaderLost, {{"leader", hello.node.str()},
                                        {"reason", "does_not_lead"},
                                        {"epoch", hello.epoch.value()}});
-  if (!followed_) return;
+  if (LearnLeader(hello) || !followed_) return;
   // A process that does not know the epoch yet may be about to learn of it.
   const bool replaced = hello.incarnation != followed_->incarnation;
   if (replaced || hello.epoch == followed_->epoch) {
@@ -150,6 +151,15 @@
   OnLeaderClosed(Errc::kNotOwner);
 }
 
+bool Node::LearnLeader(const Hello& hello) {
+  const auto& known = leadership_->leader();
+  if (hello.leader.node.empty() || (known && hello.epoch <= known->epoch)) {
+    return false;
+  }
+  leadership_->OnRow(hello.leader);
+  return true;
+}
+
 void Node::OnLeaderClosed(Errc why) {
   if (leader_) return;
   if (connected_) {
@@ -172,7 +182,18 @@
 
 // As the leader.
 
+void Node::TellPredecessor() {
+  if (!followed_ || followed_->node == options_.node) return;
+  auto told =
+      Channel::Connect(deps_.loop, followed_->address, options_.channel,
+                       {[](const Frame& /*frame*/) {}, [](Errc /*why*/) {}});
+  told->Send(MakeHello(true));
+  constexpr MonotonicTime kTellTime = std::chrono::seconds(1);
+  told_timer_ = deps_.loop.After(kTellTime, [told] { told->Close(); });
+}
+
 void Node::Lead(const LeaderRecord& leader) {
+  TellPredecessor();
   if (leader_channel_) leader_channel_->Close();
   leader_channel_.reset();
   reconnect_timer_.reset();
@@ -257,6 +278,7 @@
 
 void Node::OnPeerHello(const std::shared_ptr<Channel>& channel,
                        const Hello& hello) {
+  LearnLeader(hello);
   const bool leading = leader_ != nullptr;
   channel->Send(MakeHello(leading));
   if (!leading) return;
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -85,12 +85,17 @@
   void Connect();
   void OnLeaderFrame(Frame frame);
   void OnLeaderHello(const Hello& hello);
+  /// Takes a later leader over from a peer, since this node may not reach the
+  /// table. False if the peer knows of none.
+  bool LearnLeader(const Hello& hello);
   void OnLeaderClosed(Errc why);
   void FailCalls();
   void FinishCall(std::uint64_t id, const ServiceReply& reply);
 
   // As the leader.
   void Lead(const LeaderRecord& leader);
+  /// The former leader may be cut off from the table.
+  void TellPredecessor();
   void Depose();
   void Accept(std::shared_ptr<Channel> channel);
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
@@ -120,6 +125,7 @@
   std::map<VmName, WorkerInfo> listed_;
   base::Timer reconnect_timer_;
   base::Timer orphan_timer_;
+  base::Timer told_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -233,6 +233,10 @@
   out.setUnreachable(event.lease_left.count());
 }
 
+void Put(wire::Event::Builder out, const WorkerSuperseded& /*event*/) {
+  out.setSuperseded();
+}
+
 void Put(wire::Event::Builder out, const WorkerEnded& /*event*/) {
   out.setWorkerEnded();
 }
@@ -289,6 +293,8 @@
                         Attempt(in.getStalled().getRun())};
     case wire::Event::UNREACHABLE:
       return WorkerUnreachable{Milliseconds(in.getUnreachable())};
+    case wire::Event::SUPERSEDED:
+      return WorkerSuperseded{};
     case wire::Event::WORKER_ENDED:
       return WorkerEnded{};
     case wire::Event::LOAD:
@@ -353,12 +359,25 @@
   out.setEpoch(hello.epoch.value());
   out.setLeading(hello.leading);
   out.setDataCenter(hello.data_center.str());
+  auto leader = out.initLeader();
+  leader.setNode(hello.leader.node.str());
+  leader.setIncarnation(hello.leader.incarnation.value());
+  leader.setIp(hello.leader.address.ip);
+  leader.setPort(hello.leader.address.port);
 }
 
 Hello Get(wire::Hello::Reader in) {
-  return {NodeId(Str(in.getNode())), Incarnation(in.getIncarnation()),
-          Epoch(in.getEpoch()), in.getLeading(),
-          DataCenter(Str(in.getDataCenter()))};
+  const auto leader = in.getLeader();
+  return {NodeId(Str(in.getNode())),
+          Incarnation(in.getIncarnation()),
+          Epoch(in.getEpoch()),
+          in.getLeading(),
+          DataCenter(Str(in.getDataCenter())),
+          {NodeId(Str(leader.getNode())),
+           Incarnation(leader.getIncarnation()),
+           {Str(leader.getIp()), leader.getPort()},
+           Epoch(in.getEpoch()),
+           RowVersion()}};
 }
 
 Result<Frame> Get(wire::Frame::Reader in) {
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "dispatch/front/submission_service.hpp"
+#include "dispatch/leader/leadership.hpp"
 #include "dispatch/model/messages.hpp"
 #include "mangospread/error.hpp"
 
@@ -19,6 +20,8 @@
   Epoch epoch;
   bool leading = false;
   DataCenter data_center;
+  /// The leader that the sender follows or is; no name before the first.
+  LeaderRecord leader;
 };
 
 struct CallFrame {
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -12,6 +12,14 @@
   epoch @2 :UInt64;      # Of the leadership that the sender follows or holds.
   leading @3 :Bool;
   dataCenter @4 :Text;
+  leader @5 :Leader;     # That the sender follows or is.
+}
+
+struct Leader {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  ip @2 :Text;
+  port @3 :UInt16;
 }
 
 struct Worker {
@@ -131,6 +139,7 @@
     unreachable @7 :Int64;   # Milliseconds left of the lease.
     workerEnded @8 :Void;
     load @9 :Load;
+    superseded @10 :Void;
   }
 }
 
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(f257b349b00b4a67);
+CAPNP_DECLARE_SCHEMA(aca34c0f56144dfd);
 CAPNP_DECLARE_SCHEMA(d3f13bce05f5ae01);
 CAPNP_DECLARE_SCHEMA(f9b1b34112797f6d);
 CAPNP_DECLARE_SCHEMA(eb016016a89ca423);
@@ -51,7 +52,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Leader {
+  Leader() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aca34c0f56144dfd, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -292,6 +308,7 @@
     UNREACHABLE,
     WORKER_ENDED,
     LOAD,
+    SUPERSEDED,
   };
 
   struct _capnpPrivate {
@@ -386,6 +403,9 @@
   inline bool hasDataCenter() const;
   inline  ::capnp::Text::Reader getDataCenter() const;
 
+  inline bool hasLeader() const;
+  inline  ::mangospread::dispatch::wire::Leader::Reader getLeader() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -437,6 +457,13 @@
   inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
 
+  inline bool hasLeader();
+  inline  ::mangospread::dispatch::wire::Leader::Builder getLeader();
+  inline void setLeader( ::mangospread::dispatch::wire::Leader::Reader value);
+  inline  ::mangospread::dispatch::wire::Leader::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::mangospread::dispatch::wire::Leader>&& value);
+  inline ::capnp::Orphan< ::mangospread::dispatch::wire::Leader> disownLeader();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -455,6 +482,108 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mangospread::dispatch::wire::Leader::Pipeline getLeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Leader::Reader {
+public:
+  typedef Leader Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasIp() const;
+  inline  ::capnp::Text::Reader getIp() const;
+
+  inline  ::uint16_t getPort() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Leader::Builder {
+public:
+  typedef Leader Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasIp();
+  inline  ::capnp::Text::Builder getIp();
+  inline void setIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIp(unsigned int size);
+  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIp();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Leader::Pipeline {
+public:
+  typedef Leader Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2011,6 +2140,9 @@
   inline bool hasLoad() const;
   inline  ::mangospread::dispatch::wire::Load::Reader getLoad() const;
 
+  inline bool isSuperseded() const;
+  inline  ::capnp::Void getSuperseded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2106,6 +2238,10 @@
   inline void adoptLoad(::capnp::Orphan< ::mangospread::dispatch::wire::Load>&& value);
   inline ::capnp::Orphan< ::mangospread::dispatch::wire::Load> disownLoad();
 
+  inline bool isSuperseded();
+  inline  ::capnp::Void getSuperseded();
+  inline void setSuperseded( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2621,6 +2757,141 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::dispatch::wire::Leader::Reader Hello::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::dispatch::wire::Leader::Builder Hello::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangospread::dispatch::wire::Leader::Pipeline Hello::Pipeline::getLeader() {
+  return  ::mangospread::dispatch::wire::Leader::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Hello::Builder::setLeader( ::mangospread::dispatch::wire::Leader::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::dispatch::wire::Leader::Builder Hello::Builder::initLeader() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::adoptLeader(
+    ::capnp::Orphan< ::mangospread::dispatch::wire::Leader>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::dispatch::wire::Leader> Hello::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Leader>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Leader::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Leader::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Leader::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Leader::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Leader::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Leader::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Leader::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Leader::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Leader::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Leader::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Leader::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Leader::Reader::hasIp() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Leader::Builder::hasIp() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Leader::Reader::getIp() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Leader::Builder::getIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Leader::Builder::setIp( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Leader::Builder::initIp(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Leader::Builder::adoptIp(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Leader::Builder::disownIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Leader::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Leader::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Leader::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Worker::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4781,6 +5052,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Event::Reader::isSuperseded() const {
+  return which() == Event::SUPERSEDED;
+}
+inline bool Event::Builder::isSuperseded() {
+  return which() == Event::SUPERSEDED;
+}
+inline  ::capnp::Void Event::Reader::getSuperseded() const {
+  KJ_IREQUIRE((which() == Event::SUPERSEDED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Event::Builder::getSuperseded() {
+  KJ_IREQUIRE((which() == Event::SUPERSEDED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Event::Builder::setSuperseded( ::capnp::Void value) {
+  _builder.setDataField<Event::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Event::SUPERSEDED);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -94,9 +94,8 @@
     return;
   }
   if (error.code == Errc::kStaleEpoch) {
-    // Another agent holds the worker.
     closed_ = true;
-    ReportUnreachable();
+    Report(WorkerSuperseded{});
     return;
   }
   base::Log(base::Event::kHoldFailed, {{"vm", assignment_.worker.vm.str()},
--- /dev/null
+++ b/tests/unit/dispatch/dispatcher_fixture.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// A dispatcher with recorded orders and saves, and workers of one service.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/core/dispatcher.hpp"
+
+namespace mangospread::dispatch::test {
+
+inline constexpr MonotonicTime kMillisecond = std::chrono::milliseconds(1);
+
+struct DispatcherFixture {
+  explicit DispatcherFixture(std::uint32_t first_run = 1)
+      : dispatcher(MakeHooks(), first_run) {}
+
+  DispatcherHooks MakeHooks() {
+    DispatcherHooks hooks;
+    hooks.send = [this](AgentOrder order) {
+      orders.push_back(std::move(order));
+    };
+    hooks.save = [this](const SubmissionId& id) { dirty.push_back(id); };
+    hooks.log = [](const TaskName&, const VmName&, std::string_view,
+                   std::string_view) {};
+    return hooks;
+  }
+
+  static QueuePolicy Policy() {
+    QueuePolicy policy;
+    policy.queue = QueueName("q");
+    policy.service = ServiceName("s");
+    policy.attempts = 3;
+    policy.stretch = 2;
+    policy.latency_target = Milliseconds(1'000);
+    return policy;
+  }
+
+  static StepSpec MakeStep(int count, int millicores) {
+    StepSpec step;
+    step.count = count;
+    step.cpu = Millicores(millicores);
+    step.memory = Mebibytes(100);
+    step.estimate = Milliseconds(1'000);
+    return step;
+  }
+
+  static Submission MakeSubmission(const char* id,
+                                   std::vector<StepSpec> steps) {
+    Submission submission;
+    submission.id = SubmissionId(id);
+    submission.spec = "spec";
+    submission.steps = std::move(steps);
+    return submission;
+  }
+
+  void AddWorker(const char* name, int millicores = 32'000) {
+    WorkerInfo info;
+    info.vm = VmName(name);
+    info.service = ServiceName("s");
+    info.capacity.cpu = Millicores(millicores);
+    info.capacity.memory = Mebibytes(128'000);
+    dispatcher.OnWorker(info);
+    Event(name, Attached{WorkerBirth(1), 0, {}, {}, {}});
+  }
+
+  void Add(const char* id, std::vector<StepSpec> steps) {
+    dispatcher.Add(MakeSubmission(id, std::move(steps)), Policy(), now);
+  }
+
+  void Event(const char* vm, decltype(AgentEvent::what) what) {
+    dispatcher.OnEvent({VmName(vm), WorkerFence(1), std::move(what)}, now);
+  }
+
+  void End(const char* vm, std::uint64_t number, const std::string& task,
+           std::uint64_t run, RunEnd how) {
+    Event(vm, RunEnded{WorkerBirth(1),
+                       {EndNumber(number), task, Attempt(run), how, {}}});
+  }
+
+  /// Stores the newest progress of a submission.
+  void Save(const char* id) {
+    dispatcher.OnSaved(SubmissionId(id),
+                       dispatcher.Generation(SubmissionId(id)), now);
+  }
+
+  /// Orders of a kind since the last call, oldest first.
+  template <typename Kind>
+  std::vector<Kind> Take() {
+    std::vector<Kind> taken;
+    std::vector<AgentOrder> rest;
+    for (AgentOrder& order : orders) {
+      if (auto* kind = std::get_if<Kind>(&order)) {
+        taken.push_back(std::move(*kind));
+      } else {
+        rest.push_back(std::move(order));
+      }
+    }
+    orders = std::move(rest);
+    return taken;
+  }
+
+  /// Highest end that was acknowledged to a worker.
+  std::uint64_t Acknowledged() {
+    std::uint64_t highest = 0;
+    for (const auto& order : Take<AcknowledgeEnds>()) {
+      highest = std::max(highest, order.number.value());
+    }
+    return highest;
+  }
+
+  std::vector<StartRun> Decide() {
+    dispatcher.Decide(now);
+    return Take<StartRun>();
+  }
+
+  MonotonicTime now = std::chrono::seconds(100);
+  std::vector<AgentOrder> orders;
+  std::vector<SubmissionId> dirty;
+  Dispatcher dispatcher;
+};
+
+}  // namespace mangospread::dispatch::test
--- /dev/null
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -0,0 +1,182 @@
+#include "dispatch/core/dispatcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include "unit/dispatch/dispatcher_fixture.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+// Guards against a task that is done twice: the end is acknowledged, the
+// worker forgets it, and a scheduler that takes over finds no trace of it.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "an end is acknowledged only after it is stored") {
+  AddWorker("w1");
+  Add("a", {MakeStep(2, 1'000)});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 2);
+  End("w1", 1, starts[0].task, 1, RunEnd::kDone);
+  CHECK(Acknowledged() == 0);
+  Save("a");
+  CHECK(Acknowledged() == 1);
+}
+
+// Guards against the same for a submission whose cancellation waits for the
+// store: another scheduler may know it as running.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "an end during an unstored cancellation waits for it") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(dispatcher.Cancel(SubmissionId("a"), now));
+  End("w1", 1, starts[0].task, 1, RunEnd::kDone);
+  CHECK(Acknowledged() == 0);
+  Save("a");
+  CHECK(Acknowledged() == 1);
+}
+
+// Guards against a caller that reads "complete" and later finds it running.
+TEST_CASE_FIXTURE(DispatcherFixture, "complete is shown only when stored") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  const auto starts = Decide();
+  End("w1", 1, starts.at(0).task, 1, RunEnd::kDone);
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kRunning);
+  Save("a");
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kComplete);
+}
+
+// Guards against a dependent step that starts early.
+TEST_CASE_FIXTURE(DispatcherFixture, "a step waits for the ones before it") {
+  AddWorker("w1");
+  StepSpec second = MakeStep(1, 1'000);
+  second.after = {0};
+  Add("a", {MakeStep(2, 1'000), second});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 2);
+  End("w1", 1, starts[0].task, 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+  End("w1", 2, starts[1].task, 1, RunEnd::kDone);
+  const auto next = Decide();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].task == "a.0.1.0");
+}
+
+// Guards against a worker that is given more than it can hold.
+TEST_CASE_FIXTURE(DispatcherFixture, "a worker is never overloaded") {
+  AddWorker("w1", 4'000);
+  Add("a", {MakeStep(6, 1'500)});
+  const auto starts = Decide();
+  CHECK(starts.size() == 2);
+  Event("w1", RunNotStarted{starts.at(0).task, Attempt(1),
+                            OrderOutcome::kStaleFence});
+  CHECK(Decide().size() == 1);
+}
+
+// Guards against two runs of a task: the first one's worker only fell silent.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "tasks of a silent worker wait for its lease") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w2");
+  Event("w1", WorkerUnreachable{Milliseconds(5'000)});
+  CHECK(Decide().empty());
+  dispatcher.OnWorkerOver(VmName("w1"), "lease_over", now);
+  const auto again = Decide();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].vm == VmName("w2"));
+  CHECK(again[0].run == Attempt(2));
+}
+
+// Guards against a start that crosses the worker's list on its way: the list
+// does not show it yet, and it must not be started a second time.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a start after the agent's list is not taken for lost") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 1);
+  Event("w1", Attached{WorkerBirth(1), starts[0].number - 1, {}, {}, {}});
+  CHECK(Decide().empty());
+  Event("w1", Attached{WorkerBirth(1), starts[0].number, {}, {}, {}});
+  CHECK(Decide().size() == 1);
+}
+
+// Guards against a task that fails more often than its queue allows.
+TEST_CASE_FIXTURE(DispatcherFixture, "a submission fails after its attempts") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+    const auto starts = Decide();
+    REQUIRE(starts.size() == 1);
+    End("w1", attempt, starts[0].task, attempt, RunEnd::kFailed);
+  }
+  CHECK(Decide().empty());
+  Save("a");
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kFailed);
+}
+
+// Guards against a second run after a takeover: what the store does not show
+// as done may still run on a worker that is not attached yet.
+TEST_CASE("restored tasks wait until all workers are known") {
+  DispatcherFixture fixture(1'001);
+  JobProgress progress;
+  progress.tasks.push_back({{0, 0}, true, 1, 0, {}});
+  fixture.dispatcher.Restore(DispatcherFixture::MakeSubmission(
+                                 "a", {DispatcherFixture::MakeStep(3, 1'000)}),
+                             DispatcherFixture::Policy(), progress,
+                             fixture.now);
+  fixture.AddWorker("w1");
+  CHECK(fixture.Decide().empty());
+  fixture.dispatcher.OnWorker([] {
+    WorkerInfo info;
+    info.vm = VmName("w2");
+    info.service = ServiceName("s");
+    return info;
+  }());
+  fixture.Event("w2", Attached{WorkerBirth(1),
+                               0,
+                               {},
+                               {{"a.0.1.7", Attempt(1), {}, 0, 0},
+                                {"a.0.0.1", Attempt(1), {}, 40, 0}},
+                               {}});
+  CHECK(fixture.Take<StopRun>().size() == 1);  // There is no such task.
+  fixture.dispatcher.Resume();
+  const auto starts = fixture.Decide();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task == "a.0.0.2");
+  CHECK(starts[0].run == Attempt(1'001));
+}
+
+// Guards against runs of a cancelled submission that go on.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a cancelled submission's runs are stopped once stored") {
+  AddWorker("w1");
+  Add("a", {MakeStep(2, 1'000)});
+  REQUIRE(Decide().size() == 2);
+  dispatcher.Cancel(SubmissionId("a"), now);
+  CHECK(Take<StopRun>().empty());
+  Save("a");
+  CHECK(Take<StopRun>().size() == 2);
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kCancelled);
+  End("w1", 1, "a.0.0.0", 1, RunEnd::kStopped);
+  CHECK(Decide().empty());
+}
+
+// Guards against a worker that fails all it starts and attracts the work.
+TEST_CASE_FIXTURE(DispatcherFixture, "a worker that fails is set aside") {
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  Add("b", {MakeStep(1, 1'000)});
+  REQUIRE(Decide().size() == 2);
+  End("w1", 1, "a.0.0.0", 1, RunEnd::kFailed);
+  End("w1", 2, "b.0.0.0", 1, RunEnd::kFailed);
+  CHECK(Decide().empty());
+  now += std::chrono::seconds(30);
+  CHECK(Decide().size() == 2);
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
