--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -414,6 +414,9 @@
   const auto [it, added] = workers_.try_emplace(vm);
   if (!added) return;
   it->second.info = listed_.at(vm);
+  if (unresolved_.contains(vm)) {
+    it->second.lease_over_at = InheritedLeaseOver();
+  }
   dispatcher_->OnWorker(it->second.info);
 }
 
@@ -467,9 +470,8 @@
   if (it != agents_.end()) --it->second.workers;
   entry.agent.reset();
   entry.attached = false;
-  const MonotonicTime bound =
-      base::MonotonicNow() + MonotonicTime(options_.lease) * 105 / 100;
-  entry.lease_over_at = std::max(entry.lease_over_at, bound);
+  entry.lease_over_at =
+      std::max(entry.lease_over_at, base::MonotonicNow() + LeaseBound());
 }
 
 void GroupLeader::MoveWorkers() {
@@ -584,6 +586,16 @@
   RequestDecision();
 }
 
+MonotonicTime GroupLeader::LeaseBound() const {
+  // A worker's clock may run 2% slow.
+  constexpr int kStretchPercent = 105;
+  return MonotonicTime(options_.lease) * kStretchPercent / 100;
+}
+
+MonotonicTime GroupLeader::InheritedLeaseOver() const {
+  return started_at_ + options_.orphan_limit + LeaseBound();
+}
+
 void GroupLeader::RequestDecision() {
   if (!loaded_ || decide_timer_.active()) return;
   decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -24,6 +24,8 @@
 struct GroupLeaderOptions {
   /// Longest lease that an agent gives.
   Milliseconds lease{6'000};
+  /// Agents of an earlier leadership go on holding workers for so long.
+  Milliseconds orphan_limit{3'500};
   /// Progress is stored this long after the first change, several together.
   Milliseconds save_delay{40};
   Milliseconds save_retry{300};
@@ -124,6 +126,10 @@
   [[nodiscard]] int LoadOf(const NodeId& agent) const;
   void SendToAgent(const AgentOrder& order);
 
+  /// Time by which a lease that an earlier leadership gave is over.
+  [[nodiscard]] MonotonicTime InheritedLeaseOver() const;
+  [[nodiscard]] MonotonicTime LeaseBound() const;
+
   void RequestDecision();
   void Tick();
   void LogDecision(const TaskName& name, const VmName& vm,
--- /dev/null
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -0,0 +1,201 @@
+#include "dispatch/leader/group_leader.hpp"
+
+#include <doctest/doctest.h>
+
+#include "base/loop/simulated_clock.hpp"
+#include "unit/dispatch/dispatcher_fixture.hpp"
+#include "unit/state/faulty_table.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+using mangospread::test::FaultyTable;
+using Fault = FaultyTable::Fault;
+
+constexpr const char* kId = "00000000000000aa";
+
+/// A leader with one agent, "agent", and a table that answers at once unless
+/// a fault is set.
+struct LeaderFixture {
+  LeaderFixture() {
+    table.rows.Transact({{}, {{kLeaderKey, "first"}}});
+    serve = loop.Every(std::chrono::milliseconds(1), 0, [this] {
+      while (table.pending() > 0) table.Step(fault);
+    });
+  }
+
+  void Lead(std::uint64_t epoch) {
+    auto written = table.rows.Transact(
+        {{}, {{kLeaderKey, "epoch " + std::to_string(epoch)}}});
+    LeaderRecord record;
+    record.node = NodeId("leader");
+    record.epoch = Epoch(epoch);
+    record.version = written.version;
+    leader = std::make_unique<GroupLeader>(
+        GroupLeaderDependencies{
+            loop, table, NodeId("leader"), DataCenter("dc"),
+            "writer/leader-" + std::to_string(epoch), record,
+            [](const SubmissionId& id, std::string_view) {
+              return Result<Submission>(DispatcherFixture::MakeSubmission(
+                  id.str().c_str(), {DispatcherFixture::MakeStep(1, 1'000)}));
+            },
+            [this](const NodeId&, AgentOrder order) {
+              if (auto* assignment = std::get_if<Assignment>(&order)) {
+                fences[assignment->worker.vm] = assignment->fence;
+              } else if (auto* start = std::get_if<StartRun>(&order)) {
+                starts.push_back(*start);
+              }
+            },
+            [this] { ++conflicts; }},
+        GroupLeaderOptions());
+    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+    leader->Start();
+    RunFor(std::chrono::milliseconds(20));
+  }
+
+  void ListWorkers(const std::vector<const char*>& names) {
+    std::map<VmName, WorkerInfo> listed;
+    for (const char* name : names) {
+      WorkerInfo info;
+      info.vm = VmName(name);
+      info.service = ServiceName("s");
+      listed.emplace(info.vm, info);
+    }
+    leader->OnWorkers(listed);
+    RunFor(std::chrono::milliseconds(20));
+  }
+
+  void Event(const char* vm, decltype(AgentEvent::what) what) {
+    leader->OnAgentEvent(NodeId("agent"),
+                         {VmName(vm), fences[VmName(vm)], std::move(what)});
+    RunFor(std::chrono::milliseconds(50));
+  }
+
+  void Attach(const char* vm) {
+    Event(vm, Attached{WorkerBirth(1), 1'000, {}, {}, {}});
+  }
+
+  ServiceReply Call(ServiceVerb verb) {
+    ServiceCall call;
+    call.verb = verb;
+    call.submission = SubmissionId(kId);
+    call.policy = DispatcherFixture::Policy();
+    call.payload = "{}";
+    ServiceReply result;
+    replied = false;
+    leader->Handle(std::move(call), [&](const ServiceReply& reply) {
+      result = reply;
+      replied = true;
+    });
+    RunFor(std::chrono::seconds(4));
+    return result;
+  }
+
+  void RunFor(MonotonicTime time) {
+    const auto stop = loop.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  base::SimulatedClock clock;
+  base::EventLoop loop;
+  FaultyTable table;
+  Fault fault = Fault::kNone;
+  base::Timer serve;
+  std::unique_ptr<GroupLeader> leader;
+  std::map<VmName, WorkerFence> fences;
+  std::vector<StartRun> starts;
+  int conflicts = 0;
+  bool replied = false;
+};
+
+// Guards against a second run of a task that a cut-off worker still runs under
+// the lease that an earlier leader's agent gave it: the new leader's agents
+// never reached the worker and so know of no lease.
+TEST_CASE_FIXTURE(LeaderFixture, "an inherited lease is waited for") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  starts.clear();
+  Lead(2);
+  ListWorkers({"w1", "w2"});
+  Attach("w2");
+  for (int second = 1; second <= 9; ++second) {
+    Event("w1", WorkerUnreachable{Milliseconds(0)});
+    RunFor(std::chrono::milliseconds(900));
+    CHECK(starts.empty());
+  }
+  RunFor(std::chrono::seconds(3));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].vm == VmName("w2"));
+  CHECK(starts[0].run > Attempt(1));
+}
+
+// Guards against "not accepted" for a submission that is stored after all.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a lost reply does not refuse what is stored") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  fault = Fault::kLoseReply;
+  leader->Handle(
+      [] {
+        ServiceCall call;
+        call.verb = ServiceVerb::kSubmit;
+        call.submission = SubmissionId(kId);
+        call.policy = DispatcherFixture::Policy();
+        return call;
+      }(),
+      [this](const ServiceReply& reply) {
+        replied = true;
+        CHECK(reply.result == ServiceResult::kOk);
+      });
+  RunFor(std::chrono::milliseconds(50));
+  fault = Fault::kNone;
+  RunFor(std::chrono::seconds(3));
+  CHECK(replied);
+  CHECK(starts.size() == 1);
+}
+
+// Guards against a submission that runs though its caller was told that it
+// never will.
+TEST_CASE_FIXTURE(LeaderFixture, "a refused submission never starts") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  fault = Fault::kRefuse;
+  CHECK(Call(ServiceVerb::kSubmit).result == ServiceResult::kRefused);
+  fault = Fault::kNone;
+  RunFor(std::chrono::seconds(3));
+  CHECK(starts.empty());
+  CHECK(Call(ServiceVerb::kState).result == ServiceResult::kNotFound);
+}
+
+// Guards against two leaders that both accept: the writes of the one whose row
+// was replaced fail, and it learns of it.
+TEST_CASE_FIXTURE(LeaderFixture, "a replaced leader can store nothing") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  table.rows.Transact({{}, {{kLeaderKey, "another"}}});
+  CHECK(Call(ServiceVerb::kSubmit).result == ServiceResult::kRefused);
+  CHECK(conflicts > 0);
+  CHECK(starts.empty());
+}
+
+// Guards against a cancellation that is confirmed and forgotten.
+TEST_CASE_FIXTURE(LeaderFixture, "a confirmed cancellation survives") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  CHECK(Call(ServiceVerb::kCancel).result == ServiceResult::kOk);
+  Lead(2);
+  const ServiceReply reply = Call(ServiceVerb::kState);
+  CHECK(reply.result == ServiceResult::kOk);
+  CHECK(reply.state == SubmissionState::kCancelled);
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
