Write logs to standard output without blocking; cheapen placements

Cause: lines went to standard error through a blocking write and without a limit.

Lines now go through a bounded buffer that writes only what the descriptor takes, with a budget for each event; dropped lines are counted and said. The room that serving tasks leave is cached for each worker, agents sample calm workers only every 1.6 s, and larger VMs contend for the leadership first.

Ruled out: a descriptor in non-blocking mode, which other processes share.

Conclusion: the log cannot stop a process.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -1,5 +1,6 @@
 #include "app/platform_serve.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -43,6 +44,14 @@
 constexpr Milliseconds kStopMargin{700};
 constexpr const char* kPartition = "g0";
 
+/// Lets larger VMs contend for the leadership first.
+Milliseconds ContendDelay(double cpu_share) {
+  constexpr double kLargeShare = 0.5;
+  constexpr double kMaxDelayMs = 300;
+  const double missing = std::clamp(1 - cpu_share / kLargeShare, 0.0, 1.0);
+  return Milliseconds(static_cast<std::int64_t>(kMaxDelayMs * missing));
+}
+
 /// Keeps a process's parts together and connects them.
 class ManagedNode {
  public:
@@ -100,6 +109,7 @@
     options.node = settings_.node;
     options.incarnation = Incarnation(base::WallNanoseconds());
     options.data_center = settings_.data_center;
+    options.leadership.contend_delay = ContendDelay(settings_.cpu_share);
     options.peer_address = {settings_.ip, settings_.first_port};
     return options;
   }
@@ -259,7 +269,8 @@
     std::puts("settings are valid");
     return 0;
   }
-  base::ConfigureLog(base::Severity::kInfo, settings->node.str());
+  base::ConfigureLog(base::Severity::kInfo, settings->node.str(),
+                     base::LogTarget::kStandardOutput);
   std::signal(SIGPIPE, SIG_IGN);
   base::EventLoop loop;
   ManagedNode node(loop, *settings);
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -4,35 +4,46 @@
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
-#include <cstdio>
+#include <unistd.h>
+
 #include <iterator>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 
+#include "base/log_buffer.hpp"
+#include "base/log_budget.hpp"
+#include "base/loop/clock.hpp"
+
 namespace mangospread::base {
 namespace {
 
-/// Standard error with a block buffer; spdlog's own sink flushes every line,
+/// A block buffer before the descriptor; spdlog's own sink flushes every line,
 /// which costs a system call per routed request.
-class BufferedStderrSink final : public spdlog::sinks::base_sink<std::mutex> {
+class BufferedSink final : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  explicit BufferedSink(int descriptor) : buffer_(descriptor, kMaxBytes) {}
+
+  [[nodiscard]] std::uint64_t dropped() const noexcept {
+    return buffer_.dropped();
+  }
+
  protected:
   void sink_it_(const spdlog::details::log_msg& msg) override {
     spdlog::memory_buf_t line;
     formatter_->format(msg, line);
-    buffer_.append(line.data(), line.size());
+    if (!buffer_.Append({line.data(), line.size()})) flush_();
     if (buffer_.size() >= kFlushBytes) flush_();
   }
 
-  void flush_() override {
-    std::fwrite(buffer_.data(), 1, buffer_.size(), stderr);
-    std::fflush(stderr);
-    buffer_.clear();
-  }
+  void flush_() override { buffer_.Flush(); }
 
  private:
   static constexpr std::size_t kFlushBytes = 16 * 1024;
-  std::string buffer_;
+  /// About a second of lines at the highest rate.
+  static constexpr std::size_t kMaxBytes = 512 * 1024;
+  LogBuffer buffer_;
 };
 
 spdlog::level::level_enum ToSpdlog(Severity severity) {
@@ -49,15 +60,39 @@
   return spdlog::level::info;
 }
 
-spdlog::logger& Logger() {
-  static const auto kLogger = [] {
-    auto logger = std::make_shared<spdlog::logger>(
-        "mangospread", std::make_shared<BufferedStderrSink>());
+/// The process's logger and what limits it.
+struct LogState {
+  explicit LogState(int descriptor) { SetDescriptor(descriptor); }
+
+  void SetDescriptor(int descriptor) {
+    sink = std::make_shared<BufferedSink>(descriptor);
+    logger = std::make_shared<spdlog::logger>("mangospread", sink);
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f%z level=%l %v");
     logger->flush_on(spdlog::level::warn);
-    return logger;
-  }();
-  return *kLogger;
+  }
+
+  std::shared_ptr<BufferedSink> sink;
+  std::shared_ptr<spdlog::logger> logger;
+  std::mutex mutex;  ///< For the members below.
+  std::map<Event, EventBudget> budgets;
+  std::uint64_t suppressed = 0;
+  std::uint64_t reported = 0;  ///< Of the lines dropped or suppressed.
+};
+
+LogState& State() {
+  static LogState state(STDERR_FILENO);
+  return state;
+}
+
+spdlog::logger& Logger() { return *State().logger; }
+
+/// True if the event may write another line now.
+bool TakeBudget(Event event) {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  if (state.budgets[event].Take(MonotonicNow())) return true;
+  ++state.suppressed;
+  return false;
 }
 
 std::string& NodeField() {
@@ -110,6 +145,8 @@
       return {"shutdown_done", Severity::kInfo};
     case Event::kChildFailed:
       return {"child_failed", Severity::kError};
+    case Event::kLogDropped:
+      return {"log_dropped", Severity::kWarning};
     case Event::kSettingsInvalid:
       return {"settings_invalid", Severity::kError};
     case Event::kTableUnreachable:
@@ -261,7 +298,7 @@
 void Log(Event event, std::initializer_list<Field> fields) {
   const EventInfo info = DescribeEvent(event);
   const auto level = ToSpdlog(info.severity);
-  if (!Logger().should_log(level)) return;
+  if (!Logger().should_log(level) || !TakeBudget(event)) return;
   fmt::memory_buffer line;
   line.append(NodeField());
   fmt::format_to(std::back_inserter(line), "event={} name={}",
@@ -275,11 +312,27 @@
   Logger().log(level, spdlog::string_view_t(line.data(), line.size()));
 }
 
-void ConfigureLog(Severity lowest, std::string_view node) {
+void ConfigureLog(Severity lowest, std::string_view node, LogTarget target) {
+  if (target == LogTarget::kStandardOutput) {
+    State().SetDescriptor(STDOUT_FILENO);
+  }
   Logger().set_level(ToSpdlog(lowest));
   NodeField() = "node=" + std::string(node) + " ";
 }
 
-void FlushLog() { Logger().flush(); }
+std::uint64_t DroppedLogLines() {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  return state.suppressed + state.sink->dropped();
+}
+
+void FlushLog() {
+  const std::uint64_t dropped = DroppedLogLines();
+  if (dropped > State().reported) {
+    Log(Event::kLogDropped, {{"lines", dropped - State().reported}});
+    State().reported = dropped;
+  }
+  Logger().flush();
+}
 
 }  // namespace mangospread::base
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -19,6 +19,7 @@
   kShutdownDone = 1005,
   kChildFailed = 1006,
   kSettingsInvalid = 1007,
+  kLogDropped = 1008,
   // Table.
   kTableUnreachable = 1101,
   kTableReachable = 1102,
@@ -135,16 +136,26 @@
 };
 
 /// Writes one line: time, severity, number, name and the fields as key=value.
-/// Lines are buffered; warnings and errors flush at once.
+/// Lines are buffered; warnings and errors flush at once. Never blocks: a line
+/// beyond its event's budget, or one that finds the buffer full, is dropped and
+/// counted.
 void Log(Event event, std::initializer_list<Field> fields = {});
 
-/// Sets the lowest severity that is written and the node name shown in each
-/// line.
-void ConfigureLog(Severity lowest, std::string_view node);
+enum class LogTarget : unsigned char { kStandardError, kStandardOutput };
+
+/// Sets the lowest severity that is written, the node name shown in each line
+/// and where lines go.
+void ConfigureLog(Severity lowest, std::string_view node,
+                  LogTarget target = LogTarget::kStandardError);
 
 /// True if the event would be written.
 [[nodiscard]] bool LogEnabled(Event event) noexcept;
 
+/// Lines that were not written since the start.
+[[nodiscard]] std::uint64_t DroppedLogLines();
+
+/// Writes what is buffered, and how many lines were dropped since the last
+/// call.
 void FlushLog();
 
 }  // namespace mangospread::base
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -341,6 +341,7 @@
   for (const ServingSample& sample : serving) {
     sharing_.Learn(sample.image, sample.tail_ms, uses);
   }
+  room.Invalidate();
   for (const FillSpeed& speed : AdjustFills(sharing_, serving, fills)) {
     const auto name = ParseTaskName(speed.task);
     PlacedRun& placed = room.runs.at(name.value());
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -109,8 +109,9 @@
   const std::size_t spread =
       std::hash<NodeId>()(self_.node) %
       static_cast<std::size_t>(options_.max_jitter.count());
-  contend_timer_ = loop_.After(Milliseconds(static_cast<std::int64_t>(spread)),
-                               [this] { Contend(); });
+  contend_timer_ = loop_.After(
+      options_.contend_delay + Milliseconds(static_cast<std::int64_t>(spread)),
+      [this] { Contend(); });
 }
 
 void Leadership::Contend() {
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -38,6 +38,8 @@
   /// A leader whose heartbeat row stands still for this long may be replaced.
   Milliseconds silence{2'200};
   Milliseconds check_period{400};
+  /// Added before contending; shorter on larger VMs, which lead better.
+  Milliseconds contend_delay{0};
   /// Candidates spread their attempts over this time.
   Milliseconds max_jitter{120};
   /// A leader that failed to renew for this long lets others take over.
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -1,6 +1,8 @@
 #include "dispatch/policy/placement.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace mangospread::dispatch {
 namespace {
@@ -30,30 +32,41 @@
          kServingUse * value(room.serving_cpu) - value(room.fill_cpu);
 }
 
-/// Utilisation left on the worst-off serving task if the fill is added; not
-/// negative where the fill harms none.
-double ServingRoom(const WorkerRoom& room, const SharingModel& model,
-                   const StepSpec& spec) {
-  constexpr double kMillicoresPerCore = 1'000;
-  const auto cores = [](const StepSpec& step) {
-    return static_cast<double>(step.cpu.value()) / kMillicoresPerCore;
-  };
-  double least = 1;
-  for (const auto& [name, victim] : room.runs) {
-    if (victim.spec->latency_target.count() == 0) continue;
-    const ImageName& image = victim.spec->image;
-    const double own = model.Effect(spec.image, image) * cores(spec);
-    if (own < kHarmlessEffect) continue;
-    double used = model.HighLevel(image) + own;
-    for (const auto& [other, fill] : room.runs) {
-      if (fill.spec->fills) {
-        used += model.Effect(fill.spec->image, image) * cores(*fill.spec);
-      }
+/// Effects of one filling image on the serving images met in a decision.
+class Effects {
+ public:
+  Effects(const SharingModel& model, const StepSpec& spec)
+      : model_(model),
+        spec_(spec),
+        cores_(static_cast<double>(spec.cpu.value()) / kMillicoresPerCore) {}
+
+  /// Utilisation that the step's task adds.
+  double On(const ImageName& serving) {
+    for (const auto& [image, effect] : known_) {
+      if (image == serving) return effect;
     }
-    const double left = model.Limit(image, victim.spec->latency_target) - used;
-    least = std::min(least, left);
+    const double effect = model_.Effect(spec_.image, serving) * cores_;
+    known_.emplace_back(serving, effect);
+    return effect;
   }
-  return least;
+
+ private:
+  static constexpr double kMillicoresPerCore = 1'000;
+  const SharingModel& model_;
+  const StepSpec& spec_;
+  double cores_;
+  std::vector<std::pair<ImageName, double>> known_;
+};
+
+/// True if no serving task is pushed beyond its limit by a filling task.
+bool ServingHasRoom(const WorkerRoom& room, const SharingModel& model,
+                    Effects& effects) {
+  const auto& serving = room.Serving(model);
+  return std::all_of(serving.begin(), serving.end(),
+                     [&](const ServingGroup& group) {
+                       const double effect = effects.On(group.image);
+                       return effect < kHarmlessEffect || effect <= group.room;
+                     });
 }
 
 bool Fits(const WorkerRoom& room, const StepSpec& spec) {
@@ -69,23 +82,25 @@
 /// Serving tasks of other images on the worker, less some for each of the same.
 /// Each filling image harms few serving images, so workers that serve one image
 /// leave room for most filling tasks.
-double ServingMismatch(const WorkerRoom& room, const StepSpec& spec) {
+double ServingMismatch(const WorkerRoom& room, const SharingModel& model,
+                       const StepSpec& spec) {
   double mismatch = 0;
-  for (const auto& [name, placed] : room.runs) {
-    if (!placed.spec->long_running) continue;
-    mismatch += placed.spec->image == spec.image ? kSameImageCost : 1.0;
+  for (const ServingGroup& group : room.Serving(model)) {
+    const double cost = group.image == spec.image ? kSameImageCost : 1.0;
+    mismatch += cost * group.tasks;
   }
   return mismatch;
 }
 
 /// Lower is better.
-double Cost(const WorkerRoom& room, const StepSpec& spec) {
+double Cost(const WorkerRoom& room, const SharingModel& model,
+            const StepSpec& spec) {
   const auto capacity = static_cast<double>(
       std::max<std::int64_t>(room.info.capacity.cpu.value(), 1));
   double cost = spec.fills
                     ? -Unused(room) / capacity
                     : static_cast<double>(room.cpu_used.value()) / capacity;
-  if (spec.long_running) cost += ServingMismatch(room, spec);
+  if (spec.long_running) cost += ServingMismatch(room, model, spec);
   if (!spec.data_rack.empty() && room.info.rack != spec.data_rack) {
     cost += kRemoteDataCost;
   }
@@ -100,6 +115,7 @@
                        MonotonicTime now) {
   Placement best{kNoWorker, NoPlace::kNoWorker};
   double best_cost = 0;
+  Effects effects(model, spec);
   const auto& rooms = book.rooms();
   for (std::size_t i = 0; i < rooms.size(); ++i) {
     const WorkerRoom& room = rooms[i];
@@ -113,11 +129,11 @@
       if (best.worker == kNoWorker) best.why = NoPlace::kNoRoom;
       continue;
     }
-    if (spec.fills && ServingRoom(room, model, spec) < 0) {
+    if (spec.fills && !ServingHasRoom(room, model, effects)) {
       if (best.worker == kNoWorker) best.why = NoPlace::kNoRoom;
       continue;
     }
-    const double cost = Cost(room, spec);
+    const double cost = Cost(room, model, spec);
     if (best.worker == kNoWorker || cost < best_cost) {
       best = {slot, NoPlace::kNone};
       best_cost = cost;
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -1,6 +1,51 @@
 #include "dispatch/policy/worker_book.hpp"
 
+#include <algorithm>
+
 namespace mangospread::dispatch {
+namespace {
+
+double Cores(const StepSpec& spec) {
+  constexpr double kMillicoresPerCore = 1'000;
+  return static_cast<double>(spec.cpu.value()) / kMillicoresPerCore;
+}
+
+}  // namespace
+
+const std::vector<ServingGroup>& WorkerRoom::Serving(
+    const SharingModel& model) const {
+  if (serving_valid_) return serving_;
+  serving_.clear();
+  std::vector<FillUse> fills;
+  for (const auto& [name, placed] : runs) {
+    const StepSpec& spec = *placed.spec;
+    if (spec.fills) {
+      fills.push_back({spec.image, Cores(spec)});
+      continue;
+    }
+    if (!spec.long_running) continue;
+    const auto it = std::find_if(
+        serving_.begin(), serving_.end(),
+        [&](const ServingGroup& group) { return group.image == spec.image; });
+    if (it == serving_.end()) {
+      serving_.push_back({spec.image, 1, spec.latency_target, 0});
+    } else {
+      ++it->tasks;
+      it->target = std::min(it->target, spec.latency_target);
+    }
+  }
+  for (ServingGroup& group : serving_) {
+    group.room = group.target.count() == 0
+                     ? 1.0
+                     : model.Limit(group.image, group.target) -
+                           model.HighLevel(group.image);
+    for (const FillUse& fill : fills) {
+      group.room -= model.Effect(fill.image, group.image) * fill.cores;
+    }
+  }
+  serving_valid_ = true;
+  return serving_;
+}
 
 void WorkerRoom::Add(const StepSpec& spec) {
   if (spec.fills) {
@@ -9,6 +54,7 @@
     cpu_used += spec.cpu;
     if (spec.long_running) serving_cpu += spec.cpu;
   }
+  serving_valid_ = false;
   memory_used += spec.memory;
   accelerators_used += spec.accelerators;
 }
@@ -20,6 +66,7 @@
     cpu_used -= spec.cpu;
     if (spec.long_running) serving_cpu -= spec.cpu;
   }
+  serving_valid_ = false;
   memory_used -= spec.memory;
   accelerators_used -= spec.accelerators;
 }
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -8,6 +8,7 @@
 
 #include "dispatch/core/job.hpp"
 #include "dispatch/model/worker_types.hpp"
+#include "dispatch/policy/sharing_model.hpp"
 
 namespace mangospread::dispatch {
 
@@ -21,6 +22,16 @@
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
 };
 
+/// The serving tasks of one image on a worker.
+struct ServingGroup {
+  ImageName image;
+  int tasks = 0;
+  Milliseconds target{0};  ///< The shortest of them.
+  /// Utilisation that they may still gain before one reaches its limit, with
+  /// all filling tasks at full speed.
+  double room = 0;
+};
+
 /// A worker's room. Counts everything that was ordered to start there and is
 /// not known to have ended.
 struct WorkerRoom {
@@ -38,11 +49,21 @@
   std::uint64_t starts_ordered = 0;
   std::map<TaskName, PlacedRun> runs;
 
+  /// Serving tasks by image; computed again after a change of runs or when
+  /// `Invalidate` was called for a change of the model.
+  [[nodiscard]] const std::vector<ServingGroup>& Serving(
+      const SharingModel& model) const;
+  void Invalidate() noexcept { serving_valid_ = false; }
+
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
     return attached && !gone && !info.draining && now >= excluded_until;
   }
   void Add(const StepSpec& spec);
   void Remove(const StepSpec& spec);
+
+ private:
+  mutable std::vector<ServingGroup> serving_;
+  mutable bool serving_valid_ = false;
 };
 
 /// All workers of a group, by slot and by name.
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -17,6 +17,9 @@
 constexpr MonotonicTime kLeaseMargin = milliseconds(150);
 constexpr Milliseconds kHoldAnswerTime{700};
 constexpr MonotonicTime kLoadPeriod = milliseconds(400);
+constexpr MonotonicTime kCalmLoadPeriod = milliseconds(1'600);
+/// Share of its target beyond which a serving task is watched closely.
+constexpr double kStrainedShare = 0.75;
 
 }  // namespace
 
@@ -315,17 +318,27 @@
   const MonotonicTime now = base::MonotonicNow();
   if (now - load_reported_at_ < kLoadPeriod) return;
   bool serving = false;
+  bool strained = false;
   WorkerLoad load;
   for (const RunningRun& running : report.running) {
     const auto it = runs_.find(running.task);
     if (it == runs_.end() || !it->second.described) continue;
     const RunTraits& traits = it->second.traits;
-    serving = serving || traits.latency_target.count() > 0;
+    if (traits.latency_target.count() > 0) {
+      serving = true;
+      strained = strained ||
+                 running.measured >
+                     kStrainedShare *
+                         static_cast<double>(traits.latency_target.count());
+    }
+    strained = strained || it->second.wanted_pace < 100;
     if (traits.latency_target.count() == 0 && !traits.fills) continue;
     load.runs.push_back(
         {running.task, running.run, running.measured, running.percent});
   }
   if (!serving) return;
+  // Calm workers are only sampled for the model.
+  if (!strained && now - load_reported_at_ < kCalmLoadPeriod) return;
   load_reported_at_ = now;
   Report(std::move(load));
 }
