Let the leader set how often calm workers report their load

The period grows with the number of workers, from 0.4 s, so that the reports of 490 workers cost the leader no more than those of 200.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -3,7 +3,6 @@
 #include <spdlog/logger.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
-
 #include <unistd.h>
 
 #include <iterator>
@@ -12,8 +11,8 @@
 #include <mutex>
 #include <string>
 
-#include "base/log_buffer.hpp"
 #include "base/log_budget.hpp"
+#include "base/log_buffer.hpp"
 #include "base/loop/clock.hpp"
 
 namespace mangospread::base {
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -20,6 +20,8 @@
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 constexpr Milliseconds kRetrySoon{500};
 constexpr Milliseconds kRetryStoreDown{1'500};
+constexpr Milliseconds kShortestLoadPeriod{400};
+constexpr Milliseconds kLoadPeriodPerWorker{4};
 constexpr MonotonicTime kRetryUnreachable = milliseconds(800);
 constexpr MonotonicTime kLoadRetry = milliseconds(300);
 
@@ -460,7 +462,12 @@
                         : dispatcher_->book()
                               .rooms()[static_cast<std::size_t>(slot)]
                               .starts_ordered;
-  deps_.send(agent, Assignment{entry.info, entry.fence, before});
+  // Bounds what load reports cost the leader of many workers.
+  const Milliseconds calm_load_period =
+      std::max(kShortestLoadPeriod,
+               kLoadPeriodPerWorker * static_cast<int>(workers_.size()));
+  deps_.send(agent,
+             Assignment{entry.info, entry.fence, before, calm_load_period});
 }
 
 void GroupLeader::Unassign(WorkerEntry& entry) {
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -18,6 +18,8 @@
   WorkerFence fence;
   /// Number of the last start ordered before; earlier assignments end with it.
   std::uint64_t starts_before = 0;
+  /// Time between load reports while nothing is strained.
+  Milliseconds calm_load_period{400};
 };
 
 /// Fences that one assignment may use.
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -71,6 +71,7 @@
   auto assign = out.initAssign();
   assign.setFence(order.fence.value());
   assign.setStartsBefore(order.starts_before);
+  assign.setCalmLoadPeriodMs(order.calm_load_period.count());
   auto worker = assign.initWorker();
   worker.setVm(order.worker.vm.str());
   worker.setService(order.worker.service.str());
@@ -132,6 +133,7 @@
   Assignment assignment;
   assignment.fence = WorkerFence(in.getFence());
   assignment.starts_before = in.getStartsBefore();
+  assignment.calm_load_period = Milliseconds(in.getCalmLoadPeriodMs());
   assignment.worker.vm = VmName(Str(worker.getVm()));
   assignment.worker.service = ServiceName(Str(worker.getService()));
   assignment.worker.address = {Str(worker.getIp()), worker.getPort()};
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -36,6 +36,7 @@
   worker @0 :Worker;
   fence @1 :UInt64;
   startsBefore @2 :UInt64;
+  calmLoadPeriodMs @3 :Int64;
 }
 
 struct Traits {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -97,7 +97,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -747,6 +747,8 @@
 
   inline  ::uint64_t getStartsBefore() const;
 
+  inline  ::int64_t getCalmLoadPeriodMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -788,6 +790,9 @@
   inline  ::uint64_t getStartsBefore();
   inline void setStartsBefore( ::uint64_t value);
 
+  inline  ::int64_t getCalmLoadPeriodMs();
+  inline void setCalmLoadPeriodMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3157,6 +3162,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Assignment::Reader::getCalmLoadPeriodMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Assignment::Builder::getCalmLoadPeriodMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Assignment::Builder::setCalmLoadPeriodMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Traits::Reader::getLongRunning() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -17,7 +17,6 @@
 constexpr MonotonicTime kLeaseMargin = milliseconds(150);
 constexpr Milliseconds kHoldAnswerTime{700};
 constexpr MonotonicTime kLoadPeriod = milliseconds(400);
-constexpr MonotonicTime kCalmLoadPeriod = milliseconds(1'600);
 /// Share of its target beyond which a serving task is watched closely.
 constexpr double kStrainedShare = 0.75;
 
@@ -338,7 +337,8 @@
   }
   if (!serving) return;
   // Calm workers are only sampled for the model.
-  if (!strained && now - load_reported_at_ < kCalmLoadPeriod) return;
+  if (!strained && now - load_reported_at_ < assignment_.calm_load_period)
+    return;
   load_reported_at_ = now;
   Report(std::move(load));
 }
--- a/tests/unit/log_test.cc
+++ b/tests/unit/log_test.cc
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "base/log_buffer.hpp"
 #include "base/log_budget.hpp"
+#include "base/log_buffer.hpp"
 
 namespace mangospread::base {
 namespace {
