--- /dev/null
+++ b/tests/unit/dispatch/policy_test.cc
@@ -0,0 +1,144 @@
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <random>
+
+#include "dispatch/policy/fill_guard.hpp"
+#include "dispatch/policy/order.hpp"
+#include "dispatch/policy/sharing_model.hpp"
+#include "dispatch/policy/worker_health.hpp"
+#include "unit/dispatch/dispatcher_fixture.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+constexpr double kIdleTail = 4;
+const ImageName kVictim("victim");
+const ImageName kCulprit("culprit");
+const ImageName kHarmless("harmless");
+
+/// Tail of a serving task at a load of its own and with a culprit's cores.
+double Tail(double load, double culprit_cores) {
+  const double used = std::min(0.98, load + 0.04 * culprit_cores);
+  return kIdleTail / (1 - used);
+}
+
+SharingModel Trained() {
+  SharingModel model;
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> load(0.2, 0.6);
+  std::uniform_real_distribution<double> cores(0, 8);
+  model.Learn(kVictim, kIdleTail, {});
+  for (int i = 0; i < 2'000; ++i) {
+    const double culprit = cores(random);
+    model.Learn(kVictim, Tail(load(random), culprit),
+                {{kCulprit, culprit}, {kHarmless, cores(random)}});
+  }
+  return model;
+}
+
+// Guards against a model that blames whatever runs beside the culprit.
+TEST_CASE("the sharing model tells a culprit from a bystander") {
+  const SharingModel model = Trained();
+  CHECK(model.Effect(kCulprit, kVictim) > 0.025);
+  CHECK(model.Effect(kHarmless, kVictim) < 0.008);
+  CHECK(model.HighLevel(kVictim) > 0.4);
+  CHECK(model.HighLevel(kVictim) < 0.8);
+}
+
+// Guards against serving tasks beyond their target for seconds, and against
+// slowing down tasks that have nothing to do with it.
+TEST_CASE("the guard slows the culprit and lets it go again") {
+  const SharingModel model = Trained();
+  const std::vector<FillSample> fills = {
+      {"culprit", kCulprit, 6, 6, 100}, {"bystander", kHarmless, 6, 6, 100}};
+  const auto slowed = AdjustFills(
+      model, {{kVictim, 100, Milliseconds(18)}}, fills);
+  REQUIRE(slowed.size() == 1);
+  CHECK(slowed[0].task == "culprit");
+  CHECK(slowed[0].percent == 0);
+  CHECK(AdjustFills(model, {{kVictim, 10, Milliseconds(18)}}, fills).empty());
+  std::vector<FillSample> paused = fills;
+  paused[0].percent = 0;
+  const auto released =
+      AdjustFills(model, {{kVictim, 5, Milliseconds(18)}}, paused);
+  REQUIRE(released.size() == 1);
+  CHECK(released[0].percent > 0);
+}
+
+// Replays the pattern of a burst of batch work over a full fleet: the sum of
+// declared sizes is far above what is left, and urgent work arrives between.
+// Guards against urgent work that waits behind the burst, and against workers
+// that are given more than they can hold.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "in a burst urgent work starts at once and nothing overflows") {
+  for (const char* worker : {"w1", "w2", "w3", "w4"}) AddWorker(worker);
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "batch" + std::to_string(i);
+    StepSpec step = MakeStep(16, 3'500);
+    step.fills = true;
+    step.image = kHarmless;
+    Submission submission = MakeSubmission(id.c_str(), {step});
+    QueuePolicy policy = Policy();
+    policy.priority = 2;
+    dispatcher.Add(std::move(submission), policy, now);
+  }
+  const auto burst = Decide();
+  // 128 cores at 3.5 each; filling tasks beyond that would only slow others.
+  CHECK(burst.size() == 36);
+  Add("urgent", {MakeStep(6, 2'300)});
+  const auto urgent = Decide();
+  CHECK(urgent.size() == 6);
+  for (const WorkerRoom& room : dispatcher.book().rooms()) {
+    CHECK(room.cpu_used <= room.info.capacity.cpu);
+    CHECK(room.memory_used <= room.info.capacity.memory);
+  }
+}
+
+// Replays a backlog in which some submissions have missed their objective:
+// guards against finishing those first while others miss theirs too.
+TEST_CASE_FIXTURE(DispatcherFixture, "what can be in time goes before what cannot") {
+  Add("late", {MakeStep(1, 1'000)});
+  now += std::chrono::seconds(5);
+  Add("fresh", {MakeStep(1, 1'000)});
+  AddWorker("w1", 1'000);
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task == "fresh.0.0.0");
+}
+
+// Guards against serving tasks of all images on every worker, which leaves no
+// worker for a filling task that harms one of them.
+TEST_CASE_FIXTURE(DispatcherFixture, "serving tasks are grouped by image") {
+  AddWorker("w1");
+  AddWorker("w2");
+  for (const char* id : {"a1", "b1", "a2", "b2"}) {
+    StepSpec step = MakeStep(2, 6'000);
+    step.long_running = true;
+    step.latency_target = Milliseconds(18);
+    step.image = ImageName(std::string(id, 1));
+    Add(id, {step});
+  }
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 8);
+  std::map<VmName, std::set<ImageName>> images;
+  for (const StartRun& start : starts) {
+    images[start.vm].insert(start.traits.image);
+  }
+  CHECK(images[VmName("w1")].size() == 1);
+  CHECK(images[VmName("w2")].size() == 1);
+}
+
+// Guards against a poisonous submission that takes workers out of use.
+TEST_CASE("a worker is blamed only for failures of several submissions") {
+  WorkerHealth health;
+  const VmName vm("w1");
+  MonotonicTime now = std::chrono::seconds(1);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(health.OnFailure(vm, SubmissionId("poison"), now).count() == 0);
+  }
+  CHECK(health.OnFailure(vm, SubmissionId("other"), now).count() > 0);
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
