--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -8,6 +8,8 @@
 
 /// At this speed or less a filling task is better off elsewhere.
 constexpr int kPausedPercent = 30;
+/// A batch task that should end within this time stays on a draining worker.
+constexpr MonotonicTime kDrainMargin = std::chrono::milliseconds(1'500);
 constexpr MonotonicTime kMaxPause = std::chrono::milliseconds(1'200);
 
 }  // namespace
@@ -172,6 +174,15 @@
   const StepSpec& spec =
       entry->job->steps()[static_cast<std::size_t>(name.task.step)].spec;
   const auto run = static_cast<std::uint32_t>(running.run.value());
+  if (task->placed()) {
+    const WorkerRoom& room = book_.at(task->worker);
+    const auto placed = room.runs.find(name);
+    if (task->worker != slot && placed != room.runs.end() &&
+        placed->second.remembered) {
+      Vacate(name, *task);
+      entry->job->SetPhase(name.task, TaskPhase::kWaiting, now);
+    }
+  }
   const bool ours = task->placed() && task->worker == slot && task->run == run;
   const bool wanted = task->phase == TaskPhase::kWaiting &&
                       entry->shown != SubmissionState::kCancelled &&
@@ -195,6 +206,71 @@
   entry->job->SetPhase(name.task, TaskPhase::kRunning, now);
 }
 
+void Dispatcher::Assume(const VmName& vm,
+                        const std::vector<RememberedRun>& runs,
+                        MonotonicTime now) {
+  const WorkerSlot slot = book_.Find(vm);
+  if (slot == kNoWorker) return;
+  for (const RememberedRun& remembered : runs) {
+    const auto name = ParseTaskName(remembered.task);
+    Entry* entry = name.ok() ? FindEntry(name.value().submission) : nullptr;
+    Task* task =
+        entry == nullptr ? nullptr : entry->job->Find(name.value().task);
+    if (task == nullptr || task->phase != TaskPhase::kWaiting ||
+        IsFinal(entry->job->state())) {
+      continue;
+    }
+    const StepSpec& spec =
+        entry->job->steps()[static_cast<std::size_t>(name.value().task.step)]
+            .spec;
+    task->run = static_cast<std::uint32_t>(remembered.run.value());
+    task->worker = slot;
+    book_.at(slot).Add(spec);
+    PlacedRun& placed = book_.at(slot).runs[name.value()];
+    placed.run = task->run;
+    placed.spec = &spec;
+    placed.remembered = true;
+    entry->job->SetPhase(name.value().task, TaskPhase::kStarting, now);
+  }
+}
+
+std::uint64_t Dispatcher::StartsOrdered(const VmName& vm) const {
+  const WorkerSlot slot = book_.Find(vm);
+  if (slot == kNoWorker) return 0;
+  return book_.rooms()[static_cast<std::size_t>(slot)].starts_ordered;
+}
+
+std::vector<RememberedRun> Dispatcher::Runs(const VmName& vm) const {
+  std::vector<RememberedRun> runs;
+  const WorkerSlot slot = book_.Find(vm);
+  if (slot == kNoWorker) return runs;
+  for (const auto& [name, placed] :
+       book_.rooms()[static_cast<std::size_t>(slot)].runs) {
+    runs.push_back({ToString(name), Attempt(placed.run)});
+  }
+  return runs;
+}
+
+void Dispatcher::Evacuate(MonotonicTime now) {
+  for (const WorkerRoom& room : book_.rooms()) {
+    if (room.gone || !room.attached || !room.info.draining) continue;
+    const std::map<TaskName, PlacedRun> runs = room.runs;
+    for (const auto& [name, placed] : runs) {
+      Task& task = *FindEntry(name.submission)->job->Find(name.task);
+      if (task.phase != TaskPhase::kRunning) continue;
+      const bool ends_soon =
+          !placed.spec->long_running &&
+          now - task.since + kDrainMargin >= placed.spec->estimate;
+      if (ends_soon ||
+          (!placed.spec->long_running && !placed.spec->checkpoints)) {
+        continue;
+      }
+      hooks_.log(name, room.info.vm, "moved", "worker_draining");
+      StopTask(name, task, now);
+    }
+  }
+}
+
 void Dispatcher::OnEnded(WorkerSlot slot, WorkerBirth born, const EndedRun& end,
                          MonotonicTime now) {
   const VmName vm = book_.at(slot).info.vm;
@@ -458,6 +534,7 @@
 }
 
 void Dispatcher::Decide(MonotonicTime now) {
+  Evacuate(now);
   // Smallest step of each kind that found no room in this round, for services
   // and constraints alike; larger ones need no look.
   struct Refused {
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -87,6 +87,9 @@
   // Workers.
 
   void OnWorker(const WorkerInfo& info);
+  /// Counts runs as placed on a worker that cannot be asked now.
+  void Assume(const VmName& vm, const std::vector<RememberedRun>& runs,
+              MonotonicTime now);
   /// The worker left the list; its runs count until its end is certain.
   void OnEvent(const AgentEvent& event, MonotonicTime now);
   /// The worker's process or its lease is certainly over.
@@ -95,6 +98,10 @@
   /// Starts waiting tasks where there is room.
   void Decide(MonotonicTime now);
 
+  /// Starts ordered on a worker so far.
+  [[nodiscard]] std::uint64_t StartsOrdered(const VmName& vm) const;
+  /// Runs that may be on a worker.
+  [[nodiscard]] std::vector<RememberedRun> Runs(const VmName& vm) const;
   [[nodiscard]] const WorkerBook& book() const noexcept { return book_; }
   [[nodiscard]] const DispatcherCounters& counters() const noexcept {
     return counters_;
@@ -117,6 +124,8 @@
                MonotonicTime now);
   void ApplyEnd(Entry& entry, const TaskName& name, Task& task,
                 const EndedRun& end, const VmName& vm, MonotonicTime now);
+  /// Stops what would end with a draining worker, to run elsewhere.
+  void Evacuate(MonotonicTime now);
   void OnNotStarted(WorkerSlot slot, const RunNotStarted& event,
                     MonotonicTime now);
   void OnStarted(const RunStarted& event, MonotonicTime now);
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -456,18 +456,18 @@
   ++agents_.at(agent).workers;
   entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
                             ++fences_used_ * kFenceStride);
-  const WorkerSlot slot = dispatcher_->book().Find(entry.info.vm);
-  const std::uint64_t before =
-      slot == kNoWorker ? 0
-                        : dispatcher_->book()
-                              .rooms()[static_cast<std::size_t>(slot)]
-                              .starts_ordered;
+  Assignment assignment;
+  assignment.worker = entry.info;
+  assignment.fence = entry.fence;
+  assignment.starts_before = dispatcher_->StartsOrdered(entry.info.vm);
+  if (!unresolved_.contains(entry.info.vm)) {
+    assignment.known_runs = dispatcher_->Runs(entry.info.vm);
+  }
   // Bounds what load reports cost the leader of many workers.
-  const Milliseconds calm_load_period =
+  assignment.calm_load_period =
       std::max(kShortestLoadPeriod,
                kLoadPeriodPerWorker * static_cast<int>(workers_.size()));
-  deps_.send(agent,
-             Assignment{entry.info, entry.fence, before, calm_load_period});
+  deps_.send(agent, std::move(assignment));
 }
 
 void GroupLeader::Unassign(WorkerEntry& entry) {
@@ -544,6 +544,8 @@
   if (std::holds_alternative<Attached>(event.what)) {
     entry.attached = true;
     entry.failed.clear();
+    // Nobody but this agent can extend the lease from now on.
+    entry.lease_over_at = now + LeaseBound();
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     dispatcher_->OnEvent(event, now);
@@ -574,6 +576,41 @@
   RequestDecision();
 }
 
+void GroupLeader::OnRemembered(const RememberedRuns& remembered) {
+  const VmName& vm = remembered.worker.vm;
+  RememberedRuns& known = remembered_[vm];
+  known.worker = remembered.worker;
+  known.runs.insert(known.runs.end(), remembered.runs.begin(),
+                    remembered.runs.end());
+  // Agents that reach the worker need a moment to attach it, and its own list
+  // is better than any memory.
+  deps_.loop.Post([this, alive = alive_] {
+    if (*alive && !memory_timer_.active()) {
+      memory_timer_ = deps_.loop.After(options_.memory_delay, [this] {
+        for (const auto& [vm, runs] : remembered_) ApplyRemembered(vm);
+        CheckResume();
+      });
+    }
+  });
+}
+
+void GroupLeader::ApplyRemembered(const VmName& vm) {
+  if (!loaded_ || !unresolved_.contains(vm)) return;
+  const RememberedRuns& known = remembered_.at(vm);
+  if (!workers_.contains(vm)) {
+    WorkerEntry& entry = workers_[vm];
+    entry.info = known.worker;
+    entry.info.draining = true;
+    entry.listed = false;
+    entry.lease_over_at = InheritedLeaseOver();
+    dispatcher_->OnWorker(entry.info);
+  }
+  dispatcher_->Assume(vm, known.runs, base::MonotonicNow());
+  unresolved_.erase(vm);
+  base::Log(base::Event::kWorkerListed,
+            {{"vm", vm.str()}, {"remembered_runs", known.runs.size()}});
+}
+
 void GroupLeader::OnWorkerOver(const VmName& vm, std::string_view why) {
   base::Log(base::Event::kWorkerOver, {{"vm", vm.str()}, {"reason", why}});
   const auto it = workers_.find(vm);
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -37,6 +37,8 @@
   int own_load = 8;
   /// Workers moved between agents in a tick.
   int moves_per_tick = 4;
+  /// Time for agents to attach a worker before its remembered runs count.
+  Milliseconds memory_delay{400};
   /// An ended submission's state is kept this long.
   Milliseconds keep_ended{150'000};
 };
@@ -71,6 +73,8 @@
   void OnAgentUp(const NodeId& agent, const DataCenter& data_center);
   void OnAgentDown(const NodeId& agent);
   void OnAgentEvent(const NodeId& agent, const AgentEvent& event);
+  /// What an agent knows of a worker from an earlier leadership.
+  void OnRemembered(const RememberedRuns& remembered);
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
   [[nodiscard]] bool loaded() const noexcept { return loaded_; }
@@ -122,6 +126,7 @@
   void Unassign(WorkerEntry& entry);
   void MoveWorkers();
   void OnWorkerOver(const VmName& vm, std::string_view why);
+  void ApplyRemembered(const VmName& vm);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
   [[nodiscard]] int LoadOf(const NodeId& agent) const;
   void SendToAgent(const AgentOrder& order);
@@ -155,13 +160,16 @@
   std::map<VmName, WorkerInfo> listed_;
   /// Workers that may hold a lease, as stored.
   std::set<VmName> roster_;
+  /// Workers of the roster that may run what no one has told of.
   std::set<VmName> unresolved_;
+  std::map<VmName, RememberedRuns> remembered_;
   bool roster_saving_ = false;
 
   base::Timer load_timer_;
   base::Timer flush_timer_;
   base::Timer decide_timer_;
   base::Timer tick_timer_;
+  base::Timer memory_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -184,19 +184,33 @@
       {kHeartbeatKey, std::to_string(self_.epoch.value())});
   table_.Transact(std::move(transaction),
                   [this, alive = alive_](const TransactResult& result) {
-                    if (!*alive) return;
-                    renewing_ = false;
-                    const MonotonicTime now = base::MonotonicNow();
-                    if (result.status == Status::kCommitted) renewed_at_ = now;
-                    if (result.status == Status::kConflict) return OnConflict();
-                    const bool yielding =
-                        now - renewed_at_ > options_.yield_after;
-                    if (yielding == yielding_) return;
-                    yielding_ = yielding;
-                    hooks_.on_yield(yielding);
+                    if (*alive) OnRenewed(result);
                   });
 }
 
+void Leadership::OnRenewed(const TransactResult& result) {
+  renewing_ = false;
+  if (result.status == Status::kConflict) return OnConflict();
+  if (result.status != Status::kUnknown) {
+    return NoteReachable(result.status == Status::kCommitted);
+  }
+  // A lost reply alone is no reason to yield.
+  table_.Read({{kHeartbeatKey}, {}},
+              [this, alive = alive_](const Result<std::vector<Row>>& rows) {
+                if (*alive) NoteReachable(rows.ok());
+              });
+}
+
+void Leadership::NoteReachable(bool reachable) {
+  if (!leading_) return;
+  const MonotonicTime now = base::MonotonicNow();
+  if (reachable) renewed_at_ = now;
+  const bool yielding = now - renewed_at_ > options_.yield_after;
+  if (yielding == yielding_) return;
+  yielding_ = yielding;
+  hooks_.on_yield(yielding);
+}
+
 void Leadership::OnConflict() {
   if (!leading_) return;
   Depose();
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -34,10 +34,10 @@
 
 struct LeadershipOptions {
   /// The leader renews its heartbeat row this often.
-  Milliseconds heartbeat_period{700};
+  Milliseconds heartbeat_period{400};
   /// A leader whose heartbeat row stands still for this long may be replaced.
-  Milliseconds silence{2'200};
-  Milliseconds check_period{400};
+  Milliseconds silence{1'200};
+  Milliseconds check_period{300};
   /// Added before contending; shorter on larger VMs, which lead better.
   Milliseconds contend_delay{0};
   /// Candidates spread their attempts over this time.
@@ -95,6 +95,9 @@
   void Check();
   void OnHeartbeat(RowVersion version);
   void Renew();
+  void OnRenewed(const TransactResult& result);
+  /// Notes whether the table answers this leader.
+  void NoteReachable(bool reachable);
   void Depose();
 
   base::EventLoop& loop_;
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -3,6 +3,7 @@
 /// the workers assigned to them.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -11,10 +12,18 @@
 
 namespace mangospread::dispatch {
 
+/// A run that may be on a worker.
+struct RememberedRun {
+  std::string task;
+  Attempt run;
+};
+
 /// Gives a worker to an agent. The agent may raise the fence by less than
 /// kFenceStride; a later assignment starts at a higher one.
 struct Assignment {
   WorkerInfo worker;
+  /// All runs that may be on the worker; none when they are not known.
+  std::optional<std::vector<RememberedRun>> known_runs;
   WorkerFence fence;
   /// Number of the last start ordered before; earlier assignments end with it.
   std::uint64_t starts_before = 0;
@@ -142,6 +151,13 @@
   std::vector<RunSample> runs;
 };
 
+/// Runs that may be on a worker that an agent serves for an earlier leadership.
+/// Nothing else of that leadership runs there.
+struct RememberedRuns {
+  WorkerInfo worker;
+  std::vector<RememberedRun> runs;
+};
+
 struct AgentEvent {
   VmName vm;
   /// Of the assignment under which it happened.
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -136,6 +136,9 @@
     base::Log(base::Event::kLeaderFollowed,
               {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
     leadership_->SetLeaderConnected(true);
+    for (RememberedRuns& remembered : agent_.Remember()) {
+      leader_channel_->Send(std::move(remembered));
+    }
     return;
   }
   base::Log(base::Event::kLeaderLost, {{"leader", hello.node.str()},
@@ -168,6 +171,7 @@
                {"reason", ErrcName(why)}});
   }
   connected_ = false;
+  agent_.DropUnsent();
   leader_channel_.reset();
   leadership_->SetLeaderConnected(false);
   FailCalls();
@@ -198,6 +202,7 @@
   leader_channel_.reset();
   reconnect_timer_.reset();
   connected_ = false;
+  agent_.DropUnsent();
   FailCalls();
   followed_ = leader;
   GroupLeaderDependencies deps{
@@ -217,6 +222,9 @@
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->OnAgentUp(options_.node, options_.data_center);
   leader_->OnWorkers(listed_);
+  for (const RememberedRuns& remembered : agent_.Remember()) {
+    leader_->OnRemembered(remembered);
+  }
   leader_->Start();
   deps_.on_leading(true);
   AnnounceYield(false);
@@ -261,7 +269,9 @@
   }
   const auto it = peers_.find(channel);
   if (it == peers_.end()) return;
-  if (const auto* event = std::get_if<AgentEvent>(&frame)) {
+  if (const auto* remembered = std::get_if<RememberedRuns>(&frame)) {
+    if (leader_) leader_->OnRemembered(*remembered);
+  } else if (const auto* event = std::get_if<AgentEvent>(&frame)) {
     if (leader_) leader_->OnAgentEvent(it->second, *event);
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
     const std::uint64_t id = call->id;
--- a/src/dispatch/peer/channel.hpp
+++ b/src/dispatch/peer/channel.hpp
@@ -21,10 +21,10 @@
 };
 
 struct ChannelTimeouts {
-  Milliseconds ping_period{400};
+  Milliseconds ping_period{300};
   /// A peer that sends nothing for this long is taken for lost, since a
   /// connection can go silent without an error.
-  Milliseconds silence{1'300};
+  Milliseconds silence{1'100};
 };
 
 /// Pings its peer and closes when the peer is silent. Keeps itself alive until
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -65,6 +65,43 @@
           in.getPercent(), in.getMeasured()};
 }
 
+void Put(wire::Worker::Builder out, const WorkerInfo& worker) {
+  out.setVm(worker.vm.str());
+  out.setService(worker.service.str());
+  out.setIp(worker.address.ip);
+  out.setPort(worker.address.port);
+  out.setDataCenter(worker.data_center.str());
+  out.setRack(worker.rack.str());
+  out.setConnections(static_cast<std::uint32_t>(worker.capacity.connections));
+}
+
+WorkerInfo Get(wire::Worker::Reader in) {
+  WorkerInfo worker;
+  worker.vm = VmName(Str(in.getVm()));
+  worker.service = ServiceName(Str(in.getService()));
+  worker.address = {Str(in.getIp()), in.getPort()};
+  worker.data_center = DataCenter(Str(in.getDataCenter()));
+  worker.rack = RackName(Str(in.getRack()));
+  worker.capacity.connections = static_cast<int>(in.getConnections());
+  return worker;
+}
+
+void Put(capnp::List<wire::RunRef>::Builder out,
+         const std::vector<RememberedRun>& runs) {
+  for (unsigned i = 0; i < runs.size(); ++i) {
+    out[i].setTask(runs[i].task);
+    out[i].setRun(runs[i].run.value());
+  }
+}
+
+std::vector<RememberedRun> Get(capnp::List<wire::RunRef>::Reader in) {
+  std::vector<RememberedRun> runs;
+  for (const auto run : in) {
+    runs.push_back({Str(run.getTask()), Attempt(run.getRun())});
+  }
+  return runs;
+}
+
 // Orders.
 
 void Put(wire::Order::Builder out, const Assignment& order) {
@@ -72,15 +109,11 @@
   assign.setFence(order.fence.value());
   assign.setStartsBefore(order.starts_before);
   assign.setCalmLoadPeriodMs(order.calm_load_period.count());
-  auto worker = assign.initWorker();
-  worker.setVm(order.worker.vm.str());
-  worker.setService(order.worker.service.str());
-  worker.setIp(order.worker.address.ip);
-  worker.setPort(order.worker.address.port);
-  worker.setDataCenter(order.worker.data_center.str());
-  worker.setRack(order.worker.rack.str());
-  worker.setConnections(
-      static_cast<std::uint32_t>(order.worker.capacity.connections));
+  Put(assign.initWorker(), order.worker);
+  assign.setRunsKnown(order.known_runs.has_value());
+  if (!order.known_runs) return;
+  Put(assign.initKnownRuns(static_cast<unsigned>(order.known_runs->size())),
+      *order.known_runs);
 }
 
 void Put(wire::Order::Builder out, const StartRun& order) {
@@ -129,18 +162,12 @@
 }
 
 Assignment GetAssignment(wire::Assignment::Reader in) {
-  const auto worker = in.getWorker();
   Assignment assignment;
   assignment.fence = WorkerFence(in.getFence());
   assignment.starts_before = in.getStartsBefore();
   assignment.calm_load_period = Milliseconds(in.getCalmLoadPeriodMs());
-  assignment.worker.vm = VmName(Str(worker.getVm()));
-  assignment.worker.service = ServiceName(Str(worker.getService()));
-  assignment.worker.address = {Str(worker.getIp()), worker.getPort()};
-  assignment.worker.data_center = DataCenter(Str(worker.getDataCenter()));
-  assignment.worker.rack = RackName(Str(worker.getRack()));
-  assignment.worker.capacity.connections =
-      static_cast<int>(worker.getConnections());
+  assignment.worker = Get(in.getWorker());
+  if (in.getRunsKnown()) assignment.known_runs = Get(in.getKnownRuns());
   return assignment;
 }
 
@@ -382,6 +409,19 @@
            RowVersion()}};
 }
 
+void Put(wire::Remembered::Builder out, const RememberedRuns& remembered) {
+  Put(out.initWorker(), remembered.worker);
+  Put(out.initRuns(static_cast<unsigned>(remembered.runs.size())),
+      remembered.runs);
+}
+
+RememberedRuns Get(wire::Remembered::Reader in) {
+  RememberedRuns remembered;
+  remembered.worker = Get(in.getWorker());
+  remembered.runs = Get(in.getRuns());
+  return remembered;
+}
+
 Result<Frame> Get(wire::Frame::Reader in) {
   switch (in.which()) {
     case wire::Frame::HELLO:
@@ -398,6 +438,8 @@
       return Frame(Get(in.getCall()));
     case wire::Frame::REPLY:
       return Frame(Get(in.getReply()));
+    case wire::Frame::REMEMBERED:
+      return Frame(Get(in.getRemembered()));
     case wire::Frame::PING:
       return Frame(Ping());
   }
@@ -424,6 +466,7 @@
           },
           [&](const CallFrame& call) { Put(root.initCall(), call); },
           [&](const ReplyFrame& reply) { Put(root.initReply(), reply); },
+          [&](const RememberedRuns& runs) { Put(root.initRemembered(), runs); },
           [&](const Ping& /*ping*/) { root.setPing(); }},
       frame);
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -37,8 +37,8 @@
 /// Shows that the sender lives.
 struct Ping {};
 
-using Frame =
-    std::variant<Hello, AgentOrder, AgentEvent, CallFrame, ReplyFrame, Ping>;
+using Frame = std::variant<Hello, AgentOrder, AgentEvent, CallFrame, ReplyFrame,
+                           RememberedRuns, Ping>;
 
 [[nodiscard]] std::string EncodeFrame(const Frame& frame);
 /// @errors kMalformed.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -37,6 +37,8 @@
   fence @1 :UInt64;
   startsBefore @2 :UInt64;
   calmLoadPeriodMs @3 :Int64;
+  runsKnown @4 :Bool;
+  knownRuns @5 :List(RunRef);
 }
 
 struct Traits {
@@ -165,6 +167,11 @@
   retryAfterMs @4 :Int64;
 }
 
+struct Remembered {
+  worker @0 :Worker;
+  runs @1 :List(RunRef);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -173,5 +180,6 @@
     call @3 :Call;
     reply @4 :Reply;
     ping @5 :Void;
+    remembered @6 :Remembered;
   }
 }
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -35,6 +35,7 @@
 CAPNP_DECLARE_SCHEMA(8b6a709a6603385d);
 CAPNP_DECLARE_SCHEMA(87f227d46b03a0ce);
 CAPNP_DECLARE_SCHEMA(ba5467ef87e391d4);
+CAPNP_DECLARE_SCHEMA(82f7ce9992398d47);
 CAPNP_DECLARE_SCHEMA(ea7ca768793edf13);
 
 }  // namespace schemas
@@ -97,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -349,6 +350,21 @@
   };
 };
 
+struct Remembered {
+  Remembered() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -362,6 +378,7 @@
     CALL,
     REPLY,
     PING,
+    REMEMBERED,
   };
 
   struct _capnpPrivate {
@@ -749,6 +766,11 @@
 
   inline  ::int64_t getCalmLoadPeriodMs() const;
 
+  inline bool getRunsKnown() const;
+
+  inline bool hasKnownRuns() const;
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getKnownRuns() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -793,6 +815,16 @@
   inline  ::int64_t getCalmLoadPeriodMs();
   inline void setCalmLoadPeriodMs( ::int64_t value);
 
+  inline bool getRunsKnown();
+  inline void setRunsKnown(bool value);
+
+  inline bool hasKnownRuns();
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getKnownRuns();
+  inline void setKnownRuns( ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initKnownRuns(unsigned int size);
+  inline void adoptKnownRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> disownKnownRuns();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2510,6 +2542,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class Remembered::Reader {
+public:
+  typedef Remembered Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker() const;
+  inline  ::mangospread::dispatch::wire::Worker::Reader getWorker() const;
+
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Remembered::Builder {
+public:
+  typedef Remembered Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorker();
+  inline  ::mangospread::dispatch::wire::Worker::Builder getWorker();
+  inline void setWorker( ::mangospread::dispatch::wire::Worker::Reader value);
+  inline  ::mangospread::dispatch::wire::Worker::Builder initWorker();
+  inline void adoptWorker(::capnp::Orphan< ::mangospread::dispatch::wire::Worker>&& value);
+  inline ::capnp::Orphan< ::mangospread::dispatch::wire::Worker> disownWorker();
+
+  inline bool hasRuns();
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> disownRuns();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Remembered::Pipeline {
+public:
+  typedef Remembered Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mangospread::dispatch::wire::Worker::Pipeline getWorker();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -2551,6 +2675,10 @@
   inline bool isPing() const;
   inline  ::capnp::Void getPing() const;
 
+  inline bool isRemembered() const;
+  inline bool hasRemembered() const;
+  inline  ::mangospread::dispatch::wire::Remembered::Reader getRemembered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2624,6 +2752,14 @@
   inline  ::capnp::Void getPing();
   inline void setPing( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isRemembered();
+  inline bool hasRemembered();
+  inline  ::mangospread::dispatch::wire::Remembered::Builder getRemembered();
+  inline void setRemembered( ::mangospread::dispatch::wire::Remembered::Reader value);
+  inline  ::mangospread::dispatch::wire::Remembered::Builder initRemembered();
+  inline void adoptRemembered(::capnp::Orphan< ::mangospread::dispatch::wire::Remembered>&& value);
+  inline ::capnp::Orphan< ::mangospread::dispatch::wire::Remembered> disownRemembered();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3176,6 +3312,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Assignment::Reader::getRunsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Assignment::Builder::getRunsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Assignment::Builder::setRunsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Assignment::Reader::hasKnownRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Assignment::Builder::hasKnownRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader Assignment::Reader::getKnownRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder Assignment::Builder::getKnownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Assignment::Builder::setKnownRuns( ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder Assignment::Builder::initKnownRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Assignment::Builder::adoptKnownRuns(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> Assignment::Builder::disownKnownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Traits::Reader::getLongRunning() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5387,6 +5571,79 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Remembered::Reader::hasWorker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Remembered::Builder::hasWorker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::dispatch::wire::Worker::Reader Remembered::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::dispatch::wire::Worker::Builder Remembered::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mangospread::dispatch::wire::Worker::Pipeline Remembered::Pipeline::getWorker() {
+  return  ::mangospread::dispatch::wire::Worker::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Remembered::Builder::setWorker( ::mangospread::dispatch::wire::Worker::Reader value) {
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::dispatch::wire::Worker::Builder Remembered::Builder::initWorker() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Remembered::Builder::adoptWorker(
+    ::capnp::Orphan< ::mangospread::dispatch::wire::Worker>&& value) {
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::dispatch::wire::Worker> Remembered::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Worker>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Remembered::Reader::hasRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Remembered::Builder::hasRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader Remembered::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder Remembered::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Remembered::Builder::setRuns( ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder Remembered::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Remembered::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> Remembered::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::mangospread::dispatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5692,6 +5949,60 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isRemembered() const {
+  return which() == Frame::REMEMBERED;
+}
+inline bool Frame::Builder::isRemembered() {
+  return which() == Frame::REMEMBERED;
+}
+inline bool Frame::Reader::hasRemembered() const {
+  if (which() != Frame::REMEMBERED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasRemembered() {
+  if (which() != Frame::REMEMBERED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::dispatch::wire::Remembered::Reader Frame::Reader::getRemembered() const {
+  KJ_IREQUIRE((which() == Frame::REMEMBERED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::dispatch::wire::Remembered::Builder Frame::Builder::getRemembered() {
+  KJ_IREQUIRE((which() == Frame::REMEMBERED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setRemembered( ::mangospread::dispatch::wire::Remembered::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REMEMBERED);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::dispatch::wire::Remembered::Builder Frame::Builder::initRemembered() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REMEMBERED);
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptRemembered(
+    ::capnp::Orphan< ::mangospread::dispatch::wire::Remembered>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REMEMBERED);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::dispatch::wire::Remembered> Frame::Builder::disownRemembered() {
+  KJ_IREQUIRE((which() == Frame::REMEMBERED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::Remembered>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -20,6 +20,7 @@
   int percent = 100;               ///< Speed that was ordered.
   MonotonicTime slowed_since{0};   ///< 0 at full speed.
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
+  bool remembered = false;         ///< Known from an agent's memory alone.
 };
 
 /// The serving tasks of one image on a worker.
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -23,7 +23,7 @@
   const VmName vm = assignment.worker.vm;
   if (WorkerSession* old = Find(vm)) {
     if (old->assignment() >= assignment.fence) return;
-    old->Close();
+    End(vm);
   }
   auto link = make_link_(assignment.worker);
   auto session = WorkerSession::Create(loop_, std::move(link),
@@ -64,9 +64,27 @@
              order);
 }
 
+void Agent::End(const VmName& vm) {
+  const auto it = sessions_.find(vm);
+  if (it == sessions_.end()) return;
+  it->second->Close();
+  sessions_.erase(it);
+}
+
 void Agent::ReleaseAll() {
-  for (const auto& [vm, session] : sessions_) session->Close();
-  sessions_.clear();
+  while (!sessions_.empty()) End(VmName(sessions_.begin()->first));
+}
+
+void Agent::DropUnsent() {
+  for (const auto& [vm, session] : sessions_) session->DropUnsent();
+}
+
+std::vector<RememberedRuns> Agent::Remember() const {
+  std::vector<RememberedRuns> remembered;
+  for (const auto& [vm, session] : sessions_) {
+    if (auto runs = session->Remember()) remembered.push_back(std::move(*runs));
+  }
+  return remembered;
 }
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "base/loop/event_loop.hpp"
 #include "dispatch/worker/worker_session.hpp"
@@ -30,6 +31,12 @@
 
   void Carry(AgentOrder order);
   void ReleaseAll();
+  /// The leader that gave the present orders is gone: starts that were not
+  /// sent yet are dropped, workers are held on.
+  void DropUnsent();
+
+  /// What may run on the workers of earlier leaderships, for a new leader.
+  [[nodiscard]] std::vector<RememberedRuns> Remember() const;
 
   [[nodiscard]] std::size_t workers() const noexcept {
     return sessions_.size();
@@ -37,6 +44,7 @@
 
  private:
   void Assign(Assignment assignment);
+  void End(const VmName& vm);
   WorkerSession* Find(const VmName& vm);
 
   base::EventLoop& loop_;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -40,10 +40,26 @@
       emit_(std::move(emit)),
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
-      answered_at_(base::MonotonicNow()) {}
+      answered_at_(base::MonotonicNow()) {
+  if (!assignment_.known_runs) return;
+  runs_known_ = true;
+  for (const RememberedRun& run : *assignment_.known_runs) {
+    runs_[run.task].number = run.run;
+  }
+}
 
 void WorkerSession::Begin() { SendHold(Milliseconds(0)); }
 
+std::optional<RememberedRuns> WorkerSession::Remember() const {
+  if (!runs_known_ || closed_) return std::nullopt;
+  RememberedRuns remembered;
+  remembered.worker = assignment_.worker;
+  for (const auto& [task, run] : runs_) {
+    remembered.runs.push_back({task, run.number});
+  }
+  return remembered;
+}
+
 void WorkerSession::Close() {
   closed_ = true;
   hold_timer_.reset();
@@ -156,13 +172,23 @@
 }
 
 void WorkerSession::Synchronise(const HoldReport& report) {
-  synchronised_ = true;
+  synchronised_ = runs_known_ = true;
   if (report.born != born_) {
     born_ = report.born;
     acknowledged_ = reported_ = highest_listed_ = EndNumber();
     runs_.clear();
   }
   Attached attached{born_, starts_seen_, {}, report.running, report.ended};
+  std::map<std::string, Run> runs;
+  for (const RunningRun& running : report.running) {
+    Run& run = runs[running.task];
+    const auto known = runs_.find(running.task);
+    if (known != runs_.end() && known->second.number == running.run) {
+      run = known->second;
+    }
+    run.number = running.run;
+  }
+  runs_ = std::move(runs);
   for (const StartRun& start : waiting_starts_) {
     attached.unsent.push_back(start.task);
   }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,11 +53,16 @@
   void Close();
 
   void Start(StartRun order);
+  /// Drops starts that wait for the worker's lists.
+  void DropUnsent() { waiting_starts_.clear(); }
   void Describe(const DescribeRun& order);
   void Stop(const StopRun& order);
   void Pace(const PaceRun& order);
   void Acknowledge(const AcknowledgeEnds& order);
 
+  /// Runs that may be on the worker; none when they are not known.
+  [[nodiscard]] std::optional<RememberedRuns> Remember() const;
+
   [[nodiscard]] WorkerFence assignment() const noexcept {
     return assignment_.fence;
   }
@@ -111,6 +117,7 @@
   std::uint64_t hold_generation_ = 0;
   bool hold_in_flight_ = false;
   bool synchronised_ = false;
+  bool runs_known_ = false;
   bool closed_ = false;
   bool unreachable_reported_ = false;
   WorkerBirth born_;
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -150,6 +150,77 @@
   CHECK(starts[0].run == Attempt(1'001));
 }
 
+// Guards against a takeover that blocks all restored work for the lease of one
+// silent worker whose runs an agent remembers.
+TEST_CASE("only the remembered runs of a silent worker wait for its lease") {
+  DispatcherFixture fixture(1'001);
+  fixture.dispatcher.Restore(DispatcherFixture::MakeSubmission(
+                                 "a", {DispatcherFixture::MakeStep(2, 1'000)}),
+                             DispatcherFixture::Policy(), {}, fixture.now);
+  WorkerInfo dark;
+  dark.vm = VmName("dark");
+  dark.service = ServiceName("s");
+  dark.draining = true;
+  fixture.dispatcher.OnWorker(dark);
+  fixture.dispatcher.Assume(VmName("dark"), {{"a.0.0.0", Attempt(1)}},
+                            fixture.now);
+  fixture.AddWorker("w1");
+  fixture.dispatcher.Resume();
+  const auto starts = fixture.Decide();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task == "a.0.0.1");
+  fixture.dispatcher.OnWorkerOver(VmName("dark"), "lease_over", fixture.now);
+  CHECK(fixture.Decide().size() == 1);
+}
+
+// Guards against a stale memory that stops the run which a worker does list.
+TEST_CASE("a listed run goes before a remembered one") {
+  DispatcherFixture fixture(1'001);
+  fixture.dispatcher.Restore(DispatcherFixture::MakeSubmission(
+                                 "a", {DispatcherFixture::MakeStep(1, 1'000)}),
+                             DispatcherFixture::Policy(), {}, fixture.now);
+  WorkerInfo dark;
+  dark.vm = VmName("dark");
+  fixture.dispatcher.OnWorker(dark);
+  fixture.dispatcher.Assume(VmName("dark"), {{"a.0.0.0", Attempt(1)}},
+                            fixture.now);
+  WorkerInfo info;
+  info.vm = VmName("w1");
+  info.service = ServiceName("s");
+  fixture.dispatcher.OnWorker(info);
+  fixture.Event(
+      "w1",
+      Attached{
+          WorkerBirth(1), 0, {}, {{"a.0.0.0", Attempt(2), {}, 40, 0}}, {}});
+  CHECK(fixture.Take<StopRun>().empty());
+  fixture.dispatcher.OnWorkerOver(VmName("dark"), "lease_over", fixture.now);
+  fixture.dispatcher.Resume();
+  CHECK(fixture.Decide().empty());
+}
+
+// Guards against tasks that end with a worker whose departure was announced.
+TEST_CASE_FIXTURE(DispatcherFixture, "a draining worker's long runs move") {
+  AddWorker("w1");
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("a", {step});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 1);
+  Event("w1", RunStarted{starts[0].task, Attempt(1)});
+  AddWorker("w2");
+  WorkerInfo leaving;
+  leaving.vm = VmName("w1");
+  leaving.service = ServiceName("s");
+  leaving.draining = true;
+  dispatcher.OnWorker(leaving);
+  Decide();
+  CHECK(Take<StopRun>().size() == 1);
+  End("w1", 1, starts[0].task, 1, RunEnd::kStopped);
+  const auto moved = Decide();
+  REQUIRE(moved.size() == 1);
+  CHECK(moved[0].vm == VmName("w2"));
+}
+
 // Guards against runs of a cancelled submission that go on.
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a cancelled submission's runs are stopped once stored") {
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -31,7 +31,12 @@
 // Guards against a field that is lost between two nodes.
 TEST_CASE("frames keep every field") {
   const StartRun start = ThroughOrder(
-      StartRun{VmName("w"), 3, "a.0.1.2", Attempt(4), "spec", "cp",
+      StartRun{VmName("w"),
+               3,
+               "a.0.1.2",
+               Attempt(4),
+               "spec",
+               "cp",
                {true, true, Millicores(5), Milliseconds(6), ImageName("i")}});
   CHECK(start.number == 3);
   CHECK(start.run == Attempt(4));
@@ -53,7 +58,10 @@
   CHECK(ThroughOrder(Release{VmName("w")}).vm == VmName("w"));
 
   const Attached attached = ThroughEvent(
-      Attached{WorkerBirth(1), 2, {"u"}, {{"t", Attempt(3), "c", 50, 1.5}},
+      Attached{WorkerBirth(1),
+               2,
+               {"u"},
+               {{"t", Attempt(3), "c", 50, 1.5}},
                {{EndNumber(4), "e", Attempt(5), RunEnd::kBroken, "x"}}});
   CHECK(attached.starts_seen == 2);
   CHECK(attached.unsent.size() == 1);
@@ -61,8 +69,9 @@
   CHECK(attached.ended.at(0).how == RunEnd::kBroken);
   CHECK(ThroughEvent(WorkerUnreachable{Milliseconds(5)}).lease_left ==
         Milliseconds(5));
-  CHECK(ThroughEvent(RunNotStarted{"t", Attempt(1), OrderOutcome::kNoRoom})
-            .why == OrderOutcome::kNoRoom);
+  CHECK(
+      ThroughEvent(RunNotStarted{"t", Attempt(1), OrderOutcome::kNoRoom}).why ==
+      OrderOutcome::kNoRoom);
   ThroughEvent(WorkerSuperseded{});
   ThroughEvent(WorkerEnded{});
 
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -50,10 +50,10 @@
 // slowing down tasks that have nothing to do with it.
 TEST_CASE("the guard slows the culprit and lets it go again") {
   const SharingModel model = Trained();
-  const std::vector<FillSample> fills = {
-      {"culprit", kCulprit, 6, 6, 100}, {"bystander", kHarmless, 6, 6, 100}};
-  const auto slowed = AdjustFills(
-      model, {{kVictim, 100, Milliseconds(18)}}, fills);
+  const std::vector<FillSample> fills = {{"culprit", kCulprit, 6, 6, 100},
+                                         {"bystander", kHarmless, 6, 6, 100}};
+  const auto slowed =
+      AdjustFills(model, {{kVictim, 100, Milliseconds(18)}}, fills);
   REQUIRE(slowed.size() == 1);
   CHECK(slowed[0].task == "culprit");
   CHECK(slowed[0].percent == 0);
@@ -70,8 +70,9 @@
 // declared sizes is far above what is left, and urgent work arrives between.
 // Guards against urgent work that waits behind the burst, and against workers
 // that are given more than they can hold.
-TEST_CASE_FIXTURE(DispatcherFixture,
-                  "in a burst urgent work starts at once and nothing overflows") {
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "in a burst urgent work starts at once and nothing overflows") {
   for (const char* worker : {"w1", "w2", "w3", "w4"}) AddWorker(worker);
   for (int i = 0; i < 40; ++i) {
     const std::string id = "batch" + std::to_string(i);
@@ -97,7 +98,8 @@
 
 // Replays a backlog in which some submissions have missed their objective:
 // guards against finishing those first while others miss theirs too.
-TEST_CASE_FIXTURE(DispatcherFixture, "what can be in time goes before what cannot") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "what can be in time goes before what cannot") {
   Add("late", {MakeStep(1, 1'000)});
   now += std::chrono::seconds(5);
   Add("fresh", {MakeStep(1, 1'000)});
--- a/tests/unit/platform/codec_test.cc
+++ b/tests/unit/platform/codec_test.cc
@@ -19,15 +19,14 @@
 // Guards against a hand-in whose constraints are lost on the way.
 TEST_CASE("a submission is decoded with all its constraints") {
   const auto result = DecodeSubmission(
-      kId,
-      R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,)"
-      R"("estimate-ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
-      R"("mem-mb":1024,"gpu":1,"estimate-ms":7000,"after":[0],)"
-      R"("checkpoint":true,"requires":"a","anti-affinity":2,"fills":true,)"
-      R"("image":"x","max-unavailable":1,"new-field":7},)"
-      R"({"long-running":true,"target-ms":18,"speculative":true,)"
-      R"("gang":true,"same-rack":true}],"times":3,"start-at-ms":1000,)"
-      R"("interval-ms":50})");
+      kId, R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,)"
+           R"("estimate-ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+           R"("mem-mb":1024,"gpu":1,"estimate-ms":7000,"after":[0],)"
+           R"("checkpoint":true,"requires":"a","anti-affinity":2,"fills":true,)"
+           R"("image":"x","max-unavailable":1,"new-field":7},)"
+           R"({"long-running":true,"target-ms":18,"speculative":true,)"
+           R"("gang":true,"same-rack":true}],"times":3,"start-at-ms":1000,)"
+           R"("interval-ms":50})");
   REQUIRE(result.ok());
   const auto& submission = result.value();
   CHECK(submission.spec == "text");
@@ -52,8 +51,8 @@
 // Guards against a malformed hand-in that ends the process or is half done.
 TEST_CASE("malformed submissions are refused") {
   for (const char* body :
-       {"", "[]", "{", R"({"spec":"x"})", R"({"steps":[]})",
-        R"({"steps":{}})", R"({"steps":[1]})", R"({"steps":[{"after":[0]}]})",
+       {"", "[]", "{", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":{}})",
+        R"({"steps":[1]})", R"({"steps":[{"after":[0]}]})",
         R"({"steps":[{"count":0}]})", R"({"steps":[{"count":99999999}]})",
         R"({"steps":[{},{"after":[1]}]})", R"({"steps":[{"after":["a"]}]})"}) {
     CAPTURE(body);
@@ -116,10 +115,9 @@
   CHECK(report.value().running[0].measured == 7);
   REQUIRE(report.value().ended.size() == 1);
   CHECK(report.value().ended[0].how == RunEnd::kDone);
-  for (const char* bad :
-       {"{}", R"({"clock-ms":1,"running":[["a"]]})",
-        R"({"clock-ms":1,"ended":[[1,"a",1,"odd",""]]})",
-        R"({"clock-ms":1,"running":7})"}) {
+  for (const char* bad : {"{}", R"({"clock-ms":1,"running":[["a"]]})",
+                          R"({"clock-ms":1,"ended":[[1,"a",1,"odd",""]]})",
+                          R"({"clock-ms":1,"running":7})"}) {
     CAPTURE(bad);
     CHECK_FALSE(DecodeHoldReport(bad).ok());
   }
