Remember runs whose ends are not acknowledged

The next leader took 432 ms to load, its wait for attachments ran out in that time, and it trusted the memory in place of the worker's own list.

Unacknowledged ends are remembered, also in the runs that an assignment carries, and the wait begins when the leader has loaded.

Ruled out: lost acknowledgements; "i-c5cb63c1ff remembered_runs=9" stands 10 ms before its attachment in the log.

Conclusion: a memory must cover all that is not stored.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -241,7 +241,8 @@
 }
 
 std::vector<RememberedRun> Dispatcher::Runs(const VmName& vm) const {
-  std::vector<RememberedRun> runs;
+  // An end that is not stored is unknown to whoever takes over.
+  std::vector<RememberedRun> runs = ledger_.Open(vm);
   const WorkerSlot slot = book_.Find(vm);
   if (slot == kNoWorker) return runs;
   for (const auto& [name, placed] :
@@ -274,7 +275,7 @@
 void Dispatcher::OnEnded(WorkerSlot slot, WorkerBirth born, const EndedRun& end,
                          MonotonicTime now) {
   const VmName vm = book_.at(slot).info.vm;
-  if (!ledger_.Note(vm, born, end.number)) {
+  if (!ledger_.Note(vm, born, end)) {
     // Listed again, perhaps by another agent that was not told yet.
     Acknowledge(vm, born);
     return;
--- a/src/dispatch/core/end_ledger.cc
+++ b/src/dispatch/core/end_ledger.cc
@@ -4,14 +4,16 @@
 
 namespace mangospread::dispatch {
 
-bool EndLedger::Note(const VmName& vm, WorkerBirth born, EndNumber number) {
+bool EndLedger::Note(const VmName& vm, WorkerBirth born, const EndedRun& end) {
   Ends& ends = workers_[vm];
   if (ends.born != born) {
     ends = Ends();
     ends.born = born;
   }
-  if (number <= ends.settled || ends.open.contains(number)) return false;
-  ends.open.emplace(number, false);
+  if (end.number <= ends.settled || ends.open.contains(end.number)) {
+    return false;
+  }
+  ends.open.emplace(end.number, OpenEnd{{end.task, end.run}, false});
   return true;
 }
 
@@ -20,7 +22,7 @@
   if (it == workers_.end() || it->second.born != born) return;
   const auto open = it->second.open.find(number);
   if (open == it->second.open.end()) return;
-  open->second = true;
+  open->second.settled = true;
   Advance(it->second);
 }
 
@@ -45,6 +47,16 @@
   return touched;
 }
 
+std::vector<RememberedRun> EndLedger::Open(const VmName& vm) const {
+  std::vector<RememberedRun> open;
+  const auto it = workers_.find(vm);
+  if (it == workers_.end()) return open;
+  for (const auto& [number, end] : it->second.open) {
+    if (!end.settled) open.push_back(end.run);
+  }
+  return open;
+}
+
 EndNumber EndLedger::Settled(const VmName& vm) const {
   const auto it = workers_.find(vm);
   return it == workers_.end() ? EndNumber() : it->second.settled;
@@ -57,7 +69,7 @@
 
 void EndLedger::Advance(Ends& ends) {
   // Ends are listed in order, so every number below an open one was noted.
-  while (!ends.open.empty() && ends.open.begin()->second) {
+  while (!ends.open.empty() && ends.open.begin()->second.settled) {
     ends.settled = ends.open.begin()->first;
     ends.open.erase(ends.open.begin());
   }
--- a/src/dispatch/core/end_ledger.hpp
+++ b/src/dispatch/core/end_ledger.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <vector>
 
-#include "dispatch/model/worker_types.hpp"
+#include "dispatch/model/messages.hpp"
 
 namespace mangospread::dispatch {
 
@@ -15,7 +15,9 @@
 class EndLedger {
  public:
   /// Notes an end. False if it was noted before.
-  bool Note(const VmName& vm, WorkerBirth born, EndNumber number);
+  bool Note(const VmName& vm, WorkerBirth born, const EndedRun& end);
+  /// Runs whose ends are noted and not settled.
+  [[nodiscard]] std::vector<RememberedRun> Open(const VmName& vm) const;
   /// The end needs nothing more.
   void Settle(const VmName& vm, WorkerBirth born, EndNumber number);
   /// The end is settled when the submission's generation is stored.
@@ -30,10 +32,14 @@
   void Forget(const VmName& vm) { workers_.erase(vm); }
 
  private:
+  struct OpenEnd {
+    RememberedRun run;
+    bool settled = false;
+  };
   struct Ends {
     WorkerBirth born;
     EndNumber settled;
-    std::map<EndNumber, bool> open;  ///< Number to whether it is settled.
+    std::map<EndNumber, OpenEnd> open;
   };
   struct Waiting {
     std::uint64_t generation = 0;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -147,6 +147,7 @@
   }
   loaded_ = true;
   unresolved_ = roster_;
+  AwaitAttachment();
   base::Log(base::Event::kSchedulerRebuilt,
             {{"epoch", deps_.leadership.epoch.value()},
              {"submissions", jobs.size()},
@@ -582,20 +583,19 @@
   known.worker = remembered.worker;
   known.runs.insert(known.runs.end(), remembered.runs.begin(),
                     remembered.runs.end());
-  // Agents that reach the worker need a moment to attach it, and its own list
-  // is better than any memory.
-  deps_.loop.Post([this, alive = alive_] {
-    if (*alive && !memory_timer_.active()) {
-      memory_timer_ = deps_.loop.After(options_.memory_delay, [this] {
-        for (const auto& [vm, runs] : remembered_) ApplyRemembered(vm);
-        CheckResume();
-      });
-    }
+  if (loaded_) AwaitAttachment();
+}
+
+void GroupLeader::AwaitAttachment() {
+  if (memory_timer_.active()) return;
+  memory_timer_ = deps_.loop.After(options_.memory_delay, [this] {
+    for (const auto& [vm, runs] : remembered_) ApplyRemembered(vm);
+    CheckResume();
   });
 }
 
 void GroupLeader::ApplyRemembered(const VmName& vm) {
-  if (!loaded_ || !unresolved_.contains(vm)) return;
+  if (!unresolved_.contains(vm)) return;
   const RememberedRuns& known = remembered_.at(vm);
   if (!workers_.contains(vm)) {
     WorkerEntry& entry = workers_[vm];
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -126,6 +126,9 @@
   void Unassign(WorkerEntry& entry);
   void MoveWorkers();
   void OnWorkerOver(const VmName& vm, std::string_view why);
+  /// Gives agents a moment to attach workers, whose own lists are better than
+  /// any memory.
+  void AwaitAttachment();
   void ApplyRemembered(const VmName& vm);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
   [[nodiscard]] int LoadOf(const NodeId& agent) const;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -57,6 +57,11 @@
   for (const auto& [task, run] : runs_) {
     remembered.runs.push_back({task, run.number});
   }
+  for (const EndedRun& end : listed_ends_) {
+    if (end.number > acknowledged_) {
+      remembered.runs.push_back({end.task, end.run});
+    }
+  }
   return remembered;
 }
 
@@ -148,6 +153,7 @@
   unreachable_reported_ = false;
   if (synchronised_ && report.born != born_) return Resynchronise();
   if (!synchronised_) Synchronise(report);
+  listed_ends_ = report.ended;
   for (const EndedRun& end : report.ended) {
     highest_listed_ = std::max(highest_listed_, end.number);
     if (end.number <= reported_) continue;
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -124,6 +124,9 @@
   EndNumber acknowledged_;
   EndNumber reported_;
   EndNumber highest_listed_;
+  /// Ends of the newest list. Until they are acknowledged the leader may not
+  /// have stored them.
+  std::vector<EndedRun> listed_ends_;
   std::uint64_t starts_seen_ = 0;
   WorkerTime clock_;
   MonotonicTime clock_at_{0};
