Schedule gangs and occurrences; split the dispatcher

Cause: submissions with gangs or with times were accepted and run as plain tasks at once, which breaks their rules on a deployment that uses them.

A gang is placed as a whole or not at all, starts with one run number, and starts again when a member is lost. Occurrences are further steps with a due time. The lookup of a task by its name stood six times and is one function; what workers report has a file of its own.

Ruled out: refusing both, since a plain schedule is small; one job for each occurrence, since a submission has one state.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 trap 'rm -rf "$work"' EXIT
 
 # nlohmann::json::dump() throws on invalid UTF-8, which outside input can hold.
-if git grep -n '\.dump()' -- 'src/*.cc'; then
+if git grep -n '\.dump()' -- 'src/*.cc' 'platform/*.cc'; then
   echo "use base::DumpJson instead of dump()"
   exit 1
 fi
@@ -25,7 +25,7 @@
     path = $1
     if (index(path, root) == 1) path = substr(path, length(root) + 1)
     while (sub(/^\.\.\//, "", path)) {}
-    if (path !~ /^(include|src|standin|tests)\//) next
+    if (path !~ /^(include|src|platform|standin|tests)\//) next
     if (path ~ /\.cc$/) source = path; else headers = headers " " path
   }
   END { flush() }' | sort -u >"$work/deps"
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -55,7 +55,9 @@
  public:
   /// @param first_run lowest number for starts, above those of any earlier
   ///   scheduler of the group.
-  Dispatcher(DispatcherHooks hooks, std::uint32_t first_run);
+  /// @param unix_epoch the Unix epoch as a monotonic time.
+  Dispatcher(DispatcherHooks hooks, std::uint32_t first_run,
+             MonotonicTime unix_epoch);
 
   // Submissions.
 
@@ -117,44 +119,77 @@
     bool restored = false;
   };
   struct Candidate;
+  /// A task by its name.
+  struct Located {
+    Entry* entry = nullptr;
+    TaskIndex index;
+    TaskName name;
+    Task* task = nullptr;
+
+    [[nodiscard]] Job& job() const { return *entry->job; }
+    [[nodiscard]] Step& step() const { return job().StepAt(index); }
+    [[nodiscard]] const StepSpec& spec() const { return step().spec; }
+  };
 
+  /// None when there is no such task.
+  [[nodiscard]] std::optional<Located> Locate(const TaskName& name);
+  [[nodiscard]] std::optional<Located> Locate(const std::string& text);
+  /// Only if the run is the task's present one on that worker.
+  [[nodiscard]] std::optional<Located> LocateRun(WorkerSlot slot,
+                                                 const std::string& text,
+                                                 Attempt run);
+  // Workers (dispatcher_workers.cc).
   void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
   void Adopt(WorkerSlot slot, const RunningRun& running, MonotonicTime now);
   void OnEnded(WorkerSlot slot, WorkerBirth born, const EndedRun& end,
                MonotonicTime now);
-  void ApplyEnd(Entry& entry, const TaskName& name, Task& task,
-                const EndedRun& end, const VmName& vm, MonotonicTime now);
-  /// Stops what would end with a draining worker, to run elsewhere.
-  void Evacuate(MonotonicTime now);
+  void ApplyEnd(const Located& at, const EndedRun& end, const VmName& vm,
+                MonotonicTime now);
+  void ApplyDone(const Located& at, bool current, MonotonicTime now);
+  void ApplyFailure(const Located& at, const EndedRun& end);
   void OnNotStarted(WorkerSlot slot, const RunNotStarted& event,
                     MonotonicTime now);
-  void OnStarted(const RunStarted& event, MonotonicTime now);
-  /// Stops filling tasks that are paused for too long, to run elsewhere.
-  void MovePaused(WorkerSlot slot, MonotonicTime now);
-  void OnLoad(WorkerSlot slot, const WorkerLoad& load, MonotonicTime now);
+  void OnStarted(WorkerSlot slot, const RunStarted& event, MonotonicTime now);
   void OnStalled(WorkerSlot slot, const RunStalled& event, MonotonicTime now);
+  void OnLoad(WorkerSlot slot, const WorkerLoad& load, MonotonicTime now);
+  void Blame(const VmName& vm, const SubmissionId& id, MonotonicTime now);
+  void Acknowledge(const VmName& vm, WorkerBirth born);
 
+  // Runs.
   Entry* FindEntry(const SubmissionId& id);
-  void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
-             MonotonicTime now);
+  void Occupy(const Located& at, WorkerSlot slot, const PlacedRun& placed);
   /// Takes a run off its worker's books.
-  void Vacate(const TaskName& name, Task& task);
-  void Requeue(Entry& entry, const TaskName& name, Task& task,
-               std::string_view why, MonotonicTime now);
-  void StopTask(const TaskName& name, Task& task, MonotonicTime now);
+  void Vacate(const Located& at);
+  /// The run is over without a result: the task waits again.
+  void Requeue(const Located& at, std::string_view why, MonotonicTime now);
+  void StopTask(const Located& at, MonotonicTime now);
   void StopAll(Entry& entry, MonotonicTime now);
+  /// Members of a gang work only together: stops those that are left.
+  void StopGang(Entry& entry, int step, MonotonicTime now);
   void MarkChanged(Entry& entry);
-  void Blame(const VmName& vm, const SubmissionId& id, MonotonicTime now);
-  void Acknowledge(const VmName& vm, WorkerBirth born);
+  /// Stops filling tasks that are paused for too long, to run elsewhere.
+  void MovePaused(WorkerSlot slot, MonotonicTime now);
+  /// Stops what would end with a draining worker, to run elsewhere.
+  void Evacuate(MonotonicTime now);
+
+  // Decisions.
   [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
   /// Places waiting tasks of a step; returns false if one found no room.
-  bool PlaceStep(Candidate& candidate, MonotonicTime now);
-  [[nodiscard]] int TasksOfStep(const Entry& entry, int step,
-                                WorkerSlot slot) const;
+  bool PlaceStep(const Candidate& candidate, MonotonicTime now);
+  /// Places all members of a gang or none.
+  bool PlaceGang(const Candidate& candidate, MonotonicTime now);
+  void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
+             std::uint32_t run, MonotonicTime now);
+  [[nodiscard]] WorkerSlot Choose(const Entry& entry, int step,
+                                  MonotonicTime now) const;
+  [[nodiscard]] std::uint32_t NextRun(const Task& task) const;
+  [[nodiscard]] static int TasksOfStep(const Entry& entry, int step,
+                                       WorkerSlot slot);
   [[nodiscard]] static RunTraits TraitsOf(const StepSpec& spec);
 
   DispatcherHooks hooks_;
   std::uint32_t first_run_;
+  MonotonicTime unix_epoch_;
   bool resumed_ = true;
   std::unordered_map<SubmissionId, Entry> entries_;
   /// Submissions that are not final, in order of acceptance.
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -9,6 +9,9 @@
 /// Completions later than this multiple of the objective earn nothing.
 constexpr int kLateFactor = 3;
 
+/// Starts are late rather than early where clocks differ.
+constexpr MonotonicTime kDueMargin = std::chrono::milliseconds(30);
+
 Milliseconds LongestChain(const std::vector<StepSpec>& steps) {
   std::vector<Milliseconds> finish(steps.size(), Milliseconds(0));
   Milliseconds longest{0};
@@ -25,7 +28,8 @@
 
 }  // namespace
 
-Job::Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at)
+Job::Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at,
+         MonotonicTime unix_epoch)
     : submission_(std::move(submission)),
       policy_(std::move(policy)),
       accepted_at_(accepted_at) {
@@ -35,16 +39,53 @@
       chain * policy_.stretch + policy_.latency_target);
   objective_ = accepted_at + objective;
   last_useful_ = accepted_at + kLateFactor * objective;
-  steps_.reserve(submission_.steps.size());
+  const int occurrences = std::max(1, submission_.occurrences);
+  for (int k = 0; k < occurrences; ++k) AddOccurrence(k, unix_epoch);
+  UpdateReady();
+}
+
+void Job::AddOccurrence(int occurrence, MonotonicTime unix_epoch) {
+  const int first = static_cast<int>(steps_.size());
+  MonotonicTime due{0};
+  if (submission_.occurrences > 0) {
+    due = unix_epoch + submission_.first_due +
+          submission_.interval * occurrence + kDueMargin;
+  }
   for (const StepSpec& spec : submission_.steps) {
     Step step;
     step.spec = spec;
+    for (int& earlier : step.spec.after) earlier += first;
     step.tasks.resize(static_cast<std::size_t>(spec.count));
     step.undone = spec.count;
     step.waiting = spec.count;
+    step.due = due;
     steps_.push_back(std::move(step));
   }
-  UpdateReady();
+}
+
+MonotonicTime Job::ObjectiveOf(const Step& step) const noexcept {
+  if (step.due.count() == 0) return objective_;
+  return step.due + (objective_ - accepted_at_);
+}
+
+std::optional<TaskIndex> Job::IndexOf(const TaskName& name) const {
+  const auto steps = static_cast<int>(submission_.steps.size());
+  const TaskIndex index{name.occurrence * steps + name.task.step,
+                        name.task.index};
+  if (name.task.step >= steps ||
+      index.step >= static_cast<int>(steps_.size()) ||
+      index.index >=
+          static_cast<int>(
+              steps_[static_cast<std::size_t>(index.step)].tasks.size())) {
+    return std::nullopt;
+  }
+  return index;
+}
+
+TaskName Job::NameOf(const TaskIndex& index) const {
+  const auto steps = static_cast<int>(submission_.steps.size());
+  return {
+      submission_.id, index.step / steps, {index.step % steps, index.index}};
 }
 
 bool Job::has_waiting() const noexcept {
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
   int undone = 0;
   int waiting = 0;
   bool ready = false;  ///< All earlier steps that it needs are done.
+  /// Not started before; 0 for at once.
+  MonotonicTime due{0};
 };
 
 /// Durable progress of a task that differs from a fresh one.
@@ -61,9 +64,12 @@
 };
 
 /// A submission with the state of its tasks. Knows no workers and no clock.
+/// The steps of each occurrence follow those of the one before.
 class Job {
  public:
-  Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at);
+  /// @param unix_epoch the Unix epoch as a monotonic time, for due times.
+  Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at,
+      MonotonicTime unix_epoch);
 
   [[nodiscard]] const Submission& submission() const noexcept {
     return submission_;
@@ -86,8 +92,17 @@
   [[nodiscard]] bool has_waiting() const noexcept;
   [[nodiscard]] bool long_running() const noexcept;
 
+  /// Time until which a step's occurrence should be complete.
+  [[nodiscard]] MonotonicTime ObjectiveOf(const Step& step) const noexcept;
+
   /// Null when the submission has no such task.
   [[nodiscard]] Task* Find(const TaskIndex& index);
+  /// Position of a task; none when the submission has no such task.
+  [[nodiscard]] std::optional<TaskIndex> IndexOf(const TaskName& name) const;
+  [[nodiscard]] TaskName NameOf(const TaskIndex& index) const;
+  [[nodiscard]] Step& StepAt(const TaskIndex& index) {
+    return steps_[static_cast<std::size_t>(index.step)];
+  }
 
   /// Moves a task between phases and keeps the counts.
   void SetPhase(const TaskIndex& index, TaskPhase phase, MonotonicTime now);
@@ -100,6 +115,7 @@
   void Restore(const JobProgress& progress);
 
  private:
+  void AddOccurrence(int occurrence, MonotonicTime unix_epoch);
   void UpdateReady();
 
   Submission submission_;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -67,7 +67,10 @@
                      std::string_view what, std::string_view why) {
     LogDecision(name, vm, what, why);
   };
-  dispatcher_ = std::make_unique<Dispatcher>(std::move(hooks), first_run);
+  const MonotonicTime unix_epoch =
+      base::MonotonicNow() - std::chrono::nanoseconds(base::WallNanoseconds());
+  dispatcher_ =
+      std::make_unique<Dispatcher>(std::move(hooks), first_run, unix_epoch);
 }
 
 GroupLeader::~GroupLeader() { *alive_ = false; }
--- a/src/dispatch/policy/order.hpp
+++ b/src/dispatch/policy/order.hpp
@@ -20,10 +20,13 @@
 
 /// Submissions that can still meet their objective go first, by priority and
 /// then by the earliest objective; those that missed it earn little and wait.
-[[nodiscard]] inline Urgency UrgencyOf(const Job& job, MonotonicTime now) {
-  if (job.long_running()) return {false, false, job.policy().priority, {}};
-  return {now > job.last_useful(), now > job.objective(), job.policy().priority,
-          job.objective()};
+[[nodiscard]] inline Urgency UrgencyOf(const Job& job, const Step& step,
+                                       MonotonicTime now) {
+  if (step.spec.long_running) return {false, false, job.policy().priority, {}};
+  const MonotonicTime objective = job.ObjectiveOf(step);
+  const MonotonicTime last_useful =
+      objective + (job.last_useful() - job.objective());
+  return {now > last_useful, now > objective, job.policy().priority, objective};
 }
 
 }  // namespace mangospread::dispatch
--- a/tests/unit/dispatch/dispatcher_fixture.hpp
+++ b/tests/unit/dispatch/dispatcher_fixture.hpp
@@ -14,7 +14,7 @@
 
 struct DispatcherFixture {
   explicit DispatcherFixture(std::uint32_t first_run = 1)
-      : dispatcher(MakeHooks(), first_run) {}
+      : dispatcher(MakeHooks(), first_run, MonotonicTime(0)) {}
 
   DispatcherHooks MakeHooks() {
     DispatcherHooks hooks;
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -249,5 +249,107 @@
   CHECK(Decide().size() == 2);
 }
 
+// Guards against a gang of which only some members start: they hold room and
+// do nothing.
+TEST_CASE_FIXTURE(DispatcherFixture, "a gang starts as a whole or not at all") {
+  AddWorker("w1", 4'000);
+  StepSpec step = MakeStep(3, 1'500);
+  step.gang = true;
+  Add("a", {step});
+  CHECK(Decide().empty());
+  CHECK(dispatcher.book().rooms()[0].cpu_used == Millicores(0));
+  AddWorker("w2", 4'000);
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 3);
+  CHECK(starts[0].run == starts[2].run);
+}
+
+// Guards against members that wait for one that will never come.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a gang that loses a member starts again") {
+  AddWorker("w1");
+  StepSpec step = MakeStep(3, 1'500);
+  step.gang = true;
+  Add("a", {step});
+  REQUIRE(Decide().size() == 3);
+  End("w1", 1, "a.0.0.1", 1, RunEnd::kFailed);
+  CHECK(Take<StopRun>().size() == 2);
+  CHECK(Decide().empty());
+  End("w1", 2, "a.0.0.0", 1, RunEnd::kStopped);
+  CHECK(Decide().empty());
+  End("w1", 3, "a.0.0.2", 1, RunEnd::kBroken);
+  const auto again = Decide();
+  REQUIRE(again.size() == 3);
+  for (const StartRun& start : again) CHECK(start.run == Attempt(2));
+  End("w1", 4, "a.0.0.0", 2, RunEnd::kDone);
+  Save("a");
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kComplete);
+}
+
+// Guards against an occurrence that starts before its time, and against one
+// that waits for another.
+TEST_CASE_FIXTURE(DispatcherFixture, "each occurrence starts when it is due") {
+  AddWorker("w1");
+  StepSpec second = MakeStep(1, 1'000);
+  second.after = {0};
+  Submission submission = MakeSubmission("a", {MakeStep(1, 1'000), second});
+  submission.occurrences = 2;
+  submission.first_due =
+      std::chrono::duration_cast<Milliseconds>(now) + Milliseconds(1'000);
+  submission.interval = Milliseconds(500);
+  dispatcher.Add(std::move(submission), Policy(), now);
+  CHECK(dispatcher.Pending(QueueName("q")) == 0);
+  now += std::chrono::milliseconds(990);
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(60);
+  const auto first = Decide();
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].task == "a.0.0.0");
+  now += std::chrono::milliseconds(500);
+  const auto next = Decide();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].task == "a.1.0.0");
+  End("w1", 1, "a.1.0.0", 1, RunEnd::kDone);
+  const auto dependent = Decide();
+  REQUIRE(dependent.size() == 1);
+  CHECK(dependent[0].task == "a.1.1.0");
+  End("w1", 2, "a.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().size() == 1);
+  End("w1", 3, "a.0.1.0", 1, RunEnd::kDone);
+  End("w1", 4, "a.1.1.0", 1, RunEnd::kDone);
+  Save("a");
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kComplete);
+}
+
+// Guards against more of a step on one worker than the caller allows, and
+// against a worker without the label that it requires.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "placement keeps to a step's constraints") {
+  WorkerInfo labelled;
+  labelled.vm = VmName("w1");
+  labelled.service = ServiceName("s");
+  labelled.labels = {Label("kind")};
+  labelled.capacity.cpu = Millicores(32'000);
+  dispatcher.OnWorker(labelled);
+  Event("w1", Attached{WorkerBirth(1), 0, {}, {}, {}});
+  AddWorker("w2");
+  StepSpec step = MakeStep(3, 1'000);
+  step.required_label = Label("kind");
+  step.max_per_worker = 2;
+  Add("a", {step});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 2);
+  for (const StartRun& start : starts) CHECK(start.vm == VmName("w1"));
+  dispatcher.OnWorker([] {
+    WorkerInfo other;
+    other.vm = VmName("w3");
+    other.service = ServiceName("another");
+    other.labels = {Label("kind")};
+    return other;
+  }());
+  Event("w3", Attached{WorkerBirth(1), 0, {}, {}, {}});
+  CHECK(Decide().empty());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
