Reload settings on SIGHUP and when the file changes

Tried and reverted: ordinary tasks that fill gaps in place of spreading.

Conclusion: settings are read again without a restart, addresses to listen on excepted, which the log says.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -1,5 +1,7 @@
 #include "app/platform_serve.hpp"
 
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -40,10 +42,34 @@
 /// second.
 constexpr Milliseconds kDrainNotice{2'300};
 constexpr Milliseconds kStopCheckPeriod{50};
+constexpr Milliseconds kSettingsCheckPeriod{1'000};
 /// Left of the grace time when the process ends at the latest.
 constexpr Milliseconds kStopMargin{700};
 constexpr const char* kPartition = "g0";
 
+std::optional<platform::SiteSettings> LoadSettings() {
+  const char* path = std::getenv(platform::kSettingsPathVariable);
+  auto settings =
+      path == nullptr
+          ? Result<platform::SiteSettings>(
+                Error{Errc::kMissingField, platform::kSettingsPathVariable})
+          : platform::ReadSettings(path);
+  if (settings.ok()) return std::move(settings.value());
+  base::Log(base::Event::kSettingsInvalid,
+            {{"setting", settings.error().subject},
+             {"error", ErrcName(settings.error().code)}});
+  return std::nullopt;
+}
+
+/// Modification time of the settings file in nanoseconds; 0 if unknown.
+std::int64_t SettingsChangedAt() {
+  const char* path = std::getenv(platform::kSettingsPathVariable);
+  struct stat status {};
+  if (path == nullptr || stat(path, &status) != 0) return 0;
+  constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
+  return status.st_mtim.tv_sec * kNanosecondsPerSecond + status.st_mtim.tv_nsec;
+}
+
 /// Lets larger VMs contend for the leadership first.
 Milliseconds ContendDelay(double cpu_share) {
   constexpr double kLargeShare = 0.5;
@@ -84,6 +110,8 @@
     if (!probe.ok()) return probe.error();
     FollowCatalog();
     FollowLeader();
+    watch_timer_ =
+        loop_.Every(kSettingsCheckPeriod, 0.1, [this] { CheckSettings(); });
     return Done();
   }
 
@@ -99,6 +127,27 @@
     stop_timer_ = loop_.Every(kStopCheckPeriod, 0, [this] { CheckStopped(); });
   }
 
+  /// Takes over what changed in the settings file; a file that cannot be read
+  /// changes nothing.
+  void Reload() {
+    auto settings = LoadSettings();
+    if (!settings) return;
+    const bool moved = settings->store != settings_.store;
+    const bool rebound = settings->front != settings_.front ||
+                         settings->ready_probe != settings_.ready_probe;
+    base::Log(base::Event::kSettingsReloaded,
+              {{"store", ToString(settings->store)},
+               {"store_changed", moved},
+               {"needs_restart", rebound}});
+    settings_ = std::move(*settings);
+    if (!moved) return;
+    store_pool_ = net::HttpClientPool::Create(loop_, settings_.store, {});
+    table_.SetPool(store_pool_);
+    FollowCatalog();
+    FollowLeader();
+    if (workers_feed_) FollowWorkers();
+  }
+
  private:
   [[nodiscard]] bool ready() const {
     return !stopping_ && catalog_ && node_.ready();
@@ -185,8 +234,9 @@
         loop_, store_pool_, "servers", "",
         platform::FeedHooks{[this](const std::vector<ChangedRow>& rows) {
                               workers_.clear();
-                              for (const ChangedRow& row : rows)
+                              for (const ChangedRow& row : rows) {
                                 InstallWorker(row);
+                              }
                               node_.OnWorkers(workers_);
                             },
                             [this](const std::vector<ChangedRow>& rows) {
@@ -217,6 +267,14 @@
     return true;
   }
 
+  /// The file may change without a signal.
+  void CheckSettings() {
+    const auto changed = SettingsChangedAt();
+    if (changed == settings_at_) return;
+    settings_at_ = changed;
+    Reload();
+  }
+
   void CheckStopped() {
     const auto elapsed = base::MonotonicNow() - stop_begun_;
     const bool idle = front_.in_flight() == 0 && front_server_.unwritten() == 0;
@@ -244,22 +302,10 @@
   bool stopping_ = false;
   MonotonicTime stop_begun_{0};
   base::Timer stop_timer_;
+  std::int64_t settings_at_ = SettingsChangedAt();
+  base::Timer watch_timer_;
 };
 
-std::optional<platform::SiteSettings> LoadSettings() {
-  const char* path = std::getenv(platform::kSettingsPathVariable);
-  auto settings =
-      path == nullptr
-          ? Result<platform::SiteSettings>(
-                Error{Errc::kMissingField, platform::kSettingsPathVariable})
-          : platform::ReadSettings(path);
-  if (settings.ok()) return std::move(settings.value());
-  base::Log(base::Event::kSettingsInvalid,
-            {{"setting", settings.error().subject},
-             {"error", ErrcName(settings.error().code)}});
-  return std::nullopt;
-}
-
 }  // namespace
 
 int ServeManaged(bool check_only) {
@@ -276,6 +322,7 @@
   ManagedNode node(loop, *settings);
   const SignalHandler term(loop, SIGTERM, [&node] { node.Stop(); });
   const SignalHandler interrupt(loop, SIGINT, [&node] { node.Stop(); });
+  const SignalHandler reload(loop, SIGHUP, [&node] { node.Reload(); });
   const auto started = node.Start();
   if (!started.ok()) {
     base::Log(base::Event::kChildFailed,
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -97,9 +97,9 @@
             const StepSpec& spec) {
   const auto capacity = static_cast<double>(
       std::max<std::int64_t>(room.info.capacity.cpu.value(), 1));
-  double cost = spec.fills
-                    ? -Unused(room) / capacity
-                    : static_cast<double>(room.cpu_used.value()) / capacity;
+  const auto used = static_cast<double>(room.cpu_used.value()) / capacity;
+  // Ordinary tasks fill gaps, so that wide ones find whole workers.
+  double cost = spec.fills ? -Unused(room) / capacity : used;
   if (spec.long_running) cost += ServingMismatch(room, model, spec);
   if (!spec.data_rack.empty() && room.info.rack != spec.data_rack) {
     cost += kRemoteDataCost;
