Prove the managed path with real processes against a stand-in of the platform

The stand-in holds a store with versions, conditions and feeds, and workers with fences, leases and numbered ends that record overlaps, repeated and refused starts.

Covered: hand-in at every node, each node killed in turn, lost replies and an outage of the store, a cancellation, SIGHUP and a planned stop.

Ruled out: a second harness; the existing one starts and ends the processes.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -47,13 +47,11 @@
 constexpr Milliseconds kStopMargin{700};
 constexpr const char* kPartition = "g0";
 
-std::optional<platform::SiteSettings> LoadSettings() {
-  const char* path = std::getenv(platform::kSettingsPathVariable);
+std::optional<platform::SiteSettings> LoadSettings(const std::string& path) {
   auto settings =
-      path == nullptr
-          ? Result<platform::SiteSettings>(
-                Error{Errc::kMissingField, platform::kSettingsPathVariable})
-          : platform::ReadSettings(path);
+      path.empty() ? Result<platform::SiteSettings>(Error{
+                         Errc::kMissingField, platform::kSettingsPathVariable})
+                   : platform::ReadSettings(path);
   if (settings.ok()) return std::move(settings.value());
   base::Log(base::Event::kSettingsInvalid,
             {{"setting", settings.error().subject},
@@ -62,10 +60,9 @@
 }
 
 /// Modification time of the settings file in nanoseconds; 0 if unknown.
-std::int64_t SettingsChangedAt() {
-  const char* path = std::getenv(platform::kSettingsPathVariable);
+std::int64_t SettingsChangedAt(const std::string& path) {
   struct stat status {};
-  if (path == nullptr || stat(path, &status) != 0) return 0;
+  if (stat(path.c_str(), &status) != 0) return 0;
   constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
   return status.st_mtim.tv_sec * kNanosecondsPerSecond + status.st_mtim.tv_nsec;
 }
@@ -81,8 +78,10 @@
 /// Keeps a process's parts together and connects them.
 class ManagedNode {
  public:
-  ManagedNode(base::EventLoop& loop, platform::SiteSettings settings)
+  ManagedNode(base::EventLoop& loop, std::string settings_path,
+              platform::SiteSettings settings)
       : loop_(loop),
+        settings_path_(std::move(settings_path)),
         settings_(std::move(settings)),
         store_pool_(net::HttpClientPool::Create(loop, settings_.store, {})),
         table_(store_pool_, kPartition, kStoreTimeout),
@@ -101,7 +100,12 @@
                         probe->Reply({ready() ? kReady : kNotReady, {}, {}});
                       }) {}
 
-  [[nodiscard]] Result<Done> Start() {
+  struct Addresses {
+    Address front;
+    Address ready;
+  };
+
+  [[nodiscard]] Result<Addresses> Start() {
     auto peer = node_.Start();
     if (!peer.ok()) return peer.error();
     auto front = front_server_.Listen(settings_.front);
@@ -112,7 +116,7 @@
     FollowLeader();
     watch_timer_ =
         loop_.Every(kSettingsCheckPeriod, 0.1, [this] { CheckSettings(); });
-    return Done();
+    return Addresses{front.value(), probe.value()};
   }
 
   /// Ends new work, hands the leadership over and stops the loop when all
@@ -130,7 +134,7 @@
   /// Takes over what changed in the settings file; a file that cannot be read
   /// changes nothing.
   void Reload() {
-    auto settings = LoadSettings();
+    auto settings = LoadSettings(settings_path_);
     if (!settings) return;
     const bool moved = settings->store != settings_.store;
     const bool rebound = settings->front != settings_.front ||
@@ -269,7 +273,7 @@
 
   /// The file may change without a signal.
   void CheckSettings() {
-    const auto changed = SettingsChangedAt();
+    const auto changed = SettingsChangedAt(settings_path_);
     if (changed == settings_at_) return;
     settings_at_ = changed;
     Reload();
@@ -287,6 +291,7 @@
   }
 
   base::EventLoop& loop_;
+  std::string settings_path_;
   platform::SiteSettings settings_;
   std::shared_ptr<net::HttpClientPool> store_pool_;
   platform::StoreTable table_;
@@ -302,14 +307,18 @@
   bool stopping_ = false;
   MonotonicTime stop_begun_{0};
   base::Timer stop_timer_;
-  std::int64_t settings_at_ = SettingsChangedAt();
+  std::int64_t settings_at_ = SettingsChangedAt(settings_path_);
   base::Timer watch_timer_;
 };
 
 }  // namespace
 
-int ServeManaged(bool check_only) {
-  const auto settings = LoadSettings();
+int ServeManaged(std::string settings_path, bool check_only) {
+  if (settings_path.empty()) {
+    const char* path = std::getenv(platform::kSettingsPathVariable);
+    if (path != nullptr) settings_path = path;
+  }
+  const auto settings = LoadSettings(settings_path);
   if (!settings) return kExitUsage;
   if (check_only) {
     std::puts("settings are valid");
@@ -319,7 +328,7 @@
                      base::LogTarget::kStandardOutput);
   std::signal(SIGPIPE, SIG_IGN);
   base::EventLoop loop;
-  ManagedNode node(loop, *settings);
+  ManagedNode node(loop, settings_path, *settings);
   const SignalHandler term(loop, SIGTERM, [&node] { node.Stop(); });
   const SignalHandler interrupt(loop, SIGINT, [&node] { node.Stop(); });
   const SignalHandler reload(loop, SIGHUP, [&node] { node.Reload(); });
@@ -330,6 +339,10 @@
                {"subject", started.error().subject}});
     return kExitFailure;
   }
+  std::printf("listening front=%s ready=%s\n",
+              ToString(started.value().front).c_str(),
+              ToString(started.value().ready).c_str());
+  std::fflush(stdout);
   base::Log(base::Event::kNodeStarting,
             {{"node", settings->node.str()},
              {"data_center", settings->data_center.str()},
--- a/src/app/serve.cc
+++ b/src/app/serve.cc
@@ -46,6 +46,14 @@
   return std::find(arguments.begin(), arguments.end(), flag) != arguments.end();
 }
 
+/// Word after `flag`; empty when the flag is not given.
+std::string ValueOf(const std::vector<std::string>& arguments,
+                    const char* flag) {
+  const auto it = std::find(arguments.begin(), arguments.end(), flag);
+  if (it == arguments.end() || std::next(it) == arguments.end()) return {};
+  return *std::next(it);
+}
+
 int RunNode(const Settings& settings) {
   base::EventLoop loop;
   int status = 0;
@@ -79,7 +87,8 @@
     return 0;
   }
   if (HasFlag(arguments, "--managed")) {
-    return ServeManaged(HasFlag(arguments, "--check"));
+    return ServeManaged(ValueOf(arguments, "--settings"),
+                        HasFlag(arguments, "--check"));
   }
   std::vector<Error> problems;
   const Settings settings = ParseSettings(arguments, problems);
--- a/standin/host.hpp
+++ b/standin/host.hpp
@@ -41,5 +41,7 @@
 int RunVmList(const Options& options);
 int RunWorker(const Options& options);
 int RunProxy(const Options& options);
+/// The platform of a managed node.
+int RunSite(const Options& options);
 
 }  // namespace mangospread::standin
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -17,8 +17,10 @@
   if (kind == "vm-list") return standin::RunVmList(options);
   if (kind == "worker") return standin::RunWorker(options);
   if (kind == "proxy") return standin::RunProxy(options);
+  if (kind == "site") return standin::RunSite(options);
   std::fputs(
-      "usage: mangospread-standin table|vm-list|worker|proxy [--listen A]\n",
+      "usage: mangospread-standin table|vm-list|worker|proxy|site [--listen "
+      "A]\n",
       stderr);
   return 2;
 }
--- /dev/null
+++ b/tests/integration/harness/managed.cc
@@ -0,0 +1,98 @@
+#include "integration/harness/managed.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "integration/harness/wait.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+constexpr int kOk = 200;
+
+std::string IdOf(int submission) {
+  std::string id(16, '0');
+  std::snprintf(id.data(), id.size() + 1, "%016x", submission);
+  return id;
+}
+
+}  // namespace
+
+ManagedSite::ManagedSite(int nodes, int workers)
+    : site_(logs_.path(), "site", StandinProgram(),
+            {"site", "--workers", std::to_string(workers)}) {
+  for (int i = 0; i < nodes; ++i) {
+    nodes_.push_back(StartNode(static_cast<std::size_t>(i)));
+  }
+}
+
+std::unique_ptr<Process> ManagedSite::StartNode(std::size_t index) {
+  const std::string name = "n" + std::to_string(index + 1);
+  const std::string path = logs_.path() + "/" + name + ".toml";
+  std::ofstream(path) << "node = \"" << name << "\"\n"
+                      << "ip = \"127.0.0.1\"\nzone = \"dc\"\n"
+                      << "port-range = [0, 0]\n[listen]\n"
+                      << "front = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+                      << "[platform]\naddr = \""
+                      << ToString(site_.address("http")) << "\"\n";
+  return std::make_unique<Process>(
+      logs_.path(), name, NodeProgram(),
+      std::vector<std::string>{"serve", "--managed", "--settings", path});
+}
+
+void ManagedSite::Restart(std::size_t node) { nodes_[node] = StartNode(node); }
+
+bool ManagedSite::Ready(std::size_t node) {
+  const Reply reply = Get(nodes_[node]->address("ready"), "/mangospread/ready");
+  return reply.ok() && reply.status == kOk;
+}
+
+void ManagedSite::AwaitReady() {
+  WaitUntil("all nodes are ready", kWaitDeadline, [this] {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!Ready(i)) return false;
+    }
+    return true;
+  });
+}
+
+Reply ManagedSite::Call(std::size_t node, net::Method method, int submission,
+                        const std::string& body) {
+  net::Request request;
+  request.method = method;
+  request.target = "/jobs/" + IdOf(submission);
+  request.headers.Add("Host", "jobs.example");
+  request.body = body;
+  return Fetch(nodes_[node]->address("front"), request);
+}
+
+Reply ManagedSite::Submit(std::size_t node, int submission, int tasks,
+                          int task_ms) {
+  const nlohmann::json body = {{"spec", std::to_string(task_ms)},
+                               {"steps",
+                                {{{"count", tasks},
+                                  {"cpu", 1'000},
+                                  {"mem-mb", 10},
+                                  {"estimate-ms", task_ms}}}}};
+  return Call(node, net::Method::kPost, submission, body.dump());
+}
+
+std::string ManagedSite::State(std::size_t node, int submission) {
+  const Reply reply = Call(node, net::Method::kGet, submission);
+  if (!reply.ok() || reply.status != kOk) return {};
+  return nlohmann::json::parse(reply.body).value("state", "");
+}
+
+void ManagedSite::SetFaults(const std::string& faults) {
+  Post(site_.address("http"), "/standin/faults", faults);
+}
+
+SiteCounts ManagedSite::Counts() {
+  const Reply reply = Get(site_.address("http"), "/standin/record");
+  const auto json = nlohmann::json::parse(reply.body);
+  return {json["starts"],  json["done"],      json["overlaps"],
+          json["repeats"], json["overloads"], json["lapses"]};
+}
+
+}  // namespace mangospread::testing
--- /dev/null
+++ b/tests/integration/managed/managed_path_test.cc
@@ -0,0 +1,148 @@
+// The whole path on the platform, with real processes: hand-in to completion,
+// through a killed leader, lost replies and an outage of the store.
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <set>
+
+#include "integration/harness/managed.hpp"
+#include "integration/harness/wait.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kTasks = 4;
+constexpr int kTaskMs = 150;
+
+void AwaitComplete(ManagedSite& site, std::size_t node,
+                   const std::set<int>& submissions) {
+  WaitUntil("all submissions are complete", kWaitDeadline, [&] {
+    for (const int submission : submissions) {
+      if (site.State(node, submission) != "complete") return false;
+    }
+    return true;
+  });
+}
+
+/// No task ran twice, in two places at once, or beyond a worker's room.
+void CheckRecord(ManagedSite& site) {
+  const SiteCounts counts = site.Counts();
+  CHECK(counts.overlaps == 0);
+  CHECK(counts.repeats == 0);
+  CHECK(counts.overloads == 0);
+}
+
+// Guards against a path that serves only at the node that leads.
+TEST_CASE("every node serves every submission") {
+  ManagedSite site(3, 4);
+  site.AwaitReady();
+  std::set<int> accepted;
+  for (int i = 1; i <= 12; ++i) {
+    const auto node = static_cast<std::size_t>(i) % site.nodes();
+    CHECK(site.Submit(node, i, kTasks, kTaskMs).status == kOk);
+    // Handed in again elsewhere it remains one submission.
+    CHECK(site.Submit((node + 1) % site.nodes(), i, kTasks, kTaskMs).status ==
+          kOk);
+    accepted.insert(i);
+  }
+  for (std::size_t node = 0; node < site.nodes(); ++node) {
+    AwaitComplete(site, node, accepted);
+  }
+  CHECK(site.Call(1, net::Method::kGet, 999).status == kGone);
+  CHECK(site.Counts().done == 12 * kTasks);
+  CheckRecord(site);
+}
+
+// Guards against work that is lost or done twice when the leader dies while
+// it accepts, starts and stores; each node is killed in turn, so the leader is
+// among them.
+TEST_CASE("killed nodes lose and double nothing") {
+  ManagedSite site(3, 4);
+  site.AwaitReady();
+  std::set<int> accepted;
+  int next = 1;
+  for (std::size_t victim = 0; victim < site.nodes(); ++victim) {
+    for (int i = 0; i < 8; ++i, ++next) {
+      const auto node = static_cast<std::size_t>(i) % site.nodes();
+      if (site.Submit(node, next, kTasks, kTaskMs).status == kOk) {
+        accepted.insert(next);
+      }
+    }
+    site.node(victim).Kill();
+    site.Restart(victim);
+    site.AwaitReady();
+  }
+  CHECK_FALSE(accepted.empty());
+  AwaitComplete(site, 0, accepted);
+  CheckRecord(site);
+}
+
+// Guards against "not accepted" for what is stored, and against an accepted
+// submission that is forgotten.
+TEST_CASE("lost replies and an outage of the store break no answer") {
+  ManagedSite site(2, 4);
+  site.AwaitReady();
+  std::set<int> accepted;
+  site.SetFaults(R"({"lose_replies":2})");
+  for (int i = 1; i <= 4; ++i) {
+    const Reply reply = site.Submit(0, i, kTasks, kTaskMs);
+    if (reply.status == kOk) accepted.insert(i);
+  }
+  site.SetFaults(R"({"down":true})");
+  std::set<int> refused;
+  WaitUntil("a hand-in is refused", kWaitDeadline, [&] {
+    const int id = 100 + static_cast<int>(refused.size());
+    const Reply reply = site.Submit(0, id, kTasks, kTaskMs);
+    if (reply.status != kUnavailable) return false;
+    CHECK(reply.headers.Has("Retry-After"));
+    refused.insert(id);
+    return refused.size() >= 3;
+  });
+  site.SetFaults(R"({"down":false})");
+  WaitUntil("hand-ins are accepted again", kWaitDeadline,
+            [&] { return site.Submit(1, 200, kTasks, kTaskMs).status == kOk; });
+  accepted.insert(200);
+  AwaitComplete(site, 0, accepted);
+  for (const int id : refused) {
+    CHECK(site.Call(0, net::Method::kGet, id).status == kGone);
+  }
+  CheckRecord(site);
+}
+
+// Guards against a cancellation that is confirmed while the work goes on.
+TEST_CASE("a cancelled submission stops") {
+  ManagedSite site(2, 2);
+  site.AwaitReady();
+  CHECK(site.Submit(0, 1, kTasks, 60'000).status == kOk);
+  WaitUntil("it runs", kWaitDeadline,
+            [&] { return site.Counts().starts == kTasks; });
+  CHECK(site.Call(1, net::Method::kDelete, 1).status == kOk);
+  CHECK(site.State(0, 1) == "cancelled");
+  // Its room is free again.
+  CHECK(site.Submit(0, 2, 16, kTaskMs).status == kOk);
+  AwaitComplete(site, 0, {2});
+  CheckRecord(site);
+}
+
+// Guards against a stop that cuts requests off, and against a process that
+// SIGHUP ends.
+TEST_CASE("a planned stop hands over and ends by itself") {
+  ManagedSite site(2, 2);
+  site.AwaitReady();
+  kill(site.node(0).pid(), SIGHUP);
+  kill(site.node(1).pid(), SIGHUP);
+  CHECK(site.Submit(0, 1, kTasks, kTaskMs).status == kOk);
+  site.node(0).Terminate();
+  CHECK(site.node(0).Wait(Milliseconds(20'000)) == 0);
+  WaitUntil("the other node serves alone", kWaitDeadline,
+            [&] { return site.Ready(1); });
+  CHECK(site.Submit(1, 2, kTasks, kTaskMs).status == kOk);
+  AwaitComplete(site, 1, {1, 2});
+  CheckRecord(site);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
