Pause everything beside a task that stays over its target; serve metrics

Where the model is wrong the serving task stays beyond its target for good.

After 1.6 s over its target every filling task beside it pauses, and none is sped up until it is back. /metrics on the address of the readiness probe shows counters and histograms of first start, start answer, end noted, store call and takeover.

Ruled out: slowing all tasks from the start, which served batch work badly.

"beside a task that stays over its target every fill pauses" failed before and passes.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "api/metrics.hpp"
 #include "app/signal_handler.hpp"
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
@@ -84,7 +85,10 @@
         settings_path_(std::move(settings_path)),
         settings_(std::move(settings)),
         store_pool_(net::HttpClientPool::Create(loop, settings_.store, {})),
-        table_(store_pool_, kPartition, kStoreTimeout),
+        table_(store_pool_, kPartition, kStoreTimeout,
+               [this](MonotonicTime time) {
+                 timings_.Observe(dispatch::Timing::kStoreCall, time);
+               }),
         node_(MakeDependencies(), MakeOptions()),
         front_({[this] { return catalog_ ? &*catalog_ : nullptr; },
                 [this](dispatch::ServiceCall call,
@@ -97,7 +101,7 @@
                       }),
         ready_server_(loop, {},
                       [this](const std::shared_ptr<net::HttpExchange>& probe) {
-                        probe->Reply({ready() ? kReady : kNotReady, {}, {}});
+                        AnswerProbe(*probe);
                       }) {}
 
   struct Addresses {
@@ -157,6 +161,54 @@
     return !stopping_ && catalog_ && node_.ready();
   }
 
+  /// Readiness for the balancer, and metrics at /metrics.
+  void AnswerProbe(net::HttpExchange& probe) const {
+    if (probe.request().target != "/metrics") {
+      probe.Reply({ready() ? kReady : kNotReady, {}, {}});
+      return;
+    }
+    net::Response response;
+    response.status = kReady;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = Metrics();
+    probe.Reply(response);
+  }
+
+  [[nodiscard]] std::string Metrics() const {
+    std::vector<api::Sample> samples;
+    const auto add = [&samples](const char* name, const char* help,
+                                api::MetricType type, double value) {
+      samples.push_back({name, help, type, value, {}});
+    };
+    constexpr auto kCounter = api::MetricType::kCounter;
+    constexpr auto kGauge = api::MetricType::kGauge;
+    add("ready", "1 if callers are served", kGauge, ready() ? 1 : 0);
+    add("leading", "1 on the leader", kGauge, node_.leader() ? 1 : 0);
+    add("log_lines_dropped_total", "Log lines that were not written", kCounter,
+        static_cast<double>(base::DroppedLogLines()));
+    add("requests_in_flight", "Callers' requests without an answer", kGauge,
+        front_.in_flight());
+    if (const auto* leader = node_.leader()) {
+      const auto& counters = leader->dispatcher().counters();
+      const auto count = [&](const char* name, const char* help,
+                             std::uint64_t value) {
+        add(name, help, kCounter, static_cast<double>(value));
+      };
+      count("starts_total", "Start orders", counters.started);
+      count("starts_refused_total", "Starts that did not happen",
+            counters.refused);
+      count("runs_done_total", "Runs that ended as done", counters.done);
+      count("runs_failed_total", "Runs that failed", counters.failed);
+      count("runs_requeued_total", "Runs that start again", counters.requeued);
+      count("runs_stalled_total", "Runs without progress", counters.stalled);
+      count("workers_excluded_total", "Workers set aside for failures",
+            counters.excluded);
+      add("submissions_active", "Submissions that have not ended", kGauge,
+          static_cast<double>(leader->dispatcher().active()));
+    }
+    return api::ExposeText(samples) + timings_.Expose();
+  }
+
   dispatch::NodeOptions MakeOptions() const {
     dispatch::NodeOptions options;
     options.node = settings_.node;
@@ -168,12 +220,16 @@
   }
 
   dispatch::NodeDependencies MakeDependencies() {
-    return {loop_, table_,
+    return {loop_,
+            table_,
             [this](const WorkerInfo& worker) {
               return std::make_shared<platform::HttpWorkerLink>(loop_, worker,
                                                                 kOrderTimeout);
             },
             platform::DecodeSubmission,
+            [this](dispatch::Timing timing, MonotonicTime time) {
+              timings_.Observe(timing, time);
+            },
             [this](bool leading) {
               if (leading) {
                 FollowWorkers();
@@ -293,6 +349,7 @@
   base::EventLoop& loop_;
   std::string settings_path_;
   platform::SiteSettings settings_;
+  dispatch::Timings timings_;
   std::shared_ptr<net::HttpClientPool> store_pool_;
   platform::StoreTable table_;
   std::optional<Catalog> catalog_;
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -354,6 +354,9 @@
   placed.run = run;
   placed.start_number = ++room.starts_ordered;
   Occupy(at, slot, placed);
+  if (job.state() == SubmissionState::kQueued) {
+    hooks_.first_start(now - job.accepted_at());
+  }
   job.SetPhase(index, TaskPhase::kStarting, now);
   ++counters_.started;
   hooks_.log(at.name, room.info.vm, "placed", "");
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -28,6 +28,8 @@
   std::function<void(AgentOrder)> send;
   /// The submission's progress must be stored; SavedUpTo follows.
   std::function<void(const SubmissionId&)> save;
+  /// A submission's first task is ordered to start, so long after acceptance.
+  std::function<void(MonotonicTime)> first_start;
   /// Records a decision for the log.
   std::function<void(const TaskName&, const VmName&, std::string_view what,
                      std::string_view why)>
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -267,7 +267,13 @@
     if (!spec.fills) {
       // A task that is not at work yet has no tail of its own.
       if (sample.percent < 100) continue;
-      serving.push_back({spec.image, sample.measured, spec.latency_target});
+      const bool over =
+          sample.measured > static_cast<double>(spec.latency_target.count());
+      MonotonicTime& since = it->second.over_since;
+      if (!over) since = MonotonicTime(0);
+      if (over && since.count() == 0) since = now;
+      serving.push_back({spec.image, sample.measured, spec.latency_target,
+                         over ? now - since : MonotonicTime(0)});
       continue;
     }
     const double used = sample.measured / kMillicoresPerCore;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -62,6 +62,9 @@
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
   hooks.send = [this](const AgentOrder& order) { SendToAgent(order); };
+  hooks.first_start = [this](MonotonicTime waited) {
+    deps_.observe(Timing::kFirstStart, waited);
+  };
   hooks.save = [this](const SubmissionId& id) { MarkDirty(id); };
   hooks.log = [this](const TaskName& name, const VmName& vm,
                      std::string_view what, std::string_view why) {
@@ -183,6 +186,7 @@
 void GroupLeader::CheckResume() {
   if (resumed_ || !loaded_ || !unresolved_.empty()) return;
   resumed_ = true;
+  deps_.observe(Timing::kTakeover, base::MonotonicNow() - started_at_);
   dispatcher_->Resume();
   base::Log(base::Event::kLeaderActive,
             {{"epoch", deps_.leadership.epoch.value()},
@@ -301,6 +305,7 @@
 
 void GroupLeader::MarkDirty(const SubmissionId& id) {
   dirty_.insert(id);
+  unsaved_since_.emplace(id, base::MonotonicNow());
   if (flush_timer_.active()) return;
   flush_timer_ = deps_.loop.After(options_.save_delay, [this] { Flush(); });
 }
@@ -347,7 +352,12 @@
     }
     return;
   }
-  dispatcher_->OnSaved(id, generation, base::MonotonicNow());
+  const MonotonicTime now = base::MonotonicNow();
+  const auto since = unsaved_since_.extract(id);
+  if (!since.empty()) {
+    deps_.observe(Timing::kEndNoted, now - since.mapped());
+  }
+  dispatcher_->OnSaved(id, generation, now);
   const auto state = dispatcher_->State(id);
   if (state && IsFinal(*state)) {
     base::Log(base::Event::kSubmissionEnded,
@@ -491,17 +501,19 @@
     return LoadOf(a.first) < LoadOf(b.first);
   };
   for (int moves = 0; moves < options_.moves_per_tick; ++moves) {
-    const auto [least, most] =
+    const auto extremes =
         std::minmax_element(agents_.begin(), agents_.end(), by_load);
-    if (LoadOf(most->first) - LoadOf(least->first) < 2) return;
+    const NodeId least = extremes.first->first;
+    const NodeId most = extremes.second->first;
+    if (LoadOf(most) - LoadOf(least) < 2) return;
     const auto it =
         std::find_if(workers_.begin(), workers_.end(), [&](const auto& worker) {
-          return worker.second.agent == most->first &&
-                 !worker.second.failed.contains(least->first);
+          return worker.second.agent == most &&
+                 !worker.second.failed.contains(least);
         });
     if (it == workers_.end()) return;
     Unassign(it->second);
-    Assign(it->second, least->first);
+    Assign(it->second, least);
   }
 }
 
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -16,6 +16,7 @@
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/metrics/timings.hpp"
 #include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
 
@@ -53,6 +54,7 @@
   std::function<Result<Submission>(const SubmissionId&, std::string_view)>
       decode;
   std::function<void(const NodeId& agent, AgentOrder)> send;
+  ObserveTiming observe;
   /// A conditional write found another leader.
   std::function<void()> on_conflict;
 };
@@ -157,6 +159,8 @@
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_;
   std::set<SubmissionId> dirty_;
   std::set<SubmissionId> saving_;
+  /// Since when a submission has changes that are not stored.
+  std::map<SubmissionId, MonotonicTime> unsaved_since_;
 
   std::map<NodeId, AgentInfo> agents_;
   std::map<VmName, WorkerEntry> workers_;
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -21,8 +21,10 @@
 Node::Node(NodeDependencies dependencies, NodeOptions options)
     : deps_(std::move(dependencies)),
       options_(std::move(options)),
-      agent_(deps_.loop, deps_.make_link, options_.session,
-             [this](AgentEvent event) { OnAgentEvent(std::move(event)); }),
+      agent_(
+          deps_.loop, deps_.make_link, options_.session,
+          [this](AgentEvent event) { OnAgentEvent(std::move(event)); },
+          deps_.observe),
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
@@ -218,6 +220,7 @@
       [this](const NodeId& agent, AgentOrder order) {
         SendOrder(agent, std::move(order));
       },
+      deps_.observe,
       [this] { leadership_->OnConflict(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->OnAgentUp(options_.node, options_.data_center);
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -41,6 +41,7 @@
   Agent::MakeLink make_link;
   std::function<Result<Submission>(const SubmissionId&, std::string_view)>
       decode;
+  ObserveTiming observe;
   /// This node began or ceased to lead; only a leader needs the worker list.
   std::function<void(bool leading)> on_leading;
 };
--- a/src/dispatch/policy/fill_guard.cc
+++ b/src/dispatch/policy/fill_guard.cc
@@ -11,6 +11,9 @@
 /// the excess, so that every culprit pauses.
 constexpr double kFarBeyond = 1.8;
 constexpr double kSlowDownShare = 0.95;
+/// A serving task that is over its target for so long is helped by pausing
+/// everything beside it, whatever the model says.
+constexpr MonotonicTime kEscalateAfter = std::chrono::milliseconds(1'600);
 constexpr int kLowestPercent = 10;
 constexpr int kSmallestChange = 10;
 
@@ -36,12 +39,13 @@
   for (const ServingSample& sample : serving) {
     const double ratio = Ratio(sample);
     if (ratio < kSlowDownShare) continue;
-    const bool far_beyond = ratio > kFarBeyond;
+    const bool escalate = sample.over_for > kEscalateAfter;
+    const bool far_beyond = escalate || ratio > kFarBeyond;
     double excess = -RoomOf(model, sample);
     std::vector<std::size_t> culprits;
     for (std::size_t i = 0; i < fills.size(); ++i) {
-      if (percents[i] > 0 &&
-          model.Effect(fills[i].image, sample.image) > kNegligibleEffect) {
+      const double effect = model.Effect(fills[i].image, sample.image);
+      if (percents[i] > 0 && (escalate || effect > kNegligibleEffect)) {
         culprits.push_back(i);
       }
     }
@@ -65,7 +69,11 @@
     }
   }
 
-  for (std::size_t i = 0; i < fills.size(); ++i) {
+  const bool escalated = std::any_of(serving.begin(), serving.end(),
+                                     [](const ServingSample& sample) {
+                                       return sample.over_for > kEscalateAfter;
+                                     });
+  for (std::size_t i = 0; i < fills.size() && !escalated; ++i) {
     if (percents[i] >= 100 || percents[i] < fills[i].percent) continue;
     int percent = 100;
     for (const ServingSample& sample : serving) {
--- a/src/dispatch/policy/fill_guard.hpp
+++ b/src/dispatch/policy/fill_guard.hpp
@@ -14,6 +14,7 @@
   ImageName image;
   double tail_ms = 0;
   Milliseconds target{0};
+  MonotonicTime over_for{0};  ///< Time that it has been over its target.
 };
 
 /// A filling task on a worker.
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -19,6 +19,7 @@
   const StepSpec* spec = nullptr;
   int percent = 100;               ///< Speed that was ordered.
   MonotonicTime slowed_since{0};   ///< 0 at full speed.
+  MonotonicTime over_since{0};     ///< Over its latency target; 0 within it.
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
   bool remembered = false;         ///< Known from an agent's memory alone.
 };
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -26,42 +26,40 @@
     End(vm);
   }
   auto link = make_link_(assignment.worker);
-  auto session = WorkerSession::Create(loop_, std::move(link),
-                                       std::move(assignment), options_, emit_);
+  auto session = WorkerSession::Create(
+      loop_, std::move(link), std::move(assignment), options_, emit_, observe_);
   sessions_[vm] = session;
   session->Begin();
 }
 
 void Agent::Carry(AgentOrder order) {
-  std::visit(Overloaded{[this](Assignment& assignment) {
-                          Assign(std::move(assignment));
-                        },
-                        [this](StartRun& start) {
-                          if (auto* session = Find(start.vm))
-                            session->Start(std::move(start));
-                        },
-                        [this](DescribeRun& describe) {
-                          if (auto* session = Find(describe.vm))
-                            session->Describe(describe);
-                        },
-                        [this](StopRun& stop) {
-                          if (auto* session = Find(stop.vm))
-                            session->Stop(stop);
-                        },
-                        [this](PaceRun& pace) {
-                          if (auto* session = Find(pace.vm))
-                            session->Pace(pace);
-                        },
-                        [this](AcknowledgeEnds& ends) {
-                          if (auto* session = Find(ends.vm))
-                            session->Acknowledge(ends);
-                        },
-                        [this](Release& release) {
-                          if (auto* session = Find(release.vm))
-                            session->Close();
-                          sessions_.erase(release.vm);
-                        }},
-             order);
+  const auto with = [this](const VmName& vm, const auto& act) {
+    if (WorkerSession* session = Find(vm)) act(*session);
+  };
+  std::visit(
+      Overloaded{
+          [this](Assignment& assignment) { Assign(std::move(assignment)); },
+          [&](StartRun& start) {
+            with(start.vm, [&](WorkerSession& session) {
+              session.Start(std::move(start));
+            });
+          },
+          [&](const DescribeRun& describe) {
+            with(describe.vm,
+                 [&](WorkerSession& session) { session.Describe(describe); });
+          },
+          [&](const StopRun& stop) {
+            with(stop.vm, [&](WorkerSession& session) { session.Stop(stop); });
+          },
+          [&](const PaceRun& pace) {
+            with(pace.vm, [&](WorkerSession& session) { session.Pace(pace); });
+          },
+          [&](const AcknowledgeEnds& ends) {
+            with(ends.vm,
+                 [&](WorkerSession& session) { session.Acknowledge(ends); });
+          },
+          [this](const Release& release) { End(release.vm); }},
+      order);
 }
 
 void Agent::End(const VmName& vm) {
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -20,11 +20,12 @@
       std::function<std::shared_ptr<WorkerLink>(const WorkerInfo&)>;
 
   Agent(base::EventLoop& loop, MakeLink make_link, WorkerSessionOptions options,
-        WorkerSession::Emit emit)
+        WorkerSession::Emit emit, ObserveTiming observe)
       : loop_(loop),
         make_link_(std::move(make_link)),
         options_(options),
-        emit_(std::move(emit)) {}
+        emit_(std::move(emit)),
+        observe_(std::move(observe)) {}
   ~Agent() { ReleaseAll(); }
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
@@ -51,6 +52,7 @@
   MakeLink make_link_;
   WorkerSessionOptions options_;
   WorkerSession::Emit emit_;
+  ObserveTiming observe_;
   std::map<VmName, std::shared_ptr<WorkerSession>> sessions_;
 };
 
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -24,20 +24,24 @@
 
 std::shared_ptr<WorkerSession> WorkerSession::Create(
     base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
-    Assignment assignment, WorkerSessionOptions options, Emit emit) {
-  return std::shared_ptr<WorkerSession>(new WorkerSession(
-      loop, std::move(link), std::move(assignment), options, std::move(emit)));
+    Assignment assignment, WorkerSessionOptions options, Emit emit,
+    ObserveTiming observe) {
+  return std::shared_ptr<WorkerSession>(
+      new WorkerSession(loop, std::move(link), std::move(assignment), options,
+                        std::move(emit), std::move(observe)));
 }
 
 WorkerSession::WorkerSession(base::EventLoop& loop,
                              std::shared_ptr<WorkerLink> link,
                              Assignment assignment,
-                             WorkerSessionOptions options, Emit emit)
+                             WorkerSessionOptions options, Emit emit,
+                             ObserveTiming observe)
     : loop_(loop),
       link_(std::move(link)),
       assignment_(std::move(assignment)),
       options_(options),
       emit_(std::move(emit)),
+      observe_(std::move(observe)),
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
       answered_at_(base::MonotonicNow()) {
@@ -240,8 +244,9 @@
   run.progress_at = base::MonotonicNow();
   const StartOrder start{order.task,       order.run,    order.spec,
                          order.checkpoint, LeaseUntil(), fence_};
-  link_->Start(start, [self = shared_from_this(),
-                       order = std::move(order)](OrderOutcome outcome) {
+  link_->Start(start, [self = shared_from_this(), order = std::move(order),
+                       sent_at = base::MonotonicNow()](OrderOutcome outcome) {
+    self->observe_(Timing::kStartAnswer, base::MonotonicNow() - sent_at);
     if (!self->closed_) self->OnStartAnswer(order, outcome);
   });
 }
@@ -305,8 +310,9 @@
                 auto timer = std::make_shared<base::Timer>();
                 *timer = self->loop_.After(self->options_.retry_pause,
                                            [self, order, timer] {
-                                             if (!self->closed_)
+                                             if (!self->closed_) {
                                                self->SendStop(order);
+                                             }
                                              timer->reset();
                                            });
               });
@@ -369,8 +375,9 @@
   }
   if (!serving) return;
   // Calm workers are only sampled for the model.
-  if (!strained && now - load_reported_at_ < assignment_.calm_load_period)
+  if (!strained && now - load_reported_at_ < assignment_.calm_load_period) {
     return;
+  }
   load_reported_at_ = now;
   Report(std::move(load));
 }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/loop/event_loop.hpp"
+#include "dispatch/metrics/timings.hpp"
 #include "dispatch/model/messages.hpp"
 
 namespace mangospread::dispatch {
@@ -46,7 +47,8 @@
 
   [[nodiscard]] static std::shared_ptr<WorkerSession> Create(
       base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
-      Assignment assignment, WorkerSessionOptions options, Emit emit);
+      Assignment assignment, WorkerSessionOptions options, Emit emit,
+      ObserveTiming observe);
 
   void Begin();
   /// Ends the conversation; the worker's lease goes on until it is over.
@@ -82,7 +84,8 @@
   };
 
   WorkerSession(base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
-                Assignment assignment, WorkerSessionOptions options, Emit emit);
+                Assignment assignment, WorkerSessionOptions options, Emit emit,
+                ObserveTiming observe);
 
   void SendHold(Milliseconds wait);
   void OnHold(const Result<HoldReport>& result, std::uint64_t generation);
@@ -112,6 +115,7 @@
   Assignment assignment_;
   WorkerSessionOptions options_;
   Emit emit_;
+  ObserveTiming observe_;
   WorkerFence fence_;
   /// Of the hold that is awaited; replies to earlier ones are dropped.
   std::uint64_t hold_generation_ = 0;
--- a/tests/integration/managed/managed_path_test.cc
+++ b/tests/integration/managed/managed_path_test.cc
@@ -52,6 +52,14 @@
     AwaitComplete(site, node, accepted);
   }
   CHECK(site.Call(1, net::Method::kGet, 999).status == kGone);
+  const Reply metrics = Get(site.node(0).address("ready"), "/metrics");
+  CHECK(metrics.status == kOk);
+  for (const char* name :
+       {"first_start", "start_answer", "end_noted", "store_call", "takeover"}) {
+    const std::string bucket =
+        "mangospread_" + std::string(name) + "_seconds_bucket{le=";
+    CHECK(metrics.body.find(bucket) != std::string::npos);
+  }
   CHECK(site.Counts().done == 12 * kTasks);
   CheckRecord(site);
 }
--- a/tests/unit/dispatch/dispatcher_fixture.hpp
+++ b/tests/unit/dispatch/dispatcher_fixture.hpp
@@ -22,6 +22,7 @@
       orders.push_back(std::move(order));
     };
     hooks.save = [this](const SubmissionId& id) { dirty.push_back(id); };
+    hooks.first_start = [](MonotonicTime) {};
     hooks.log = [](const TaskName&, const VmName&, std::string_view,
                    std::string_view) {};
     return hooks;
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -66,6 +66,19 @@
   CHECK(released[0].percent > 0);
 }
 
+// Guards against a model that is wrong: the serving task stays beyond its
+// target while tasks that it calls harmless work on.
+TEST_CASE("beside a task that stays over its target every fill pauses") {
+  const SharingModel model = Trained();
+  ServingSample sample{kVictim, 30, Milliseconds(18)};
+  const std::vector<FillSample> fills = {{"bystander", kHarmless, 6, 6, 100}};
+  CHECK(AdjustFills(model, {sample}, fills).empty());
+  sample.over_for = std::chrono::seconds(2);
+  const auto paused = AdjustFills(model, {sample}, fills);
+  REQUIRE(paused.size() == 1);
+  CHECK(paused[0].percent == 0);
+}
+
 // Replays the pattern of a burst of batch work over a full fleet: the sum of
 // declared sizes is far above what is left, and urgent work arrives between.
 // Guards against urgent work that waits behind the burst, and against workers
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -70,7 +70,8 @@
     assignment.fence = WorkerFence(5 * kFenceStride);
     session = WorkerSession::Create(
         loop, link, assignment, WorkerSessionOptions(),
-        [this](AgentEvent event) { events.push_back(std::move(event)); });
+        [this](AgentEvent event) { events.push_back(std::move(event)); },
+        [](Timing, MonotonicTime) {});
     session->Begin();
   }
   ~SessionFixture() { session->Close(); }
