Show one submission's story from the logs

Cause: on-call engineers have only logs, from several nodes at once.

`mangospread explain-log <id>` reads lines of any number of nodes on standard input, keeps those that name the submission or one of its tasks and prints them in order of time.

Ruled out: extending `explain`, which asks a node that may be gone.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -6,6 +6,7 @@
 
 #include "app/serve.hpp"
 #include "cli/commands.hpp"
+#include "cli/explain_log.hpp"
 #include "cli/load/load.hpp"
 #include "mangospread/preprocessor.hpp"
 
@@ -20,6 +21,8 @@
          cli::CommandsHelp() +
          "  load                              send requests and measure "
          "(load --help)\n"
+         "  explain-log <id>                  show what logs on standard input "
+         "say of a submission\n"
          "  version                           print the version\n";
 }
 
@@ -27,6 +30,9 @@
              const std::vector<std::string>& arguments) {
   if (command == "serve") return mangospread::app::Serve(arguments);
   if (command == "load") return cli::RunLoad(arguments);
+  if (command == "explain-log" && arguments.size() == 1) {
+    return cli::RunExplainLog(arguments[0]);
+  }
   if (cli::IsCommand(command)) return cli::RunCommand(command, arguments);
   if (command == "version") {
     std::printf("mangospread %d.%d.%d\n", MANGOSPREAD_VERSION_MAJOR,
