--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -18,6 +18,7 @@
 #include "base/loop/event_loop.hpp"
 #include "dispatch/node/node.hpp"
 #include "net/http_server.hpp"
+#include "net/http_status.hpp"
 #include "platform/codec.hpp"
 #include "platform/front.hpp"
 #include "platform/settings.hpp"
@@ -34,8 +35,6 @@
 
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
-constexpr int kReady = 200;
-constexpr int kNotReady = 503;
 constexpr Milliseconds kStoreTimeout{1'000};
 constexpr Milliseconds kOrderTimeout{700};
 constexpr Milliseconds kLogFlushPeriod{250};
@@ -164,11 +163,14 @@
   /// Readiness for the balancer, and metrics at /metrics.
   void AnswerProbe(net::HttpExchange& probe) const {
     if (probe.request().target != "/metrics") {
-      probe.Reply({ready() ? kReady : kNotReady, {}, {}});
+      probe.Reply(
+          {ready() ? net::status::kOk : net::status::kServiceUnavailable,
+           {},
+           {}});
       return;
     }
     net::Response response;
-    response.status = kReady;
+    response.status = net::status::kOk;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = Metrics();
     probe.Reply(response);
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -250,8 +250,6 @@
       return {"run_decided", Severity::kInfo};
     case Event::kOrderUnanswered:
       return {"order_unanswered", Severity::kInfo};
-    case Event::kFillThrottled:
-      return {"fill_throttled", Severity::kInfo};
     case Event::kWorkerAttached:
       return {"worker_attached", Severity::kInfo};
     case Event::kWorkerOver:
@@ -274,8 +272,6 @@
       return {"entry_malformed", Severity::kInfo};
     case Event::kSettingsReloaded:
       return {"settings_reloaded", Severity::kInfo};
-    case Event::kSubmissionCancelled:
-      return {"submission_cancelled", Severity::kInfo};
     case Event::kHoldFailed:
       return {"hold_failed", Severity::kInfo};
     case Event::kWorkerListed:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -78,7 +78,6 @@
   kSubmissionEnded = 1803,
   kRunDecided = 1804,
   kOrderUnanswered = 1805,
-  kFillThrottled = 1806,
   kWorkerAttached = 1807,
   kWorkerOver = 1808,
   kLeaderActive = 1809,
@@ -90,7 +89,6 @@
   kStoreRegained = 1815,
   kEntryMalformed = 1816,
   kSettingsReloaded = 1817,
-  kSubmissionCancelled = 1818,
   kWorkerListed = 1819,
   kHoldFailed = 1820,
   // API.
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/overloaded.hpp"
 #include "dispatch/core/dispatcher.hpp"
 
 namespace mangospread::dispatch {
@@ -15,13 +16,6 @@
 /// at once.
 constexpr MonotonicTime kNoRoomPause = std::chrono::milliseconds(300);
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 }  // namespace
 
 void Dispatcher::OnWorker(const WorkerInfo& info) { book_.Upsert(info); }
@@ -30,7 +24,7 @@
   const WorkerSlot slot = book_.Find(event.vm);
   if (slot == kNoWorker) return;
   std::visit(
-      Overloaded{
+      base::Overloaded{
           [&](const Attached& attached) { OnAttached(slot, attached, now); },
           [&](const RunEnded& ended) {
             OnEnded(slot, ended.born, ended.end, now);
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -8,18 +8,12 @@
 #include <utility>
 #include <vector>
 
+#include "base/overloaded.hpp"
 #include "dispatch/peer/schema/dispatch.capnp.h"
 
 namespace mangospread::dispatch {
 namespace {
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 std::string Str(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
@@ -452,7 +446,7 @@
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::Frame>();
   std::visit(
-      Overloaded{
+      base::Overloaded{
           [&](const Hello& hello) { Put(root.initHello(), hello); },
           [&](const AgentOrder& order) {
             std::visit([&](const auto& kind) { Put(root.initOrder(), kind); },
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -2,18 +2,9 @@
 
 #include <utility>
 
-namespace mangospread::dispatch {
-namespace {
-
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
-}  // namespace
+#include "base/overloaded.hpp"
 
+namespace mangospread::dispatch {
 WorkerSession* Agent::Find(const VmName& vm) {
   const auto it = sessions_.find(vm);
   return it == sessions_.end() ? nullptr : it->second.get();
@@ -37,7 +28,7 @@
     if (WorkerSession* session = Find(vm)) act(*session);
   };
   std::visit(
-      Overloaded{
+      base::Overloaded{
           [this](Assignment& assignment) { Assign(std::move(assignment)); },
           [&](StartRun& start) {
             with(start.vm, [&](WorkerSession& session) {
