--- a/src/cli/explain_log.cc
+++ b/src/cli/explain_log.cc
@@ -1,6 +1,7 @@
 #include "cli/explain_log.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <ctime>
 #include <iomanip>
@@ -68,7 +69,7 @@
       [](const Line& a, const Line& b) { return a.at_ms < b.at_ms; });
   std::ostringstream story;
   for (const Line& entry : found) {
-    story << "+" << static_cast<long>(entry.at_ms - found.front().at_ms)
+    story << "+" << static_cast<std::int64_t>(entry.at_ms - found.front().at_ms)
           << " ms " << entry.text << "\n";
   }
   return story.str();
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -238,11 +238,10 @@
   deps_.on_leading(false);
   // Called from the leader's own callbacks.
   deps_.loop.Post([old = std::shared_ptr<GroupLeader>(std::move(leader_))] {});
+  // Followers learn of it from the hello and close the channels themselves; a
+  // channel closed here would lose the hello.
   AnnounceYield(true);
-  for (const auto& [node, channel] : std::exchange(agents_, {})) {
-    peers_.erase(channel);
-    channel->Close();
-  }
+  agents_.clear();
   reconnect_timer_ =
       deps_.loop.After(options_.reconnect_pause, [this] { Connect(); });
 }
