--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -120,7 +120,7 @@
   [[nodiscard]] Transaction Conditioned() const;
   bool CheckConflict(const table::WriteResult& result);
 
-  // Workers.
+  // Workers (group_leader_workers.cc).
   void SaveRoster();
   void Enlist(const VmName& vm);
   void AssignWorkers();
@@ -132,6 +132,8 @@
   /// any memory.
   void AwaitAttachment();
   void ApplyRemembered(const VmName& vm);
+  void OnUnreachable(WorkerEntry& entry, const NodeId& agent,
+                     Milliseconds lease_left);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
   [[nodiscard]] int LoadOf(const NodeId& agent) const;
   void SendToAgent(const AgentOrder& order);
--- /dev/null
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -0,0 +1,334 @@
+// The group's workers: which agent talks to each, and what their events mean.
+#include <algorithm>
+#include <utility>
+
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+#include "dispatch/leader/group_leader.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using table::WriteStatus;
+
+/// Fences of one leadership; each assignment takes kFenceStride of them.
+constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 32;
+constexpr Milliseconds kShortestLoadPeriod{400};
+constexpr Milliseconds kLoadPeriodPerWorker{4};
+/// Pause after all agents failed to reach a worker.
+constexpr MonotonicTime kRetryUnreachable = milliseconds(800);
+
+}  // namespace
+
+void GroupLeader::OnWorkers(const std::map<VmName, WorkerInfo>& listed) {
+  listed_ = listed;
+  if (!loaded_) return;
+  bool enlisting = false;
+  for (const auto& [vm, info] : listed_) {
+    const auto it = workers_.find(vm);
+    if (it == workers_.end()) {
+      enlisting = enlisting || !roster_.contains(vm);
+      continue;
+    }
+    const bool moved = it->second.info.address != info.address;
+    it->second.listed = true;
+    if (it->second.info == info && !moved) continue;
+    it->second.info = info;
+    dispatcher_->OnWorker(info);
+    if (moved) Unassign(it->second);
+  }
+  for (auto& [vm, entry] : workers_) {
+    if (!entry.listed || listed_.contains(vm)) continue;
+    // It has left or is silent; what runs there counts until that is certain.
+    entry.listed = false;
+    entry.info.draining = true;
+    dispatcher_->OnWorker(entry.info);
+    base::Log(base::Event::kWorkerListed,
+              {{"vm", vm.str()}, {"listed", false}});
+  }
+  for (const auto& [vm, info] : listed_) {
+    if (roster_.contains(vm)) Enlist(vm);
+  }
+  if (enlisting) SaveRoster();
+  AssignWorkers();
+}
+
+void GroupLeader::SaveRoster() {
+  if (roster_saving_) return;
+  roster_saving_ = true;
+  std::set<VmName> next = roster_;
+  for (const auto& [vm, info] : listed_) next.insert(vm);
+  std::string value;
+  for (const VmName& vm : next) value += vm.str() + "\n";
+  Transaction change = Conditioned();
+  change.writes.push_back({"roster/workers", std::move(value)});
+  writer_.Submit(std::move(change),
+                 [this, next](const table::WriteResult& result) {
+                   roster_saving_ = false;
+                   if (CheckConflict(result)) return;
+                   if (result.status == WriteStatus::kCommitted) roster_ = next;
+                   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+                 });
+}
+
+void GroupLeader::Enlist(const VmName& vm) {
+  const auto [it, added] = workers_.try_emplace(vm);
+  if (!added) return;
+  it->second.info = listed_.at(vm);
+  if (unresolved_.contains(vm)) {
+    it->second.lease_over_at = InheritedLeaseOver();
+  }
+  dispatcher_->OnWorker(it->second.info);
+}
+
+int GroupLeader::LoadOf(const NodeId& agent) const {
+  const int own = agent == deps_.self ? options_.own_load : 0;
+  return agents_.at(agent).workers + own;
+}
+
+std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
+  std::optional<NodeId> best;
+  for (const auto& [agent, info] : agents_) {
+    if (entry.failed.contains(agent)) continue;
+    if (!best || LoadOf(agent) < LoadOf(*best)) best = agent;
+  }
+  return best;
+}
+
+void GroupLeader::AssignWorkers() {
+  const MonotonicTime now = base::MonotonicNow();
+  for (auto& [vm, entry] : workers_) {
+    if (entry.agent || now < entry.retry_at) continue;
+    if (entry.failed.size() >= agents_.size()) {
+      // None reaches it now.
+      entry.failed.clear();
+      entry.retry_at = now + kRetryUnreachable;
+      continue;
+    }
+    if (const auto agent = PickAgent(entry)) Assign(entry, *agent);
+  }
+}
+
+void GroupLeader::Assign(WorkerEntry& entry, const NodeId& agent) {
+  entry.agent = agent;
+  entry.attached = false;
+  ++agents_.at(agent).workers;
+  entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
+                            ++fences_used_ * kFenceStride);
+  Assignment assignment;
+  assignment.worker = entry.info;
+  assignment.fence = entry.fence;
+  assignment.starts_before = dispatcher_->StartsOrdered(entry.info.vm);
+  if (!unresolved_.contains(entry.info.vm)) {
+    assignment.known_runs = dispatcher_->Runs(entry.info.vm);
+  }
+  // Bounds what load reports cost the leader of many workers.
+  assignment.calm_load_period =
+      std::max(kShortestLoadPeriod,
+               kLoadPeriodPerWorker * static_cast<int>(workers_.size()));
+  deps_.send(agent, std::move(assignment));
+}
+
+void GroupLeader::Unassign(WorkerEntry& entry) {
+  if (!entry.agent) return;
+  deps_.send(*entry.agent, Release{entry.info.vm});
+  const auto it = agents_.find(*entry.agent);
+  if (it != agents_.end()) --it->second.workers;
+  entry.agent.reset();
+  entry.attached = false;
+  entry.lease_over_at =
+      std::max(entry.lease_over_at, base::MonotonicNow() + LeaseBound());
+}
+
+void GroupLeader::MoveWorkers() {
+  if (agents_.size() < 2) return;
+  const auto by_load = [this](const auto& a, const auto& b) {
+    return LoadOf(a.first) < LoadOf(b.first);
+  };
+  for (int moves = 0; moves < options_.moves_per_tick; ++moves) {
+    const auto extremes =
+        std::minmax_element(agents_.begin(), agents_.end(), by_load);
+    const NodeId least = extremes.first->first;
+    const NodeId most = extremes.second->first;
+    if (LoadOf(most) - LoadOf(least) < 2) return;
+    const auto it =
+        std::find_if(workers_.begin(), workers_.end(), [&](const auto& worker) {
+          return worker.second.agent == most &&
+                 !worker.second.failed.contains(least);
+        });
+    if (it == workers_.end()) return;
+    Unassign(it->second);
+    Assign(it->second, least);
+  }
+}
+
+void GroupLeader::OnAgentUp(const NodeId& agent,
+                            const DataCenter& data_center) {
+  agents_[agent] = {data_center, 0};
+  base::Log(base::Event::kPeerAlive, {{"peer", agent.str()}});
+  if (loaded_) AssignWorkers();
+}
+
+void GroupLeader::OnAgentDown(const NodeId& agent) {
+  base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
+  for (auto& [vm, entry] : workers_) {
+    if (entry.agent == agent) Unassign(entry);
+    entry.failed.erase(agent);
+  }
+  agents_.erase(agent);
+  if (loaded_) AssignWorkers();
+}
+
+void GroupLeader::SendToAgent(const AgentOrder& order) {
+  const VmName& vm = std::visit(
+      [](const auto& kind) -> const VmName& {
+        if constexpr (requires { kind.worker; }) {
+          return kind.worker.vm;
+        } else {
+          return kind.vm;
+        }
+      },
+      order);
+  const auto it = workers_.find(vm);
+  if (it == workers_.end() || !it->second.agent) return;
+  deps_.send(*it->second.agent, order);
+}
+
+void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
+  const auto it = workers_.find(event.vm);
+  if (it == workers_.end() || it->second.agent != agent ||
+      it->second.fence != event.assignment) {
+    return;
+  }
+  WorkerEntry& entry = it->second;
+  const MonotonicTime now = base::MonotonicNow();
+  if (std::holds_alternative<Attached>(event.what)) {
+    entry.attached = true;
+    entry.failed.clear();
+    // Nobody but this agent can extend the lease from now on.
+    entry.lease_over_at = now + LeaseBound();
+    base::Log(base::Event::kWorkerAttached,
+              {{"vm", event.vm.str()}, {"agent", agent.str()}});
+    dispatcher_->OnEvent(event, now);
+    unresolved_.erase(event.vm);
+    CheckResume();
+  } else if (const auto* lost = std::get_if<WorkerUnreachable>(&event.what)) {
+    dispatcher_->OnEvent(event, now);
+    OnUnreachable(entry, agent, lost->lease_left);
+  } else if (std::holds_alternative<WorkerSuperseded>(event.what)) {
+    // Only a later leadership gives higher fences than the newest assignment.
+    base::Log(base::Event::kLeaderLost, {{"leader", deps_.self.str()},
+                                         {"reason", "superseded"},
+                                         {"vm", event.vm.str()}});
+    return deps_.on_conflict();
+  } else if (std::holds_alternative<WorkerEnded>(event.what)) {
+    OnWorkerOver(event.vm, "worker_ended");
+  } else {
+    dispatcher_->OnEvent(event, now);
+  }
+  RequestDecision();
+}
+
+void GroupLeader::OnUnreachable(WorkerEntry& entry, const NodeId& agent,
+                                Milliseconds lease_left) {
+  base::Log(base::Event::kWorkerUnreachable,
+            {{"vm", entry.info.vm.str()},
+             {"agent", agent.str()},
+             {"lease_left_ms", lease_left.count()}});
+  const MonotonicTime before = entry.lease_over_at;
+  Unassign(entry);
+  // The agent knows the last lease better than the bound that Unassign sets.
+  entry.lease_over_at = std::max(before, base::MonotonicNow() + lease_left);
+  entry.failed.insert(agent);
+  AssignWorkers();
+}
+
+void GroupLeader::OnRemembered(const RememberedRuns& remembered) {
+  const VmName& vm = remembered.worker.vm;
+  RememberedRuns& known = remembered_[vm];
+  known.worker = remembered.worker;
+  known.runs.insert(known.runs.end(), remembered.runs.begin(),
+                    remembered.runs.end());
+  if (loaded_) AwaitAttachment();
+}
+
+void GroupLeader::AwaitAttachment() {
+  if (memory_timer_.active()) return;
+  memory_timer_ = deps_.loop.After(options_.memory_delay, [this] {
+    for (const auto& [vm, runs] : remembered_) ApplyRemembered(vm);
+    CheckResume();
+  });
+}
+
+void GroupLeader::ApplyRemembered(const VmName& vm) {
+  if (!unresolved_.contains(vm)) return;
+  const RememberedRuns& known = remembered_.at(vm);
+  if (!workers_.contains(vm)) {
+    WorkerEntry& entry = workers_[vm];
+    entry.info = known.worker;
+    entry.info.draining = true;
+    entry.listed = false;
+    entry.lease_over_at = InheritedLeaseOver();
+    dispatcher_->OnWorker(entry.info);
+  }
+  dispatcher_->Assume(vm, known.runs, base::MonotonicNow());
+  unresolved_.erase(vm);
+  base::Log(base::Event::kWorkerListed,
+            {{"vm", vm.str()}, {"remembered_runs", known.runs.size()}});
+}
+
+void GroupLeader::OnWorkerOver(const VmName& vm, std::string_view why) {
+  base::Log(base::Event::kWorkerOver, {{"vm", vm.str()}, {"reason", why}});
+  const auto it = workers_.find(vm);
+  if (it != workers_.end()) {
+    Unassign(it->second);
+    workers_.erase(it);
+  }
+  dispatcher_->OnWorkerOver(vm, why, base::MonotonicNow());
+  unresolved_.erase(vm);
+  CheckResume();
+  if (listed_.contains(vm)) {
+    Enlist(vm);
+    // The list lags behind the end of a process.
+    constexpr MonotonicTime kRetryListed = milliseconds(500);
+    workers_.at(vm).retry_at = base::MonotonicNow() + kRetryListed;
+  }
+  RequestDecision();
+}
+
+MonotonicTime GroupLeader::LeaseBound() const {
+  // A worker's clock may run 2% slow.
+  constexpr int kStretchPercent = 105;
+  return MonotonicTime(options_.lease) * kStretchPercent / 100;
+}
+
+MonotonicTime GroupLeader::InheritedLeaseOver() const {
+  return started_at_ + options_.orphan_limit + LeaseBound();
+}
+
+void GroupLeader::Tick() {
+  if (!loaded_) return;
+  const MonotonicTime now = base::MonotonicNow();
+  std::vector<VmName> over;
+  for (const auto& [vm, entry] : workers_) {
+    if (!entry.attached && entry.lease_over_at.count() > 0 &&
+        now > entry.lease_over_at) {
+      over.push_back(vm);
+    }
+  }
+  for (const VmName& vm : over) OnWorkerOver(vm, "lease_over");
+  // Workers of earlier leaderships that are no longer listed.
+  if (!resumed_ && now > InheritedLeaseOver()) {
+    for (const VmName& vm : std::exchange(unresolved_, {})) {
+      base::Log(base::Event::kWorkerOver,
+                {{"vm", vm.str()}, {"reason", "never_attached"}});
+    }
+    CheckResume();
+  }
+  AssignWorkers();
+  MoveWorkers();
+  RequestDecision();
+}
+
+}  // namespace mangospread::dispatch
