--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -88,4 +88,34 @@
   echo "$name exit status $status"
   [ "$status" = 0 ]
 done
+echo "== the users' platform: its stand-in and two managed nodes"
+standin site site --listen 127.0.0.1:18200
+for i in 1 2; do
+  cat >"$logs/managed-$i.toml" <<SETTINGS
+node = "managed-$i"
+ip = "127.0.0.$i"
+zone = "dc"
+port-range = [18201, 18201]
+[listen]
+front = "127.0.0.$i:18202"
+ready = "127.0.0.$i:18203"
+[platform]
+addr = "127.0.0.1:18200"
+SETTINGS
+  "$build/mangospread" serve --managed --settings "$logs/managed-$i.toml" \
+    >"$logs/managed-$i.out" 2>"$logs/managed-$i.log" &
+  pids[managed-$i]=$!
+done
+for i in 1 2; do
+  wait_for "managed-$i" curl -fsS "http://127.0.0.$i:18203/mangospread/ready"
+done
+submission=http://127.0.0.1:18202/jobs/00000000000000aa
+curl -fsS -H 'Host: jobs.example' "$submission" \
+  -d '{"spec":"300","steps":[{"count":4,"cpu":1000,"mem-mb":10,"estimate-ms":300}]}'
+wait_for "the submission is complete" sh -c \
+  "curl -fsS -H 'Host: jobs.example' $submission | grep -q complete"
+curl -fsS -H 'Host: jobs.example' "${submission/127.0.0.1/127.0.0.2}"
+sleep 0.5
+cat "$logs"/managed-*.out | "$build/mangospread" explain-log 00000000000000aa
+
 echo "== done"
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -132,6 +132,19 @@
   std::erase(active_, entry);
 }
 
+void Dispatcher::Forget(const SubmissionId& id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || !IsFinal(it->second.shown)) return;
+  // Runs that are still being stopped are on their workers' books.
+  const auto& steps = it->second.job->steps();
+  for (const Step& step : steps) {
+    for (const Task& task : step.tasks) {
+      if (task.placed()) return;
+    }
+  }
+  entries_.erase(it);
+}
+
 // Runs.
 
 void Dispatcher::Occupy(const Located& at, WorkerSlot slot,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -88,13 +88,17 @@
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                MonotonicTime now);
 
+  /// Drops an ended submission, of which nothing is known from then on.
+  void Forget(const SubmissionId& id);
+
   // Workers.
 
+  /// Adds a worker or takes over what it says of itself. Work on a worker that
+  /// left the list counts until its end is certain.
   void OnWorker(const WorkerInfo& info);
   /// Counts runs as placed on a worker that cannot be asked now.
   void Assume(const VmName& vm, const std::vector<RememberedRun>& runs,
               MonotonicTime now);
-  /// The worker left the list; its runs count until its end is certain.
   void OnEvent(const AgentEvent& event, MonotonicTime now);
   /// The worker's process or its lease is certainly over.
   void OnWorkerOver(const VmName& vm, std::string_view why, MonotonicTime now);
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -18,6 +18,7 @@
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 constexpr Milliseconds kRetrySoon{500};
 constexpr Milliseconds kRetryStoreDown{1'500};
+constexpr int kSweptPerTick = 8;
 constexpr MonotonicTime kLoadRetry = milliseconds(300);
 
 table::WriterOptions MakeWriterOptions() {
@@ -144,6 +145,7 @@
       submission.id = id;
       dispatcher_->Restore(std::move(submission), std::move(policy),
                            row.progress, base::MonotonicNow());
+      ended_.push_back({id, base::MonotonicNow()});
     }
   }
   loaded_ = true;
@@ -355,6 +357,7 @@
   dispatcher_->OnSaved(id, generation, now);
   const auto state = dispatcher_->State(id);
   if (state && IsFinal(*state)) {
+    ended_.push_back({id, now});
     base::Log(base::Event::kSubmissionEnded,
               {{"request", id.str()},
                {"state", StateName(*state)},
@@ -368,6 +371,26 @@
   RequestDecision();
 }
 
+void GroupLeader::SweepEnded(MonotonicTime now) {
+  for (int swept = 0; swept < kSweptPerTick && !ended_.empty() &&
+                      now - ended_.front().at > options_.keep_ended;
+       ++swept) {
+    const EndedSubmission ended = ended_.front();
+    ended_.pop_front();
+    Transaction change = Conditioned();
+    change.writes.push_back({kProgressPrefix + ended.id.str(), std::nullopt});
+    writer_.Submit(std::move(change),
+                   [this, ended](const table::WriteResult& result) {
+                     if (CheckConflict(result)) return;
+                     if (result.status == WriteStatus::kCommitted) {
+                       dispatcher_->Forget(ended.id);
+                     } else {
+                       ended_.push_back(ended);
+                     }
+                   });
+  }
+}
+
 void GroupLeader::RequestDecision() {
   if (!loaded_ || decide_timer_.active()) return;
   decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -3,6 +3,7 @@
 /// has the agents carry the dispatcher's decisions out.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -117,6 +118,8 @@
   void Save(const SubmissionId& id);
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                const table::WriteResult& result);
+  /// Deletes the rows of submissions that ended long ago.
+  void SweepEnded(MonotonicTime now);
   [[nodiscard]] Transaction Conditioned() const;
   bool CheckConflict(const table::WriteResult& result);
 
@@ -164,6 +167,12 @@
   /// Since when a submission has changes that are not stored.
   std::map<SubmissionId, MonotonicTime> unsaved_since_;
 
+  struct EndedSubmission {
+    SubmissionId id;
+    MonotonicTime at{0};
+  };
+  std::deque<EndedSubmission> ended_;  ///< Oldest first.
+
   std::map<NodeId, AgentInfo> agents_;
   std::map<VmName, WorkerEntry> workers_;
   std::map<VmName, WorkerInfo> listed_;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -328,6 +328,7 @@
   }
   AssignWorkers();
   MoveWorkers();
+  SweepEnded(now);
   RequestDecision();
 }
 
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -184,6 +184,27 @@
   CHECK(starts.empty());
 }
 
+// Guards against rows and memory that grow with every submission, and against
+// a state that is gone while callers may still ask for it.
+TEST_CASE_FIXTURE(LeaderFixture, "an ended submission is kept for a while") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  Call(ServiceVerb::kCancel);
+  Event("w1", RunEnded{WorkerBirth(1),
+                       {EndNumber(1),
+                        std::string(kId) + ".0.0.0",
+                        Attempt(1),
+                        RunEnd::kStopped,
+                        {}}});
+  RunFor(std::chrono::seconds(125));
+  CHECK(Call(ServiceVerb::kState).state == SubmissionState::kCancelled);
+  RunFor(std::chrono::seconds(30));
+  CHECK(Call(ServiceVerb::kState).result == ServiceResult::kNotFound);
+  CHECK(table.rows.Read({{std::string(kProgressPrefix) + kId}, {}}).empty());
+}
+
 // Guards against a cancellation that is confirmed and forgotten.
 TEST_CASE_FIXTURE(LeaderFixture, "a confirmed cancellation survives") {
   Lead(1);
