Finish what has begun under overload; leave scarce room to short work

Lasting steps come after ordinary ones of their priority and take scarce room (below 15% of the processors) only when it was there for 1.5 s. A step whose remaining chain no longer fits before its objective counts as late. While work waits beyond its objective, what has begun goes first and of the rest what has most time left.

Ruled out: workers reserved for short work, which would leave lasting tasks waiting beside room for them.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -8,6 +8,11 @@
 
 /// A batch task that should end within this time stays on a draining worker.
 constexpr MonotonicTime kDrainMargin = std::chrono::milliseconds(1'500);
+/// Below this free share of the processors short work competes for room.
+constexpr double kScarceShare = 0.15;
+/// A lasting task takes scarce room that was unused for so long. The workers'
+/// owners take a task that waits three seconds beside room for lost.
+constexpr MonotonicTime kSettleTime = std::chrono::milliseconds(1'500);
 
 }  // namespace
 
@@ -247,16 +252,24 @@
 
 std::vector<Dispatcher::Candidate> Dispatcher::Candidates(MonotonicTime now) {
   std::vector<Candidate> candidates;
+  bool crowded = false;
   for (Entry* entry : active_) {
     const Job& job = *entry->job;
     if (IsFinal(job.state()) || (entry->restored && !resumed_)) continue;
     for (std::size_t s = 0; s < job.steps().size(); ++s) {
       const Step& step = job.steps()[s];
       if (!step.ready || step.waiting == 0 || now < step.due) continue;
-      candidates.push_back(
-          {UrgencyOf(job, step, now), entry, static_cast<int>(s)});
+      candidates.push_back({{}, entry, static_cast<int>(s)});
+      crowded =
+          crowded || (!step.spec.long_running && now > job.ObjectiveOf(step));
     }
   }
+  for (Candidate& candidate : candidates) {
+    const Job& job = *candidate.entry->job;
+    candidate.urgency =
+        UrgencyOf(job, job.steps()[static_cast<std::size_t>(candidate.step)],
+                  now, crowded);
+  }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.urgency < b.urgency;
@@ -289,6 +302,7 @@
                  smaller.spec->max_per_worker == 0;
         });
     if (hopeless) continue;
+    if (spec.long_running && !MayTakeRoom(candidate, now)) continue;
     const bool placed =
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
     // A gang needs room for all its members at once.
@@ -308,6 +322,32 @@
       .worker;
 }
 
+double Dispatcher::FreeShare(const ServiceName& service,
+                             MonotonicTime now) const {
+  Millicores capacity;
+  Millicores used;
+  for (const WorkerRoom& room : book_.rooms()) {
+    if (!room.Accepts(now) || room.info.service != service) continue;
+    capacity += room.info.capacity.cpu;
+    used += room.cpu_used;
+  }
+  if (capacity.value() == 0) return 0;
+  return 1 - static_cast<double>(used.value()) /
+                 static_cast<double>(capacity.value());
+}
+
+bool Dispatcher::MayTakeRoom(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  Step& step = entry.job->steps()[static_cast<std::size_t>(candidate.step)];
+  if (Choose(entry, candidate.step, now) == kNoWorker) {
+    step.room_since = MonotonicTime(0);
+    return true;  // Placing it finds the same and counts as refused.
+  }
+  if (step.room_since.count() == 0) step.room_since = now;
+  return now - step.room_since >= kSettleTime ||
+         FreeShare(entry.job->policy().service, now) > kScarceShare;
+}
+
 bool Dispatcher::PlaceStep(const Candidate& candidate, MonotonicTime now) {
   Entry& entry = *candidate.entry;
   const auto& tasks =
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -12,18 +12,17 @@
 /// Starts are late rather than early where clocks differ.
 constexpr MonotonicTime kDueMargin = std::chrono::milliseconds(30);
 
-Milliseconds LongestChain(const std::vector<StepSpec>& steps) {
-  std::vector<Milliseconds> finish(steps.size(), Milliseconds(0));
-  Milliseconds longest{0};
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    Milliseconds begin{0};
+/// For each step the longest chain of work from it to the end.
+std::vector<Milliseconds> ChainsToEnd(const std::vector<StepSpec>& steps) {
+  std::vector<Milliseconds> chains(steps.size(), Milliseconds(0));
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    chains[i] += steps[i].estimate;
     for (const int earlier : steps[i].after) {
-      begin = std::max(begin, finish[static_cast<std::size_t>(earlier)]);
+      auto& chain = chains[static_cast<std::size_t>(earlier)];
+      chain = std::max(chain, chains[i]);
     }
-    finish[i] = begin + steps[i].estimate;
-    longest = std::max(longest, finish[i]);
   }
-  return longest;
+  return chains;
 }
 
 }  // namespace
@@ -33,8 +32,10 @@
     : submission_(std::move(submission)),
       policy_(std::move(policy)),
       accepted_at_(accepted_at) {
-  const std::chrono::duration<double, std::milli> chain =
-      LongestChain(submission_.steps);
+  chains_to_end_ = ChainsToEnd(submission_.steps);
+  std::chrono::duration<double, std::milli> chain{0};
+  for (const Milliseconds each : chains_to_end_)
+    chain = std::max<decltype(chain)>(chain, each);
   const auto objective = std::chrono::duration_cast<MonotonicTime>(
       chain * policy_.stretch + policy_.latency_target);
   objective_ = accepted_at + objective;
@@ -59,6 +60,8 @@
     step.undone = spec.count;
     step.waiting = spec.count;
     step.due = due;
+    step.chain_to_end =
+        chains_to_end_[steps_.size() - static_cast<std::size_t>(first)];
     steps_.push_back(std::move(step));
   }
 }
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -46,6 +46,10 @@
   bool ready = false;  ///< All earlier steps that it needs are done.
   /// Not started before; 0 for at once.
   MonotonicTime due{0};
+  /// Since when there has been room for one of its waiting tasks; 0 for none.
+  MonotonicTime room_since{0};
+  /// Longest chain of work from this step to the end, by estimates.
+  Milliseconds chain_to_end{0};
 };
 
 /// Durable progress of a task that differs from a fresh one.
@@ -90,6 +94,10 @@
     return last_useful_;
   }
   [[nodiscard]] bool has_waiting() const noexcept;
+  /// True once a task was ordered to start.
+  [[nodiscard]] bool begun() const noexcept {
+    return state_ != SubmissionState::kQueued;
+  }
   [[nodiscard]] bool long_running() const noexcept;
 
   /// Time until which a step's occurrence should be complete.
@@ -120,6 +128,7 @@
 
   Submission submission_;
   QueuePolicy policy_;
+  std::vector<Milliseconds> chains_to_end_;  ///< By step.
   MonotonicTime accepted_at_;
   MonotonicTime objective_;
   MonotonicTime last_useful_;
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -170,6 +170,72 @@
   CHECK(starts[0].task == "fresh.0.0.0");
 }
 
+// Replays a backlog that grows faster than it is worked off: guards against
+// working on whatever is about to be missed, so that everything is missed.
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "in a backlog what has begun and what has time left go first") {
+  const auto urgency = [this](const char* id, bool crowded) {
+    Job job(MakeSubmission(id, {MakeStep(1, 1'000)}), Policy(), now,
+            MonotonicTime(0));
+    return UrgencyOf(job, job.steps()[0], now, crowded);
+  };
+  const Urgency earlier = urgency("earlier", true);
+  const Urgency earlier_calm = urgency("earlier", false);
+  now += std::chrono::milliseconds(500);
+  CHECK(urgency("later", true) < earlier);
+  CHECK(earlier_calm < urgency("later", false));
+  Job begun(MakeSubmission("begun", {MakeStep(2, 1'000)}), Policy(),
+            now - std::chrono::seconds(1), MonotonicTime(0));
+  begun.SetPhase({0, 0}, TaskPhase::kStarting, now);
+  CHECK(UrgencyOf(begun, begun.steps()[0], now, true) < urgency("later", true));
+}
+
+// Guards against work on a submission whose rest no longer fits before its
+// objective, while others could still be in time.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a chain that is too long for the time left is late") {
+  StepSpec second = MakeStep(1, 1'000);
+  second.after = {0};
+  const Job job(MakeSubmission("a", {MakeStep(1, 1'000), second}), Policy(),
+                now, MonotonicTime(0));
+  // Objective: twice the chain of two seconds and one second more.
+  const MonotonicTime slack = std::chrono::milliseconds(3'700);
+  CHECK_FALSE(UrgencyOf(job, job.steps()[0], now + slack, false).late);
+  CHECK(UrgencyOf(job, job.steps()[0], now + slack + 200 * kMillisecond, false)
+            .late);
+  CHECK_FALSE(
+      UrgencyOf(job, job.steps()[1], now + slack + 200 * kMillisecond, false)
+          .late);
+}
+
+// Replays a fleet that lasting tasks would fill: short requests come several
+// times a second and need room for a second. Guards against lasting tasks that
+// take every gap for good, and against ones that wait beside unused room.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "lasting tasks take scarce room only when it stays unused") {
+  AddWorker("w1", 10'000);
+  StepSpec lasting = MakeStep(1, 9'000);
+  lasting.long_running = true;
+  Add("first", {lasting});
+  CHECK(Decide().size() == 1);  // Room is plentiful.
+  lasting.cpu = Millicores(1'000);
+  Add("second", {lasting});
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(1'000);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto urgent = Decide();
+  REQUIRE(urgent.size() == 1);
+  CHECK(urgent[0].task == "short.0.0.0");
+  now += std::chrono::milliseconds(1'000);
+  End("w1", 1, "short.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(1'500);
+  const auto settled = Decide();
+  REQUIRE(settled.size() == 1);
+  CHECK(settled[0].task == "second.0.0.0");
+}
+
 // Guards against serving tasks of all images on every worker, which leaves no
 // worker for a filling task that harms one of them.
 TEST_CASE_FIXTURE(DispatcherFixture, "serving tasks are grouped by image") {
