Let calls wait for the next leader; replace an ended leader sooner; hand on what was learned

A leader whose process had ended was waited for as long as a silent one (1.2 s of heartbeat after the loss). Each new leader learned the effects of images on each other from nothing.

Those in flight go to the next leader again; one that a lost leader had is answered "unknown" instead of "refused". Callbacks of a deposed leader no longer vanish with it. When the leader's address refuses connections, 0.6 s of a still heartbeat row suffice. Row learned/sharing is written every 3 s.

Ruled out: refusal of connections alone as proof of an ended leader, since a firewall may refuse them ("a leader that renews keeps its role").

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -111,6 +111,13 @@
   /// Runs that may be on a worker.
   [[nodiscard]] std::vector<RememberedRun> Runs(const VmName& vm) const;
   [[nodiscard]] const WorkerBook& book() const noexcept { return book_; }
+  [[nodiscard]] const SharingModel& sharing() const noexcept {
+    return sharing_;
+  }
+  /// Starts from what an earlier leadership has learned.
+  void ImportSharing(const std::vector<LearnedSharing>& learned) {
+    sharing_.Import(learned);
+  }
   [[nodiscard]] const DispatcherCounters& counters() const noexcept {
     return counters_;
   }
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -5,6 +5,7 @@
 
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
+#include "dispatch/leader/sharing_row.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -89,13 +90,15 @@
 void GroupLeader::Start() {
   started_at_ = base::MonotonicNow();
   tick_timer_ = deps_.loop.Every(options_.tick, 0.1, [this] { Tick(); });
+  sharing_timer_ =
+      deps_.loop.Every(options_.sharing_period, 0.1, [this] { SaveSharing(); });
   Load();
 }
 
 void GroupLeader::Load() {
   constexpr std::size_t kAll = 1'000'000;
   ReadRequest request;
-  request.keys = {"roster/workers"};
+  request.keys = {kRosterKey, kSharingKey};
   request.ranges = {{kJobPrefix, {}, kAll}, {kProgressPrefix, {}, kAll}};
   deps_.table.Read(
       std::move(request),
@@ -122,6 +125,8 @@
     } else if (prefix == kProgressPrefix) {
       auto entry = DecodeProgressRow(row.value);
       if (entry.ok()) progress.emplace(id, std::move(entry.value()));
+    } else if (row.key == kSharingKey) {
+      RestoreSharing(row.value);
     } else {
       std::size_t from = 0;
       while (from < row.value.size()) {
@@ -161,6 +166,7 @@
                   .count()}});
   CheckResume();
   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+  deps_.on_loaded();
 }
 
 void GroupLeader::RestoreJob(const SubmissionId& id, const JobRow& row,
@@ -391,6 +397,32 @@
   }
 }
 
+void GroupLeader::SaveSharing() {
+  if (!loaded_ || sharing_saving_ || !writer_.table_reachable()) return;
+  std::string value = EncodeSharing(dispatcher_->sharing().Export());
+  if (value == saved_sharing_) return;
+  sharing_saving_ = true;
+  Transaction change = Conditioned();
+  change.writes.push_back({kSharingKey, value});
+  writer_.Submit(std::move(change),
+                 [this, value](const table::WriteResult& result) {
+                   sharing_saving_ = false;
+                   if (CheckConflict(result)) return;
+                   if (result.status == WriteStatus::kCommitted) {
+                     saved_sharing_ = value;
+                   }
+                 });
+}
+
+void GroupLeader::RestoreSharing(std::string_view value) {
+  const auto learned = DecodeSharing(value);
+  if (!learned.ok()) {
+    base::Log(base::Event::kEntryMalformed, {{"source", "sharing"}});
+    return;
+  }
+  dispatcher_->ImportSharing(learned.value());
+}
+
 void GroupLeader::RequestDecision() {
   if (!loaded_ || decide_timer_.active()) return;
   decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -41,6 +41,8 @@
   int moves_per_tick = 4;
   /// Time for agents to attach a worker before its remembered runs count.
   Milliseconds memory_delay{400};
+  /// What was learned of images that share workers is stored this often.
+  Milliseconds sharing_period{3'000};
   /// An ended submission's state is kept this long.
   Milliseconds keep_ended{150'000};
 };
@@ -56,6 +58,8 @@
       decode;
   std::function<void(const NodeId& agent, AgentOrder)> send;
   ObserveTiming observe;
+  /// The group's state is read; calls are answered from now on.
+  std::function<void()> on_loaded;
   /// A conditional write found another leader.
   std::function<void()> on_conflict;
 };
@@ -120,6 +124,8 @@
                const table::WriteResult& result);
   /// Deletes the rows of submissions that ended long ago.
   void SweepEnded(MonotonicTime now);
+  void SaveSharing();
+  void RestoreSharing(std::string_view value);
   [[nodiscard]] Transaction Conditioned() const;
   bool CheckConflict(const table::WriteResult& result);
 
@@ -182,7 +188,10 @@
   std::set<VmName> unresolved_;
   std::map<VmName, RememberedRuns> remembered_;
   bool roster_saving_ = false;
+  std::string saved_sharing_;
+  bool sharing_saving_ = false;
 
+  base::Timer sharing_timer_;
   base::Timer load_timer_;
   base::Timer flush_timer_;
   base::Timer decide_timer_;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -62,7 +62,7 @@
   std::string value;
   for (const VmName& vm : next) value += vm.str() + "\n";
   Transaction change = Conditioned();
-  change.writes.push_back({"roster/workers", std::move(value)});
+  change.writes.push_back({kRosterKey, std::move(value)});
   writer_.Submit(std::move(change),
                  [this, next](const table::WriteResult& result) {
                    roster_saving_ = false;
--- a/src/dispatch/leader/job_rows.hpp
+++ b/src/dispatch/leader/job_rows.hpp
@@ -25,6 +25,8 @@
 
 inline constexpr const char* kJobPrefix = "job/";
 inline constexpr const char* kProgressPrefix = "progress/";
+/// Workers that may hold a lease, one a line.
+inline constexpr const char* kRosterKey = "roster/workers";
 
 [[nodiscard]] std::string EncodeJobRow(const JobRow& row);
 /// @errors kMalformed and those of base::ObjectReader.
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -73,9 +73,9 @@
   }
   leader_ = leader;
   contend_timer_.reset();
-  heartbeat_since_ = disconnected_at_ = base::MonotonicNow();
+  heartbeat_since_ = base::MonotonicNow();
   heartbeat_ = RowVersion();
-  connected_ = false;
+  connected_ = refused_ = false;
   if (!leader_) return ContendSoon();
   const bool ours = leader_->IsProcess(self_.node, self_.incarnation);
   if (leading_ && (!ours || leader_->epoch != self_.epoch)) Depose();
@@ -98,8 +98,11 @@
 void Leadership::SetLeaderConnected(bool connected) {
   if (connected_ == connected) return;
   connected_ = connected;
+  refused_ = false;
   heartbeat_ = RowVersion();
-  heartbeat_since_ = disconnected_at_ = base::MonotonicNow();
+  heartbeat_since_ = base::MonotonicNow();
+  // The silence counts from the first reading of the heartbeat.
+  if (!connected) Check();
 }
 
 void Leadership::OnLeaderDenied() { ContendSoon(); }
@@ -170,7 +173,9 @@
     heartbeat_since_ = now;
     return;
   }
-  if (now - heartbeat_since_ < options_.silence) return;
+  const Milliseconds silence =
+      refused_ ? options_.silence_when_refused : options_.silence;
+  if (now - heartbeat_since_ < silence) return;
   heartbeat_since_ = now;
   ContendSoon();
 }
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -37,6 +37,9 @@
   Milliseconds heartbeat_period{400};
   /// A leader whose heartbeat row stands still for this long may be replaced.
   Milliseconds silence{1'200};
+  /// The same when its address refuses connections. A firewall may refuse them
+  /// while the leader lives, so the row still counts.
+  Milliseconds silence_when_refused{600};
   Milliseconds check_period{300};
   /// Added before contending; shorter on larger VMs, which lead better.
   Milliseconds contend_delay{0};
@@ -75,6 +78,8 @@
   void OnRow(const std::optional<LeaderRecord>& leader);
   /// Whether the channel to the leader works.
   void SetLeaderConnected(bool connected);
+  /// Nothing accepts connections at the leader's address.
+  void OnLeaderRefused() { refused_ = true; }
   /// The leader's process said that it does not lead, or is another one.
   void OnLeaderDenied();
   /// Gives the role up at a planned stop.
@@ -110,13 +115,13 @@
   bool leading_ = false;
   bool resigned_ = false;
   bool connected_ = false;
+  bool refused_ = false;
   bool contending_ = false;
   bool renewing_ = false;
   bool yielding_ = false;
   MonotonicTime renewed_at_{0};
   RowVersion heartbeat_;
   MonotonicTime heartbeat_since_{0};
-  MonotonicTime disconnected_at_{0};
   base::Timer check_timer_;
   base::Timer renew_timer_;
   base::Timer contend_timer_;
--- /dev/null
+++ b/src/dispatch/leader/sharing_row.cc
@@ -0,0 +1,83 @@
+#include "dispatch/leader/sharing_row.hpp"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "base/json/json_reader.hpp"
+#include "base/json/json_writer.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using nlohmann::json;
+
+/// Decimals that are kept; the row is read by one process and written often.
+constexpr double kPrecision = 1e6;
+constexpr std::size_t kImageFields = 5;
+constexpr std::size_t kFillFields = 3;
+
+double Rounded(double value) {
+  return std::round(value * kPrecision) / kPrecision;
+}
+
+std::optional<LearnedSharing::Fill> DecodeFill(const json& row) {
+  if (!row.is_array() || row.size() != kFillFields || !row[0].is_string() ||
+      !row[1].is_number() || !row[2].is_number()) {
+    return std::nullopt;
+  }
+  return LearnedSharing::Fill{ImageName(row[0].get<std::string>()),
+                              row[1].get<double>(), row[2].get<double>()};
+}
+
+std::optional<LearnedSharing> DecodeImage(const json& row) {
+  if (!row.is_array() || row.size() != kImageFields || !row[0].is_string() ||
+      !row[1].is_number() || !row[2].is_number() || !row[3].is_number() ||
+      !row[4].is_array()) {
+    return std::nullopt;
+  }
+  LearnedSharing learned{ImageName(row[0].get<std::string>()),
+                         row[1].get<double>(),
+                         row[2].get<double>(),
+                         row[3].get<double>(),
+                         {}};
+  for (const json& entry : row[4]) {
+    auto fill = DecodeFill(entry);
+    if (!fill) return std::nullopt;
+    learned.fills.push_back(std::move(*fill));
+  }
+  return learned;
+}
+
+}  // namespace
+
+std::string EncodeSharing(const std::vector<LearnedSharing>& learned) {
+  json rows = json::array();
+  for (const LearnedSharing& image : learned) {
+    json fills = json::array();
+    for (const LearnedSharing::Fill& fill : image.fills) {
+      fills.push_back(json::array(
+          {fill.image.str(), Rounded(fill.effect), Rounded(fill.variance)}));
+    }
+    rows.push_back(json::array(
+        {image.image.str(), Rounded(image.idle_tail_ms), Rounded(image.level),
+         Rounded(image.level_variance), std::move(fills)}));
+  }
+  return base::DumpJson(rows);
+}
+
+Result<std::vector<LearnedSharing>> DecodeSharing(std::string_view value) {
+  const Error malformed{Errc::kMalformed, "sharing"};
+  const auto parsed = base::ParseJson(value, "sharing");
+  if (!parsed.ok()) return parsed.error();
+  if (!parsed.value().is_array()) return malformed;
+  std::vector<LearnedSharing> learned;
+  for (const json& row : parsed.value()) {
+    auto image = DecodeImage(row);
+    if (!image) return malformed;
+    learned.push_back(std::move(*image));
+  }
+  return learned;
+}
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -7,12 +7,15 @@
 namespace mangospread::dispatch {
 namespace {
 
-constexpr Milliseconds kRetryNoLeader{1'000};
+/// A leader that gave the role up is known to its followers at once.
+constexpr Milliseconds kRetryOtherLeader{500};
 
-ServiceReply RefusedForNow() {
+constexpr Milliseconds kFirstReconnect{20};
+
+ServiceReply NotLeading() {
   ServiceReply reply;
   reply.result = ServiceResult::kRefused;
-  reply.retry_after = kRetryNoLeader;
+  reply.retry_after = kRetryOtherLeader;
   return reply;
 }
 
@@ -28,7 +31,11 @@
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
-                }) {}
+                }),
+      calls_(deps_.loop, options_.calls,
+             [this](std::uint64_t id, const ServiceCall& call) {
+               ForwardCall(id, call);
+             }) {}
 
 Node::~Node() {
   *alive_ = false;
@@ -67,29 +74,14 @@
 }
 
 void Node::Handle(ServiceCall call, ServiceCallback done) {
-  if (leader_) return leader_->Handle(std::move(call), std::move(done));
-  if (!connected_) return done(RefusedForNow());
-  const std::uint64_t id = ++calls_made_;
-  Call& entry = calls_[id];
-  entry.verb = call.verb;
-  entry.done = std::move(done);
-  entry.timeout = deps_.loop.After(
-      options_.call_timeout, [this, id] { FinishCall(id, ServiceReply()); });
-  leader_channel_->Send(CallFrame{id, std::move(call)});
-}
-
-void Node::FinishCall(std::uint64_t id, const ServiceReply& reply) {
-  const auto node = calls_.extract(id);
-  if (!node.empty()) node.mapped().done(reply);
+  calls_.Add(std::move(call), std::move(done));
 }
 
-void Node::FailCalls() {
-  for (auto& [id, call] : std::exchange(calls_, {})) {
-    // A change may have taken effect; a question has none.
-    const bool change =
-        call.verb == ServiceVerb::kSubmit || call.verb == ServiceVerb::kCancel;
-    call.done(change ? ServiceReply() : RefusedForNow());
-  }
+void Node::ForwardCall(std::uint64_t id, const ServiceCall& call) {
+  if (!leader_) return leader_channel_->Send(CallFrame{id, call});
+  leader_->Handle(call, [this, alive = alive_, id](const ServiceReply& reply) {
+    if (*alive) calls_.Finish(id, reply);
+  });
 }
 
 // As a follower.
@@ -126,7 +118,7 @@
   } else if (auto* order = std::get_if<AgentOrder>(&frame)) {
     agent_.Carry(std::move(*order));
   } else if (const auto* reply = std::get_if<ReplyFrame>(&frame)) {
-    FinishCall(reply->id, reply->reply);
+    calls_.Finish(reply->id, reply->reply);
   }
 }
 
@@ -138,6 +130,7 @@
     base::Log(base::Event::kLeaderFollowed,
               {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
     leadership_->SetLeaderConnected(true);
+    calls_.SetServing(true);
     for (RememberedRuns& remembered : agent_.Remember()) {
       leader_channel_->Send(std::move(remembered));
     }
@@ -167,6 +160,7 @@
 
 void Node::OnLeaderClosed(Errc why) {
   if (leader_) return;
+  const bool was_connected = connected_;
   if (connected_) {
     base::Log(base::Event::kLeaderLost,
               {{"leader", followed_ ? followed_->node.str() : ""},
@@ -176,14 +170,18 @@
   agent_.DropUnsent();
   leader_channel_.reset();
   leadership_->SetLeaderConnected(false);
-  FailCalls();
+  if (why == Errc::kConnectFailed) leadership_->OnLeaderRefused();
+  calls_.SetServing(false);
   if (!orphan_timer_.active()) {
     orphan_timer_ = deps_.loop.After(options_.orphan_limit, [this] {
       if (!connected_ && !leader_) agent_.ReleaseAll();
     });
   }
-  reconnect_timer_ =
-      deps_.loop.After(options_.reconnect_pause, [this] { Connect(); });
+  // Whether its address still accepts connections tells an ended process from
+  // a lost connection.
+  reconnect_timer_ = deps_.loop.After(
+      was_connected ? kFirstReconnect : options_.reconnect_pause,
+      [this] { Connect(); });
 }
 
 // As the leader.
@@ -205,7 +203,7 @@
   reconnect_timer_.reset();
   connected_ = false;
   agent_.DropUnsent();
-  FailCalls();
+  calls_.SetServing(false);
   followed_ = leader;
   GroupLeaderDependencies deps{
       deps_.loop,
@@ -221,6 +219,7 @@
         SendOrder(agent, std::move(order));
       },
       deps_.observe,
+      [this] { calls_.SetServing(true); },
       [this] { leadership_->OnConflict(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->OnAgentUp(options_.node, options_.data_center);
@@ -236,6 +235,7 @@
 void Node::Depose() {
   base::Log(base::Event::kLeaderInactive, {{"node", options_.node.str()}});
   deps_.on_leading(false);
+  calls_.SetServing(false);
   // Called from the leader's own callbacks.
   deps_.loop.Post([old = std::shared_ptr<GroupLeader>(std::move(leader_))] {});
   // Followers learn of it from the hello and close the channels themselves; a
@@ -278,13 +278,12 @@
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
     const std::uint64_t id = call->id;
     if (!leader_) {
-      channel->Send(ReplyFrame{id, RefusedForNow()});
+      channel->Send(ReplyFrame{id, NotLeading()});
       return;
     }
-    leader_->Handle(std::move(call->call),
-                    [channel, id](const ServiceReply& reply) {
-                      channel->Send(ReplyFrame{id, reply});
-                    });
+    Handle(std::move(call->call), [channel, id](const ServiceReply& reply) {
+      channel->Send(ReplyFrame{id, reply});
+    });
   }
 }
 
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -13,6 +13,7 @@
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/group_leader.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/node/pending_calls.hpp"
 #include "dispatch/peer/channel.hpp"
 #include "dispatch/worker/agent.hpp"
 #include "mangospread/platform/table.hpp"
@@ -30,8 +31,7 @@
   WorkerSessionOptions session;
   /// Workers are held for a leader that is silent for at most this long.
   Milliseconds orphan_limit{3'500};
-  /// A call without a reply from the leader for this long is given up.
-  Milliseconds call_timeout{2'800};
+  PendingCallsOptions calls;
   Milliseconds reconnect_pause{250};
 };
 
@@ -75,12 +75,6 @@
   }
 
  private:
-  struct Call {
-    ServiceVerb verb = ServiceVerb::kState;
-    ServiceCallback done;
-    base::Timer timeout;
-  };
-
   // As a follower.
   void Follow(const LeaderRecord& leader);
   void Connect();
@@ -90,8 +84,7 @@
   /// table. False if the peer knows of none.
   bool LearnLeader(const Hello& hello);
   void OnLeaderClosed(Errc why);
-  void FailCalls();
-  void FinishCall(std::uint64_t id, const ServiceReply& reply);
+  void ForwardCall(std::uint64_t id, const ServiceCall& call);
 
   // As the leader.
   void Lead(const LeaderRecord& leader);
@@ -121,8 +114,7 @@
   std::optional<LeaderRecord> followed_;
   std::shared_ptr<Channel> leader_channel_;
   bool connected_ = false;
-  std::map<std::uint64_t, Call> calls_;
-  std::uint64_t calls_made_ = 0;
+  PendingCalls calls_;
   std::map<VmName, WorkerInfo> listed_;
   base::Timer reconnect_timer_;
   base::Timer orphan_timer_;
--- /dev/null
+++ b/src/dispatch/node/pending_calls.cc
@@ -0,0 +1,88 @@
+#include "dispatch/node/pending_calls.hpp"
+
+#include <utility>
+
+namespace mangospread::dispatch {
+namespace {
+
+constexpr Milliseconds kRetryNoLeader{1'000};
+
+bool ChangesState(ServiceVerb verb) {
+  return verb == ServiceVerb::kSubmit || verb == ServiceVerb::kCancel;
+}
+
+}  // namespace
+
+PendingCalls::PendingCalls(base::EventLoop& loop, PendingCallsOptions options,
+                           Forward forward)
+    : loop_(loop),
+      options_(options),
+      forward_(std::move(forward)),
+      patience_timer_(loop.After(options.patience, [this] { GiveUp(); })) {}
+
+void PendingCalls::Refuse(const Call& call) {
+  ServiceReply reply;  // Unknown.
+  if (!call.uncertain) {
+    reply.result = ServiceResult::kRefused;
+    reply.retry_after = kRetryNoLeader;
+  }
+  call.done(reply);
+}
+
+void PendingCalls::Add(ServiceCall call, ServiceCallback done) {
+  Call entry;
+  entry.call = std::move(call);
+  entry.done = std::move(done);
+  if (!serving_ && (!patient_ || calls_.size() >= options_.max_waiting)) {
+    return Refuse(entry);
+  }
+  Insert(std::move(entry));
+}
+
+void PendingCalls::Insert(Call call) {
+  const std::uint64_t id = ++last_id_;
+  call.in_flight = false;
+  call.timeout =
+      loop_.After(options_.timeout, [this, id] { Finish(id, ServiceReply()); });
+  Call& entry = calls_.emplace(id, std::move(call)).first->second;
+  if (serving_) Send(id, entry);
+}
+
+void PendingCalls::Send(std::uint64_t id, Call& call) {
+  call.in_flight = true;
+  forward_(id, call.call);
+}
+
+void PendingCalls::Finish(std::uint64_t id, ServiceReply reply) {
+  const auto node = calls_.extract(id);
+  if (node.empty()) return;
+  const Call& call = node.mapped();
+  // The leader speaks for itself alone.
+  if (reply.result == ServiceResult::kRefused && call.uncertain) {
+    reply = ServiceReply();
+  }
+  call.done(reply);
+}
+
+void PendingCalls::SetServing(bool serving) {
+  if (serving_ == serving) return;
+  serving_ = serving;
+  patient_ = true;
+  if (!serving) {
+    patience_timer_ = loop_.After(options_.patience, [this] { GiveUp(); });
+  } else {
+    patience_timer_.reset();
+  }
+  // A reply to the former id is dropped from now on.
+  for (auto& [id, call] : std::exchange(calls_, {})) {
+    if (call.in_flight && ChangesState(call.call.verb)) call.uncertain = true;
+    Insert(std::move(call));
+  }
+}
+
+void PendingCalls::GiveUp() {
+  patient_ = false;
+  for (const auto& [id, call] : std::exchange(calls_, {})) Refuse(call);
+}
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -79,7 +80,9 @@
           setsockopt(bufferevent_getfd(raw), IPPROTO_TCP, TCP_NODELAY, &on,
                      sizeof(on));
         } else if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-          channel->Fail(Errc::kConnectionLost);
+          const bool refused = (events & BEV_EVENT_ERROR) != 0 &&
+                               EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+          channel->Fail(refused ? Errc::kConnectFailed : Errc::kConnectionLost);
         }
       },
       this);
