--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -13,6 +13,8 @@
 /// A lasting task takes scarce room that was unused for so long. The workers'
 /// owners take a task that waits three seconds beside room for lost.
 constexpr MonotonicTime kSettleTime = std::chrono::milliseconds(1'500);
+/// Short work may take all room for a moment without its being scarce.
+constexpr MonotonicTime kRoomGap = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -340,9 +342,10 @@
   Entry& entry = *candidate.entry;
   Step& step = entry.job->steps()[static_cast<std::size_t>(candidate.step)];
   if (Choose(entry, candidate.step, now) == kNoWorker) {
-    step.room_since = MonotonicTime(0);
+    if (now - step.room_seen > kRoomGap) step.room_since = MonotonicTime(0);
     return true;  // Placing it finds the same and counts as refused.
   }
+  step.room_seen = now;
   if (step.room_since.count() == 0) step.room_since = now;
   return now - step.room_since >= kSettleTime ||
          FreeShare(entry.job->policy().service, now) > kScarceShare;
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -165,10 +165,10 @@
   if (end.how == RunEnd::kDone) health_.OnSuccess(vm, now);
   if (end.how == RunEnd::kFailed) Blame(vm, at.name.submission, now);
   if (IsFinal(job.state()) || task.phase == TaskPhase::kDone) return;
+  hooks_.log(at.name, vm, "ended", RunEndName(end.how));
   if (end.how == RunEnd::kDone && !at.spec().long_running) {
     return ApplyDone(at, current, now);
   }
-  hooks_.log(at.name, vm, "ended", RunEndName(end.how));
   ++counters_.requeued;
   if (at.spec().gang && current) StopGang(*at.entry, at.index.step, now);
   if (at.spec().long_running) return;
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -46,8 +46,10 @@
   bool ready = false;  ///< All earlier steps that it needs are done.
   /// Not started before; 0 for at once.
   MonotonicTime due{0};
-  /// Since when there has been room for one of its waiting tasks; 0 for none.
+  /// Since when there has been room for one of its waiting tasks, but for
+  /// moments; 0 for none.
   MonotonicTime room_since{0};
+  MonotonicTime room_seen{0};  ///< When there was room last.
   /// Longest chain of work from this step to the end, by estimates.
   Milliseconds chain_to_end{0};
 };
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -130,7 +130,11 @@
   bool CheckConflict(const table::WriteResult& result);
 
   // Workers (group_leader_workers.cc).
+  /// Workers that may hold a lease now, or soon.
+  [[nodiscard]] std::set<VmName> WantedRoster() const;
   void SaveRoster();
+  /// True if whoever takes over certainly learns of the worker.
+  [[nodiscard]] bool InRoster(const VmName& vm) const;
   void Enlist(const VmName& vm);
   void AssignWorkers();
   void Assign(WorkerEntry& entry, const NodeId& agent);
@@ -187,6 +191,7 @@
   /// Workers of the roster that may run what no one has told of.
   std::set<VmName> unresolved_;
   std::map<VmName, RememberedRuns> remembered_;
+  std::set<VmName> next_roster_;  ///< As the write in flight makes it.
   bool roster_saving_ = false;
   std::string saved_sharing_;
   bool sharing_saving_ = false;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -24,13 +24,9 @@
 void GroupLeader::OnWorkers(const std::map<VmName, WorkerInfo>& listed) {
   listed_ = listed;
   if (!loaded_) return;
-  bool enlisting = false;
   for (const auto& [vm, info] : listed_) {
     const auto it = workers_.find(vm);
-    if (it == workers_.end()) {
-      enlisting = enlisting || !roster_.contains(vm);
-      continue;
-    }
+    if (it == workers_.end()) continue;
     const bool moved = it->second.info.address != info.address;
     it->second.listed = true;
     if (it->second.info == info && !moved) continue;
@@ -48,28 +44,42 @@
               {{"vm", vm.str()}, {"listed", false}});
   }
   for (const auto& [vm, info] : listed_) {
-    if (roster_.contains(vm)) Enlist(vm);
+    if (InRoster(vm)) Enlist(vm);
   }
-  if (enlisting) SaveRoster();
+  SaveRoster();
   AssignWorkers();
 }
 
+std::set<VmName> GroupLeader::WantedRoster() const {
+  std::set<VmName> wanted = unresolved_;
+  for (const auto& [vm, info] : listed_) wanted.insert(vm);
+  for (const auto& [vm, entry] : workers_) wanted.insert(vm);
+  return wanted;
+}
+
 void GroupLeader::SaveRoster() {
   if (roster_saving_) return;
+  next_roster_ = WantedRoster();
+  if (next_roster_ == roster_) return;
   roster_saving_ = true;
-  std::set<VmName> next = roster_;
-  for (const auto& [vm, info] : listed_) next.insert(vm);
   std::string value;
-  for (const VmName& vm : next) value += vm.str() + "\n";
+  for (const VmName& vm : next_roster_) value += vm.str() + "\n";
   Transaction change = Conditioned();
   change.writes.push_back({kRosterKey, std::move(value)});
-  writer_.Submit(std::move(change),
-                 [this, next](const table::WriteResult& result) {
-                   roster_saving_ = false;
-                   if (CheckConflict(result)) return;
-                   if (result.status == WriteStatus::kCommitted) roster_ = next;
-                   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
-                 });
+  writer_.Submit(std::move(change), [this](const table::WriteResult& result) {
+    roster_saving_ = false;
+    // Tried again with the next tick.
+    if (CheckConflict(result) || result.status != WriteStatus::kCommitted) {
+      return;
+    }
+    roster_ = next_roster_;
+    OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+  });
+}
+
+bool GroupLeader::InRoster(const VmName& vm) const {
+  // A write in flight may take it out.
+  return roster_.contains(vm) && (!roster_saving_ || next_roster_.contains(vm));
 }
 
 void GroupLeader::Enlist(const VmName& vm) {
@@ -288,12 +298,14 @@
   dispatcher_->OnWorkerOver(vm, why, base::MonotonicNow());
   unresolved_.erase(vm);
   CheckResume();
-  if (listed_.contains(vm)) {
+  if (listed_.contains(vm) && InRoster(vm)) {
     Enlist(vm);
     // The list lags behind the end of a process.
     constexpr MonotonicTime kRetryListed = milliseconds(500);
     workers_.at(vm).retry_at = base::MonotonicNow() + kRetryListed;
   }
+  // A worker that is over holds no lease: who takes over need not wait for it.
+  SaveRoster();
   RequestDecision();
 }
 
@@ -326,6 +338,7 @@
     }
     CheckResume();
   }
+  SaveRoster();
   AssignWorkers();
   MoveWorkers();
   SweepEnded(now);
--- a/src/dispatch/node/pending_calls.cc
+++ b/src/dispatch/node/pending_calls.cc
@@ -1,11 +1,15 @@
 #include "dispatch/node/pending_calls.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/loop/clock.hpp"
+
 namespace mangospread::dispatch {
 namespace {
 
 constexpr Milliseconds kRetryNoLeader{1'000};
+constexpr MonotonicTime kSoon = std::chrono::milliseconds(1);
 
 bool ChangesState(ServiceVerb verb) {
   return verb == ServiceVerb::kSubmit || verb == ServiceVerb::kCancel;
@@ -31,6 +35,7 @@
 
 void PendingCalls::Add(ServiceCall call, ServiceCallback done) {
   Call entry;
+  entry.arrived_at = base::MonotonicNow();
   entry.call = std::move(call);
   entry.done = std::move(done);
   if (!serving_ && (!patient_ || calls_.size() >= options_.max_waiting)) {
@@ -42,12 +47,23 @@
 void PendingCalls::Insert(Call call) {
   const std::uint64_t id = ++last_id_;
   call.in_flight = false;
-  call.timeout =
-      loop_.After(options_.timeout, [this, id] { Finish(id, ServiceReply()); });
+  const MonotonicTime limit =
+      serving_ ? options_.timeout : options_.longest_wait;
+  const MonotonicTime left =
+      std::max(call.arrived_at + limit - base::MonotonicNow(), kSoon);
+  call.timeout = loop_.After(left, [this, id] { Expire(id); });
   Call& entry = calls_.emplace(id, std::move(call)).first->second;
   if (serving_) Send(id, entry);
 }
 
+void PendingCalls::Expire(std::uint64_t id) {
+  const auto node = calls_.extract(id);
+  if (node.empty()) return;
+  Call& call = node.mapped();
+  if (call.in_flight) call.uncertain = true;
+  Refuse(call);
+}
+
 void PendingCalls::Send(std::uint64_t id, Call& call) {
   call.in_flight = true;
   forward_(id, call.call);
--- a/src/dispatch/node/pending_calls.hpp
+++ b/src/dispatch/node/pending_calls.hpp
@@ -17,7 +17,10 @@
   Milliseconds timeout{2'800};
   /// After the leader is lost, calls wait this long for the next one. Callers
   /// would retry after a second at the soonest.
-  Milliseconds patience{1'500};
+  Milliseconds patience{700};
+  /// A call that waits again after it was forwarded is given up this long after
+  /// it came, so that its caller has time for another try.
+  Milliseconds longest_wait{1'200};
   /// More than this many waiting calls are refused at once.
   std::size_t max_waiting = 512;
 };
@@ -48,11 +51,14 @@
     bool in_flight = false;
     /// It reached an earlier leader, which may have carried it out.
     bool uncertain = false;
+    MonotonicTime arrived_at{0};
     base::Timer timeout;
   };
 
   void Insert(Call call);
   void Send(std::uint64_t id, Call& call);
+  /// The time of a call is over.
+  void Expire(std::uint64_t id);
   /// Answers the waiting calls; later ones are refused until there is a leader.
   void GiveUp();
   static void Refuse(const Call& call);
--- a/standin/proxy/proxy.hpp
+++ b/standin/proxy/proxy.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
@@ -38,6 +39,10 @@
   int cut_requests = 0;
 };
 
+/// Reads faults from JSON; fields that are not given are off. False when the
+/// text is malformed.
+[[nodiscard]] bool ReadFaults(std::string_view text, Faults& faults);
+
 struct ProxyCounters {
   std::uint64_t accepted = 0;
   std::uint64_t bytes_up = 0;
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -100,6 +100,7 @@
   if (record_.running[task] > 0) ++record_.overlaps;
   if (record_.noted.contains(task)) ++record_.repeats;
   ++record_.running[task];
+  record_.started.insert(task.substr(0, task.find('.')));
   highest_[task] = run;
   const int asked = std::atoi(body.at("spec").get<std::string>().c_str());
   const Milliseconds length(asked > 0 ? asked : kDefaultTaskMs);
@@ -131,6 +132,17 @@
   AnswerHolds();
 }
 
+void SiteWorker::Crash() {
+  for (const auto& [task, run] : running_) --record_.running[task];
+  running_.clear();
+  highest_.clear();
+  ended_.clear();
+  holds_.clear();
+  fence_ = lease_until_ = ends_ = acknowledged_ = 0;
+  born_ =
+      std::max(born_ + 1, base::WallNanoseconds() / kNanosecondsPerMillisecond);
+}
+
 void SiteWorker::Hold(const Exchange& exchange, const json& body) {
   ExtendLease(body);
   acknowledged_ =
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -27,6 +27,7 @@
   int lapses = 0;
   std::map<std::string, int> running;
   std::set<std::string> noted;
+  std::set<std::string> started;  ///< Submissions of which a task ran.
 };
 
 /// One worker: runs tasks for as many milliseconds as their spec says.
@@ -35,6 +36,8 @@
   SiteWorker(base::EventLoop& loop, std::string id, SiteRecord& record);
 
   [[nodiscard]] std::string Listen();
+  /// Ends as a crash does and starts again under the same id, knowing nothing.
+  void Crash();
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
 
  private:
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,13 +20,23 @@
   int repeats = 0;
   int overloads = 0;
   int lapses = 0;
+  std::set<std::string> started;  ///< Ids of submissions of which a task ran.
 };
 
+/// The id of the submission with this number.
+[[nodiscard]] std::string SubmissionIdOf(int submission);
+
 /// Starts the stand-in and nodes "n1" to "n<nodes>".
 class ManagedSite {
  public:
   ManagedSite(int nodes, int workers);
 
+  /// Control address of the proxy between a node and the store.
+  [[nodiscard]] Address store_link(std::size_t node) const {
+    return store_links_[node]->address("control");
+  }
+  [[nodiscard]] Address site() const { return site_.address("http"); }
+
   /// Waits until every node reports itself ready.
   void AwaitReady();
   /// Starts a node anew that was killed.
@@ -51,6 +62,7 @@
 
   LogDirectory logs_;
   Process site_;
+  std::vector<std::unique_ptr<Process>> store_links_;
   std::vector<std::unique_ptr<Process>> nodes_;
 };
 
--- a/tests/integration/harness/process.cc
+++ b/tests/integration/harness/process.cc
@@ -47,6 +47,7 @@
   bp::ipstream out;
   bp::child process;
   std::optional<int> status;
+  std::thread reader;  ///< Copies the rest of the output to the log.
 };
 
 Process::Process(const std::string& directory, std::string name,
@@ -74,6 +75,11 @@
     const auto address = ParseAddress(word.substr(equals + 1));
     if (address.ok()) addresses_[word.substr(0, equals)] = address.value();
   }
+  child_->reader = std::thread(
+      [out = &child_->out, path = directory + "/" + name_ + ".out"] {
+        std::ofstream log(path, std::ios::app);
+        for (std::string rest; std::getline(*out, rest);) log << rest << "\n";
+      });
   const std::lock_guard<std::mutex> lock(all_mutex);
   all.push_back(this);
 }
@@ -87,6 +93,7 @@
     std::fprintf(stderr, "%s\n", Unexpected().c_str());
   }
   Kill();
+  if (child_->reader.joinable()) child_->reader.join();
 }
 
 Address Process::address(const std::string& name) const {
--- a/tests/integration/harness/process.hpp
+++ b/tests/integration/harness/process.hpp
@@ -14,7 +14,8 @@
 namespace mangospread::testing {
 
 /// Starts a program, reads its "listening name=address ..." line and ends it
-/// by pid on destruction. Its stderr goes to <directory>/<name>.log.
+/// by pid on destruction. Its stderr goes to <directory>/<name>.log, what it
+/// prints after that line to <directory>/<name>.out.
 class Process {
  public:
   Process(const std::string& directory, std::string name,
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -132,6 +132,29 @@
   CHECK(starts[0].run > Attempt(1));
 }
 
+// Replays a takeover after workers have crashed and left: guards against
+// restored work that waits ten seconds for workers that are certainly over.
+TEST_CASE_FIXTURE(LeaderFixture, "a worker that is over is not waited for") {
+  Lead(1);
+  ListWorkers({"w1", "w2"});
+  Attach("w2");
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  const char* over = starts[0].vm == VmName("w1") ? "w1" : "w2";
+  const char* left = starts[0].vm == VmName("w1") ? "w2" : "w1";
+  starts.clear();
+  ListWorkers({left});
+  Event(over, WorkerEnded{});
+  REQUIRE(starts.size() == 1);
+  starts.clear();
+  Lead(2);
+  ListWorkers({left});
+  Attach(left);
+  RunFor(std::chrono::seconds(1));
+  CHECK(starts.size() == 1);
+}
+
 // Guards against "not accepted" for a submission that is stored after all.
 TEST_CASE_FIXTURE(LeaderFixture,
                   "a lost reply does not refuse what is stored") {
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -244,6 +244,35 @@
   CHECK(settled[0].task == "second.0.0.0");
 }
 
+// Replays short work that takes all room for a moment every half second:
+// guards against a lasting task that waits for ever beside room that is there
+// nearly all the time (imcan-ops-grown, fresh-25a1).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "room that is taken for moments counts as unused") {
+  AddWorker("w1", 10'000);
+  StepSpec lasting = MakeStep(1, 9'000);
+  lasting.long_running = true;
+  Add("first", {lasting});
+  CHECK(Decide().size() == 1);
+  lasting.cpu = Millicores(1'000);
+  Add("second", {lasting});
+  bool placed = false;
+  std::uint64_t ends = 0;
+  for (int tick = 0; tick < 25 && !placed; ++tick) {
+    now += std::chrono::milliseconds(100);
+    const bool burst = tick % 5 == 0;
+    const std::string id = "short" + std::to_string(tick);
+    if (burst) Add(id.c_str(), {MakeStep(1, 1'000)});
+    for (const StartRun& start : Decide()) {
+      placed = placed || start.task == "second.0.0.0";
+    }
+    if (!burst || placed) continue;
+    now += std::chrono::milliseconds(50);
+    End("w1", ++ends, id + ".0.0.0", 1, RunEnd::kDone);
+  }
+  CHECK(placed);
+}
+
 // Guards against serving tasks of all images on every worker, which leaves no
 // worker for a filling task that harms one of them.
 TEST_CASE_FIXTURE(DispatcherFixture, "serving tasks are grouped by image") {
