--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -312,16 +312,27 @@
   }
 }
 
-WorkerSlot Dispatcher::Choose(const Entry& entry, int step,
-                              MonotonicTime now) const {
+Placement Dispatcher::Choose(const Entry& entry, int step,
+                             MonotonicTime now) const {
   const auto tasks_of_step = [&](WorkerSlot slot) {
     return TasksOfStep(entry, step, slot);
   };
   const StepSpec& spec =
       entry.job->steps()[static_cast<std::size_t>(step)].spec;
   return ChooseWorker(book_, sharing_, entry.job->policy().service, spec,
-                      tasks_of_step, now)
-      .worker;
+                      tasks_of_step, now);
+}
+
+void Dispatcher::LogWait(const Candidate& candidate, NoPlace why) {
+  const Job& job = *candidate.entry->job;
+  Step& step = candidate.entry->job->StepAt({candidate.step, 0});
+  if (std::exchange(step.wait_logged, true)) return;
+  const auto waiting = std::find_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& task) { return task.phase == TaskPhase::kWaiting; });
+  const auto index = static_cast<int>(waiting - step.tasks.begin());
+  hooks_.log(job.NameOf({candidate.step, index}), VmName(), "waits",
+             why == NoPlace::kNoRoom ? "no_room" : "no_usable_worker");
 }
 
 double Dispatcher::FreeShare(const ServiceName& service,
@@ -341,7 +352,7 @@
 bool Dispatcher::MayTakeRoom(const Candidate& candidate, MonotonicTime now) {
   Entry& entry = *candidate.entry;
   Step& step = entry.job->steps()[static_cast<std::size_t>(candidate.step)];
-  if (Choose(entry, candidate.step, now) == kNoWorker) {
+  if (Choose(entry, candidate.step, now).worker == kNoWorker) {
     if (now - step.room_seen > kRoomGap) step.room_since = MonotonicTime(0);
     return true;  // Placing it finds the same and counts as refused.
   }
@@ -357,10 +368,13 @@
       entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
   for (std::size_t t = 0; t < tasks.size(); ++t) {
     if (tasks[t].phase != TaskPhase::kWaiting) continue;
-    const WorkerSlot slot = Choose(entry, candidate.step, now);
-    if (slot == kNoWorker) return false;
-    Place(entry, {candidate.step, static_cast<int>(t)}, slot, NextRun(tasks[t]),
-          now);
+    const Placement place = Choose(entry, candidate.step, now);
+    if (place.worker == kNoWorker) {
+      LogWait(candidate, place.why);
+      return false;
+    }
+    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
+          NextRun(tasks[t]), now);
   }
   return true;
 }
@@ -376,8 +390,12 @@
   std::vector<WorkerSlot> slots;
   std::uint32_t run = 0;
   for (Task& task : step.tasks) {
-    const WorkerSlot slot = Choose(entry, candidate.step, now);
-    if (slot == kNoWorker) break;
+    const Placement place = Choose(entry, candidate.step, now);
+    const WorkerSlot slot = place.worker;
+    if (slot == kNoWorker) {
+      LogWait(candidate, place.why);
+      break;
+    }
     // Counted at once, so that the next member sees what is left.
     book_.at(slot).Add(step.spec);
     task.worker = slot;
@@ -415,6 +433,7 @@
   }
   job.SetPhase(index, TaskPhase::kStarting, now);
   ++counters_.started;
+  at.step().wait_logged = false;
   hooks_.log(at.name, room.info.vm, "placed", "");
   hooks_.send(StartRun{room.info.vm, placed.start_number, ToString(at.name),
                        Attempt(run), job.submission().spec, at.task->checkpoint,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -199,8 +199,10 @@
   bool PlaceGang(const Candidate& candidate, MonotonicTime now);
   void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
              std::uint32_t run, MonotonicTime now);
-  [[nodiscard]] WorkerSlot Choose(const Entry& entry, int step,
-                                  MonotonicTime now) const;
+  [[nodiscard]] Placement Choose(const Entry& entry, int step,
+                                 MonotonicTime now) const;
+  /// Records once that a step waits, and why.
+  void LogWait(const Candidate& candidate, NoPlace why);
   [[nodiscard]] std::uint32_t NextRun(const Task& task) const;
   [[nodiscard]] static int TasksOfStep(const Entry& entry, int step,
                                        WorkerSlot slot);
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -33,9 +33,10 @@
       policy_(std::move(policy)),
       accepted_at_(accepted_at) {
   chains_to_end_ = ChainsToEnd(submission_.steps);
-  std::chrono::duration<double, std::milli> chain{0};
-  for (const Milliseconds each : chains_to_end_)
-    chain = std::max<decltype(chain)>(chain, each);
+  const std::chrono::duration<double, std::milli> chain =
+      chains_to_end_.empty()
+          ? Milliseconds(0)
+          : *std::max_element(chains_to_end_.begin(), chains_to_end_.end());
   const auto objective = std::chrono::duration_cast<MonotonicTime>(
       chain * policy_.stretch + policy_.latency_target);
   objective_ = accepted_at + objective;
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -50,6 +50,7 @@
   /// moments; 0 for none.
   MonotonicTime room_since{0};
   MonotonicTime room_seen{0};  ///< When there was room last.
+  bool wait_logged = false;    ///< Since a task of it was placed last.
   /// Longest chain of work from this step to the end, by estimates.
   Milliseconds chain_to_end{0};
 };
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -104,15 +104,17 @@
   ++record_.running[task];
   record_.started.insert(task.substr(0, task.find('.')));
   highest_[task] = run;
-  const int asked = std::atoi(body.at("spec").get<std::string>().c_str());
+  const std::string spec = body.at("spec");
+  const int asked = std::atoi(spec.c_str());
   const Milliseconds length(asked > 0 ? asked : kDefaultTaskMs);
   Run& entry = running_[task];
   entry.number = run;
   entry.begun = base::MonotonicNow();
   entry.length = length;
-  entry.end = loop_.After(length, [this, task] {
-    ++record_.done;
-    End(task, "done");
+  const bool fails = spec == "fail";
+  entry.end = loop_.After(length, [this, task, fails] {
+    if (!fails) ++record_.done;
+    End(task, fails ? "failed" : "done");
   });
   ReplyText(*exchange, kOk, base::DumpJson({{"clock-ms", Clock()}}));
 }
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -30,7 +30,8 @@
   std::set<std::string> started;  ///< Submissions of which a task ran.
 };
 
-/// One worker: runs tasks for as many milliseconds as their spec says.
+/// One worker: runs tasks for as many milliseconds as their spec says; those
+/// with the spec "fail" fail.
 class SiteWorker {
  public:
   SiteWorker(base::EventLoop& loop, std::string id, SiteRecord& record);
--- a/tests/integration/harness/process.cc
+++ b/tests/integration/harness/process.cc
@@ -78,7 +78,9 @@
   child_->reader = std::thread(
       [out = &child_->out, path = directory + "/" + name_ + ".out"] {
         std::ofstream log(path, std::ios::app);
-        for (std::string rest; std::getline(*out, rest);) log << rest << "\n";
+        for (std::string rest; std::getline(*out, rest);) {
+          log << rest << std::endl;
+        }
       });
   const std::lock_guard<std::mutex> lock(all_mutex);
   all.push_back(this);
@@ -178,12 +180,24 @@
 std::string NodeProgram() { return Variable("MANGOSPREAD_BIN"); }
 std::string StandinProgram() { return Variable("MANGOSPREAD_STANDIN_BIN"); }
 
-std::string ReadLog(const std::string& directory, const std::string& name) {
-  std::ifstream file(directory + "/" + name + ".log");
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
   return {std::istreambuf_iterator<char>(file),
           std::istreambuf_iterator<char>()};
 }
 
+}  // namespace
+
+std::string ReadLog(const std::string& directory, const std::string& name) {
+  return ReadFile(directory + "/" + name + ".log");
+}
+
+std::string ReadOutput(const std::string& directory, const std::string& name) {
+  return ReadFile(directory + "/" + name + ".out");
+}
+
 LogDirectory::LogDirectory() {
   std::string name =
       (std::filesystem::temp_directory_path() / "mangospread-test-XXXXXX")
--- a/tests/integration/harness/process.hpp
+++ b/tests/integration/harness/process.hpp
@@ -80,5 +80,8 @@
 /// What a process of this name wrote to stderr so far.
 [[nodiscard]] std::string ReadLog(const std::string& directory,
                                   const std::string& name);
+/// What processes of this name printed after their addresses so far.
+[[nodiscard]] std::string ReadOutput(const std::string& directory,
+                                     const std::string& name);
 
 }  // namespace mangospread::testing
