--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -52,6 +52,18 @@
   return model;
 }
 
+/// A fleet of ten cores of which lasting tasks have taken nine; another lasting
+/// task of one core, "second", waits.
+void FillWithLasting(DispatcherFixture& fixture) {
+  fixture.AddWorker("w1", 10'000);
+  StepSpec lasting = DispatcherFixture::MakeStep(1, 9'000);
+  lasting.long_running = true;
+  fixture.Add("first", {lasting});
+  REQUIRE(fixture.Decide().size() == 1);  // Room is plentiful.
+  lasting.cpu = Millicores(1'000);
+  fixture.Add("second", {lasting});
+}
+
 // Guards against a model that blames whatever runs beside the culprit.
 TEST_CASE("the sharing model tells a culprit from a bystander") {
   const SharingModel model = Trained();
@@ -222,13 +234,7 @@
 // take every gap for good, and against ones that wait beside unused room.
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "lasting tasks take scarce room only when it stays unused") {
-  AddWorker("w1", 10'000);
-  StepSpec lasting = MakeStep(1, 9'000);
-  lasting.long_running = true;
-  Add("first", {lasting});
-  CHECK(Decide().size() == 1);  // Room is plentiful.
-  lasting.cpu = Millicores(1'000);
-  Add("second", {lasting});
+  FillWithLasting(*this);
   CHECK(Decide().empty());
   now += std::chrono::milliseconds(1'000);
   Add("short", {MakeStep(1, 1'000)});
@@ -249,13 +255,7 @@
 // nearly all the time (imcan-ops-grown, fresh-25a1).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "room that is taken for moments counts as unused") {
-  AddWorker("w1", 10'000);
-  StepSpec lasting = MakeStep(1, 9'000);
-  lasting.long_running = true;
-  Add("first", {lasting});
-  CHECK(Decide().size() == 1);
-  lasting.cpu = Millicores(1'000);
-  Add("second", {lasting});
+  FillWithLasting(*this);
   bool placed = false;
   std::uint64_t ends = 0;
   for (int tick = 0; tick < 25 && !placed; ++tick) {
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -92,6 +92,15 @@
     loop.Run();
   }
 
+  /// Attaches the worker, which lists its 40th end, and acknowledges that.
+  void AcknowledgeAnEnd() {
+    RunFor(Milliseconds(50));
+    link->report.ended.push_back(
+        {EndNumber(40), "a.0.0.1", Attempt(1), RunEnd::kDone, {}});
+    RunFor(Milliseconds(200));
+    session->Acknowledge({VmName("w1"), WorkerBirth(7), EndNumber(40)});
+  }
+
   template <typename Kind>
   int Count() const {
     int count = 0;
@@ -198,11 +207,7 @@
 // would last as long as workers allow.
 TEST_CASE_FIXTURE(SessionFixture,
                   "a new process gets nothing that was meant for the former") {
-  RunFor(Milliseconds(50));
-  link->report.ended.push_back(
-      {EndNumber(40), "a.0.0.1", Attempt(1), RunEnd::kDone, {}});
-  RunFor(Milliseconds(200));
-  session->Acknowledge({VmName("w1"), WorkerBirth(7), EndNumber(40)});
+  AcknowledgeAnEnd();
   RunFor(Milliseconds(300));
   REQUIRE(link->holds.back().acknowledged == EndNumber(40));
   link->broken = true;
@@ -226,11 +231,7 @@
 // The same between two holds: only the closed connections tell.
 TEST_CASE_FIXTURE(SessionFixture,
                   "without a connection the next process may be another one") {
-  RunFor(Milliseconds(50));
-  link->report.ended.push_back(
-      {EndNumber(40), "a.0.0.1", Attempt(1), RunEnd::kDone, {}});
-  RunFor(Milliseconds(200));
-  session->Acknowledge({VmName("w1"), WorkerBirth(7), EndNumber(40)});
+  AcknowledgeAnEnd();
   link->connected = false;
   session->Start(MakeStart(1));
   CHECK(link->starts.empty());
@@ -244,11 +245,7 @@
 // The same when the loss of the connection goes unnoticed.
 TEST_CASE_FIXTURE(SessionFixture,
                   "a new process is not acknowledged what the former listed") {
-  RunFor(Milliseconds(50));
-  link->report.ended.push_back(
-      {EndNumber(40), "a.0.0.1", Attempt(1), RunEnd::kDone, {}});
-  RunFor(Milliseconds(200));
-  session->Acknowledge({VmName("w1"), WorkerBirth(7), EndNumber(40)});
+  AcknowledgeAnEnd();
   RunFor(Milliseconds(300));
   link->report.born = WorkerBirth(8);
   link->report.ended.clear();
