A greeting does not make a leader; plainer names for waiting calls

The greeting names the leader without the row's version, the process took it for its own row and led with version 0, so its first write failed and it gave the role up: a second takeover.

A record without a version makes a process read the row.

Also: patience, unsure and reborn are now leader_wait, unconfirmed and other process; lasting is long_running.

Ruled out: the reply's version (the conflicts came back with the row read).

Conclusion: a hand-over is one takeover again.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -10,8 +10,8 @@
 constexpr MonotonicTime kDrainMargin = std::chrono::milliseconds(1'500);
 /// Below this free share of the processors short work competes for room.
 constexpr double kScarceShare = 0.15;
-/// A lasting task takes scarce room that was unused for so long. The workers'
-/// owners take a task that waits three seconds beside room for lost.
+/// A long-running task takes scarce room that was unused for so long. Beside
+/// room it has to start within three seconds.
 constexpr MonotonicTime kSettleTime = std::chrono::milliseconds(1'500);
 /// Short work may take all room for a moment without its being scarce.
 constexpr MonotonicTime kRoomGap = std::chrono::milliseconds(400);
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -189,8 +189,8 @@
   [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
   /// Places waiting tasks of a step; returns false if one found no room.
   bool PlaceStep(const Candidate& candidate, MonotonicTime now);
-  /// True if a lasting step may take room now. Where room is scarce it takes
-  /// only what short work has left unused for a while.
+  /// True if a long-running step may take room now. Where room is scarce it
+  /// takes only what short work has left unused for a while.
   bool MayTakeRoom(const Candidate& candidate, MonotonicTime now);
   /// Share of a service's processors that no task has requested.
   [[nodiscard]] double FreeShare(const ServiceName& service,
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -65,6 +65,10 @@
 
 void Leadership::OnRow(const std::optional<LeaderRecord>& leader) {
   if (leader && leader_ && leader->epoch < leader_->epoch) return;
+  const bool names_us =
+      leader && leader->IsProcess(self_.node, self_.incarnation);
+  // A peer's word carries no version, without which nothing can be written.
+  if (names_us && !leading_ && leader->version.value() == 0) return ReadRow();
   row_known_ = true;
   const bool same = leader && leader_ && leader->epoch == leader_->epoch;
   if (same) {
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -74,7 +74,8 @@
   Leadership(const Leadership&) = delete;
   Leadership& operator=(const Leadership&) = delete;
 
-  /// The row as a feed or a peer shows it; none when it does not exist.
+  /// The row as a feed or a peer shows it; none when it does not exist. What a
+  /// peer says has no version.
   void OnRow(const std::optional<LeaderRecord>& leader);
   /// Whether the channel to the leader works.
   void SetLeaderConnected(bool connected);
--- a/src/dispatch/node/pending_calls.cc
+++ b/src/dispatch/node/pending_calls.cc
@@ -22,7 +22,8 @@
     : loop_(loop),
       options_(options),
       forward_(std::move(forward)),
-      patience_timer_(loop.After(options.patience, [this] { GiveUp(); })) {}
+      leader_wait_timer_(
+          loop.After(options.leader_wait, [this] { RefuseWaiting(); })) {}
 
 void PendingCalls::Refuse(const Call& call) {
   ServiceReply reply;  // Unknown.
@@ -38,7 +39,7 @@
   entry.arrived_at = base::MonotonicNow();
   entry.call = std::move(call);
   entry.done = std::move(done);
-  if (!serving_ && (!patient_ || calls_.size() >= options_.max_waiting)) {
+  if (!serving_ && (!may_wait_ || calls_.size() >= options_.max_waiting)) {
     return Refuse(entry);
   }
   Insert(std::move(entry));
@@ -83,11 +84,12 @@
 void PendingCalls::SetServing(bool serving) {
   if (serving_ == serving) return;
   serving_ = serving;
-  patient_ = true;
+  may_wait_ = true;
   if (!serving) {
-    patience_timer_ = loop_.After(options_.patience, [this] { GiveUp(); });
+    leader_wait_timer_ =
+        loop_.After(options_.leader_wait, [this] { RefuseWaiting(); });
   } else {
-    patience_timer_.reset();
+    leader_wait_timer_.reset();
   }
   // A reply to the former id is dropped from now on.
   for (auto& [id, call] : std::exchange(calls_, {})) {
@@ -96,8 +98,8 @@
   }
 }
 
-void PendingCalls::GiveUp() {
-  patient_ = false;
+void PendingCalls::RefuseWaiting() {
+  may_wait_ = false;
   for (const auto& [id, call] : std::exchange(calls_, {})) Refuse(call);
 }
 
--- a/src/dispatch/node/pending_calls.hpp
+++ b/src/dispatch/node/pending_calls.hpp
@@ -15,9 +15,9 @@
 struct PendingCallsOptions {
   /// A call without a reply for this long may have taken effect or not.
   Milliseconds timeout{2'800};
-  /// After the leader is lost, calls wait this long for the next one. Callers
-  /// would retry after a second at the soonest.
-  Milliseconds patience{700};
+  /// After the leader is lost, calls wait this long for the next one; the
+  /// shortest Retry-After is a second.
+  Milliseconds leader_wait{700};
   /// A call that waits again after it was forwarded is given up this long after
   /// it came, so that its caller has time for another try.
   Milliseconds longest_wait{1'200};
@@ -60,17 +60,17 @@
   /// The time of a call is over.
   void Expire(std::uint64_t id);
   /// Answers the waiting calls; later ones are refused until there is a leader.
-  void GiveUp();
+  void RefuseWaiting();
   static void Refuse(const Call& call);
 
   base::EventLoop& loop_;
   PendingCallsOptions options_;
   Forward forward_;
   bool serving_ = false;
-  bool patient_ = true;
+  bool may_wait_ = true;
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, Call> calls_;  ///< In order of arrival.
-  base::Timer patience_timer_;
+  base::Timer leader_wait_timer_;
 };
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/policy/order.hpp
+++ b/src/dispatch/policy/order.hpp
@@ -13,8 +13,8 @@
   bool hopeless = false;  ///< Its completion is worth nothing any more.
   bool late = false;      ///< Its objective cannot be met any more.
   int priority = 0;
-  /// Lasting tasks keep what they take; short ones give it back soon.
-  bool lasting = false;
+  /// Such tasks keep the room that they take; others give it back soon.
+  bool long_running = false;
   bool fresh = false;  ///< Nothing of its submission has run yet.
   MonotonicTime objective{0};
 
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -99,10 +99,11 @@
   hold_timer_.reset();
   hold_in_flight_ = true;
   const std::uint64_t generation = ++hold_generation_;
-  process_unsure_ = process_unsure_ || !link_->Connected();
+  process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
   const HoldOrder order =
-      process_unsure_ ? HoldOrder{fence_, {}, {}, wait}
-                      : HoldOrder{fence_, acknowledged_, LeaseUntil(), wait};
+      process_unconfirmed_
+          ? HoldOrder{fence_, {}, {}, wait}
+          : HoldOrder{fence_, acknowledged_, LeaseUntil(), wait};
   link_->Hold(order, [self = shared_from_this(),
                       generation](const Result<HoldReport>& result) {
     self->OnHold(result, generation);
@@ -132,7 +133,7 @@
     Report(WorkerSuperseded{});
     return;
   }
-  process_unsure_ = true;
+  process_unconfirmed_ = true;
   base::Log(base::Event::kHoldFailed, {{"vm", assignment_.worker.vm.str()},
                                        {"error", ErrcName(error.code)},
                                        {"subject", error.subject}});
@@ -163,7 +164,7 @@
   clock_ = report.clock;
   clock_at_ = now;
   unreachable_reported_ = false;
-  process_unsure_ = false;
+  process_unconfirmed_ = false;
   if (synchronised_ && report.born != born_) return Resynchronise();
   if (synchronised_) {
     SendWaitingStarts();
@@ -196,7 +197,7 @@
 
 void WorkerSession::Synchronise(const HoldReport& report) {
   synchronised_ = runs_known_ = true;
-  if (report.born != born_) OnReborn(report.born);
+  if (report.born != born_) OnOtherProcess(report.born);
   Attached attached{born_, starts_seen_, {}, report.running, report.ended};
   std::map<std::string, Run> runs;
   for (const RunningRun& running : report.running) {
@@ -218,7 +219,7 @@
   SendWaitingStarts();
 }
 
-void WorkerSession::OnReborn(WorkerBirth born) {
+void WorkerSession::OnOtherProcess(WorkerBirth born) {
   // An order for the former process may have reached this one with a time by
   // the other's clock; the worker cuts such a lease to the longest it grants.
   if (born_ != WorkerBirth()) ExtendLease(options_.max_lease);
@@ -235,7 +236,7 @@
 
 void WorkerSession::Invalidate() {
   synchronised_ = false;
-  process_unsure_ = true;
+  process_unconfirmed_ = true;
   if (fence_.value() + 1 < assignment_.fence.value() + kFenceStride) {
     fence_ = fence_.next();
   }
@@ -251,8 +252,8 @@
 
 void WorkerSession::Start(StartRun order) {
   starts_seen_ = order.number;
-  process_unsure_ = process_unsure_ || !link_->Connected();
-  if (!synchronised_ || process_unsure_) {
+  process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
+  if (!synchronised_ || process_unconfirmed_) {
     waiting_starts_.push_back(std::move(order));
     return;
   }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -101,7 +101,7 @@
   void Resynchronise();
   void OnHoldFailed(const Error& error);
   /// Another process answers under the worker's id.
-  void OnReborn(WorkerBirth born);
+  void OnOtherProcess(WorkerBirth born);
   void SendWaitingStarts();
   void SendStart(StartRun order);
   void OnStartAnswer(const StartRun& order, OrderOutcome outcome);
@@ -132,7 +132,7 @@
   bool runs_known_ = false;
   /// The process that answered last may have ended: until the next answer it
   /// gets no acknowledgement, lease or start, which are meant for one process.
-  bool process_unsure_ = true;
+  bool process_unconfirmed_ = true;
   bool closed_ = false;
   bool unreachable_reported_ = false;
   WorkerBirth born_;
--- a/tests/unit/dispatch/leadership_test.cc
+++ b/tests/unit/dispatch/leadership_test.cc
@@ -120,6 +120,25 @@
   CHECK(deposed == 0);
 }
 
+// Replays a follower that greets the new leader before the leader has read its
+// own row (imcan-ops inc-334b): a greeting carries no version, and a leader
+// without one gives up at its first write.
+TEST_CASE_FIXTURE(FollowerFixture, "a greeting does not make a leader") {
+  leadership.SetLeaderConnected(false);
+  LeaderRecord greeted = Self();
+  greeted.epoch = Epoch(2);
+  auto claim = greeted;
+  table.rows.Transact({{}, {{kLeaderKey, EncodeLeader(claim)}}});
+  leadership.OnRow(greeted);
+  CHECK_FALSE(leadership.leading());
+  RunFor(std::chrono::milliseconds(50));
+  REQUIRE(leadership.leading());
+  CHECK(leadership.leader()->version ==
+        table.rows.Read({{kLeaderKey}, {}})[0].version);
+  RunFor(std::chrono::seconds(2));
+  CHECK(deposed == 0);
+}
+
 // Guards against a leader that is replaced again and again because one link
 // refuses connections while it works.
 TEST_CASE_FIXTURE(FollowerFixture, "a leader that renews keeps its role") {
--- a/tests/unit/dispatch/pending_calls_test.cc
+++ b/tests/unit/dispatch/pending_calls_test.cc
@@ -51,7 +51,7 @@
 }
 
 // Guards against callers who wait during an outage that lasts.
-TEST_CASE_FIXTURE(PendingCallsFixture, "without a leader patience ends") {
+TEST_CASE_FIXTURE(PendingCallsFixture, "without a leader the wait ends") {
   Add(ServiceVerb::kSubmit);
   RunFor(std::chrono::milliseconds(750));
   CHECK(replies == std::vector{ServiceResult::kRefused});
