Count a failed run once

Members of a gang that fail in one run counted one each.

The progress row keeps the numbers of the failed runs in place of their count, and a run counts once.

Ruled out: counting only runs above the last stored one, since an earlier run on a worker that was cut off may be listed late.

--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -208,8 +208,13 @@
   task.run = std::max(task.run, static_cast<std::uint32_t>(end.run.value()));
   // A gang fails as one.
   Task& counted = at.spec().gang ? at.step().tasks.front() : task;
-  ++counted.failures;
-  if (counted.failures >= at.job().policy().attempts) {
+  auto& failed = counted.failed_runs;
+  const auto run = static_cast<std::uint32_t>(end.run.value());
+  // A worker lists an end again until it is acknowledged, also to the next
+  // leader, and each member of a gang that fails lists one.
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
+  failed.push_back(run);
+  if (static_cast<int>(failed.size()) >= at.job().policy().attempts) {
     at.job().SetState(SubmissionState::kFailed);
   }
   MarkChanged(*at.entry);
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -154,11 +154,12 @@
     for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t) {
       const Task& task = steps_[s].tasks[t];
       const bool done = task.phase == TaskPhase::kDone;
-      if (!done && task.failures == 0 && task.checkpoint.empty()) continue;
+      if (!done && task.failed_runs.empty() && task.checkpoint.empty())
+        continue;
       progress.tasks.push_back({{static_cast<int>(s), static_cast<int>(t)},
                                 done,
                                 task.run,
-                                task.failures,
+                                task.failed_runs,
                                 done ? std::string() : task.checkpoint});
     }
   }
@@ -171,7 +172,7 @@
     Task* task = Find(saved.task);
     if (task == nullptr) continue;
     task->run = saved.run;
-    task->failures = saved.failures;
+    task->failed_runs = saved.failed_runs;
     task->checkpoint = saved.checkpoint;
     if (saved.done) SetPhase(saved.task, TaskPhase::kDone, accepted_at_);
   }
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -27,7 +27,8 @@
   TaskPhase phase = TaskPhase::kWaiting;
   WorkerSlot worker = kNoWorker;
   std::uint32_t run = 0;  ///< Number of the newest start; 0 before the first.
-  std::uint16_t failures = 0;
+  /// Runs that count as failed attempts.
+  std::vector<std::uint32_t> failed_runs;
   MonotonicTime since{0};  ///< Begin of the phase.
   std::string checkpoint;
 
@@ -60,7 +61,7 @@
   TaskIndex task;
   bool done = false;
   std::uint32_t run = 0;
-  std::uint16_t failures = 0;
+  std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;
 };
 
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -16,20 +16,23 @@
 
 json EncodeTask(const TaskProgress& task) {
   return json::array({task.task.step, task.task.index, task.done, task.run,
-                      task.failures, task.checkpoint});
+                      task.failed_runs, task.checkpoint});
 }
 
 bool DecodeTask(const json& row, TaskProgress& task) {
   if (!row.is_array() || row.size() != kTaskFields ||
       !row[0].is_number_integer() || !row[1].is_number_integer() ||
       !row[2].is_boolean() || !row[3].is_number_unsigned() ||
-      !row[4].is_number_unsigned() || !row[5].is_string()) {
+      !row[4].is_array() || !row[5].is_string()) {
     return false;
   }
+  for (const json& run : row[4]) {
+    if (!run.is_number_unsigned()) return false;
+  }
   task = {{row[0].get<int>(), row[1].get<int>()},
           row[2].get<bool>(),
           row[3].get<std::uint32_t>(),
-          row[4].get<std::uint16_t>(),
+          row[4].get<std::vector<std::uint32_t>>(),
           row[5].get<std::string>()};
   return true;
 }
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -104,6 +104,27 @@
   CHECK(Decide().size() == 1);
 }
 
+// Replays a takeover between the storing of a failed end and its
+// acknowledgement: the worker lists the end again. Guards against one failure
+// that counts twice, so that a submission fails before its attempts are used
+// (imcan-ops-grown, hunt-3066-3).
+TEST_CASE_FIXTURE(DispatcherFixture, "a failed end that is listed again") {
+  AddWorker("w1");
+  JobProgress progress;
+  progress.state = SubmissionState::kRunning;
+  TaskProgress failed;
+  failed.run = 2;
+  failed.failed_runs = {1, 2};
+  progress.tasks.push_back(failed);
+  dispatcher.Restore(MakeSubmission("a", {MakeStep(1, 1'000)}), Policy(),
+                     progress, now);
+  dispatcher.Resume();
+  End("w1", 1, "a.0.0.0", 1, RunEnd::kFailed);
+  End("w1", 2, "a.0.0.0", 2, RunEnd::kFailed);
+  CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kRunning);
+  CHECK(Decide().size() == 1);
+}
+
 // Guards against a task that fails more often than its queue allows.
 TEST_CASE_FIXTURE(DispatcherFixture, "a submission fails after its attempts") {
   AddWorker("w1");
@@ -123,7 +144,7 @@
 TEST_CASE("restored tasks wait until all workers are known") {
   DispatcherFixture fixture(1'001);
   JobProgress progress;
-  progress.tasks.push_back({{0, 0}, true, 1, 0, {}});
+  progress.tasks.push_back({{0, 0}, true, 1, {}, {}});
   fixture.dispatcher.Restore(DispatcherFixture::MakeSubmission(
                                  "a", {DispatcherFixture::MakeStep(3, 1'000)}),
                              DispatcherFixture::Policy(), progress,
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -122,12 +122,19 @@
   ProgressRow progress;
   progress.queue = QueueName("q");
   progress.progress.state = SubmissionState::kRunning;
-  progress.progress.tasks = {{{1, 2}, true, 3, 4, "cp"}};
+  TaskProgress task;
+  task.task = {1, 2};
+  task.done = true;
+  task.run = 3;
+  task.failed_runs = {1, 3};
+  task.checkpoint = "cp";
+  progress.progress.tasks = {task};
   const auto kept = DecodeProgressRow(EncodeProgressRow(progress));
   REQUIRE(kept.ok());
   REQUIRE(kept.value().progress.tasks.size() == 1);
   CHECK(kept.value().progress.tasks[0].task == TaskIndex{1, 2});
   CHECK(kept.value().progress.tasks[0].checkpoint == "cp");
+  CHECK(kept.value().progress.tasks[0].failed_runs == task.failed_runs);
   CHECK_FALSE(DecodeProgressRow("{}").ok());
   CHECK_FALSE(DecodeJobRow("7").ok());
 }
