--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -154,8 +154,8 @@
     for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t) {
       const Task& task = steps_[s].tasks[t];
       const bool done = task.phase == TaskPhase::kDone;
-      if (!done && task.failed_runs.empty() && task.checkpoint.empty())
-        continue;
+      const bool fresh = task.failed_runs.empty() && task.checkpoint.empty();
+      if (!done && fresh) continue;
       progress.tasks.push_back({{static_cast<int>(s), static_cast<int>(t)},
                                 done,
                                 task.run,
