Keep followers of a yielding leader; trust lists before reports at a takeover

The store refuses the leader only (18.5 s). It said that it does not lead, all agents left it, and it assigned all 120 workers to itself and started runs there until 21.2 s, when it learned of epoch 2. Agents had meanwhile reported to the new leader the runs of their former sessions; 0.4 s after loading these reports counted as complete for workers that were not attached yet, and tasks that the old leader had started were started again. The same reading explains workers of a whole fleet on one agent after each outage of the store (moved back at 20 a second), and best-effort tasks that stay paused after a takeover: lists do not show speeds, so a task paused by the former session stood still until it was stopped as stalled, a failure of its worker.

Ruled out: rows read before the former leader's last commit (its writes require the row that the claim replaced); ends acknowledged before they were stored (run 2 had no acknowledged end).

Change: a yielding leader is followed until another is elected; it, and one that was paused, assigns workers of lost agents after 1.5 s only; after a pause it starts nothing until a renewal has a result; reports are used once a worker could not be reached; an agent sets the speed of a best-effort run that it finds; a leader whose timers are late for 0.9 s yields; numbers of frames are checked before they become enumerators.

--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -91,6 +91,7 @@
   kEntryMalformed = 1816,
   kSettingsReloaded = 1817,
   kWorkerListed = 1819,
+  kLeaderYielding = 1818,
   kRenewalFailed = 1820,
   // API.
   kRequestInvalid = 1701,
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -104,8 +104,9 @@
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
-  hooks_.send(
-      DescribeRun{vm, running.task, running.run, TraitsOf(ref->spec())});
+  const PlacedRun& placed = registry_.at(slot).runs.at(ref->name);
+  hooks_.send(DescribeRun{vm, running.task, running.run, TraitsOf(ref->spec()),
+                          placed.percent});
   if (task.phase == TaskPhase::kStopping) return hooks_.send(stop);
   ref->job().SetPhase(ref->index, TaskPhase::kRunning, now);
 }
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -435,7 +435,8 @@
 void GroupLeader::RequestDecision() {
   if (!loaded_ || decide_timer_.active()) return;
   decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
-    dispatcher_->Decide(base::MonotonicNow());
+    // The next tick requests a decision again.
+    if (deps_.confirmed()) dispatcher_->Decide(base::MonotonicNow());
   });
 }
 
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -46,6 +46,10 @@
   /// Time for agents to attach a worker before the runs that other agents
   /// reported for it are assumed to be running.
   Milliseconds attach_grace_period{400};
+  /// Workers of an agent that is lost while another node may take over are
+  /// assigned anew only after this long: the agent probably follows the next
+  /// leader.
+  Milliseconds yield_reassign_delay{1'500};
   /// Period at which the learned interference between images that share
   /// workers is stored.
   Milliseconds interference_save_period{3'000};
@@ -71,6 +75,9 @@
   std::function<void()> on_loaded;
   /// Called when a conditional write shows that another leader has taken over.
   std::function<void()> on_conflict;
+  /// True while this process has recently confirmed that it leads; false after
+  /// a pause, during which another node may have been elected.
+  std::function<bool()> confirmed;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
@@ -93,6 +100,8 @@
   void OnWorkers(const std::map<VmName, WorkerInfo>& listed);
   void OnAgentUp(const NodeId& agent, const DataCenter& data_center);
   void OnAgentDown(const NodeId& agent);
+  /// Reports whether another node may take over.
+  void SetYielding(bool yielding) noexcept { yielding_ = yielding; }
   void OnAgentEvent(const NodeId& agent, const AgentEvent& event);
   /// Handles the runs that an agent reports for a worker which it attached
   /// under a former leader.
@@ -167,8 +176,11 @@
   /// Removes workers that left the list and on which nothing can run.
   void RemoveIdleWorkers();
   /// Gives agents time to attach workers before the reported runs are used: the
-  /// list of an attached worker is more accurate than any report of an agent.
+  /// list of an attached worker is more accurate than any report of an agent. A
+  /// report is used only for a worker that cannot be reached, since another
+  /// agent may have started runs on it after the reporting one.
   void StartAttachTimer();
+  [[nodiscard]] bool MayBeAttached(const FormerLeaderRuns& known) const;
   void ApplyKnownRuns(const VmName& vm);
   void OnUnreachable(WorkerEntry& entry, const NodeId& agent,
                      Milliseconds lease_left);
@@ -192,6 +204,7 @@
   std::unique_ptr<Dispatcher> dispatcher_;
   bool loaded_ = false;
   bool resumed_ = false;
+  bool yielding_ = false;  ///< Another node may take over.
   MonotonicTime started_at_{0};
   std::uint64_t assignments_issued_ = 0;
 
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -186,9 +186,14 @@
 
 void GroupLeader::OnAgentDown(const NodeId& agent) {
   base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
+  const bool replaced = yielding_ || !deps_.confirmed();
   for (auto& [vm, entry] : workers_) {
-    if (entry.agent == agent) Unassign(entry);
     entry.failed_agents.erase(agent);
+    if (entry.agent != agent) continue;
+    Unassign(entry);
+    if (replaced) {
+      entry.retry_at = base::MonotonicNow() + options_.yield_reassign_delay;
+    }
   }
   agents_.erase(agent);
   if (loaded_) AssignWorkers();
@@ -257,13 +262,19 @@
   // The agent's bound for the last lease is tighter than that of Unassign.
   entry.lease_expires_at = std::max(before, base::MonotonicNow() + lease_left);
   entry.failed_agents.insert(agent);
+  if (known_runs_.contains(entry.info.vm)) {
+    ApplyKnownRuns(entry.info.vm);
+    CheckResume();
+  }
   AssignWorkers();
 }
 
 void GroupLeader::OnKnownRuns(const FormerLeaderRuns& reported) {
   const VmName& vm = reported.worker.vm;
-  FormerLeaderRuns& known = known_runs_[vm];
+  const auto [it, added] = known_runs_.try_emplace(vm);
+  FormerLeaderRuns& known = it->second;
   known.worker = reported.worker;
+  known.unreachable = reported.unreachable && (added || known.unreachable);
   known.runs.insert(known.runs.end(), reported.runs.begin(),
                     reported.runs.end());
   if (loaded_) StartAttachTimer();
@@ -272,11 +283,21 @@
 void GroupLeader::StartAttachTimer() {
   if (attach_timer_.active()) return;
   attach_timer_ = deps_.loop.After(options_.attach_grace_period, [this] {
-    for (const auto& [vm, runs] : known_runs_) ApplyKnownRuns(vm);
+    // Without the list of workers none can have been attached.
+    if (listed_.empty()) return StartAttachTimer();
+    for (const auto& [vm, known] : known_runs_) {
+      if (!MayBeAttached(known)) ApplyKnownRuns(vm);
+    }
     CheckResume();
   });
 }
 
+bool GroupLeader::MayBeAttached(const FormerLeaderRuns& known) const {
+  if (known.unreachable) return false;
+  const auto it = workers_.find(known.worker.vm);
+  return it != workers_.end() && it->second.agent.has_value();
+}
+
 void GroupLeader::ApplyKnownRuns(const VmName& vm) {
   if (!unresolved_.contains(vm)) return;
   const FormerLeaderRuns& known = known_runs_.at(vm);
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -80,7 +80,7 @@
   contend_timer_.reset();
   heartbeat_timeout_start_ = base::MonotonicNow();
   heartbeat_version_ = RowVersion();
-  connected_ = refused_ = false;
+  connected_ = refused_ = leader_yielding_ = false;
   if (!leader_) return ScheduleContend();
   const bool self_leads = leader_->IsProcess(self_.node, self_.incarnation);
   if (leading_ && (!self_leads || leader_->epoch != self_.epoch)) {
@@ -97,7 +97,7 @@
     self_.epoch = leader_->epoch;
     self_.version = leader_->version;
     leading_ = true;
-    renewed_at_ = base::MonotonicNow();
+    elected_at_ = renewed_at_ = renewal_result_at_ = base::MonotonicNow();
     renew_timer_ =
         loop_.Every(options_.heartbeat_period, 0.1, [this] { Renew(); });
     hooks_.on_elected(*leader_);
@@ -111,7 +111,7 @@
 void Leadership::SetLeaderConnected(bool connected) {
   if (connected_ == connected) return;
   connected_ = connected;
-  refused_ = false;
+  refused_ = leader_yielding_ = false;
   heartbeat_version_ = RowVersion();
   heartbeat_timeout_start_ = base::MonotonicNow();
   // The heartbeat timeout starts with the first read of the heartbeat row.
@@ -120,6 +120,27 @@
 
 void Leadership::OnLeaderDenied() { ScheduleContend(); }
 
+void Leadership::SetLeaderYielding(bool yielding) {
+  if (leader_yielding_ == yielding || leading_) return;
+  leader_yielding_ = yielding;
+  heartbeat_version_ = RowVersion();
+  heartbeat_timeout_start_ = base::MonotonicNow();
+  contend_timer_.reset();
+  if (yielding) ScheduleContend();
+}
+
+void Leadership::SetOverloaded(bool overloaded) {
+  if (!leading_) return;
+  overloaded_ =
+      overloaded && base::MonotonicNow() - elected_at_ >= options_.min_tenure;
+  UpdateYielding();
+}
+
+bool Leadership::confirmed() const noexcept {
+  return leading_ && base::MonotonicNow() - renewal_result_at_ <=
+                         options_.confirmation_timeout;
+}
+
 void Leadership::ScheduleContend() {
   if (contending_ || resigned_ || leading_ || contend_timer_.active()) return;
   const std::size_t jitter =
@@ -164,7 +185,7 @@
 }
 
 void Leadership::Check() {
-  if (leading_ || resigned_ || connected_) return;
+  if (leading_ || resigned_ || (connected_ && !leader_yielding_)) return;
   if (!row_known_) return ReadRow();
   if (!leader_) return ScheduleContend();
   table_.Read({{kHeartbeatKey}, {}}, [this, alive = alive_](
@@ -175,7 +196,7 @@
 }
 
 void Leadership::OnHeartbeat(RowVersion version) {
-  if (leading_ || connected_) return;
+  if (leading_ || (connected_ && !leader_yielding_)) return;
   const MonotonicTime now = base::MonotonicNow();
   if (version != heartbeat_version_) {
     heartbeat_version_ = version;
@@ -205,6 +226,7 @@
 
 void Leadership::OnRenewed(const TransactResult& result) {
   renewing_ = false;
+  renewal_result_at_ = base::MonotonicNow();
   if (result.status == Status::kConflict) {
     base::Log(base::Event::kLeaderLost, {{"leader", self_.node.str()},
                                          {"reason", "renewal_conflict"},
@@ -226,9 +248,19 @@
   if (!leading_) return;
   const MonotonicTime now = base::MonotonicNow();
   if (table_reachable) renewed_at_ = now;
-  const bool yielding = now - renewed_at_ > options_.yield_after;
+  table_lost_ = now - renewed_at_ > options_.yield_after;
+  UpdateYielding();
+}
+
+void Leadership::UpdateYielding() {
+  const bool yielding = table_lost_ || overloaded_;
   if (yielding == yielding_) return;
   yielding_ = yielding;
+  base::Log(base::Event::kLeaderYielding,
+            {{"leader", self_.node.str()},
+             {"epoch", self_.epoch.value()},
+             {"store_lost", table_lost_ ? 1 : 0},
+             {"overloaded", overloaded_ ? 1 : 0}});
   hooks_.on_yield(yielding);
 }
 
@@ -240,7 +272,7 @@
 
 void Leadership::StepDown() {
   leading_ = false;
-  yielding_ = false;
+  yielding_ = table_lost_ = overloaded_ = false;
   renew_timer_.reset();
   hooks_.on_stepped_down();
 }
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -51,6 +51,14 @@
   /// A leader that fails to renew its heartbeat row for this long announces
   /// that others may take over.
   Milliseconds yield_after{1'000};
+  /// A leader without any result of a renewal for this long, such as a process
+  /// that was paused, makes no decisions until the next one. Longer than a
+  /// renewal that the table does not answer.
+  Milliseconds confirmation_timeout{1'800};
+  /// A leader that yields because it is overloaded has led for at least this
+  /// long, so that a load too high for every node does not move the role on and
+  /// on.
+  Milliseconds min_tenure{10'000};
 };
 
 struct LeadershipHooks {
@@ -60,7 +68,8 @@
   std::function<void(const LeaderRecord&)> on_elected;
   /// This process is no longer the leader.
   std::function<void()> on_stepped_down;
-  /// This leader cannot write to the table (true) or can write again (false).
+  /// Another node may take over, since this leader cannot write to the table or
+  /// is overloaded (true), or none needs to any more (false).
   std::function<void(bool yielding)> on_yield;
 };
 
@@ -89,6 +98,11 @@
   /// Reports that the process at the leader's address does not lead or is a
   /// different process.
   void OnLeaderDenied();
+  /// Reports whether the leader, which stays connected, lets others take over.
+  void SetLeaderYielding(bool yielding);
+  /// Reports whether this leader cannot keep up with its work; another node may
+  /// then take over, unless this one has not led for long.
+  void SetOverloaded(bool overloaded);
   /// Steps down for a planned stop and never contends again. Calls `done`
   /// before it returns.
   void Resign(std::function<void()> done);
@@ -97,6 +111,11 @@
   void OnConflict();
 
   [[nodiscard]] bool leading() const noexcept { return leading_; }
+  [[nodiscard]] bool yielding() const noexcept { return yielding_; }
+  /// True while this process leads as far as it can know: it has had a result
+  /// of a renewal recently. False after a pause, during which another node may
+  /// have taken over.
+  [[nodiscard]] bool confirmed() const noexcept;
   [[nodiscard]] const std::optional<LeaderRecord>& leader() const noexcept {
     return leader_;
   }
@@ -112,6 +131,7 @@
   void OnRenewed(const TransactResult& result);
   /// Records whether this leader reaches the table.
   void UpdateTableReachable(bool table_reachable);
+  void UpdateYielding();
   void StepDown();
 
   base::EventLoop& loop_;
@@ -128,7 +148,13 @@
   bool contending_ = false;
   bool renewing_ = false;
   bool yielding_ = false;
+  bool table_lost_ = false;       ///< This leader yields without the table.
+  bool overloaded_ = false;       ///< This leader yields for its load.
+  bool leader_yielding_ = false;  ///< The connected leader yields.
+  MonotonicTime elected_at_{0};
   MonotonicTime renewed_at_{0};
+  /// Time of the last result of a renewal, successful or not.
+  MonotonicTime renewal_result_at_{0};
   RowVersion heartbeat_version_;  ///< Last version of the heartbeat row.
   MonotonicTime heartbeat_timeout_start_{0};
   base::Timer check_timer_;
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -56,12 +56,14 @@
   RunTraits traits;
 };
 
-/// Sends the agent the traits of a run that it found on its worker.
+/// Sends the agent the traits of a run that it found on its worker, and the
+/// speed that the run should have.
 struct DescribeRun {
   VmName vm;
   std::string task;
   Attempt run;
   RunTraits traits;
+  int percent = 100;
 };
 
 struct StopRun {
@@ -161,6 +163,8 @@
 struct FormerLeaderRuns {
   WorkerInfo worker;
   std::vector<RunId> runs;
+  /// The worker did not reply to the agent's last renewals.
+  bool unreachable = false;
 };
 
 struct AgentEvent {
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/events.hpp"
+#include "base/loop/clock.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -10,6 +11,8 @@
 /// Short, since followers learn at once of a leader that has stepped down.
 constexpr Milliseconds kNotLeadingRetryAfter{500};
 
+constexpr MonotonicTime kOverloadCheckPeriod = std::chrono::milliseconds(100);
+
 /// Delay before the first attempt after a connection was lost.
 constexpr Milliseconds kFirstReconnectDelay{20};
 
@@ -57,7 +60,10 @@
   };
   hooks.on_elected = [this](const LeaderRecord& leader) { Lead(leader); };
   hooks.on_stepped_down = [this] { StepDown(); };
-  hooks.on_yield = [this](bool yielding) { AnnounceYield(yielding); };
+  hooks.on_yield = [this](bool yielding) {
+    if (leader_) leader_->SetYielding(yielding);
+    Announce(true);
+  };
   leadership_ = std::make_unique<Leadership>(
       deps_.loop, deps_.table, self, options_.leadership, std::move(hooks));
   return bound;
@@ -110,9 +116,13 @@
 
 Hello Node::MakeHello(bool leading) const {
   const auto& leader = leadership_->leader();
-  return {
-      options_.node, options_.incarnation, leader ? leader->epoch : Epoch(),
-      leading,       options_.data_center, leader ? *leader : LeaderRecord()};
+  return {options_.node,
+          options_.incarnation,
+          leader ? leader->epoch : Epoch(),
+          leading,
+          options_.data_center,
+          leader ? *leader : LeaderRecord(),
+          leading && leadership_->yielding()};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
@@ -128,12 +138,15 @@
 void Node::OnLeaderHello(const Hello& hello) {
   if (hello.leading && followed_leader_ &&
       hello.epoch == followed_leader_->epoch) {
-    if (connected_) return;
+    // A yielding leader is followed until another one is elected: if nobody
+    // reaches the table, the work goes on.
+    if (connected_) return leadership_->SetLeaderYielding(hello.yielding);
     connected_ = true;
     orphan_timer_.reset();
     base::Log(base::Event::kLeaderFollowed,
               {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
     leadership_->SetLeaderConnected(true);
+    leadership_->SetLeaderYielding(hello.yielding);
     calls_.SetLeaderAvailable(true);
     for (FormerLeaderRuns& runs : agent_.CollectRuns()) {
       leader_channel_->Send(std::move(runs));
@@ -225,7 +238,8 @@
       },
       deps_.observe,
       [this] { calls_.SetLeaderAvailable(true); },
-      [this] { leadership_->OnConflict(); }};
+      [this] { leadership_->OnConflict(); },
+      [this] { return leadership_->confirmed(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->OnAgentUp(options_.node, options_.data_center);
   leader_->OnWorkers(listed_);
@@ -233,28 +247,41 @@
     leader_->OnKnownRuns(runs);
   }
   leader_->Start();
+  overload_ = OverloadDetector();
+  overload_check_due_ = base::MonotonicNow() + kOverloadCheckPeriod;
+  overload_timer_ =
+      deps_.loop.After(kOverloadCheckPeriod, [this] { CheckOverload(); });
   deps_.on_leading(true);
-  AnnounceYield(false);
+  Announce(true);
+}
+
+void Node::CheckOverload() {
+  const MonotonicTime now = base::MonotonicNow();
+  overload_.Observe(now, now - overload_check_due_);
+  overload_check_due_ = now + kOverloadCheckPeriod;
+  overload_timer_ =
+      deps_.loop.After(kOverloadCheckPeriod, [this] { CheckOverload(); });
+  // The load of this node alone is no reason to yield without followers.
+  leadership_->SetOverloaded(overload_.overloaded() && !agents_.empty());
 }
 
 void Node::StepDown() {
   base::Log(base::Event::kLeaderInactive, {{"node", options_.node.str()}});
+  overload_timer_.reset();
   deps_.on_leading(false);
   calls_.SetLeaderAvailable(false);
   // The GroupLeader is destroyed later, since its own callbacks call StepDown.
   deps_.loop.Post([old = std::shared_ptr<GroupLeader>(std::move(leader_))] {});
   // Followers close their channels when they receive the hello. Closing the
   // channels here would lose the hello.
-  AnnounceYield(true);
+  Announce(false);
   agents_.clear();
   reconnect_timer_ =
       deps_.loop.After(options_.reconnect_delay, [this] { Connect(); });
 }
 
-void Node::AnnounceYield(bool yielding) {
-  for (const auto& [channel, node] : peers_) {
-    channel->Send(MakeHello(!yielding));
-  }
+void Node::Announce(bool leading) {
+  for (const auto& [channel, node] : peers_) channel->Send(MakeHello(leading));
 }
 
 void Node::Accept(std::shared_ptr<Channel> channel) {
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -15,6 +15,7 @@
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/node/pending_calls.hpp"
 #include "dispatch/peer/channel.hpp"
+#include "dispatch/policy/overload.hpp"
 #include "dispatch/worker/agent.hpp"
 #include "mangospread/platform/table.hpp"
 
@@ -96,14 +97,16 @@
   /// the table.
   void NotifyFormerLeader();
   void StepDown();
+  /// Lets another node lead if this one cannot keep up.
+  void CheckOverload();
   void Accept(std::shared_ptr<Channel> channel);
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
   void OnPeerHello(const std::shared_ptr<Channel>& channel, const Hello& hello);
   void OnPeerClosed(const std::shared_ptr<Channel>& channel);
   void SendCommand(const NodeId& agent, AgentCommand command);
-  /// Tells all connected peers whether this node leads or lets another take
-  /// over.
-  void AnnounceYield(bool yielding);
+  /// Tells all connected peers whether this node leads, and if so, whether
+  /// another may take over.
+  void Announce(bool leading);
 
   void OnAgentEvent(AgentEvent event);
   [[nodiscard]] Hello MakeHello(bool leading) const;
@@ -114,6 +117,9 @@
   std::unique_ptr<Leadership> leadership_;
   ChannelListener listener_;
   std::unique_ptr<GroupLeader> leader_;
+  OverloadDetector overload_;
+  MonotonicTime overload_check_due_{0};
+  base::Timer overload_timer_;  ///< Active while this node leads.
   /// Accepted channels and the node at the other end, which is known once its
   /// hello has arrived.
   std::map<std::shared_ptr<Channel>, NodeId> peers_;
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <kj/debug.h>
 #include <kj/exception.h>
 
 #include <cstring>
@@ -19,6 +20,14 @@
   return {text.begin(), text.size()};
 }
 
+/// Converts a number to an enumerator. Throws kj::Exception for a number beyond
+/// the last one, which a damaged frame may contain.
+template <typename Enum>
+Enum ToEnum(std::uint8_t value, Enum last) {
+  KJ_REQUIRE(value <= static_cast<std::uint8_t>(last), "unknown enumerator");
+  return static_cast<Enum>(value);
+}
+
 // Nested structs.
 
 void Put(wire::Traits::Builder out, const RunTraits& traits) {
@@ -44,7 +53,8 @@
 
 EndedRun Get(wire::Ended::Reader in) {
   return {EndNumber(in.getNumber()), Str(in.getTask()), Attempt(in.getRun()),
-          static_cast<RunEnd>(in.getHow()), Str(in.getCheckpoint())};
+          ToEnum(in.getHow(), RunEnd::kGangIncomplete),
+          Str(in.getCheckpoint())};
 }
 
 void Put(wire::Running::Builder out, const RunningRun& running) {
@@ -127,6 +137,7 @@
   describe.setVm(command.vm.str());
   describe.setTask(command.task);
   describe.setRun(command.run.value());
+  describe.setPercent(command.percent);
   Put(describe.initTraits(), command.traits);
 }
 
@@ -181,7 +192,8 @@
       const auto describe = in.getDescribe();
       return Frame(AgentCommand(
           DescribeRun{VmName(Str(describe.getVm())), Str(describe.getTask()),
-                      Attempt(describe.getRun()), Get(describe.getTraits())}));
+                      Attempt(describe.getRun()), Get(describe.getTraits()),
+                      describe.getPercent()}));
     }
     case wire::Order::STOP: {
       const auto stop = in.getStop();
@@ -309,7 +321,7 @@
       return RunNotStarted{
           Str(in.getNotStarted().getTask()),
           Attempt(in.getNotStarted().getRun()),
-          static_cast<CommandOutcome>(in.getNotStarted().getOutcome())};
+          ToEnum(in.getNotStarted().getOutcome(), CommandOutcome::kUnknown)};
     case wire::Event::STARTED:
       return RunStarted{Str(in.getStarted().getTask()),
                         Attempt(in.getStarted().getRun())};
@@ -349,7 +361,7 @@
 CallFrame Get(wire::Call::Reader in) {
   CallFrame frame;
   frame.id = in.getId();
-  frame.call.verb = static_cast<ServiceVerb>(in.getKind());
+  frame.call.verb = ToEnum(in.getKind(), ServiceVerb::kPending);
   frame.call.submission = SubmissionId(Str(in.getSubmission()));
   frame.call.policy = {QueueName(Str(in.getQueue())),
                        ServiceName(Str(in.getService())),
@@ -373,8 +385,8 @@
 
 ReplyFrame Get(wire::Reply::Reader in) {
   return {in.getId(),
-          {static_cast<ServiceResult>(in.getResult()),
-           static_cast<SubmissionState>(in.getState()), in.getPending(),
+          {ToEnum(in.getResult(), ServiceResult::kUnknown),
+           ToEnum(in.getState(), SubmissionState::kCancelled), in.getPending(),
            Milliseconds(in.getRetryAfterMs())}};
 }
 
@@ -389,6 +401,7 @@
   leader.setIncarnation(hello.leader.incarnation.value());
   leader.setIp(hello.leader.address.ip);
   leader.setPort(hello.leader.address.port);
+  out.setYielding(hello.yielding);
 }
 
 Hello Get(wire::Hello::Reader in) {
@@ -402,18 +415,21 @@
            Incarnation(leader.getIncarnation()),
            {Str(leader.getIp()), leader.getPort()},
            Epoch(in.getEpoch()),
-           RowVersion()}};
+           RowVersion()},
+          in.getYielding()};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
   Put(out.initWorker(), reported.worker);
   Put(out.initRuns(static_cast<unsigned>(reported.runs.size())), reported.runs);
+  out.setUnreachable(reported.unreachable);
 }
 
 FormerLeaderRuns Get(wire::Remembered::Reader in) {
   FormerLeaderRuns reported;
   reported.worker = Get(in.getWorker());
   reported.runs = Get(in.getRuns());
+  reported.unreachable = in.getUnreachable();
   return reported;
 }
 
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -18,11 +18,12 @@
   NodeId node;
   Incarnation incarnation;
   Epoch epoch;           ///< Epoch of `leader`; 0 while none is known.
-  bool leading = false;  ///< The sender leads and does not yield.
+  bool leading = false;  ///< The sender leads.
   DataCenter data_center;
   /// The leader that the sender follows, or the sender itself if it leads. The
   /// node is empty while no leader is known.
   LeaderRecord leader;
+  bool yielding = false;  ///< The sender leads and another may take over.
 };
 
 /// A call that a follower forwards to the leader.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -13,6 +13,7 @@
   leading @3 :Bool;
   dataCenter @4 :Text;
   leader @5 :Leader;     # The leader that the sender follows or is.
+  yielding @6 :Bool;     # The sender leads and another node may take over.
 }
 
 struct Leader {
@@ -64,6 +65,7 @@
   task @1 :Text;
   run @2 :UInt64;
   traits @3 :Traits;
+  percent @4 :Int32 = 100;   # Share of full speed, for describe.
 }
 
 struct Acknowledge {
@@ -172,6 +174,7 @@
 struct Remembered {
   worker @0 :Worker;
   runs @1 :List(RunRef);
+  unreachable @2 :Bool;  # The worker did not reply to its last renewals.
 }
 
 struct Frame {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -143,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d85b1aefed21a000, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d85b1aefed21a000, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -423,6 +423,8 @@
   inline bool hasLeader() const;
   inline  ::mangospread::dispatch::wire::Leader::Reader getLeader() const;
 
+  inline bool getYielding() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -481,6 +483,9 @@
   inline void adoptLeader(::capnp::Orphan< ::mangospread::dispatch::wire::Leader>&& value);
   inline ::capnp::Orphan< ::mangospread::dispatch::wire::Leader> disownLeader();
 
+  inline bool getYielding();
+  inline void setYielding(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1118,8 @@
   inline bool hasTraits() const;
   inline  ::mangospread::dispatch::wire::Traits::Reader getTraits() const;
 
+  inline  ::int32_t getPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1165,6 +1172,9 @@
   inline void adoptTraits(::capnp::Orphan< ::mangospread::dispatch::wire::Traits>&& value);
   inline ::capnp::Orphan< ::mangospread::dispatch::wire::Traits> disownTraits();
 
+  inline  ::int32_t getPercent();
+  inline void setPercent( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2565,6 +2575,8 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
+  inline bool getUnreachable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2607,6 +2619,9 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> disownRuns();
 
+  inline bool getUnreachable();
+  inline void setUnreachable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2937,6 +2952,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::getYielding() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getYielding() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setYielding(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3774,6 +3803,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int32_t RunRef::Reader::getPercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 100);
+}
+
+inline  ::int32_t RunRef::Builder::getPercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 100);
+}
+inline void RunRef::Builder::setPercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 100);
+}
+
 inline bool Acknowledge::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5644,6 +5687,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Remembered::Reader::getUnreachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Remembered::Builder::getUnreachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Remembered::Builder::setUnreachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::mangospread::dispatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -60,6 +60,7 @@
   if (!runs_known_ || closed_) return std::nullopt;
   FormerLeaderRuns collected;
   collected.worker = assignment_.worker;
+  collected.unreachable = unreachable_reported_;
   for (const auto& [task, run] : runs_) {
     collected.runs.push_back({task, run.number});
   }
@@ -309,8 +310,11 @@
   Run& run = runs_[command.task];
   run.number = command.run;
   run.traits = command.traits;
-  run.described = true;
   if (run.progress_at.count() == 0) run.progress_at = base::MonotonicNow();
+  if (std::exchange(run.described, true) || !run.traits.best_effort) return;
+  // Another session may have throttled the run, even to a standstill.
+  run.requested_speed = command.percent;
+  SendThrottle({command.vm, command.task, command.run, command.percent});
 }
 
 void WorkerSession::Stop(const StopRun& command) {
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -59,6 +59,14 @@
       RoundTripCommand(ThrottleRun{VmName("w"), "t", Attempt(1), 40}).percent ==
       40);
   CHECK(RoundTripCommand(Release{VmName("w")}).vm == VmName("w"));
+  CHECK(RoundTripCommand(DescribeRun{VmName("w"), "t", Attempt(1), {}, 40})
+            .percent == 40);
+  CHECK(
+      RoundTrip<FormerLeaderRuns>(FormerLeaderRuns{{}, {}, true}).unreachable);
+  Hello hello;
+  hello.leading = hello.yielding = true;
+  CHECK(RoundTrip<Hello>(hello).leading);
+  CHECK(RoundTrip<Hello>(hello).yielding);
 
   const Attached attached = RoundTripEvent(Attached{
       WorkerIncarnation(1),
@@ -89,6 +97,44 @@
   CHECK(decoded_call.call.policy.stretch == 1.5);
 }
 
+// Guards against a damaged number that indexes a table out of bounds, such as
+// that of the names of states.
+TEST_CASE("frames with unknown enumerators are rejected") {
+  constexpr std::uint8_t kUnknown = 200;
+  CHECK_FALSE(
+      DecodeFrame(EncodeFrame(ReplyFrame{
+                      1, {static_cast<ServiceResult>(kUnknown), {}, 0, {}}}))
+          .ok());
+  CHECK_FALSE(DecodeFrame(EncodeFrame(ReplyFrame{
+                              1,
+                              {ServiceResult::kOk,
+                               static_cast<SubmissionState>(kUnknown),
+                               0,
+                               {}}}))
+                  .ok());
+  CHECK_FALSE(
+      DecodeFrame(
+          EncodeFrame(CallFrame{
+              1,
+              {static_cast<ServiceVerb>(kUnknown), SubmissionId("s"), {}, ""}}))
+          .ok());
+  CHECK_FALSE(
+      DecodeFrame(EncodeFrame(AgentEvent{
+                      VmName("w"), WorkerFence(1),
+                      RunNotStarted{"t", Attempt(1),
+                                    static_cast<CommandOutcome>(kUnknown)}}))
+          .ok());
+  CHECK_FALSE(DecodeFrame(EncodeFrame(AgentEvent{
+                              VmName("w"), WorkerFence(1),
+                              RunEnded{WorkerIncarnation(1),
+                                       {EndNumber(1),
+                                        "t",
+                                        Attempt(1),
+                                        static_cast<RunEnd>(kUnknown),
+                                        {}}}}))
+                  .ok());
+}
+
 // Guards against damaged bytes from a peer that crash the process.
 TEST_CASE("decoding a damaged frame does not crash") {
   const std::string valid_frame = EncodeFrame(
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -41,12 +41,14 @@
             },
             [this](const NodeId&, AgentCommand command) {
               if (auto* assignment = std::get_if<Assignment>(&command)) {
+                ++assignments;
                 fences[assignment->worker.vm] = assignment->fence;
               } else if (auto* start = std::get_if<StartRun>(&command)) {
                 starts.push_back(*start);
               }
             },
-            [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; }},
+            [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
+            [this] { return confirmed; }},
         GroupLeaderOptions());
     leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
     leader->Start();
@@ -104,7 +106,9 @@
   std::unique_ptr<GroupLeader> leader;
   std::map<VmName, WorkerFence> fences;
   std::vector<StartRun> starts;
+  int assignments = 0;
   int conflicts = 0;
+  bool confirmed = true;
   bool replied = false;
 };
 
@@ -157,6 +161,103 @@
   CHECK(starts.size() == 1);
 }
 
+// Guards against a second run of a task that the former leader started through
+// another agent, after the reporting agent had lost its connection to that
+// leader (previsur-cuotas-large, small trouble-1). The worker is slow to
+// attach.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a report about a worker that can be reached is not used") {
+  Lead(1);
+  ListWorkers({"w1", "w2"});
+  Attach("w1");
+  Attach("w2");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  const StartRun first = starts[0];
+  const char* other = first.vm == VmName("w1") ? "w2" : "w1";
+  starts.clear();
+  Lead(2);
+  ListWorkers({"w1", "w2"});
+  Attach(other);
+  FormerLeaderRuns outdated;
+  outdated.worker.vm = first.vm;
+  leader->OnKnownRuns(outdated);
+  RunFor(std::chrono::seconds(1));
+  CHECK(starts.empty());
+  Event(first.vm.str().c_str(), Attached{WorkerIncarnation(1),
+                                         1'000,
+                                         {},
+                                         {{first.task, first.run, {}, 10, 0}},
+                                         {}});
+  RunFor(std::chrono::seconds(1));
+  CHECK(starts.empty());
+}
+
+// Guards against work that waits for the lease of a worker that crashed before
+// the takeover.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a report about a worker that cannot be reached is used") {
+  Lead(1);
+  ListWorkers({"w1", "w2"});
+  Attach("w1");
+  Attach("w2");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  const StartRun first = starts[0];
+  const char* other = first.vm == VmName("w1") ? "w2" : "w1";
+  starts.clear();
+  const auto take_over = [&](std::uint64_t epoch) {
+    Lead(epoch);
+    ListWorkers({"w1", "w2"});
+    Attach(other);
+  };
+  FormerLeaderRuns idle;
+  idle.worker.vm = first.vm;
+  take_over(2);
+  leader->OnKnownRuns(idle);
+  Event(first.vm.str().c_str(), WorkerUnreachable{Milliseconds(0)});
+  RunFor(std::chrono::milliseconds(500));
+  CHECK(starts.size() == 1);
+  starts.clear();
+  take_over(3);
+  idle.unreachable = true;
+  leader->OnKnownRuns(idle);
+  RunFor(std::chrono::milliseconds(500));
+  CHECK(starts.size() == 1);
+}
+
+// Guards against a leader that takes the workers of a whole fleet for itself
+// when its agents follow the next leader (previsur-cuotas-large, small
+// trouble-1), and starts runs there of which that leader does not know.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a leader that may be replaced does not reassign at once") {
+  Lead(1);
+  ListWorkers({"w1", "w2"});
+  assignments = 0;
+  SUBCASE("it yields") { leader->SetYielding(true); }
+  SUBCASE("it was paused") { confirmed = false; }
+  leader->OnAgentDown(NodeId("agent"));
+  leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+  RunFor(std::chrono::seconds(1));
+  CHECK(assignments == 0);
+  RunFor(std::chrono::seconds(1));
+  CHECK(assignments == 2);
+}
+
+// Guards against starts by a process that was paused while another leader was
+// elected.
+TEST_CASE_FIXTURE(LeaderFixture, "an unconfirmed leader starts nothing") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  confirmed = false;
+  Call(ServiceVerb::kSubmit);
+  CHECK(starts.empty());
+  confirmed = true;
+  RunFor(std::chrono::milliseconds(500));
+  CHECK(starts.size() == 1);
+}
+
 // Guards against a takeover that waits for the lease of a worker on which
 // nothing can run, such as a drained worker that left shortly before.
 TEST_CASE_FIXTURE(LeaderFixture,
--- a/tests/unit/dispatch/leadership_test.cc
+++ b/tests/unit/dispatch/leadership_test.cc
@@ -106,6 +106,66 @@
   CHECK_FALSE(yielding);
 }
 
+// Guards against followers that leave a leader when the table refuses everyone,
+// so that the work of a whole fleet waits for the table.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a follower of a yielding leader waits for the table") {
+  fault = FaultyTable::Fault::kRefuse;
+  leadership.SetLeaderYielding(true);
+  RunFor(std::chrono::seconds(3));
+  CHECK_FALSE(leadership.leading());
+  fault = FaultyTable::Fault::kNone;
+  const auto heartbeat_timer = loop.Every(std::chrono::milliseconds(400), 0,
+                                          [this] { WriteHeartbeat(); });
+  RunFor(std::chrono::milliseconds(800));
+  leadership.SetLeaderYielding(false);
+  RunFor(std::chrono::seconds(3));
+  CHECK_FALSE(leadership.leading());
+}
+
+// Guards against a group that makes no progress while the table refuses
+// requests from the leader's VM only.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a connected follower replaces a yielding leader at once") {
+  leadership.SetLeaderYielding(true);
+  const MonotonicTime elapsed = TimeUntilLeading();
+  CHECK(leadership.leading());
+  CHECK(elapsed < LeadershipOptions().heartbeat_timeout);
+}
+
+// Guards against callers that wait until their deadlines for a leader that
+// cannot keep up but renews its heartbeat (previsur-cuotas-large scale-2).
+TEST_CASE_FIXTURE(FollowerFixture, "an overloaded leader yields") {
+  leadership.SetLeaderConnected(false);
+  RunFor(std::chrono::seconds(3));
+  REQUIRE(leadership.leading());
+  // It has not led for long.
+  leadership.SetOverloaded(true);
+  CHECK_FALSE(yielding);
+  RunFor(LeadershipOptions().min_tenure);
+  leadership.SetOverloaded(true);
+  CHECK(yielding);
+  leadership.SetOverloaded(false);
+  CHECK_FALSE(yielding);
+}
+
+// Guards against a process that acts as leader after a pause during which
+// another one may have been elected.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "leadership is confirmed by recent renewals only") {
+  leadership.SetLeaderConnected(false);
+  RunFor(std::chrono::seconds(3));
+  REQUIRE(leadership.leading());
+  CHECK(leadership.confirmed());
+  // While the table does not answer, the work goes on.
+  fault = FaultyTable::Fault::kRefuse;
+  RunFor(std::chrono::seconds(3));
+  CHECK(leadership.confirmed());
+  table_timer.reset();
+  RunFor(std::chrono::seconds(3));
+  CHECK_FALSE(leadership.confirmed());
+}
+
 // Guards against a new leader whose first write conflicts because the table
 // replied to its claim with the table's newest version instead of the row's
 // (scenario trouble-3, seed 11).
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -6,6 +6,7 @@
 #include "dispatch/leader/interference_row.hpp"
 #include "dispatch/policy/fill_guard.hpp"
 #include "dispatch/policy/order.hpp"
+#include "dispatch/policy/overload.hpp"
 #include "dispatch/policy/sharing_model.hpp"
 #include "dispatch/policy/worker_health.hpp"
 #include "unit/dispatch/dispatcher_fixture.hpp"
@@ -305,6 +306,28 @@
   CHECK(images[VmName("w2")].size() == 1);
 }
 
+// Replays the timers of a leader whose VM turns four times slower, and those of
+// one that is paused once.
+TEST_CASE("a process whose timers stay late is overloaded") {
+  using std::chrono::milliseconds;
+  OverloadDetector slow;
+  MonotonicTime now = milliseconds(1'000);
+  for (int i = 0; i < 3; ++i) {
+    slow.Observe(now += milliseconds(350), milliseconds(250));
+    CHECK_FALSE(slow.overloaded());
+  }
+  slow.Observe(now += milliseconds(350), milliseconds(250));
+  CHECK(slow.overloaded());
+  slow.Observe(now += milliseconds(100), milliseconds(0));
+  CHECK_FALSE(slow.overloaded());
+
+  OverloadDetector paused;
+  paused.Observe(now += milliseconds(5'000), milliseconds(4'900));
+  CHECK_FALSE(paused.overloaded());
+  paused.Observe(now += milliseconds(100), milliseconds(1));
+  CHECK_FALSE(paused.overloaded());
+}
+
 // Guards against a faulty submission that gets workers excluded.
 TEST_CASE("a worker is excluded only for failures of several submissions") {
   WorkerHealth health;
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -268,6 +268,21 @@
   }
 }
 
+// Guards against a best-effort task that another session has paused: nobody
+// lets it go on, and it is then stopped as stalled, which counts against the
+// worker (karaagac-travers-grown trouble-2).
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a best-effort run that is found gets its speed again") {
+  RunFor(Milliseconds(50));
+  DescribeRun found{VmName("w1"), "a.0.0.1", Attempt(1), {}, 60};
+  found.traits.best_effort = true;
+  session->Describe(found);
+  session->Describe(found);
+  DescribeRun urgent{VmName("w1"), "a.0.0.2", Attempt(1), {}, 100};
+  session->Describe(urgent);
+  CHECK(link->throttles == std::vector{60});
+}
+
 // Guards against a stalled task that makes its submission miss its target.
 TEST_CASE_FIXTURE(SessionFixture, "a run without progress is reported once") {
   RunFor(Milliseconds(50));
