--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -94,6 +94,27 @@
     return result;
   }
 
+  /// A run on one of two workers, and the other one.
+  struct PlacedOnOne {
+    StartRun run;
+    const char* busy;
+    const char* idle;
+  };
+
+  /// Leads, attaches the workers w1 and w2 and submits a task.
+  PlacedOnOne PlaceOnOneOfTwo() {
+    Lead(1);
+    ListWorkers({"w1", "w2"});
+    Attach("w1");
+    Attach("w2");
+    Call(ServiceVerb::kSubmit);
+    REQUIRE(starts.size() == 1);
+    const StartRun run = starts[0];
+    starts.clear();
+    const bool on_first = run.vm == VmName("w1");
+    return {run, on_first ? "w1" : "w2", on_first ? "w2" : "w1"};
+  }
+
   void RunFor(MonotonicTime time) {
     const auto stop = loop.After(time, [this] { loop.Stop(); });
     loop.Run();
@@ -169,15 +190,7 @@
 // attach.
 TEST_CASE_FIXTURE(LeaderFixture,
                   "a report about a worker that can be reached is not used") {
-  Lead(1);
-  ListWorkers({"w1", "w2"});
-  Attach("w1");
-  Attach("w2");
-  Call(ServiceVerb::kSubmit);
-  REQUIRE(starts.size() == 1);
-  const StartRun first = starts[0];
-  const char* other = first.vm == VmName("w1") ? "w2" : "w1";
-  starts.clear();
+  const auto [first, busy, other] = PlaceOnOneOfTwo();
   Lead(2);
   ListWorkers({"w1", "w2"});
   Attach(other);
@@ -199,25 +212,17 @@
 // the takeover.
 TEST_CASE_FIXTURE(LeaderFixture,
                   "a report about a worker that cannot be reached is used") {
-  Lead(1);
-  ListWorkers({"w1", "w2"});
-  Attach("w1");
-  Attach("w2");
-  Call(ServiceVerb::kSubmit);
-  REQUIRE(starts.size() == 1);
-  const StartRun first = starts[0];
-  const char* other = first.vm == VmName("w1") ? "w2" : "w1";
-  starts.clear();
+  const PlacedOnOne placed = PlaceOnOneOfTwo();
   const auto take_over = [&](std::uint64_t epoch) {
     Lead(epoch);
     ListWorkers({"w1", "w2"});
-    Attach(other);
+    Attach(placed.idle);
   };
   FormerLeaderRuns idle;
-  idle.worker.vm = first.vm;
+  idle.worker.vm = placed.run.vm;
   take_over(2);
   leader->OnKnownRuns(idle);
-  Event(first.vm.str().c_str(), WorkerUnreachable{Milliseconds(0)});
+  Event(placed.busy, WorkerUnreachable{Milliseconds(0)});
   RunFor(std::chrono::milliseconds(500));
   CHECK(starts.size() == 1);
   starts.clear();
@@ -280,14 +285,7 @@
 // nothing can run, such as a drained worker that left shortly before.
 TEST_CASE_FIXTURE(LeaderFixture,
                   "an idle worker that left is removed from the roster") {
-  Lead(1);
-  ListWorkers({"w1", "w2"});
-  Attach("w1");
-  Attach("w2");
-  Call(ServiceVerb::kSubmit);
-  REQUIRE(starts.size() == 1);
-  const char* busy = starts[0].vm == VmName("w1") ? "w1" : "w2";
-  const char* idle = starts[0].vm == VmName("w1") ? "w2" : "w1";
+  const auto [run, busy, idle] = PlaceOnOneOfTwo();
   ListWorkers({});
   Event(idle, WorkerUnreachable{Milliseconds(6'000)});
   Event(busy, WorkerUnreachable{Milliseconds(6'000)});
