Log the runs that are lost with their worker

The lines of a crash named task, worker and worker_ended only, which cannot tell a count that is missing from one that is lost or goes to the wrong task. Event 1821 run_lost names each run with its number, the confirmation of its start, its survival and earlier losses; runs_lost_total counts them. Reasons of removed workers become a type.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -212,6 +212,8 @@
                   counters.stalled);
       add_counter("workers_excluded_total", "Workers set aside for failures",
                   counters.excluded);
+      add_counter("runs_lost_total",
+                  "Runs that ended with their worker's process", counters.lost);
       add("submissions_active", "Submissions that have not ended", kGauge,
           static_cast<double>(leader->dispatcher().active()));
     }
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -278,6 +278,8 @@
       return {"settings_reloaded", Severity::kInfo};
     case Event::kRenewalFailed:
       return {"hold_failed", Severity::kInfo};
+    case Event::kRunLost:
+      return {"run_lost", Severity::kInfo};
     case Event::kLeaderYielding:
       return {"leader_yielding", Severity::kInfo};
     case Event::kWorkerListed:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -93,6 +93,7 @@
   kWorkerListed = 1819,
   kLeaderYielding = 1818,
   kRenewalFailed = 1820,
+  kRunLost = 1821,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -171,6 +171,12 @@
   entry.spec = &ref.spec();
 }
 
+void Dispatcher::Confirm(const TaskRef& ref, MonotonicTime now) {
+  PlacedRun& placed = registry_.at(ref.task->worker).runs.at(ref.name);
+  if (std::exchange(placed.start_confirmed, true)) return;
+  placed.confirmed_at = now;
+}
+
 void Dispatcher::ReleaseCapacity(const TaskRef& ref) {
   WorkerState& worker = registry_.at(ref.task->worker);
   if (worker.runs.erase(ref.name) > 0) worker.Remove(ref.spec());
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "dispatch/core/job.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/policy/fill_guard.hpp"
+#include "dispatch/policy/lost_run.hpp"
 #include "dispatch/policy/order.hpp"
 #include "dispatch/policy/placement.hpp"
 #include "dispatch/policy/worker_book.hpp"
@@ -35,10 +36,23 @@
   std::function<void(const TaskName&, const VmName&, std::string_view decision,
                      std::string_view reason)>
       log;
+  /// Logs a run that ended with the process of its worker.
+  std::function<void(const LostRun&, const VmName&)> log_lost;
 };
 
-/// Counts of starts, refused starts, ends by kind, requeues, stalls and worker
-/// exclusions since this dispatcher was created.
+/// Why nothing runs on a worker any more.
+enum class WorkerRemoval : unsigned char {
+  kProcessEnded,
+  kLeaseExpired,
+  kLeft,  ///< It left the list of workers and nothing runs on it.
+};
+
+/// Name for logs.
+[[nodiscard]] std::string_view RemovalName(WorkerRemoval removal) noexcept;
+
+/// Counts of starts, refused starts, ends by kind, requeues, stalls, worker
+/// exclusions and runs lost with their worker's process since this dispatcher
+/// was created.
 struct DispatcherCounters {
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
@@ -47,6 +61,7 @@
   std::uint64_t requeued = 0;
   std::uint64_t stalled = 0;
   std::uint64_t excluded = 0;
+  std::uint64_t lost = 0;
 };
 
 /// State of all submissions of a group and of the workers that run them.
@@ -109,9 +124,8 @@
   void AddUnconfirmedRuns(const VmName& vm, const std::vector<RunId>& runs,
                           MonotonicTime now);
   void OnEvent(const AgentEvent& event, MonotonicTime now);
-  /// Reports that the worker's process has terminated or its lease has expired.
-  /// Requeues its tasks with `reason`.
-  void OnWorkerRemoved(const VmName& vm, std::string_view reason,
+  /// Reports that nothing runs on the worker any more. Requeues its tasks.
+  void OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
                        MonotonicTime now);
 
   /// Starts pending tasks for which there is free capacity.
@@ -179,6 +193,9 @@
   void OnStarted(WorkerSlot slot, const RunStarted& event, MonotonicTime now);
   void OnStalled(WorkerSlot slot, const RunStalled& event, MonotonicTime now);
   void OnLoad(WorkerSlot slot, const WorkerLoad& load, MonotonicTime now);
+  /// Records the runs on a worker whose process has ended.
+  void OnProcessEnded(WorkerSlot slot);
+  [[nodiscard]] std::vector<LostRun> LostRuns(WorkerSlot slot) const;
   void AddFailure(const VmName& vm, const SubmissionId& id, MonotonicTime now);
   void Acknowledge(const VmName& vm, WorkerIncarnation incarnation);
 
@@ -186,6 +203,8 @@
   Entry* FindEntry(const SubmissionId& id);
   void ReserveCapacity(const TaskRef& ref, WorkerSlot slot,
                        const PlacedRun& placed);
+  /// Records that a placed run was accepted or listed by its worker.
+  void Confirm(const TaskRef& ref, MonotonicTime now);
   /// Releases the capacity that a run reserves on its worker.
   void ReleaseCapacity(const TaskRef& ref);
   /// Handles the end of a run without a result: the task is pending again.
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -22,11 +22,29 @@
 
 }  // namespace
 
+std::string_view RemovalName(WorkerRemoval removal) noexcept {
+  switch (removal) {
+    case WorkerRemoval::kProcessEnded:
+      return "worker_ended";
+    case WorkerRemoval::kLeaseExpired:
+      return "lease_over";
+    case WorkerRemoval::kLeft:
+      return "left_idle";
+  }
+  return "unknown";
+}
+
 void Dispatcher::OnWorker(const WorkerInfo& info) { registry_.Upsert(info); }
 
 void Dispatcher::OnEvent(const AgentEvent& event, MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(event.vm);
   if (slot == kNoWorker) return;
+  const bool shows_running =
+      !std::holds_alternative<WorkerUnreachable>(event.details) &&
+      !std::holds_alternative<WorkerSuperseded>(event.details) &&
+      !std::holds_alternative<WorkerEnded>(event.details) &&
+      !std::holds_alternative<Attached>(event.details);
+  if (shows_running) registry_.at(slot).heard_at = now;
   std::visit(
       base::Overloaded{
           [&](const Attached& attached) { OnAttached(slot, attached, now); },
@@ -45,7 +63,7 @@
             registry_.at(slot).attached = false;
           },
           [&](const WorkerEnded& /*ended*/) {
-            OnWorkerRemoved(event.vm, "worker_ended", now);
+            OnWorkerRemoved(event.vm, WorkerRemoval::kProcessEnded, now);
           },
           [&](const WorkerLoad& load) { OnLoad(slot, load, now); }},
       event.details);
@@ -54,7 +72,12 @@
 void Dispatcher::OnAttached(WorkerSlot slot, const Attached& attached,
                             MonotonicTime now) {
   WorkerState& worker = registry_.at(slot);
+  const bool restarted = worker.incarnation != WorkerIncarnation() &&
+                         worker.incarnation != attached.incarnation;
+  if (restarted) OnProcessEnded(slot);
   worker.attached = true;
+  worker.incarnation = attached.incarnation;
+  worker.heard_at = now;
   for (const EndedRun& end : attached.ended) {
     OnEnded(slot, attached.incarnation, end, now);
   }
@@ -104,6 +127,7 @@
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
+  Confirm(*ref, now);
   const PlacedRun& placed = registry_.at(slot).runs.at(ref->name);
   hooks_.send(DescribeRun{vm, running.task, running.run, TraitsOf(ref->spec()),
                           placed.percent});
@@ -249,7 +273,9 @@
 void Dispatcher::OnStarted(WorkerSlot slot, const RunStarted& event,
                            MonotonicTime now) {
   const auto ref = FindRun(slot, event.task, event.run);
-  if (!ref || ref->task->phase != TaskPhase::kStarting) return;
+  if (!ref) return;
+  Confirm(*ref, now);
+  if (ref->task->phase != TaskPhase::kStarting) return;
   ref->job().SetPhase(ref->index, TaskPhase::kRunning, now);
 }
 
@@ -340,13 +366,43 @@
   }
 }
 
-void Dispatcher::OnWorkerRemoved(const VmName& vm, std::string_view reason,
+std::vector<LostRun> Dispatcher::LostRuns(WorkerSlot slot) const {
+  const WorkerState& worker =
+      registry_.workers()[static_cast<std::size_t>(slot)];
+  std::vector<LostRun> lost;
+  for (const auto& [name, placed] : worker.runs) {
+    Job& job = *entries_.at(name.submission).job;
+    const Task& task = *job.Find(*job.IndexOf(name));
+    LostRun run;
+    run.task = name;
+    run.run = placed.run;
+    run.start_confirmed = placed.start_confirmed;
+    if (run.start_confirmed) {
+      run.survived =
+          std::max(MonotonicTime(0), worker.heard_at - placed.confirmed_at);
+    }
+    run.earlier_losses = static_cast<int>(task.lost_runs.size());
+    lost.push_back(std::move(run));
+  }
+  return lost;
+}
+
+void Dispatcher::OnProcessEnded(WorkerSlot slot) {
+  for (const LostRun& lost : LostRuns(slot)) {
+    hooks_.log_lost(lost, registry_.at(slot).info.vm);
+    ++counters_.lost;
+    FindTask(lost.task)->task->lost_runs.push_back(lost.run);
+  }
+}
+
+void Dispatcher::OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
                                  MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(vm);
   if (slot == kNoWorker) return;
+  if (removal == WorkerRemoval::kProcessEnded) OnProcessEnded(slot);
   while (!registry_.at(slot).runs.empty()) {
-    Requeue(*FindTask(TaskName(registry_.at(slot).runs.begin()->first)), reason,
-            now);
+    Requeue(*FindTask(TaskName(registry_.at(slot).runs.begin()->first)),
+            RemovalName(removal), now);
   }
   health_.Discard(vm);
   ledger_.Discard(vm);
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -30,6 +30,8 @@
   std::uint32_t run = 0;
   /// Runs that count as failed attempts.
   std::vector<std::uint32_t> failed_runs;
+  /// Runs that were lost with the process of their worker.
+  std::vector<std::uint32_t> lost_runs;
   MonotonicTime since{0};  ///< Start of the phase.
   std::string checkpoint;
 
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -71,6 +71,7 @@
                      std::string_view decision, std::string_view reason) {
     LogDecision(name, vm, decision, reason);
   };
+  hooks.log_lost = &GroupLeader::LogLost;
   const MonotonicTime unix_epoch =
       base::MonotonicNow() - std::chrono::nanoseconds(base::WallNanoseconds());
   dispatcher_ =
@@ -89,6 +90,18 @@
                                        {"reason", reason}});
 }
 
+void GroupLeader::LogLost(const LostRun& lost, const VmName& vm) {
+  base::Log(
+      base::Event::kRunLost,
+      {{"request", lost.task.submission.str()},
+       {"task", ToString(lost.task)},
+       {"run", lost.run},
+       {"vm", vm.str()},
+       {"start_confirmed", lost.start_confirmed},
+       {"survived_ms", duration_cast<milliseconds>(lost.survived).count()},
+       {"earlier_losses", lost.earlier_losses}});
+}
+
 // Loading.
 
 void GroupLeader::Start() {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -172,7 +172,7 @@
   void Unassign(WorkerEntry& entry);
   void MoveWorkers();
   /// Removes a worker that has terminated or whose lease has expired.
-  void RemoveWorker(const VmName& vm, std::string_view reason);
+  void RemoveWorker(const VmName& vm, WorkerRemoval removal);
   /// Removes workers that left the list and on which nothing can run.
   void RemoveIdleWorkers();
   /// Gives agents time to attach workers before the reported runs are used: the
@@ -197,6 +197,7 @@
   void Tick();
   void LogDecision(const TaskName& name, const VmName& vm,
                    std::string_view decision, std::string_view reason) const;
+  static void LogLost(const LostRun& lost, const VmName& vm);
 
   GroupLeaderDependencies deps_;
   GroupLeaderOptions options_;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -246,7 +246,7 @@
                                          {"vm", event.vm.str()}});
     return deps_.on_conflict();
   } else if (std::holds_alternative<WorkerEnded>(event.details)) {
-    RemoveWorker(event.vm, "worker_ended");
+    RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
     dispatcher_->OnEvent(event, now);
   }
@@ -317,15 +317,15 @@
             {{"vm", vm.str()}, {"remembered_runs", known.runs.size()}});
 }
 
-void GroupLeader::RemoveWorker(const VmName& vm, std::string_view reason) {
+void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
   base::Log(base::Event::kWorkerRemoved,
-            {{"vm", vm.str()}, {"reason", reason}});
+            {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
   const auto it = workers_.find(vm);
   if (it != workers_.end()) {
     Unassign(it->second);
     workers_.erase(it);
   }
-  dispatcher_->OnWorkerRemoved(vm, reason, base::MonotonicNow());
+  dispatcher_->OnWorkerRemoved(vm, removal, base::MonotonicNow());
   unresolved_.erase(vm);
   CheckResume();
   if (listed_.contains(vm) && InRoster(vm)) {
@@ -358,7 +358,7 @@
       idle.push_back(vm);
     }
   }
-  for (const VmName& vm : idle) RemoveWorker(vm, "left_idle");
+  for (const VmName& vm : idle) RemoveWorker(vm, WorkerRemoval::kLeft);
 }
 
 void GroupLeader::Tick() {
@@ -371,7 +371,8 @@
       expired.push_back(vm);
     }
   }
-  for (const VmName& vm : expired) RemoveWorker(vm, "lease_over");
+  for (const VmName& vm : expired)
+    RemoveWorker(vm, WorkerRemoval::kLeaseExpired);
   RemoveIdleWorkers();
   // Workers of former leaders that no agent has attached and whose lease has
   // expired.
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -27,6 +27,9 @@
   /// not.
   MonotonicTime above_target_since{0};
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
+  /// The worker accepted the start or listed the run.
+  bool start_confirmed = false;
+  MonotonicTime confirmed_at{0};  ///< 0 without a confirmation.
   /// Reported by an agent of a former leader, but not listed by the worker
   /// itself.
   bool unconfirmed = false;
@@ -56,9 +59,11 @@
 /// is not known to have ended.
 struct WorkerState {
   WorkerInfo info;
-  bool attached = false;   ///< An agent is connected to it.
-  bool slot_free = false;  ///< The slot is free for another worker.
-  Millicores cpu_used;     ///< Reserved by tasks that are not best effort.
+  bool attached = false;          ///< An agent is connected to it.
+  WorkerIncarnation incarnation;  ///< Default before the first attachment.
+  MonotonicTime heard_at{0};      ///< Last event that shows it running.
+  bool slot_free = false;         ///< The slot is free for another worker.
+  Millicores cpu_used;  ///< Reserved by tasks that are not best effort.
   /// The part of cpu_used reserved by long-running tasks, which serve requests.
   Millicores latency_critical_cpu;
   Millicores best_effort_cpu;  ///< Requested by best-effort tasks.
--- a/tests/unit/dispatch/dispatcher_fixture.hpp
+++ b/tests/unit/dispatch/dispatcher_fixture.hpp
@@ -27,6 +27,7 @@
     hooks.first_start = [](MonotonicTime) {};
     hooks.log = [](const TaskName&, const VmName&, std::string_view,
                    std::string_view) {};
+    hooks.log_lost = [](const LostRun&, const VmName&) {};
     return hooks;
   }
 
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -89,7 +89,7 @@
   AddWorker("w2");
   Event("w1", WorkerUnreachable{Milliseconds(5'000)});
   CHECK(Decide().empty());
-  dispatcher.OnWorkerRemoved(VmName("w1"), "lease_over", now);
+  dispatcher.OnWorkerRemoved(VmName("w1"), WorkerRemoval::kLeaseExpired, now);
   const auto restarts = Decide();
   REQUIRE(restarts.size() == 1);
   CHECK(restarts[0].vm == VmName("w2"));
@@ -199,7 +199,8 @@
   const auto starts = fixture.Decide();
   REQUIRE(starts.size() == 1);
   CHECK(starts[0].task == "a.0.0.1");
-  fixture.dispatcher.OnWorkerRemoved(VmName("w0"), "lease_over", fixture.now);
+  fixture.dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired,
+                                     fixture.now);
   CHECK(fixture.Decide().size() == 1);
 }
 
@@ -225,7 +226,8 @@
                                {{"a.0.0.0", Attempt(2), {}, 40, 0}},
                                {}});
   CHECK(fixture.TakeCommands<StopRun>().empty());
-  fixture.dispatcher.OnWorkerRemoved(VmName("w0"), "lease_over", fixture.now);
+  fixture.dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired,
+                                     fixture.now);
   fixture.dispatcher.Resume();
   CHECK(fixture.Decide().empty());
 }
