--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -2,6 +2,7 @@
 // workers and the operator's configuration. A test sets faults of the store
 // through POST /standin/faults, and faults of a worker or of the connections to
 // it through POST /standin/worker.
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -54,7 +55,10 @@
     store_.Put("op", "", "config", Configuration(1, false));
     for (int i = 1; i <= worker_count; ++i) {
       workers_.push_back(std::make_unique<ProxiedWorker>(
-          loop, "w" + std::to_string(i), record_));
+          loop, "w" + std::to_string(i), record_,
+          [this](ProxiedWorker& proxied, AfterCrash after) {
+            Crash(proxied, after);
+          }));
       ProxiedWorker& proxied = *workers_.back();
       const auto target = ParseAddress(proxied.worker.Listen());
       const auto bound = proxied.proxy.Listen({"127.0.0.1", 0});
@@ -80,8 +84,13 @@
  private:
   /// A worker and the proxy through which the node reaches it.
   struct ProxiedWorker {
-    ProxiedWorker(base::EventLoop& loop, std::string id, SiteRecord& record)
-        : worker(loop, std::move(id), record), proxy(loop) {}
+    ProxiedWorker(base::EventLoop& loop, std::string id, SiteRecord& record,
+                  std::function<void(ProxiedWorker&, AfterCrash)> on_crash)
+        : worker(loop, std::move(id), record,
+                 [this, on_crash = std::move(on_crash)](AfterCrash after) {
+                   on_crash(*this, after);
+                 }),
+          proxy(loop) {}
     SiteWorker worker;
     Proxy proxy;
     std::string address;
@@ -101,6 +110,19 @@
                                {"labels", json::array({"a", "r1"})}}));
   }
 
+  /// Crashes the worker and restarts it at once.
+  void Crash(ProxiedWorker& proxied, AfterCrash after) {
+    std::string id = proxied.worker.id();
+    if (after == AfterCrash::kNewId) {
+      store_.Remove("servers", "", id);
+      id = "w" + std::to_string(workers_.size() + ++replaced_workers_);
+    }
+    const auto target = ParseAddress(proxied.worker.Crash(std::move(id)));
+    if (target.ok()) proxied.proxy.SetTarget(target.value());
+    proxied.proxy.CloseAll();
+    if (after == AfterCrash::kNewId) Register(proxied, "ready");
+  }
+
   /// Injects a fault or changes the worker's state. The body is {"worker":
   /// index, "what": "crash", "cut", "silence", "draining", "ready" or "faults"
   /// with the proxy's "faults"}.
@@ -115,9 +137,7 @@
     const std::string fault = body.value().value("what", "");
     Faults faults;
     if (fault == "crash") {
-      const auto target = ParseAddress(proxied.worker.Crash());
-      if (target.ok()) proxied.proxy.SetTarget(target.value());
-      proxied.proxy.CloseAll();
+      Crash(proxied, AfterCrash::kSameId);
     } else if (fault == "cut") {
       proxied.proxy.CloseAll();
     } else if (fault == "silence") {
@@ -163,12 +183,14 @@
                               {"overloads", record_.overloads},
                               {"lapses", record_.expired_runs},
                               {"started", record_.started},
+                              {"crashes", record_.crashes},
                               {"workers", std::move(workers)}}));
   }
 
   SiteRecord record_;
   SiteStore store_;
   std::vector<std::unique_ptr<ProxiedWorker>> workers_;
+  std::size_t replaced_workers_ = 0;  ///< Workers that got a new id.
 };
 
 }  // namespace
--- a/standin/site/store.cc
+++ b/standin/site/store.cc
@@ -81,6 +81,13 @@
   RespondToPendingFeeds();
 }
 
+void SiteStore::Remove(const std::string& table, const std::string& part,
+                       const std::string& key) {
+  ++version_;
+  Apply({table, part, key}, nullptr);
+  RespondToPendingFeeds();
+}
+
 json SiteStore::EncodeRow(const RowId& id, const StoredRow& row) {
   return {{"table", id.table},
           {"part", id.part},
--- a/standin/site/store.hpp
+++ b/standin/site/store.hpp
@@ -26,6 +26,9 @@
   /// Writes a row unconditionally, as the operator or a worker does.
   void Put(const std::string& table, const std::string& part,
            const std::string& key, const std::string& value);
+  /// Removes a row, as a worker that left does.
+  void Remove(const std::string& table, const std::string& part,
+              const std::string& key);
 
   /// Rejects every call with status 503 while `down`.
   void SetDown(bool down) { down_ = down; }
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -25,10 +25,11 @@
 }  // namespace
 
 SiteWorker::SiteWorker(base::EventLoop& loop, std::string id,
-                       SiteRecord& record)
+                       SiteRecord& record, OnCrash on_crash)
     : loop_(loop),
       id_(std::move(id)),
       record_(record),
+      on_crash_(std::move(on_crash)),
       incarnation_(base::WallNanoseconds() / kNanosecondsPerMillisecond),
       lease_timer_(loop.Every(std::chrono::milliseconds(50), 0, [this] {
         if (lease_end_ms_ == 0 || ClockMs() <= lease_end_ms_) return;
@@ -105,6 +106,7 @@
   record_.started.insert(task.substr(0, task.find('.')));
   max_run_[task] = run;
   const std::string spec = body.at("spec");
+  if (CrashBy(task, spec)) return;
   const int requested_ms = std::atoi(spec.c_str());
   const Milliseconds duration(requested_ms > 0 ? requested_ms : kDefaultTaskMs);
   Run& entry = running_[task];
@@ -119,6 +121,17 @@
   ReplyJson(*exchange, kOk, base::DumpJson({{"clock-ms", ClockMs()}}));
 }
 
+bool SiteWorker::CrashBy(const std::string& task, const std::string& spec) {
+  if (spec != "crash" && spec != "crash-new-id") return false;
+  ++record_.crashes[task];
+  --record_.running[task];
+  const auto after = spec == "crash" ? AfterCrash::kSameId : AfterCrash::kNewId;
+  // The server cannot be replaced while it handles a request.
+  crash_timer_ =
+      loop_.After(Milliseconds(0), [this, after] { on_crash_(after); });
+  return true;
+}
+
 void SiteWorker::HandleStop(const Exchange& exchange, const json& body) {
   const std::string task = body.at("task");
   const auto run = body.at("run").get<std::uint64_t>();
@@ -147,7 +160,8 @@
           {"running", running_.size()}};
 }
 
-std::string SiteWorker::Crash() {
+std::string SiteWorker::Crash(std::string id) {
+  id_ = std::move(id);
   for (const auto& [task, run] : running_) --record_.running[task];
   running_.clear();
   max_run_.clear();
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -32,20 +33,35 @@
   std::set<std::string> acknowledged_done;
   /// Submissions of which at least one task was started.
   std::set<std::string> started;
+  /// Number of workers that each task has crashed.
+  std::map<std::string, int> crashes;
+};
+
+/// What a worker does after a task has crashed it.
+enum class AfterCrash : unsigned char {
+  kSameId,  ///< It restarts under its id.
+  kNewId,   ///< Another worker starts in its place.
 };
 
 /// One worker. It runs each task for the number of milliseconds in its spec, or
 /// for 200 ms if the spec has none; tasks with the spec "fail" end as failed.
+/// Tasks with the spec "crash" or "crash-new-id" crash the worker before it
+/// replies to their start.
 class SiteWorker {
  public:
-  SiteWorker(base::EventLoop& loop, std::string id, SiteRecord& record);
+  /// Called in a later event after a task has crashed the worker.
+  using OnCrash = std::function<void(AfterCrash)>;
+
+  SiteWorker(base::EventLoop& loop, std::string id, SiteRecord& record,
+             OnCrash on_crash);
 
   /// @return the bound address; empty on failure.
   [[nodiscard]] std::string Listen();
-  /// Simulates a crash and a restart under the same id, without any state and
-  /// at another address. Pending requests are lost.
+  /// Simulates a crash and a restart without any state and at another address.
+  /// Pending requests are lost.
+  /// @param id id after the restart.
   /// @return the new address.
-  std::string Crash();
+  std::string Crash(std::string id);
   /// State of the worker, for the analysis of a failed test.
   [[nodiscard]] nlohmann::json Describe() const;
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
@@ -64,6 +80,8 @@
   void HandleRenewal(const Exchange& exchange, const nlohmann::json& body);
   void RespondToRenewals();
   void RespondToRenewal(const Exchange& exchange);
+  /// Handles a task that crashes the worker. Returns false for other tasks.
+  bool CrashBy(const std::string& task, const std::string& spec);
   void End(const std::string& task, const char* end_kind);
   void UpdateLease(const nlohmann::json& body);
   /// Time of the monotonic clock in milliseconds.
@@ -77,6 +95,8 @@
   base::EventLoop& loop_;
   std::string id_;
   SiteRecord& record_;
+  OnCrash on_crash_;
+  base::Timer crash_timer_;
   std::unique_ptr<net::HttpServer> server_;
   /// Highest fencing token received; requests with a lower one are rejected.
   std::uint64_t fence_ = 0;
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -11,6 +11,17 @@
 
 constexpr int kOk = 200;
 
+std::string SubmissionBody(const std::string& spec, int tasks,
+                           int estimate_ms) {
+  const nlohmann::json body = {{"spec", spec},
+                               {"steps",
+                                {{{"count", tasks},
+                                  {"cpu", 1'000},
+                                  {"mem-mb", 10},
+                                  {"estimate-ms", estimate_ms}}}}};
+  return body.dump();
+}
+
 }  // namespace
 
 std::string SubmissionIdOf(int submission) {
@@ -78,13 +89,15 @@
 
 Response ManagedCluster::Submit(std::size_t node, int submission, int tasks,
                                 int task_ms) {
-  const nlohmann::json body = {{"spec", std::to_string(task_ms)},
-                               {"steps",
-                                {{{"count", tasks},
-                                  {"cpu", 1'000},
-                                  {"mem-mb", 10},
-                                  {"estimate-ms", task_ms}}}}};
-  return SendRequest(node, net::Method::kPost, submission, body.dump());
+  return SendRequest(node, net::Method::kPost, submission,
+                     SubmissionBody(std::to_string(task_ms), tasks, task_ms));
+}
+
+Response ManagedCluster::SubmitCrashing(std::size_t node, int submission,
+                                        const std::string& spec) {
+  constexpr int kEstimateMs = 200;
+  return SendRequest(node, net::Method::kPost, submission,
+                     SubmissionBody(spec, 1, kEstimateMs));
 }
 
 std::string ManagedCluster::GetState(std::size_t node, int submission) {
@@ -101,7 +114,7 @@
   const Response response = Get(platform_.address("http"), "/standin/record");
   const auto json = nlohmann::json::parse(response.body);
   return {json["starts"],    json["done"],   json["overlaps"], json["repeats"],
-          json["overloads"], json["lapses"], json["started"]};
+          json["overloads"], json["lapses"], json["started"],  json["crashes"]};
 }
 
 }  // namespace mangospread::testing
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -2,6 +2,7 @@
 /// Managed nodes of a test and the stand-in for their platform.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,6 +22,7 @@
   int overloads = 0;     ///< Starts that would exceed the capacity of a worker.
   int expired_runs = 0;  ///< Runs ended by a worker whose lease expired.
   std::set<std::string> started;  ///< Ids of submissions of which a task ran.
+  std::map<std::string, int> crashes;  ///< Workers that each task has crashed.
 };
 
 /// Id of the submission with the given number: 16 hexadecimal digits.
@@ -57,6 +59,11 @@
   /// Submits one step of `tasks` tasks, each of which runs for `task_ms`
   /// milliseconds.
   Response Submit(std::size_t node, int submission, int tasks, int task_ms);
+  /// Submits one task that crashes the worker which starts it.
+  /// @param spec "crash", after which the worker restarts under its id, or
+  ///   "crash-new-id", after which another one starts in its place.
+  Response SubmitCrashing(std::size_t node, int submission,
+                          const std::string& spec);
   /// The state of a submission as returned by a node; empty if the request
   /// fails.
   [[nodiscard]] std::string GetState(std::size_t node, int submission);
