Give up tasks that crash their workers

Cause: a run that ends with its worker's process lists no end, and only listed ends count as attempts. The run was pending again as if it had never started, under every leader. Class: an end that nobody reports is not accounted for.

A run that had just started when the worker fell silent is suspected; the others only if there is none. A suspected task starts apart from other starts, so the next crash names it: suspected before and alone, it is given up, any task after four losses. Losses are stored with the progress; agents tell a new leader which runs had just started and which workers have ended. Agents report a silent worker at once, so it gets no starts that would wait for its end. A drained worker's end and a lapsed lease of a run at work are no crashes, and a run that worked for 10 s clears its task. A worker missing from the list is no longer the same as one that drains.

One check is replaced: the runs that a session reports for an ended worker were empty, now they are reported as ended.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -214,6 +214,9 @@
                   counters.excluded);
       add_counter("runs_lost_total",
                   "Runs that ended with their worker's process", counters.lost);
+      add_counter("tasks_given_up_total",
+                  "Tasks not started again since they crash workers",
+                  counters.given_up);
       add("submissions_active", "Submissions that have not ended", kGauge,
           static_cast<double>(leader->dispatcher().active()));
     }
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -172,9 +172,10 @@
 }
 
 void Dispatcher::Confirm(const TaskRef& ref, MonotonicTime now) {
-  PlacedRun& placed = registry_.at(ref.task->worker).runs.at(ref.name);
+  WorkerState& worker = registry_.at(ref.task->worker);
+  PlacedRun& placed = worker.runs.at(ref.name);
   if (std::exchange(placed.start_confirmed, true)) return;
-  placed.confirmed_at = now;
+  if (ref.task->suspected()) worker.trial_until = now + kStartTrial;
 }
 
 void Dispatcher::ReleaseCapacity(const TaskRef& ref) {
@@ -221,7 +222,8 @@
 
 void Dispatcher::DrainWorkers(MonotonicTime now) {
   for (const WorkerState& worker : registry_.workers()) {
-    if (worker.slot_free || !worker.attached || !worker.info.draining) continue;
+    if (worker.slot_free || !worker.attached || !worker.info.leaving())
+      continue;
     const std::map<TaskName, PlacedRun> runs = worker.runs;
     for (const auto& [name, placed] : runs) {
       const auto ref = FindTask(name);
@@ -251,9 +253,11 @@
   std::vector<RunId> runs = ledger_.Unsettled(vm);
   const WorkerSlot slot = registry_.Find(vm);
   if (slot == kNoWorker) return runs;
-  for (const auto& [name, placed] :
-       registry_.workers()[static_cast<std::size_t>(slot)].runs) {
-    runs.push_back({ToString(name), Attempt(placed.run)});
+  const WorkerState& worker =
+      registry_.workers()[static_cast<std::size_t>(slot)];
+  for (const auto& [name, placed] : worker.runs) {
+    runs.push_back({ToString(name), Attempt(placed.run),
+                    JustStarted(ExposureOf(worker, placed))});
   }
   return runs;
 }
@@ -327,7 +331,7 @@
 }
 
 StepPlacer Dispatcher::MakePlacer(const Entry& entry, int step,
-                                  MonotonicTime now) const {
+                                  MonotonicTime now, PlacementGoal goal) const {
   const StepSpec& spec =
       entry.job->steps()[static_cast<std::size_t>(step)].spec;
   return {registry_,
@@ -337,7 +341,8 @@
           [&entry, step](WorkerSlot slot) {
             return TasksOfStep(entry, step, slot);
           },
-          now};
+          now,
+          goal};
 }
 
 void Dispatcher::LogPending(const Candidate& candidate,
@@ -382,13 +387,34 @@
          FreeShare(entry.job->policy().service, now) > kScarceCapacityShare;
 }
 
+void Dispatcher::PlaceSuspected(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  const auto& tasks =
+      entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
+  for (std::size_t t = 0; t < tasks.size(); ++t) {
+    if (tasks[t].phase != TaskPhase::kPending || !tasks[t].suspected()) {
+      continue;
+    }
+    // A worker on trial accepts no start, so the placer cannot be reused.
+    const Placement place =
+        MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
+            .Next();
+    if (place.worker == kNoWorker) return LogPending(candidate, place.reason);
+    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
+          NextRun(tasks[t]), now);
+  }
+}
+
 bool Dispatcher::PlaceStep(const Candidate& candidate, MonotonicTime now) {
+  PlaceSuspected(candidate, now);
   Entry& entry = *candidate.entry;
   const auto& tasks =
       entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
   StepPlacer placer = MakePlacer(entry, candidate.step, now);
   for (std::size_t t = 0; t < tasks.size(); ++t) {
-    if (tasks[t].phase != TaskPhase::kPending) continue;
+    if (tasks[t].phase != TaskPhase::kPending || tasks[t].suspected()) {
+      continue;
+    }
     const Placement place = placer.Next();
     if (place.worker == kNoWorker) {
       LogPending(candidate, place.reason);
@@ -410,7 +436,12 @@
   }
   std::vector<WorkerSlot> slots;
   std::uint32_t run = 0;
-  StepPlacer placer = MakePlacer(entry, candidate.step, now);
+  const bool suspected =
+      std::any_of(step.tasks.begin(), step.tasks.end(),
+                  [](const Task& task) { return task.suspected(); });
+  StepPlacer placer = MakePlacer(
+      entry, candidate.step, now,
+      suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost);
   for (Task& task : step.tasks) {
     const Placement place = placer.Next();
     const WorkerSlot slot = place.worker;
@@ -449,6 +480,9 @@
   PlacedRun placed;
   placed.run = run;
   placed.start_number = ++worker.starts_issued;
+  placed.started_at = now;
+  worker.last_start = now;
+  if (ref.task->suspected()) worker.trial_until = now + kStartTrial;
   ReserveCapacity(ref, slot, placed);
   if (job.state() == SubmissionState::kQueued) {
     hooks_.first_start(now - job.accepted_at());
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -51,8 +51,8 @@
 [[nodiscard]] std::string_view RemovalName(WorkerRemoval removal) noexcept;
 
 /// Counts of starts, refused starts, ends by kind, requeues, stalls, worker
-/// exclusions and runs lost with their worker's process since this dispatcher
-/// was created.
+/// exclusions, runs lost with their worker and tasks given up for crashing
+/// workers since this dispatcher was created.
 struct DispatcherCounters {
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
@@ -62,6 +62,7 @@
   std::uint64_t stalled = 0;
   std::uint64_t excluded = 0;
   std::uint64_t lost = 0;
+  std::uint64_t given_up = 0;
 };
 
 /// State of all submissions of a group and of the workers that run them.
@@ -120,7 +121,8 @@
   /// Adds a worker or updates its registration. Work on a worker that left the
   /// list counts until its end is certain.
   void OnWorker(const WorkerInfo& info);
-  /// Counts runs as placed on a worker that cannot be queried at present.
+  /// Counts runs as placed on a worker that cannot be queried at present, or
+  /// whose process has ended.
   void AddUnconfirmedRuns(const VmName& vm, const std::vector<RunId>& runs,
                           MonotonicTime now);
   void OnEvent(const AgentEvent& event, MonotonicTime now);
@@ -193,9 +195,13 @@
   void OnStarted(WorkerSlot slot, const RunStarted& event, MonotonicTime now);
   void OnStalled(WorkerSlot slot, const RunStalled& event, MonotonicTime now);
   void OnLoad(WorkerSlot slot, const WorkerLoad& load, MonotonicTime now);
-  /// Records the runs on a worker whose process has ended.
-  void OnProcessEnded(WorkerSlot slot);
+  /// Handles the loss of all runs on a worker: gives up tasks that crash their
+  /// workers.
+  /// @param process_ended false if the worker may only have been unreachable.
+  void OnRunsLost(WorkerSlot slot, bool process_ended);
   [[nodiscard]] std::vector<LostRun> LostRuns(WorkerSlot slot) const;
+  void ApplyLoss(const LostRun& lost, const VmName& vm);
+  void OnResponding(WorkerSlot slot, bool responding, MonotonicTime now);
   void AddFailure(const VmName& vm, const SubmissionId& id, MonotonicTime now);
   void Acknowledge(const VmName& vm, WorkerIncarnation incarnation);
 
@@ -236,8 +242,12 @@
   bool PlaceGang(const Candidate& candidate, MonotonicTime now);
   void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
              std::uint32_t run, MonotonicTime now);
-  [[nodiscard]] StepPlacer MakePlacer(const Entry& entry, int step,
-                                      MonotonicTime now) const;
+  /// Places pending tasks that may crash their workers, each apart from other
+  /// starts.
+  void PlaceSuspected(const Candidate& candidate, MonotonicTime now);
+  [[nodiscard]] StepPlacer MakePlacer(
+      const Entry& entry, int step, MonotonicTime now,
+      PlacementGoal goal = PlacementGoal::kLowestCost) const;
   /// Logs once that a step is pending, with the reason.
   void LogPending(const Candidate& candidate, PlacementFailure reason);
   [[nodiscard]] std::uint32_t NextRun(const Task& task) const;
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -20,6 +20,16 @@
 /// capacity, which means that work unknown to the registry uses the capacity.
 constexpr MonotonicTime kNoCapacityBackoff = std::chrono::milliseconds(300);
 
+/// True if the event shows that the worker was running a moment ago.
+bool ShowsRunning(const AgentEvent& event) {
+  if (const auto* load = std::get_if<WorkerLoad>(&event.details)) {
+    return load->responding;
+  }
+  return std::holds_alternative<RunStarted>(event.details) ||
+         std::holds_alternative<RunEnded>(event.details) ||
+         std::holds_alternative<RunStalled>(event.details);
+}
+
 }  // namespace
 
 std::string_view RemovalName(WorkerRemoval removal) noexcept {
@@ -39,12 +49,7 @@
 void Dispatcher::OnEvent(const AgentEvent& event, MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(event.vm);
   if (slot == kNoWorker) return;
-  const bool shows_running =
-      !std::holds_alternative<WorkerUnreachable>(event.details) &&
-      !std::holds_alternative<WorkerSuperseded>(event.details) &&
-      !std::holds_alternative<WorkerEnded>(event.details) &&
-      !std::holds_alternative<Attached>(event.details);
-  if (shows_running) registry_.at(slot).heard_at = now;
+  if (ShowsRunning(event)) registry_.at(slot).heard_at = now;
   std::visit(
       base::Overloaded{
           [&](const Attached& attached) { OnAttached(slot, attached, now); },
@@ -57,6 +62,7 @@
           [&](const RunStarted& started) { OnStarted(slot, started, now); },
           [&](const RunStalled& stalled) { OnStalled(slot, stalled, now); },
           [&](const WorkerUnreachable& /*unreachable*/) {
+            OnResponding(slot, false, now);
             registry_.at(slot).attached = false;
           },
           [&](const WorkerSuperseded& /*superseded*/) {
@@ -65,7 +71,10 @@
           [&](const WorkerEnded& /*ended*/) {
             OnWorkerRemoved(event.vm, WorkerRemoval::kProcessEnded, now);
           },
-          [&](const WorkerLoad& load) { OnLoad(slot, load, now); }},
+          [&](const WorkerLoad& load) {
+            OnResponding(slot, load.responding, now);
+            if (load.responding) OnLoad(slot, load, now);
+          }},
       event.details);
 }
 
@@ -74,10 +83,12 @@
   WorkerState& worker = registry_.at(slot);
   const bool restarted = worker.incarnation != WorkerIncarnation() &&
                          worker.incarnation != attached.incarnation;
-  if (restarted) OnProcessEnded(slot);
+  if (restarted) OnRunsLost(slot, true);
+  if (worker.incarnation != attached.incarnation) worker.last_start = now;
   worker.attached = true;
   worker.incarnation = attached.incarnation;
   worker.heard_at = now;
+  worker.silent_since = MonotonicTime(0);
   for (const EndedRun& end : attached.ended) {
     OnEnded(slot, attached.incarnation, end, now);
   }
@@ -124,6 +135,8 @@
   if (!is_current) {
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(running.run.value());
+    // It has survived its start, since the worker lists it.
+    placed.started_at = now - kStartTrial;
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
@@ -140,6 +153,7 @@
                                     MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(vm);
   if (slot == kNoWorker) return;
+  OnResponding(slot, false, now);
   for (const RunId& run_id : runs) {
     const auto ref = FindTask(run_id.task);
     if (!ref || ref->task->phase != TaskPhase::kPending ||
@@ -149,6 +163,7 @@
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(run_id.run.value());
     placed.unconfirmed = true;
+    placed.started_at = run_id.just_started ? now : now - kStartTrial;
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
@@ -366,40 +381,70 @@
   }
 }
 
+void Dispatcher::OnResponding(WorkerSlot slot, bool responding,
+                              MonotonicTime now) {
+  MonotonicTime& silent_since = registry_.at(slot).silent_since;
+  if (responding) {
+    silent_since = MonotonicTime(0);
+  } else if (silent_since.count() == 0) {
+    silent_since = now;
+  }
+}
+
 std::vector<LostRun> Dispatcher::LostRuns(WorkerSlot slot) const {
   const WorkerState& worker =
       registry_.workers()[static_cast<std::size_t>(slot)];
   std::vector<LostRun> lost;
   for (const auto& [name, placed] : worker.runs) {
     Job& job = *entries_.at(name.submission).job;
-    const Task& task = *job.Find(*job.IndexOf(name));
+    const std::vector<TaskLoss>& losses = job.Find(*job.IndexOf(name))->losses;
     LostRun run;
     run.task = name;
     run.run = placed.run;
     run.start_confirmed = placed.start_confirmed;
-    if (run.start_confirmed) {
-      run.survived =
-          std::max(MonotonicTime(0), worker.heard_at - placed.confirmed_at);
-    }
-    run.earlier_losses = static_cast<int>(task.lost_runs.size());
+    run.exposure = ExposureOf(worker, placed);
+    run.earlier_losses = static_cast<int>(losses.size());
+    run.earlier_suspicions = static_cast<int>(
+        std::count_if(losses.begin(), losses.end(),
+                      [](const TaskLoss& loss) { return loss.just_started; }));
     lost.push_back(std::move(run));
   }
   return lost;
 }
 
-void Dispatcher::OnProcessEnded(WorkerSlot slot) {
-  for (const LostRun& lost : LostRuns(slot)) {
-    hooks_.log_lost(lost, registry_.at(slot).info.vm);
-    ++counters_.lost;
-    FindTask(lost.task)->task->lost_runs.push_back(lost.run);
+void Dispatcher::OnRunsLost(WorkerSlot slot, bool process_ended) {
+  const WorkerInfo& info = registry_.at(slot).info;
+  // A worker that drains ends its process as planned.
+  if (info.draining) return;
+  std::vector<LostRun> all = LostRuns(slot);
+  AssignSuspicion(all, process_ended);
+  for (const LostRun& lost : all) ApplyLoss(lost, info.vm);
+}
+
+void Dispatcher::ApplyLoss(const LostRun& lost, const VmName& vm) {
+  ++counters_.lost;
+  hooks_.log_lost(lost, vm);
+  const TaskRef ref = *FindTask(lost.task);
+  if (ClearsSuspicion(lost)) ref.task->losses.clear();
+  if (lost.suspicion == Suspicion::kNone || IsFinal(ref.job().state())) return;
+  const bool just_started = lost.suspicion != Suspicion::kPresent;
+  ref.task->losses.push_back({lost.run, just_started});
+  const bool given_up = CrashesWorkers(lost);
+  if (given_up) {
+    ++counters_.given_up;
+    hooks_.log(lost.task, vm, "given_up", "crashes_workers");
+    ref.job().SetState(SubmissionState::kFailed);
   }
+  if (given_up || just_started) MarkChanged(*ref.entry);
 }
 
 void Dispatcher::OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
                                  MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(vm);
   if (slot == kNoWorker) return;
-  if (removal == WorkerRemoval::kProcessEnded) OnProcessEnded(slot);
+  if (removal != WorkerRemoval::kLeft) {
+    OnRunsLost(slot, removal == WorkerRemoval::kProcessEnded);
+  }
   while (!registry_.at(slot).runs.empty()) {
     Requeue(*FindTask(TaskName(registry_.at(slot).runs.begin()->first)),
             RemovalName(removal), now);
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -157,13 +157,15 @@
     for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t) {
       const Task& task = steps_[s].tasks[t];
       const bool done = task.phase == TaskPhase::kDone;
-      const bool fresh = task.failed_runs.empty() && task.checkpoint.empty();
+      const bool fresh = task.failed_runs.empty() && task.checkpoint.empty() &&
+                         task.losses.empty();
       if (!done && fresh) continue;
       progress.tasks.push_back({{static_cast<int>(s), static_cast<int>(t)},
                                 done,
                                 task.run,
                                 task.failed_runs,
-                                done ? std::string() : task.checkpoint});
+                                done ? std::string() : task.checkpoint,
+                                done ? std::vector<TaskLoss>() : task.losses});
     }
   }
   return progress;
@@ -177,6 +179,7 @@
     task->run = saved.run;
     task->failed_runs = saved.failed_runs;
     task->checkpoint = saved.checkpoint;
+    task->losses = saved.losses;
     if (saved.done) SetPhase(saved.task, TaskPhase::kDone, accepted_at_);
   }
   UpdateReady();
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -2,6 +2,7 @@
 /// A submission with the state of its tasks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +24,14 @@
   kDone,
 };
 
+/// A run that was lost with the process of its worker.
+struct TaskLoss {
+  std::uint32_t run = 0;
+  bool just_started = false;
+
+  friend bool operator==(const TaskLoss&, const TaskLoss&) = default;
+};
+
 struct Task {
   TaskPhase phase = TaskPhase::kPending;
   WorkerSlot worker = kNoWorker;
@@ -30,11 +39,16 @@
   std::uint32_t run = 0;
   /// Runs that count as failed attempts.
   std::vector<std::uint32_t> failed_runs;
-  /// Runs that were lost with the process of their worker.
-  std::vector<std::uint32_t> lost_runs;
+  std::vector<TaskLoss> losses;
   MonotonicTime since{0};  ///< Start of the phase.
   std::string checkpoint;
 
+  /// True if the task may be one that crashes its workers. It is started on a
+  /// worker that starts nothing else for a while.
+  [[nodiscard]] bool suspected() const noexcept {
+    return std::any_of(losses.begin(), losses.end(),
+                       [](const TaskLoss& loss) { return loss.just_started; });
+  }
   /// True if a worker may be running the task.
   [[nodiscard]] bool placed() const noexcept {
     return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
@@ -66,6 +80,7 @@
   std::uint32_t run = 0;
   std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;
+  std::vector<TaskLoss> losses;
 };
 
 /// Stored state of a submission, in addition to the submission itself.
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -98,8 +98,10 @@
        {"run", lost.run},
        {"vm", vm.str()},
        {"start_confirmed", lost.start_confirmed},
-       {"survived_ms", duration_cast<milliseconds>(lost.survived).count()},
-       {"earlier_losses", lost.earlier_losses}});
+       {"exposure_ms", duration_cast<milliseconds>(lost.exposure).count()},
+       {"suspicion", SuspicionName(lost.suspicion)},
+       {"earlier_losses", lost.earlier_losses},
+       {"earlier_suspicions", lost.earlier_suspicions}});
 }
 
 // Loading.
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -118,7 +118,6 @@
   /// A worker of the group and the agent that it is assigned to.
   struct WorkerEntry {
     WorkerInfo info;
-    bool listed = true;
     std::optional<NodeId> agent;
     WorkerFence fence;
     bool attached = false;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -31,18 +31,16 @@
     const auto it = workers_.find(vm);
     if (it == workers_.end()) continue;
     const bool moved = it->second.info.address != info.address;
-    it->second.listed = true;
     if (it->second.info == info && !moved) continue;
     it->second.info = info;
     dispatcher_->OnWorker(info);
     if (moved) Unassign(it->second);
   }
   for (auto& [vm, entry] : workers_) {
-    if (!entry.listed || listed_.contains(vm)) continue;
+    if (!entry.info.listed || listed_.contains(vm)) continue;
     // The worker has left or is unreachable. Its runs keep their capacity
     // reserved until they have certainly ended.
-    entry.listed = false;
-    entry.info.draining = true;
+    entry.info.listed = false;
     dispatcher_->OnWorker(entry.info);
     base::Log(base::Event::kWorkerListed,
               {{"vm", vm.str()}, {"listed", false}});
@@ -246,6 +244,11 @@
                                          {"vm", event.vm.str()}});
     return deps_.on_conflict();
   } else if (std::holds_alternative<WorkerEnded>(event.details)) {
+    // What was there under the former leader was lost with the process.
+    if (known_runs_.contains(event.vm) && unresolved_.contains(event.vm)) {
+      dispatcher_->AddUnconfirmedRuns(event.vm, known_runs_.at(event.vm).runs,
+                                      now);
+    }
     RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
     dispatcher_->OnEvent(event, now);
@@ -277,6 +280,7 @@
   FormerLeaderRuns& known = it->second;
   known.worker = reported.worker;
   known.unreachable = reported.unreachable && (added || known.unreachable);
+  known.ended = known.ended || reported.ended;
   known.runs.insert(known.runs.end(), reported.runs.begin(),
                     reported.runs.end());
   if (loaded_) StartAttachTimer();
@@ -295,7 +299,7 @@
 }
 
 bool GroupLeader::MayBeAttached(const FormerLeaderRuns& known) const {
-  if (known.unreachable) return false;
+  if (known.unreachable || known.ended) return false;
   const auto it = workers_.find(known.worker.vm);
   return it != workers_.end() && it->second.agent.has_value();
 }
@@ -306,12 +310,12 @@
   if (!workers_.contains(vm)) {
     WorkerEntry& entry = workers_[vm];
     entry.info = known.worker;
-    entry.info.draining = true;
-    entry.listed = false;
+    entry.info.listed = false;
     entry.lease_expires_at = InheritedLeaseExpiry();
     dispatcher_->OnWorker(entry.info);
   }
   dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
+  if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
   unresolved_.erase(vm);
   base::Log(base::Event::kWorkerListed,
             {{"vm", vm.str()}, {"remembered_runs", known.runs.size()}});
@@ -353,7 +357,7 @@
   std::vector<VmName> idle;
   for (const auto& [vm, entry] : workers_) {
     // Runs include starts without a reply and ends that are not stored yet.
-    if (!entry.listed && !entry.attached && !unresolved_.contains(vm) &&
+    if (!entry.info.listed && !entry.attached && !unresolved_.contains(vm) &&
         dispatcher_->Runs(vm).empty()) {
       idle.push_back(vm);
     }
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -12,18 +12,40 @@
 
 constexpr std::size_t kMaxTextBytes = 1024 * 1024;
 constexpr std::int64_t kMaxCount = INT64_MAX;
-constexpr std::size_t kTaskFields = 6;
+/// The last field, the losses, is missing if there are none.
+constexpr std::size_t kMinTaskFields = 6;
+constexpr std::size_t kMaxTaskFields = 7;
 
 json EncodeTask(const TaskProgress& task) {
-  return json::array({task.task.step, task.task.index, task.done, task.run,
-                      task.failed_runs, task.checkpoint});
+  json row = json::array({task.task.step, task.task.index, task.done, task.run,
+                          task.failed_runs, task.checkpoint});
+  if (task.losses.empty()) return row;
+  json losses = json::array();
+  for (const TaskLoss& loss : task.losses) {
+    losses.push_back(json::array({loss.run, loss.just_started}));
+  }
+  row.push_back(std::move(losses));
+  return row;
+}
+
+bool DecodeLosses(const json& rows, std::vector<TaskLoss>& losses) {
+  if (!rows.is_array()) return false;
+  for (const json& row : rows) {
+    if (!row.is_array() || row.size() != 2 || !row[0].is_number_unsigned() ||
+        !row[1].is_boolean()) {
+      return false;
+    }
+    losses.push_back({row[0].get<std::uint32_t>(), row[1].get<bool>()});
+  }
+  return true;
 }
 
 bool DecodeTask(const json& row, TaskProgress& task) {
-  if (!row.is_array() || row.size() != kTaskFields ||
-      !row[0].is_number_integer() || !row[1].is_number_integer() ||
-      !row[2].is_boolean() || !row[3].is_number_unsigned() ||
-      !row[4].is_array() || !row[5].is_string()) {
+  if (!row.is_array() || row.size() < kMinTaskFields ||
+      row.size() > kMaxTaskFields || !row[0].is_number_integer() ||
+      !row[1].is_number_integer() || !row[2].is_boolean() ||
+      !row[3].is_number_unsigned() || !row[4].is_array() ||
+      !row[5].is_string()) {
     return false;
   }
   for (const json& run : row[4]) {
@@ -33,8 +55,9 @@
           row[2].get<bool>(),
           row[3].get<std::uint32_t>(),
           row[4].get<std::vector<std::uint32_t>>(),
-          row[5].get<std::string>()};
-  return true;
+          row[5].get<std::string>(),
+          {}};
+  return row.size() < kMaxTaskFields || DecodeLosses(row[6], task.losses);
 }
 
 }  // namespace
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -16,6 +16,9 @@
 struct RunId {
   std::string task;
   Attempt run;
+  /// The run was started less than kStartTrial before the worker stopped
+  /// responding.
+  bool just_started = false;
 };
 
 /// Assigns a worker to an agent. The agent may raise the fencing token by less
@@ -156,6 +159,8 @@
 /// Measurements over the last half second of all runs that share a worker.
 struct WorkerLoad {
   std::vector<RunSample> runs;
+  /// False after a failed renewal, until the next reply; `runs` is then empty.
+  bool responding = true;
 };
 
 /// Runs that may be on a worker which an agent serves for a former leader.
@@ -165,6 +170,8 @@
   std::vector<RunId> runs;
   /// The worker did not reply to the agent's last renewals.
   bool unreachable = false;
+  /// The worker's process has ended, and the runs with it.
+  bool ended = false;
 };
 
 struct AgentEvent {
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -26,6 +26,10 @@
   std::vector<Label> labels;
   WorkerCapacity capacity;
   bool draining = false;
+  bool listed = true;  ///< False once it is missing from the list of workers.
+
+  /// True if it leaves or has left, so that it gets no further work.
+  [[nodiscard]] bool leaving() const noexcept { return draining || !listed; }
 
   friend bool operator==(const WorkerInfo& a, const WorkerInfo& b) {
     return a.vm == b.vm && a.service == b.service && a.address == b.address &&
@@ -33,7 +37,7 @@
            a.labels == b.labels && a.capacity.cpu == b.capacity.cpu &&
            a.capacity.memory == b.capacity.memory &&
            a.capacity.accelerators == b.capacity.accelerators &&
-           a.draining == b.draining;
+           a.draining == b.draining && a.listed == b.listed;
   }
 };
 
@@ -47,6 +51,16 @@
 /// Sequence number of an end within one worker process; 0 before the first.
 using EndNumber = mangospread::detail::StrongCounter<struct EndNumberTag>;
 
+/// A task that crashes each worker which starts it does so within this time.
+inline constexpr MonotonicTime kStartTrial = std::chrono::milliseconds(300);
+
+/// True if a run may have crashed its worker by being started.
+/// @param exposure time from the start until the worker stopped responding;
+///   negative if the start was issued later.
+[[nodiscard]] constexpr bool JustStarted(MonotonicTime exposure) noexcept {
+  return exposure.count() >= 0 && exposure < kStartTrial;
+}
+
 /// A run that a worker lists as running.
 struct RunningRun {
   std::string task;
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -97,13 +97,15 @@
   for (unsigned i = 0; i < runs.size(); ++i) {
     out[i].setTask(runs[i].task);
     out[i].setRun(runs[i].run.value());
+    out[i].setJustStarted(runs[i].just_started);
   }
 }
 
 std::vector<RunId> Get(capnp::List<wire::RunRef>::Reader in) {
   std::vector<RunId> runs;
   for (const auto run : in) {
-    runs.push_back({Str(run.getTask()), Attempt(run.getRun())});
+    runs.push_back(
+        {Str(run.getTask()), Attempt(run.getRun()), run.getJustStarted()});
   }
   return runs;
 }
@@ -280,7 +282,9 @@
 }
 
 void Put(wire::Event::Builder out, const WorkerLoad& event) {
-  auto runs = out.initLoad().initRuns(static_cast<unsigned>(event.runs.size()));
+  auto load = out.initLoad();
+  load.setSilent(!event.responding);
+  auto runs = load.initRuns(static_cast<unsigned>(event.runs.size()));
   for (unsigned i = 0; i < event.runs.size(); ++i) {
     const RunSample& sample = event.runs[i];
     runs[i].setTask(sample.task);
@@ -296,6 +300,7 @@
     load.runs.push_back({Str(run.getTask()), Attempt(run.getRun()),
                          run.getMeasured(), run.getPercent()});
   }
+  load.responding = !in.getSilent();
   return load;
 }
 
@@ -424,6 +429,7 @@
   Put(out.initWorker(), reported.worker);
   Put(out.initRuns(static_cast<unsigned>(reported.runs.size())), reported.runs);
   out.setUnreachable(reported.unreachable);
+  out.setEnded(reported.ended);
 }
 
 FormerLeaderRuns Get(wire::Remembered::Reader in) {
@@ -431,6 +437,7 @@
   reported.worker = Get(in.getWorker());
   reported.runs = Get(in.getRuns());
   reported.unreachable = in.getUnreachable();
+  reported.ended = in.getEnded();
   return reported;
 }
 
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -66,6 +66,7 @@
   run @2 :UInt64;
   traits @3 :Traits;
   percent @4 :Int32 = 100;   # Share of full speed, for describe.
+  justStarted @5 :Bool;
 }
 
 struct Acknowledge {
@@ -118,6 +119,7 @@
 
 struct Load {
   runs @0 :List(Running);   # Without checkpoints.
+  silent @1 :Bool;          # The worker has stopped responding.
 }
 
 # Limits a run to a share of its full speed.
@@ -175,6 +177,7 @@
   worker @0 :Worker;
   runs @1 :List(RunRef);
   unreachable @2 :Bool;  # The worker did not reply to its last renewals.
+  ended @3 :Bool;        # The worker's process has ended.
 }
 
 struct Frame {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -257,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1120,6 +1120,8 @@
 
   inline  ::int32_t getPercent() const;
 
+  inline bool getJustStarted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1175,6 +1177,9 @@
   inline  ::int32_t getPercent();
   inline void setPercent( ::int32_t value);
 
+  inline bool getJustStarted();
+  inline void setJustStarted(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1885,6 +1890,8 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
+  inline bool getSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1920,6 +1927,9 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Running,  ::capnp::Kind::STRUCT>> disownRuns();
 
+  inline bool getSilent();
+  inline void setSilent(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2577,6 +2587,8 @@
 
   inline bool getUnreachable() const;
 
+  inline bool getEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2622,6 +2634,9 @@
   inline bool getUnreachable();
   inline void setUnreachable(bool value);
 
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3817,6 +3832,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 100);
 }
 
+inline bool RunRef::Reader::getJustStarted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunRef::Builder::getJustStarted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void RunRef::Builder::setJustStarted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Acknowledge::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4716,6 +4745,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Load::Reader::getSilent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getSilent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSilent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Pace::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5701,6 +5744,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Remembered::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Remembered::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Remembered::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::mangospread::dispatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -82,13 +82,14 @@
                        const InterferenceModel& model,
                        const ServiceName& service, const StepSpec& spec,
                        std::function<int(WorkerSlot)> tasks_of_step,
-                       MonotonicTime now)
+                       MonotonicTime now, PlacementGoal goal)
     : registry_(registry),
       model_(model),
       service_(service),
       spec_(spec),
       tasks_of_step_(std::move(tasks_of_step)),
-      now_(now) {
+      now_(now),
+      goal_(goal) {
   const auto& workers = registry_.workers();
   for (std::size_t i = 0; i < workers.size(); ++i) {
     if (!IsUsable(workers[i])) continue;
@@ -136,7 +137,10 @@
   if (!HasCapacity(slot)) return;
   const WorkerState& worker =
       registry_.workers()[static_cast<std::size_t>(slot)];
-  heap_.push_back({Cost(worker, model_, spec_), slot});
+  const double cost = goal_ == PlacementGoal::kLongestQuiet
+                          ? static_cast<double>(worker.last_start.count())
+                          : Cost(worker, model_, spec_);
+  heap_.push_back({cost, slot});
 }
 
 bool StepPlacer::LeavesHeadroom(const WorkerState& worker) {
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -23,6 +23,13 @@
   PlacementFailure reason = PlacementFailure::kNone;
 };
 
+/// Which of the workers with free capacity a step's tasks get.
+enum class PlacementGoal : unsigned char {
+  kLowestCost,
+  /// The one whose last start was the longest ago.
+  kLongestQuiet,
+};
+
 /// Chooses a worker for each task of a step in turn: the one with the lowest
 /// cost, and of several the first.
 ///
@@ -35,7 +42,8 @@
   ///   for a step with a limit per worker.
   StepPlacer(const WorkerRegistry& registry, const InterferenceModel& model,
              const ServiceName& service, const StepSpec& spec,
-             std::function<int(WorkerSlot)> tasks_of_step, MonotonicTime now);
+             std::function<int(WorkerSlot)> tasks_of_step, MonotonicTime now,
+             PlacementGoal goal = PlacementGoal::kLowestCost);
 
   /// The worker for the next task, after the previous one was placed on the
   /// worker that was returned for it.
@@ -69,6 +77,7 @@
   const StepSpec& spec_;
   std::function<int(WorkerSlot)> tasks_of_step_;
   MonotonicTime now_;
+  PlacementGoal goal_;
   std::vector<CachedEffect> effects_;
   std::vector<Candidate> heap_;  ///< The next worker is at the front.
   PlacementFailure reason_ = PlacementFailure::kNoWorker;
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -27,9 +27,10 @@
   /// not.
   MonotonicTime above_target_since{0};
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
+  /// For a run found on the worker, a time that is certainly later.
+  MonotonicTime started_at{0};
   /// The worker accepted the start or listed the run.
   bool start_confirmed = false;
-  MonotonicTime confirmed_at{0};  ///< 0 without a confirmation.
   /// Reported by an agent of a former leader, but not listed by the worker
   /// itself.
   bool unconfirmed = false;
@@ -62,8 +63,15 @@
   bool attached = false;          ///< An agent is connected to it.
   WorkerIncarnation incarnation;  ///< Default before the first attachment.
   MonotonicTime heard_at{0};      ///< Last event that shows it running.
-  bool slot_free = false;         ///< The slot is free for another worker.
-  Millicores cpu_used;  ///< Reserved by tasks that are not best effort.
+  /// Time since which it does not respond; 0 while it does.
+  MonotonicTime silent_since{0};
+  /// Last start, or its attachment if there was none.
+  MonotonicTime last_start{0};
+  /// Gets no further start until then, so that a crash can be attributed to a
+  /// suspected task that it has just started.
+  MonotonicTime trial_until{0};
+  bool slot_free = false;  ///< The slot is free for another worker.
+  Millicores cpu_used;     ///< Reserved by tasks that are not best effort.
   /// The part of cpu_used reserved by long-running tasks, which serve requests.
   Millicores latency_critical_cpu;
   Millicores best_effort_cpu;  ///< Requested by best-effort tasks.
@@ -83,7 +91,9 @@
   void Invalidate() noexcept { groups_valid_ = false; }
 
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
-    return attached && !slot_free && !info.draining && now >= excluded_until;
+    return attached && !slot_free && !info.leaving() &&
+           silent_since.count() == 0 && now >= excluded_until &&
+           now >= trial_until;
   }
   void Add(const StepSpec& spec);
   void Remove(const StepSpec& spec);
@@ -93,6 +103,12 @@
   mutable bool groups_valid_ = false;
 };
 
+/// Time from the start of a run until its worker stopped responding, or until
+/// the worker's last event if that moment is not known; negative if the run was
+/// started after the worker stopped responding.
+[[nodiscard]] MonotonicTime ExposureOf(const WorkerState& worker,
+                                       const PlacedRun& run) noexcept;
+
 /// All workers of a group, by slot and by name.
 class WorkerRegistry {
  public:
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -51,6 +51,7 @@
   runs_known_ = true;
   for (const RunId& run : *assignment_.known_runs) {
     runs_[run.task].number = run.run;
+    runs_[run.task].just_started_before = run.just_started;
   }
 }
 
@@ -58,13 +59,13 @@
 
 std::optional<FormerLeaderRuns> WorkerSession::CollectRuns() const {
   // The event may have been lost with the connection to the former leader.
-  if (worker_ended_) return FormerLeaderRuns{assignment_.worker, {}, true};
-  if (!runs_known_ || closed_) return std::nullopt;
+  if (!worker_ended_ && (!runs_known_ || closed_)) return std::nullopt;
   FormerLeaderRuns collected;
   collected.worker = assignment_.worker;
-  collected.unreachable = unreachable_reported_;
+  collected.unreachable = unreachable_reported_ || worker_ended_;
+  collected.ended = worker_ended_;
   for (const auto& [task, run] : runs_) {
-    collected.runs.push_back({task, run.number});
+    collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run)});
   }
   for (const EndedRun& end : listed_ends_) {
     if (end.number > acknowledged_) {
@@ -74,6 +75,11 @@
   return collected;
 }
 
+bool WorkerSession::MayHaveCrashedWorker(const Run& run) const noexcept {
+  if (run.sent_at.count() == 0) return run.just_started_before;
+  return silent_since_.count() > 0 && JustStarted(silent_since_ - run.sent_at);
+}
+
 void WorkerSession::Close() {
   closed_ = true;
   renew_timer_.reset();
@@ -81,6 +87,7 @@
 
 void WorkerSession::CloseEnded() {
   closed_ = worker_ended_ = true;
+  if (silent_since_.count() == 0) silent_since_ = base::MonotonicNow();
   Report(WorkerEnded{});
 }
 
@@ -141,6 +148,7 @@
     return;
   }
   process_unconfirmed_ = true;
+  ReportResponding(false);
   base::Log(base::Event::kRenewalFailed, {{"vm", assignment_.worker.vm.str()},
                                           {"error", ErrcName(error.code)},
                                           {"subject", error.subject}});
@@ -151,6 +159,12 @@
       loop_.After(options_.retry_delay, [this] { SendRenew(Milliseconds(0)); });
 }
 
+void WorkerSession::ReportResponding(bool responding) {
+  if (responding == (silent_since_.count() == 0)) return;
+  silent_since_ = responding ? MonotonicTime(0) : base::MonotonicNow();
+  Report(WorkerLoad{{}, responding});
+}
+
 void WorkerSession::ReportUnreachable() {
   if (unreachable_reported_) return;
   unreachable_reported_ = true;
@@ -174,6 +188,7 @@
   process_unconfirmed_ = false;
   if (synced_ && report.incarnation != incarnation_) return Resynchronise();
   if (synced_) {
+    ReportResponding(true);
     SendWaitingStarts();
   } else {
     Synchronise(report);
@@ -223,6 +238,7 @@
   for (const EndedRun& end : report.ended) {
     reported_end_ = std::max(reported_end_, end.number);
   }
+  silent_since_ = MonotonicTime(0);
   Report(std::move(attached));
   SendWaitingStarts();
 }
@@ -274,7 +290,7 @@
   run.number = command.run;
   run.traits = command.traits;
   run.described = true;
-  run.progress_at = base::MonotonicNow();
+  run.sent_at = run.progress_at = base::MonotonicNow();
   const StartCommand start{command.task,       command.run,    command.spec,
                            command.checkpoint, NextLeaseEnd(), fence_};
   link_->Start(start, [self = shared_from_this(), command = std::move(command),
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -94,6 +94,10 @@
     bool throttle_in_flight = false;
     bool stall_reported = false;
     MonotonicTime progress_at{0};
+    MonotonicTime sent_at{0};  ///< 0 if another session has sent the start.
+    /// The run had just started when the worker stopped responding, as seen by
+    /// another session.
+    bool just_started_before = false;
   };
 
   WorkerSession(base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
@@ -120,6 +124,9 @@
   void SendStop(StopRun command);
   void UpdateRuns(const RenewReply& report);
   void CheckProgress(const RunningRun& running, Run& run);
+  /// Reports that the worker has stopped responding or responds again.
+  void ReportResponding(bool responding);
+  [[nodiscard]] bool MayHaveCrashedWorker(const Run& run) const noexcept;
   /// Reports the measurements of a worker that runs a latency-critical task.
   void ReportLoad(const RenewReply& report);
   void SendThrottle(const ThrottleRun& command);
@@ -163,6 +170,8 @@
   std::uint64_t starts_seen_ = 0;  ///< Number of the last start command.
   WorkerTime worker_clock_;        ///< Worker's clock as last reported.
   MonotonicTime worker_clock_read_at_{0};
+  /// Time of the first failed renewal since the last reply; 0 if there is none.
+  MonotonicTime silent_since_{0};
   MonotonicTime replied_at_{0};
   /// Time up to which the worker may hold a lease.
   MonotonicTime lease_expires_at_{0};
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -151,7 +151,7 @@
 TEST_CASE("restored tasks start only after all workers are known") {
   DispatcherFixture fixture(1'001);
   JobProgress progress;
-  progress.tasks.push_back({{0, 0}, true, 1, {}, {}});
+  progress.tasks.push_back({{0, 0}, true, 1, {}, {}, {}});
   fixture.dispatcher.Restore(DispatcherFixture::MakeSubmission(
                                  "a", {DispatcherFixture::MakeStep(3, 1'000)}),
                              DispatcherFixture::Policy(), progress,
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -63,6 +63,13 @@
             .percent == 40);
   CHECK(
       RoundTrip<FormerLeaderRuns>(FormerLeaderRuns{{}, {}, true}).unreachable);
+  const auto runs = RoundTrip<FormerLeaderRuns>(
+      FormerLeaderRuns{{}, {{"t", Attempt(2), true}}, false, true});
+  CHECK(runs.ended);
+  CHECK(runs.runs.at(0).run == Attempt(2));
+  CHECK(runs.runs.at(0).just_started);
+  CHECK_FALSE(RoundTripEvent(WorkerLoad{{}, false}).responding);
+  CHECK(RoundTripEvent(WorkerLoad{}).responding);
   Hello hello;
   hello.leading = hello.yielding = true;
   CHECK(RoundTrip<Hello>(hello).leading);
@@ -177,10 +184,13 @@
   task.run = 3;
   task.failed_runs = {1, 3};
   task.checkpoint = "cp";
-  progress.progress.tasks = {task};
+  task.losses = {{5, true}, {6, false}};
+  progress.progress.tasks = {task, TaskProgress{}};
   const auto decoded_progress = DecodeProgressRow(EncodeProgressRow(progress));
   REQUIRE(decoded_progress.ok());
-  REQUIRE(decoded_progress.value().progress.tasks.size() == 1);
+  REQUIRE(decoded_progress.value().progress.tasks.size() == 2);
+  CHECK(decoded_progress.value().progress.tasks[0].losses == task.losses);
+  CHECK(decoded_progress.value().progress.tasks[1].losses.empty());
   CHECK(decoded_progress.value().progress.tasks[0].task == TaskIndex{1, 2});
   CHECK(decoded_progress.value().progress.tasks[0].checkpoint == "cp");
   CHECK(decoded_progress.value().progress.tasks[0].failed_runs ==
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -233,6 +233,33 @@
   CHECK(starts.size() == 1);
 }
 
+// Guards against a task that crashes worker after worker, of which each new
+// leader knows nothing: the former one is lost before it has stored the crash.
+TEST_CASE_FIXTURE(LeaderFixture, "a crash around a takeover is counted") {
+  const PlacedOnOne placed = PlaceOnOneOfTwo();
+  FormerLeaderRuns lost;
+  lost.worker.vm = placed.run.vm;
+  lost.runs = {{placed.run.task, placed.run.run, true}};
+  Lead(2);
+  ListWorkers({"w1", "w2"});
+  SUBCASE("noticed under the former leader") {
+    lost.unreachable = lost.ended = true;
+    leader->OnKnownRuns(lost);
+    Attach(placed.idle);
+  }
+  SUBCASE("noticed under the new leader") {
+    leader->OnKnownRuns(lost);
+    Attach(placed.idle);
+    Event(placed.busy, WorkerEnded{});
+  }
+  RunFor(std::chrono::seconds(1));
+  const auto progress = leader->dispatcher().Progress(SubmissionId(kId));
+  REQUIRE(progress.tasks.size() == 1);
+  REQUIRE(progress.tasks[0].losses.size() == 1);
+  CHECK(progress.tasks[0].losses[0].just_started);
+  CHECK(starts.size() == 1);
+}
+
 // Guards against a leader that takes the workers of a whole fleet for itself
 // when its agents follow the next leader (previsur-cuotas-large, small
 // trouble-1), and starts runs there of which that leader does not know.
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -192,7 +192,7 @@
   REQUIRE(Count<WorkerEnded>() == 1);
   const auto collected = session->CollectRuns();
   REQUIRE(collected.has_value());
-  CHECK(collected->runs.empty());
+  CHECK(collected->ended);
   CHECK(collected->unreachable);
 }
 
@@ -264,6 +264,36 @@
   CHECK(link->renewals[before].lease_until == WorkerTime());
 }
 
+// Guards against a crash that cannot be attributed: the leader has to learn at
+// once that the worker is silent, and a next leader which run had just started.
+TEST_CASE_FIXTURE(SessionFixture, "a silent worker is reported at once") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(900));
+  session->Start(MakeStart(2));
+  RunFor(Milliseconds(10));
+  link->error = Errc::kConnectionLost;
+  RunFor(Milliseconds(150));
+  const auto silent = [this] {
+    return std::count_if(events.begin(), events.end(), [](const auto& event) {
+      const auto* load = std::get_if<WorkerLoad>(&event.details);
+      return load != nullptr && !load->responding;
+    });
+  };
+  CHECK(silent() == 1);
+  CHECK(Count<WorkerUnreachable>() == 0);
+  link->error = Errc::kNotOwner;
+  RunFor(Milliseconds(400));
+  CHECK(silent() == 1);
+  CHECK(Count<WorkerEnded>() == 1);
+  const auto collected = session->CollectRuns();
+  REQUIRE(collected);
+  CHECK(collected->ended);
+  REQUIRE(collected->runs.size() == 2);
+  CHECK_FALSE(collected->runs[0].just_started);
+  CHECK(collected->runs[1].just_started);
+}
+
 // Guards against acknowledging ends of a former process to the new one after a
 // restart during which the loss of the connection was not detected.
 TEST_CASE_FIXTURE(
