Count runs that are being stopped until their end

What callers would see: tasks on a worker that does not check its capacity get less than they asked for, or are killed with it.

Two faults beside it: a listed run of a submission that is unknown or has ended was told to stop while its capacity counted as free, and so was the second run of a task that was found done elsewhere. Cause: only placed runs reserve capacity, and neither is placed.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -184,6 +184,8 @@
   void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
   void ReconcileRun(WorkerSlot slot, const RunningRun& running,
                     MonotonicTime now);
+  /// Stops a run that is not placed on the worker.
+  void StopStray(WorkerSlot slot, const std::string& task, Attempt run);
   void OnEnded(WorkerSlot slot, WorkerIncarnation incarnation,
                const EndedRun& end, MonotonicTime now);
   void ApplyEnd(const TaskRef& ref, const EndedRun& end, const VmName& vm,
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -89,6 +89,7 @@
   worker.incarnation = attached.incarnation;
   worker.heard_at = now;
   worker.silent_since = MonotonicTime(0);
+  worker.stray_runs.clear();
   for (const EndedRun& end : attached.ended) {
     OnEnded(slot, attached.incarnation, end, now);
   }
@@ -113,9 +114,8 @@
 void Dispatcher::ReconcileRun(WorkerSlot slot, const RunningRun& running,
                               MonotonicTime now) {
   const VmName vm = registry_.at(slot).info.vm;
-  const StopRun stop{vm, running.task, running.run};
   const auto ref = FindTask(running.task);
-  if (!ref) return hooks_.send(stop);
+  if (!ref) return StopStray(slot, running.task, running.run);
   Task& task = *ref->task;
   if (task.placed() && task.worker != slot) {
     const auto& runs = registry_.at(task.worker).runs;
@@ -131,7 +131,9 @@
       task.placed() && task.worker == slot && task.run == running.run.value();
   const bool can_adopt =
       task.phase == TaskPhase::kPending && !IsFinal(ref->entry->visible_state);
-  if (!is_current && !can_adopt) return hooks_.send(stop);
+  if (!is_current && !can_adopt) {
+    return StopStray(slot, running.task, running.run);
+  }
   if (!is_current) {
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(running.run.value());
@@ -144,10 +146,19 @@
   const PlacedRun& placed = registry_.at(slot).runs.at(ref->name);
   hooks_.send(DescribeRun{vm, running.task, running.run, TraitsOf(ref->spec()),
                           placed.percent});
-  if (task.phase == TaskPhase::kStopping) return hooks_.send(stop);
+  if (task.phase == TaskPhase::kStopping) {
+    return hooks_.send(StopRun{vm, running.task, running.run});
+  }
   ref->job().SetPhase(ref->index, TaskPhase::kRunning, now);
 }
 
+void Dispatcher::StopStray(WorkerSlot slot, const std::string& task,
+                           Attempt run) {
+  WorkerState& worker = registry_.at(slot);
+  worker.stray_runs.insert(task);
+  hooks_.send(StopRun{worker.info.vm, task, run});
+}
+
 void Dispatcher::AddUnconfirmedRuns(const VmName& vm,
                                     const std::vector<RunId>& runs,
                                     MonotonicTime now) {
@@ -172,6 +183,7 @@
 void Dispatcher::OnEnded(WorkerSlot slot, WorkerIncarnation incarnation,
                          const EndedRun& end, MonotonicTime now) {
   const VmName vm = registry_.at(slot).info.vm;
+  registry_.at(slot).stray_runs.erase(end.task);
   if (!ledger_.Add(vm, incarnation, end)) {
     // The worker lists the end again, possibly through another agent that has
     // not received the acknowledgement yet.
@@ -242,7 +254,10 @@
     if (member.task->placed()) {
       // Another run may have been started after this one was given up.
       const bool superseded = index == ref.index && !current;
-      if (superseded) StopTask(member, now);
+      if (superseded) {
+        StopStray(member.task->worker, ToString(member.name),
+                  Attempt(member.task->run));
+      }
       ReleaseCapacity(member);
     }
     complete = job.Finish(index, now);
@@ -271,6 +286,7 @@
 
 void Dispatcher::OnNotStarted(WorkerSlot slot, const RunNotStarted& event,
                               MonotonicTime now) {
+  registry_.at(slot).stray_runs.erase(event.task);
   const auto ref = FindRun(slot, event.task, event.run);
   if (!ref) return;
   ++counters_.refused;
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,9 @@
   MonotonicTime excluded_until{0};
   std::uint64_t starts_issued = 0;
   std::map<TaskName, PlacedRun> runs;
+  /// Runs on the worker that are not placed there and are being stopped. They
+  /// use capacity, but how much may not be known.
+  std::set<std::string> stray_runs;
 
   /// Latency-critical tasks grouped by image. Cached until the runs change or
   /// `Invalidate` is called after a change of the model.
@@ -92,8 +96,8 @@
 
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
     return attached && !slot_free && !info.leaving() &&
-           silent_since.count() == 0 && now >= excluded_until &&
-           now >= trial_until;
+           silent_since.count() == 0 && stray_runs.empty() &&
+           now >= excluded_until && now >= trial_until;
   }
   void Add(const StepSpec& spec);
   void Remove(const StepSpec& spec);
--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -2,6 +2,7 @@
 // workers and the operator's configuration. A test sets faults of the store
 // through POST /standin/faults, and faults of a worker or of the connections to
 // it through POST /standin/worker.
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -24,7 +25,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMillicoresPerRun = 1'000;
-constexpr int kRunsPerWorker = 8;
 
 json Route(const char* name, const char* prefix) {
   return {{"name", name},
@@ -99,15 +99,16 @@
   /// Writes the worker's row to the store's table of servers.
   void Register(ProxiedWorker& proxied, const char* state) {
     store_.Put("servers", "", proxied.worker.id(),
-               base::DumpJson({{"service", "batch"},
-                               {"addr", proxied.address},
-                               {"zone", "dc"},
-                               {"state", state},
-                               {"capacity",
-                                {{"cpu", kMillicoresPerRun * kRunsPerWorker},
-                                 {"mem-mb", 32'000},
-                                 {"gpu", 0}}},
-                               {"labels", json::array({"a", "r1"})}}));
+               base::DumpJson(
+                   {{"service", "batch"},
+                    {"addr", proxied.address},
+                    {"zone", "dc"},
+                    {"state", state},
+                    {"capacity",
+                     {{"cpu", kMillicoresPerRun * proxied.worker.capacity()},
+                      {"mem-mb", 32'000},
+                      {"gpu", 0}}},
+                    {"labels", json::array({"a", "r1"})}}));
   }
 
   /// Crashes the worker and restarts it at once.
@@ -124,8 +125,8 @@
   }
 
   /// Injects a fault or changes the worker's state. The body is {"worker":
-  /// index, "what": "crash", "cut", "silence", "draining", "ready" or "faults"
-  /// with the proxy's "faults"}.
+  /// index, "what": "crash", "cut", "silence", "draining", "ready", "capacity"
+  /// with the number of "runs", or "faults" with the proxy's "faults"}.
   void InjectWorkerFault(const Exchange& exchange) {
     const auto body = base::ParseJson(exchange->request().body, "worker");
     const auto index =
@@ -144,6 +145,9 @@
       proxied.proxy.StopForwardingAll();
     } else if (fault == "draining" || fault == "ready") {
       Register(proxied, fault.c_str());
+    } else if (fault == "capacity") {
+      proxied.worker.SetCapacity(body.value().at("runs"));
+      Register(proxied, "ready");
     } else if (fault == "faults" &&
                ParseFaults(base::DumpJson(body.value().at("faults")), faults)) {
       proxied.proxy.SetFaults(faults);
@@ -175,8 +179,12 @@
     for (const auto& proxied : workers_) {
       workers.push_back(proxied->worker.Describe());
     }
+    const bool capacities_known = std::all_of(
+        workers_.begin(), workers_.end(),
+        [](const auto& proxied) { return proxied->worker.CapacityKnown(); });
     ReplyJson(*exchange, kOk,
               base::DumpJson({{"starts", record_.starts},
+                              {"capacities_known", capacities_known},
                               {"done", record_.done},
                               {"overlaps", record_.overlaps},
                               {"repeats", record_.repeats},
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -18,7 +18,9 @@
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
-constexpr std::size_t kMaxRuns = 8;
+/// Time after which the nodes must observe a change of the capacity: that for
+/// which they have to be in touch, and one heartbeat.
+constexpr MonotonicTime kCapacityGrace = Milliseconds(3'000 + 1'500);
 constexpr int kDefaultTaskMs = 200;
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 
@@ -78,6 +80,15 @@
   ReplyJson(*exchange, kOk, base::DumpJson({{"clock-ms", ClockMs()}}));
 }
 
+void SiteWorker::SetCapacity(std::size_t runs) {
+  capacity_ = runs;
+  capacity_known_at_ = base::MonotonicNow() + kCapacityGrace;
+}
+
+bool SiteWorker::CapacityKnown() const {
+  return base::MonotonicNow() >= capacity_known_at_;
+}
+
 void SiteWorker::UpdateLease(const json& body) {
   lease_end_ms_ =
       std::max(lease_end_ms_, body.value("deadline-ms", std::uint64_t{0}));
@@ -99,6 +110,7 @@
     ++record_.overloads;
     return refuse("room");
   }
+  if (running_.size() >= capacity_ && CapacityKnown()) ++record_.overloads;
   ++record_.starts;
   if (record_.running[task] > 0) ++record_.overlaps;
   if (record_.acknowledged_done.contains(task)) ++record_.repeats;
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -43,6 +43,9 @@
   kNewId,   ///< Another worker starts in its place.
 };
 
+/// Number of tasks that a worker runs at most.
+inline constexpr std::size_t kMaxRuns = 8;
+
 /// One worker. It runs each task for the number of milliseconds in its spec, or
 /// for 200 ms if the spec has none; tasks with the spec "fail" end as failed.
 /// Tasks with the spec "crash" or "crash-new-id" crash the worker before it
@@ -62,9 +65,15 @@
   /// @param id id after the restart.
   /// @return the new address.
   std::string Crash(std::string id);
+  /// Changes the number of tasks that it can run. It starts more if it is told
+  /// to, and records that once the nodes must know of the change.
+  void SetCapacity(std::size_t runs);
   /// State of the worker, for the analysis of a failed test.
   [[nodiscard]] nlohmann::json Describe() const;
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
+  [[nodiscard]] std::size_t capacity() const noexcept { return capacity_; }
+  /// True if the nodes must observe the present capacity.
+  [[nodiscard]] bool CapacityKnown() const;
 
  private:
   struct Run {
@@ -103,6 +112,8 @@
   std::uint64_t incarnation_;
   /// End of the lease in the time of ClockMs; 0 before the first lease.
   std::uint64_t lease_end_ms_ = 0;
+  std::size_t capacity_ = kMaxRuns;
+  MonotonicTime capacity_known_at_{0};  ///< By the nodes.
   std::uint64_t end_count_ = 0;
   /// Number of the last acknowledged end.
   std::uint64_t acknowledged_ = 0;
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -106,6 +106,12 @@
   return nlohmann::json::parse(response.body).value("state", "");
 }
 
+void ManagedCluster::SetCapacity(std::size_t worker, int runs) {
+  const nlohmann::json body = {
+      {"worker", worker}, {"what", "capacity"}, {"runs", runs}};
+  Post(platform_.address("http"), "/standin/worker", body.dump());
+}
+
 void ManagedCluster::SetTableFaults(const std::string& faults) {
   Post(platform_.address("http"), "/standin/faults", faults);
 }
@@ -113,8 +119,9 @@
 RunCounters ManagedCluster::GetCounters() {
   const Response response = Get(platform_.address("http"), "/standin/record");
   const auto json = nlohmann::json::parse(response.body);
-  return {json["starts"],    json["done"],   json["overlaps"], json["repeats"],
-          json["overloads"], json["lapses"], json["started"],  json["crashes"]};
+  return {json["starts"],  json["done"],      json["overlaps"],
+          json["repeats"], json["overloads"], json["lapses"],
+          json["started"], json["crashes"],   json["capacities_known"]};
 }
 
 }  // namespace mangospread::testing
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -23,6 +23,8 @@
   int expired_runs = 0;  ///< Runs ended by a worker whose lease expired.
   std::set<std::string> started;  ///< Ids of submissions of which a task ran.
   std::map<std::string, int> crashes;  ///< Workers that each task has crashed.
+  /// The nodes must observe the present capacity of every worker.
+  bool capacities_known = false;
 };
 
 /// Id of the submission with the given number: 16 hexadecimal digits.
@@ -68,6 +70,8 @@
   /// fails.
   [[nodiscard]] std::string GetState(std::size_t node, int submission);
 
+  /// Changes the number of tasks that a worker can run.
+  void SetCapacity(std::size_t worker, int runs);
   /// Replaces the faults of the table by those of the JSON object.
   void SetTableFaults(const std::string& faults);
   /// Reads the counters from the platform stand-in.
