Attribute reported runs to the moment their worker fell silent

Callers saw: a task that crashes its workers goes on after a takeover.

Ruled out: the reports were there, and the third crash counted.

The start is now set relative to the silence. A third case of 'a crash around a takeover is counted' failed before.

--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -174,7 +174,8 @@
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(run_id.run.value());
     placed.unconfirmed = true;
-    placed.started_at = run_id.just_started ? now : now - kStartTrial;
+    placed.started_at = registry_.at(slot).silent_since;
+    if (!run_id.just_started) placed.started_at -= kStartTrial;
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -252,6 +252,12 @@
     Attach(placed.idle);
     Event(placed.busy, WorkerEnded{});
   }
+  SUBCASE("noticed after the new leader could not reach the worker") {
+    leader->OnKnownRuns(lost);
+    Attach(placed.idle);
+    Event(placed.busy, WorkerLoad{{}, false});
+    Event(placed.busy, WorkerEnded{});
+  }
   RunFor(std::chrono::seconds(1));
   const auto progress = leader->dispatcher().Progress(SubmissionId(kId));
   REQUIRE(progress.tasks.size() == 1);
