Give a task up only for crashes under which it certainly was

Callers saw: a submission shown as failed whose task had been on one crashed worker only, or on none that it crashed.

Ruled out: reports of agents around takeovers (they named the right runs).

Now a loss is certain only if the worker had confirmed the start. A task is given up after two certain losses, the last as the only run that had just started, after three as the only one, or after four losses. Suspected tasks start before all others of a round, once their loss is stored, on a worker that has started nothing for 0.3 s (or after 1 s on the quietest one). A worker without a connected agent counts as silent from that moment and gets no starts. A lapsed lease makes no task suspected.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -20,6 +20,10 @@
 /// time for which it counts as unused.
 constexpr MonotonicTime kMaxFreeGap = std::chrono::milliseconds(400);
 
+/// A suspected task waits this long for a worker that has started nothing for a
+/// while; then it takes the one whose last start was the longest ago.
+constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherHooks hooks, std::uint32_t first_run,
@@ -175,7 +179,7 @@
   WorkerState& worker = registry_.at(ref.task->worker);
   PlacedRun& placed = worker.runs.at(ref.name);
   if (std::exchange(placed.start_confirmed, true)) return;
-  if (ref.task->suspected()) worker.trial_until = now + kStartTrial;
+  if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
 }
 
 void Dispatcher::ReleaseCapacity(const TaskRef& ref) {
@@ -256,8 +260,10 @@
   const WorkerState& worker =
       registry_.workers()[static_cast<std::size_t>(slot)];
   for (const auto& [name, placed] : worker.runs) {
-    runs.push_back({ToString(name), Attempt(placed.run),
-                    JustStarted(ExposureOf(worker, placed))});
+    const bool just_started =
+        worker.silent_since.count() > 0 &&
+        JustStarted(worker.silent_since - placed.started_at);
+    runs.push_back({ToString(name), Attempt(placed.run), just_started});
   }
   return runs;
 }
@@ -270,6 +276,10 @@
   int step = 0;
 };
 
+const StepSpec& Dispatcher::SpecOf(const Candidate& candidate) {
+  return candidate.entry->job->StepAt({candidate.step, 0}).spec;
+}
+
 std::vector<Dispatcher::Candidate> Dispatcher::Candidates(MonotonicTime now) {
   std::vector<Candidate> candidates;
   bool backlogged = false;
@@ -306,10 +316,14 @@
     const ServiceName* service;
   };
   std::vector<Unplaced> unplaced;
-  for (const Candidate& candidate : Candidates(now)) {
+  const std::vector<Candidate> candidates = Candidates(now);
+  // Before other starts, so that the workers which they get start nothing else.
+  for (const Candidate& candidate : candidates) {
+    if (!SpecOf(candidate).gang) PlaceSuspected(candidate, now);
+  }
+  for (const Candidate& candidate : candidates) {
     const Job& job = *candidate.entry->job;
-    const StepSpec& spec =
-        job.steps()[static_cast<std::size_t>(candidate.step)].spec;
+    const StepSpec& spec = SpecOf(candidate);
     const ServiceName& service = job.policy().service;
     const bool cannot_fit = std::any_of(
         unplaced.begin(), unplaced.end(), [&](const Unplaced& smaller) {
@@ -392,7 +406,10 @@
   const auto& tasks =
       entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
   for (std::size_t t = 0; t < tasks.size(); ++t) {
-    if (tasks[t].phase != TaskPhase::kPending || !tasks[t].suspected()) {
+    const Task& task = tasks[t];
+    // A new leader must know of the loss before the task starts again.
+    if (task.phase != TaskPhase::kPending || !IsSuspected(task.losses) ||
+        entry.saved_generation < task.loss_generation) {
       continue;
     }
     // A worker on trial accepts no start, so the placer cannot be reused.
@@ -400,19 +417,20 @@
         MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
             .Next();
     if (place.worker == kNoWorker) return LogPending(candidate, place.reason);
+    const MonotonicTime quiet = now - registry_.at(place.worker).last_start;
+    if (quiet < kStartTrial && now - task.since < kMaxTrialWait) return;
     Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
-          NextRun(tasks[t]), now);
+          NextRun(task), now);
   }
 }
 
 bool Dispatcher::PlaceStep(const Candidate& candidate, MonotonicTime now) {
-  PlaceSuspected(candidate, now);
   Entry& entry = *candidate.entry;
   const auto& tasks =
       entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
   StepPlacer placer = MakePlacer(entry, candidate.step, now);
   for (std::size_t t = 0; t < tasks.size(); ++t) {
-    if (tasks[t].phase != TaskPhase::kPending || tasks[t].suspected()) {
+    if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
       continue;
     }
     const Placement place = placer.Next();
@@ -438,7 +456,7 @@
   std::uint32_t run = 0;
   const bool suspected =
       std::any_of(step.tasks.begin(), step.tasks.end(),
-                  [](const Task& task) { return task.suspected(); });
+                  [](const Task& task) { return IsSuspected(task.losses); });
   StepPlacer placer = MakePlacer(
       entry, candidate.step, now,
       suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost);
@@ -482,7 +500,7 @@
   placed.start_number = ++worker.starts_issued;
   placed.started_at = now;
   worker.last_start = now;
-  if (ref.task->suspected()) worker.trial_until = now + kStartTrial;
+  if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
   ReserveCapacity(ref, slot, placed);
   if (job.state() == SubmissionState::kQueued) {
     hooks_.first_start(now - job.accepted_at());
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -126,6 +126,8 @@
   void AddUnconfirmedRuns(const VmName& vm, const std::vector<RunId>& runs,
                           MonotonicTime now);
   void OnEvent(const AgentEvent& event, MonotonicTime now);
+  /// Reports that no agent is connected to the worker any more.
+  void OnDetached(const VmName& vm, MonotonicTime now);
   /// Reports that nothing runs on the worker any more. Requeues its tasks.
   void OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
                        MonotonicTime now);
@@ -200,7 +202,7 @@
   /// Handles the loss of all runs on a worker: gives up tasks that crash their
   /// workers.
   /// @param process_ended false if the worker may only have been unreachable.
-  void OnRunsLost(WorkerSlot slot, bool process_ended);
+  void OnRunsLost(WorkerSlot slot, bool process_ended, MonotonicTime now);
   [[nodiscard]] std::vector<LostRun> LostRuns(WorkerSlot slot) const;
   void ApplyLoss(const LostRun& lost, const VmName& vm);
   void OnResponding(WorkerSlot slot, bool responding, MonotonicTime now);
@@ -232,6 +234,7 @@
 
   // Decisions.
   [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
+  [[nodiscard]] static const StepSpec& SpecOf(const Candidate& candidate);
   /// Places pending tasks of a step. Returns false if one does not fit.
   bool PlaceStep(const Candidate& candidate, MonotonicTime now);
   /// True if a long-running step may take capacity now. Scarce capacity is
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -20,16 +20,6 @@
 /// capacity, which means that work unknown to the registry uses the capacity.
 constexpr MonotonicTime kNoCapacityBackoff = std::chrono::milliseconds(300);
 
-/// True if the event shows that the worker was running a moment ago.
-bool ShowsRunning(const AgentEvent& event) {
-  if (const auto* load = std::get_if<WorkerLoad>(&event.details)) {
-    return load->responding;
-  }
-  return std::holds_alternative<RunStarted>(event.details) ||
-         std::holds_alternative<RunEnded>(event.details) ||
-         std::holds_alternative<RunStalled>(event.details);
-}
-
 }  // namespace
 
 std::string_view RemovalName(WorkerRemoval removal) noexcept {
@@ -49,7 +39,6 @@
 void Dispatcher::OnEvent(const AgentEvent& event, MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(event.vm);
   if (slot == kNoWorker) return;
-  if (ShowsRunning(event)) registry_.at(slot).heard_at = now;
   std::visit(
       base::Overloaded{
           [&](const Attached& attached) { OnAttached(slot, attached, now); },
@@ -83,11 +72,10 @@
   WorkerState& worker = registry_.at(slot);
   const bool restarted = worker.incarnation != WorkerIncarnation() &&
                          worker.incarnation != attached.incarnation;
-  if (restarted) OnRunsLost(slot, true);
+  if (restarted) OnRunsLost(slot, true, now);
   if (worker.incarnation != attached.incarnation) worker.last_start = now;
   worker.attached = true;
   worker.incarnation = attached.incarnation;
-  worker.heard_at = now;
   worker.silent_since = MonotonicTime(0);
   worker.stray_runs.clear();
   for (const EndedRun& end : attached.ended) {
@@ -398,6 +386,11 @@
   }
 }
 
+void Dispatcher::OnDetached(const VmName& vm, MonotonicTime now) {
+  const WorkerSlot slot = registry_.Find(vm);
+  if (slot != kNoWorker) OnResponding(slot, false, now);
+}
+
 void Dispatcher::OnResponding(WorkerSlot slot, bool responding,
                               MonotonicTime now) {
   MonotonicTime& silent_since = registry_.at(slot).silent_since;
@@ -414,22 +407,20 @@
   std::vector<LostRun> lost;
   for (const auto& [name, placed] : worker.runs) {
     Job& job = *entries_.at(name.submission).job;
-    const std::vector<TaskLoss>& losses = job.Find(*job.IndexOf(name))->losses;
     LostRun run;
     run.task = name;
     run.run = placed.run;
     run.start_confirmed = placed.start_confirmed;
-    run.exposure = ExposureOf(worker, placed);
-    run.earlier_losses = static_cast<int>(losses.size());
-    run.earlier_suspicions = static_cast<int>(
-        std::count_if(losses.begin(), losses.end(),
-                      [](const TaskLoss& loss) { return loss.just_started; }));
+    run.exposure = worker.silent_since - placed.started_at;
+    run.earlier = job.Find(*job.IndexOf(name))->losses;
     lost.push_back(std::move(run));
   }
   return lost;
 }
 
-void Dispatcher::OnRunsLost(WorkerSlot slot, bool process_ended) {
+void Dispatcher::OnRunsLost(WorkerSlot slot, bool process_ended,
+                            MonotonicTime now) {
+  OnResponding(slot, false, now);
   const WorkerInfo& info = registry_.at(slot).info;
   // A worker that drains ends its process as planned.
   if (info.draining) return;
@@ -444,15 +435,16 @@
   const TaskRef ref = *FindTask(lost.task);
   if (ClearsSuspicion(lost)) ref.task->losses.clear();
   if (lost.suspicion == Suspicion::kNone || IsFinal(ref.job().state())) return;
-  const bool just_started = lost.suspicion != Suspicion::kPresent;
-  ref.task->losses.push_back({lost.run, just_started});
+  ref.task->losses.push_back({lost.run, lost.suspicion, lost.certain});
   const bool given_up = CrashesWorkers(lost);
   if (given_up) {
     ++counters_.given_up;
     hooks_.log(lost.task, vm, "given_up", "crashes_workers");
     ref.job().SetState(SubmissionState::kFailed);
   }
-  if (given_up || just_started) MarkChanged(*ref.entry);
+  if (!given_up && lost.suspicion == Suspicion::kPresent) return;
+  MarkChanged(*ref.entry);
+  ref.task->loss_generation = ref.entry->generation;
 }
 
 void Dispatcher::OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
@@ -460,7 +452,7 @@
   const WorkerSlot slot = registry_.Find(vm);
   if (slot == kNoWorker) return;
   if (removal != WorkerRemoval::kLeft) {
-    OnRunsLost(slot, removal == WorkerRemoval::kProcessEnded);
+    OnRunsLost(slot, removal == WorkerRemoval::kProcessEnded, now);
   }
   while (!registry_.at(slot).runs.empty()) {
     Requeue(*FindTask(TaskName(registry_.at(slot).runs.begin()->first)),
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -2,13 +2,13 @@
 /// A submission with the state of its tasks.
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "dispatch/model/submission.hpp"
+#include "dispatch/policy/lost_run.hpp"
 
 namespace mangospread::dispatch {
 
@@ -24,14 +24,6 @@
   kDone,
 };
 
-/// A run that was lost with the process of its worker.
-struct TaskLoss {
-  std::uint32_t run = 0;
-  bool just_started = false;
-
-  friend bool operator==(const TaskLoss&, const TaskLoss&) = default;
-};
-
 struct Task {
   TaskPhase phase = TaskPhase::kPending;
   WorkerSlot worker = kNoWorker;
@@ -40,15 +32,11 @@
   /// Runs that count as failed attempts.
   std::vector<std::uint32_t> failed_runs;
   std::vector<TaskLoss> losses;
+  /// Generation of the submission's progress that holds all losses.
+  std::uint64_t loss_generation = 0;
   MonotonicTime since{0};  ///< Start of the phase.
   std::string checkpoint;
 
-  /// True if the task may be one that crashes its workers. It is started on a
-  /// worker that starts nothing else for a while.
-  [[nodiscard]] bool suspected() const noexcept {
-    return std::any_of(losses.begin(), losses.end(),
-                       [](const TaskLoss& loss) { return loss.just_started; });
-  }
   /// True if a worker may be running the task.
   [[nodiscard]] bool placed() const noexcept {
     return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -100,8 +100,8 @@
        {"start_confirmed", lost.start_confirmed},
        {"exposure_ms", duration_cast<milliseconds>(lost.exposure).count()},
        {"suspicion", SuspicionName(lost.suspicion)},
-       {"earlier_losses", lost.earlier_losses},
-       {"earlier_suspicions", lost.earlier_suspicions}});
+       {"certain", lost.certain},
+       {"earlier_losses", lost.earlier.size()}});
 }
 
 // Loading.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -149,6 +149,7 @@
   if (it != agents_.end()) --it->second.workers;
   entry.agent.reset();
   entry.attached = false;
+  dispatcher_->OnDetached(entry.info.vm, base::MonotonicNow());
   entry.lease_expires_at = std::max(entry.lease_expires_at,
                                     base::MonotonicNow() + LeaseUpperBound());
 }
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -22,7 +22,8 @@
   if (task.losses.empty()) return row;
   json losses = json::array();
   for (const TaskLoss& loss : task.losses) {
-    losses.push_back(json::array({loss.run, loss.just_started}));
+    losses.push_back(json::array(
+        {loss.run, static_cast<int>(loss.suspicion), loss.certain}));
   }
   row.push_back(std::move(losses));
   return row;
@@ -30,12 +31,17 @@
 
 bool DecodeLosses(const json& rows, std::vector<TaskLoss>& losses) {
   if (!rows.is_array()) return false;
+  constexpr std::size_t kLossFields = 3;
+  constexpr auto kMaxSuspicion = static_cast<std::uint64_t>(Suspicion::kSole);
   for (const json& row : rows) {
-    if (!row.is_array() || row.size() != 2 || !row[0].is_number_unsigned() ||
-        !row[1].is_boolean()) {
+    if (!row.is_array() || row.size() != kLossFields ||
+        !row[0].is_number_unsigned() || !row[1].is_number_unsigned() ||
+        row[1].get<std::uint64_t>() > kMaxSuspicion || !row[2].is_boolean()) {
       return false;
     }
-    losses.push_back({row[0].get<std::uint32_t>(), row[1].get<bool>()});
+    losses.push_back({row[0].get<std::uint32_t>(),
+                      static_cast<Suspicion>(row[1].get<int>()),
+                      row[2].get<bool>()});
   }
   return true;
 }
--- a/src/dispatch/policy/lost_run.cc
+++ b/src/dispatch/policy/lost_run.cc
@@ -9,13 +9,27 @@
 
 /// A worker that crashes later than this after a start was not crashed by it.
 constexpr MonotonicTime kMaxExposure = std::chrono::seconds(10);
-/// Losses of one task, with any suspicion, after which it is given up.
+/// A task under which this many processes have certainly ended may be given up.
+constexpr int kMinCertainLosses = 2;
+/// Losses as the only run that had just started after which a task is given up
+/// even if no start had a reply.
+constexpr int kMaxSoleLosses = 3;
+/// Losses after which a task is given up without being the only suspect.
 constexpr int kMaxLosses = 4;
 
 bool Present(const LostRun& lost) {
   return lost.exposure.count() >= 0 && lost.exposure < kMaxExposure;
 }
 
+/// @param just_started number of runs on the worker that had just started.
+Suspicion SuspicionOf(const LostRun& run, int just_started) {
+  if (just_started == 0) {
+    return Present(run) ? Suspicion::kPresent : Suspicion::kNone;
+  }
+  if (!JustStarted(run.exposure)) return Suspicion::kNone;
+  return just_started == 1 ? Suspicion::kSole : Suspicion::kShared;
+}
+
 }  // namespace
 
 std::string_view SuspicionName(Suspicion suspicion) noexcept {
@@ -37,22 +51,33 @@
       lost.begin(), lost.end(),
       [](const LostRun& run) { return JustStarted(run.exposure); });
   for (LostRun& run : lost) {
-    run.suspicion = Suspicion::kNone;
-    if (just_started == 0) {
-      if (process_ended && Present(run)) run.suspicion = Suspicion::kPresent;
-    } else if (JustStarted(run.exposure)) {
-      const bool sole = just_started == 1 && process_ended;
-      run.suspicion = sole ? Suspicion::kSole : Suspicion::kShared;
+    run.suspicion = SuspicionOf(run, static_cast<int>(just_started));
+    if (!process_ended) {
+      run.suspicion =
+          JustStarted(run.exposure) ? Suspicion::kPresent : Suspicion::kNone;
     }
+    run.certain = process_ended && run.start_confirmed;
   }
 }
 
+bool IsSuspected(const std::vector<TaskLoss>& losses) noexcept {
+  return std::any_of(losses.begin(), losses.end(), [](const TaskLoss& loss) {
+    return loss.suspicion >= Suspicion::kShared;
+  });
+}
+
 bool CrashesWorkers(const LostRun& lost) noexcept {
   if (lost.suspicion == Suspicion::kNone) return false;
-  if (lost.suspicion == Suspicion::kSole && lost.earlier_suspicions > 0) {
-    return true;
+  const bool sole = lost.suspicion == Suspicion::kSole;
+  int certain_losses = lost.certain ? 1 : 0;
+  int sole_losses = sole ? 1 : 0;
+  for (const TaskLoss& loss : lost.earlier) {
+    certain_losses += loss.certain ? 1 : 0;
+    sole_losses += loss.suspicion == Suspicion::kSole ? 1 : 0;
   }
-  return lost.earlier_losses + 1 >= kMaxLosses;
+  if (sole_losses >= kMaxSoleLosses) return true;
+  const auto losses = static_cast<int>(lost.earlier.size()) + 1;
+  return certain_losses >= kMinCertainLosses && (sole || losses >= kMaxLosses);
 }
 
 bool ClearsSuspicion(const LostRun& lost) noexcept {
--- a/src/dispatch/policy/lost_run.hpp
+++ b/src/dispatch/policy/lost_run.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "dispatch/core/job.hpp"
+#include "dispatch/model/submission.hpp"
 
 namespace mangospread::dispatch {
 
@@ -22,6 +22,15 @@
 /// Name for logs.
 [[nodiscard]] std::string_view SuspicionName(Suspicion suspicion) noexcept;
 
+/// A loss that counts against a task, as stored with its progress.
+struct TaskLoss {
+  std::uint32_t run = 0;
+  Suspicion suspicion = Suspicion::kNone;
+  bool certain = false;  ///< The run was certainly there.
+
+  friend bool operator==(const TaskLoss&, const TaskLoss&) = default;
+};
+
 /// A run on a worker whose process ended without reporting the run's end.
 struct LostRun {
   TaskName task;
@@ -31,14 +40,14 @@
   /// Time from the start until the worker stopped responding; negative if the
   /// start was issued later.
   MonotonicTime exposure{0};
-  /// Earlier losses of the task that count.
-  int earlier_losses = 0;
-  /// Those of the earlier losses in which the task had just started.
-  int earlier_suspicions = 0;
+  std::vector<TaskLoss> earlier;  ///< Earlier losses of the task that count.
   Suspicion suspicion = Suspicion::kNone;
+  /// The run was certainly there when the process ended.
+  bool certain = false;
 };
 
-/// Sets the suspicion of each run that a worker has lost.
+/// Sets the suspicion of each run that a worker has lost, and whether that run
+/// was certainly there.
 ///
 /// Load pattern: a task that crashes every worker which starts it, among tasks
 /// that only share a worker with it. A run that had just started explains a
@@ -47,9 +56,16 @@
 /// @param process_ended false if the worker may only have been unreachable.
 void AssignSuspicion(std::vector<LostRun>& lost, bool process_ended);
 
-/// True if the task must not be started again: it crashed a worker that had
-/// started nothing else, after it had been suspected before, or too many
-/// workers were lost under it.
+/// True if the task may be one that crashes its workers, so that it is started
+/// on a worker that starts nothing else for a while.
+[[nodiscard]] bool IsSuspected(const std::vector<TaskLoss>& losses) noexcept;
+
+/// True if the task must not be started again.
+///
+/// A worker may also be cut off and crash by itself, so a start without a reply
+/// may never have arrived. The task is given up if two processes have certainly
+/// ended under it and it was the only run that had just started, or if it was
+/// so three times, or after many losses.
 [[nodiscard]] bool CrashesWorkers(const LostRun& lost) noexcept;
 
 /// True if the run had worked for so long that a start of its task does not
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -83,14 +83,6 @@
   accelerators_used -= spec.accelerators;
 }
 
-MonotonicTime ExposureOf(const WorkerState& worker,
-                         const PlacedRun& run) noexcept {
-  if (worker.silent_since.count() > 0) {
-    return worker.silent_since - run.started_at;
-  }
-  return std::max(MonotonicTime(0), worker.heard_at - run.started_at);
-}
-
 WorkerSlot WorkerRegistry::Upsert(const WorkerInfo& info) {
   const auto it = by_name_.find(info.vm);
   if (it != by_name_.end()) {
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -63,8 +63,8 @@
   WorkerInfo info;
   bool attached = false;          ///< An agent is connected to it.
   WorkerIncarnation incarnation;  ///< Default before the first attachment.
-  MonotonicTime heard_at{0};      ///< Last event that shows it running.
-  /// Time since which it does not respond; 0 while it does.
+  /// Time since which it does not respond or no agent is connected to it; 0
+  /// while it responds.
   MonotonicTime silent_since{0};
   /// Last start, or its attachment if there was none.
   MonotonicTime last_start{0};
@@ -107,12 +107,6 @@
   mutable bool groups_valid_ = false;
 };
 
-/// Time from the start of a run until its worker stopped responding, or until
-/// the worker's last event if that moment is not known; negative if the run was
-/// started after the worker stopped responding.
-[[nodiscard]] MonotonicTime ExposureOf(const WorkerState& worker,
-                                       const PlacedRun& run) noexcept;
-
 /// All workers of a group, by slot and by name.
 class WorkerRegistry {
  public:
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -184,7 +184,7 @@
   task.run = 3;
   task.failed_runs = {1, 3};
   task.checkpoint = "cp";
-  task.losses = {{5, true}, {6, false}};
+  task.losses = {{5, Suspicion::kSole, false}, {6, Suspicion::kPresent, true}};
   progress.progress.tasks = {task, TaskProgress{}};
   const auto decoded_progress = DecodeProgressRow(EncodeProgressRow(progress));
   REQUIRE(decoded_progress.ok());
@@ -196,6 +196,16 @@
   CHECK(decoded_progress.value().progress.tasks[0].failed_runs ==
         task.failed_runs);
   CHECK_FALSE(DecodeProgressRow("{}").ok());
+  const auto with_loss = [](const std::string& loss) {
+    return DecodeProgressRow(
+        R"({"queue":"q","state":"running","tasks":[[0,0,false,1,[],"",[)" +
+        loss + "]]]}");
+  };
+  CHECK(with_loss("[1,3,true]").ok());
+  CHECK_FALSE(with_loss("[1,4,true]").ok());
+  CHECK_FALSE(with_loss("[1,-1,true]").ok());
+  CHECK_FALSE(with_loss("[1,3]").ok());
+  CHECK_FALSE(with_loss("7").ok());
   CHECK_FALSE(DecodeJobRow("7").ok());
 }
 
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -262,7 +262,7 @@
   const auto progress = leader->dispatcher().Progress(SubmissionId(kId));
   REQUIRE(progress.tasks.size() == 1);
   REQUIRE(progress.tasks[0].losses.size() == 1);
-  CHECK(progress.tasks[0].losses[0].just_started);
+  CHECK(progress.tasks[0].losses[0].suspicion == Suspicion::kSole);
   CHECK(starts.size() == 1);
 }
 
--- a/tests/unit/dispatch/worker_crash_test.cc
+++ b/tests/unit/dispatch/worker_crash_test.cc
@@ -15,12 +15,9 @@
 /// times.
 constexpr int kMaxStarts = 5;
 
-LostRun MakeLostRun(MonotonicTime exposure, int earlier_losses = 0,
-                    int earlier_suspicions = 0) {
+LostRun MakeLostRun(MonotonicTime exposure) {
   LostRun lost;
   lost.exposure = exposure;
-  lost.earlier_losses = earlier_losses;
-  lost.earlier_suspicions = earlier_suspicions;
   return lost;
 }
 
@@ -48,24 +45,55 @@
   CHECK(Suspicions({working, long_working}, false) ==
         std::vector{kNone, kNone});
   CHECK(Suspicions({just_started, working}, false) ==
-        std::vector{kShared, kNone});
+        std::vector{kPresent, kNone});
+}
+
+// Guards against a submission that fails although its task was not on the
+// worker when that crashed (karaagac-travers, crashing.toml --seed 130).
+TEST_CASE("a start without a reply is no certain loss") {
+  LostRun run = MakeLostRun(milliseconds(5));
+  const auto certain = [&run](bool process_ended) {
+    std::vector<LostRun> lost = {run};
+    AssignSuspicion(lost, process_ended);
+    return lost[0].certain;
+  };
+  CHECK_FALSE(certain(true));
+  run.start_confirmed = true;
+  CHECK(certain(true));
+  // The worker may only have been cut off.
+  CHECK_FALSE(certain(false));
 }
 
 TEST_CASE("a task is given up on strong evidence or after many losses") {
-  const auto crashes = [](Suspicion suspicion, int losses, int suspicions) {
-    LostRun lost = MakeLostRun(milliseconds(5), losses, suspicions);
-    lost.suspicion = suspicion;
+  using enum Suspicion;
+  const auto crashes = [](std::vector<TaskLoss> losses) {
+    LostRun lost;
+    lost.suspicion = losses.back().suspicion;
+    lost.certain = losses.back().certain;
+    losses.pop_back();
+    lost.earlier = std::move(losses);
     return CrashesWorkers(lost);
   };
-  CHECK_FALSE(crashes(Suspicion::kSole, 0, 0));
-  CHECK_FALSE(crashes(Suspicion::kSole, 1, 0));
-  CHECK(crashes(Suspicion::kSole, 1, 1));
-  CHECK_FALSE(crashes(Suspicion::kShared, 2, 2));
-  CHECK_FALSE(crashes(Suspicion::kPresent, 2, 0));
-  CHECK_FALSE(crashes(Suspicion::kNone, kMaxStarts, kMaxStarts));
-  // The last start that is allowed has been used.
-  CHECK(crashes(Suspicion::kShared, kMaxStarts - 1, 0));
-  CHECK(crashes(Suspicion::kPresent, kMaxStarts - 1, 0));
+  const TaskLoss sole{1, kSole, true};
+  const TaskLoss sole_unconfirmed{1, kSole, false};
+  const TaskLoss shared{1, kShared, true};
+  const TaskLoss shared_unconfirmed{1, kShared, false};
+  const TaskLoss present{1, kPresent, true};
+  CHECK_FALSE(crashes({sole}));
+  CHECK(crashes({sole, sole}));
+  CHECK(crashes({shared, sole}));
+  // The worker may have been cut off, so the task may never have been there.
+  CHECK_FALSE(crashes({sole, sole_unconfirmed}));
+  CHECK_FALSE(crashes({shared_unconfirmed, sole}));
+  CHECK(crashes({sole_unconfirmed, sole_unconfirmed, sole_unconfirmed}));
+  CHECK_FALSE(crashes({shared, shared, shared}));
+  CHECK_FALSE(crashes({present, present, present}));
+  CHECK_FALSE(crashes({sole, sole, {1, kNone, false}}));
+  // All but the last start that is allowed have been used.
+  CHECK(crashes({shared, shared, shared, shared}));
+  CHECK(crashes({present, present, present, present}));
+  CHECK_FALSE(crashes(
+      {shared, shared_unconfirmed, shared_unconfirmed, shared_unconfirmed}));
 }
 
 struct CrashFixture : DispatcherFixture {
@@ -86,6 +114,9 @@
     Event(vm.str().c_str(), WorkerEnded{});
     AddWorker(vm.str().c_str());
     now += seconds(1);
+    for (const SubmissionId& id : std::exchange(save_requests, {})) {
+      Save(id.str().c_str());
+    }
   }
 
   [[nodiscard]] SubmissionState StateOf(const char* id) {
@@ -222,10 +253,57 @@
   CHECK(StateOf("a") == SubmissionState::kRunning);
 }
 
+// Guards against a crash that no leader remembers, if the leader is lost right
+// after the task has started again.
+TEST_CASE_FIXTURE(CrashFixture,
+                  "a suspected task waits until its loss is stored") {
+  Add("a", {MakeStep(1, 1'000)});
+  const StartRun start = Decide().at(0);
+  Event(start.vm.str().c_str(), WorkerEnded{});
+  now += seconds(1);
+  CHECK(Decide().empty());
+  Save("a");
+  CHECK(Decide().size() == 1);
+}
+
+// Guards against a suspected task that cannot be told from the tasks that start
+// with it, as when a new leader starts all that waits.
+TEST_CASE_FIXTURE(CrashFixture, "a suspected task starts before the others") {
+  Add("crashing", {MakeStep(1, 1'000)});
+  Crash(Decide().at(0).vm);
+  Add("urgent", {MakeStep(24, 1'000)});
+  now += seconds(1);
+  std::map<VmName, int> starts_on;
+  std::optional<VmName> suspected;
+  for (const StartRun& start : Decide()) {
+    ++starts_on[start.vm];
+    if (start.task == "crashing.0.0.0") suspected = start.vm;
+  }
+  REQUIRE(suspected);
+  CHECK(starts_on[*suspected] == 1);
+  CHECK(starts_on.size() == 4);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a suspected task waits for a quiet worker") {
+  Add("a", {MakeStep(1, 1'000)});
+  const StartRun start = Decide().at(0);
+  Event(start.vm.str().c_str(), WorkerEnded{});
+  AddWorker(start.vm.str().c_str());
+  // Every worker starts something before the loss is stored.
+  Add("b", {MakeStep(40, 1'000)});
+  CHECK(Decide().size() == 40);
+  Save("a");
+  CHECK(Decide().empty());
+  now += milliseconds(400);
+  CHECK(Decide().size() == 1);
+}
+
 TEST_CASE("losses are counted across leaders") {
   CrashFixture former;
   former.Add("a", {DispatcherFixture::MakeStep(1, 1'000)});
-  former.Crash(former.Decide().at(0).vm);
+  const StartRun start = former.Decide().at(0);
+  former.Confirm(start);
+  former.Crash(start.vm);
   CrashFixture next;
   next.dispatcher.Restore(DispatcherFixture::MakeSubmission(
                               "a", {DispatcherFixture::MakeStep(1, 1'000)}),
@@ -233,7 +311,9 @@
                           former.dispatcher.Progress(SubmissionId("a")),
                           next.now);
   next.dispatcher.Resume();
-  next.Crash(next.Decide().at(0).vm);
+  const StartRun again = next.Decide().at(0);
+  next.Confirm(again);
+  next.Crash(again.vm);
   CHECK(next.StateOf("a") == SubmissionState::kFailed);
 }
 
