Test that suspected tasks and workers without an agent are kept apart

Two mechanisms of the fix of crashing tasks had no test: the choice of the worker that has been quiet for longest, and no starts on a worker without an agent.

--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -266,6 +266,21 @@
   CHECK(starts.size() == 1);
 }
 
+// Guards against starts that wait for the next agent of a worker, and that then
+// seem to have been there when the worker crashed.
+TEST_CASE_FIXTURE(LeaderFixture, "a worker without an agent gets no starts") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  leader->OnAgentDown(NodeId("agent"));
+  Call(ServiceVerb::kSubmit);
+  CHECK(leader->dispatcher().counters().started == 0);
+  leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+  RunFor(std::chrono::seconds(1));
+  Attach("w1");
+  CHECK(starts.size() == 1);
+}
+
 // Guards against a leader that takes the workers of a whole fleet for itself
 // when its agents follow the next leader (previsur-cuotas-large, small
 // trouble-1), and starts runs there of which that leader does not know.
--- a/tests/unit/dispatch/worker_crash_test.cc
+++ b/tests/unit/dispatch/worker_crash_test.cc
@@ -284,6 +284,30 @@
   CHECK(starts_on.size() == 4);
 }
 
+// Guards against a crash that another run on the worker explains as well.
+TEST_CASE_FIXTURE(CrashFixture, "a suspected task gets the quietest worker") {
+  Add("a", {MakeStep(1, 1'000)});
+  const StartRun start = Decide().at(0);
+  Event(start.vm.str().c_str(), WorkerEnded{});
+  AddWorker(start.vm.str().c_str());
+  // w4 is the most used worker, but the others have started something since.
+  const auto others_respond = [this](bool responding) {
+    for (const char* name : {"w1", "w2", "w3"}) {
+      Event(name, WorkerLoad{{}, responding});
+    }
+  };
+  others_respond(false);
+  Add("old", {MakeStep(8, 1'000)});
+  CHECK(Decide().size() == 8);
+  others_respond(true);
+  now += milliseconds(400);
+  Add("new", {MakeStep(3, 1'000)});
+  CHECK(Decide().size() == 3);
+  now += milliseconds(400);
+  Save("a");
+  CHECK(Decide().at(0).vm == VmName("w4"));
+}
+
 TEST_CASE_FIXTURE(CrashFixture, "a suspected task waits for a quiet worker") {
   Add("a", {MakeStep(1, 1'000)});
   const StartRun start = Decide().at(0);
