Reject events of an unknown kind

What callers would see: tasks that run twice while nodes of two versions are up. Cause: an event whose kind the leader does not know was decoded as an unreachable worker without a lease, and the lease of a worker that has been attached for long is not known otherwise, so its tasks start elsewhere at once.

The decoder now rejects the frame, as it does unknown enumerators; the channel is closed, and the agent keeps its leases. The new case of frames_test failed before. 237 unit tests.

--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -316,6 +316,7 @@
   return attached;
 }
 
+/// Throws kj::Exception for an event of an unknown kind.
 decltype(AgentEvent::details) GetEvent(wire::Event::Reader in) {
   switch (in.which()) {
     case wire::Event::ATTACHED:
@@ -343,7 +344,7 @@
     case wire::Event::LOAD:
       return GetLoad(in.getLoad());
   }
-  return WorkerUnreachable{};
+  KJ_FAIL_REQUIRE("unknown event");
 }
 
 // Calls.
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 
 #include "dispatch/leader/job_rows.hpp"
@@ -142,6 +143,22 @@
                   .ok());
 }
 
+// Guards against an event of a later version, or a damaged one, that is taken
+// for an unreachable worker without a lease, whose tasks then start elsewhere.
+TEST_CASE("events of an unknown kind are rejected") {
+  const auto encode = [](decltype(AgentEvent::details) details) {
+    return EncodeFrame(
+        AgentEvent{VmName("w"), WorkerFence(1), std::move(details)});
+  };
+  std::string bytes = encode(WorkerSuperseded{});
+  const std::string other = encode(WorkerEnded{});
+  REQUIRE(bytes.size() == other.size());
+  const auto kind = std::mismatch(bytes.begin(), bytes.end(), other.begin());
+  REQUIRE(kind.first != bytes.end());
+  *kind.first = 100;
+  CHECK_FALSE(DecodeFrame(bytes).ok());
+}
+
 // Guards against damaged bytes from a peer that crash the process.
 TEST_CASE("decoding a damaged frame does not crash") {
   const std::string valid_frame = EncodeFrame(
