Split the dispatcher by decisions, workers and losses

An ended worker's listed ends are not reported as runs any more, since nothing has to wait for them.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -182,7 +182,7 @@
   [[nodiscard]] std::optional<TaskRef> FindRun(WorkerSlot slot,
                                                const std::string& text,
                                                Attempt run);
-  // Workers (dispatcher_workers.cc).
+  // Workers (dispatcher_workers.cc, dispatcher_losses.cc).
   void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
   void ReconcileRun(WorkerSlot slot, const RunningRun& running,
                     MonotonicTime now);
@@ -232,7 +232,7 @@
   /// left to finish.
   void DrainWorkers(MonotonicTime now);
 
-  // Decisions.
+  // Decisions (dispatcher_decisions.cc).
   [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
   [[nodiscard]] static const StepSpec& SpecOf(const Candidate& candidate);
   /// Places pending tasks of a step. Returns false if one does not fit.
--- /dev/null
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -0,0 +1,284 @@
+// Choice of the tasks that start and of their workers.
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/core/dispatcher.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+/// Below this free share of the processors, capacity is scarce: short tasks
+/// compete for it.
+constexpr double kScarceCapacityShare = 0.15;
+/// A long-running task may take scarce capacity once it has been unused for
+/// this long. While there is free capacity, the task has to start within three
+/// seconds.
+constexpr MonotonicTime kMinUnusedTime = std::chrono::milliseconds(1'500);
+/// Short tasks may use all capacity for up to this long without resetting the
+/// time for which it counts as unused.
+constexpr MonotonicTime kMaxFreeGap = std::chrono::milliseconds(400);
+
+/// A suspected task waits this long for a worker that has started nothing for a
+/// while; then it takes the one whose last start was the longest ago.
+constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
+
+}  // namespace
+
+struct Dispatcher::Candidate {
+  Urgency urgency;
+  Entry* entry = nullptr;
+  int step = 0;
+};
+
+const StepSpec& Dispatcher::SpecOf(const Candidate& candidate) {
+  return candidate.entry->job->StepAt({candidate.step, 0}).spec;
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::Candidates(MonotonicTime now) {
+  std::vector<Candidate> candidates;
+  bool backlogged = false;
+  for (Entry* entry : active_) {
+    const Job& job = *entry->job;
+    if (IsFinal(job.state()) || (entry->restored && !resumed_)) continue;
+    for (std::size_t s = 0; s < job.steps().size(); ++s) {
+      const Step& step = job.steps()[s];
+      if (!step.ready || step.pending == 0 || now < step.due) continue;
+      candidates.push_back({{}, entry, static_cast<int>(s)});
+      backlogged = backlogged ||
+                   (!step.spec.long_running && now > job.ObjectiveOf(step));
+    }
+  }
+  for (Candidate& candidate : candidates) {
+    const Job& job = *candidate.entry->job;
+    candidate.urgency =
+        UrgencyOf(job, job.steps()[static_cast<std::size_t>(candidate.step)],
+                  now, backlogged);
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.urgency < b.urgency;
+                   });
+  return candidates;
+}
+
+void Dispatcher::Decide(MonotonicTime now) {
+  DrainWorkers(now);
+  // Steps that could not be placed in this round. Larger steps of the same kind
+  // cannot be placed either and are skipped.
+  struct Unplaced {
+    const StepSpec* spec;
+    const ServiceName* service;
+  };
+  std::vector<Unplaced> unplaced;
+  const std::vector<Candidate> candidates = Candidates(now);
+  // Before other starts, so that the workers which they get start nothing else.
+  for (const Candidate& candidate : candidates) {
+    if (!SpecOf(candidate).gang) PlaceSuspected(candidate, now);
+  }
+  for (const Candidate& candidate : candidates) {
+    const Job& job = *candidate.entry->job;
+    const StepSpec& spec = SpecOf(candidate);
+    const ServiceName& service = job.policy().service;
+    const bool cannot_fit = std::any_of(
+        unplaced.begin(), unplaced.end(), [&](const Unplaced& smaller) {
+          return *smaller.service == service &&
+                 smaller.spec->best_effort == spec.best_effort &&
+                 smaller.spec->cpu <= spec.cpu &&
+                 smaller.spec->memory <= spec.memory &&
+                 smaller.spec->accelerators <= spec.accelerators &&
+                 smaller.spec->required_label.empty() &&
+                 smaller.spec->max_per_worker == 0;
+        });
+    if (cannot_fit) continue;
+    if (spec.long_running && !MayTakeCapacity(candidate, now)) continue;
+    const bool placed =
+        spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
+    // A gang needs capacity for all its members at once.
+    if (!placed && !spec.gang) unplaced.push_back({&spec, &service});
+  }
+}
+
+StepPlacer Dispatcher::MakePlacer(const Entry& entry, int step,
+                                  MonotonicTime now, PlacementGoal goal) const {
+  const StepSpec& spec =
+      entry.job->steps()[static_cast<std::size_t>(step)].spec;
+  return {registry_,
+          interference_,
+          entry.job->policy().service,
+          spec,
+          [&entry, step](WorkerSlot slot) {
+            return TasksOfStep(entry, step, slot);
+          },
+          now,
+          goal};
+}
+
+void Dispatcher::LogPending(const Candidate& candidate,
+                            PlacementFailure reason) {
+  const Job& job = *candidate.entry->job;
+  Step& step = candidate.entry->job->StepAt({candidate.step, 0});
+  if (std::exchange(step.pending_logged, true)) return;
+  const auto pending = std::find_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& task) { return task.phase == TaskPhase::kPending; });
+  const auto index = static_cast<int>(pending - step.tasks.begin());
+  hooks_.log(
+      job.NameOf({candidate.step, index}), VmName(), "waits",
+      reason == PlacementFailure::kNoCapacity ? "no_room" : "no_usable_worker");
+}
+
+double Dispatcher::FreeShare(const ServiceName& service,
+                             MonotonicTime now) const {
+  Millicores capacity;
+  Millicores used;
+  for (const WorkerState& worker : registry_.workers()) {
+    if (!worker.Accepts(now) || worker.info.service != service) continue;
+    capacity += worker.info.capacity.cpu;
+    used += worker.cpu_used;
+  }
+  if (capacity.value() == 0) return 0;
+  return 1 - static_cast<double>(used.value()) /
+                 static_cast<double>(capacity.value());
+}
+
+bool Dispatcher::MayTakeCapacity(const Candidate& candidate,
+                                 MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  Step& step = entry.job->steps()[static_cast<std::size_t>(candidate.step)];
+  if (MakePlacer(entry, candidate.step, now).Next().worker == kNoWorker) {
+    if (now - step.free_seen > kMaxFreeGap) step.free_since = MonotonicTime(0);
+    return true;  // PlaceStep or PlaceGang then fails too and logs the reason.
+  }
+  step.free_seen = now;
+  if (step.free_since.count() == 0) step.free_since = now;
+  return now - step.free_since >= kMinUnusedTime ||
+         FreeShare(entry.job->policy().service, now) > kScarceCapacityShare;
+}
+
+void Dispatcher::PlaceSuspected(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  const auto& tasks =
+      entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
+  for (std::size_t t = 0; t < tasks.size(); ++t) {
+    const Task& task = tasks[t];
+    // A new leader must know of the loss before the task starts again.
+    if (task.phase != TaskPhase::kPending || !IsSuspected(task.losses) ||
+        entry.saved_generation < task.loss_generation) {
+      continue;
+    }
+    // A worker on trial accepts no start, so the placer cannot be reused.
+    const Placement place =
+        MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
+            .Next();
+    if (place.worker == kNoWorker) return LogPending(candidate, place.reason);
+    const MonotonicTime quiet = now - registry_.at(place.worker).last_start;
+    if (quiet < kStartTrial && now - task.since < kMaxTrialWait) return;
+    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
+          NextRun(task), now);
+  }
+}
+
+bool Dispatcher::PlaceStep(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  const auto& tasks =
+      entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
+  StepPlacer placer = MakePlacer(entry, candidate.step, now);
+  for (std::size_t t = 0; t < tasks.size(); ++t) {
+    if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
+      continue;
+    }
+    const Placement place = placer.Next();
+    if (place.worker == kNoWorker) {
+      LogPending(candidate, place.reason);
+      return false;
+    }
+    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
+          NextRun(tasks[t]), now);
+  }
+  return true;
+}
+
+bool Dispatcher::PlaceGang(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  Step& step = entry.job->steps()[static_cast<std::size_t>(candidate.step)];
+  if (step.pending < static_cast<int>(step.tasks.size())) {
+    // Members of an earlier run remain; the gang restarts when all have ended.
+    StopGang(entry, candidate.step, now);
+    return true;
+  }
+  std::vector<WorkerSlot> slots;
+  std::uint32_t run = 0;
+  const bool suspected =
+      std::any_of(step.tasks.begin(), step.tasks.end(),
+                  [](const Task& task) { return IsSuspected(task.losses); });
+  StepPlacer placer = MakePlacer(
+      entry, candidate.step, now,
+      suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost);
+  for (Task& task : step.tasks) {
+    const Placement place = placer.Next();
+    const WorkerSlot slot = place.worker;
+    if (slot == kNoWorker) {
+      LogPending(candidate, place.reason);
+      break;
+    }
+    // Reserved at once, so that the next member sees the remaining capacity.
+    registry_.at(slot).Add(step.spec);
+    task.worker = slot;
+    task.phase = TaskPhase::kStarting;
+    slots.push_back(slot);
+    run = std::max(run, NextRun(task));
+  }
+  for (std::size_t t = 0; t < slots.size(); ++t) {
+    registry_.at(slots[t]).Remove(step.spec);
+    step.tasks[t].worker = kNoWorker;
+    step.tasks[t].phase = TaskPhase::kPending;
+  }
+  if (slots.size() < step.tasks.size()) return false;
+  for (std::size_t t = 0; t < slots.size(); ++t) {
+    Place(entry, {candidate.step, static_cast<int>(t)}, slots[t], run, now);
+  }
+  return true;
+}
+
+std::uint32_t Dispatcher::NextRun(const Task& task) const {
+  return std::max(task.run + 1, first_run_);
+}
+
+void Dispatcher::Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
+                       std::uint32_t run, MonotonicTime now) {
+  Job& job = *entry.job;
+  const TaskRef ref{&entry, index, job.NameOf(index), job.Find(index)};
+  WorkerState& worker = registry_.at(slot);
+  PlacedRun placed;
+  placed.run = run;
+  placed.start_number = ++worker.starts_issued;
+  placed.started_at = now;
+  worker.last_start = now;
+  if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
+  ReserveCapacity(ref, slot, placed);
+  if (job.state() == SubmissionState::kQueued) {
+    hooks_.first_start(now - job.accepted_at());
+  }
+  job.SetPhase(index, TaskPhase::kStarting, now);
+  ++counters_.started;
+  ref.step().pending_logged = false;
+  hooks_.log(ref.name, worker.info.vm, "placed", "");
+  hooks_.send(StartRun{worker.info.vm, placed.start_number, ToString(ref.name),
+                       Attempt(run), job.submission().spec,
+                       ref.task->checkpoint, TraitsOf(ref.spec())});
+}
+
+int Dispatcher::TasksOfStep(const Entry& entry, int step, WorkerSlot slot) {
+  const auto& tasks = entry.job->steps()[static_cast<std::size_t>(step)].tasks;
+  return static_cast<int>(
+      std::count_if(tasks.begin(), tasks.end(), [slot](const Task& task) {
+        return task.placed() && task.worker == slot;
+      }));
+}
+
+RunTraits Dispatcher::TraitsOf(const StepSpec& spec) {
+  return {spec.long_running, spec.best_effort, spec.cpu, spec.latency_target,
+          spec.image};
+}
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/policy/lost_run.cc
+++ b/src/dispatch/policy/lost_run.cc
@@ -52,7 +52,7 @@
       [](const LostRun& run) { return JustStarted(run.exposure); });
   for (LostRun& run : lost) {
     run.suspicion = SuspicionOf(run, static_cast<int>(just_started));
-    if (!process_ended) {
+    if (!process_ended) {  // A crash is possible, but not certain.
       run.suspicion =
           JustStarted(run.exposure) ? Suspicion::kPresent : Suspicion::kNone;
     }
--- a/src/dispatch/policy/lost_run.hpp
+++ b/src/dispatch/policy/lost_run.hpp
@@ -14,7 +14,7 @@
 /// How likely a run has crashed its worker; a later value is more likely.
 enum class Suspicion : unsigned char {
   kNone,
-  kPresent,  ///< It was there, and no run had just started.
+  kPresent,  ///< It may have been there, and nothing points to another one.
   kShared,   ///< It had just started, as others had.
   kSole,     ///< It is the only run that had just started.
 };
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -28,7 +28,7 @@
   /// not.
   MonotonicTime above_target_since{0};
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
-  /// For a run found on the worker, a time that is certainly later.
+  /// An estimate for a run that this dispatcher has not started.
   MonotonicTime started_at{0};
   /// The worker accepted the start or listed the run.
   bool start_confirmed = false;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -67,6 +67,7 @@
   for (const auto& [task, run] : runs_) {
     collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run)});
   }
+  if (worker_ended_) return collected;
   for (const EndedRun& end : listed_ends_) {
     if (end.number > acknowledged_) {
       collected.runs.push_back({end.task, end.run});
