--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -212,8 +212,9 @@
 
 void Dispatcher::DrainWorkers(MonotonicTime now) {
   for (const WorkerState& worker : registry_.workers()) {
-    if (worker.slot_free || !worker.attached || !worker.info.leaving())
+    if (worker.slot_free || !worker.attached || !worker.info.leaving()) {
       continue;
+    }
     const std::map<TaskName, PlacedRun> runs = worker.runs;
     for (const auto& [name, placed] : runs) {
       const auto ref = FindTask(name);
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -376,8 +376,9 @@
       expired.push_back(vm);
     }
   }
-  for (const VmName& vm : expired)
+  for (const VmName& vm : expired) {
     RemoveWorker(vm, WorkerRemoval::kLeaseExpired);
+  }
   RemoveIdleWorkers();
   // Workers of former leaders that no agent has attached and whose lease has
   // expired.
