--- a/tests/unit/dispatch/worker_crash_test.cc
+++ b/tests/unit/dispatch/worker_crash_test.cc
@@ -25,6 +25,7 @@
                                   bool process_ended = true) {
   AssignSuspicion(lost, process_ended);
   std::vector<Suspicion> suspicions;
+  suspicions.reserve(lost.size());
   for (const LostRun& run : lost) suspicions.push_back(run.suspicion);
   return suspicions;
 }
