Log for which workers a takeover waits, and why a long-running step waits

Change: event 1822 names the workers without known runs, how many of them an agent has reported and how long their leases may last; the gauge workers_unresolved; a decision 'waits' is logged once for each reason, with scarce_room for a step that leaves the last capacity to short tasks. No change of decisions.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -278,6 +278,8 @@
       return {"settings_reloaded", Severity::kInfo};
     case Event::kRenewalFailed:
       return {"hold_failed", Severity::kInfo};
+    case Event::kTakeoverWaits:
+      return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
       return {"run_lost", Severity::kInfo};
     case Event::kLeaderYielding:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -94,6 +94,7 @@
   kLeaderYielding = 1818,
   kRenewalFailed = 1820,
   kRunLost = 1821,
+  kTakeoverWaits = 1822,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -253,8 +253,8 @@
   [[nodiscard]] StepPlacer MakePlacer(
       const Entry& entry, int step, MonotonicTime now,
       PlacementGoal goal = PlacementGoal::kLowestCost) const;
-  /// Logs once that a step is pending, with the reason.
-  void LogPending(const Candidate& candidate, PlacementFailure reason);
+  /// Logs that a step is pending, once for each change of the reason.
+  void LogPending(const Candidate& candidate, PendingReason reason);
   [[nodiscard]] std::uint32_t NextRun(const Task& task) const;
   [[nodiscard]] static int TasksOfStep(const Entry& entry, int step,
                                        WorkerSlot slot);
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -22,6 +22,27 @@
 /// while; then it takes the one whose last start was the longest ago.
 constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
 
+/// Name for logs.
+std::string_view PendingReasonName(PendingReason reason) noexcept {
+  switch (reason) {
+    case PendingReason::kNone:
+      break;
+    case PendingReason::kNoCapacity:
+      return "no_room";
+    case PendingReason::kNoUsableWorker:
+      return "no_usable_worker";
+    case PendingReason::kScarceCapacity:
+      return "scarce_room";
+  }
+  return "unknown";
+}
+
+PendingReason ReasonOf(const Placement& place) noexcept {
+  return place.reason == PlacementFailure::kNoCapacity
+             ? PendingReason::kNoCapacity
+             : PendingReason::kNoUsableWorker;
+}
+
 }  // namespace
 
 struct Dispatcher::Candidate {
@@ -113,18 +134,16 @@
           goal};
 }
 
-void Dispatcher::LogPending(const Candidate& candidate,
-                            PlacementFailure reason) {
+void Dispatcher::LogPending(const Candidate& candidate, PendingReason reason) {
   const Job& job = *candidate.entry->job;
   Step& step = candidate.entry->job->StepAt({candidate.step, 0});
-  if (std::exchange(step.pending_logged, true)) return;
+  if (std::exchange(step.logged_reason, reason) == reason) return;
   const auto pending = std::find_if(
       step.tasks.begin(), step.tasks.end(),
       [](const Task& task) { return task.phase == TaskPhase::kPending; });
   const auto index = static_cast<int>(pending - step.tasks.begin());
-  hooks_.log(
-      job.NameOf({candidate.step, index}), VmName(), "waits",
-      reason == PlacementFailure::kNoCapacity ? "no_room" : "no_usable_worker");
+  hooks_.log(job.NameOf({candidate.step, index}), VmName(), "waits",
+             PendingReasonName(reason));
 }
 
 double Dispatcher::FreeShare(const ServiceName& service,
@@ -151,8 +170,12 @@
   }
   step.free_seen = now;
   if (step.free_since.count() == 0) step.free_since = now;
-  return now - step.free_since >= kMinUnusedTime ||
-         FreeShare(entry.job->policy().service, now) > kScarceCapacityShare;
+  if (now - step.free_since >= kMinUnusedTime ||
+      FreeShare(entry.job->policy().service, now) > kScarceCapacityShare) {
+    return true;
+  }
+  LogPending(candidate, PendingReason::kScarceCapacity);
+  return false;
 }
 
 void Dispatcher::PlaceSuspected(const Candidate& candidate, MonotonicTime now) {
@@ -170,7 +193,8 @@
     const Placement place =
         MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
             .Next();
-    if (place.worker == kNoWorker) return LogPending(candidate, place.reason);
+    if (place.worker == kNoWorker)
+      return LogPending(candidate, ReasonOf(place));
     const MonotonicTime quiet = now - registry_.at(place.worker).last_start;
     if (quiet < kStartTrial && now - task.since < kMaxTrialWait) return;
     Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
@@ -189,7 +213,7 @@
     }
     const Placement place = placer.Next();
     if (place.worker == kNoWorker) {
-      LogPending(candidate, place.reason);
+      LogPending(candidate, ReasonOf(place));
       return false;
     }
     Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
@@ -218,7 +242,7 @@
     const Placement place = placer.Next();
     const WorkerSlot slot = place.worker;
     if (slot == kNoWorker) {
-      LogPending(candidate, place.reason);
+      LogPending(candidate, ReasonOf(place));
       break;
     }
     // Reserved at once, so that the next member sees the remaining capacity.
@@ -261,7 +285,7 @@
   }
   job.SetPhase(index, TaskPhase::kStarting, now);
   ++counters_.started;
-  ref.step().pending_logged = false;
+  ref.step().logged_reason = PendingReason::kNone;
   hooks_.log(ref.name, worker.info.vm, "placed", "");
   hooks_.send(StartRun{worker.info.vm, placed.start_number, ToString(ref.name),
                        Attempt(run), job.submission().spec,
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -44,6 +44,15 @@
   }
 };
 
+/// Why pending tasks of a step are not placed.
+enum class PendingReason : unsigned char {
+  kNone,
+  kNoCapacity,
+  kNoUsableWorker,
+  /// There is capacity, but it is left to short tasks for a while.
+  kScarceCapacity,
+};
+
 struct Step {
   StepSpec spec;
   std::vector<Task> tasks;
@@ -55,8 +64,9 @@
   /// Time since which there has been capacity for one of its pending tasks,
   /// apart from short interruptions; 0 if there is none.
   MonotonicTime free_since{0};
-  MonotonicTime free_seen{0};   ///< Last time with capacity.
-  bool pending_logged = false;  ///< Cleared by a placement.
+  MonotonicTime free_seen{0};  ///< Last time with capacity.
+  /// Last reason that was logged; kNone after a placement.
+  PendingReason logged_reason = PendingReason::kNone;
   /// Critical path from the start of this step to the end, by the estimates.
   Milliseconds critical_path{0};
 };
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -109,6 +109,10 @@
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
   [[nodiscard]] bool loaded() const noexcept { return loaded_; }
+  /// Number of workers of the former leader whose runs are not known yet.
+  [[nodiscard]] std::size_t unresolved_workers() const noexcept {
+    return unresolved_.size();
+  }
 
  private:
   struct AgentEntry {
@@ -136,6 +140,8 @@
   /// Lets restored tasks start once the runs of all workers of the loaded
   /// roster are known or have certainly ended.
   void CheckResume();
+  /// Logs for which workers restored work waits and for how long at most.
+  void LogTakeoverWait();
 
   // Calls.
   void Submit(ServiceCall call, ServiceCallback done);
@@ -245,6 +251,7 @@
   base::Timer decide_timer_;
   base::Timer tick_timer_;
   base::Timer attach_timer_;
+  base::Timer takeover_log_timer_;
   /// Set to false by the destructor, so that pending callbacks do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
