--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -124,9 +124,20 @@
     if (after == AfterCrash::kNewId) Register(proxied, "ready");
   }
 
+  /// Ends the worker for good. Its address does not respond any more.
+  void Remove(ProxiedWorker& proxied) {
+    store_.Remove("servers", "", proxied.worker.id());
+    Faults faults;
+    faults.drop_up = faults.drop_down = true;
+    proxied.proxy.SetFaults(faults);
+    proxied.proxy.StopForwardingAll();
+    proxied.worker.End();
+  }
+
   /// Injects a fault or changes the worker's state. The body is {"worker":
-  /// index, "what": "crash", "cut", "silence", "draining", "ready", "capacity"
-  /// with the number of "runs", or "faults" with the proxy's "faults"}.
+  /// index, "what": "crash", "gone", "cut", "silence", "draining", "ready",
+  /// "capacity" with the number of "runs", or "faults" with the proxy's
+  /// "faults"}.
   void InjectWorkerFault(const Exchange& exchange) {
     const auto body = base::ParseJson(exchange->request().body, "worker");
     const auto index =
@@ -139,6 +150,8 @@
     Faults faults;
     if (fault == "crash") {
       Crash(proxied, AfterCrash::kSameId);
+    } else if (fault == "gone") {
+      Remove(proxied);
     } else if (fault == "cut") {
       proxied.proxy.CloseAll();
     } else if (fault == "silence") {
@@ -179,11 +192,15 @@
     for (const auto& proxied : workers_) {
       workers.push_back(proxied->worker.Describe());
     }
+    const auto running =
+        std::count_if(record_.running.begin(), record_.running.end(),
+                      [](const auto& task) { return task.second > 0; });
     const bool capacities_known = std::all_of(
         workers_.begin(), workers_.end(),
         [](const auto& proxied) { return proxied->worker.CapacityKnown(); });
     ReplyJson(*exchange, kOk,
               base::DumpJson({{"starts", record_.starts},
+                              {"running", running},
                               {"capacities_known", capacities_known},
                               {"done", record_.done},
                               {"overlaps", record_.overlaps},
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -37,7 +37,7 @@
         if (lease_end_ms_ == 0 || ClockMs() <= lease_end_ms_) return;
         while (!running_.empty()) {
           ++record_.expired_runs;
-          End(std::string(running_.begin()->first), "lapsed");
+          EndRun(std::string(running_.begin()->first), "lapsed");
         }
       })) {}
 
@@ -124,12 +124,14 @@
   Run& entry = running_[task];
   entry.number = run;
   entry.start_time = base::MonotonicNow();
-  entry.duration = duration;
   const bool fails = spec == "fail";
-  entry.end_timer = loop_.After(duration, [this, task, fails] {
-    if (!fails) ++record_.done;
-    End(task, fails ? "failed" : "done");
-  });
+  if (spec != "serve") {
+    entry.duration = duration;
+    entry.end_timer = loop_.After(duration, [this, task, fails] {
+      if (!fails) ++record_.done;
+      EndRun(task, fails ? "failed" : "done");
+    });
+  }
   ReplyJson(*exchange, kOk, base::DumpJson({{"clock-ms", ClockMs()}}));
 }
 
@@ -149,11 +151,11 @@
   const auto run = body.at("run").get<std::uint64_t>();
   max_run_[task] = std::max(max_run_[task], run);
   const auto it = running_.find(task);
-  if (it != running_.end() && it->second.number == run) End(task, "stopped");
+  if (it != running_.end() && it->second.number == run) EndRun(task, "stopped");
   ReplyJson(*exchange, kOk, base::DumpJson({{"clock-ms", ClockMs()}}));
 }
 
-void SiteWorker::End(const std::string& task, const char* end_kind) {
+void SiteWorker::EndRun(const std::string& task, const char* end_kind) {
   const auto it = running_.find(task);
   ended_.emplace_back(++end_count_, task, it->second.number, end_kind);
   --record_.running[task];
@@ -172,10 +174,15 @@
           {"running", running_.size()}};
 }
 
-std::string SiteWorker::Crash(std::string id) {
-  id_ = std::move(id);
+void SiteWorker::End() {
   for (const auto& [task, run] : running_) --record_.running[task];
   running_.clear();
+  server_.reset();
+}
+
+std::string SiteWorker::Crash(std::string id) {
+  id_ = std::move(id);
+  End();
   max_run_.clear();
   ended_.clear();
   pending_renewals_.clear();
@@ -220,9 +227,11 @@
   json running = json::array();
   for (const auto& [task, run] : running_) {
     const auto elapsed = base::MonotonicNow() - run.start_time;
-    const auto percent = std::min<std::int64_t>(
-        kFullPercent - 1,
-        elapsed * kFullPercent / std::max(run.duration, MonotonicTime(1)));
+    const std::int64_t percent =
+        run.duration.count() == 0
+            ? kFullPercent
+            : std::min<std::int64_t>(kFullPercent - 1,
+                                     elapsed * kFullPercent / run.duration);
     running.push_back(json::array({task, run.number, "", percent, 0}));
   }
   json ended = json::array();
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -47,7 +47,8 @@
 inline constexpr std::size_t kMaxRuns = 8;
 
 /// One worker. It runs each task for the number of milliseconds in its spec, or
-/// for 200 ms if the spec has none; tasks with the spec "fail" end as failed.
+/// for 200 ms if the spec has none; tasks with the spec "fail" end as failed,
+/// and tasks with the spec "serve" run until they are stopped.
 /// Tasks with the spec "crash" or "crash-new-id" crash the worker before it
 /// replies to their start.
 class SiteWorker {
@@ -65,6 +66,8 @@
   /// @param id id after the restart.
   /// @return the new address.
   std::string Crash(std::string id);
+  /// Simulates the end of the worker's process without a restart.
+  void End();
   /// Changes the number of tasks that it can run. It starts more if it is told
   /// to, and records that once the nodes must know of the change.
   void SetCapacity(std::size_t runs);
@@ -80,7 +83,7 @@
     std::uint64_t number = 0;
     base::Timer end_timer;
     MonotonicTime start_time{0};
-    MonotonicTime duration{0};
+    MonotonicTime duration{0};  ///< 0 if it runs until it is stopped.
   };
 
   void Handle(const Exchange& exchange);
@@ -91,7 +94,7 @@
   void RespondToRenewal(const Exchange& exchange);
   /// Handles a task that crashes the worker. Returns false for other tasks.
   bool CrashBy(const std::string& task, const std::string& spec);
-  void End(const std::string& task, const char* end_kind);
+  void EndRun(const std::string& task, const char* end_kind);
   void UpdateLease(const nlohmann::json& body);
   /// Time of the monotonic clock in milliseconds.
   [[nodiscard]] std::uint64_t ClockMs() const;
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -11,14 +11,15 @@
 
 constexpr int kOk = 200;
 
-std::string SubmissionBody(const std::string& spec, int tasks,
-                           int estimate_ms) {
+std::string SubmissionBody(const std::string& spec, int tasks, int estimate_ms,
+                           bool long_running = false) {
   const nlohmann::json body = {{"spec", spec},
                                {"steps",
                                 {{{"count", tasks},
                                   {"cpu", 1'000},
                                   {"mem-mb", 10},
-                                  {"estimate-ms", estimate_ms}}}}};
+                                  {"estimate-ms", estimate_ms},
+                                  {"long-running", long_running}}}}};
   return body.dump();
 }
 
@@ -93,6 +94,13 @@
                      SubmissionBody(std::to_string(task_ms), tasks, task_ms));
 }
 
+Response ManagedCluster::SubmitLongRunning(std::size_t node, int submission,
+                                           int tasks) {
+  constexpr int kStartupMs = 100;
+  return SendRequest(node, net::Method::kPost, submission,
+                     SubmissionBody("serve", tasks, kStartupMs, true));
+}
+
 Response ManagedCluster::SubmitCrashing(std::size_t node, int submission,
                                         const std::string& spec) {
   constexpr int kEstimateMs = 200;
@@ -106,6 +114,23 @@
   return nlohmann::json::parse(response.body).value("state", "");
 }
 
+std::size_t ManagedCluster::Leader() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i]->running()) continue;
+    const Response metrics = Get(nodes_[i]->address("ready"), "/metrics");
+    if (metrics.ok() &&
+        metrics.body.find("\nmangospread_leading 1") != std::string::npos) {
+      return i;
+    }
+  }
+  return nodes_.size();
+}
+
+void ManagedCluster::RemoveWorker(std::size_t worker) {
+  const nlohmann::json body = {{"worker", worker}, {"what", "gone"}};
+  Post(platform_.address("http"), "/standin/worker", body.dump());
+}
+
 void ManagedCluster::SetCapacity(std::size_t worker, int runs) {
   const nlohmann::json body = {
       {"worker", worker}, {"what", "capacity"}, {"runs", runs}};
@@ -119,9 +144,10 @@
 RunCounters ManagedCluster::GetCounters() {
   const Response response = Get(platform_.address("http"), "/standin/record");
   const auto json = nlohmann::json::parse(response.body);
-  return {json["starts"],  json["done"],      json["overlaps"],
-          json["repeats"], json["overloads"], json["lapses"],
-          json["started"], json["crashes"],   json["capacities_known"]};
+  return {json["starts"],          json["done"],    json["running"],
+          json["overlaps"],        json["repeats"], json["overloads"],
+          json["lapses"],          json["started"], json["crashes"],
+          json["capacities_known"]};
 }
 
 }  // namespace mangospread::testing
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -17,6 +17,7 @@
 struct RunCounters {
   int starts = 0;        ///< Runs that were started.
   int done = 0;          ///< Runs that ended as done.
+  int running = 0;       ///< Tasks that run at present.
   int overlaps = 0;      ///< Starts of a task that was already running.
   int repeats = 0;       ///< Starts of a task whose success was acknowledged.
   int overloads = 0;     ///< Starts that would exceed the capacity of a worker.
@@ -61,6 +62,8 @@
   /// Submits one step of `tasks` tasks, each of which runs for `task_ms`
   /// milliseconds.
   Response Submit(std::size_t node, int submission, int tasks, int task_ms);
+  /// Submits one step of `tasks` long-running tasks.
+  Response SubmitLongRunning(std::size_t node, int submission, int tasks);
   /// Submits one task that crashes the worker which starts it.
   /// @param spec "crash", after which the worker restarts under its id, or
   ///   "crash-new-id", after which another one starts in its place.
@@ -70,6 +73,10 @@
   /// fails.
   [[nodiscard]] std::string GetState(std::size_t node, int submission);
 
+  /// Index of the node that leads; the number of nodes if none does.
+  [[nodiscard]] std::size_t Leader();
+  /// Ends a worker for good. Its address does not respond any more.
+  void RemoveWorker(std::size_t worker);
   /// Changes the number of tasks that a worker can run.
   void SetCapacity(std::size_t worker, int runs);
   /// Replaces the faults of the table by those of the JSON object.
--- /dev/null
+++ b/tests/integration/managed/lost_worker_takeover_test.cc
@@ -0,0 +1,75 @@
+// Guards against long-running tasks that stay lost after a takeover (LOST):
+// their workers end for good, and the leader is killed while the leases of
+// these workers are still valid.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "base/loop/clock.hpp"
+#include "integration/harness/managed.hpp"
+#include "integration/harness/wait.hpp"
+
+namespace mangospread::testing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kSubmission = 1;
+constexpr int kTasks = 12;
+/// The pages allow 3 s in which a task does not run though there is capacity,
+/// after 4 s without a fault.
+constexpr MonotonicTime kMaxRestart = std::chrono::seconds(7);
+
+bool AllRun(ManagedCluster& site) {
+  return site.GetCounters().running == kTasks;
+}
+
+/// Ends two workers, at least one of which runs a task, and waits until the
+/// leader knows that neither responds.
+/// @return the index of the leader.
+std::size_t LoseTwoWorkers(ManagedCluster& site) {
+  site.WaitUntilReady();
+  REQUIRE(site.SubmitLongRunning(0, kSubmission, kTasks).status == kOk);
+  WaitUntil("the tasks run", kWaitTimeout, [&] { return AllRun(site); });
+  const std::size_t leader = site.Leader();
+  REQUIRE(leader < site.nodes());
+  site.RemoveWorker(0);
+  site.RemoveWorker(1);
+  REQUIRE(!AllRun(site));
+  const std::string name = "n" + std::to_string(leader + 1);
+  WaitUntil("the leader misses both workers", kWaitTimeout, [&] {
+    const std::string log = ReadOutput(site.log_directory(), name);
+    return log.find("name=worker_unreachable vm=w1") != std::string::npos &&
+           log.find("name=worker_unreachable vm=w2") != std::string::npos;
+  });
+  return leader;
+}
+
+/// Checks that all tasks run again within the time that the pages allow.
+void CheckRestart(ManagedCluster& site) {
+  const MonotonicTime from = base::MonotonicNow();
+  WaitUntil("the tasks run again", kWaitTimeout, [&] { return AllRun(site); });
+  const auto waited =
+      std::chrono::duration_cast<Milliseconds>(base::MonotonicNow() - from);
+  CAPTURE(waited.count());
+  CHECK(waited < kMaxRestart);
+  CHECK(site.GetCounters().overlaps == 0);
+}
+
+TEST_CASE("tasks of lost workers run again in time after a takeover") {
+  ManagedCluster site(3, 6);
+  site.node(LoseTwoWorkers(site)).Kill();
+  CheckRestart(site);
+}
+
+TEST_CASE("tasks of lost workers run again in time after two takeovers") {
+  ManagedCluster site(3, 6);
+  const std::size_t first = LoseTwoWorkers(site);
+  site.node(first).Kill();
+  site.RestartNode(first);
+  site.WaitUntilReady();
+  site.node(site.Leader()).Kill();
+  CheckRestart(site);
+}
+
+}  // namespace
+}  // namespace mangospread::testing
