--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -175,7 +175,9 @@
     }
   }
   loaded_ = true;
+  loaded_at_ = base::MonotonicNow();
   unresolved_ = roster_;
+  for (const auto& [vm, former] : former_workers_) AddFormerWorker(vm);
   StartAttachTimer();
   base::Log(base::Event::kSchedulerRebuilt,
             {{"epoch", deps_.leadership.epoch.value()},
@@ -226,12 +228,14 @@
 void GroupLeader::LogTakeoverWait() {
   std::size_t reported = 0;
   std::size_t assigned = 0;
+  MonotonicTime lease_expires_at{0};
   for (const VmName& vm : unresolved_) {
-    if (known_runs_.contains(vm)) ++reported;
+    lease_expires_at = std::max(lease_expires_at, FormerLeaseExpiry(vm));
+    if (former_workers_.contains(vm)) ++reported;
     const auto it = workers_.find(vm);
     if (it != workers_.end() && it->second.agent) ++assigned;
   }
-  const MonotonicTime left = InheritedLeaseExpiry() - base::MonotonicNow();
+  const MonotonicTime left = lease_expires_at - base::MonotonicNow();
   base::Log(base::Event::kTakeoverWaits,
             {{"epoch", deps_.leadership.epoch.value()},
              {"workers", unresolved_.size()},
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -38,9 +38,16 @@
   /// Period at which expired leases, unassigned workers and ended submissions
   /// are handled.
   Milliseconds tick_period{200};
-  /// Number of workers added to the load of the leader's own agent when workers
-  /// are distributed, since the leader also makes the decisions.
-  int self_load_penalty = 8;
+  /// The leader's own node serves workers only if no other node has connected
+  /// for this long. Otherwise the leader's death would leave their runs unknown
+  /// to the next leader.
+  Milliseconds self_service_delay{1'000};
+  /// A worker of a former leader is assigned to the agent that serves it; to
+  /// any other one only if no agent has reported it for this long.
+  Milliseconds report_grace_period{200};
+  /// Time between the attempts of different agents to reach a worker that none
+  /// of them reaches.
+  Milliseconds rotation_period{800};
   /// Maximum number of workers moved between agents per tick.
   int max_moves_per_tick = 4;
   /// Time for agents to attach a worker before the runs that other agents
@@ -105,7 +112,7 @@
   void OnAgentEvent(const NodeId& agent, const AgentEvent& event);
   /// Handles the runs that an agent reports for a worker which it attached
   /// under a former leader.
-  void OnKnownRuns(const FormerLeaderRuns& reported);
+  void OnKnownRuns(const NodeId& agent, const FormerLeaderRuns& reported);
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
   [[nodiscard]] bool loaded() const noexcept { return loaded_; }
@@ -129,7 +136,18 @@
     /// Latest time at which its lease expires unless it is renewed; 0 if no
     /// lease was granted.
     MonotonicTime lease_expires_at{0};
-    MonotonicTime retry_at{0};  ///< Not assigned to an agent before this time.
+    /// Not assigned to an agent before this time; if its agent does not reach
+    /// it, not assigned to another one before this time.
+    MonotonicTime retry_at{0};
+    bool unreachable = false;  ///< Its agent does not reach it.
+  };
+  /// What agents have reported about a worker of a former leader.
+  struct FormerWorker {
+    FormerLeaderRuns runs;  ///< All reported runs.
+    /// The reporting agents, and whether they go on renewing its lease.
+    std::map<NodeId, bool> agents;
+    /// Time at which its lease expires unless one of them renews it.
+    MonotonicTime lease_expires_at{0};
   };
 
   // Loading.
@@ -172,6 +190,9 @@
   /// certain to find it there.
   [[nodiscard]] bool InRoster(const VmName& vm) const;
   void AddWorker(const VmName& vm);
+  /// Adds a worker that an agent has reported, or ends the agents' sessions
+  /// with it if nothing can run there.
+  void AddFormerWorker(const VmName& vm);
   void AssignWorkers();
   void Assign(WorkerEntry& entry, const NodeId& agent);
   void Unassign(WorkerEntry& entry);
@@ -185,18 +206,32 @@
   /// report is used only for a worker that cannot be reached, since another
   /// agent may have started runs on it after the reporting one.
   void StartAttachTimer();
-  [[nodiscard]] bool MayBeAttached(const FormerLeaderRuns& known) const;
+  [[nodiscard]] bool MayBeAttached(const FormerWorker& former) const;
   void ApplyKnownRuns(const VmName& vm);
   void OnUnreachable(WorkerEntry& entry, const NodeId& agent,
                      Milliseconds lease_left);
+  /// Time at which the leases that a worker got under former leaders have
+  /// expired, as far as it is known.
+  [[nodiscard]] MonotonicTime FormerLeaseExpiry(const VmName& vm) const;
+  /// Ends the sessions of agents that served the worker under a former leader,
+  /// except the one that it is assigned to now.
+  void ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent);
+  /// Sets the end of the leases that a worker got under former leaders.
+  static void SetFormerLease(WorkerEntry& entry, const FormerWorker& former);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
-  [[nodiscard]] int LoadOf(const NodeId& agent) const;
+  /// True if workers may be assigned to the agent.
+  [[nodiscard]] bool IsEligible(const NodeId& agent) const;
+  /// Assigns a worker that its agent does not reach to the next one, once each
+  /// agent has had time to try.
+  void RotateAgent(WorkerEntry& entry);
+  /// Assigns a worker that is not attached to another agent. Its present one
+  /// has not renewed the lease, or an event reports that it has.
+  void Reassign(WorkerEntry& entry, const NodeId& agent);
+  [[nodiscard]] static Milliseconds LeaseLeft(const WorkerEntry& entry);
   void SendToAgent(const AgentCommand& command);
 
   /// Time at which every lease granted under a former leader has expired.
   [[nodiscard]] MonotonicTime InheritedLeaseExpiry() const;
-  /// Longest duration of a lease, measured on the leader's clock.
-  [[nodiscard]] MonotonicTime LeaseUpperBound() const;
 
   void RequestDecision();
   void Tick();
@@ -212,6 +247,7 @@
   bool resumed_ = false;
   bool yielding_ = false;  ///< Another node may take over.
   MonotonicTime started_at_{0};
+  MonotonicTime loaded_at_{0};
   std::uint64_t assignments_issued_ = 0;
 
   /// Callers that wait for a submission to be stored.
@@ -238,8 +274,8 @@
   std::set<VmName> roster_;
   /// Workers of the loaded roster whose runs are not known yet.
   std::set<VmName> unresolved_;
-  /// Runs under former leaders that agents reported, by worker.
-  std::map<VmName, FormerLeaderRuns> known_runs_;
+  /// Workers that agents of former leaders have reported.
+  std::map<VmName, FormerWorker> former_workers_;
   std::set<VmName> next_roster_;  ///< Value of the write in flight.
   bool roster_saving_ = false;
   std::string saved_interference_;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -5,10 +5,12 @@
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
 #include "dispatch/leader/group_leader.hpp"
+#include "dispatch/model/lease.hpp"
 
 namespace mangospread::dispatch {
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using table::WriteStatus;
 
@@ -19,8 +21,6 @@
 /// The period grows with the number of workers, which bounds the leader's cost.
 constexpr Milliseconds kShortestLoadPeriod{400};
 constexpr Milliseconds kLoadPeriodPerWorker{4};
-/// Delay before the next attempt after all agents failed to reach a worker.
-constexpr MonotonicTime kUnreachableRetryDelay = milliseconds(800);
 
 }  // namespace
 
@@ -89,51 +89,88 @@
   if (!added) return;
   it->second.info = listed_.at(vm);
   if (unresolved_.contains(vm)) {
-    it->second.lease_expires_at = InheritedLeaseExpiry();
+    it->second.lease_expires_at = FormerLeaseExpiry(vm);
   }
   dispatcher_->OnWorker(it->second.info);
 }
 
-int GroupLeader::LoadOf(const NodeId& agent) const {
-  const int own = agent == deps_.self ? options_.self_load_penalty : 0;
-  return agents_.at(agent).workers + own;
+bool GroupLeader::IsEligible(const NodeId& agent) const {
+  return agent != deps_.self ||
+         (agents_.size() == 1 &&
+          base::MonotonicNow() - started_at_ >= options_.self_service_delay);
 }
 
 std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
+  const auto former = former_workers_.find(entry.info.vm);
+  const bool unresolved = unresolved_.contains(entry.info.vm);
   std::optional<NodeId> best;
   for (const auto& [agent, info] : agents_) {
-    if (entry.failed_agents.contains(agent)) continue;
-    if (!best || LoadOf(agent) < LoadOf(*best)) best = agent;
+    if (entry.failed_agents.contains(agent) || !IsEligible(agent)) continue;
+    if (unresolved && former != former_workers_.end() &&
+        former->second.agents.contains(agent)) {
+      return agent;
+    }
+    if (!best || info.workers < agents_.at(*best).workers) best = agent;
   }
-  return best;
+  const bool may_be_reported =
+      unresolved && former == former_workers_.end() &&
+      base::MonotonicNow() - loaded_at_ < options_.report_grace_period;
+  return may_be_reported ? std::nullopt : best;
 }
 
 void GroupLeader::AssignWorkers() {
   const MonotonicTime now = base::MonotonicNow();
   for (auto& [vm, entry] : workers_) {
-    if (entry.agent || now < entry.retry_at) continue;
-    if (entry.failed_agents.size() >= agents_.size()) {
-      // No agent reaches the worker at present.
-      entry.failed_agents.clear();
-      entry.retry_at = now + kUnreachableRetryDelay;
-      continue;
+    if (now < entry.retry_at) continue;
+    if (entry.agent) {
+      if (entry.unreachable) RotateAgent(entry);
+    } else if (const auto agent = PickAgent(entry)) {
+      Assign(entry, *agent);
     }
-    if (const auto agent = PickAgent(entry)) Assign(entry, *agent);
   }
 }
 
+void GroupLeader::RotateAgent(WorkerEntry& entry) {
+  auto agent = PickAgent(entry);
+  if (!agent) {
+    // Meanwhile the last one goes on, so that a node besides the leader knows
+    // the worker's runs.
+    entry.failed_agents.clear();
+    entry.retry_at = base::MonotonicNow() + options_.rotation_period;
+    return;
+  }
+  Reassign(entry, *agent);
+}
+
+void GroupLeader::Reassign(WorkerEntry& entry, const NodeId& agent) {
+  const MonotonicTime lease_expires_at = entry.lease_expires_at;
+  Unassign(entry);
+  entry.lease_expires_at = lease_expires_at;
+  Assign(entry, agent);
+}
+
 void GroupLeader::Assign(WorkerEntry& entry, const NodeId& agent) {
+  const VmName& vm = entry.info.vm;
   entry.agent = agent;
-  entry.attached = false;
+  entry.attached = entry.unreachable = false;
   ++agents_.at(agent).workers;
   entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
                             ++assignments_issued_ * kFenceStride);
   Assignment assignment;
   assignment.worker = entry.info;
   assignment.fence = entry.fence;
-  assignment.starts_before = dispatcher_->StartsIssued(entry.info.vm);
-  if (!unresolved_.contains(entry.info.vm)) {
-    assignment.known_runs = dispatcher_->Runs(entry.info.vm);
+  assignment.starts_before = dispatcher_->StartsIssued(vm);
+  if (!unresolved_.contains(vm)) {
+    assignment.known_runs = dispatcher_->Runs(vm);
+    assignment.lease_left = LeaseLeft(entry);
+  } else if (const auto former = former_workers_.find(vm);
+             former != former_workers_.end()) {
+    ReleaseFormerAgents(entry, agent);
+    assignment.known_runs = former->second.runs.runs;
+    // An agent that goes on with its session knows the lease better.
+    if (entry.lease_expires_at.count() > 0) {
+      assignment.lease_left = LeaseLeft(entry);
+    }
   }
   // Bounds the cost of load reports for a leader with many workers.
   assignment.normal_load_period =
@@ -142,39 +179,75 @@
   deps_.send(agent, std::move(assignment));
 }
 
+Milliseconds GroupLeader::LeaseLeft(const WorkerEntry& entry) {
+  const MonotonicTime left = entry.lease_expires_at - base::MonotonicNow();
+  return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
+}
+
+void GroupLeader::ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent) {
+  FormerWorker& former = former_workers_.at(entry.info.vm);
+  for (auto& [other, renewing] : former.agents) {
+    if (other == agent) continue;
+    deps_.send(other, Release{entry.info.vm});
+    if (!std::exchange(renewing, false)) continue;
+    former.lease_expires_at =
+        std::max(former.lease_expires_at,
+                 base::MonotonicNow() + LeaseUpperBound(options_.lease));
+  }
+  SetFormerLease(entry, former);
+}
+
+void GroupLeader::SetFormerLease(WorkerEntry& entry,
+                                 const FormerWorker& former) {
+  entry.lease_expires_at = former.lease_expires_at;
+  // The only agent that can renew the lease reports the time left of it if it
+  // does not reach the worker.
+  if (entry.agent &&
+      former.agents == std::map<NodeId, bool>{{*entry.agent, true}}) {
+    entry.lease_expires_at = MonotonicTime(0);
+  }
+}
+
 void GroupLeader::Unassign(WorkerEntry& entry) {
   if (!entry.agent) return;
   deps_.send(*entry.agent, Release{entry.info.vm});
   const auto it = agents_.find(*entry.agent);
   if (it != agents_.end()) --it->second.workers;
   entry.agent.reset();
-  entry.attached = false;
+  entry.attached = entry.unreachable = false;
   dispatcher_->OnDetached(entry.info.vm, base::MonotonicNow());
-  entry.lease_expires_at = std::max(entry.lease_expires_at,
-                                    base::MonotonicNow() + LeaseUpperBound());
+  entry.lease_expires_at =
+      std::max(entry.lease_expires_at,
+               base::MonotonicNow() + LeaseUpperBound(options_.lease));
 }
 
 void GroupLeader::MoveWorkers() {
-  if (agents_.size() < 2) return;
-  const auto by_load = [this](const auto& a, const auto& b) {
-    return LoadOf(a.first) < LoadOf(b.first);
+  // Moving a worker that may be gone would extend the time for which its lease
+  // is waited for.
+  const auto find_movable = [this](const NodeId& from, const NodeId& to) {
+    return std::find_if(
+        workers_.begin(), workers_.end(), [&](const auto& worker) {
+          return worker.second.agent == from && worker.second.attached &&
+                 !worker.second.failed_agents.contains(to);
+        });
   };
   for (int moves = 0; moves < options_.max_moves_per_tick; ++moves) {
-    const auto extremes =
-        std::minmax_element(agents_.begin(), agents_.end(), by_load);
-    const NodeId least = extremes.first->first;
-    const NodeId most = extremes.second->first;
-    if (LoadOf(most) - LoadOf(least) < 2) return;
-    const auto it =
-        std::find_if(workers_.begin(), workers_.end(), [&](const auto& worker) {
-          // Moving a worker that may be gone would extend the time for which
-          // its lease is waited for.
-          return worker.second.agent == most && worker.second.attached &&
-                 !worker.second.failed_agents.contains(least);
-        });
+    std::optional<NodeId> least;
+    std::optional<NodeId> most;
+    for (const auto& [agent, info] : agents_) {
+      if (!IsEligible(agent)) continue;
+      if (!least || info.workers < agents_.at(*least).workers) least = agent;
+      if (!most || info.workers > agents_.at(*most).workers) most = agent;
+    }
+    if (!least || *least == deps_.self) return;
+    auto it = find_movable(deps_.self, *least);
+    if (it == workers_.end()) {
+      if (agents_.at(*most).workers - agents_.at(*least).workers < 2) return;
+      it = find_movable(*most, *least);
+    }
     if (it == workers_.end()) return;
     Unassign(it->second);
-    Assign(it->second, least);
+    Assign(it->second, *least);
   }
 }
 
@@ -217,17 +290,23 @@
 
 void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
   const auto it = workers_.find(event.vm);
-  if (it == workers_.end() || it->second.agent != agent ||
-      it->second.fence != event.assignment) {
-    return;
-  }
+  if (it == workers_.end()) return;
   WorkerEntry& entry = it->second;
   const MonotonicTime now = base::MonotonicNow();
+  if (entry.agent != agent || entry.fence != event.assignment) {
+    // Before it received its release, the agent may have renewed the lease.
+    if (std::holds_alternative<Attached>(event.details)) {
+      entry.lease_expires_at = std::max(entry.lease_expires_at,
+                                        now + LeaseUpperBound(options_.lease));
+    }
+    return;
+  }
   if (std::holds_alternative<Attached>(event.details)) {
     entry.attached = true;
     entry.failed_agents.clear();
+    entry.unreachable = false;
     // From now on only this agent can renew the lease.
-    entry.lease_expires_at = now + LeaseUpperBound();
+    entry.lease_expires_at = now + LeaseUpperBound(options_.lease);
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     dispatcher_->OnEvent(event, now);
@@ -246,9 +325,9 @@
     return deps_.on_conflict();
   } else if (std::holds_alternative<WorkerEnded>(event.details)) {
     // What was there under the former leader was lost with the process.
-    if (known_runs_.contains(event.vm) && unresolved_.contains(event.vm)) {
-      dispatcher_->AddUnconfirmedRuns(event.vm, known_runs_.at(event.vm).runs,
-                                      now);
+    if (former_workers_.contains(event.vm) && unresolved_.contains(event.vm)) {
+      dispatcher_->AddUnconfirmedRuns(
+          event.vm, former_workers_.at(event.vm).runs.runs, now);
     }
     RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
@@ -263,63 +342,104 @@
             {{"vm", entry.info.vm.str()},
              {"agent", agent.str()},
              {"lease_left_ms", lease_left.count()}});
-  const MonotonicTime before = entry.lease_expires_at;
-  Unassign(entry);
-  // The agent's bound for the last lease is tighter than that of Unassign.
-  entry.lease_expires_at = std::max(before, base::MonotonicNow() + lease_left);
+  entry.attached = false;
+  entry.unreachable = true;
+  entry.lease_expires_at =
+      std::max(entry.lease_expires_at, base::MonotonicNow() + lease_left);
   entry.failed_agents.insert(agent);
-  if (known_runs_.contains(entry.info.vm)) {
+  if (former_workers_.contains(entry.info.vm)) {
     ApplyKnownRuns(entry.info.vm);
     CheckResume();
   }
   AssignWorkers();
 }
 
-void GroupLeader::OnKnownRuns(const FormerLeaderRuns& reported) {
+MonotonicTime GroupLeader::FormerLeaseExpiry(const VmName& vm) const {
+  const auto it = former_workers_.find(vm);
+  return it == former_workers_.end() ? InheritedLeaseExpiry()
+                                     : it->second.lease_expires_at;
+}
+
+void GroupLeader::OnKnownRuns(const NodeId& agent,
+                              const FormerLeaderRuns& reported) {
   const VmName& vm = reported.worker.vm;
-  const auto [it, added] = known_runs_.try_emplace(vm);
-  FormerLeaderRuns& known = it->second;
-  known.worker = reported.worker;
-  known.unreachable = reported.unreachable && (added || known.unreachable);
-  known.ended = known.ended || reported.ended;
-  known.runs.insert(known.runs.end(), reported.runs.begin(),
-                    reported.runs.end());
-  if (loaded_) StartAttachTimer();
+  const auto worker = workers_.find(vm);
+  if (loaded_ && !unresolved_.contains(vm)) {
+    // This leader knows the worker's runs, so the session is outdated.
+    if (worker == workers_.end() || worker->second.agent != agent) {
+      deps_.send(agent, Release{vm});
+    }
+    return;
+  }
+  const auto [it, added] = former_workers_.try_emplace(vm);
+  FormerWorker& former = it->second;
+  FormerLeaderRuns& runs = former.runs;
+  former.agents[agent] = reported.renewing;
+  runs.worker = reported.worker;
+  runs.unreachable = reported.unreachable && (added || runs.unreachable);
+  runs.ended = runs.ended || reported.ended;
+  runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
+  former.lease_expires_at =
+      std::max(former.lease_expires_at,
+               reported.lease_left ? base::MonotonicNow() + *reported.lease_left
+                                   : InheritedLeaseExpiry());
+  if (!loaded_) return;
+  AddFormerWorker(vm);
+  StartAttachTimer();
+  WorkerEntry& entry = workers_.at(vm);
+  if (entry.agent && !entry.attached && entry.agent != agent) {
+    // It was assigned without this report.
+    const bool reporting = former.agents.contains(*entry.agent);
+    Reassign(entry, reporting ? NodeId(*entry.agent) : agent);
+  }
+  AssignWorkers();
+}
+
+void GroupLeader::AddFormerWorker(const VmName& vm) {
+  const FormerWorker& former = former_workers_.at(vm);
+  if (!unresolved_.contains(vm)) {
+    // It was removed from the roster, so nothing runs there.
+    for (const auto& [agent, renewing] : former.agents) {
+      deps_.send(agent, Release{vm});
+    }
+    return;
+  }
+  const auto [it, added] = workers_.try_emplace(vm);
+  WorkerEntry& entry = it->second;
+  if (!entry.attached && !entry.unreachable) SetFormerLease(entry, former);
+  if (!added) return;
+  entry.info = former.runs.worker;
+  entry.info.listed = false;
+  dispatcher_->OnWorker(entry.info);
 }
 
 void GroupLeader::StartAttachTimer() {
   if (attach_timer_.active()) return;
   attach_timer_ = deps_.loop.After(options_.attach_grace_period, [this] {
-    // Without the list of workers none can have been attached.
-    if (listed_.empty()) return StartAttachTimer();
-    for (const auto& [vm, known] : known_runs_) {
-      if (!MayBeAttached(known)) ApplyKnownRuns(vm);
+    for (const auto& [vm, former] : former_workers_) {
+      if (!MayBeAttached(former)) ApplyKnownRuns(vm);
     }
     CheckResume();
   });
 }
 
-bool GroupLeader::MayBeAttached(const FormerLeaderRuns& known) const {
-  if (known.unreachable || known.ended) return false;
-  const auto it = workers_.find(known.worker.vm);
+bool GroupLeader::MayBeAttached(const FormerWorker& former) const {
+  if (former.runs.unreachable || former.runs.ended) return false;
+  const auto it = workers_.find(former.runs.worker.vm);
   return it != workers_.end() && it->second.agent.has_value();
 }
 
 void GroupLeader::ApplyKnownRuns(const VmName& vm) {
   if (!unresolved_.contains(vm)) return;
-  const FormerLeaderRuns& known = known_runs_.at(vm);
-  if (!workers_.contains(vm)) {
-    WorkerEntry& entry = workers_[vm];
-    entry.info = known.worker;
-    entry.info.listed = false;
-    entry.lease_expires_at = InheritedLeaseExpiry();
-    dispatcher_->OnWorker(entry.info);
-  }
+  const FormerLeaderRuns& known = former_workers_.at(vm).runs;
   dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
   unresolved_.erase(vm);
+  const auto left = workers_.at(vm).lease_expires_at - base::MonotonicNow();
   base::Log(base::Event::kWorkerListed,
-            {{"vm", vm.str()}, {"remembered_runs", known.runs.size()}});
+            {{"vm", vm.str()},
+             {"remembered_runs", known.runs.size()},
+             {"lease_left_ms", duration_cast<milliseconds>(left).count()}});
 }
 
 void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
@@ -344,14 +464,9 @@
   RequestDecision();
 }
 
-MonotonicTime GroupLeader::LeaseUpperBound() const {
-  // A worker's clock may run 2% slow, so its lease lasts longer on this clock.
-  constexpr int kSkewedLeasePercent = 105;
-  return MonotonicTime(options_.lease) * kSkewedLeasePercent / 100;
-}
-
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
-  return started_at_ + options_.orphan_timeout + LeaseUpperBound();
+  return started_at_ + options_.orphan_timeout +
+         LeaseUpperBound(options_.lease);
 }
 
 void GroupLeader::RemoveIdleWorkers() {
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -27,6 +27,9 @@
   WorkerInfo worker;
   /// All runs that may be on the worker; nullopt if they are not known.
   std::optional<std::vector<RunId>> known_runs;
+  /// Upper bound of the remaining lease granted under earlier assignments;
+  /// nullopt if it is not known.
+  std::optional<Milliseconds> lease_left;
   WorkerFence fence;
   /// Number of the last start command issued under earlier assignments.
   std::uint64_t starts_before = 0;
@@ -172,6 +175,11 @@
   bool unreachable = false;
   /// The worker's process has ended, and the runs with it.
   bool ended = false;
+  /// Upper bound of the remaining lease; nullopt if it is not known.
+  std::optional<Milliseconds> lease_left;
+  /// The agent goes on renewing the lease until the worker is assigned anew or
+  /// released.
+  bool renewing = false;
 };
 
 struct AgentEvent {
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -151,6 +151,7 @@
     for (FormerLeaderRuns& runs : agent_.CollectRuns()) {
       leader_channel_->Send(std::move(runs));
     }
+    agent_.SuspendNotRenewing();
     return;
   }
   base::Log(base::Event::kLeaderLost, {{"leader", hello.node.str()},
@@ -191,7 +192,7 @@
   calls_.SetLeaderAvailable(false);
   if (!orphan_timer_.active()) {
     orphan_timer_ = deps_.loop.After(options_.orphan_timeout, [this] {
-      if (!connected_ && !leader_) agent_.ReleaseAll();
+      if (!connected_ && !leader_) agent_.SuspendAll();
     });
   }
   // Reconnecting distinguishes an ended process, whose address refuses
@@ -244,8 +245,9 @@
   leader_->OnAgentUp(options_.node, options_.data_center);
   leader_->OnWorkers(listed_);
   for (const FormerLeaderRuns& runs : agent_.CollectRuns()) {
-    leader_->OnKnownRuns(runs);
+    leader_->OnKnownRuns(options_.node, runs);
   }
+  agent_.SuspendNotRenewing();
   leader_->Start();
   overload_ = OverloadDetector();
   overload_check_due_ = base::MonotonicNow() + kOverloadCheckPeriod;
@@ -304,7 +306,7 @@
   const auto it = peers_.find(channel);
   if (it == peers_.end()) return;
   if (const auto* runs = std::get_if<FormerLeaderRuns>(&frame)) {
-    if (leader_) leader_->OnKnownRuns(*runs);
+    if (leader_) leader_->OnKnownRuns(it->second, *runs);
   } else if (const auto* event = std::get_if<AgentEvent>(&frame)) {
     if (leader_) leader_->OnAgentEvent(it->second, *event);
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstring>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -110,6 +111,16 @@
   return runs;
 }
 
+/// Value of a field that is negative if the duration is not known.
+std::int64_t OptionalToWire(const std::optional<Milliseconds>& duration) {
+  return duration ? duration->count() : -1;
+}
+
+std::optional<Milliseconds> OptionalFromWire(std::int64_t duration) {
+  if (duration < 0) return std::nullopt;
+  return Milliseconds(duration);
+}
+
 // Commands.
 
 void Put(wire::Order::Builder out, const Assignment& command) {
@@ -117,6 +128,7 @@
   assign.setFence(command.fence.value());
   assign.setStartsBefore(command.starts_before);
   assign.setCalmLoadPeriodMs(command.normal_load_period.count());
+  assign.setLeaseLeftMs(OptionalToWire(command.lease_left));
   Put(assign.initWorker(), command.worker);
   assign.setRunsKnown(command.known_runs.has_value());
   if (!command.known_runs) return;
@@ -176,6 +188,7 @@
   assignment.starts_before = in.getStartsBefore();
   assignment.normal_load_period = Milliseconds(in.getCalmLoadPeriodMs());
   assignment.worker = Get(in.getWorker());
+  assignment.lease_left = OptionalFromWire(in.getLeaseLeftMs());
   if (in.getRunsKnown()) assignment.known_runs = Get(in.getKnownRuns());
   return assignment;
 }
@@ -431,6 +444,8 @@
   Put(out.initRuns(static_cast<unsigned>(reported.runs.size())), reported.runs);
   out.setUnreachable(reported.unreachable);
   out.setEnded(reported.ended);
+  out.setLeaseLeftMs(OptionalToWire(reported.lease_left));
+  out.setRenewing(reported.renewing);
 }
 
 FormerLeaderRuns Get(wire::Remembered::Reader in) {
@@ -439,6 +454,8 @@
   reported.runs = Get(in.getRuns());
   reported.unreachable = in.getUnreachable();
   reported.ended = in.getEnded();
+  reported.lease_left = OptionalFromWire(in.getLeaseLeftMs());
+  reported.renewing = in.getRenewing();
   return reported;
 }
 
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -40,6 +40,7 @@
   calmLoadPeriodMs @3 :Int64;
   runsKnown @4 :Bool;
   knownRuns @5 :List(RunRef);
+  leaseLeftMs @6 :Int64 = -1;   # Negative if it is not known.
 }
 
 struct Traits {
@@ -178,6 +179,8 @@
   runs @1 :List(RunRef);
   unreachable @2 :Bool;  # The worker did not reply to its last renewals.
   ended @3 :Bool;        # The worker's process has ended.
+  leaseLeftMs @4 :Int64 = -1;   # Negative if it is not known.
+  renewing @5 :Bool;     # The agent goes on renewing the lease.
 }
 
 struct Frame {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -98,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -776,6 +776,8 @@
   inline bool hasKnownRuns() const;
   inline  ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getKnownRuns() const;
 
+  inline  ::int64_t getLeaseLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -830,6 +832,9 @@
   inline void adoptKnownRuns(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::RunRef,  ::capnp::Kind::STRUCT>> disownKnownRuns();
 
+  inline  ::int64_t getLeaseLeftMs();
+  inline void setLeaseLeftMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2589,6 +2594,10 @@
 
   inline bool getEnded() const;
 
+  inline  ::int64_t getLeaseLeftMs() const;
+
+  inline bool getRenewing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2637,6 +2646,12 @@
   inline bool getEnded();
   inline void setEnded(bool value);
 
+  inline  ::int64_t getLeaseLeftMs();
+  inline void setLeaseLeftMs( ::int64_t value);
+
+  inline bool getRenewing();
+  inline void setRenewing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3404,6 +3419,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Assignment::Reader::getLeaseLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Assignment::Builder::getLeaseLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Assignment::Builder::setLeaseLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool Traits::Reader::getLongRunning() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5758,6 +5787,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Remembered::Reader::getLeaseLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Remembered::Builder::getLeaseLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Remembered::Builder::setLeaseLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Remembered::Reader::getRenewing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool Remembered::Builder::getRenewing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Remembered::Builder::setRenewing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::mangospread::dispatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -13,13 +13,17 @@
 
 void Agent::Assign(Assignment assignment) {
   const VmName vm = assignment.worker.vm;
-  if (WorkerSession* old = FindSession(vm)) {
-    if (old->assignment_fence() >= assignment.fence) return;
-    EndSession(vm);
+  WorkerSession* former = FindSession(vm);
+  if (former != nullptr && former->assignment_fence() >= assignment.fence) {
+    return;
   }
   auto link = make_link_(assignment.worker);
   auto session = WorkerSession::Create(
       loop_, std::move(link), std::move(assignment), options_, emit_, observe_);
+  if (former != nullptr) {
+    session->ContinueFrom(*former);
+    EndSession(vm);
+  }
   sessions_[vm] = session;
   session->Begin();
 }
@@ -70,6 +74,16 @@
   while (!sessions_.empty()) EndSession(VmName(sessions_.begin()->first));
 }
 
+void Agent::SuspendAll() {
+  for (const auto& [vm, session] : sessions_) session->Suspend();
+}
+
+void Agent::SuspendNotRenewing() {
+  for (const auto& [vm, session] : sessions_) {
+    if (!session->renewing()) session->Suspend();
+  }
+}
+
 void Agent::DropUnsent() {
   for (const auto& [vm, session] : sessions_) session->DropUnsent();
 }
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -34,6 +34,12 @@
   void Execute(AgentCommand command);
   /// Ends the sessions of all workers.
   void ReleaseAll();
+  /// Ends the sessions of all workers but keeps their runs for the next leader.
+  void SuspendAll();
+  /// Does the same for the workers whose leases are not being renewed at
+  /// present. Call after these were reported to a new leader, which relies on
+  /// the end of their leases and assigns them anew.
+  void SuspendNotRenewing();
   /// Drops starts that were not sent yet, since the leader that issued them is
   /// lost. The leases of the workers are still renewed.
   void DropUnsent();
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -5,6 +5,7 @@
 
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
+#include "dispatch/model/lease.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -12,9 +13,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// A worker's clock may run 2% slow, so its lease lasts longer on this clock.
-constexpr int kSkewedLeasePercent = 103;
-constexpr MonotonicTime kLeaseMargin = milliseconds(150);
 /// Time for a reply after the wait that the renewal requests.
 constexpr Milliseconds kRenewReplyTimeout{700};
 constexpr MonotonicTime kMinLoadReportPeriod = milliseconds(400);
@@ -47,6 +45,10 @@
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
       replied_at_(base::MonotonicNow()) {
+  if (assignment_.lease_left) {
+    lease_known_ = true;
+    lease_expires_at_ = base::MonotonicNow() + *assignment_.lease_left;
+  }
   if (!assignment_.known_runs) return;
   runs_known_ = true;
   for (const RunId& run : *assignment_.known_runs) {
@@ -57,13 +59,34 @@
 
 void WorkerSession::Begin() { SendRenew(Milliseconds(0)); }
 
+void WorkerSession::ContinueFrom(const WorkerSession& former) {
+  lease_known_ = lease_known_ || former.lease_known_;
+  lease_expires_at_ = std::max(lease_expires_at_, former.lease_expires_at_);
+  replied_at_ = former.replied_at_;
+  if (runs_known_) return;
+  const auto runs = former.CollectRuns();
+  if (!runs || runs->ended) return;
+  runs_known_ = true;
+  for (const RunId& run : runs->runs) {
+    runs_[run.task].number = run.run;
+    runs_[run.task].just_started_before = run.just_started;
+  }
+}
+
 std::optional<FormerLeaderRuns> WorkerSession::CollectRuns() const {
   // The event may have been lost with the connection to the former leader.
-  if (!worker_ended_ && (!runs_known_ || closed_)) return std::nullopt;
+  const bool superseded = closed_ && !suspended_;
+  if (!worker_ended_ && (!runs_known_ || superseded)) return std::nullopt;
   FormerLeaderRuns collected;
   collected.worker = assignment_.worker;
   collected.unreachable = unreachable_reported_ || worker_ended_;
   collected.ended = worker_ended_;
+  collected.renewing = renewing();
+  if (lease_known_) {
+    const MonotonicTime left = lease_expires_at_ - base::MonotonicNow();
+    collected.lease_left =
+        std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
+  }
   for (const auto& [task, run] : runs_) {
     collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run)});
   }
@@ -83,9 +106,16 @@
 
 void WorkerSession::Close() {
   closed_ = true;
+  suspended_ = false;
   renew_timer_.reset();
 }
 
+void WorkerSession::Suspend() {
+  if (closed_) return;
+  Close();
+  suspended_ = true;
+}
+
 void WorkerSession::CloseEnded() {
   closed_ = worker_ended_ = true;
   if (silent_since_.count() == 0) silent_since_ = base::MonotonicNow();
@@ -97,10 +127,8 @@
 }
 
 void WorkerSession::RaiseLeaseBound(Milliseconds lease) {
-  lease_expires_at_ = std::max(
-      lease_expires_at_, base::MonotonicNow() +
-                             MonotonicTime(lease) * kSkewedLeasePercent / 100 +
-                             kLeaseMargin);
+  lease_expires_at_ = std::max(lease_expires_at_,
+                               base::MonotonicNow() + LeaseUpperBound(lease));
 }
 
 WorkerTime WorkerSession::NextLeaseEnd() {
@@ -220,6 +248,10 @@
 
 void WorkerSession::Synchronise(const RenewReply& report) {
   synced_ = runs_known_ = true;
+  if (!std::exchange(lease_known_, true)) {
+    // No earlier session can renew the lease any more.
+    RaiseLeaseBound(options_.lease);
+  }
   if (report.incarnation != incarnation_) OnProcessChanged(report.incarnation);
   Attached attached{
       incarnation_, starts_seen_, {}, report.running, report.ended};
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -58,8 +58,13 @@
 
   /// Sends the first renewal.
   void Begin();
+  /// Takes over what the former session with the worker knows of its lease and,
+  /// unless the assignment names them, of its runs. Call before Begin.
+  void ContinueFrom(const WorkerSession& former);
   /// Ends the session; the worker's lease stays valid until it expires.
   void Close();
+  /// Ends the session but keeps the runs for the next leader.
+  void Suspend();
 
   /// Starts a run, after the worker's lists have arrived if they are awaited.
   void Start(StartRun command);
@@ -76,6 +81,10 @@
   /// Runs that may be on the worker; nullopt if they are not known.
   [[nodiscard]] std::optional<FormerLeaderRuns> CollectRuns() const;
 
+  /// True if the next renewal extends the worker's lease.
+  [[nodiscard]] bool renewing() const noexcept {
+    return !closed_ && !process_unconfirmed_;
+  }
   [[nodiscard]] WorkerFence assignment_fence() const noexcept {
     return assignment_.fence;
   }
@@ -158,6 +167,7 @@
   /// process.
   bool process_unconfirmed_ = true;
   bool closed_ = false;
+  bool suspended_ = false;     ///< Closed, and the runs are kept.
   bool worker_ended_ = false;  ///< Another process replies at its address.
   bool unreachable_reported_ = false;
   WorkerIncarnation incarnation_;
@@ -175,6 +185,7 @@
   MonotonicTime replied_at_{0};
   /// Time up to which the worker may hold a lease.
   MonotonicTime lease_expires_at_{0};
+  bool lease_known_ = false;  ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
   /// Starts that wait for the worker's lists.
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -62,10 +62,14 @@
   CHECK(RoundTripCommand(Release{VmName("w")}).vm == VmName("w"));
   CHECK(RoundTripCommand(DescribeRun{VmName("w"), "t", Attempt(1), {}, 40})
             .percent == 40);
-  CHECK(
-      RoundTrip<FormerLeaderRuns>(FormerLeaderRuns{{}, {}, true}).unreachable);
-  const auto runs = RoundTrip<FormerLeaderRuns>(
-      FormerLeaderRuns{{}, {{"t", Attempt(2), true}}, false, true});
+  CHECK(RoundTrip<FormerLeaderRuns>(
+            FormerLeaderRuns{{}, {}, true, false, {}, false})
+            .unreachable);
+  const auto runs = RoundTrip<FormerLeaderRuns>(FormerLeaderRuns{
+      {}, {{"t", Attempt(2), true}}, false, true, Milliseconds(1'500), true});
+  CHECK(runs.renewing);
+  CHECK(runs.lease_left == Milliseconds(1'500));
+  CHECK(!RoundTrip<FormerLeaderRuns>(FormerLeaderRuns()).lease_left);
   CHECK(runs.ended);
   CHECK(runs.runs.at(0).run == Attempt(2));
   CHECK(runs.runs.at(0).just_started);
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -2,139 +2,11 @@
 
 #include <doctest/doctest.h>
 
-#include "base/loop/simulated_clock.hpp"
-#include "unit/dispatch/dispatcher_fixture.hpp"
-#include "unit/state/faulty_table.hpp"
+#include "unit/dispatch/leader_fixture.hpp"
 
 namespace mangospread::dispatch::test {
 namespace {
 
-using mangospread::test::FaultyTable;
-using Fault = FaultyTable::Fault;
-
-constexpr const char* kId = "00000000000000aa";
-
-/// A leader with one agent, "agent", and a table that replies immediately
-/// unless a fault is set.
-struct LeaderFixture {
-  LeaderFixture() {
-    table.rows.Transact({{}, {{kLeaderKey, "first"}}});
-    table_timer = loop.Every(std::chrono::milliseconds(1), 0, [this] {
-      while (table.pending() > 0) table.Step(fault);
-    });
-  }
-
-  void Lead(std::uint64_t epoch) {
-    auto written = table.rows.Transact(
-        {{}, {{kLeaderKey, "epoch " + std::to_string(epoch)}}});
-    LeaderRecord record;
-    record.node = NodeId("leader");
-    record.epoch = Epoch(epoch);
-    record.version = written.version;
-    leader = std::make_unique<GroupLeader>(
-        GroupLeaderDependencies{
-            loop, table, NodeId("leader"), DataCenter("dc"),
-            "writer/leader-" + std::to_string(epoch), record,
-            [](const SubmissionId& id, std::string_view) {
-              return Result<Submission>(DispatcherFixture::MakeSubmission(
-                  id.str().c_str(), {DispatcherFixture::MakeStep(1, 1'000)}));
-            },
-            [this](const NodeId&, AgentCommand command) {
-              if (auto* assignment = std::get_if<Assignment>(&command)) {
-                ++assignments;
-                assigned_workers.push_back(assignment->worker.vm);
-                fences[assignment->worker.vm] = assignment->fence;
-              } else if (auto* start = std::get_if<StartRun>(&command)) {
-                starts.push_back(*start);
-              }
-            },
-            [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
-            [this] { return confirmed; }},
-        GroupLeaderOptions());
-    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
-    leader->Start();
-    RunFor(std::chrono::milliseconds(20));
-  }
-
-  void ListWorkers(const std::vector<const char*>& names) {
-    std::map<VmName, WorkerInfo> listed;
-    for (const char* name : names) {
-      WorkerInfo info;
-      info.vm = VmName(name);
-      info.service = ServiceName("s");
-      listed.emplace(info.vm, info);
-    }
-    leader->OnWorkers(listed);
-    RunFor(std::chrono::milliseconds(20));
-  }
-
-  void Event(const char* vm, decltype(AgentEvent::details) details) {
-    leader->OnAgentEvent(NodeId("agent"),
-                         {VmName(vm), fences[VmName(vm)], std::move(details)});
-    RunFor(std::chrono::milliseconds(50));
-  }
-
-  void Attach(const char* vm) {
-    Event(vm, Attached{WorkerIncarnation(1), 1'000, {}, {}, {}});
-  }
-
-  ServiceReply Call(ServiceVerb verb) {
-    ServiceCall call;
-    call.verb = verb;
-    call.submission = SubmissionId(kId);
-    call.policy = DispatcherFixture::Policy();
-    call.payload = "{}";
-    ServiceReply result;
-    replied = false;
-    leader->Handle(std::move(call), [&](const ServiceReply& reply) {
-      result = reply;
-      replied = true;
-    });
-    RunFor(std::chrono::seconds(4));
-    return result;
-  }
-
-  /// A run on one of two workers, and the other one.
-  struct PlacedOnOne {
-    StartRun run;
-    const char* busy;
-    const char* idle;
-  };
-
-  /// Leads, attaches the workers w1 and w2 and submits a task.
-  PlacedOnOne PlaceOnOneOfTwo() {
-    Lead(1);
-    ListWorkers({"w1", "w2"});
-    Attach("w1");
-    Attach("w2");
-    Call(ServiceVerb::kSubmit);
-    REQUIRE(starts.size() == 1);
-    const StartRun run = starts[0];
-    starts.clear();
-    const bool on_first = run.vm == VmName("w1");
-    return {run, on_first ? "w1" : "w2", on_first ? "w2" : "w1"};
-  }
-
-  void RunFor(MonotonicTime time) {
-    const auto stop = loop.After(time, [this] { loop.Stop(); });
-    loop.Run();
-  }
-
-  base::SimulatedClock clock;
-  base::EventLoop loop;
-  FaultyTable table;
-  Fault fault = Fault::kNone;
-  base::Timer table_timer;
-  std::unique_ptr<GroupLeader> leader;
-  std::map<VmName, WorkerFence> fences;
-  std::vector<StartRun> starts;
-  int assignments = 0;
-  std::vector<VmName> assigned_workers;
-  int conflicts = 0;
-  bool confirmed = true;
-  bool replied = false;
-};
-
 // Guards against a second run of a task that an unreachable worker still runs
 // under a lease granted by an agent of the former leader. The agents of the new
 // leader never reached the worker, so they report no lease.
@@ -196,7 +68,7 @@
   Attach(other);
   FormerLeaderRuns outdated;
   outdated.worker.vm = first.vm;
-  leader->OnKnownRuns(outdated);
+  leader->OnKnownRuns(NodeId("agent"), outdated);
   RunFor(std::chrono::seconds(1));
   CHECK(starts.empty());
   Event(first.vm.str().c_str(), Attached{WorkerIncarnation(1),
@@ -221,14 +93,14 @@
   FormerLeaderRuns idle;
   idle.worker.vm = placed.run.vm;
   take_over(2);
-  leader->OnKnownRuns(idle);
+  leader->OnKnownRuns(NodeId("agent"), idle);
   Event(placed.busy, WorkerUnreachable{Milliseconds(0)});
   RunFor(std::chrono::milliseconds(500));
   CHECK(starts.size() == 1);
   starts.clear();
   take_over(3);
   idle.unreachable = true;
-  leader->OnKnownRuns(idle);
+  leader->OnKnownRuns(NodeId("agent"), idle);
   RunFor(std::chrono::milliseconds(500));
   CHECK(starts.size() == 1);
 }
@@ -244,16 +116,16 @@
   ListWorkers({"w1", "w2"});
   SUBCASE("noticed under the former leader") {
     lost.unreachable = lost.ended = true;
-    leader->OnKnownRuns(lost);
+    leader->OnKnownRuns(NodeId("agent"), lost);
     Attach(placed.idle);
   }
   SUBCASE("noticed under the new leader") {
-    leader->OnKnownRuns(lost);
+    leader->OnKnownRuns(NodeId("agent"), lost);
     Attach(placed.idle);
     Event(placed.busy, WorkerEnded{});
   }
   SUBCASE("noticed after the new leader could not reach the worker") {
-    leader->OnKnownRuns(lost);
+    leader->OnKnownRuns(NodeId("agent"), lost);
     Attach(placed.idle);
     Event(placed.busy, WorkerLoad{{}, false});
     Event(placed.busy, WorkerEnded{});
--- /dev/null
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -0,0 +1,208 @@
+// What a new leader waits for before it starts restored tasks again.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "dispatch/model/lease.hpp"
+#include "unit/dispatch/leader_fixture.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A leader that takes over a task on a worker that does not respond, and
+/// another worker that is idle.
+struct TakeoverFixture : LeaderFixture {
+  TakeoverFixture() : placed(PlaceOnOneOfTwo()) {
+    report.worker.vm = placed.run.vm;
+    report.runs = {{placed.run.task, placed.run.run}};
+  }
+
+  /// Starts a new leader, to which the agent sends the report at once.
+  void TakeOver(std::uint64_t epoch) {
+    Lead(epoch);
+    Report("agent");
+    ListWorkers({"w1", "w2"});
+    Attach(placed.idle);
+  }
+
+  void Report(const char* agent) { leader->OnKnownRuns(NodeId(agent), report); }
+
+  bool WasReleasedBy(const char* agent) const {
+    return std::count(releases.begin(), releases.end(),
+                      std::pair(NodeId(agent), placed.run.vm)) > 0;
+  }
+
+  /// Checks that the task starts again, and not before `time` has passed.
+  void CheckStartsAfter(Milliseconds time) {
+    RunFor(time - milliseconds(100));
+    CHECK(starts.empty());
+    RunFor(milliseconds(500));
+    CHECK(starts.size() == 1);
+  }
+
+  PlacedOnOne placed;
+  FormerLeaderRuns report;
+};
+
+// Guards against a task that waits for a lease as if it had been renewed at the
+// takeover, though its worker stopped responding before (LOST).
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a takeover waits for the time left of a lease") {
+  report.unreachable = true;
+  report.lease_left = Milliseconds(2'000);
+  TakeOver(2);
+  CheckStartsAfter(Milliseconds(2'000));
+}
+
+// Guards against a wait that begins anew with each takeover.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a second takeover does not extend the wait") {
+  report.unreachable = true;
+  report.lease_left = Milliseconds(2'000);
+  TakeOver(2);
+  RunFor(milliseconds(1'000));
+  // The assignment tells the agent what the former one knew.
+  const Assignment& assignment = newest.at(placed.run.vm).assignment;
+  REQUIRE(assignment.known_runs);
+  CHECK(assignment.known_runs->size() == 1);
+  REQUIRE(assignment.lease_left);
+  CHECK(*assignment.lease_left <= Milliseconds(2'000));
+  report.lease_left = Milliseconds(850);
+  TakeOver(3);
+  CheckStartsAfter(Milliseconds(850));
+}
+
+// Guards against a second run on a worker whose agent renews the lease after
+// its report.
+TEST_CASE_FIXTURE(
+    TakeoverFixture,
+    "the agent that goes on renewing reports the end of the lease") {
+  report.lease_left = Milliseconds(1'000);
+  report.renewing = true;
+  SUBCASE("reported before it is assigned") { TakeOver(2); }
+  SUBCASE("reported after it is assigned") {
+    Lead(2);
+    ListWorkers({"w1", "w2"});
+    Report("agent");
+    Attach(placed.idle);
+  }
+  RunFor(milliseconds(1'500));
+  CHECK(starts.empty());
+  Event(placed.busy, WorkerUnreachable{Milliseconds(1'000)});
+  CheckStartsAfter(Milliseconds(950));
+}
+
+// Guards against a lease that a second agent, which lost its connection to the
+// former leader, has renewed after its report.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "the leases of all agents that reported a worker count") {
+  Lead(2);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  report.lease_left = Milliseconds(1'000);
+  report.unreachable = true;
+  Report("agent");
+  report.unreachable = false;
+  report.renewing = true;
+  Report("other");
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  CHECK(newest.at(placed.run.vm).agent == NodeId("agent"));
+  CHECK(WasReleasedBy("other"));
+  Event(placed.busy, WorkerUnreachable{Milliseconds(500)});
+  RunFor(milliseconds(5'500));
+  // It has been moved meanwhile, to even out the load.
+  Attach(placed.idle);
+  CHECK(starts.empty());
+  RunFor(milliseconds(1'500));
+  CHECK(starts.size() == 1);
+}
+
+// Guards against new connections to all workers at each takeover, and against
+// an agent that knows nothing of a worker when the next leader asks.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a worker stays with the agent that serves it") {
+  options.report_grace_period = Milliseconds(200);
+  Lead(2);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  ListWorkers({"w1", "w2"});
+  report.lease_left = Milliseconds(5'000);
+  report.renewing = true;
+  SUBCASE("reported in time") { Report("other"); }
+  SUBCASE("reported after it was assigned to another agent") {
+    RunFor(milliseconds(500));
+    REQUIRE(newest.contains(placed.run.vm));
+    Report("other");
+  }
+  RunFor(milliseconds(500));
+  CHECK(newest.at(placed.run.vm).agent == NodeId("other"));
+}
+
+// Guards against a worker without an agent: none would know its runs when the
+// leader dies.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a worker that no agent reaches stays with one") {
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  for (int attempt = 0; attempt < 6; ++attempt) {
+    Event(placed.busy, WorkerUnreachable{Milliseconds(4'000)});
+    RunFor(milliseconds(250));
+    const SentAssignment& sent = newest.at(placed.run.vm);
+    REQUIRE(sent.assignment.known_runs);
+    CHECK(sent.assignment.known_runs->size() == 1);
+    // The last release was for the agent before.
+    const auto last = std::find_if(releases.rbegin(), releases.rend(),
+                                   [this](const auto& release) {
+                                     return release.second == placed.run.vm;
+                                   });
+    REQUIRE(last != releases.rend());
+    CHECK(last->first != sent.agent);
+  }
+  CHECK(starts.empty());
+}
+
+// Guards against runs that nobody knows when the leader dies: the leader's own
+// node served the worker.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "the leader's node serves workers only if it is alone") {
+  Lead(1);
+  leader->OnAgentUp(NodeId("leader"), DataCenter("dc"));
+  ListWorkers({"w1", "w2", "w3", "w4"});
+  RunFor(std::chrono::seconds(2));
+  CHECK(newest.size() == 4);
+  for (const auto& [vm, sent] : newest) CHECK(sent.agent == NodeId("agent"));
+  leader->OnAgentDown(NodeId("agent"));
+  RunFor(std::chrono::seconds(2));
+  for (const auto& [vm, sent] : newest) CHECK(sent.agent == NodeId("leader"));
+  for (const char* vm : {"w1", "w2", "w3", "w4"}) Attach(vm);
+  leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+  RunFor(std::chrono::seconds(2));
+  for (const auto& [vm, sent] : newest) CHECK(sent.agent == NodeId("agent"));
+}
+
+// Guards against a session that outlives its assignment, and whose report would
+// be taken for the newest one after a later takeover.
+TEST_CASE_FIXTURE(TakeoverFixture, "an outdated session is released") {
+  Report("other");
+  CHECK(WasReleasedBy("other"));
+}
+
+// Guards against a second run: the agent has attached the worker and renewed
+// its lease before it received its release.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "an attachment under a former assignment extends the lease") {
+  const WorkerFence former = fences.at(placed.run.vm);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  Event(placed.busy, WorkerUnreachable{Milliseconds(300)});
+  REQUIRE(newest.at(placed.run.vm).assignment.fence != former);
+  leader->OnAgentEvent(NodeId("agent"),
+                       {placed.run.vm, former,
+                        Attached{WorkerIncarnation(1), 1'000, {}, {}, {}}});
+  RunFor(std::chrono::seconds(6));
+  CHECK(starts.empty());
+  RunFor(std::chrono::seconds(1));
+  CHECK(starts.size() == 1);
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -340,5 +340,70 @@
   CHECK(Count<RunStalled>() == 1);
 }
 
+// Guards against a takeover that waits for a whole lease of a worker that
+// stopped responding long before.
+TEST_CASE_FIXTURE(SessionFixture, "a report names the time left of the lease") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(300));
+  REQUIRE(session->CollectRuns());
+  CHECK(session->CollectRuns()->renewing);
+  CHECK(session->CollectRuns()->lease_left > Milliseconds(5'900));
+  link->unresponsive = true;
+  RunFor(Milliseconds(3'000));
+  REQUIRE(Count<WorkerUnreachable>() == 1);
+  CHECK_FALSE(session->CollectRuns()->renewing);
+  CHECK(session->CollectRuns()->lease_left < Milliseconds(3'700));
+  RunFor(Milliseconds(5'000));
+  CHECK(session->CollectRuns()->lease_left == Milliseconds(0));
+}
+
+// Guards against runs that nobody knows after a takeover which took longer than
+// the agents serve workers without a leader.
+TEST_CASE_FIXTURE(SessionFixture, "a suspended session keeps its runs") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(300));
+  session->Suspend();
+  const std::size_t renewals = link->renewals.size();
+  RunFor(Milliseconds(2'000));
+  CHECK(link->renewals.size() == renewals);
+  REQUIRE(session->CollectRuns());
+  CHECK(session->CollectRuns()->runs.size() == 1);
+  CHECK_FALSE(session->CollectRuns()->renewing);
+  session->Close();
+  CHECK_FALSE(session->CollectRuns());
+}
+
+// Guards against an assignment that makes the agent forget what it knew of a
+// worker which does not respond.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a session goes on from the former one on the agent") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(300));
+  link->unresponsive = true;
+  RunFor(Milliseconds(1'400));
+  Assignment assignment;
+  assignment.worker.vm = VmName("w1");
+  assignment.fence = WorkerFence(6 * kFenceStride);
+  const auto next = WorkerSession::Create(
+      loop, link, assignment, WorkerSessionOptions(),
+      [this](AgentEvent event) { events.push_back(std::move(event)); },
+      [](Timing, MonotonicTime) {});
+  REQUIRE_FALSE(next->CollectRuns());
+  next->ContinueFrom(*session);
+  session->Close();
+  next->Begin();
+  RunFor(Milliseconds(900));
+  REQUIRE(next->CollectRuns());
+  CHECK(next->CollectRuns()->runs.size() == 1);
+  CHECK(next->CollectRuns()->lease_left < Milliseconds(4'500));
+  CHECK(next->CollectRuns()->lease_left > Milliseconds(3'000));
+  // The time without a reply counts from the last reply to the former session.
+  CHECK(Count<WorkerUnreachable>() == 1);
+  next->Close();
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch
