--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -284,6 +284,35 @@
   CHECK(placed);
 }
 
+// Guards against a long-running task that has lost its run and waits on and on
+// for scarce capacity, since short work takes all of it for more than a moment
+// each time (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a lost long-running task takes scarce capacity in time") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  // 11 of 12 cores are used, and the last one has been taken for a second.
+  AddWorker("w1", 12'000);
+  Add("long", {MakeStep(11, 1'000)});
+  REQUIRE(Decide().size() == 11);
+  Add("short", {MakeStep(1, 1'000)});
+  REQUIRE(Decide().size() == 1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(500);
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(500);
+  End("w1", 1, "short.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+  now += std::chrono::milliseconds(1'000);
+  const auto restarted = Decide();
+  REQUIRE(restarted.size() == 1);
+  CHECK(restarted[0].task == "lasting.0.0.0");
+}
+
 // Guards against latency-critical tasks of all images on every worker, which
 // leaves no worker for a best-effort task that interferes with one of them.
 TEST_CASE_FIXTURE(DispatcherFixture,
