Keep the session with a removed worker until the roster is stored without it

Cause: the second leader had removed a worker whose lease had expired, and had released it from its agent, when it was killed before the stored roster said so. The third one found the worker in the roster, and no agent knew it.

Change: the release follows the write of the roster; an assignment of the same worker to another agent releases the former one. Since an agent may now report a crash that the former leader has stored, a loss that counts already is not counted again. An agent that is the only one keeps its session instead of getting the same worker anew.

Tests: "a removed worker is released once the roster is stored", "a stored loss does not count again".

--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -149,6 +149,8 @@
     }
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(run_id.run.value());
+    // A former leader has stored the end of this run.
+    if (IsCounted(ref->task->losses, placed.run)) continue;
     placed.unconfirmed = true;
     placed.started_at = registry_.at(slot).silent_since;
     if (!run_id.just_started) placed.started_at -= kStartTrial;
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -199,6 +199,9 @@
   void MoveWorkers();
   /// Removes a worker that has terminated or whose lease has expired.
   void RemoveWorker(const VmName& vm, WorkerRemoval removal);
+  /// Ends the agents' sessions with removed workers that the stored roster does
+  /// not contain any more. Until then the next leader may ask for them.
+  void ReleaseRemoved();
   /// Removes workers that left the list and on which nothing can run.
   void RemoveIdleWorkers();
   /// Gives agents time to attach workers before the reported runs are used: the
@@ -277,6 +280,8 @@
   /// Workers that agents of former leaders have reported.
   std::map<VmName, FormerWorker> former_workers_;
   std::set<VmName> next_roster_;  ///< Value of the write in flight.
+  /// Removed workers and the agents that still have a session with them.
+  std::map<VmName, NodeId> unreleased_;
   bool roster_saving_ = false;
   std::string saved_interference_;
   bool interference_saving_ = false;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -75,6 +75,7 @@
       return;
     }
     roster_ = next_roster_;
+    ReleaseRemoved();
     OnWorkers(std::map<VmName, WorkerInfo>(listed_));
   });
 }
@@ -131,11 +132,12 @@
 }
 
 void GroupLeader::RotateAgent(WorkerEntry& entry) {
-  auto agent = PickAgent(entry);
-  if (!agent) {
+  const auto agent = PickAgent(entry);
+  if (!agent || agent == entry.agent) {
     // Meanwhile the last one goes on, so that a node besides the leader knows
     // the worker's runs.
     entry.failed_agents.clear();
+    entry.failed_agents.insert(*entry.agent);
     entry.retry_at = base::MonotonicNow() + options_.rotation_period;
     return;
   }
@@ -151,6 +153,11 @@
 
 void GroupLeader::Assign(WorkerEntry& entry, const NodeId& agent) {
   const VmName& vm = entry.info.vm;
+  // The assignment replaces the session if the agent is the same.
+  const auto removed = unreleased_.extract(vm);
+  if (!removed.empty() && removed.mapped() != agent) {
+    deps_.send(removed.mapped(), Release{vm});
+  }
   entry.agent = agent;
   entry.attached = entry.unreachable = false;
   ++agents_.at(agent).workers;
@@ -447,7 +454,11 @@
             {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
   const auto it = workers_.find(vm);
   if (it != workers_.end()) {
-    Unassign(it->second);
+    if (it->second.agent) {
+      unreleased_.insert_or_assign(vm, *it->second.agent);
+      const auto agent = agents_.find(*it->second.agent);
+      if (agent != agents_.end()) --agent->second.workers;
+    }
     workers_.erase(it);
   }
   dispatcher_->OnWorkerRemoved(vm, removal, base::MonotonicNow());
@@ -464,6 +475,15 @@
   RequestDecision();
 }
 
+void GroupLeader::ReleaseRemoved() {
+  std::erase_if(unreleased_, [this](const auto& removed) {
+    const auto& [vm, agent] = removed;
+    if (roster_.contains(vm)) return false;
+    deps_.send(agent, Release{vm});
+    return true;
+  });
+}
+
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
   return started_at_ + options_.orphan_timeout +
          LeaseUpperBound(options_.lease);
--- a/src/dispatch/policy/lost_run.cc
+++ b/src/dispatch/policy/lost_run.cc
@@ -60,6 +60,12 @@
   }
 }
 
+bool IsCounted(const std::vector<TaskLoss>& losses,
+               std::uint32_t run) noexcept {
+  return std::any_of(losses.begin(), losses.end(),
+                     [run](const TaskLoss& loss) { return loss.run == run; });
+}
+
 bool IsSuspected(const std::vector<TaskLoss>& losses) noexcept {
   return std::any_of(losses.begin(), losses.end(), [](const TaskLoss& loss) {
     return loss.suspicion >= Suspicion::kShared;
--- a/src/dispatch/policy/lost_run.hpp
+++ b/src/dispatch/policy/lost_run.hpp
@@ -60,6 +60,10 @@
 /// on a worker that starts nothing else for a while.
 [[nodiscard]] bool IsSuspected(const std::vector<TaskLoss>& losses) noexcept;
 
+/// True if the loss of the run counts already.
+[[nodiscard]] bool IsCounted(const std::vector<TaskLoss>& losses,
+                             std::uint32_t run) noexcept;
+
 /// True if the task must not be started again.
 ///
 /// A worker may also be cut off and crash by itself, so a start without a reply
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -204,5 +204,38 @@
   CHECK(starts.size() == 1);
 }
 
+// Guards against a takeover that waits a whole lease for a worker which the
+// former leader had removed without storing that: no agent knew it any more.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a removed worker is released once the roster is stored") {
+  fault = Fault::kRefuse;
+  Event(placed.busy, WorkerUnreachable{Milliseconds(300)});
+  RunFor(milliseconds(7'000));
+  CHECK(starts.size() == 1);
+  CHECK_FALSE(WasReleasedBy("agent"));
+  fault = Fault::kNone;
+  ListWorkers({placed.idle});
+  RunFor(milliseconds(1'000));
+  CHECK(WasReleasedBy("agent"));
+}
+
+// Guards against a crash that counts twice: the agent reports it to the next
+// leader too, though the former one has stored it.
+TEST_CASE_FIXTURE(TakeoverFixture, "a stored loss does not count again") {
+  Event(placed.busy, WorkerEnded{});
+  RunFor(milliseconds(500));
+  REQUIRE(starts.size() == 1);
+  report.runs[0].just_started = true;
+  report.ended = report.unreachable = true;
+  Lead(2);
+  Report("agent");
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  RunFor(milliseconds(1'000));
+  const auto progress = leader->dispatcher().Progress(SubmissionId(kId));
+  REQUIRE(progress.tasks.size() == 1);
+  CHECK(progress.tasks[0].losses.size() == 1);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
