Place lost long-running tasks before short ones after a second

Cause: under overload short tasks wait at all times, and each piece of capacity that becomes free goes to one of them; a task of twice their size never finds enough.

Change: a long-running task that has lost its run goes first once it has waited 1 s (before: took only what short tasks had left, after 2 s). The test fails without the change.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -240,10 +240,6 @@
   /// True if a long-running step may take capacity now. Scarce capacity is
   /// available to it only when short tasks have left it unused for a while.
   bool MayTakeCapacity(const Candidate& candidate, MonotonicTime now);
-  /// True if a task of a long-running step has waited for long since it lost
-  /// its run.
-  [[nodiscard]] static bool RestartIsDue(const Candidate& candidate,
-                                         MonotonicTime now);
   /// Share of a service's processors that no task has requested.
   [[nodiscard]] double FreeShare(const ServiceName& service,
                                  MonotonicTime now) const;
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -18,11 +18,6 @@
 /// time for which it counts as unused.
 constexpr MonotonicTime kMaxFreeGap = std::chrono::milliseconds(400);
 
-/// A long-running task that has lost its run takes scarce capacity after this
-/// long. The platform allows it three seconds without a run while there is
-/// capacity.
-constexpr MonotonicTime kMaxRestartWait = std::chrono::seconds(2);
-
 /// A suspected task waits this long for a worker that has started nothing for a
 /// while; then it takes the one whose last start was the longest ago.
 constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
@@ -76,9 +71,10 @@
   }
   for (Candidate& candidate : candidates) {
     const Job& job = *candidate.entry->job;
+    const Step& step = job.steps()[static_cast<std::size_t>(candidate.step)];
     candidate.urgency =
-        UrgencyOf(job, job.steps()[static_cast<std::size_t>(candidate.step)],
-                  now, backlogged);
+        UrgencyOf(job, step, now, backlogged,
+                  RestartIsDue(step, candidate.entry->restored, now));
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
@@ -165,19 +161,6 @@
                  static_cast<double>(capacity.value());
 }
 
-bool Dispatcher::RestartIsDue(const Candidate& candidate, MonotonicTime now) {
-  const Entry& entry = *candidate.entry;
-  const Step& step =
-      entry.job->steps()[static_cast<std::size_t>(candidate.step)];
-  return std::any_of(step.tasks.begin(), step.tasks.end(),
-                     [&](const Task& task) {
-                       // The former leader may have started a restored task.
-                       const bool restarts = task.run > 0 || entry.restored;
-                       return task.phase == TaskPhase::kPending && restarts &&
-                              now - task.since >= kMaxRestartWait;
-                     });
-}
-
 bool Dispatcher::MayTakeCapacity(const Candidate& candidate,
                                  MonotonicTime now) {
   Entry& entry = *candidate.entry;
@@ -188,7 +171,8 @@
   }
   step.free_seen = now;
   if (step.free_since.count() == 0) step.free_since = now;
-  if (now - step.free_since >= kMinUnusedTime || RestartIsDue(candidate, now) ||
+  if (now - step.free_since >= kMinUnusedTime ||
+      RestartIsDue(step, entry.restored, now) ||
       FreeShare(entry.job->policy().service, now) > kScarceCapacityShare) {
     return true;
   }
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -206,7 +206,7 @@
   const auto urgency = [this](const char* id, bool backlogged) {
     Job job(MakeSubmission(id, {MakeStep(1, 1'000)}), Policy(), now,
             MonotonicTime(0));
-    return UrgencyOf(job, job.steps()[0], now, backlogged);
+    return UrgencyOf(job, job.steps()[0], now, backlogged, false);
   };
   const Urgency earlier = urgency("earlier", true);
   const Urgency earlier_without_backlog = urgency("earlier", false);
@@ -216,7 +216,7 @@
   Job started(MakeSubmission("begun", {MakeStep(2, 1'000)}), Policy(),
               now - std::chrono::seconds(1), MonotonicTime(0));
   started.SetPhase({0, 0}, TaskPhase::kStarting, now);
-  CHECK(UrgencyOf(started, started.steps()[0], now, true) <
+  CHECK(UrgencyOf(started, started.steps()[0], now, true, false) <
         urgency("later", true));
 }
 
@@ -231,12 +231,13 @@
                 now, MonotonicTime(0));
   // Objective: twice the critical path of two seconds plus one second.
   const MonotonicTime slack = std::chrono::milliseconds(3'700);
-  CHECK_FALSE(UrgencyOf(job, job.steps()[0], now + slack, false).late);
-  CHECK(UrgencyOf(job, job.steps()[0], now + slack + 200 * kMillisecond, false)
+  CHECK_FALSE(UrgencyOf(job, job.steps()[0], now + slack, false, false).late);
+  CHECK(UrgencyOf(job, job.steps()[0], now + slack + 200 * kMillisecond, false,
+                  false)
             .late);
-  CHECK_FALSE(
-      UrgencyOf(job, job.steps()[1], now + slack + 200 * kMillisecond, false)
-          .late);
+  CHECK_FALSE(UrgencyOf(job, job.steps()[1], now + slack + 200 * kMillisecond,
+                        false, false)
+                  .late);
 }
 
 // Guards against long-running tasks that take all capacity for good, and
@@ -304,10 +305,34 @@
   CHECK(Decide().empty());
   now += std::chrono::milliseconds(500);
   CHECK(Decide().empty());
-  now += std::chrono::milliseconds(500);
+  now += std::chrono::milliseconds(400);
   End("w1", 1, "short.0.0.0", 1, RunEnd::kDone);
   CHECK(Decide().empty());
+  now += std::chrono::milliseconds(100);
+  const auto restarted = Decide();
+  REQUIRE(restarted.size() == 1);
+  CHECK(restarted[0].task == "lasting.0.0.0");
+}
+
+// Guards against a large long-running task that never finds enough free
+// capacity, since smaller tasks that wait use each piece of it (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a lost long-running task goes before short tasks in time") {
+  AddWorker("w0", 4'000);
+  StepSpec step = MakeStep(1, 4'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w1", 4'000);
+  Add("first", {MakeStep(4, 1'000)});
+  REQUIRE(Decide().size() == 4);
+  Add("next", {MakeStep(4, 1'000)});
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   now += std::chrono::milliseconds(1'000);
+  for (int task = 0; task < 4; ++task) {
+    End("w1", static_cast<std::uint64_t>(task) + 1,
+        "first.0.0." + std::to_string(task), 1, RunEnd::kDone);
+  }
   const auto restarted = Decide();
   REQUIRE(restarted.size() == 1);
   CHECK(restarted[0].task == "lasting.0.0.0");
