Check a task's name before it is used as an index

Cause: Job::IndexOf multiplied the occurrence of a task's name by the number of steps before it checked the range. Besides, objectives were computed from unchecked estimates, stretches and targets. The conversion to nanoseconds overflowed, so that an objective lay in the past. Ruled out: Job::Find and the restored rows, which check the range.

--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -13,6 +13,22 @@
 /// it early.
 constexpr MonotonicTime kDueMargin = std::chrono::milliseconds(30);
 
+/// Longest time from the acceptance of a submission to its objective. Multiples
+/// of it can be added to any due time without overflow.
+constexpr Milliseconds kMaxObjective = std::chrono::hours(24 * 365 * 30);
+
+/// Time from the acceptance to the objective. The policy may come from another
+/// node, so the result is bounded for any stretch, also for one that is not a
+/// number.
+MonotonicTime TimeToObjective(Milliseconds path, const QueuePolicy& policy) {
+  using FractionalMs = std::chrono::duration<double, std::milli>;
+  const FractionalMs time =
+      FractionalMs(path) * policy.stretch + policy.latency_target;
+  if (!(time < FractionalMs(kMaxObjective))) return kMaxObjective;
+  return std::chrono::duration_cast<MonotonicTime>(
+      std::max(time, FractionalMs(0)));
+}
+
 /// For each step, the critical path from its start to the end of the
 /// submission.
 std::vector<Milliseconds> CriticalPaths(const std::vector<StepSpec>& steps) {
@@ -35,12 +51,11 @@
       policy_(std::move(policy)),
       accepted_at_(accepted_at) {
   critical_paths_ = CriticalPaths(submission_.steps);
-  const std::chrono::duration<double, std::milli> path =
+  const Milliseconds path =
       critical_paths_.empty()
           ? Milliseconds(0)
           : *std::max_element(critical_paths_.begin(), critical_paths_.end());
-  const auto objective = std::chrono::duration_cast<MonotonicTime>(
-      path * policy_.stretch + policy_.latency_target);
+  const MonotonicTime objective = TimeToObjective(path, policy_);
   objective_ = accepted_at + objective;
   last_useful_ = accepted_at + kLastUsefulFactor * objective;
   const int occurrences = std::max(1, submission_.occurrences);
@@ -63,8 +78,9 @@
     step.unfinished = spec.count;
     step.pending = spec.count;
     step.due = due;
-    step.critical_path =
-        critical_paths_[steps_.size() - static_cast<std::size_t>(first)];
+    step.critical_path = std::min(
+        critical_paths_[steps_.size() - static_cast<std::size_t>(first)],
+        kMaxObjective);
     steps_.push_back(std::move(step));
   }
 }
@@ -75,16 +91,21 @@
 }
 
 std::optional<TaskIndex> Job::IndexOf(const TaskName& name) const {
-  const auto steps = static_cast<int>(submission_.steps.size());
-  const TaskIndex index{name.occurrence * steps + name.task.step,
-                        name.task.index};
-  if (name.task.step >= steps ||
-      index.step >= static_cast<int>(steps_.size()) ||
-      index.index >=
-          static_cast<int>(
-              steps_[static_cast<std::size_t>(index.step)].tasks.size())) {
+  const auto is_index = [](int value, std::size_t size) {
+    return value >= 0 && static_cast<std::size_t>(value) < size;
+  };
+  const std::size_t steps = submission_.steps.size();
+  // The occurrence is checked before the multiplication, which would overflow
+  // for the name of a task that does not exist.
+  if (!is_index(name.task.step, steps) ||
+      !is_index(name.occurrence, steps_.size() / steps)) {
     return std::nullopt;
   }
+  const TaskIndex index{
+      name.occurrence * static_cast<int>(steps) + name.task.step,
+      name.task.index};
+  const auto& tasks = steps_[static_cast<std::size_t>(index.step)].tasks;
+  if (!is_index(index.index, tasks.size())) return std::nullopt;
   return index;
 }
 
