Drop one message or timer instead of the process after an exception

Cause: an exception that left a handler (for example std::out_of_range of a lookup, std::bad_alloc, an error of the JSON library) unwound through the C frames of libevent and left EventLoop::Run, which ended the process. There was no boundary. Change: base::CallProtected at each place where libevent calls this program: timers, posted functions, requests, responses, frames, connections, signals. It logs event 1823 and goes on. A request whose handler throws gets status 500 from the destructor of its exchange; the other frames of a channel and the other functions posted with the failed one are processed. Exceptions that are not derived from std::exception (those of the test framework) still pass. The headers of a response to a call are bounded by 64 KiB (they were not bounded). Ruled out: a boundary in main(), since libevent's state does not survive the unwinding ("reentrant invocation" on every further turn of the loop); closing the channel after a failed frame, since a frame that fails again after each reconnection would disconnect the node for good. Before: in event_loop_test.cc five of six cases failed with the exception or "reentrant invocation"; the sixth, calls to unusable addresses, passed. After: build/tests/unit_tests passes.

--- a/src/app/signal_handler.hpp
+++ b/src/app/signal_handler.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/loop/event_loop.hpp"
+#include "base/loop/protected_call.hpp"
 
 namespace mangospread::app {
 
@@ -19,7 +20,7 @@
     event_ = evsignal_new(
         loop.raw(), signal,
         [](evutil_socket_t, short, void* arg) {  // NOLINT
-          static_cast<SignalHandler*>(arg)->fn_();
+          base::CallProtected("signal", static_cast<SignalHandler*>(arg)->fn_);
         },
         this);
     event_add(event_, nullptr);
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -278,6 +278,8 @@
       return {"settings_reloaded", Severity::kInfo};
     case Event::kRenewalFailed:
       return {"hold_failed", Severity::kInfo};
+    case Event::kExceptionDropped:
+      return {"exception_dropped", Severity::kWarning};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -95,6 +95,7 @@
   kRenewalFailed = 1820,
   kRunLost = 1821,
   kTakeoverWaits = 1822,
+  kExceptionDropped = 1823,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/base/loop/event_loop.cc
+++ b/src/base/loop/event_loop.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "base/loop/protected_call.hpp"
 #include "base/loop/simulated_clock.hpp"
 
 namespace mangospread::base {
@@ -57,10 +58,14 @@
   return rng;
 }
 
+void RunProtected(const std::function<void()>& fn) {
+  CallProtected("loop", fn);
+}
+
 void RunOnce(detail::TimerState& state) {
   state.Cancel();
-  auto fn = std::move(state.fn);
-  fn();
+  const auto fn = std::move(state.fn);
+  RunProtected(fn);
 }
 
 void OnTimer(evutil_socket_t /*fd*/, short /*events*/, void* arg) {  // NOLINT
@@ -69,7 +74,7 @@
     const timeval tv =
         ToTimeval(WithJitter(state->period, state->jitter, ThreadRandom()));
     event_add(state->ev, &tv);
-    state->fn();
+    RunProtected(state->fn);
     return;
   }
   RunOnce(*state);
@@ -184,7 +189,7 @@
     const std::lock_guard lock(mutex_);
     batch.swap(posted_);
   }
-  for (auto& fn : batch) fn();
+  for (const auto& fn : batch) RunProtected(fn);
 }
 
 void EventLoop::RunSimulated() {
@@ -199,7 +204,7 @@
     }
     simulated_->Add(
         WithJitter(state->period, state->jitter, simulated_->random_), state);
-    state->fn();
+    RunProtected(state->fn);
   }
 }
 
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "base/loop/clock.hpp"
+#include "base/loop/protected_call.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -70,7 +71,8 @@
   bufferevent_setcb(
       buffer,
       [](bufferevent* /*buffer*/, void* arg) {
-        static_cast<Channel*>(arg)->shared_from_this()->OnReadable();
+        const auto channel = static_cast<Channel*>(arg)->shared_from_this();
+        base::CallProtected("channel", [&] { channel->OnReadable(); });
       },
       nullptr,
       [](bufferevent* raw, short events, void* arg) {  // NOLINT
@@ -82,7 +84,10 @@
         } else if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
           const bool refused = (events & BEV_EVENT_ERROR) != 0 &&
                                EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-          channel->Fail(refused ? Errc::kConnectFailed : Errc::kConnectionLost);
+          base::CallProtected("channel", [&] {
+            channel->Fail(refused ? Errc::kConnectFailed
+                                  : Errc::kConnectionLost);
+          });
         }
       },
       this);
@@ -123,7 +128,10 @@
     evbuffer_remove(input, bytes.data(), size);
     auto frame = DecodeFrame(bytes);
     if (!frame.ok()) return Fail(Errc::kMalformed);
-    if (hooks_.on_frame) hooks_.on_frame(std::move(frame.value()));
+    if (!hooks_.on_frame) continue;
+    // The frames that follow are processed even if this one cannot be.
+    base::CallProtected("frame",
+                        [&] { hooks_.on_frame(std::move(frame.value())); });
   }
 }
 
@@ -170,7 +178,9 @@
       [](evconnlistener* /*listener*/, evutil_socket_t socket,
          sockaddr* /*peer*/, int /*size*/, void* arg) {
         auto* self = static_cast<ChannelListener*>(arg);
-        self->handler_(Channel::Accept(self->loop_, socket, self->timeouts_));
+        base::CallProtected("listener", [&] {
+          self->handler_(Channel::Accept(self->loop_, socket, self->timeouts_));
+        });
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
       reinterpret_cast<const sockaddr*>(&local), sizeof(local));
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "base/loop/clock.hpp"
+#include "base/loop/protected_call.hpp"
 #include "net/body_buffer.hpp"
 
 namespace mangospread::net {
@@ -97,6 +98,8 @@
     connection_ = evhttp_connection_base_bufferevent_new(
         pool.loop_.raw(), nullptr, nullptr, pool.address_.ip.c_str(),
         pool.address_.port);
+    constexpr ev_ssize_t kMaxHeaderBytes = 64 * 1024;
+    evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
     evhttp_connection_set_max_body_size(
         connection_, static_cast<ev_ssize_t>(pool.limits_.max_body_bytes));
     // The timer of the call enforces its timeout; the timeout of evhttp must
@@ -194,7 +197,9 @@
   }
 
   static void OnDone(evhttp_request* raw, void* arg) {
-    static_cast<ClientConnection*>(arg)->HandleDone(raw);
+    base::CallProtected("http_client", [&] {
+      static_cast<ClientConnection*>(arg)->HandleDone(raw);
+    });
   }
 
   [[nodiscard]] evbuffer* Output() const {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/loop/protected_call.hpp"
 #include "net/body_buffer.hpp"
 
 namespace mangospread::net {
@@ -192,8 +193,11 @@
           return;
         }
         SetNoDelay(raw);
-        self->handler_(std::make_shared<HttpExchange>(
-            raw, ReadRequest(raw, *method), self->state_));
+        // The destructor of the exchange responds if the handler throws.
+        base::CallProtected("http_server", [&] {
+          self->handler_(std::make_shared<HttpExchange>(
+              raw, ReadRequest(raw, *method), self->state_));
+        });
       },
       this);
 }
