Bound what a frame can expand to

Cause: a Cap'n Proto list whose elements have no data takes no space in a frame. The library's limit of 8 million words allowed a frame of less than 200 bytes to be decoded to 4 million runs, about 200 MB. Exceptions other than those of the library, such as std::bad_alloc, left DecodeFrame. Change: the traversal limit is four times the frame's size plus 1,024 words; each part is read at most three times. Every std::exception is an error of the frame. Ruled out: deep nesting, since no type of the schema contains itself; lengths, since a channel refuses more than 16 MiB before it allocates. Before: -tc='a small frame*' failed (the frame was accepted). After: it passes, and -tc='large frames*' (20,000 runs, a payload of 1 MB) shows that regular frames are not refused.

--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -6,7 +6,9 @@
 #include <kj/exception.h>
 
 #include <array>
+#include <cstdint>
 #include <cstring>
+#include <exception>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -519,17 +521,24 @@
 }
 
 Result<Frame> DecodeFrame(std::string_view bytes) {
-  if (bytes.size() % sizeof(capnp::word) != 0) {
+  if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) {
     return Error{Errc::kMalformed, "frame"};
   }
   // Copied, since the bytes may not be aligned for words.
   std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
   std::memcpy(words.data(), bytes.data(), bytes.size());
+  // Each part of a frame is read at most three times. The limit also bounds
+  // lists of elements without data, which take no space in a frame.
+  constexpr std::uint64_t kTraversalsPerWord = 4;
+  constexpr std::uint64_t kMinTraversedWords = 1'024;
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords =
+      kMinTraversedWords + kTraversalsPerWord * words.size();
   try {
     capnp::FlatArrayMessageReader reader(
-        kj::arrayPtr(words.data(), words.size()));
+        kj::arrayPtr(words.data(), words.size()), options);
     return Get(reader.getRoot<wire::Frame>());
-  } catch (const kj::Exception& error) {
+  } catch (const std::exception& error) {
     return Error{Errc::kMalformed, "frame"};
   }
 }
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -1,11 +1,15 @@
 #include "dispatch/peer/frames.hpp"
 
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <random>
 
 #include "dispatch/leader/job_rows.hpp"
+#include "dispatch/peer/schema/dispatch.capnp.h"
 
 namespace mangospread::dispatch {
 namespace {
@@ -180,6 +184,50 @@
   CHECK_FALSE(DecodeFrame("abc").ok());
 }
 
+// Guards against a frame of a few bytes that is decoded to millions of elements
+// and exhausts the memory: elements without any data take no space on the wire.
+TEST_CASE("a small frame cannot hold a huge list") {
+  constexpr unsigned kElements = 4'000'000;
+  constexpr unsigned kRunsPointer = 1;
+  capnp::MallocMessageBuilder message;
+  capnp::AnyStruct::Builder reported =
+      message.initRoot<wire::Frame>().initRemembered();
+  reported.getPointerSection()[kRunsPointer].initAs<capnp::List<capnp::Void>>(
+      kElements);
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  CHECK(bytes.size() < 200);
+  CHECK_FALSE(
+      DecodeFrame({reinterpret_cast<const char*>(bytes.begin()), bytes.size()})
+          .ok());
+  CHECK_FALSE(DecodeFrame("").ok());
+}
+
+// Guards against a bound on the size of decoded frames that refuses a large
+// regular frame.
+TEST_CASE("large frames are decoded completely") {
+  constexpr std::size_t kRuns = 20'000;
+  Attached attached;
+  for (std::size_t i = 0; i < kRuns; ++i) {
+    const std::string task = "5c0e7a21d94b36f8.0.0." + std::to_string(i);
+    attached.running.push_back({task, Attempt(1), "", 1, 1});
+    attached.ended.push_back(
+        {EndNumber(i + 1), task, Attempt(1), RunEnd::kDone, ""});
+    attached.unsent.emplace_back();
+  }
+  const Attached decoded = RoundTripEvent(attached);
+  CHECK(decoded.running.size() == kRuns);
+  CHECK(decoded.ended.size() == kRuns);
+  CHECK(decoded.unsent.size() == kRuns);
+  const std::string payload(1'000'000, 'x');
+  const CallFrame call{1,
+                       {ServiceVerb::kSubmit, SubmissionId("s"), {}, payload}};
+  CHECK(RoundTrip<CallFrame>(call).call.payload == payload);
+  const FormerLeaderRuns runs{{},   std::vector<RunId>(kRuns), false, false, {},
+                              false};
+  CHECK(RoundTrip<FormerLeaderRuns>(runs).runs.size() == kRuns);
+}
+
 // Guards against progress that the next leader decodes differently.
 TEST_CASE("submission rows preserve every field") {
   JobRow job;
