Bound the nesting and the numbers of what managed nodes decode

Cause: numbers were converted without a range check. ParseJson refuses more than 64 levels of nesting. Ruled out: that nesting ends a process at present. The limit guards copies and dumps, which do recurse.

--- a/src/base/address.cc
+++ b/src/base/address.cc
@@ -15,6 +15,8 @@
   Address address;
   address.ip = std::string(text.substr(0, colon));
   in_addr parsed{};
+  // A text from JSON may contain a null byte, at which inet_pton would stop.
+  if (address.ip.find('\0') != std::string::npos) return invalid();
   if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) return invalid();
   const auto port = text.substr(colon + 1);
   const auto [end, ec] =
--- a/src/base/json/json_reader.cc
+++ b/src/base/json/json_reader.cc
@@ -7,7 +7,33 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// True if the nesting of a document exceeds kMaxJsonDepth. The scan agrees
+/// with the parser up to the first syntax error, where the parser stops.
+bool IsTooDeep(std::string_view text) {
+  std::size_t depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      if (c == '"') in_string = false;
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) return true;
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
 Result<json> ParseJson(std::string_view text, std::string_view subject) {
+  if (IsTooDeep(text)) return Error{Errc::kMalformed, std::string(subject)};
   json parsed = json::parse(text, nullptr, false);
   if (parsed.is_discarded()) {
     return Error{Errc::kMalformed, std::string(subject)};
--- a/src/base/json/json_reader.hpp
+++ b/src/base/json/json_reader.hpp
@@ -3,6 +3,7 @@
 /// and the first error is kept with the path of its field.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -15,7 +16,11 @@
 
 namespace mangospread::base {
 
-/// Parses a JSON document.
+/// Deepest nesting of arrays and objects in a document. Copying and writing a
+/// document recurse, so an unbounded depth could exhaust the stack.
+inline constexpr std::size_t kMaxJsonDepth = 64;
+
+/// Parses a JSON document that is nested at most kMaxJsonDepth deep.
 /// @errors kMalformed with `subject` as the subject of the error.
 [[nodiscard]] Result<nlohmann::json> ParseJson(std::string_view text,
                                                std::string_view subject);
--- a/src/dispatch/leader/interference_row.cc
+++ b/src/dispatch/leader/interference_row.cc
@@ -1,6 +1,8 @@
 #include "dispatch/leader/interference_row.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -18,24 +20,36 @@
 constexpr std::size_t kImageFields = 5;
 constexpr std::size_t kEffectFields = 3;
 
+/// Larger values are not results of learning and would make it diverge.
+constexpr double kMaxMagnitude = 1e6;
+
+/// True if `row` has the number `min` or more, at most kMaxMagnitude, at
+/// `index`.
+bool HasNumber(const json& row, std::size_t index, double min) {
+  if (!row[index].is_number()) return false;
+  const double number = row[index].get<double>();
+  return number >= min && number <= kMaxMagnitude;
+}
+
 double Round(double value) {
   return std::round(value * kRoundingFactor) / kRoundingFactor;
 }
 
 std::optional<LearnedInterference::ImageEffect> DecodeEffect(const json& row) {
   if (!row.is_array() || row.size() != kEffectFields || !row[0].is_string() ||
-      !row[1].is_number() || !row[2].is_number()) {
+      !HasNumber(row, 1, -kMaxMagnitude) || !HasNumber(row, 2, -1)) {
     return std::nullopt;
   }
+  // Rounding errors can make a small variance negative.
   return LearnedInterference::ImageEffect{ImageName(row[0].get<std::string>()),
                                           row[1].get<double>(),
-                                          row[2].get<double>()};
+                                          std::max(0.0, row[2].get<double>())};
 }
 
 std::optional<LearnedInterference> DecodeImage(const json& row) {
   if (!row.is_array() || row.size() != kImageFields || !row[0].is_string() ||
-      !row[1].is_number() || !row[2].is_number() || !row[3].is_number() ||
-      !row[4].is_array()) {
+      !HasNumber(row, 1, 0) || !HasNumber(row, 2, -kMaxMagnitude) ||
+      !HasNumber(row, 3, 0) || !row[4].is_array()) {
     return std::nullopt;
   }
   LearnedInterference learned{ImageName(row[0].get<std::string>()),
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -11,7 +11,8 @@
 using nlohmann::json;
 
 constexpr std::size_t kMaxTextBytes = 1024 * 1024;
-constexpr std::int64_t kMaxCount = INT64_MAX;
+constexpr std::int64_t kMaxCount = INT32_MAX;
+constexpr std::int64_t kMaxTimeMs = INT64_MAX;
 /// The last field, the losses, is missing if there are none.
 constexpr std::size_t kMinTaskFields = 6;
 constexpr std::size_t kMaxTaskFields = 7;
@@ -29,13 +30,19 @@
   return row;
 }
 
+/// True for a number from 0 to kMaxCount.
+bool IsCount(const json& number) {
+  return number.is_number_unsigned() &&
+         number.get<std::uint64_t>() <= static_cast<std::uint64_t>(kMaxCount);
+}
+
 bool DecodeLosses(const json& rows, std::vector<TaskLoss>& losses) {
   if (!rows.is_array()) return false;
   constexpr std::size_t kLossFields = 3;
   constexpr auto kMaxSuspicion = static_cast<std::uint64_t>(Suspicion::kSole);
   for (const json& row : rows) {
-    if (!row.is_array() || row.size() != kLossFields ||
-        !row[0].is_number_unsigned() || !row[1].is_number_unsigned() ||
+    if (!row.is_array() || row.size() != kLossFields || !IsCount(row[0]) ||
+        !row[1].is_number_unsigned() ||
         row[1].get<std::uint64_t>() > kMaxSuspicion || !row[2].is_boolean()) {
       return false;
     }
@@ -48,14 +55,13 @@
 
 bool DecodeTask(const json& row, TaskProgress& task) {
   if (!row.is_array() || row.size() < kMinTaskFields ||
-      row.size() > kMaxTaskFields || !row[0].is_number_integer() ||
-      !row[1].is_number_integer() || !row[2].is_boolean() ||
-      !row[3].is_number_unsigned() || !row[4].is_array() ||
+      row.size() > kMaxTaskFields || !IsCount(row[0]) || !IsCount(row[1]) ||
+      !row[2].is_boolean() || !IsCount(row[3]) || !row[4].is_array() ||
       !row[5].is_string()) {
     return false;
   }
   for (const json& run : row[4]) {
-    if (!run.is_number_unsigned()) return false;
+    if (!IsCount(run)) return false;
   }
   task = {{row[0].get<int>(), row[1].get<int>()},
           row[2].get<bool>(),
@@ -93,8 +99,8 @@
   reader.Integer("priority", 0, kMaxCount, row.policy.priority);
   reader.Integer("attempts", 1, kMaxCount, row.policy.attempts);
   reader.Number("stretch", 0, 1e9, row.policy.stretch);
-  reader.Integer("target_ms", 0, kMaxCount, target);
-  reader.Integer("accepted_at_ms", 0, kMaxCount, row.accepted_at_ms);
+  reader.Integer("target_ms", 0, kMaxDuration.count(), target);
+  reader.Integer("accepted_at_ms", 0, kMaxTimeMs, row.accepted_at_ms);
   reader.String("payload", kMaxTextBytes, row.payload, kRequired);
   if (const auto error = reader.Finish()) return *error;
   row.policy.queue = QueueName(std::move(queue));
--- a/src/dispatch/model/submission.hpp
+++ b/src/dispatch/model/submission.hpp
@@ -24,6 +24,10 @@
 /// A property that a worker has or lacks.
 using Label = mangospread::detail::StrongString<struct LabelTag>;
 
+/// Longest duration in a submission or a queue's settings. Sums over all steps
+/// stay far below the maximum of MonotonicTime.
+inline constexpr Milliseconds kMaxDuration = std::chrono::hours(24 * 30);
+
 /// Identical tasks of a submission.
 struct StepSpec {
   int count = 1;
