--- /dev/null
+++ b/tests/unit/platform/store_test.cc
@@ -0,0 +1,224 @@
+// Odd rows and replies of the store.
+#include "platform/store.hpp"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/http_server.hpp"
+#include "platform/base64.hpp"
+#include "unit/run_until.hpp"
+
+namespace mangospread::platform {
+namespace {
+
+using test::RunUntil;
+
+std::string RowText(const std::string& key, const std::string& value,
+                    int version) {
+  return R"({"table":"t","part":"","key":")" + key + R"(","value":")" +
+         EncodeBase64(value) + R"(","ver":)" + std::to_string(version) + "}";
+}
+
+std::string Reply(const std::string& rows, int version,
+                  const char* more = "false") {
+  return R"({"rows":[)" + rows + R"(],"has-more":)" + more + R"(,"ver":)" +
+         std::to_string(version) + "}";
+}
+
+/// A store that sends prepared replies. Once they are used up, reads get an
+/// empty table and feed requests get no response.
+struct StoreFixture {
+  StoreFixture()
+      : server(loop, {},
+               [this](const std::shared_ptr<net::HttpExchange>& exchange) {
+                 Handle(exchange);
+               }) {
+    const auto bound = server.Listen({"127.0.0.1", 0});
+    REQUIRE(bound.ok());
+    pool = net::HttpClientPool::Create(loop, bound.value(), {});
+  }
+
+  void Handle(const std::shared_ptr<net::HttpExchange>& exchange) {
+    const std::string& target = exchange->request().target;
+    const bool read = target.find("rows-get") != std::string::npos;
+    targets.push_back(target);
+    auto& replies = read ? read_replies : feed_replies;
+    if (replies.empty()) {
+      if (!read) return pending.push_back(exchange);
+      return exchange->Reply({200, {}, Reply("", 1)});
+    }
+    exchange->Reply({200, {}, replies.front()});
+    replies.pop_front();
+  }
+
+  std::unique_ptr<StoreFeed> Follow() {
+    const auto add = [this](const std::vector<ChangedRow>& changed) {
+      for (const ChangedRow& row : changed) {
+        if (row.value) {
+          rows[row.key] = *row.value;
+        } else {
+          rows.erase(row.key);
+        }
+      }
+    };
+    FeedHooks hooks;
+    hooks.on_snapshot = [this, add](const std::vector<ChangedRow>& all) {
+      ++snapshots;
+      rows.clear();
+      add(all);
+    };
+    hooks.on_change = add;
+    return std::make_unique<StoreFeed>(loop, pool, "t", "", std::move(hooks));
+  }
+
+  base::EventLoop loop;
+  net::HttpServer server;
+  std::shared_ptr<net::HttpClientPool> pool;
+  std::deque<std::string> read_replies;
+  std::deque<std::string> feed_replies;
+  std::vector<std::shared_ptr<net::HttpExchange>> pending;
+  std::vector<std::string> targets;
+  std::map<std::string, std::string> rows;
+  int snapshots = 0;
+};
+
+// Guards against one row with a key or a value that cannot be read, after which
+// the table is not followed any more.
+TEST_CASE_FIXTURE(StoreFixture, "a feed goes on after an unreadable row") {
+  const std::vector<std::string> odd = {
+      RowText("\\ud800", "x", 3),
+      RowText("a\\udfffb", "x", 3),
+      RowText("\xff\xfe", "x", 3),
+      RowText("\xc3", "x", 3),
+      RowText("\\\\\\ud800", "x", 3),
+      RowText("\\u0000", "x", 3),
+      R"({"table":"t","key":"k"})",
+      R"({"table":"t","key":"k","value":7})",
+      R"({"table":"t","value":"eA=="})",
+      R"({"table":"t","key":5,"ver":-1})",
+      R"({"key":"k","table":"t","value":"?","ver":1e30})",
+      "null",
+      "7",
+      "[[[[]]]]",
+      "{}",
+      R"("\ud800\udc00")"};
+  for (const std::string& row : odd) {
+    CAPTURE(row);
+    rows.clear();
+    read_replies = {Reply(row + "," + RowText("a", "1", 2), 2)};
+    feed_replies = {Reply(RowText("b", "2", 4) + "," + row, 4),
+                    Reply(RowText("\xc3\xa4", "3", 5), 5)};
+    const auto feed = Follow();
+    RunUntil(loop,
+             [&] { return rows.contains("\xc3\xa4") && !pending.empty(); });
+    pending.clear();
+    CHECK(rows["a"] == "1");
+    CHECK(rows["b"] == "2");
+  }
+}
+
+// Guards against a row that keeps its former value although its present one is
+// malformed, so that a worker is used that nobody describes any more.
+TEST_CASE_FIXTURE(StoreFixture, "a malformed value replaces the former value") {
+  read_replies = {Reply(RowText("a", "1", 2) + "," + RowText("b", "1", 2), 2)};
+  feed_replies = {Reply(R"({"table":"t","key":"a","value":"?","ver":3},)"
+                        R"({"table":"t","key":"b","value":7,"ver":3},)" +
+                            RowText("c", "1", 3),
+                        3)};
+  const auto feed = Follow();
+  RunUntil(loop, [&] { return rows.contains("c"); });
+  CHECK(rows["a"].empty());
+  CHECK(rows["b"].empty());
+}
+
+// Guards against a page without a readable row, which is read again and again.
+TEST_CASE_FIXTURE(StoreFixture, "a page of malformed rows does not repeat") {
+  read_replies = {
+      Reply(R"({"table":"t","key":"a","ver":1})", 3, "true"),
+      Reply(R"({"table":"t","key":"b","value":"?","ver":1})", 3, "true"),
+      Reply(RowText("c", "3", 3), 3)};
+  const auto feed = Follow();
+  RunUntil(loop, [&] { return snapshots == 1; });
+  CHECK(rows["c"] == "3");
+  REQUIRE(targets.size() >= 3);
+  CHECK(targets[1].find("from=a") != std::string::npos);
+  CHECK(targets[2].find("from=b") != std::string::npos);
+}
+
+// Guards against a reply that names more rows without progress, which would be
+// requested without end.
+TEST_CASE_FIXTURE(StoreFixture, "a read without progress ends") {
+  for (int i = 0; i < 50; ++i) {
+    read_replies.push_back(Reply("7", 3, "true"));
+  }
+  const auto feed = Follow();
+  RunUntil(loop, [&] { return snapshots == 1; });
+  CHECK(read_replies.size() >= 48);
+}
+
+// Guards against a reply that is malformed as a whole, after which the table is
+// not followed any more.
+TEST_CASE_FIXTURE(StoreFixture, "a feed goes on after a malformed reply") {
+  for (const std::string& reply :
+       {std::string(), std::string("{"), std::string("null"), std::string("[]"),
+        std::string(R"({"rows":7,"ver":"x"})"), std::string(R"({"ver":1e400})"),
+        std::string(200'000, '[')}) {
+    CAPTURE(reply.substr(0, 30));
+    rows.clear();
+    read_replies = {reply, Reply(RowText("a", "1", 2), 2),
+                    Reply(RowText("a", "1", 2), 3)};
+    feed_replies = {reply, Reply(RowText("b", "2", 4), 4)};
+    const auto feed = Follow();
+    RunUntil(loop, [&] { return rows.contains("b") && !pending.empty(); });
+    pending.clear();
+    CHECK(rows["a"] == "1");
+  }
+}
+
+// Guards against a change that stays unreadable: it is requested again and
+// again, and later changes never arrive.
+TEST_CASE_FIXTURE(StoreFixture, "a feed recovers from an unreadable change") {
+  for (const std::string& reply :
+       {std::string("{"), "\"" + std::string(9'000'000, 'x') + "\""}) {
+    read_replies = {Reply(RowText("a", "1", 2), 2),
+                    Reply(RowText("b", "2", 3), 3),
+                    Reply(RowText("b", "2", 3), 3)};
+    feed_replies = {reply, reply};
+    rows.clear();
+    const auto feed = Follow();
+    RunUntil(loop, [&] { return rows.contains("b") && !pending.empty(); });
+    pending.clear();
+    CHECK(rows["b"] == "2");
+  }
+}
+
+// Guards against a reply to a transaction or a read that throws or is taken for
+// a success.
+TEST_CASE_FIXTURE(StoreFixture, "malformed replies to calls are no success") {
+  StoreTable table(pool, "p", Milliseconds(500), [](MonotonicTime) {});
+  for (const char* reply : {"", "{}", "7", R"({"ver":-1})", R"({"ver":"1"})",
+                            R"({"ver":1e30})", R"({"ver":[[[]]]})"}) {
+    CAPTURE(std::string(reply));
+    feed_replies = {reply};
+    std::optional<TransactResult> result;
+    table.Transact(
+        {}, [&](TransactResult outcome) { result = std::move(outcome); });
+    RunUntil(loop, [&] { return result.has_value(); });
+    CHECK(result->status == TransactResult::Status::kUnknown);
+  }
+  read_replies = {"{\"rows\":[7,{}," + RowText("a", "1", 2) + "]}"};
+  std::optional<Result<std::vector<Row>>> read;
+  table.Read({{"t/a"}, {}},
+             [&](Result<std::vector<Row>> rows) { read = std::move(rows); });
+  RunUntil(loop, [&] { return read.has_value(); });
+  REQUIRE(read->ok());
+  REQUIRE(read->value().size() == 1);
+  CHECK(read->value()[0].value == "1");
+}
+
+}  // namespace
+}  // namespace mangospread::platform
