--- a/tests/unit/fuzz_test.cc
+++ b/tests/unit/fuzz_test.cc
@@ -18,54 +18,15 @@
 #include "ownership/rows.hpp"
 #include "scheduler/lifecycle/tasks/rows.hpp"
 #include "table/codec.hpp"
+#include "unit/mutator.hpp"
 #include "worker/codec.hpp"
 
 namespace mangospread {
 namespace {
 
-constexpr int kMutationsPerInput = 4'000;
-
-/// Applies one to eight random edits: replaces a byte, inserts one, deletes or
-/// duplicates a few bytes, or inserts a token that parsers treat specially.
-class Mutator {
- public:
-  explicit Mutator(std::uint64_t seed) : random_(seed) {}
-
-  std::string Mutate(std::string text) {
-    const auto edits = 1 + random_() % 8;
-    for (std::uint64_t i = 0; i < edits; ++i) Edit(text);
-    return text;
-  }
-
- private:
-  void Edit(std::string& text) {
-    static const std::vector<std::string> kTokens = {
-        "null",     "-1",    "1e999", "18446744073709551616",
-        "{}",       "[]",    "\"\"",  "\\u0000",
-        "\xff\xfe", "true",  ":",     ",",
-        "{\"a\":",  "[[[[[["};
-    const std::size_t position = text.empty() ? 0 : random_() % text.size();
-    switch (random_() % 5) {
-      case 0:
-        if (!text.empty()) text[position] = static_cast<char>(random_());
-        return;
-      case 1:
-        text.insert(position, 1, static_cast<char>(random_()));
-        return;
-      case 2:
-        text.erase(position, 1 + random_() % 8);
-        return;
-      case 3:
-        text.insert(position, text.substr(position, random_() % 16));
-        return;
-      default:
-        text.insert(position, kTokens[random_() % kTokens.size()]);
-        return;
-    }
-  }
+using test::Mutator;
 
-  std::mt19937_64 random_;
-};
+constexpr int kMutationsPerInput = 4'000;
 
 /// Calls `decode` with `valid`, then with kMutationsPerInput mutations of it.
 void Fuzz(std::uint64_t seed, const std::string& valid,
