Test odd entries and odd runs beside work, with real processes

The stand-in's workers can be added and can list such rows, and a test can write entries among theirs.

--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -1,7 +1,8 @@
 // The "site" stand-in for the platform of a managed node: metadata store,
 // workers and the operator's configuration. A test sets faults of the store
 // through POST /standin/faults, and faults of a worker or of the connections to
-// it through POST /standin/worker.
+// it through POST /standin/worker. It writes entries among those of the workers
+// through POST /standin/row.
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "base/json/json_reader.hpp"
 #include "base/json/json_writer.hpp"
 #include "host.hpp"
+#include "platform/base64.hpp"
 #include "proxy/proxy.hpp"
 #include "site/store.hpp"
 #include "site/workers.hpp"
@@ -51,22 +53,9 @@
 /// Everything that a managed node communicates with, except its callers.
 class Site {
  public:
-  Site(base::EventLoop& loop, int worker_count) : store_(loop) {
+  Site(base::EventLoop& loop, int worker_count) : loop_(loop), store_(loop) {
     store_.Put("op", "", "config", Configuration(1, false));
-    for (int i = 1; i <= worker_count; ++i) {
-      workers_.push_back(std::make_unique<ProxiedWorker>(
-          loop, "w" + std::to_string(i), record_,
-          [this](ProxiedWorker& proxied, AfterCrash after) {
-            Crash(proxied, after);
-          }));
-      ProxiedWorker& proxied = *workers_.back();
-      const auto target = ParseAddress(proxied.worker.Listen());
-      const auto bound = proxied.proxy.Listen({"127.0.0.1", 0});
-      if (!target.ok() || !bound.ok()) throw std::runtime_error("bind failed");
-      proxied.proxy.SetTarget(target.value());
-      proxied.address = ToString(bound.value());
-      Register(proxied, "ready");
-    }
+    for (int i = 0; i < worker_count; ++i) AddWorker();
     // An entry of another writer that does not describe a worker.
     store_.Put("servers", "", "odd", "\x01not json");
   }
@@ -77,6 +66,7 @@
     if (target == "/standin/faults") return SetFaults(exchange);
     if (target == "/standin/record") return SendRecord(exchange);
     if (target == "/standin/worker") return InjectWorkerFault(exchange);
+    if (target == "/standin/row") return WriteRow(exchange);
     if (target == "/standin/config") return SetConfiguration(exchange);
     ReplyJson(*exchange, kNotFound, "{}");
   }
@@ -96,6 +86,35 @@
     std::string address;
   };
 
+  /// Starts and registers another worker.
+  void AddWorker() {
+    workers_.push_back(std::make_unique<ProxiedWorker>(
+        loop_, "w" + std::to_string(workers_.size() + 1), record_,
+        [this](ProxiedWorker& proxied, AfterCrash after) {
+          Crash(proxied, after);
+        }));
+    ProxiedWorker& proxied = *workers_.back();
+    const auto target = ParseAddress(proxied.worker.Listen());
+    const auto bound = proxied.proxy.Listen({"127.0.0.1", 0});
+    if (!target.ok() || !bound.ok()) throw std::runtime_error("bind failed");
+    proxied.proxy.SetTarget(target.value());
+    proxied.address = ToString(bound.value());
+    Register(proxied, "ready");
+  }
+
+  /// Writes a row of the table of servers as another writer does. The body is
+  /// {"key": text, "value": base64}.
+  void WriteRow(const Exchange& exchange) {
+    const auto body = base::ParseJson(exchange->request().body, "row");
+    const auto value = platform::DecodeBase64(
+        body.ok() ? body.value().value("value", "") : "");
+    if (!body.ok() || !value.ok()) {
+      return ReplyJson(*exchange, kBadRequest, "{}");
+    }
+    store_.Put("servers", "", body.value().value("key", ""), value.value());
+    ReplyJson(*exchange, kOk, "{}");
+  }
+
   /// Writes the worker's row to the store's table of servers.
   void Register(ProxiedWorker& proxied, const char* state) {
     store_.Put("servers", "", proxied.worker.id(),
@@ -136,15 +155,20 @@
 
   /// Injects a fault or changes the worker's state. The body is {"worker":
   /// index, "what": "crash", "gone", "cut", "silence", "draining", "ready",
-  /// "capacity" with the number of "runs", or "faults" with the proxy's
-  /// "faults"}.
+  /// "capacity" with the number of "runs", "odd-runs" with "rows" that it
+  /// lists as running, or "faults" with the proxy's "faults"}. The index after
+  /// the last one adds a worker.
   void InjectWorkerFault(const Exchange& exchange) {
     const auto body = base::ParseJson(exchange->request().body, "worker");
     const auto index =
         body.ok() ? body.value().value("worker", workers_.size()) : 0;
-    if (!body.ok() || index >= workers_.size()) {
+    if (!body.ok() || index > workers_.size()) {
       return ReplyJson(*exchange, kBadRequest, "{}");
     }
+    if (index == workers_.size()) {
+      AddWorker();
+      return ReplyJson(*exchange, kOk, "{}");
+    }
     ProxiedWorker& proxied = *workers_[index];
     const std::string fault = body.value().value("what", "");
     Faults faults;
@@ -158,6 +182,8 @@
       proxied.proxy.StopForwardingAll();
     } else if (fault == "draining" || fault == "ready") {
       Register(proxied, fault.c_str());
+    } else if (fault == "odd-runs") {
+      proxied.worker.ListAlso(body.value().at("rows"));
     } else if (fault == "capacity") {
       proxied.worker.SetCapacity(body.value().at("runs"));
       Register(proxied, "ready");
@@ -212,6 +238,7 @@
                               {"workers", std::move(workers)}}));
   }
 
+  base::EventLoop& loop_;
   SiteRecord record_;
   SiteStore store_;
   std::vector<std::unique_ptr<ProxiedWorker>> workers_;
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -80,6 +80,10 @@
   ReplyJson(*exchange, kOk, base::DumpJson({{"clock-ms", ClockMs()}}));
 }
 
+void SiteWorker::ListAlso(const json& rows) {
+  for (const json& row : rows) odd_rows_.push_back(base::DumpJson(row));
+}
+
 void SiteWorker::SetCapacity(std::size_t runs) {
   capacity_ = runs;
   capacity_known_at_ = base::MonotonicNow() + kCapacityGrace;
@@ -234,6 +238,7 @@
                                      elapsed * kFullPercent / run.duration);
     running.push_back(json::array({task, run.number, "", percent, 0}));
   }
+  for (const std::string& row : odd_rows_) running.push_back(json::parse(row));
   json ended = json::array();
   for (const auto& [number, task, run, end_kind] : ended_) {
     ended.push_back(json::array({number, task, run, end_kind, ""}));
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -71,6 +71,8 @@
   /// Changes the number of tasks that it can run. It starts more if it is told
   /// to, and records that once the nodes must know of the change.
   void SetCapacity(std::size_t runs);
+  /// Lists further rows as running that do not describe any of its runs.
+  void ListAlso(const nlohmann::json& rows);
   /// State of the worker, for the analysis of a failed test.
   [[nodiscard]] nlohmann::json Describe() const;
   [[nodiscard]] const std::string& id() const noexcept { return id_; }
@@ -121,6 +123,8 @@
   /// Number of the last acknowledged end.
   std::uint64_t acknowledged_ = 0;
   std::map<std::string, Run> running_;
+  /// JSON texts of further rows in the list of runs.
+  std::vector<std::string> odd_rows_;
   /// Highest run number of each task; starts of this run or of older ones are
   /// rejected.
   std::map<std::string, std::uint64_t> max_run_;
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "integration/harness/wait.hpp"
+#include "platform/base64.hpp"
 
 namespace mangospread::testing {
 namespace {
@@ -137,13 +138,43 @@
   Post(platform_.address("http"), "/standin/worker", body.dump());
 }
 
+std::size_t ManagedCluster::AddWorker() {
+  const auto record = GetRecord();
+  const std::size_t worker = record["workers"].size();
+  const nlohmann::json body = {{"worker", worker}, {"what", "add"}};
+  Post(platform_.address("http"), "/standin/worker", body.dump());
+  return worker;
+}
+
+int ManagedCluster::EndedRuns(std::size_t worker) {
+  return GetRecord()["workers"].at(worker).at("ends");
+}
+
+void ManagedCluster::ListOddRuns(std::size_t worker,
+                                 const nlohmann::json& rows) {
+  const nlohmann::json body = {
+      {"worker", worker}, {"what", "odd-runs"}, {"rows", rows}};
+  Post(platform_.address("http"), "/standin/worker", body.dump());
+}
+
+void ManagedCluster::PutWorkerEntry(const std::string& key,
+                                    const std::string& value) {
+  const nlohmann::json body = {{"key", key},
+                               {"value", platform::EncodeBase64(value)}};
+  Post(platform_.address("http"), "/standin/row", body.dump());
+}
+
 void ManagedCluster::SetTableFaults(const std::string& faults) {
   Post(platform_.address("http"), "/standin/faults", faults);
 }
 
-RunCounters ManagedCluster::GetCounters() {
+nlohmann::json ManagedCluster::GetRecord() {
   const Response response = Get(platform_.address("http"), "/standin/record");
-  const auto json = nlohmann::json::parse(response.body);
+  return nlohmann::json::parse(response.body);
+}
+
+RunCounters ManagedCluster::GetCounters() {
+  const auto json = GetRecord();
   return {json["starts"],          json["done"],    json["running"],
           json["overlaps"],        json["repeats"], json["overloads"],
           json["lapses"],          json["started"], json["crashes"],
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,6 +80,14 @@
   void RemoveWorker(std::size_t worker);
   /// Changes the number of tasks that a worker can run.
   void SetCapacity(std::size_t worker, int runs);
+  /// Starts another worker and returns its index.
+  std::size_t AddWorker();
+  /// Number of runs that have ended on the worker.
+  [[nodiscard]] int EndedRuns(std::size_t worker);
+  /// Makes a worker list rows as running that do not describe any of its runs.
+  void ListOddRuns(std::size_t worker, const nlohmann::json& rows);
+  /// Writes an entry among those of the workers, as another writer does.
+  void PutWorkerEntry(const std::string& key, const std::string& value);
   /// Replaces the faults of the table by those of the JSON object.
   void SetTableFaults(const std::string& faults);
   /// Reads the counters from the platform stand-in.
@@ -89,6 +98,7 @@
   }
 
  private:
+  [[nodiscard]] nlohmann::json GetRecord();
   [[nodiscard]] std::unique_ptr<Process> StartNode(std::size_t index);
 
   LogDirectory logs_;
