Ignore reports of peers that have not introduced themselves

Cause: a leader took runs of a former leader from any channel. For one without a hello the name of the agent is empty, and assigning the worker to it looked it up with map::at, which threw. Without the boundary at libevent's callbacks that ended the leader's process; with it, the worker was left assigned to nobody until its lease expired. The same holds for a channel that introduced itself to an earlier term of this leader. Besides, a second hello on a channel closed the channel and registered it as the agent's, so that commands to the agent were lost without a trace. Change: reports count only on the channel that is registered for the agent, and a repeated hello has no effect. Before: -tc='odd frames*' logged event 1823 (map::at) three times, -tc='a repeated hello*' failed (the channel was closed). After: both pass without event 1823.

--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -305,10 +305,15 @@
   }
   const auto it = peers_.find(channel);
   if (it == peers_.end()) return;
+  // Reports of a peer that has not introduced itself to this leader name no
+  // agent to which the leader could assign a worker.
+  const auto agent = agents_.find(it->second);
+  const bool is_agent =
+      leader_ && agent != agents_.end() && agent->second == channel;
   if (const auto* runs = std::get_if<FormerLeaderRuns>(&frame)) {
-    if (leader_) leader_->OnKnownRuns(it->second, *runs);
+    if (is_agent) leader_->OnKnownRuns(it->second, *runs);
   } else if (const auto* event = std::get_if<AgentEvent>(&frame)) {
-    if (leader_) leader_->OnAgentEvent(it->second, *event);
+    if (is_agent) leader_->OnAgentEvent(it->second, *event);
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
     const std::uint64_t id = call->id;
     if (!leader_) {
@@ -329,6 +334,7 @@
   if (!leading) return;
   const auto old = agents_.find(hello.node);
   if (old != agents_.end()) {
+    if (old->second == channel) return;  // Introduced itself again.
     leader_->OnAgentDown(hello.node);
     peers_.erase(old->second);
     old->second->Close();
