Move the decision on lost runs to a folder that both schedulers import

The job scheduler needs the decision which run may have crashed its worker, but may not import src/dispatch. Ruled out: a second copy in src/scheduler, and an import of src/dispatch/policy, which knows submissions.

--- a/src/dispatch/policy/lost_run.cc
+++ b/src/crash/lost_run.cc
@@ -1,10 +1,6 @@
-#include "dispatch/policy/lost_run.hpp"
+#include "crash/lost_run.hpp"
 
-#include <algorithm>
-
-#include "dispatch/model/worker_types.hpp"
-
-namespace mangospread::dispatch {
+namespace mangospread::crash {
 namespace {
 
 /// A worker that crashes later than this after a start was not crashed by it.
@@ -46,18 +42,14 @@
   return "unknown";
 }
 
-void AssignSuspicion(std::vector<LostRun>& lost, bool process_ended) {
-  const auto just_started = std::count_if(
-      lost.begin(), lost.end(),
-      [](const LostRun& run) { return JustStarted(run.exposure); });
-  for (LostRun& run : lost) {
-    run.suspicion = SuspicionOf(run, static_cast<int>(just_started));
-    if (!process_ended) {  // A crash is possible, but not certain.
-      run.suspicion =
-          JustStarted(run.exposure) ? Suspicion::kPresent : Suspicion::kNone;
-    }
-    run.certain = process_ended && run.start_confirmed;
+void detail::AssignSuspicion(LostRun& run, int just_started,
+                             bool process_ended) {
+  run.suspicion = SuspicionOf(run, just_started);
+  if (!process_ended) {  // A crash is possible, but not certain.
+    run.suspicion =
+        JustStarted(run.exposure) ? Suspicion::kPresent : Suspicion::kNone;
   }
+  run.certain = process_ended && run.start_confirmed;
 }
 
 bool IsCounted(const std::vector<TaskLoss>& losses,
@@ -90,4 +82,4 @@
   return lost.exposure >= kMaxExposure;
 }
 
-}  // namespace mangospread::dispatch
+}  // namespace mangospread::crash
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "crash/lost_run.hpp"
 #include "dispatch/model/submission.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/error.hpp"
@@ -51,15 +52,8 @@
 /// Sequence number of an end within one worker process; 0 before the first.
 using EndNumber = mangospread::detail::StrongCounter<struct EndNumberTag>;
 
-/// A task that crashes each worker which starts it does so within this time.
-inline constexpr MonotonicTime kStartTrial = std::chrono::milliseconds(300);
-
-/// True if a run may have crashed its worker by being started.
-/// @param exposure time from the start until the worker stopped responding;
-///   negative if the start was issued later.
-[[nodiscard]] constexpr bool JustStarted(MonotonicTime exposure) noexcept {
-  return exposure.count() >= 0 && exposure < kStartTrial;
-}
+using crash::JustStarted;
+using crash::kStartTrial;
 
 /// A run that a worker lists as running.
 struct RunningRun {
