Give up a job's task that crashes its workers

Cause: the job scheduler queued a task that was lost with its worker again as if it had never run, without a count, and repeated a start without a reply at each report, also when the worker had ended in between. Change: a changed boot id at the same address shows that a worker's process ended. The runs that its next process does not list are judged with the decision of the dispatcher (src/crash); the loss counts once the worker has confirmed that the run is over, is stored in the task's row ("losses") and fails the task under the same conditions as a submission. A start without a reply is repeated only after a later report of the same process; after another process's report it is abandoned with a stop, as other unknown starts are. Ruled out: counting each loss without a judgement, which gives up the tasks beside the cause. Limits: a worker's end that no scheduler sees between two boot ids does not count.

--- a/src/scheduler/lifecycle/scheduler.cc
+++ b/src/scheduler/lifecycle/scheduler.cc
@@ -121,6 +121,7 @@
       task->maybe_started = true;
       task->placed_at = now;
       task->confirmed_at = now;
+      task->started_at = now;
     }
   }
   for (const JobName& name : names) SyncJob(name);
@@ -206,6 +207,7 @@
   task->cpu_used = Millicores();
   task->memory_used = Mebibytes();
   task->placed_at = now;
+  task->started_at = MonotonicTime(0);
   live_tasks_[decision.vm].insert(task->id);
   ++assigning_;
   log_.Record({base::Event::kTaskPlaced, task->id.str(), decision.vm,
--- a/src/scheduler/lifecycle/scheduler.hpp
+++ b/src/scheduler/lifecycle/scheduler.hpp
@@ -17,6 +17,7 @@
 #include "scheduler/lifecycle/scheduler_role.hpp"
 #include "scheduler/lifecycle/tasks/command_queue.hpp"
 #include "scheduler/lifecycle/tasks/decision_log.hpp"
+#include "scheduler/lifecycle/tasks/start_spacing.hpp"
 #include "scheduler/lifecycle/tasks/task_registry.hpp"
 #include "scheduler/types.hpp"
 
@@ -112,6 +113,7 @@
     MonotonicTime last_response_at{0};
     /// First report with the worker's current address.
     MonotonicTime address_changed_at{0};
+    StartSpacing starts;
     bool in_engine = false;
   };
 
@@ -160,6 +162,23 @@
   void RequeueLost(Task& task, std::string reason);
   void LogState(const Task& task);
 
+  // Runs lost with their worker's process.
+  /// True if another process replies at the address of the former one.
+  [[nodiscard]] static bool IsNextProcess(const WorkerView& former,
+                                          const rpc::WorkerDigest& digest);
+  /// Returns the tasks whose starts may have reached the former process.
+  /// @param requested_at time of the request for `digest`, which the next
+  ///   process has answered.
+  [[nodiscard]] std::vector<Task*> RunsOfFormerProcess(
+      const rpc::WorkerDigest& digest, MonotonicTime requested_at);
+  /// Judges which of the runs on the former process may have crashed it. The
+  /// results count once it is certain that the runs are over.
+  void JudgeLosses(const WorkerView& former, const rpc::WorkerDigest& digest,
+                   MonotonicTime now);
+  /// Counts the loss of the task's run, if there is one.
+  /// @return true if the task must not be started again.
+  [[nodiscard]] bool CountLoss(Task& task);
+
   // Workers.
   /// Compares the tasks in the worker's last report with those assigned to it.
   void Reconcile(const VmName& vm);
--- a/src/scheduler/lifecycle/scheduler_records.cc
+++ b/src/scheduler/lifecycle/scheduler_records.cc
@@ -187,6 +187,7 @@
   task.record.reason = std::move(reason);
   task.stop = StopReason::kNone;
   task.maybe_started = task.checkpointed = false;
+  task.loss.reset();
   registry_->Save(task);
 }
 
@@ -197,6 +198,9 @@
     if (end) end = AttemptEnd::kCancelled;
     return EndAttempt(task, TaskState::kCancelled, end, std::move(reason));
   }
+  if (CountLoss(task)) {
+    return EndAttempt(task, TaskState::kFailed, end, "crashes its workers");
+  }
   EndAttempt(
       task,
       task.record.checkpoint.empty() ? TaskState::kQueued : TaskState::kEvicted,
--- a/src/scheduler/lifecycle/scheduler_workers.cc
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -45,6 +45,9 @@
     WorkerView& view = worker_views_[digest.vm];
     if (digest.epoch < view.digest.epoch) continue;
     if (digest.full) {
+      if (phase_ == Phase::kDeciding && IsNextProcess(view, digest)) {
+        JudgeLosses(view, digest, now);
+      }
       if (view.digest.address != digest.address) view.address_changed_at = now;
       view.digest = digest;
       view.owner = report.node;
@@ -103,8 +106,15 @@
   if (task.record.address != view.digest.address) return;
   if (task.record.state == TaskState::kAssigned) {
     if (task.writing || task.dirty) return;
-    const bool stop = task.stop != StopReason::kNone;
-    return Push(task, stop ? TaskVerb::kStop : TaskVerb::kStart);
+    // The worker's process ended after the start. The attempt is not started
+    // again there, since it may have caused the end.
+    if (task.loss && task.maybe_started && task.stop == StopReason::kNone) {
+      task.stop = StopReason::kAbandon;
+    }
+    if (task.stop != StopReason::kNone) return Push(task, TaskVerb::kStop);
+    // Only a later report shows whether the same process goes on.
+    if (task.maybe_started && view.last_response_at < task.started_at) return;
+    return Push(task, TaskVerb::kStart);
   }
   if (view.last_response_at < task.confirmed_at + kReportTransit) return;
   // Queries the worker with a checkpoint command, since only its reply, not the
@@ -119,6 +129,7 @@
       task.cpu_used = report.cpu_used;
       task.memory_used = report.memory_used;
       task.throttle_percent = report.throttle_percent;
+      task.loss.reset();
       if (task.record.state == TaskState::kAssigned) {
         task.record.state = TaskState::kRunning;
         task.confirmed_at = base::MonotonicNow();
@@ -275,6 +286,10 @@
       !deps_.role.IsConfirmed()) {
     return std::nullopt;
   }
+  const MonotonicTime now = base::MonotonicNow();
+  const bool suspected = crash::IsSuspected(task->record.losses);
+  if (!worker_views_[vm].starts.Admit(suspected, now)) return std::nullopt;
+  task->started_at = now;
   const TaskDemand demand = DemandOf(*task);
   command.checkpoint = task->record.checkpoint;
   command.task_class = demand.task_class.str();
@@ -323,8 +338,15 @@
 
 void Scheduler::OnCommandFailed(Task& task, const QueuedCommand& command,
                                 const Error& error) {
-  if (NotDelivered(error.code)) return;  // The next report causes a retry.
   const bool is_start = command.verb == TaskVerb::kStart;
+  const bool refused = NotDelivered(error.code) ||
+                       error.code == Errc::kNoCapacity ||
+                       error.code == Errc::kLeaving;
+  if (is_start && refused && !task.maybe_started) {
+    task.started_at = MonotonicTime(0);
+    task.loss.reset();
+  }
+  if (NotDelivered(error.code)) return;  // The next report causes a retry.
   switch (error.code) {
     case Errc::kNotFound:
       if (is_start || command.verb == TaskVerb::kStop) {
--- a/src/scheduler/lifecycle/tasks/rows.cc
+++ b/src/scheduler/lifecycle/tasks/rows.cc
@@ -20,6 +20,33 @@
 constexpr std::size_t kMaxReasonBytes = 4096;
 constexpr int kMaxCount = 1'000'000'000;
 
+json EncodeLosses(const std::vector<crash::TaskLoss>& losses) {
+  json rows = json::array();
+  for (const crash::TaskLoss& loss : losses) {
+    rows.push_back(json::array(
+        {loss.run, static_cast<int>(loss.suspicion), loss.certain}));
+  }
+  return rows;
+}
+
+bool DecodeLosses(const json& rows, std::vector<crash::TaskLoss>& losses) {
+  constexpr std::size_t kLossFields = 3;
+  constexpr auto kMaxSuspicion =
+      static_cast<std::uint64_t>(crash::Suspicion::kSole);
+  if (!rows.is_array()) return false;
+  for (const json& row : rows) {
+    if (!row.is_array() || row.size() != kLossFields ||
+        !row[0].is_number_unsigned() || !row[1].is_number_unsigned() ||
+        row[1].get<std::uint64_t>() > kMaxSuspicion || !row[2].is_boolean()) {
+      return false;
+    }
+    losses.push_back({row[0].get<std::uint32_t>(),
+                      static_cast<crash::Suspicion>(row[1].get<int>()),
+                      row[2].get<bool>()});
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string_view TaskStateName(TaskState state) noexcept {
@@ -77,6 +104,7 @@
   }
   if (record.evictions != 0) out["evictions"] = record.evictions;
   if (record.failures != 0) out["failures"] = record.failures;
+  if (!record.losses.empty()) out["losses"] = EncodeLosses(record.losses);
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -116,6 +144,12 @@
   std::uint64_t attempt = 0;
   std::uint64_t epoch = 0;
   TaskRecord record;
+  if (!parsed.value().is_object()) return Error{Errc::kMalformed, row.key};
+  if (!DecodeLosses(parsed.value().value("losses", json::array()),
+                    record.losses)) {
+    return Error{Errc::kMalformed, row.key + ".losses"};
+  }
+  parsed.value().erase("losses");
   ObjectReader reader(parsed.value(), row.key);
   reader.String("state", kMaxNameBytes, state, Presence::kRequired);
   reader.Integer("attempt", 0, INT64_MAX, attempt, Presence::kRequired);
--- a/src/scheduler/lifecycle/tasks/rows.hpp
+++ b/src/scheduler/lifecycle/tasks/rows.hpp
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "crash/lost_run.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/platform/table.hpp"
 #include "scheduler/types.hpp"
@@ -54,6 +56,8 @@
   std::string reason;
   int evictions = 0;
   int failures = 0;
+  /// Losses with crashed workers that count against the task.
+  std::vector<crash::TaskLoss> losses;
 };
 
 /// Value of a job/<name> row: a finished job, whose task rows are deleted.
--- a/src/scheduler/lifecycle/tasks/task_registry.hpp
+++ b/src/scheduler/lifecycle/tasks/task_registry.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -44,6 +45,12 @@
   /// scheduler began to decide.
   MonotonicTime placed_at{0};
   MonotonicTime confirmed_at{0};
+  /// Time of the last start command that may have reached the worker; 0 if
+  /// there is none. As above for a task taken over.
+  MonotonicTime started_at{0};
+  /// Loss of the attempt with its worker's process, until it counts or the
+  /// attempt is found on the worker.
+  std::optional<crash::LostRun> loss;
   Millicores cpu_used;
   Mebibytes memory_used;
 };
--- a/tests/unit/scheduler/lifecycle_fixture.hpp
+++ b/tests/unit/scheduler/lifecycle_fixture.hpp
@@ -294,6 +294,14 @@
       }
     }
   }
+  /// From now on the owner has no newer report of any worker; commands still
+  /// reach the workers.
+  void FreezeReports() {
+    frozen_since = base::MonotonicNow();
+    for (const auto& [vm, worker] : workers) {
+      frozen_reports[vm] = worker.report;
+    }
+  }
   /// Runs of a task on all workers, in order.
   [[nodiscard]] std::vector<FakeRun> Runs(const std::string& task) {
     std::vector<FakeRun> all;
@@ -320,6 +328,9 @@
   config::Store store;
   std::map<VmName, FakeWorker> workers;
   std::vector<VmInfo> vms;
+  /// Reports that the owner has instead of the workers' present ones.
+  std::map<VmName, WorkerReport> frozen_reports;
+  MonotonicTime frozen_since{0};
   std::map<NodeId, std::unique_ptr<Node>> nodes;
   scheduler::OwnerAgent agent{
       loop, {NodeId("owner"), Milliseconds(5)}, AgentHooks()};
@@ -330,8 +341,11 @@
     hooks.owned = [this] {
       std::vector<scheduler::OwnedWorkerState> owned;
       for (const VmInfo& vm : vms) {
+        const bool frozen = frozen_reports.contains(vm.name);
         owned.push_back({vm.name, ToString(vm.address), Epoch(1), true,
-                         base::MonotonicNow(), &workers.at(vm.name).report});
+                         frozen ? frozen_since : base::MonotonicNow(),
+                         frozen ? &frozen_reports.at(vm.name)
+                                : &workers.at(vm.name).report});
       }
       return owned;
     };
