Count dropped log lines under the locks that guard them

Cause: the sink counts dropped lines under its own mutex, but DroppedLogLines read the count without it, and FlushLog read and changed reported_lines without any lock. Change: the sink's counter is read under the sink's mutex, and the lines not yet reported are taken under the mutex of the log's state. Ruled out: an atomic counter, which leaves two callers of FlushLog that report the same lines. Before, log_test.cc and src/base built with -fsanitize=thread, `-tc='*dropped lines are counted*'`: two kinds of data race, LogBuffer::Append with LogBuffer::dropped, and FlushLog with itself, exit status 66. After: no report, exit status 0. In a normal build the case passes before and after.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 
 #include "base/log_budget.hpp"
 #include "base/log_buffer.hpp"
@@ -26,7 +27,8 @@
   explicit BufferedSink(int descriptor)
       : buffer_(descriptor, kMaxBufferedBytes) {}
 
-  [[nodiscard]] std::uint64_t dropped() const noexcept {
+  [[nodiscard]] std::uint64_t dropped() {
+    const std::lock_guard lock(mutex_);
     return buffer_.dropped();
   }
 
@@ -74,7 +76,7 @@
 
   std::shared_ptr<BufferedSink> sink;
   std::shared_ptr<spdlog::logger> logger;
-  std::mutex mutex;  ///< Guards budgets and suppressed_lines.
+  std::mutex mutex;  ///< Guards the members below.
   std::map<Event, EventBudget> budgets;
   std::uint64_t suppressed_lines = 0;
   /// Dropped and suppressed lines that were already logged.
@@ -98,6 +100,19 @@
   return false;
 }
 
+/// @param state its mutex must be locked.
+std::uint64_t CountDropped(const LogState& state) {
+  return state.suppressed_lines + state.sink->dropped();
+}
+
+/// Returns the number of lines that were dropped since the last call.
+std::uint64_t TakeUnreportedLines() {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  const std::uint64_t dropped = CountDropped(state);
+  return dropped - std::exchange(state.reported_lines, dropped);
+}
+
 std::string& NodePrefix() {
   static std::string prefix;
   return prefix;
@@ -331,15 +346,12 @@
 std::uint64_t DroppedLogLines() {
   LogState& state = State();
   const std::lock_guard lock(state.mutex);
-  return state.suppressed_lines + state.sink->dropped();
+  return CountDropped(state);
 }
 
 void FlushLog() {
-  const std::uint64_t dropped = DroppedLogLines();
-  if (dropped > State().reported_lines) {
-    Log(Event::kLogDropped, {{"lines", dropped - State().reported_lines}});
-    State().reported_lines = dropped;
-  }
+  const std::uint64_t lines = TakeUnreportedLines();
+  if (lines > 0) Log(Event::kLogDropped, {{"lines", lines}});
   Logger().flush();
 }
 
--- a/tests/unit/log_test.cc
+++ b/tests/unit/log_test.cc
@@ -1,8 +1,12 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <string>
+#include <thread>
+#include <vector>
 
+#include "base/events.hpp"
 #include "base/log_budget.hpp"
 #include "base/log_buffer.hpp"
 
@@ -43,5 +47,33 @@
   CHECK(written == static_cast<int>(EventBudget::kLinesPerSecond));
 }
 
+// Guards against counters that one thread reads while another one changes them;
+// ThreadSanitizer reports the access.
+TEST_CASE("dropped lines are counted and reported while other threads log") {
+  constexpr int kThreads = 2;
+  constexpr int kLines = 50;
+  // Exceeds the buffer, so that every line is dropped.
+  const std::string text(std::size_t{1} << 20U, 'x');
+  const std::uint64_t dropped = DroppedLogLines();
+  std::atomic<int> running{kThreads};
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int line = 0; line < kLines; ++line) {
+        Log(Event::kNodeReady, {{"text", text}});
+      }
+      --running;
+    });
+  }
+  std::thread reporter([&] {
+    while (running > 0) FlushLog();
+  });
+  while (running > 0) FlushLog();
+  for (std::thread& thread : threads) thread.join();
+  reporter.join();
+  CHECK(DroppedLogLines() - dropped == kThreads * kLines);
+}
+
 }  // namespace
 }  // namespace mangospread::base
