--- a/src/api/watch_hub.cc
+++ b/src/api/watch_hub.cc
@@ -1,5 +1,6 @@
 #include "api/watch_hub.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -55,21 +56,28 @@
     for (const Change& change : *changes) {
       exchange->SendChunk(ChangeLine(change));
     }
+    exchange->SendChunk(MarkerLine("synced", store_.revision()));
   } else {
     SendSnapshot(*exchange);
   }
-  exchange->SendChunk(MarkerLine("synced", store_.revision()));
   watches_.push_back(std::move(exchange));
   base::Log(base::Event::kWatchOpened,
             {{"since", since.value()}, {"watches", watches_.size()}});
 }
 
 void WatchHub::SendSnapshot(net::HttpExchange& exchange) const {
-  exchange.SendChunk(MarkerLine("reset", store_.revision()));
-  for (const Resource& resource : store_.All()) {
+  // A client that resumes from this line has none of the resources.
+  exchange.SendChunk(MarkerLine("reset", Revision()));
+  std::vector<Resource> resources = store_.All();
+  std::sort(resources.begin(), resources.end(),
+            [](const Resource& a, const Resource& b) {
+              return a.revision < b.revision;
+            });
+  for (const Resource& resource : resources) {
     exchange.SendChunk(
         ChangeLine({resource.revision, resource.key, false, resource.spec}));
   }
+  exchange.SendChunk(MarkerLine("synced", store_.revision()));
 }
 
 void WatchHub::OnChange(const Change& change) {
--- a/src/api/watch_hub.hpp
+++ b/src/api/watch_hub.hpp
@@ -21,9 +21,8 @@
 };
 
 /// Streams changes as JSON lines. Every line carries a revision, from which the
-/// client can resume. The lines of a snapshot are an exception: they are sorted
-/// by kind and name, so a client can resume only from a line after the
-/// snapshot.
+/// client can resume. The lines of a snapshot are in the order of their
+/// revisions, so that this also holds within a snapshot.
 class WatchHub {
  public:
   WatchHub(base::EventLoop& loop, config::Store& store, WatchOptions options);
@@ -32,7 +31,8 @@
 
   /// Responds with a stream of the changes after `since`. If these are no
   /// longer available, the stream starts with a "reset" line and a snapshot of
-  /// all resources. A "synced" line follows the changes made so far.
+  /// all resources. A "synced" line follows the changes made so far. A snapshot
+  /// that replaces the store's resources later is sent in the same way.
   void Open(std::shared_ptr<net::HttpExchange> exchange, Revision since);
 
   /// Ends all streams with a line that contains the revision to resume from.
@@ -45,6 +45,7 @@
   void OnReplaced();
   void SendHeartbeats();
   void Broadcast(const std::string& line);
+  /// Sends all resources between a "reset" and a "synced" line.
   void SendSnapshot(net::HttpExchange& exchange) const;
 
   config::Store& store_;
