--- a/src/cli/load/histogram.hpp
+++ b/src/cli/load/histogram.hpp
@@ -8,9 +8,10 @@
 
 namespace mangospread::cli {
 
-/// Counts durations in buckets of 1/32 of a power of two, so that the relative
-/// error of a quantile is at most about 3%. Durations of 2^44 microseconds or
-/// more share the last bucket.
+/// Counts durations in buckets of 1/32 of a power of two and returns the lower
+/// bounds of buckets, so that a quantile is never above the exact value and
+/// less than 1/32 (3.1%) below it. Durations of 2^44 microseconds or more share
+/// the last bucket.
 class Histogram {
  public:
   /// Counts one duration.
