Keep the lease bounds of lost agents through the next assignment

SetFormerLease replaced the bound of Unassign, and that of an attachment under a former assignment, with the time from the report of the former agents: an agent that attached the worker and renewed its lease, and whose event was lost with its connection, did not count once the worker was assigned to the next agent. If an agent that reported "renewing" restarted before the leader had loaded its rows, it still counted as the only one that renews: the bound became 0, and WorkerUnreachable{0} of the new process, which knows of no lease, ended the wait at once.

Such bounds now also raise the one kept for the former leaders' agents, an agent that is lost no longer counts as renewing, and an unreachable worker waits for the later of both. Reassign releases without a new bound, as before.

Ruled out: leaving out only the 0. The first test fails without it.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -195,7 +195,12 @@
   void AddFormerWorker(const VmName& vm);
   void AssignWorkers();
   void Assign(WorkerEntry& entry, const NodeId& agent);
+  /// Releases the worker; its agent may have renewed the lease until now.
   void Unassign(WorkerEntry& entry);
+  /// Releases the worker without a change of its lease.
+  void Detach(WorkerEntry& entry);
+  /// Counts a lease that an agent may have granted until now.
+  void RaiseLeaseBound(WorkerEntry& entry);
   void MoveWorkers();
   /// Removes a worker that has terminated or whose lease has expired.
   void RemoveWorker(const VmName& vm, WorkerRemoval removal);
@@ -219,6 +224,9 @@
   /// Ends the sessions of agents that served the worker under a former leader,
   /// except the one that it is assigned to now.
   void ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent);
+  /// Counts a lease that the agent may have granted until now, if it was
+  /// renewing it under the former leader, and no later one.
+  void EndRenewals(const NodeId& agent, FormerWorker& former) const;
   /// Sets the end of the leases that a worker got under former leaders.
   static void SetFormerLease(WorkerEntry& entry, const FormerWorker& former);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -145,9 +145,7 @@
 }
 
 void GroupLeader::Reassign(WorkerEntry& entry, const NodeId& agent) {
-  const MonotonicTime lease_expires_at = entry.lease_expires_at;
-  Unassign(entry);
-  entry.lease_expires_at = lease_expires_at;
+  Detach(entry);
   Assign(entry, agent);
 }
 
@@ -193,13 +191,10 @@
 
 void GroupLeader::ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent) {
   FormerWorker& former = former_workers_.at(entry.info.vm);
-  for (auto& [other, renewing] : former.agents) {
+  for (const auto& [other, renewing] : former.agents) {
     if (other == agent) continue;
     deps_.send(other, Release{entry.info.vm});
-    if (!std::exchange(renewing, false)) continue;
-    former.lease_expires_at =
-        std::max(former.lease_expires_at,
-                 base::MonotonicNow() + LeaseUpperBound(options_.lease));
+    EndRenewals(other, former);
   }
   SetFormerLease(entry, former);
 }
@@ -217,15 +212,27 @@
 
 void GroupLeader::Unassign(WorkerEntry& entry) {
   if (!entry.agent) return;
+  Detach(entry);
+  RaiseLeaseBound(entry);
+}
+
+void GroupLeader::RaiseLeaseBound(WorkerEntry& entry) {
+  const MonotonicTime bound =
+      base::MonotonicNow() + LeaseUpperBound(options_.lease);
+  entry.lease_expires_at = std::max(entry.lease_expires_at, bound);
+  const auto former = former_workers_.find(entry.info.vm);
+  if (former == former_workers_.end()) return;
+  former->second.lease_expires_at =
+      std::max(former->second.lease_expires_at, bound);
+}
+
+void GroupLeader::Detach(WorkerEntry& entry) {
   deps_.send(*entry.agent, Release{entry.info.vm});
   const auto it = agents_.find(*entry.agent);
   if (it != agents_.end()) --it->second.workers;
   entry.agent.reset();
   entry.attached = entry.unreachable = false;
   dispatcher_->OnDetached(entry.info.vm, base::MonotonicNow());
-  entry.lease_expires_at =
-      std::max(entry.lease_expires_at,
-               base::MonotonicNow() + LeaseUpperBound(options_.lease));
 }
 
 void GroupLeader::MoveWorkers() {
@@ -276,10 +283,19 @@
       entry.retry_at = base::MonotonicNow() + options_.yield_reassign_delay;
     }
   }
+  for (auto& [vm, former] : former_workers_) EndRenewals(agent, former);
   agents_.erase(agent);
   if (loaded_) AssignWorkers();
 }
 
+void GroupLeader::EndRenewals(const NodeId& agent, FormerWorker& former) const {
+  const auto it = former.agents.find(agent);
+  if (it == former.agents.end() || !std::exchange(it->second, false)) return;
+  former.lease_expires_at =
+      std::max(former.lease_expires_at,
+               base::MonotonicNow() + LeaseUpperBound(options_.lease));
+}
+
 void GroupLeader::SendToAgent(const AgentCommand& command) {
   const VmName& vm = std::visit(
       [](const auto& kind) -> const VmName& {
@@ -303,8 +319,7 @@
   if (entry.agent != agent || entry.fence != event.assignment) {
     // Before it received its release, the agent may have renewed the lease.
     if (std::holds_alternative<Attached>(event.details)) {
-      entry.lease_expires_at = std::max(entry.lease_expires_at,
-                                        now + LeaseUpperBound(options_.lease));
+      RaiseLeaseBound(entry);
     }
     return;
   }
@@ -354,7 +369,11 @@
   entry.lease_expires_at =
       std::max(entry.lease_expires_at, base::MonotonicNow() + lease_left);
   entry.failed_agents.insert(agent);
-  if (former_workers_.contains(entry.info.vm)) {
+  const auto former = former_workers_.find(entry.info.vm);
+  if (former != former_workers_.end()) {
+    // Other agents may have granted the last lease.
+    entry.lease_expires_at =
+        std::max(entry.lease_expires_at, former->second.lease_expires_at);
     ApplyKnownRuns(entry.info.vm);
     CheckResume();
   }
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -237,5 +237,44 @@
   CHECK(progress.tasks[0].losses.size() == 1);
 }
 
+// Guards against a second run: the agent attached the worker and renewed its
+// lease, and the event was lost with its connection.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "an agent that is lost may have renewed the lease") {
+  Lead(2);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  report.lease_left = Milliseconds(1'000);
+  Report("agent");
+  ListWorkers({"w1", "w2"});
+  REQUIRE(newest.at(placed.run.vm).agent == NodeId("agent"));
+  leader->OnAgentDown(NodeId("agent"));
+  Attach(placed.idle);
+  REQUIRE(newest.at(placed.run.vm).agent == NodeId("other"));
+  RunFor(milliseconds(5'500));
+  CHECK(starts.empty());
+}
+
+// Guards against a second run: the process that reported the lease restarts,
+// and its successor knows of no lease.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "an agent that restarts does not end the lease") {
+  fault = Fault::kRefuse;
+  Lead(2);
+  report.lease_left = Milliseconds(6'000);
+  report.renewing = true;
+  Report("agent");
+  leader->OnAgentDown(NodeId("agent"));
+  RunFor(milliseconds(600));
+  leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+  fault = Fault::kNone;
+  RunFor(milliseconds(310));
+  REQUIRE(leader->loaded());
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  Event(placed.busy, WorkerUnreachable{Milliseconds(0)});
+  RunFor(milliseconds(3'000));
+  CHECK(starts.empty());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
