Keep reported workers unresolved until their own leases have expired

Callers could see a task run twice (TWICE). 9.8 s after its start, a leader gave up all workers that were not attached yet, as if no lease could have been renewed since. But agents that are connected to it go on renewing the leases while it can't read its rows. If the load took longer than that, the first tick after it resumed the restored work without the workers whose attachment was under way, and their tasks started elsewhere.

Workers that an agent has reported now leave by their own lease: attached, unreachable, or after their agent was lost. None of them can stay for good, since an entry without an expiry has an agent that is the only one to renew.

Ruled out: a later time for all, which would only move the limit.

--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -534,13 +534,15 @@
     RemoveWorker(vm, WorkerRemoval::kLeaseExpired);
   }
   RemoveIdleWorkers();
-  // Workers of former leaders that no agent has attached and whose lease has
-  // expired.
   if (!resumed_ && now > InheritedLeaseExpiry()) {
-    for (const VmName& vm : std::exchange(unresolved_, {})) {
+    // The leases of workers that an agent has reported may have been renewed
+    // since, so these workers are removed by their own leases.
+    std::erase_if(unresolved_, [this](const VmName& vm) {
+      if (former_workers_.contains(vm)) return false;
       base::Log(base::Event::kWorkerRemoved,
                 {{"vm", vm.str()}, {"reason", "never_attached"}});
-    }
+      return true;
+    });
     CheckResume();
   }
   SaveRoster();
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -276,5 +276,25 @@
   CHECK(starts.empty());
 }
 
+// Guards against a second run: agents connected to a leader that cannot read
+// its rows renew the leases all the while.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "leases that agents renew outlast a slow load") {
+  fault = Fault::kRefuse;
+  Lead(2);
+  report.lease_left = Milliseconds(6'000);
+  report.renewing = true;
+  Report("agent");
+  RunFor(milliseconds(11'000));
+  REQUIRE_FALSE(leader->loaded());
+  fault = Fault::kNone;
+  RunFor(milliseconds(310));
+  REQUIRE(leader->loaded());
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  RunFor(milliseconds(1'000));
+  CHECK(starts.empty());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
