Count the lease that an agent reports when it connects again

An agent that lost its connection renews the leases for another 3.5 s. When it connected to the same leader again, it reported the time left, but the leader only released its session and went on with the bound from the time of the loss. If no other agent reached the worker meanwhile, its tasks started elsewhere before that lease ended. The same held for a report that came after the worker's runs had been taken from the report of another agent.

A report for a worker that is not attached now raises the bound; one that goes on renewing counts as a lease granted now. From the attachment on the bound is that of the present agent, so reports change nothing then.

This does not cover an agent that stays away until the bound has passed; the bound of OnAgentDown leaves out the orphan timeout (open, see the review).

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -190,6 +190,8 @@
   /// certain to find it there.
   [[nodiscard]] bool InRoster(const VmName& vm) const;
   void AddWorker(const VmName& vm);
+  /// Counts the lease that a released agent reports for a known worker.
+  void CountReportedLease(WorkerEntry& entry, const FormerLeaderRuns& reported);
   /// Adds a worker that an agent has reported, or ends the agents' sessions
   /// with it if nothing can run there.
   void AddFormerWorker(const VmName& vm);
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -392,9 +392,9 @@
   const auto worker = workers_.find(vm);
   if (loaded_ && !unresolved_.contains(vm)) {
     // This leader knows the worker's runs, so the session is outdated.
-    if (worker == workers_.end() || worker->second.agent != agent) {
-      deps_.send(agent, Release{vm});
-    }
+    if (worker != workers_.end() && worker->second.agent == agent) return;
+    deps_.send(agent, Release{vm});
+    if (worker != workers_.end()) CountReportedLease(worker->second, reported);
     return;
   }
   const auto [it, added] = former_workers_.try_emplace(vm);
@@ -421,6 +421,17 @@
   AssignWorkers();
 }
 
+void GroupLeader::CountReportedLease(WorkerEntry& entry,
+                                     const FormerLeaderRuns& reported) {
+  // From the attachment on, only the present agent can renew the lease.
+  if (entry.attached) return;
+  if (reported.renewing) return RaiseLeaseBound(entry);
+  if (!reported.lease_left) return;
+  entry.lease_expires_at =
+      std::max(entry.lease_expires_at,
+               base::MonotonicNow() + MonotonicTime(*reported.lease_left));
+}
+
 void GroupLeader::AddFormerWorker(const VmName& vm) {
   const FormerWorker& former = former_workers_.at(vm);
   if (!unresolved_.contains(vm)) {
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -296,5 +296,26 @@
   CHECK(starts.empty());
 }
 
+// Guards against a second run: the agent renewed the lease while it was not
+// connected, and reports that when it connects to the same leader again.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a report to the same leader extends the lease") {
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  leader->OnAgentDown(NodeId("agent"));
+  Attach(placed.idle);
+  REQUIRE(newest.at(placed.run.vm).agent == NodeId("other"));
+  RunFor(milliseconds(3'000));
+  leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+  report.lease_left = Milliseconds(6'000);
+  report.renewing = true;
+  Report("agent");
+  CHECK(WasReleasedBy("agent"));
+  RunFor(milliseconds(500));
+  // It has been moved meanwhile, to even out the load.
+  Attach(placed.idle);
+  RunFor(milliseconds(5'000));
+  CHECK(starts.empty());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
