Take a reported end for the newest process only if no agent denies it

Callers could see a task run twice (TWICE). An agent that found a worker's process ended keeps its session until it is released. If that release is lost with the connection, and the worker comes back under its id and is served by another agent, the next leader hears both: the end of the earlier process and the runs of the present one. The end won. 400 ms after the load all reported runs were lost with it, unless the worker had been attached by then, and they started elsewhere while the lease of the present process went on.

A report without an end now wins, as it does for "unreachable". If the end was that of the newest process, the tasks wait for the reported lease instead, or until an agent finds the process ended.

--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -403,7 +403,8 @@
   former.agents[agent] = reported.renewing;
   runs.worker = reported.worker;
   runs.unreachable = reported.unreachable && (added || runs.unreachable);
-  runs.ended = runs.ended || reported.ended;
+  // The session of another agent may be with a later process.
+  runs.ended = reported.ended && (added || runs.ended);
   runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
   former.lease_expires_at =
       std::max(former.lease_expires_at,
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "dispatch/model/lease.hpp"
 #include "unit/dispatch/leader_fixture.hpp"
@@ -317,5 +318,25 @@
   CHECK(starts.empty());
 }
 
+// Guards against a second run: a former agent still reports the end of an
+// earlier process, and the agent that serves the present one reports a run.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "an outdated end does not end the runs of the next process") {
+  Lead(2);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  const auto runs = std::exchange(report.runs, {});
+  report.ended = report.unreachable = true;
+  Report("agent");
+  report.ended = report.unreachable = false;
+  report.runs = runs;
+  report.lease_left = Milliseconds(6'000);
+  report.renewing = true;
+  Report("other");
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  RunFor(milliseconds(1'000));
+  CHECK(starts.empty());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
