Return the starts that wait for a worker that is unreachable

A start that reaches a session without a connection waits in the session until the worker replies. Since the session stays after the lease has expired until the roster is stored without the worker, which takes as long as the store refuses writes. The leader has given up the run by then and starts the task elsewhere. If the worker replied in that time, the session sent the old start with a new lease.

A session that reports the worker as unreachable now reports these starts, and any that come later, as not sent. The tasks no longer wait for the lease either.

The session lets go of the starts before the leader can give up the runs.

Measured with build/tests/unit_tests: the new test failed before (worker_session_test.cc:423 and :424), 258 of 259 cases passed; 259 of 259 pass now.

--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -199,6 +199,10 @@
   unreachable_reported_ = true;
   // Commands sent before the worker became unreachable may still be in flight.
   RaiseFence();
+  // The leader may give up the runs once the lease has expired.
+  for (const StartRun& start : std::exchange(waiting_starts_, {})) {
+    ReportNotSent(start);
+  }
   if (!closed_) {
     renew_timer_ = loop_.After(options_.retry_delay,
                                [this] { SendRenew(Milliseconds(0)); });
@@ -310,6 +314,7 @@
 void WorkerSession::Start(StartRun command) {
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
+  if (unreachable_reported_) return ReportNotSent(command);
   if (!synced_ || process_unconfirmed_) {
     waiting_starts_.push_back(std::move(command));
     return;
@@ -317,6 +322,10 @@
   SendStart(std::move(command));
 }
 
+void WorkerSession::ReportNotSent(const StartRun& command) {
+  Report(RunNotStarted{command.task, command.run, CommandOutcome::kNotSent});
+}
+
 void WorkerSession::SendStart(StartRun command) {
   Run& run = runs_[command.task];
   run = Run();
@@ -374,8 +383,8 @@
         return start.task == command.task && start.run == command.run;
       });
   if (waiting != waiting_starts_.end()) {
+    ReportNotSent(*waiting);
     waiting_starts_.erase(waiting);
-    Report(RunNotStarted{command.task, command.run, CommandOutcome::kNotSent});
     return;
   }
   SendStop(command);
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -128,6 +128,7 @@
   /// Resets the state for a new process that replies under the worker's id.
   void OnProcessChanged(WorkerIncarnation incarnation);
   void SendWaitingStarts();
+  void ReportNotSent(const StartRun& command);
   void SendStart(StartRun command);
   void OnStartReply(const StartRun& command, CommandOutcome outcome);
   void SendStop(StopRun command);
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -405,5 +405,24 @@
   next->Close();
 }
 
+// Guards against a second run: the leader has given up the worker's runs when
+// the lease expired, and releases the session only once that is stored.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a start that waited beyond the lease is not sent") {
+  RunFor(Milliseconds(300));
+  link->unresponsive = true;
+  RunFor(Milliseconds(200));
+  link->connected = false;
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(9'000));
+  REQUIRE(Count<WorkerUnreachable>() == 1);
+  link->connected = true;
+  link->unresponsive = false;
+  RunFor(Milliseconds(1'500));
+  REQUIRE(Count<Attached>() == 2);
+  CHECK(link->starts.empty());
+  CHECK(Count<RunNotStarted>() == 1);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch
