Give precedence to lost long-running tasks only, not to their whole step

Found by review: after any takeover every pending long-running task of a restored submission went before all short work for good, also one that never ran, and one lost task pulled all tasks of its step ahead.

Change: the decision is made for each task and needs a run; a step with such tasks is a candidate of its own, which places only these. Precedence stays ahead of the queue's priority: the promise of a run holds however full the service is.

Tests: "a restored task that never ran waits behind short tasks", "only the tasks that lost their runs go before short tasks"; both failed before.

--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -49,6 +49,8 @@
   Urgency urgency;
   Entry* entry = nullptr;
   int step = 0;
+  /// Stands only for the tasks for which RestartIsDue.
+  bool restarts = false;
 };
 
 const StepSpec& Dispatcher::SpecOf(const Candidate& candidate) {
@@ -65,16 +67,22 @@
       const Step& step = job.steps()[s];
       if (!step.ready || step.pending == 0 || now < step.due) continue;
       candidates.push_back({{}, entry, static_cast<int>(s)});
+      const bool restarts = std::any_of(
+          step.tasks.begin(), step.tasks.end(),
+          [&](const Task& task) { return RestartIsDue(step.spec, task, now); });
+      if (restarts) {
+        candidates.push_back({{}, entry, static_cast<int>(s), true});
+      }
       backlogged = backlogged ||
                    (!step.spec.long_running && now > job.ObjectiveOf(step));
     }
   }
   for (Candidate& candidate : candidates) {
     const Job& job = *candidate.entry->job;
-    const Step& step = job.steps()[static_cast<std::size_t>(candidate.step)];
     candidate.urgency =
-        UrgencyOf(job, step, now, backlogged,
-                  RestartIsDue(step, candidate.entry->restored, now));
+        UrgencyOf(job, job.steps()[static_cast<std::size_t>(candidate.step)],
+                  now, backlogged);
+    candidate.urgency.can_wait = !candidate.restarts;
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
@@ -112,7 +120,10 @@
                  smaller.spec->max_per_worker == 0;
         });
     if (cannot_fit) continue;
-    if (spec.long_running && !MayTakeCapacity(candidate, now)) continue;
+    if (spec.long_running && !candidate.restarts &&
+        !MayTakeCapacity(candidate, now)) {
+      continue;
+    }
     const bool placed =
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
     // A gang needs capacity for all its members at once.
@@ -172,7 +183,6 @@
   step.free_seen = now;
   if (step.free_since.count() == 0) step.free_since = now;
   if (now - step.free_since >= kMinUnusedTime ||
-      RestartIsDue(step, entry.restored, now) ||
       FreeShare(entry.job->policy().service, now) > kScarceCapacityShare) {
     return true;
   }
@@ -213,6 +223,9 @@
     if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
       continue;
     }
+    if (candidate.restarts && !RestartIsDue(SpecOf(candidate), tasks[t], now)) {
+      continue;
+    }
     const Placement place = placer.Next();
     if (place.worker == kNoWorker) {
       LogPending(candidate, ReasonOf(place));
--- a/src/dispatch/policy/order.hpp
+++ b/src/dispatch/policy/order.hpp
@@ -15,28 +15,21 @@
 /// until the end of a run on a lost worker is certain.
 inline constexpr MonotonicTime kMaxRestartWait = std::chrono::seconds(1);
 
-/// True if a task of a long-running step has lost its run and has waited for
+/// True if a long-running task has lost its run and has waited for
 /// kMaxRestartWait since.
 ///
 /// Load pattern: short tasks wait at all times and use each piece of capacity
 /// that becomes free, so that a larger task never finds enough of it.
-///
-/// @param restored the submission was started by a former leader, so that a
-///   task without a run may have had one.
-[[nodiscard]] inline bool RestartIsDue(const Step& step, bool restored,
+[[nodiscard]] inline bool RestartIsDue(const StepSpec& spec, const Task& task,
                                        MonotonicTime now) {
-  return step.spec.long_running &&
-         std::any_of(step.tasks.begin(), step.tasks.end(),
-                     [&](const Task& task) {
-                       return task.phase == TaskPhase::kPending &&
-                              (task.run > 0 || restored) &&
-                              now - task.since >= kMaxRestartWait;
-                     });
+  return spec.long_running && task.phase == TaskPhase::kPending &&
+         task.run > 0 && now - task.since >= kMaxRestartWait;
 }
 
 /// Sort key of a step; lower goes first.
 struct Urgency {
-  bool can_wait = true;  ///< False for a step for which RestartIsDue.
+  /// False for the tasks of a step for which RestartIsDue.
+  bool can_wait = true;
   bool expired = false;  ///< Its completion has no value any more.
   bool late = false;     ///< Its objective cannot be met any more.
   int priority = 0;
@@ -60,12 +53,10 @@
 /// @param backlogged true if work is pending beyond its objective. Then the
 ///   earliest objectives are about to be missed, so submissions that have
 ///   started go first, followed by the others with the latest objective first.
-/// @param restart_due result of RestartIsDue.
 [[nodiscard]] inline Urgency UrgencyOf(const Job& job, const Step& step,
-                                       MonotonicTime now, bool backlogged,
-                                       bool restart_due) {
+                                       MonotonicTime now, bool backlogged) {
   if (step.spec.long_running) {
-    return {!restart_due, false, false, job.policy().priority, true, false, {}};
+    return {true, false, false, job.policy().priority, true, false, {}};
   }
   const MonotonicTime objective = job.ObjectiveOf(step);
   const MonotonicTime last_useful =
--- a/tests/unit/dispatch/malformed_events_test.cc
+++ b/tests/unit/dispatch/malformed_events_test.cc
@@ -70,7 +70,7 @@
     const Job job(MakeSubmission("x", {step}), policy, now, MonotonicTime(0));
     CHECK(job.objective() > now);
     CHECK(job.last_useful() > job.objective());
-    CHECK_FALSE(UrgencyOf(job, job.steps()[0], now, false, false).expired);
+    CHECK_FALSE(UrgencyOf(job, job.steps()[0], now, false).expired);
   }
 }
 
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -206,7 +206,7 @@
   const auto urgency = [this](const char* id, bool backlogged) {
     Job job(MakeSubmission(id, {MakeStep(1, 1'000)}), Policy(), now,
             MonotonicTime(0));
-    return UrgencyOf(job, job.steps()[0], now, backlogged, false);
+    return UrgencyOf(job, job.steps()[0], now, backlogged);
   };
   const Urgency earlier = urgency("earlier", true);
   const Urgency earlier_without_backlog = urgency("earlier", false);
@@ -216,7 +216,7 @@
   Job started(MakeSubmission("begun", {MakeStep(2, 1'000)}), Policy(),
               now - std::chrono::seconds(1), MonotonicTime(0));
   started.SetPhase({0, 0}, TaskPhase::kStarting, now);
-  CHECK(UrgencyOf(started, started.steps()[0], now, true, false) <
+  CHECK(UrgencyOf(started, started.steps()[0], now, true) <
         urgency("later", true));
 }
 
@@ -231,13 +231,12 @@
                 now, MonotonicTime(0));
   // Objective: twice the critical path of two seconds plus one second.
   const MonotonicTime slack = std::chrono::milliseconds(3'700);
-  CHECK_FALSE(UrgencyOf(job, job.steps()[0], now + slack, false, false).late);
-  CHECK(UrgencyOf(job, job.steps()[0], now + slack + 200 * kMillisecond, false,
-                  false)
+  CHECK_FALSE(UrgencyOf(job, job.steps()[0], now + slack, false).late);
+  CHECK(UrgencyOf(job, job.steps()[0], now + slack + 200 * kMillisecond, false)
             .late);
-  CHECK_FALSE(UrgencyOf(job, job.steps()[1], now + slack + 200 * kMillisecond,
-                        false, false)
-                  .late);
+  CHECK_FALSE(
+      UrgencyOf(job, job.steps()[1], now + slack + 200 * kMillisecond, false)
+          .late);
 }
 
 // Guards against long-running tasks that take all capacity for good, and
@@ -338,6 +337,41 @@
   CHECK(restarted[0].task == "lasting.0.0.0");
 }
 
+// Guards against long-running tasks that never ran and go before all short work
+// for good after a takeover.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a restored task that never ran waits behind short tasks") {
+  StepSpec step = MakeStep(10, 1'000);
+  step.long_running = true;
+  dispatcher.Restore(MakeSubmission("lasting", {step}), Policy(), JobProgress(),
+                     now);
+  dispatcher.Resume();
+  AddWorker("w0", 10'000);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE_FALSE(started.empty());
+  CHECK(started[0].task == "short.0.0.0");
+}
+
+// Guards against short tasks that wait behind tasks of a step that have never
+// run, since another task of the step has lost its run.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "only the tasks that lost their runs go before short tasks") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(10, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  now += std::chrono::milliseconds(1'000);
+  AddWorker("w1", 2'000);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 2);
+  CHECK(started[0].task == "lasting.0.0.0");
+  CHECK(started[1].task == "short.0.0.0");
+}
+
 // Guards against latency-critical tasks of all images on every worker, which
 // leaves no worker for a best-effort task that interferes with one of them.
 TEST_CASE_FIXTURE(DispatcherFixture,
