Extend no lease without a leader

Found by review: an agent without a leader went on extending leases for 3.5 s, which the leader that had lost it did not count (6.3 s from the loss), so a task could start elsewhere while its worker, cut off with its agent, still ran it. An agent that had been cut off longer reported a lease that others may have renewed since.

Change: an agent extends leases only while it is connected to a leader; its sessions go on otherwise, and suspended ones whose workers others may have had report no lease. A leader counts 0.8 s for an agent that notices its loss late. The wait for a worker that nobody reports is 7.1 s instead of 9.8 s. What it costs: runs whose workers have no leader for 6 s end (before: 9.5 s).

New tests: "a session without a leader extends no lease", "an outdated session reports no lease", "a lost agent extends leases until it notices the loss", "an outdated report does not end the leases of other agents"; the last two failed before.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -26,9 +26,10 @@
 struct GroupLeaderOptions {
   /// Longest lease that an agent grants to a worker.
   Milliseconds lease{6'000};
-  /// Agents that lost the connection to their leader keep renewing the leases
-  /// of its workers for this long.
-  Milliseconds orphan_timeout{3'500};
+  /// An agent may notice the loss of its leader, after which it extends no
+  /// lease, this much later than the leader notices the agent's or than another
+  /// leader is elected.
+  Milliseconds loss_notice_delay{800};
   /// Progress is stored this long after the first change, so that several
   /// changes share one write.
   Milliseconds save_delay{40};
@@ -199,10 +200,16 @@
   void Assign(WorkerEntry& entry, const NodeId& agent);
   /// Releases the worker; its agent may have renewed the lease until now.
   void Unassign(WorkerEntry& entry);
+  /// The same for the worker of a lost agent.
+  void UnassignLost(WorkerEntry& entry);
   /// Releases the worker without a change of its lease.
   void Detach(WorkerEntry& entry);
   /// Counts a lease that an agent may have granted until now.
-  void RaiseLeaseBound(WorkerEntry& entry);
+  void RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound);
+  /// Time at which the leases that a released agent has granted have expired.
+  [[nodiscard]] MonotonicTime LeaseExpiry() const;
+  /// The same for a lost agent.
+  [[nodiscard]] MonotonicTime LostLeaseExpiry() const;
   void MoveWorkers();
   /// Removes a worker that has terminated or whose lease has expired.
   void RemoveWorker(const VmName& vm, WorkerRemoval removal);
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -213,12 +213,23 @@
 void GroupLeader::Unassign(WorkerEntry& entry) {
   if (!entry.agent) return;
   Detach(entry);
-  RaiseLeaseBound(entry);
+  RaiseLeaseBound(entry, LeaseExpiry());
 }
 
-void GroupLeader::RaiseLeaseBound(WorkerEntry& entry) {
-  const MonotonicTime bound =
-      base::MonotonicNow() + LeaseUpperBound(options_.lease);
+void GroupLeader::UnassignLost(WorkerEntry& entry) {
+  Detach(entry);
+  RaiseLeaseBound(entry, LostLeaseExpiry());
+}
+
+MonotonicTime GroupLeader::LeaseExpiry() const {
+  return base::MonotonicNow() + LeaseUpperBound(options_.lease);
+}
+
+MonotonicTime GroupLeader::LostLeaseExpiry() const {
+  return LeaseExpiry() + options_.loss_notice_delay;
+}
+
+void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound) {
   entry.lease_expires_at = std::max(entry.lease_expires_at, bound);
   const auto former = former_workers_.find(entry.info.vm);
   if (former == former_workers_.end()) return;
@@ -278,7 +289,7 @@
   for (auto& [vm, entry] : workers_) {
     entry.failed_agents.erase(agent);
     if (entry.agent != agent) continue;
-    Unassign(entry);
+    UnassignLost(entry);
     if (replaced) {
       entry.retry_at = base::MonotonicNow() + options_.yield_reassign_delay;
     }
@@ -292,8 +303,7 @@
   const auto it = former.agents.find(agent);
   if (it == former.agents.end() || !std::exchange(it->second, false)) return;
   former.lease_expires_at =
-      std::max(former.lease_expires_at,
-               base::MonotonicNow() + LeaseUpperBound(options_.lease));
+      std::max(former.lease_expires_at, LostLeaseExpiry());
 }
 
 void GroupLeader::SendToAgent(const AgentCommand& command) {
@@ -319,7 +329,7 @@
   if (entry.agent != agent || entry.fence != event.assignment) {
     // Before it received its release, the agent may have renewed the lease.
     if (std::holds_alternative<Attached>(event.details)) {
-      RaiseLeaseBound(entry);
+      RaiseLeaseBound(entry, LeaseExpiry());
     }
     return;
   }
@@ -328,7 +338,7 @@
     entry.failed_agents.clear();
     entry.unreachable = false;
     // From now on only this agent can renew the lease.
-    entry.lease_expires_at = now + LeaseUpperBound(options_.lease);
+    entry.lease_expires_at = LeaseExpiry();
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     dispatcher_->OnEvent(event, now);
@@ -426,7 +436,7 @@
                                      const FormerLeaderRuns& reported) {
   // From the attachment on, only the present agent can renew the lease.
   if (entry.attached) return;
-  if (reported.renewing) return RaiseLeaseBound(entry);
+  if (reported.renewing) return RaiseLeaseBound(entry, LeaseExpiry());
   if (!reported.lease_left) return;
   entry.lease_expires_at =
       std::max(entry.lease_expires_at,
@@ -516,7 +526,7 @@
 }
 
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
-  return started_at_ + options_.orphan_timeout +
+  return started_at_ + options_.loss_notice_delay +
          LeaseUpperBound(options_.lease);
 }
 
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -186,6 +186,7 @@
   }
   connected_ = false;
   agent_.DropUnsent();
+  agent_.StopExtending();
   leader_channel_.reset();
   leadership_->SetLeaderConnected(false);
   if (reason == Errc::kConnectFailed) leadership_->OnLeaderRefused();
@@ -222,6 +223,7 @@
   reconnect_timer_.reset();
   connected_ = false;
   agent_.DropUnsent();
+  agent_.StopExtending();
   calls_.SetLeaderAvailable(false);
   followed_leader_ = leader;
   GroupLeaderDependencies deps{
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -30,8 +30,8 @@
   ChannelTimeouts channel;
   GroupLeaderOptions leader;
   WorkerSessionOptions session;
-  /// Time for which worker leases are renewed without a connection to the
-  /// leader.
+  /// Time after the loss of the leader after which others may have been
+  /// assigned the workers of this agent.
   Milliseconds orphan_timeout{3'500};
   PendingCallsOptions calls;
   Milliseconds reconnect_delay{250};
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -74,8 +74,12 @@
   while (!sessions_.empty()) EndSession(VmName(sessions_.begin()->first));
 }
 
+void Agent::StopExtending() {
+  for (const auto& [vm, session] : sessions_) session->StopExtending();
+}
+
 void Agent::SuspendAll() {
-  for (const auto& [vm, session] : sessions_) session->Suspend();
+  for (const auto& [vm, session] : sessions_) session->SuspendOutdated();
 }
 
 void Agent::SuspendNotRenewing() {
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -34,6 +34,8 @@
   void Execute(AgentCommand command);
   /// Ends the sessions of all workers.
   void ReleaseAll();
+  /// Extends no lease any more, since the leader is lost.
+  void StopExtending();
   /// Ends the sessions of all workers but keeps their runs for the next leader.
   void SuspendAll();
   /// Does the same for the workers whose leases are not being renewed at
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -116,6 +116,11 @@
   suspended_ = true;
 }
 
+void WorkerSession::SuspendOutdated() {
+  Suspend();
+  lease_known_ = unreachable_reported_ = false;
+}
+
 void WorkerSession::CloseEnded() {
   closed_ = worker_ended_ = true;
   if (silent_since_.count() == 0) silent_since_ = base::MonotonicNow();
@@ -150,7 +155,8 @@
   const RenewCommand command =
       process_unconfirmed_
           ? RenewCommand{fence_, {}, {}, wait}
-          : RenewCommand{fence_, acknowledged_, NextLeaseEnd(), wait};
+          : RenewCommand{fence_, acknowledged_,
+                         extends_lease_ ? NextLeaseEnd() : WorkerTime(), wait};
   link_->RenewLease(command, [self = shared_from_this(),
                               generation](const Result<RenewReply>& result) {
     self->OnRenewReply(result, generation);
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -63,8 +63,14 @@
   void ContinueFrom(const WorkerSession& former);
   /// Ends the session; the worker's lease stays valid until it expires.
   void Close();
+  /// Renews from now on without extending the lease, since the agent has lost
+  /// its leader: another agent may get the worker.
+  void StopExtending() noexcept { extends_lease_ = false; }
   /// Ends the session but keeps the runs for the next leader.
   void Suspend();
+  /// Does the same when others may have had the worker since: its lease is not
+  /// known any more, and that it did not respond says nothing.
+  void SuspendOutdated();
 
   /// Starts a run, after the worker's lists have arrived if they are awaited.
   void Start(StartRun command);
@@ -83,7 +89,7 @@
 
   /// True if the next renewal extends the worker's lease.
   [[nodiscard]] bool renewing() const noexcept {
-    return !closed_ && !process_unconfirmed_;
+    return !closed_ && !process_unconfirmed_ && extends_lease_;
   }
   [[nodiscard]] WorkerFence assignment_fence() const noexcept {
     return assignment_.fence;
@@ -186,6 +192,7 @@
   MonotonicTime replied_at_{0};
   /// Time up to which the worker may hold a lease.
   MonotonicTime lease_expires_at_{0};
+  bool extends_lease_ = true;
   bool lease_known_ = false;  ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -338,5 +338,34 @@
   CHECK(starts.empty());
 }
 
+// Guards against a second run: a report by an agent that was cut off from the
+// former leader says nothing about the leases which others granted since.
+TEST_CASE_FIXTURE(
+    TakeoverFixture,
+    "an outdated report does not end the leases of other agents") {
+  report.lease_left = std::nullopt;
+  TakeOver(2);
+  RunFor(milliseconds(300));
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  report.lease_left = Milliseconds(6'000);
+  Report("other");
+  RunFor(milliseconds(3'000));
+  CHECK(starts.empty());
+}
+
+// Guards against a second run: an agent that is cut off from its leader extends
+// leases until it notices.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a lost agent extends leases until it notices the loss") {
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  leader->OnAgentDown(NodeId("agent"));
+  Attach(placed.idle);
+  RunFor(options.loss_notice_delay + LeaseUpperBound(options.lease) -
+         milliseconds(100));
+  CHECK(starts.empty());
+  RunFor(milliseconds(500));
+  CHECK(starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -424,5 +424,37 @@
   CHECK(Count<RunNotStarted>() == 1);
 }
 
+// Guards against leases that an agent extends after it has lost its leader:
+// that one counts them from the loss.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a session without a leader extends no lease") {
+  RunFor(Milliseconds(300));
+  REQUIRE(session->CollectRuns());
+  CHECK(session->CollectRuns()->renewing);
+  session->StopExtending();
+  const std::size_t before = link->renewals.size();
+  RunFor(Milliseconds(2'000));
+  REQUIRE(link->renewals.size() > before);
+  for (std::size_t i = before; i < link->renewals.size(); ++i) {
+    CHECK(link->renewals[i].lease_until == WorkerTime());
+  }
+  CHECK_FALSE(session->CollectRuns()->renewing);
+  CHECK(session->CollectRuns()->lease_left < Milliseconds(4'500));
+}
+
+// Guards against a lease that counts as expired though another agent has
+// renewed it since this one lost its leader.
+TEST_CASE_FIXTURE(SessionFixture, "an outdated session reports no lease") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  link->unresponsive = true;
+  RunFor(Milliseconds(3'000));
+  session->SuspendOutdated();
+  REQUIRE(session->CollectRuns());
+  CHECK(session->CollectRuns()->runs.size() == 1);
+  CHECK_FALSE(session->CollectRuns()->lease_left);
+  CHECK_FALSE(session->CollectRuns()->unreachable);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch
