Describe in the test output why a resumed node does not serve

Change: a failed wait of that test adds the response to a further request and to the health check, the peers and workers that the node knows, and the number of workers that each node owns. The node's log has the reasons of its refusals already, but is not part of the output. Trial with a condition that is never true: the output contains all of these lines.

--- a/tests/integration/harness/checks/ownership.cc
+++ b/tests/integration/harness/checks/ownership.cc
@@ -80,6 +80,34 @@
   return "";
 }
 
+namespace {
+
+std::string DescribeResponse(const Response& response) {
+  return "failure " + std::to_string(static_cast<int>(response.failure)) +
+         ", status " + std::to_string(response.status) + ", outcome '" +
+         response.outcome() + "', reason '" +
+         std::string(response.headers.Get("Mangospread-Reason")) + "'";
+}
+
+}  // namespace
+
+std::string DescribeServing(const Cluster& cluster, int node) {
+  const Address address = cluster.http(node);
+  std::string text =
+      "request: " + DescribeResponse(Post(address, kServicePath, "x"));
+  for (const char* target :
+       {"/healthz", "/v1/status/nodes", "/v1/status/workers"}) {
+    const Response response = Get(address, target);
+    text += std::string("\n  ") + target + ": " + DescribeResponse(response) +
+            " " + response.body;
+  }
+  for (int i = 0; i < cluster.nodes(); ++i) {
+    text += "\n  node-" + std::to_string(i) + " owns " +
+            std::to_string(cluster.OwnedWorkers(i));
+  }
+  return text;
+}
+
 bool CanServe(const Cluster& cluster, int node) {
   const Response response = Post(cluster.http(node), kServicePath, "x");
   return response.ok() && response.outcome() == "answered";
--- a/tests/integration/harness/checks/ownership.hpp
+++ b/tests/integration/harness/checks/ownership.hpp
@@ -40,4 +40,9 @@
 /// True if a request through the node gets the outcome "answered".
 [[nodiscard]] bool CanServe(const Cluster& cluster, int node);
 
+/// Describes why a node may not serve: its response to a request and to a
+/// health check, the peers and workers that it knows, and the workers that each
+/// node owns.
+[[nodiscard]] std::string DescribeServing(const Cluster& cluster, int node);
+
 }  // namespace mangospread::testing
--- a/tests/integration/harness/wait.cc
+++ b/tests/integration/harness/wait.cc
@@ -9,13 +9,15 @@
 namespace mangospread::testing {
 
 void WaitUntil(const std::string& description, Milliseconds timeout,
-               const std::function<bool()>& condition) {
+               const std::function<bool()>& condition,
+               const std::function<std::string()>& explain) {
   constexpr Milliseconds kPollInterval{20};
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (!condition()) {
     if (std::chrono::steady_clock::now() >= deadline) {
       throw std::runtime_error("timed out waiting for: " + description +
-                               DescribeUnexpectedEnds());
+                               DescribeUnexpectedEnds() +
+                               (explain ? "\n  " + explain() : ""));
     }
     std::this_thread::sleep_for(kPollInterval);
   }
--- a/tests/integration/harness/wait.hpp
+++ b/tests/integration/harness/wait.hpp
@@ -13,9 +13,12 @@
 inline constexpr Milliseconds kWaitTimeout{30'000};
 
 /// Polls `condition` until it returns true.
+/// @param explain describes the state after a timeout; may be null.
 /// @throws std::runtime_error if it is still false after `timeout`. The message
-/// contains `description` and the child processes that ended unexpectedly.
+/// contains `description`, the child processes that ended unexpectedly and the
+/// result of `explain`.
 void WaitUntil(const std::string& description, Milliseconds timeout,
-               const std::function<bool()>& condition);
+               const std::function<bool()>& condition,
+               const std::function<std::string()>& explain = nullptr);
 
 }  // namespace mangospread::testing
--- a/tests/integration/state/owner_failover_test.cc
+++ b/tests/integration/state/owner_failover_test.cc
@@ -78,8 +78,10 @@
     cluster.node(paused).Pause();
     WaitUntilOwnedByOthers(cluster, paused);
     cluster.node(paused).Resume();
-    WaitUntil("the resumed node serves", kWaitTimeout,
-              [&] { return CanServe(cluster, paused); });
+    WaitUntil(
+        "the resumed node serves", kWaitTimeout,
+        [&] { return CanServe(cluster, paused); },
+        [&] { return DescribeServing(cluster, paused); });
     WaitUntil("each worker owned by one node", kWaitTimeout,
               [&] { return TotalOwnedWorkers(cluster) == cluster.workers(); });
     CheckOwnershipRecords(cluster);
