Do not blame a former scheduler's run as if it had just started

Cause: a scheduler does not know how long a run of its predecessor had worked, and took it for just started when the worker restarted soon after the takeover. Two such crashes in a row gave up a task that may have worked for hours. A loss that was judged but not yet counted also stayed when the worker's next process then reported the attempt as failed. Ruled out: a stored time of the start, which needs a common clock.

--- a/src/scheduler/lifecycle/scheduler.cc
+++ b/src/scheduler/lifecycle/scheduler.cc
@@ -122,6 +122,7 @@
       task->placed_at = now;
       task->confirmed_at = now;
       task->started_at = now;
+      task->taken_over = task->record.state == TaskState::kRunning;
     }
   }
   for (const JobName& name : names) SyncJob(name);
@@ -208,6 +209,7 @@
   task->memory_used = Mebibytes();
   task->placed_at = now;
   task->started_at = MonotonicTime(0);
+  task->taken_over = false;
   live_tasks_[decision.vm].insert(task->id);
   ++assigning_;
   log_.Record({base::Event::kTaskPlaced, task->id.str(), decision.vm,
--- a/src/scheduler/lifecycle/scheduler_losses.cc
+++ b/src/scheduler/lifecycle/scheduler_losses.cc
@@ -68,7 +68,7 @@
   // The process responded last to a report or to a start.
   MonotonicTime silent_since = former.last_response_at;
   for (const Task* task : tasks) {
-    if (!StartConfirmed(*task)) continue;
+    if (!StartConfirmed(*task) || task->taken_over) continue;
     silent_since = std::max(silent_since, task->started_at);
   }
   std::vector<crash::LostRun> lost;
@@ -80,6 +80,9 @@
     // The process may have ended at any time after its last response, so a
     // start that it may have received later counts as a start just before.
     run.exposure = std::max<MonotonicTime>(silent_since - task->started_at, {});
+    if (task->taken_over) {
+      run.exposure = std::max(run.exposure, crash::kStartTrial);
+    }
     run.earlier = task->record.losses;
     lost.push_back(std::move(run));
   }
--- a/src/scheduler/lifecycle/scheduler_workers.cc
+++ b/src/scheduler/lifecycle/scheduler_workers.cc
@@ -124,12 +124,14 @@
 
 void Scheduler::ApplyReport(Task& task, const TaskReport& report) {
   StoreCheckpoint(report, task.record);
+  // The worker's present process has the attempt. It also confirms the stop of
+  // an attempt that it does not know.
+  if (report.phase != TaskPhase::kStopped) task.loss.reset();
   switch (report.phase) {
     case TaskPhase::kRunning:
       task.cpu_used = report.cpu_used;
       task.memory_used = report.memory_used;
       task.throttle_percent = report.throttle_percent;
-      task.loss.reset();
       if (task.record.state == TaskState::kAssigned) {
         task.record.state = TaskState::kRunning;
         task.confirmed_at = base::MonotonicNow();
--- a/src/scheduler/lifecycle/tasks/task_registry.hpp
+++ b/src/scheduler/lifecycle/tasks/task_registry.hpp
@@ -48,6 +48,9 @@
   /// Time of the last start command that may have reached the worker; 0 if
   /// there is none. As above for a task taken over.
   MonotonicTime started_at{0};
+  /// The attempt was confirmed under a former scheduler, so that it is not
+  /// known how long it has run.
+  bool taken_over = false;
   /// Loss of the attempt with its worker's process, until it counts or the
   /// attempt is found on the worker.
   std::optional<crash::LostRun> loss;
