--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -25,7 +25,6 @@
 constexpr Milliseconds kTableDownRetryAfter{900};
 constexpr int kMaxSweptPerTick = 8;
 constexpr MonotonicTime kLoadRetryDelay = milliseconds(300);
-constexpr Milliseconds kTakeoverLogPeriod{500};
 
 table::WriterOptions MakeWriterOptions() {
   table::WriterOptions options;
@@ -187,8 +186,8 @@
              {"took_ms",
               duration_cast<milliseconds>(base::MonotonicNow() - started_at_)
                   .count()}});
-  takeover_log_timer_ =
-      deps_.loop.Every(kTakeoverLogPeriod, 0, [this] { LogTakeoverWait(); });
+  takeover_log_timer_ = deps_.loop.Every(options_.takeover_log_period, 0,
+                                         [this] { LogTakeoverWait(); });
   CheckResume();
   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
   deps_.on_loaded();
@@ -211,40 +210,6 @@
       base::MonotonicNow() - milliseconds(static_cast<std::int64_t>(age)));
 }
 
-void GroupLeader::CheckResume() {
-  if (resumed_ || !loaded_ || !unresolved_.empty()) return;
-  resumed_ = true;
-  takeover_log_timer_.reset();
-  deps_.observe(Timing::kTakeover, base::MonotonicNow() - started_at_);
-  dispatcher_->Resume();
-  base::Log(base::Event::kLeaderActive,
-            {{"epoch", deps_.leadership.epoch.value()},
-             {"after_ms",
-              duration_cast<milliseconds>(base::MonotonicNow() - started_at_)
-                  .count()}});
-  RequestDecision();
-}
-
-void GroupLeader::LogTakeoverWait() {
-  std::size_t reported = 0;
-  std::size_t assigned = 0;
-  MonotonicTime lease_expires_at{0};
-  for (const VmName& vm : unresolved_) {
-    lease_expires_at = std::max(lease_expires_at, FormerLeaseExpiry(vm));
-    if (former_workers_.contains(vm)) ++reported;
-    const auto it = workers_.find(vm);
-    if (it != workers_.end() && it->second.agent) ++assigned;
-  }
-  const MonotonicTime left = lease_expires_at - base::MonotonicNow();
-  base::Log(base::Event::kTakeoverWaits,
-            {{"epoch", deps_.leadership.epoch.value()},
-             {"workers", unresolved_.size()},
-             {"reported", reported},
-             {"assigned", assigned},
-             {"vm", unresolved_.empty() ? "" : unresolved_.begin()->str()},
-             {"lease_left_ms", duration_cast<milliseconds>(left).count()}});
-}
-
 // Calls.
 
 void GroupLeader::Handle(ServiceCall call, ServiceCallback done) {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -54,6 +54,8 @@
   /// Time for agents to attach a worker before the runs that other agents
   /// reported for it are assumed to be running.
   Milliseconds attach_grace_period{400};
+  /// Period at which an unfinished takeover is logged.
+  Milliseconds takeover_log_period{500};
   /// Workers of an agent that is lost while another node may take over are
   /// assigned anew only after this long: the agent probably follows the next
   /// leader.
@@ -135,7 +137,7 @@
     bool attached = false;
     std::set<NodeId> failed_agents;  ///< Agents that could not reach it.
     /// Latest time at which its lease expires unless it is renewed; 0 if no
-    /// lease was granted.
+    /// lease was granted, or while only its agent knows, which reports it.
     MonotonicTime lease_expires_at{0};
     /// Not assigned to an agent before this time; if its agent does not reach
     /// it, not assigned to another one before this time.
--- /dev/null
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -0,0 +1,186 @@
+// What a new leader learns of the workers of former leaders, and when restored
+// work goes on.
+#include <algorithm>
+#include <utility>
+
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+#include "dispatch/leader/group_leader.hpp"
+#include "dispatch/model/lease.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+}  // namespace
+
+MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
+  return started_at_ + options_.loss_notice_delay +
+         LeaseUpperBound(options_.lease);
+}
+
+MonotonicTime GroupLeader::FormerLeaseExpiry(const VmName& vm) const {
+  const auto it = former_workers_.find(vm);
+  return it == former_workers_.end() ? InheritedLeaseExpiry()
+                                     : it->second.lease_expires_at;
+}
+
+void GroupLeader::OnKnownRuns(const NodeId& agent,
+                              const FormerLeaderRuns& reported) {
+  const VmName& vm = reported.worker.vm;
+  const auto worker = workers_.find(vm);
+  if (loaded_ && !unresolved_.contains(vm)) {
+    // This leader knows the worker's runs, so the session is outdated.
+    if (worker != workers_.end() && worker->second.agent == agent) return;
+    deps_.send(agent, Release{vm});
+    if (worker != workers_.end()) CountReportedLease(worker->second, reported);
+    return;
+  }
+  const auto [it, added] = former_workers_.try_emplace(vm);
+  FormerWorker& former = it->second;
+  FormerLeaderRuns& runs = former.runs;
+  former.agents[agent] = reported.renewing;
+  runs.worker = reported.worker;
+  runs.unreachable = reported.unreachable && (added || runs.unreachable);
+  // The session of another agent may be with a later process.
+  runs.ended = reported.ended && (added || runs.ended);
+  runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
+  former.lease_expires_at =
+      std::max(former.lease_expires_at,
+               reported.lease_left ? base::MonotonicNow() + *reported.lease_left
+                                   : InheritedLeaseExpiry());
+  if (!loaded_) return;
+  AddFormerWorker(vm);
+  StartAttachTimer();
+  WorkerEntry& entry = workers_.at(vm);
+  if (entry.agent && !entry.attached && entry.agent != agent) {
+    // It was assigned without this report.
+    const bool reporting = former.agents.contains(*entry.agent);
+    Reassign(entry, reporting ? NodeId(*entry.agent) : agent);
+  }
+  AssignWorkers();
+}
+
+void GroupLeader::CountReportedLease(WorkerEntry& entry,
+                                     const FormerLeaderRuns& reported) {
+  // From the attachment on, only the present agent can renew the lease.
+  if (entry.attached) return;
+  if (reported.renewing) return RaiseLeaseBound(entry, LeaseExpiry());
+  if (!reported.lease_left) return;
+  entry.lease_expires_at =
+      std::max(entry.lease_expires_at,
+               base::MonotonicNow() + MonotonicTime(*reported.lease_left));
+}
+
+void GroupLeader::AddFormerWorker(const VmName& vm) {
+  const FormerWorker& former = former_workers_.at(vm);
+  if (!unresolved_.contains(vm)) {
+    // It was removed from the roster, so nothing runs there.
+    for (const auto& [agent, renewing] : former.agents) {
+      deps_.send(agent, Release{vm});
+    }
+    return;
+  }
+  const auto [it, added] = workers_.try_emplace(vm);
+  WorkerEntry& entry = it->second;
+  if (!entry.attached && !entry.unreachable) SetFormerLease(entry, former);
+  if (!added) return;
+  entry.info = former.runs.worker;
+  entry.info.listed = false;
+  dispatcher_->OnWorker(entry.info);
+}
+
+void GroupLeader::StartAttachTimer() {
+  if (attach_timer_.active()) return;
+  attach_timer_ = deps_.loop.After(options_.attach_grace_period, [this] {
+    for (const auto& [vm, former] : former_workers_) {
+      if (!MayBeAttached(former)) ApplyKnownRuns(vm);
+    }
+    CheckResume();
+  });
+}
+
+bool GroupLeader::MayBeAttached(const FormerWorker& former) const {
+  if (former.runs.unreachable || former.runs.ended) return false;
+  const auto it = workers_.find(former.runs.worker.vm);
+  return it != workers_.end() && it->second.agent.has_value();
+}
+
+void GroupLeader::ApplyKnownRuns(const VmName& vm) {
+  if (!unresolved_.contains(vm)) return;
+  const FormerLeaderRuns& known = former_workers_.at(vm).runs;
+  dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
+  if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
+  unresolved_.erase(vm);
+  const auto left = workers_.at(vm).lease_expires_at - base::MonotonicNow();
+  base::Log(base::Event::kWorkerListed,
+            {{"vm", vm.str()},
+             {"remembered_runs", known.runs.size()},
+             {"lease_left_ms", duration_cast<milliseconds>(left).count()}});
+}
+
+void GroupLeader::ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent) {
+  FormerWorker& former = former_workers_.at(entry.info.vm);
+  for (const auto& [other, renewing] : former.agents) {
+    if (other == agent) continue;
+    deps_.send(other, Release{entry.info.vm});
+    EndRenewals(other, former);
+  }
+  SetFormerLease(entry, former);
+}
+
+void GroupLeader::SetFormerLease(WorkerEntry& entry,
+                                 const FormerWorker& former) {
+  entry.lease_expires_at = former.lease_expires_at;
+  // The only agent that can renew the lease reports the time left of it if it
+  // does not reach the worker.
+  if (entry.agent &&
+      former.agents == std::map<NodeId, bool>{{*entry.agent, true}}) {
+    entry.lease_expires_at = MonotonicTime(0);
+  }
+}
+
+void GroupLeader::EndRenewals(const NodeId& agent, FormerWorker& former) const {
+  const auto it = former.agents.find(agent);
+  if (it == former.agents.end() || !std::exchange(it->second, false)) return;
+  former.lease_expires_at =
+      std::max(former.lease_expires_at, LostLeaseExpiry());
+}
+
+void GroupLeader::CheckResume() {
+  if (resumed_ || !loaded_ || !unresolved_.empty()) return;
+  resumed_ = true;
+  takeover_log_timer_.reset();
+  deps_.observe(Timing::kTakeover, base::MonotonicNow() - started_at_);
+  dispatcher_->Resume();
+  base::Log(base::Event::kLeaderActive,
+            {{"epoch", deps_.leadership.epoch.value()},
+             {"after_ms",
+              duration_cast<milliseconds>(base::MonotonicNow() - started_at_)
+                  .count()}});
+  RequestDecision();
+}
+
+void GroupLeader::LogTakeoverWait() {
+  std::size_t reported = 0;
+  std::size_t assigned = 0;
+  MonotonicTime lease_expires_at{0};
+  for (const VmName& vm : unresolved_) {
+    lease_expires_at = std::max(lease_expires_at, FormerLeaseExpiry(vm));
+    if (former_workers_.contains(vm)) ++reported;
+    const auto it = workers_.find(vm);
+    if (it != workers_.end() && it->second.agent) ++assigned;
+  }
+  const MonotonicTime left = lease_expires_at - base::MonotonicNow();
+  base::Log(base::Event::kTakeoverWaits,
+            {{"epoch", deps_.leadership.epoch.value()},
+             {"workers", unresolved_.size()},
+             {"reported", reported},
+             {"assigned", assigned},
+             {"vm", unresolved_.empty() ? "" : unresolved_.begin()->str()},
+             {"lease_left_ms", duration_cast<milliseconds>(left).count()}});
+}
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -10,7 +10,6 @@
 namespace mangospread::dispatch {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using table::WriteStatus;
 
@@ -189,27 +188,6 @@
   return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
 }
 
-void GroupLeader::ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent) {
-  FormerWorker& former = former_workers_.at(entry.info.vm);
-  for (const auto& [other, renewing] : former.agents) {
-    if (other == agent) continue;
-    deps_.send(other, Release{entry.info.vm});
-    EndRenewals(other, former);
-  }
-  SetFormerLease(entry, former);
-}
-
-void GroupLeader::SetFormerLease(WorkerEntry& entry,
-                                 const FormerWorker& former) {
-  entry.lease_expires_at = former.lease_expires_at;
-  // The only agent that can renew the lease reports the time left of it if it
-  // does not reach the worker.
-  if (entry.agent &&
-      former.agents == std::map<NodeId, bool>{{*entry.agent, true}}) {
-    entry.lease_expires_at = MonotonicTime(0);
-  }
-}
-
 void GroupLeader::Unassign(WorkerEntry& entry) {
   if (!entry.agent) return;
   Detach(entry);
@@ -299,13 +277,6 @@
   if (loaded_) AssignWorkers();
 }
 
-void GroupLeader::EndRenewals(const NodeId& agent, FormerWorker& former) const {
-  const auto it = former.agents.find(agent);
-  if (it == former.agents.end() || !std::exchange(it->second, false)) return;
-  former.lease_expires_at =
-      std::max(former.lease_expires_at, LostLeaseExpiry());
-}
-
 void GroupLeader::SendToAgent(const AgentCommand& command) {
   const VmName& vm = std::visit(
       [](const auto& kind) -> const VmName& {
@@ -390,106 +361,6 @@
   AssignWorkers();
 }
 
-MonotonicTime GroupLeader::FormerLeaseExpiry(const VmName& vm) const {
-  const auto it = former_workers_.find(vm);
-  return it == former_workers_.end() ? InheritedLeaseExpiry()
-                                     : it->second.lease_expires_at;
-}
-
-void GroupLeader::OnKnownRuns(const NodeId& agent,
-                              const FormerLeaderRuns& reported) {
-  const VmName& vm = reported.worker.vm;
-  const auto worker = workers_.find(vm);
-  if (loaded_ && !unresolved_.contains(vm)) {
-    // This leader knows the worker's runs, so the session is outdated.
-    if (worker != workers_.end() && worker->second.agent == agent) return;
-    deps_.send(agent, Release{vm});
-    if (worker != workers_.end()) CountReportedLease(worker->second, reported);
-    return;
-  }
-  const auto [it, added] = former_workers_.try_emplace(vm);
-  FormerWorker& former = it->second;
-  FormerLeaderRuns& runs = former.runs;
-  former.agents[agent] = reported.renewing;
-  runs.worker = reported.worker;
-  runs.unreachable = reported.unreachable && (added || runs.unreachable);
-  // The session of another agent may be with a later process.
-  runs.ended = reported.ended && (added || runs.ended);
-  runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
-  former.lease_expires_at =
-      std::max(former.lease_expires_at,
-               reported.lease_left ? base::MonotonicNow() + *reported.lease_left
-                                   : InheritedLeaseExpiry());
-  if (!loaded_) return;
-  AddFormerWorker(vm);
-  StartAttachTimer();
-  WorkerEntry& entry = workers_.at(vm);
-  if (entry.agent && !entry.attached && entry.agent != agent) {
-    // It was assigned without this report.
-    const bool reporting = former.agents.contains(*entry.agent);
-    Reassign(entry, reporting ? NodeId(*entry.agent) : agent);
-  }
-  AssignWorkers();
-}
-
-void GroupLeader::CountReportedLease(WorkerEntry& entry,
-                                     const FormerLeaderRuns& reported) {
-  // From the attachment on, only the present agent can renew the lease.
-  if (entry.attached) return;
-  if (reported.renewing) return RaiseLeaseBound(entry, LeaseExpiry());
-  if (!reported.lease_left) return;
-  entry.lease_expires_at =
-      std::max(entry.lease_expires_at,
-               base::MonotonicNow() + MonotonicTime(*reported.lease_left));
-}
-
-void GroupLeader::AddFormerWorker(const VmName& vm) {
-  const FormerWorker& former = former_workers_.at(vm);
-  if (!unresolved_.contains(vm)) {
-    // It was removed from the roster, so nothing runs there.
-    for (const auto& [agent, renewing] : former.agents) {
-      deps_.send(agent, Release{vm});
-    }
-    return;
-  }
-  const auto [it, added] = workers_.try_emplace(vm);
-  WorkerEntry& entry = it->second;
-  if (!entry.attached && !entry.unreachable) SetFormerLease(entry, former);
-  if (!added) return;
-  entry.info = former.runs.worker;
-  entry.info.listed = false;
-  dispatcher_->OnWorker(entry.info);
-}
-
-void GroupLeader::StartAttachTimer() {
-  if (attach_timer_.active()) return;
-  attach_timer_ = deps_.loop.After(options_.attach_grace_period, [this] {
-    for (const auto& [vm, former] : former_workers_) {
-      if (!MayBeAttached(former)) ApplyKnownRuns(vm);
-    }
-    CheckResume();
-  });
-}
-
-bool GroupLeader::MayBeAttached(const FormerWorker& former) const {
-  if (former.runs.unreachable || former.runs.ended) return false;
-  const auto it = workers_.find(former.runs.worker.vm);
-  return it != workers_.end() && it->second.agent.has_value();
-}
-
-void GroupLeader::ApplyKnownRuns(const VmName& vm) {
-  if (!unresolved_.contains(vm)) return;
-  const FormerLeaderRuns& known = former_workers_.at(vm).runs;
-  dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
-  if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
-  unresolved_.erase(vm);
-  const auto left = workers_.at(vm).lease_expires_at - base::MonotonicNow();
-  base::Log(base::Event::kWorkerListed,
-            {{"vm", vm.str()},
-             {"remembered_runs", known.runs.size()},
-             {"lease_left_ms", duration_cast<milliseconds>(left).count()}});
-}
-
 void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
   base::Log(base::Event::kWorkerRemoved,
             {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
@@ -525,11 +396,6 @@
   });
 }
 
-MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
-  return started_at_ + options_.loss_notice_delay +
-         LeaseUpperBound(options_.lease);
-}
-
 void GroupLeader::RemoveIdleWorkers() {
   std::vector<VmName> idle;
   for (const auto& [vm, entry] : workers_) {
