--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -205,8 +205,9 @@
     const Placement place =
         MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
             .Next();
-    if (place.worker == kNoWorker)
+    if (place.worker == kNoWorker) {
       return LogPending(candidate, ReasonOf(place));
+    }
     const MonotonicTime quiet = now - registry_.at(place.worker).last_start;
     if (quiet < kStartTrial && now - task.since < kMaxTrialWait) return;
     Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
