Let tasks of a takeover's unknown runs count as lost

Change: when a takeover gives up a worker of which no agent reported the runs, any restored long-running task may have been there, and restarts in time. After other takeovers tasks that never ran wait as before. The test fails without the change.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -91,6 +91,9 @@
   /// Allows restored tasks to start. Call when every worker that may run them
   /// is attached or has certainly terminated.
   void Resume() { resumed_ = true; }
+  /// Reports that the runs of a former leader on a lost worker are not known.
+  /// Any restored task may have been there.
+  void OnRunsUnknown() noexcept { runs_unknown_ = true; }
   /// Cancels a submission at the caller's request; its runs are stopped once
   /// the cancellation is stored. Returns false if there is no such submission.
   bool Cancel(const SubmissionId& id, MonotonicTime now);
@@ -233,6 +236,10 @@
   void DrainWorkers(MonotonicTime now);
 
   // Decisions (dispatcher_decisions.cc).
+  /// True if tasks without a known run may have lost one.
+  [[nodiscard]] bool MayHaveRun(const Entry& entry) const noexcept {
+    return entry.restored && runs_unknown_;
+  }
   [[nodiscard]] std::vector<Candidate> Candidates(MonotonicTime now);
   [[nodiscard]] static const StepSpec& SpecOf(const Candidate& candidate);
   /// Places pending tasks of a step. Returns false if one does not fit.
@@ -264,6 +271,7 @@
   std::uint32_t first_run_;
   MonotonicTime unix_epoch_;
   bool resumed_ = true;
+  bool runs_unknown_ = false;
   std::unordered_map<SubmissionId, Entry> entries_;
   /// Submissions whose final state is not stored, in the order in which they
   /// were added.
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -68,8 +68,9 @@
       if (!step.ready || step.pending == 0 || now < step.due) continue;
       candidates.push_back({{}, entry, static_cast<int>(s)});
       const bool restarts = std::any_of(
-          step.tasks.begin(), step.tasks.end(),
-          [&](const Task& task) { return RestartIsDue(step.spec, task, now); });
+          step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+            return RestartIsDue(step.spec, task, MayHaveRun(*entry), now);
+          });
       if (restarts) {
         candidates.push_back({{}, entry, static_cast<int>(s), true});
       }
@@ -224,7 +225,8 @@
     if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
       continue;
     }
-    if (candidate.restarts && !RestartIsDue(SpecOf(candidate), tasks[t], now)) {
+    if (candidate.restarts &&
+        !RestartIsDue(SpecOf(candidate), tasks[t], MayHaveRun(entry), now)) {
       continue;
     }
     const Placement place = placer.Next();
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -364,6 +364,9 @@
 void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
   base::Log(base::Event::kWorkerRemoved,
             {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
+  if (unresolved_.contains(vm) && !former_workers_.contains(vm)) {
+    dispatcher_->OnRunsUnknown();
+  }
   const auto it = workers_.find(vm);
   if (it != workers_.end()) {
     if (it->second.agent) {
@@ -429,6 +432,7 @@
       if (former_workers_.contains(vm)) return false;
       base::Log(base::Event::kWorkerRemoved,
                 {{"vm", vm.str()}, {"reason", "never_attached"}});
+      dispatcher_->OnRunsUnknown();
       return true;
     });
     CheckResume();
--- a/src/dispatch/policy/order.hpp
+++ b/src/dispatch/policy/order.hpp
@@ -20,10 +20,13 @@
 ///
 /// Load pattern: short tasks wait at all times and use each piece of capacity
 /// that becomes free, so that a larger task never finds enough of it.
+///
+/// @param may_have_run a run of the task may have been lost even if none is
+///   known.
 [[nodiscard]] inline bool RestartIsDue(const StepSpec& spec, const Task& task,
-                                       MonotonicTime now) {
+                                       bool may_have_run, MonotonicTime now) {
   return spec.long_running && task.phase == TaskPhase::kPending &&
-         task.run > 0 && now - task.since >= kMaxRestartWait;
+         (task.run > 0 || may_have_run) && now - task.since >= kMaxRestartWait;
 }
 
 /// Sort key of a step; lower goes first.
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -353,6 +353,24 @@
   CHECK(started[0].task == "short.0.0.0");
 }
 
+// Guards against a lost long-running task of which a new leader does not know
+// that it has run, and which waits on and on behind short tasks (LOST).
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "a restored task may have been on a worker whose runs are not known") {
+  StepSpec step = MakeStep(1, 2'000);
+  step.long_running = true;
+  dispatcher.Restore(MakeSubmission("lasting", {step}), Policy(), JobProgress(),
+                     now);
+  dispatcher.OnRunsUnknown();
+  dispatcher.Resume();
+  AddWorker("w0", 2'000);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
 // Guards against short tasks that wait behind tasks of a step that have never
 // run, since another task of the step has lost its run.
 TEST_CASE_FIXTURE(DispatcherFixture,
