Assign only the worker that an agent reports

Each report of an agent and each unreachable worker made the leader look at all workers, so a takeover cost the square of their number (350 x 350 on the grown sites), on the leader's small VM, at the moment at which everything waits for it.

A worker whose process has ended is removed while its unreachability is handled; the entry is looked up again after that instead of being used.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -199,6 +199,9 @@
   /// with it if nothing can run there.
   void AddFormerWorker(const VmName& vm);
   void AssignWorkers();
+  /// Assigns a worker without an agent, or one that its agent does not reach,
+  /// if it is time to.
+  void AssignWorker(WorkerEntry& entry);
   void Assign(WorkerEntry& entry, const NodeId& agent);
   /// Releases the worker; its agent may have renewed the lease until now.
   void Unassign(WorkerEntry& entry);
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -60,7 +60,7 @@
     const bool reporting = former.agents.contains(*entry.agent);
     Reassign(entry, reporting ? NodeId(*entry.agent) : agent);
   }
-  AssignWorkers();
+  AssignWorker(entry);
 }
 
 void GroupLeader::CountReportedLease(WorkerEntry& entry,
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -119,14 +119,15 @@
 }
 
 void GroupLeader::AssignWorkers() {
-  const MonotonicTime now = base::MonotonicNow();
-  for (auto& [vm, entry] : workers_) {
-    if (now < entry.retry_at) continue;
-    if (entry.agent) {
-      if (entry.unreachable) RotateAgent(entry);
-    } else if (const auto agent = PickAgent(entry)) {
-      Assign(entry, *agent);
-    }
+  for (auto& [vm, entry] : workers_) AssignWorker(entry);
+}
+
+void GroupLeader::AssignWorker(WorkerEntry& entry) {
+  if (base::MonotonicNow() < entry.retry_at) return;
+  if (entry.agent) {
+    if (entry.unreachable) RotateAgent(entry);
+  } else if (const auto agent = PickAgent(entry)) {
+    Assign(entry, *agent);
   }
 }
 
@@ -341,8 +342,9 @@
 
 void GroupLeader::OnUnreachable(WorkerEntry& entry, const NodeId& agent,
                                 Milliseconds lease_left) {
+  const VmName vm = entry.info.vm;
   base::Log(base::Event::kWorkerUnreachable,
-            {{"vm", entry.info.vm.str()},
+            {{"vm", vm.str()},
              {"agent", agent.str()},
              {"lease_left_ms", lease_left.count()}});
   entry.attached = false;
@@ -350,15 +352,17 @@
   entry.lease_expires_at =
       std::max(entry.lease_expires_at, base::MonotonicNow() + lease_left);
   entry.failed_agents.insert(agent);
-  const auto former = former_workers_.find(entry.info.vm);
+  const auto former = former_workers_.find(vm);
   if (former != former_workers_.end()) {
     // Other agents may have granted the last lease.
     entry.lease_expires_at =
         std::max(entry.lease_expires_at, former->second.lease_expires_at);
-    ApplyKnownRuns(entry.info.vm);
+    ApplyKnownRuns(vm);
     CheckResume();
   }
-  AssignWorkers();
+  // It is removed if its process has ended.
+  const auto worker = workers_.find(vm);
+  if (worker != workers_.end()) AssignWorker(worker->second);
 }
 
 void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
