--- /dev/null
+++ b/review/4/case.cc
@@ -0,0 +1,53 @@
+// The settings files name another address of the store.
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "deployment.hpp"
+
+namespace {
+
+using review::Deployment;
+using review::Verdict;
+
+Verdict Run(const std::string& program, const std::string& record) {
+  constexpr int kSubmissions = 300;
+  constexpr int kChangeAt = 60;
+  constexpr int kGapMs = 90;
+  constexpr int kFinishMs = 14'000;
+  std::vector<review::WorkerOptions> workers;
+  for (int i = 1; i <= 12; ++i) {
+    workers.push_back({"w" + std::to_string(i), "r" + std::to_string(i / 6)});
+  }
+  Deployment deployment(program, record, 3, workers);
+  if (!deployment.WaitUntilReady()) return Verdict::kNotRun;
+  std::vector<std::string> accepted;
+  int refused = 0;
+  for (int i = 0; i < kSubmissions; ++i) {
+    if (i == kChangeAt && review::Trouble()) {
+      deployment.SetStorePort(deployment.store().other_port());
+    }
+    char id[] = "00000000000e0000";
+    std::snprintf(id, sizeof(id), "00000000000e%04x", i);
+    const auto node = static_cast<std::size_t>(i) % deployment.nodes();
+    if (deployment.Submit(node, id, "check",
+                          {{16, {1'000, 64, 1'000}, {}, "", false}}) == 200) {
+      accepted.emplace_back(id);
+    } else if (++refused > 5) {
+      break;
+    }
+    review::Pause(kGapMs);
+  }
+  review::Pause(kFinishMs);
+  int open = 0;
+  for (const std::string& id : accepted) {
+    if (deployment.State(0, id) != "complete") ++open;
+  }
+  deployment.record().Add("accepted " + std::to_string(accepted.size()) +
+                          ", without an end " + std::to_string(open));
+  return open > 0 ? Verdict::kBroken : Verdict::kHeld;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { return review::RunCase(argc, argv, Run); }
--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 namespace review {
@@ -67,28 +68,45 @@
     if (node.process > 0) waitpid(node.process, nullptr, 0);
   }
   workers_.clear();
-  store_.server().Stop();
+  store_.Stop();
   if (std::getenv("KEEP_LOGS") == nullptr) {
     std::filesystem::remove_all(folder_);
   }
 }
 
-void Deployment::StartNode(const std::string& program, std::size_t index) {
-  const std::string name = "n" + std::to_string(index + 1);
-  const std::string settings = folder_ + "/" + name + ".toml";
-  Node& node = nodes_[index];
-  node.log = folder_ + "/" + name + ".log";
-  std::ofstream(settings)
-      << "node = \"" << name << "\"\nrole = \"entry\"\nclass = \"front\"\n"
-      << "serves = [\"front\"]\nip = \"127.0.0.1\"\nzone = \"dc\"\n"
-      << "region = \"r\"\nport-range = [0, 0]\norders = \"rpc\"\n"
+std::string Deployment::SettingsPath(std::size_t index) const {
+  return folder_ + "/n" + std::to_string(index + 1) + ".toml";
+}
+
+void Deployment::WriteSettings(std::size_t index, int store_port) const {
+  const std::string path = SettingsPath(index);
+  // Replaced as a whole, so that no process reads a part of it.
+  std::ofstream(path + ".new")
+      << "node = \"n" << index + 1 << "\"\nrole = \"entry\"\n"
+      << "class = \"front\"\nserves = [\"front\"]\nip = \"127.0.0.1\"\n"
+      << "zone = \"dc\"\nregion = \"r\"\nport-range = [0, 0]\n"
+      << "orders = \"rpc\"\n"
       << "[listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
       << "[limits]\ncpu-share = 0.5\ncores = 1\nmemory-mb = 260\n"
       << "[bounds]\ngrace-s = 6\nhold-limit-ms = 10000\ncancel_ms = 3000\n"
       << "drain-ms = 2000\n"
-      << "[platform]\naddr = \"127.0.0.1:" << store_.port()
+      << "[platform]\naddr = \"127.0.0.1:" << store_port
       << "\"\nform = \"table\"\nwrites-per-s = 600\nreads-per-s = 2000\n"
       << "row-bytes = 65536\n";
+  std::filesystem::rename(path + ".new", path);
+}
+
+void Deployment::SetStorePort(int port) {
+  record_.Add("the settings files name the store at 127.0.0.1:" +
+              std::to_string(port));
+  for (std::size_t i = 0; i < nodes_.size(); ++i) WriteSettings(i, port);
+}
+
+void Deployment::StartNode(const std::string& program, std::size_t index) {
+  Node& node = nodes_[index];
+  node.log = folder_ + "/n" + std::to_string(index + 1) + ".log";
+  WriteSettings(index, store_.port());
+  const std::string settings = SettingsPath(index);
   const pid_t parent = getpid();
   node.process = fork();
   if (node.process != 0) return;
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -54,6 +54,8 @@
   std::string AwaitState(const std::string& id,
                          const std::vector<std::string>& states,
                          int timeout_ms);
+  /// Writes the settings files anew with this address of the store.
+  void SetStorePort(int port);
   /// Writes a version of the configuration with these queues.
   void Configure(int version, const std::vector<std::string>& queues);
 
@@ -73,6 +75,8 @@
   };
 
   void StartNode(const std::string& program, std::size_t index);
+  void WriteSettings(std::size_t index, int store_port) const;
+  [[nodiscard]] std::string SettingsPath(std::size_t index) const;
   [[nodiscard]] TaskDemand DemandOf(const std::string& task) const;
 
   Record record_;
--- a/review/support/store.cc
+++ b/review/support/store.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace review {
 namespace {
@@ -16,6 +17,10 @@
 constexpr std::size_t kCallEntries = 100;
 constexpr std::size_t kRowsPerResponse = 500;
 
+/// Times of an answer and of a transaction, as the pages name them.
+constexpr std::chrono::milliseconds kAnswerTime(4);
+constexpr std::chrono::milliseconds kTransactionTime(6);
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -79,8 +84,21 @@
 
 Store::Store(Record& record)
     : record_(record),
-      server_([this](const Request& request) { return Handle(request); }) {
+      server_([this](const Request& request) { return Handle(request); }),
+      other_server_(
+          [this](const Request& request) { return Handle(request); }) {
   server_.Start(0);
+  other_server_.Start(0);
+}
+
+void Store::Stop() {
+  server_.Stop();
+  other_server_.Stop();
+}
+
+void Store::SilenceOpenChannels() {
+  server_.SilenceOpenConnections();
+  other_server_.SilenceOpenConnections();
 }
 
 void Store::Put(const std::string& table, const std::string& key,
@@ -128,7 +146,11 @@
     const std::lock_guard lock(mutex_);
     if (down_) return Response{kUnavailable, "{}"};
   }
-  if (path == "/mangospread/rows-tx") return Transact(request);
+  std::this_thread::sleep_for(kAnswerTime);
+  if (path == "/mangospread/rows-tx") {
+    std::this_thread::sleep_for(kTransactionTime);
+    return Transact(request);
+  }
   if (path == "/mangospread/rows-get") return Get(request);
   if (path == "/mangospread/rows-feed") return Feed(request);
   return Response{kNotFound, "{}"};
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -22,14 +22,19 @@
   explicit Store(Record& record);
 
   [[nodiscard]] int port() const noexcept { return server_.port(); }
-  [[nodiscard]] HttpServer& server() noexcept { return server_; }
+  /// Another address of the same store.
+  [[nodiscard]] int other_port() const noexcept { return other_server_.port(); }
+  /// Closes both addresses.
+  void Stop();
+  /// All channels that are open go silent; new ones work.
+  void SilenceOpenChannels();
   /// Writes a row with an empty part, as the operator or a worker does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
   /// Number of transactions refused for a row or a call over its limit.
   [[nodiscard]] int oversized() const;
-  /// Transactions without a 2xx response are refused with 503 while `down`.
+  /// Every call is refused with 503 while `down`.
   void SetDown(bool down);
 
  private:
@@ -59,6 +64,7 @@
   int oversized_ = 0;
   bool down_ = false;
   HttpServer server_;
+  HttpServer other_server_;
 };
 
 }  // namespace review
