--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,68 +1,65 @@
-// A worker crashes four times under tasks that last.
+// The settings files name another address of the store.
+#include <cstdio>
 #include <string>
 #include <vector>
 
 #include "../support/deployment.hpp"
+#include "../support/runs_check.hpp"
 
 namespace {
 
 using review::Deployment;
 using review::Verdict;
 
-/// The worker that runs something; null if none does.
-review::Worker* Busy(Deployment& deployment) {
-  for (std::size_t i = 0; i < deployment.workers(); ++i) {
-    if (deployment.worker(i).running() > 0) return &deployment.worker(i);
-  }
-  return nullptr;
-}
-
 Verdict Run(const std::string& program, const std::string& record) {
-  constexpr int kWorkers = 8;
-  constexpr int kCrashes = 4;
-  constexpr int kAttempts = 6;
-  constexpr int kConfigMs = 2'500;
-  constexpr int kWorkMs = 2'500;
-  constexpr int kDownMs = 1'000;
-  constexpr int kStartMs = 10'000;
+  constexpr int kSubmissions = 300;
+  constexpr int kChanges = 6;
+  constexpr int kBetween = 35;
+  constexpr int kGapMs = 90;
+  constexpr int kFinishMs = 14'000;
+  constexpr std::size_t kMaxCancels = 9;
   std::vector<review::WorkerOptions> workers;
-  for (int i = 1; i <= kWorkers; ++i) {
-    workers.push_back({"w" + std::to_string(i), "r" + std::to_string(i / 4)});
+  for (int i = 1; i <= 12; ++i) {
+    workers.push_back({"w" + std::to_string(i), "r" + std::to_string(i / 6)});
   }
   Deployment deployment(program, record, 3, workers);
   if (!deployment.WaitUntilReady()) return Verdict::kNotRun;
-  // More attempts than workers crash.
-  deployment.Configure(2, kAttempts);
-  review::Pause(kConfigMs);
-  const std::string id = "00000000000000f1";
-  if (!deployment.SubmitWithRetries(
-          id, "ledger", {{2, {6'400, 13'000, 0}, {}, "", true}}, 4)) {
-    return Verdict::kNotRun;
+  // Four steps of four tasks that end at different times.
+  std::vector<review::StepRequest> steps;
+  for (const int duration_ms : {700, 900, 1'100, 1'300}) {
+    steps.push_back({4, {1'000, 64, duration_ms}, {}, "", false});
   }
-  bool failed = false;
-  for (int i = 0; i < kCrashes && !failed; ++i) {
-    review::WaitFor([&] { return Busy(deployment) != nullptr; }, kStartMs);
-    review::Pause(kWorkMs);
-    review::Worker* worker = Busy(deployment);
-    if (worker == nullptr) break;
-    if (review::Trouble()) worker->Crash();
-    review::Pause(kDownMs);
-    if (review::Trouble()) {
-      worker->Restart();
-      deployment.store().Put("servers", worker->id(), worker->Entry());
+  std::vector<std::string> accepted;
+  int refused = 0;
+  for (int i = 0; i < kSubmissions; ++i) {
+    if (review::Trouble() && i % kBetween == 0 && i > 0 &&
+        i / kBetween <= kChanges) {
+      deployment.SetStorePort(i / kBetween % 2 == 1
+                                  ? deployment.store().other_port()
+                                  : deployment.store().port());
+    }
+    char id[] = "00000000000e0000";
+    std::snprintf(id, sizeof(id), "00000000000e%04x", i);
+    const auto node = static_cast<std::size_t>(i) % deployment.nodes();
+    if (deployment.Submit(node, id, "check", steps) == 200) {
+      accepted.emplace_back(id);
+    } else if (++refused > 5) {
+      break;
     }
-    failed = deployment.State(static_cast<std::size_t>(i) % 3, id) == "failed";
+    review::Pause(kGapMs);
   }
-  failed = deployment.AwaitState(id, {"failed"}, kWorkMs) == "failed";
-  int failed_runs = 0;
-  for (const review::RunEvent& run : deployment.runs().All()) {
-    if (run.how == "failed") ++failed_runs;
+  review::Pause(kFinishMs);
+  std::vector<std::string> open;
+  for (const std::string& id : accepted) {
+    if (deployment.State(0, id) != "complete") open.push_back(id);
   }
-  deployment.record().Add(
-      "runs that ended failed: " + std::to_string(failed_runs) +
-      (failed ? "; broken: the submission is shown as failed"
-              : "; the submission goes on"));
-  return failed ? Verdict::kBroken : Verdict::kHeld;
+  const int stranded = review::CountStranded(deployment, open);
+  if (open.size() > kMaxCancels) open.resize(kMaxCancels);
+  const int unanswered = review::CountUnansweredCancels(deployment, open);
+  deployment.record().Add("accepted " + std::to_string(accepted.size()) +
+                          ", refused " + std::to_string(refused));
+  const bool acks_broken = open.size() >= 3 && unanswered > 0;
+  return stranded > 0 || acks_broken ? Verdict::kBroken : Verdict::kHeld;
 }
 
 }  // namespace
--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace review {
 namespace {
@@ -46,7 +47,7 @@
 Deployment::Deployment(const std::string& program,
                        const std::string& record_path, int nodes,
                        const std::vector<WorkerOptions>& workers)
-    : record_(record_path), store_(record_) {
+    : program_(program), record_(record_path), store_(record_) {
   char folder[] = "/tmp/review-XXXXXX";
   if (mkdtemp(folder) == nullptr) throw std::runtime_error("mkdtemp");
   folder_ = folder;
@@ -58,7 +59,7 @@
     store_.Put("servers", options.id, workers_.back()->Entry());
   }
   nodes_.resize(static_cast<std::size_t>(nodes));
-  for (std::size_t i = 0; i < nodes_.size(); ++i) StartNode(program, i);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) StartNode(i);
 }
 
 Deployment::~Deployment() {
@@ -79,8 +80,10 @@
   return folder_ + "/n" + std::to_string(index + 1) + ".toml";
 }
 
-void Deployment::WriteSettings(std::size_t index) const {
-  std::ofstream(SettingsPath(index))
+void Deployment::WriteSettings(std::size_t index, int store_port) const {
+  const std::string path = SettingsPath(index);
+  // Replaced as a whole, so that no process reads a part of it.
+  std::ofstream(path + ".new")
       << "node = \"n" << index + 1 << "\"\nrole = \"entry\"\n"
       << "class = \"front\"\nserves = [\"front\"]\nip = \"127.0.0.1\"\n"
       << "zone = \"dc\"\nregion = \"r\"\nport-range = [0, 0]\n"
@@ -89,30 +92,59 @@
       << "[limits]\ncpu-share = 0.5\ncores = 1\nmemory-mb = 260\n"
       << "[bounds]\ngrace-s = 6\nhold-limit-ms = 10000\ncancel_ms = 3000\n"
       << "drain-ms = 2000\n"
-      << "[platform]\naddr = \"127.0.0.1:" << store_.port()
+      << "[platform]\naddr = \"127.0.0.1:" << store_port
       << "\"\nform = \"table\"\nwrites-per-s = 600\nreads-per-s = 2000\n"
       << "row-bytes = 65536\n";
+  std::filesystem::rename(path + ".new", path);
 }
 
-void Deployment::StartNode(const std::string& program, std::size_t index) {
+void Deployment::SetStorePort(int port) {
+  record_.Add("the settings files name the store at 127.0.0.1:" +
+              std::to_string(port));
+  for (std::size_t i = 0; i < nodes_.size(); ++i) WriteSettings(i, port);
+}
+
+void Deployment::StartNode(std::size_t index) {
   Node& node = nodes_[index];
   node.log = folder_ + "/n" + std::to_string(index + 1) + ".log";
-  WriteSettings(index);
+  WriteSettings(index, store_.port());
   const std::string settings = SettingsPath(index);
   const pid_t parent = getpid();
   node.process = fork();
   if (node.process != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != parent) _exit(2);
-  const int log = open(node.log.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
+  const int log =
+      open(node.log.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
   setenv("MANGOSPREAD_CONFIG", settings.c_str(), 1);
-  execl(program.c_str(), program.c_str(), "serve", "--managed",
+  execl(program_.c_str(), program_.c_str(), "serve", "--managed",
         static_cast<char*>(nullptr));
   _exit(2);
 }
 
+std::optional<std::size_t> Deployment::KillLeader() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Node& node = nodes_[i];
+    const Request metrics{"GET", "/metrics", {}, {}};
+    const std::string body =
+        Call(node.ready_port, metrics, kCallTimeoutMs).body;
+    if (body.find("mangospread_leading 1") == std::string::npos) continue;
+    record_.Add("n" + std::to_string(i + 1) + " leads and is killed");
+    kill(node.process, SIGKILL);
+    waitpid(std::exchange(node.process, -1), nullptr, 0);
+    return i;
+  }
+  return std::nullopt;
+}
+
+void Deployment::Restart(std::size_t node) {
+  record_.Add("n" + std::to_string(node + 1) + " is started again");
+  nodes_[node].front_port = nodes_[node].ready_port = 0;
+  StartNode(node);
+}
+
 bool Deployment::WaitUntilReady() {
   return WaitFor(
       [this] {
@@ -184,6 +216,16 @@
   return false;
 }
 
+int Deployment::Cancel(std::size_t node, const std::string& id) {
+  const Response response =
+      Call(nodes_[node].front_port,
+           {"DELETE", "/jobs/" + id, {{"Host", "jobs.example"}}, {}},
+           kCallTimeoutMs);
+  record_.Add("DELETE " + id + " at n" + std::to_string(node + 1) + " -> " +
+              std::to_string(response.status));
+  return response.status;
+}
+
 std::vector<StepRequest> Deployment::StepsOf(const std::string& id) const {
   const std::lock_guard lock(mutex_);
   return submissions_.at(id);
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,11 @@
 
   /// Waits until every node is ready and serves; false after 20 s.
   bool WaitUntilReady();
+  /// Kills the node that leads, as its metrics say, and returns its index;
+  /// nullopt if none does.
+  std::optional<std::size_t> KillLeader();
+  /// Starts a node again that was killed.
+  void Restart(std::size_t node);
   /// Sends a submission and returns the status; 0 without a response.
   int Submit(std::size_t node, const std::string& id, const std::string& spec,
              const std::vector<StepRequest>& steps);
@@ -45,6 +51,8 @@
   /// `attempts`.
   bool SubmitWithRetries(const std::string& id, const std::string& spec,
                          const std::vector<StepRequest>& steps, int attempts);
+  /// Cancels a submission and returns the status; 0 without a response.
+  int Cancel(std::size_t node, const std::string& id);
   [[nodiscard]] std::vector<StepRequest> StepsOf(const std::string& id) const;
   /// State as a consumer sees it; "status N" if it isn't 200.
   std::string State(std::size_t node, const std::string& id);
@@ -52,6 +60,8 @@
   std::string AwaitState(const std::string& id,
                          const std::vector<std::string>& states,
                          int timeout_ms);
+  /// Writes the settings files anew with this address of the store.
+  void SetStorePort(int port);
   /// Writes a version of the configuration. @param attempts of its queue.
   void Configure(int version, int attempts);
 
@@ -70,11 +80,12 @@
     int ready_port = 0;
   };
 
-  void StartNode(const std::string& program, std::size_t index);
-  void WriteSettings(std::size_t index) const;
+  void StartNode(std::size_t index);
+  void WriteSettings(std::size_t index, int store_port) const;
   [[nodiscard]] std::string SettingsPath(std::size_t index) const;
   [[nodiscard]] TaskDemand DemandOf(const std::string& task) const;
 
+  std::string program_;
   Record record_;
   RunLog runs_;
   Store store_;
--- a/review/support/http.hpp
+++ b/review/support/http.hpp
@@ -2,7 +2,6 @@
 /// A small blocking HTTP/1.1 server and client on loopback addresses.
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
