--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,4 +1,4 @@
-// The leader is killed while a worker ends more than 500 runs.
+// A worker is cut off while it ends more than 500 runs.
 #include <string>
 
 #include "../support/deployment.hpp"
@@ -11,8 +11,7 @@
 
 constexpr int kTasks = 800;
 constexpr int kTaskMs = 2'000;
-constexpr int kWorkMs = 1'000;
-constexpr int kDownMs = 3'000;
+constexpr int kCutMs = 3'000;
 
 Verdict Run(const std::string& program, const std::string& record) {
   constexpr int kStartMs = 6'000;
@@ -35,13 +34,10 @@
     deployment.record().Add("the tasks don't run together");
     return Verdict::kNotRun;
   }
-  review::Pause(kWorkMs);
   if (review::Trouble()) {
-    const auto leader = deployment.KillLeader();
-    if (!leader) return Verdict::kNotRun;
-    review::Pause(kDownMs);
-    deployment.Restart(*leader);
-    if (!deployment.WaitUntilReady()) return Verdict::kNotRun;
+    worker.SetCut(true);
+    review::Pause(kCutMs);
+    worker.SetCut(false);
   }
   deployment.AwaitState(id, {"complete", "failed"}, kEndMs);
   return review::CheckTwice(deployment) ? Verdict::kBroken : Verdict::kHeld;
--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -15,7 +15,6 @@
 #include <sstream>
 #include <stdexcept>
 #include <thread>
-#include <utility>
 
 namespace review {
 namespace {
@@ -124,27 +123,6 @@
   _exit(2);
 }
 
-std::optional<std::size_t> Deployment::KillLeader() {
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    Node& node = nodes_[i];
-    const Request metrics{"GET", "/metrics", {}, {}};
-    const std::string body =
-        Call(node.ready_port, metrics, kCallTimeoutMs).body;
-    if (body.find("mangospread_leading 1") == std::string::npos) continue;
-    record_.Add("n" + std::to_string(i + 1) + " leads and is killed");
-    kill(node.process, SIGKILL);
-    waitpid(std::exchange(node.process, -1), nullptr, 0);
-    return i;
-  }
-  return std::nullopt;
-}
-
-void Deployment::Restart(std::size_t node) {
-  record_.Add("n" + std::to_string(node + 1) + " is started again");
-  nodes_[node].front_port = nodes_[node].ready_port = 0;
-  StartNode(node);
-}
-
 bool Deployment::WaitUntilReady() {
   return WaitFor(
       [this] {
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,11 +38,6 @@
 
   /// Waits until every node is ready and serves; false after 20 s.
   bool WaitUntilReady();
-  /// Kills the node that leads, as its metrics say, and returns its index;
-  /// nullopt if none does.
-  std::optional<std::size_t> KillLeader();
-  /// Starts a node again that was killed.
-  void Restart(std::size_t node);
   /// Sends a submission and returns the status; 0 without a response.
   int Submit(std::size_t node, const std::string& id, const std::string& spec,
              const std::vector<StepRequest>& steps);
