--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -14,8 +14,8 @@
 Verdict Run(const std::string& program, const std::string& record) {
   constexpr int kWorkers = 8;
   constexpr int kEvery = 20;  // A share of 0.05 can never be done.
-  constexpr int kSubmissions = 1'000;
-  constexpr int kGapMs = 50;
+  constexpr int kSubmissions = 1'500;
+  constexpr int kGapMs = 20;
   constexpr int kFinishMs = 14'000;
   std::vector<review::WorkerOptions> workers;
   for (int i = 1; i <= kWorkers; ++i) {
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -17,7 +17,8 @@
   constexpr int kBetween = 35;
   constexpr int kGapMs = 90;
   constexpr int kFinishMs = 14'000;
-  constexpr std::size_t kMaxCancels = 9;
+  constexpr int kCancelMs = 3'000;
+  constexpr int kStopMs = 1'000;  // stop-timeout-ms is 400.
   std::vector<review::WorkerOptions> workers;
   for (int i = 1; i <= 12; ++i) {
     workers.push_back({"w" + std::to_string(i), "r" + std::to_string(i / 6)});
@@ -29,6 +30,11 @@
   for (const int duration_ms : {700, 900, 1'100, 1'300}) {
     steps.push_back({4, {1'000, 64, duration_ms}, {}, "", false});
   }
+  const std::string lasting = "00000000000e1a57";
+  if (!deployment.SubmitWithRetries(
+          lasting, "ledger", {{2, {6'400, 13'000, 0}, {}, "", true}}, 4)) {
+    return Verdict::kNotRun;
+  }
   std::vector<std::string> accepted;
   int refused = 0;
   for (int i = 0; i < kSubmissions; ++i) {
@@ -54,12 +60,22 @@
     if (deployment.State(0, id) != "complete") open.push_back(id);
   }
   const int stranded = review::CountStranded(deployment, open);
-  if (open.size() > kMaxCancels) open.resize(kMaxCancels);
-  const int unanswered = review::CountUnansweredCancels(deployment, open);
-  deployment.record().Add("accepted " + std::to_string(accepted.size()) +
-                          ", refused " + std::to_string(refused));
-  const bool acks_broken = open.size() >= 3 && unanswered > 0;
-  return stranded > 0 || acks_broken ? Verdict::kBroken : Verdict::kHeld;
+  // Takes at least ack-ms if the cancel isn't confirmed.
+  const int unanswered = review::CountUnansweredCancels(deployment, {lasting});
+  review::Pause(kCancelMs + kStopMs);
+  bool runs_on = false;
+  for (const review::RunEvent& run : deployment.runs().All()) {
+    const bool running = run.ended_ms == 0;
+    runs_on = runs_on || (running && run.task.starts_with(lasting));
+  }
+  deployment.record().Add(
+      "accepted " + std::to_string(accepted.size()) + ", refused " +
+      std::to_string(refused) + ", not complete " +
+      std::to_string(open.size()) + ", LOST " + std::to_string(stranded) +
+      "; the cancel of the one that lasts " +
+      (unanswered > 0 ? "has no answer" : "is confirmed") +
+      (runs_on ? "; UNASKED: its tasks run on" : "; its tasks have ended"));
+  return stranded > 0 || runs_on ? Verdict::kBroken : Verdict::kHeld;
 }
 
 }  // namespace
