--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,4 +1,5 @@
-// The settings files name another address of the store.
+// The settings file of one node after the other names another address of the
+// store.
 #include <cstdio>
 #include <string>
 #include <vector>
@@ -12,8 +13,8 @@
 using review::Verdict;
 
 Verdict Run(const std::string& program, const std::string& record) {
-  constexpr int kSubmissions = 300;
-  constexpr int kChanges = 6;
+  constexpr int kSubmissions = 400;
+  constexpr int kChanges = 11;
   constexpr int kBetween = 35;
   constexpr int kGapMs = 90;
   constexpr int kFinishMs = 14'000;
@@ -23,7 +24,7 @@
   for (int i = 1; i <= 12; ++i) {
     workers.push_back({"w" + std::to_string(i), "r" + std::to_string(i / 6)});
   }
-  Deployment deployment(program, record, 3, workers);
+  Deployment deployment(program, record, 4, workers);
   if (!deployment.WaitUntilReady()) return Verdict::kNotRun;
   // Four steps of four tasks that end at different times.
   std::vector<review::StepRequest> steps;
@@ -40,9 +41,12 @@
   for (int i = 0; i < kSubmissions; ++i) {
     if (review::Trouble() && i % kBetween == 0 && i > 0 &&
         i / kBetween <= kChanges) {
-      deployment.SetStorePort(i / kBetween % 2 == 1
-                                  ? deployment.store().other_port()
-                                  : deployment.store().port());
+      // One node after the other, and back again in the next round.
+      const auto change = static_cast<std::size_t>(i / kBetween - 1);
+      const std::size_t round = change / deployment.nodes();
+      deployment.SetStorePort(change % deployment.nodes(),
+                              round % 2 == 0 ? deployment.store().other_port()
+                                             : deployment.store().port());
     }
     char id[] = "00000000000e0000";
     std::snprintf(id, sizeof(id), "00000000000e%04x", i);
--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -97,10 +97,10 @@
   std::filesystem::rename(path + ".new", path);
 }
 
-void Deployment::SetStorePort(int port) {
-  record_.Add("the settings files name the store at 127.0.0.1:" +
-              std::to_string(port));
-  for (std::size_t i = 0; i < nodes_.size(); ++i) WriteSettings(i, port);
+void Deployment::SetStorePort(std::size_t node, int port) {
+  record_.Add("the settings file of n" + std::to_string(node + 1) +
+              " names the store at 127.0.0.1:" + std::to_string(port));
+  WriteSettings(node, port);
 }
 
 void Deployment::StartNode(std::size_t index) {
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -54,8 +54,8 @@
   std::string AwaitState(const std::string& id,
                          const std::vector<std::string>& states,
                          int timeout_ms);
-  /// Writes the settings files anew with this address of the store.
-  void SetStorePort(int port);
+  /// Writes the settings file of a node anew with this address of the store.
+  void SetStorePort(std::size_t node, int port);
   /// Writes a version of the configuration. @param attempts of its queue.
   void Configure(int version, int attempts);
 
