--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -97,12 +97,6 @@
   std::filesystem::rename(path + ".new", path);
 }
 
-void Deployment::SetStorePort(std::size_t node, int port) {
-  record_.Add("the settings file of n" + std::to_string(node + 1) +
-              " names the store at 127.0.0.1:" + std::to_string(port));
-  WriteSettings(node, port);
-}
-
 void Deployment::StartNode(std::size_t index) {
   Node& node = nodes_[index];
   node.log = folder_ + "/n" + std::to_string(index + 1) + ".log";
@@ -194,16 +188,6 @@
   return false;
 }
 
-int Deployment::Cancel(std::size_t node, const std::string& id) {
-  const Response response =
-      Call(nodes_[node].front_port,
-           {"DELETE", "/jobs/" + id, {{"Host", "jobs.example"}}, {}},
-           kCallTimeoutMs);
-  record_.Add("DELETE " + id + " at n" + std::to_string(node + 1) + " -> " +
-              std::to_string(response.status));
-  return response.status;
-}
-
 std::vector<StepRequest> Deployment::StepsOf(const std::string& id) const {
   const std::lock_guard lock(mutex_);
   return submissions_.at(id);
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -45,8 +45,6 @@
   /// `attempts`.
   bool SubmitWithRetries(const std::string& id, const std::string& spec,
                          const std::vector<StepRequest>& steps, int attempts);
-  /// Cancels a submission and returns the status; 0 without a response.
-  int Cancel(std::size_t node, const std::string& id);
   [[nodiscard]] std::vector<StepRequest> StepsOf(const std::string& id) const;
   /// State as a consumer sees it; "status N" if it isn't 200.
   std::string State(std::size_t node, const std::string& id);
@@ -54,8 +52,6 @@
   std::string AwaitState(const std::string& id,
                          const std::vector<std::string>& states,
                          int timeout_ms);
-  /// Writes the settings file of a node anew with this address of the store.
-  void SetStorePort(std::size_t node, int port);
   /// Writes a version of the configuration. @param attempts of its queue.
   void Configure(int version, int attempts);
 
--- a/review/support/runs_check.cc
+++ b/review/support/runs_check.cc
@@ -1,10 +1,8 @@
 #include "runs_check.hpp"
 
-#include <atomic>
 #include <map>
 #include <set>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace review {
@@ -84,28 +82,4 @@
   return used * 2 < capacity ? stranded : 0;
 }
 
-int CountUnansweredCancels(Deployment& deployment,
-                           const std::vector<std::string>& ids) {
-  constexpr int kAckMs = 4'000;
-  std::atomic<int> unanswered = 0;
-  std::vector<std::thread> consumers;
-  consumers.reserve(ids.size());
-  for (const std::string& id : ids) {
-    consumers.emplace_back([&deployment, &unanswered, id] {
-      const std::int64_t deadline = NowMs() + kAckMs;
-      for (std::size_t node = 0; NowMs() < deadline; ++node) {
-        const int status = deployment.Cancel(node % deployment.nodes(), id);
-        if (status / 100 == 2 || status == 410) return;
-        Pause(500);
-      }
-      ++unanswered;
-    });
-  }
-  for (std::thread& consumer : consumers) consumer.join();
-  deployment.record().Add("cancels " + std::to_string(ids.size()) +
-                          ", without a 2xx or 410 " +
-                          std::to_string(unanswered));
-  return unanswered;
-}
-
 }  // namespace review
--- a/review/support/runs_check.hpp
+++ b/review/support/runs_check.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Rules on runs and on cancels, as workers and consumers see them.
+/// Rules on runs, as workers and consumers see them.
 #pragma once
 
 #include <string>
@@ -18,9 +18,4 @@
 /// use less than half of their capacity. Records each.
 int CountStranded(Deployment& deployment, const std::vector<std::string>& ids);
 
-/// Acks: cancels the submissions, again and again for `ack-ms`, and returns how
-/// many cancels got neither a 2xx nor a 410.
-int CountUnansweredCancels(Deployment& deployment,
-                           const std::vector<std::string>& ids);
-
 }  // namespace review
--- a/review/support/store.cc
+++ b/review/support/store.cc
@@ -83,17 +83,11 @@
 
 Store::Store(Record& record)
     : record_(record),
-      server_([this](const Request& request) { return Handle(request); }),
-      other_server_(
-          [this](const Request& request) { return Handle(request); }) {
+      server_([this](const Request& request) { return Handle(request); }) {
   server_.Start(0);
-  other_server_.Start(0);
 }
 
-void Store::Stop() {
-  server_.Stop();
-  other_server_.Stop();
-}
+void Store::Stop() { server_.Stop(); }
 
 void Store::Put(const std::string& table, const std::string& key,
                 const std::string& value) {
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -22,9 +22,6 @@
   explicit Store(Record& record);
 
   [[nodiscard]] int port() const noexcept { return server_.port(); }
-  /// Another address of the same store.
-  [[nodiscard]] int other_port() const noexcept { return other_server_.port(); }
-  /// Closes both addresses.
   void Stop();
   /// Writes a row with an empty part, as the operator or a worker does.
   void Put(const std::string& table, const std::string& key,
@@ -58,7 +55,6 @@
   std::uint64_t version_ = 0;
   int oversized_ = 0;
   HttpServer server_;
-  HttpServer other_server_;
 };
 
 }  // namespace review
--- a/review/support/worker.cc
+++ b/review/support/worker.cc
@@ -94,39 +94,6 @@
   server_.SetCut(cut);
 }
 
-void Worker::Crash() {
-  {
-    const std::lock_guard lock(mutex_);
-    record_.Add("worker " + options_.id + " crashes with " +
-                std::to_string(running_.size()) + " runs");
-    up_ = false;
-    for (const auto& [task, run] : running_) {
-      log_.Change(run.log_index, [](RunEvent& event) {
-        event.ended_ms = NowMs();
-        event.how = "lost";
-      });
-    }
-    running_.clear();
-    ended_.clear();
-    highest_ended_run_.clear();
-    fence_ = ends_ = 0;
-    deadline_ms_ = 0;
-    changed_.notify_all();
-  }
-  server_.Stop();
-}
-
-void Worker::Restart() {
-  const int port = server_.port();
-  const std::lock_guard lock(mutex_);
-  born_ = std::max(born_ + 1, UnixMs());
-  born_steady_ = NowMs();
-  up_ = true;
-  const bool started = server_.Start(port);
-  record_.Add("worker " + options_.id +
-              (started ? " starts again" : " can't listen again"));
-}
-
 void Worker::Loop() {
   std::unique_lock lock(mutex_);
   while (!ending_) {
--- a/review/support/worker.hpp
+++ b/review/support/worker.hpp
@@ -86,10 +86,6 @@
   /// Ends that are not acknowledged.
   [[nodiscard]] std::size_t unacknowledged() const;
   void SetCut(bool cut);
-  /// Ends the process. It holds and knows nothing afterwards.
-  void Crash();
-  /// Starts it again under its id and address.
-  void Restart();
 
  private:
   struct Run {
