Carry texts of any bytes in frames between nodes

Cause: a std::string converts to a Cap'n Proto text by its c_str(), which ends at the first zero byte. It held for every text of every frame. Change: frames.cc sets each text with its length.

--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -24,6 +24,12 @@
   return {text.begin(), text.size()};
 }
 
+/// Refers to a text of any bytes. The implicit conversion of a std::string ends
+/// at its first zero byte.
+capnp::Text::Reader Txt(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
 /// Converts a number to an enumerator. Throws kj::Exception for a number beyond
 /// the last one, which a damaged frame may contain.
 template <typename Enum>
@@ -39,7 +45,7 @@
   out.setFills(traits.best_effort);
   out.setCpu(traits.cpu.value());
   out.setLatencyTargetMs(traits.latency_target.count());
-  out.setImage(traits.image.str());
+  out.setImage(Txt(traits.image.str()));
 }
 
 RunTraits Get(wire::Traits::Reader in) {
@@ -49,10 +55,10 @@
 
 void Put(wire::Ended::Builder out, const EndedRun& end) {
   out.setNumber(end.number.value());
-  out.setTask(end.task);
+  out.setTask(Txt(end.task));
   out.setRun(end.run.value());
   out.setHow(static_cast<std::uint8_t>(end.end_kind));
-  out.setCheckpoint(end.checkpoint);
+  out.setCheckpoint(Txt(end.checkpoint));
 }
 
 EndedRun Get(wire::Ended::Reader in) {
@@ -62,9 +68,9 @@
 }
 
 void Put(wire::Running::Builder out, const RunningRun& running) {
-  out.setTask(running.task);
+  out.setTask(Txt(running.task));
   out.setRun(running.run.value());
-  out.setCheckpoint(running.checkpoint);
+  out.setCheckpoint(Txt(running.checkpoint));
   out.setPercent(running.percent);
   out.setMeasured(running.measured);
 }
@@ -75,12 +81,12 @@
 }
 
 void Put(wire::Worker::Builder out, const WorkerInfo& worker) {
-  out.setVm(worker.vm.str());
-  out.setService(worker.service.str());
-  out.setIp(worker.address.ip);
+  out.setVm(Txt(worker.vm.str()));
+  out.setService(Txt(worker.service.str()));
+  out.setIp(Txt(worker.address.ip));
   out.setPort(worker.address.port);
-  out.setDataCenter(worker.data_center.str());
-  out.setRack(worker.rack.str());
+  out.setDataCenter(Txt(worker.data_center.str()));
+  out.setRack(Txt(worker.rack.str()));
   out.setConnections(static_cast<std::uint32_t>(worker.capacity.connections));
 }
 
@@ -98,7 +104,7 @@
 void Put(capnp::List<wire::RunRef>::Builder out,
          const std::vector<RunId>& runs) {
   for (unsigned i = 0; i < runs.size(); ++i) {
-    out[i].setTask(runs[i].task);
+    out[i].setTask(Txt(runs[i].task));
     out[i].setRun(runs[i].run.value());
     out[i].setJustStarted(runs[i].just_started);
   }
@@ -140,19 +146,19 @@
 
 void Put(wire::Order::Builder out, const StartRun& command) {
   auto start = out.initStart();
-  start.setVm(command.vm.str());
+  start.setVm(Txt(command.vm.str()));
   start.setNumber(command.number);
-  start.setTask(command.task);
+  start.setTask(Txt(command.task));
   start.setRun(command.run.value());
-  start.setSpec(command.spec);
-  start.setCheckpoint(command.checkpoint);
+  start.setSpec(Txt(command.spec));
+  start.setCheckpoint(Txt(command.checkpoint));
   Put(start.initTraits(), command.traits);
 }
 
 void Put(wire::Order::Builder out, const DescribeRun& command) {
   auto describe = out.initDescribe();
-  describe.setVm(command.vm.str());
-  describe.setTask(command.task);
+  describe.setVm(Txt(command.vm.str()));
+  describe.setTask(Txt(command.task));
   describe.setRun(command.run.value());
   describe.setPercent(command.percent);
   Put(describe.initTraits(), command.traits);
@@ -160,28 +166,28 @@
 
 void Put(wire::Order::Builder out, const StopRun& command) {
   auto stop = out.initStop();
-  stop.setVm(command.vm.str());
-  stop.setTask(command.task);
+  stop.setVm(Txt(command.vm.str()));
+  stop.setTask(Txt(command.task));
   stop.setRun(command.run.value());
 }
 
 void Put(wire::Order::Builder out, const ThrottleRun& command) {
   auto pace = out.initPace();
-  pace.setVm(command.vm.str());
-  pace.setTask(command.task);
+  pace.setVm(Txt(command.vm.str()));
+  pace.setTask(Txt(command.task));
   pace.setRun(command.run.value());
   pace.setPercent(command.percent);
 }
 
 void Put(wire::Order::Builder out, const AcknowledgeEnds& command) {
   auto acknowledge = out.initAcknowledge();
-  acknowledge.setVm(command.vm.str());
+  acknowledge.setVm(Txt(command.vm.str()));
   acknowledge.setBorn(command.incarnation.value());
   acknowledge.setNumber(command.number.value());
 }
 
 void Put(wire::Order::Builder out, const Release& command) {
-  out.setRelease(command.vm.str());
+  out.setRelease(Txt(command.vm.str()));
 }
 
 Assignment GetAssignment(wire::Assignment::Reader in) {
@@ -246,7 +252,7 @@
   attached.setStartsSeen(event.starts_seen);
   auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
   for (unsigned i = 0; i < event.unsent.size(); ++i) {
-    unsent.set(i, event.unsent[i]);
+    unsent.set(i, Txt(event.unsent[i]));
   }
   auto running =
       attached.initRunning(static_cast<unsigned>(event.running.size()));
@@ -261,7 +267,7 @@
 
 void Put(wire::RunEvent::Builder out, const std::string& task, Attempt run,
          CommandOutcome outcome) {
-  out.setTask(task);
+  out.setTask(Txt(task));
   out.setRun(run.value());
   out.setOutcome(static_cast<std::uint8_t>(outcome));
 }
@@ -302,7 +308,7 @@
   auto runs = load.initRuns(static_cast<unsigned>(event.runs.size()));
   for (unsigned i = 0; i < event.runs.size(); ++i) {
     const RunSample& sample = event.runs[i];
-    runs[i].setTask(sample.task);
+    runs[i].setTask(Txt(sample.task));
     runs[i].setRun(sample.run.value());
     runs[i].setPercent(sample.percent);
     runs[i].setMeasured(sample.measured);
@@ -368,9 +374,9 @@
   const ServiceCall& call = frame.call;
   out.setId(frame.id);
   out.setKind(static_cast<std::uint8_t>(call.verb));
-  out.setSubmission(call.submission.str());
-  out.setQueue(call.policy.queue.str());
-  out.setService(call.policy.service.str());
+  out.setSubmission(Txt(call.submission.str()));
+  out.setQueue(Txt(call.policy.queue.str()));
+  out.setService(Txt(call.policy.service.str()));
   out.setPriority(call.policy.priority);
   out.setAttempts(call.policy.attempts);
   out.setStretch(call.policy.stretch);
@@ -413,15 +419,15 @@
 }
 
 void Put(wire::Hello::Builder out, const Hello& hello) {
-  out.setNode(hello.node.str());
+  out.setNode(Txt(hello.node.str()));
   out.setIncarnation(hello.incarnation.value());
   out.setEpoch(hello.epoch.value());
   out.setLeading(hello.leading);
-  out.setDataCenter(hello.data_center.str());
+  out.setDataCenter(Txt(hello.data_center.str()));
   auto leader = out.initLeader();
-  leader.setNode(hello.leader.node.str());
+  leader.setNode(Txt(hello.leader.node.str()));
   leader.setIncarnation(hello.leader.incarnation.value());
-  leader.setIp(hello.leader.address.ip);
+  leader.setIp(Txt(hello.leader.address.ip));
   leader.setPort(hello.leader.address.port);
   out.setYielding(hello.yielding);
 }
@@ -503,7 +509,7 @@
                  },
                  [&](const AgentEvent& event) {
                    auto out = root.initEvent();
-                   out.setVm(event.vm.str());
+                   out.setVm(Txt(event.vm.str()));
                    out.setAssignment(event.assignment.value());
                    std::visit([&](const auto& details) { Put(out, details); },
                               event.details);
