CollectRuns leaves a line without a line end for the next read

A fault of the check, not of the product. Change: lines are read up to the last line end. The check is as strict as before: each run it needs has a whole line by then, and a line that is whole and can't be parsed still fails the test.

--- a/tests/integration/harness/checks/jobs.cc
+++ b/tests/integration/harness/checks/jobs.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/loop/clock.hpp"
+#include "integration/harness/checks/lines.hpp"
 
 namespace mangospread::testing {
 namespace {
@@ -37,7 +38,7 @@
   for (int i = 0; i < cluster.workers(); ++i) {
     std::map<std::pair<std::string, int>, TaskRun> unfinished;
     std::ifstream log(cluster.TaskLog(i));
-    for (std::string line; std::getline(log, line);) {
+    for (const std::string& line : ReadCompleteLines(log)) {
       const json item = json::parse(line);
       const std::string event = item.at("event").get<std::string>();
       const std::int64_t ended = item.at("ended_ns").get<std::int64_t>();
