A lost reply of a write is resolved by a read first

Cause: the outcome of a group was found by another write, whose reply can be lost too, one second each, though the group had committed. Change: the writer reads its own row first. A changed version decides; only an unchanged row is written. One more read for each lost reply. Two cases of writer_test count the steps of this protocol and were changed to the new order, with one more check; "a read resolves a committed change" and "an unchanged row does not resolve a change" are new.

--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -229,6 +229,22 @@
 }
 
 void Writer::ResolveOutcome() {
+  // A group that has committed already is resolved by a read, which costs less
+  // than a write and is not lost when the table loses the replies of writes.
+  table_.Read({{row_key_}, {}},
+              [this, alive = alive_](const Result<std::vector<Row>>& rows) {
+                if (!*alive) return;
+                if (rows.ok() && !OwnRowChanged(rows.value()))
+                  return Supersede();
+                OnOwnRowRead(rows);
+              });
+}
+
+bool Writer::OwnRowChanged(const std::vector<Row>& rows) const {
+  return (rows.empty() ? RowVersion() : rows[0].version) != own_version_;
+}
+
+void Writer::Supersede() {
   table_.Transact(MakeOwnRowUpdate(NextToken()),
                   [this, alive = alive_](const TransactResult& result) {
                     if (*alive) OnResolveResult(result);
@@ -267,10 +283,9 @@
     own_version_ = present ? rows.value()[0].version : RowVersion();
     return RequeueGroup();
   }
-  const bool changed = !present || rows.value()[0].version != own_version_;
-  if (!changed) return ScheduleResolve();
-  // The row was changed by the group or by an earlier write of ResolveOutcome
-  // whose reply was lost. Either way, the group's condition on it can never be
+  if (!OwnRowChanged(rows.value())) return ScheduleResolve();
+  // The row was changed by the group or by an earlier write of Supersede whose
+  // reply was lost. Either way, the group's condition on it can never be
   // met again.
   own_version_ = present ? rows.value()[0].version : RowVersion();
   ++(committed ? counters_.resolved_committed : counters_.resolved_uncommitted);
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -61,10 +61,11 @@
 /// Writes the changes of one component in groups. At most one transaction is in
 /// flight; changes submitted meanwhile share the next one. Each transaction
 /// also writes a new token to the writer's own row, on condition that the row
-/// still has its last version. After a lost reply, the writer writes that row
-/// alone under the same condition: if this commits, the lost transaction can
-/// never take effect; if it conflicts, the token in the row shows whether the
-/// lost transaction committed.
+/// still has its last version. After a lost reply, the writer reads that row: a
+/// changed version shows that the condition can never hold again, and the token
+/// whether the lost transaction committed. While the row is unchanged, the
+/// writer writes it alone under the same condition: if this commits, the lost
+/// transaction can never take effect.
 ///
 /// Two changes of one group must not write the same key, and none may write a
 /// key on which another has a condition; such a change waits for the next
@@ -115,6 +116,10 @@
   void HandleConflict(const TransactResult& result);
   /// Determines the outcome of the group in flight.
   void ResolveOutcome();
+  /// True unless the row, as read, has the version that the group requires.
+  [[nodiscard]] bool OwnRowChanged(const std::vector<Row>& rows) const;
+  /// Writes the own row alone, after which the group can never commit.
+  void Supersede();
   void OnResolveResult(const TransactResult& result);
   void ReadOwnRow();
   void OnOwnRowRead(const Result<std::vector<Row>>& rows);
--- a/tests/unit/state/writer_test.cc
+++ b/tests/unit/state/writer_test.cc
@@ -37,7 +37,6 @@
   writer.Submit(Put("a", "1"), RecordResult());
   table.Step(FaultyTable::Fault::kLoseReply);
   CHECK_FALSE(result);
-  table.Step();  // The resolving write conflicts with the lost transaction.
   table.Step();  // The writer's row holds the lost transaction's token.
   REQUIRE(result);
   CHECK(result->status == WriteStatus::kCommitted);
@@ -46,6 +45,39 @@
   CHECK(rows[0].version == result->version);
 }
 
+// Guards against a writer that waits for the reply of one write after the other
+// while the table loses the replies of writes, though a read shows the outcome.
+TEST_CASE_FIXTURE(Fixture, "a read resolves a committed change") {
+  constexpr int kChanges = 20;
+  for (int i = 0; i < kChanges; ++i) {
+    result.reset();
+    writer.Submit(Put("a" + std::to_string(i), "1"), RecordResult());
+    REQUIRE(table.pending() == 1);
+    table.Step(FaultyTable::Fault::kLoseReply);
+    REQUIRE(table.pending() == 1);
+    table.Step();
+    REQUIRE(result);
+    CHECK(result->status == WriteStatus::kCommitted);
+  }
+  CHECK(writer.counters().transactions == kChanges);
+  CHECK(writer.counters().resolved_committed == kChanges);
+}
+
+// Guards against a transaction that is resolved by the read before it takes
+// effect, and one whose superseding write lost its reply.
+TEST_CASE_FIXTURE(Fixture, "an unchanged row does not resolve a change") {
+  writer.Submit(Put("a", "1"), RecordResult());
+  table.Step(FaultyTable::Fault::kDelayRequest);
+  table.Step();
+  REQUIRE(table.pending() == 1);
+  CHECK(table.DeliverDelayed().status == TransactResult::Status::kCommitted);
+  table.Step();  // The superseding write conflicts.
+  CHECK_FALSE(result);
+  table.Step();
+  REQUIRE(result);
+  CHECK(result->status == WriteStatus::kCommitted);
+}
+
 // Guards against a change that is refused without a conflicting change. The
 // table reports a commit with its newest version, which another writer's
 // transaction has increased in the meantime, so the version of the writer's row
@@ -74,7 +106,9 @@
                   "transaction reported as unavailable never takes effect") {
   writer.Submit(Put("a", "1"), RecordResult());
   table.Step(FaultyTable::Fault::kDelayRequest);
-  table.Step();
+  table.Step();  // The writer's row is unchanged.
+  CHECK_FALSE(result);
+  table.Step();  // Writes it, so that the delayed transaction conflicts.
   REQUIRE(result);
   CHECK(result->status == WriteStatus::kUnavailable);
   CHECK(table.DeliverDelayed().status == TransactResult::Status::kConflict);
