Conclude nothing from a list of ends that may go on

Cause: a worker lists at most 500 ends that are not acknowledged. The session took the first list for the whole, and the dispatcher started the runs that were in neither list again, though they had ended as done.

Change: the codec marks a reply with 500 ends as incomplete. The session then reports the worker as attached with incomplete lists (a new optional field of the frame), extends its lease, refuses starts and reports further ends as the leader acknowledges those before, until a reply is complete. The dispatcher requeues unlisted runs only after complete lists and starts nothing on the worker before. The site stand-in lists 500 ends at a time, and its number of tasks can be set.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -187,6 +187,9 @@
                                                Attempt run);
   // Workers (dispatcher_workers.cc, dispatcher_losses.cc).
   void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
+  /// Requeues the runs that are in none of the worker's lists.
+  void RequeueUnlisted(WorkerSlot slot, const Attached& attached,
+                       MonotonicTime now);
   void ReconcileRun(WorkerSlot slot, const RunningRun& running,
                     MonotonicTime now);
   /// Stops a run that is not placed on the worker.
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -62,20 +62,28 @@
                          worker.incarnation != attached.incarnation;
   if (restarted) OnRunsLost(slot, true, now);
   if (worker.incarnation != attached.incarnation) worker.last_start = now;
-  worker.attached = true;
+  worker.attached = attached.complete;
   worker.incarnation = attached.incarnation;
   worker.silent_since = MonotonicTime(0);
   worker.stray_runs.clear();
   for (const EndedRun& end : attached.ended) {
     OnEnded(slot, attached.incarnation, end, now);
   }
+  for (const RunningRun& running : attached.running) {
+    ReconcileRun(slot, running, now);
+  }
+  if (attached.complete) RequeueUnlisted(slot, attached, now);
+}
+
+void Dispatcher::RequeueUnlisted(WorkerSlot slot, const Attached& attached,
+                                 MonotonicTime now) {
   std::set<std::string> listed(attached.unsent.begin(), attached.unsent.end());
   for (const RunningRun& running : attached.running) {
     listed.insert(running.task);
-    ReconcileRun(slot, running, now);
   }
   // No earlier command can take effect any more, so runs that are not listed
   // have ended.
+  WorkerState& worker = registry_.at(slot);
   const std::map<TaskName, PlacedRun> placed_runs = worker.runs;
   for (const auto& [name, placed] : placed_runs) {
     if (placed.start_number > attached.starts_seen ||
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -103,8 +103,9 @@
 }
 
 bool GroupLeader::MayBeAttached(const FormerWorker& former) const {
-  if (former.runs.unreachable || former.runs.ended) return false;
   const auto it = workers_.find(former.runs.worker.vm);
+  if (it != workers_.end() && it->second.attached) return true;
+  if (former.runs.unreachable || former.runs.ended) return false;
   return it != workers_.end() && it->second.agent.has_value();
 }
 
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -314,8 +314,10 @@
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     dispatcher_->OnEvent(event, now);
-    unresolved_.erase(event.vm);
-    CheckResume();
+    if (std::get<Attached>(event.details).complete) {
+      unresolved_.erase(event.vm);
+      CheckResume();
+    }
   } else if (const auto* unreachable =
                  std::get_if<WorkerUnreachable>(&event.details)) {
     dispatcher_->OnEvent(event, now);
@@ -432,8 +434,14 @@
   if (!resumed_ && now > InheritedLeaseExpiry()) {
     // The leases of workers that an agent has reported may have been renewed
     // since, so these workers are removed by their own leases.
-    std::erase_if(unresolved_, [this](const VmName& vm) {
+    std::erase_if(unresolved_, [this, now](const VmName& vm) {
       if (former_workers_.contains(vm)) return false;
+      // This leader has renewed the lease since.
+      const auto it = workers_.find(vm);
+      if (it != workers_.end() &&
+          (it->second.attached || now <= it->second.lease_expires_at)) {
+        return false;
+      }
       base::Log(base::Event::kWorkerRemoved,
                 {{"vm", vm.str()}, {"reason", "never_attached"}});
       dispatcher_->OnRunsUnknown();
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -113,6 +113,10 @@
   std::vector<std::string> unsent;
   std::vector<RunningRun> running;
   std::vector<EndedRun> ended;
+  /// False if the worker may have more ends than it has listed. A run that is
+  /// not listed may then have ended in any way; the other ends follow as
+  /// RunEnded, and then another Attached with complete lists.
+  bool complete = true;
 };
 
 struct RunEnded {
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -89,7 +89,11 @@
   WorkerTime clock;
   WorkerIncarnation incarnation;
   std::vector<RunningRun> running;
+  /// Ends that are not acknowledged, by ascending number.
   std::vector<EndedRun> ended;
+  /// False if the worker may have more ends, which it lists after the
+  /// acknowledgement of these.
+  bool ends_complete = true;
 };
 
 struct RenewCommand {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -250,6 +250,7 @@
   auto attached = out.initAttached();
   attached.setBorn(event.incarnation.value());
   attached.setStartsSeen(event.starts_seen);
+  attached.setIncomplete(!event.complete);
   auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
   for (unsigned i = 0; i < event.unsent.size(); ++i) {
     unsent.set(i, Txt(event.unsent[i]));
@@ -329,6 +330,7 @@
   Attached attached;
   attached.incarnation = WorkerIncarnation(in.getBorn());
   attached.starts_seen = in.getStartsSeen();
+  attached.complete = !in.getIncomplete();
   for (const auto task : in.getUnsent()) attached.unsent.push_back(Str(task));
   for (const auto running : in.getRunning()) {
     attached.running.push_back(Get(running));
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -110,6 +110,7 @@
   unsent @2 :List(Text);
   running @3 :List(Running);
   ended @4 :List(Ended);
+  incomplete @5 :Bool;   # The worker may have more ends than it has listed.
 }
 
 struct RunEvent {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -227,7 +227,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1702,6 +1702,8 @@
   inline bool hasEnded() const;
   inline  ::capnp::List< ::mangospread::dispatch::wire::Ended,  ::capnp::Kind::STRUCT>::Reader getEnded() const;
 
+  inline bool getIncomplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1758,6 +1760,9 @@
   inline void adoptEnded(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Ended,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::Ended,  ::capnp::Kind::STRUCT>> disownEnded();
 
+  inline bool getIncomplete();
+  inline void setIncomplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4678,6 +4683,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Attached::Reader::getIncomplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Attached::Builder::getIncomplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Attached::Builder::setIncomplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunEvent::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -15,10 +15,6 @@
 
 /// Time for a reply after the wait that the renewal requests.
 constexpr Milliseconds kRenewReplyTimeout{700};
-constexpr MonotonicTime kMinLoadReportPeriod = milliseconds(400);
-/// Share of the latency target above which a latency-critical task counts as
-/// strained and its worker's load is reported more often.
-constexpr double kStrainedShare = 0.75;
 
 }  // namespace
 
@@ -232,39 +228,77 @@
   } else {
     Synchronise(report);
   }
+  ReportEnds(report);
+  UpdateRuns(report);
+  ReportLoad(report);
+  ScheduleRenew();
+}
+
+void WorkerSession::ReportEnds(const RenewReply& report) {
   listed_ends_ = report.ended;
   for (const EndedRun& end : report.ended) {
     highest_listed_end_ = std::max(highest_listed_end_, end.number);
-    if (end.number <= reported_end_) continue;
-    reported_end_ = end.number;
     const auto it = runs_.find(end.task);
     if (it != runs_.end() && it->second.number == end.run) runs_.erase(it);
+    if (end.number <= reported_end_) continue;
+    reported_end_ = end.number;
     Report(RunEnded{incarnation_, end});
   }
-  UpdateRuns(report);
-  ReportLoad(report);
-  ScheduleRenew();
 }
 
 void WorkerSession::ScheduleRenew() {
   if (closed_) return;
+  const Milliseconds wait =
+      reading_ends_ ? Milliseconds(0) : options_.renew_wait;
   if (highest_listed_end_ > acknowledged_) {
     renew_timer_ = loop_.After(options_.acknowledge_delay,
-                               [this] { SendRenew(options_.renew_wait); });
+                               [this, wait] { SendRenew(wait); });
     return;
   }
-  SendRenew(options_.renew_wait);
+  SendRenew(wait);
 }
 
 void WorkerSession::Synchronise(const RenewReply& report) {
-  synced_ = runs_known_ = true;
   if (!std::exchange(lease_known_, true)) {
     // No earlier session can renew the lease any more.
     RaiseLeaseBound(options_.lease);
   }
-  if (report.incarnation != incarnation_) OnProcessChanged(report.incarnation);
+  if (report.incarnation != incarnation_) {
+    reading_ends_ = false;
+    OnProcessChanged(report.incarnation);
+  }
+  if (!report.ends_complete) return BeginReadingEnds(report);
+  reading_ends_ = false;
+  synced_ = runs_known_ = true;
+  ReplaceRuns(report);
   Attached attached{
       incarnation_, starts_seen_, {}, report.running, report.ended};
+  for (const StartRun& start : waiting_starts_) {
+    attached.unsent.push_back(start.task);
+  }
+  ReportAttached(std::move(attached));
+  SendWaitingStarts();
+}
+
+void WorkerSession::BeginReadingEnds(const RenewReply& report) {
+  if (std::exchange(reading_ends_, true)) return ReportResponding(true);
+  ReportAttached(
+      {incarnation_, starts_seen_, {}, report.running, report.ended, false});
+  // Reading goes on for as long as the leader cannot store the ends.
+  for (const StartRun& start : std::exchange(waiting_starts_, {})) {
+    ReportNotSent(start);
+  }
+}
+
+void WorkerSession::ReportAttached(Attached attached) {
+  for (const EndedRun& end : attached.ended) {
+    reported_end_ = std::max(reported_end_, end.number);
+  }
+  silent_since_ = MonotonicTime(0);
+  Report(std::move(attached));
+}
+
+void WorkerSession::ReplaceRuns(const RenewReply& report) {
   std::map<std::string, Run> runs;
   for (const RunningRun& running : report.running) {
     Run& run = runs[running.task];
@@ -273,26 +307,22 @@
       run = known->second;
     }
     run.number = running.run;
+    run.just_started_before = false;
   }
   runs_ = std::move(runs);
-  for (const StartRun& start : waiting_starts_) {
-    attached.unsent.push_back(start.task);
-  }
-  for (const EndedRun& end : report.ended) {
-    reported_end_ = std::max(reported_end_, end.number);
-  }
-  silent_since_ = MonotonicTime(0);
-  Report(std::move(attached));
-  SendWaitingStarts();
 }
 
 void WorkerSession::OnProcessChanged(WorkerIncarnation incarnation) {
   // A command for the former process may have reached the new one with a lease
   // end on the former's clock; the worker limits such a lease to max_lease.
-  if (incarnation_ != WorkerIncarnation()) RaiseLeaseBound(options_.max_lease);
+  if (incarnation_ != WorkerIncarnation()) {
+    RaiseLeaseBound(options_.max_lease);
+    // Another agent may have started runs on the new process.
+    runs_known_ = false;
+    runs_.clear();
+  }
   incarnation_ = incarnation;
   acknowledged_ = reported_end_ = highest_listed_end_ = EndNumber();
-  runs_.clear();
 }
 
 void WorkerSession::SendWaitingStarts() {
@@ -302,7 +332,7 @@
 }
 
 void WorkerSession::RaiseFence() {
-  synced_ = false;
+  synced_ = reading_ends_ = false;
   process_unconfirmed_ = true;
   if (fence_.value() + 1 < assignment_.fence.value() + kFenceStride) {
     fence_ = fence_.next();
@@ -320,7 +350,7 @@
 void WorkerSession::Start(StartRun command) {
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
-  if (unreachable_reported_) return ReportNotSent(command);
+  if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
   if (!synced_ || process_unconfirmed_) {
     waiting_starts_.push_back(std::move(command));
     return;
@@ -420,90 +450,10 @@
 void WorkerSession::Acknowledge(const AcknowledgeEnds& ack) {
   if (ack.incarnation != incarnation_ || ack.number <= acknowledged_) return;
   acknowledged_ = ack.number;
-  if (synced_ && !renew_in_flight_ && highest_listed_end_ <= acknowledged_) {
-    SendRenew(options_.renew_wait);
-  }
-}
-
-void WorkerSession::UpdateRuns(const RenewReply& report) {
-  for (const RunningRun& running : report.running) {
-    const auto it = runs_.find(running.task);
-    if (it == runs_.end() || it->second.number != running.run) continue;
-    CheckProgress(running, it->second);
+  if ((synced_ || reading_ends_) && !renew_in_flight_ &&
+      highest_listed_end_ <= acknowledged_) {
+    ScheduleRenew();
   }
 }
 
-void WorkerSession::CheckProgress(const RunningRun& running, Run& run) {
-  const MonotonicTime now = base::MonotonicNow();
-  const bool started_up = run.traits.long_running && running.percent >= 100;
-  if (running.percent != run.percent || run.speed == 0 || started_up) {
-    run.percent = running.percent;
-    run.progress_at = now;
-    run.stall_reported = false;
-    return;
-  }
-  Milliseconds limit = options_.stalled_after;
-  if (run.traits.long_running) limit = options_.startup_timeout;
-  if (run.traits.best_effort) limit = options_.best_effort_stalled_after;
-  if (run.stall_reported || now - run.progress_at < limit) return;
-  run.stall_reported = true;
-  Report(RunStalled{running.task, running.run});
-}
-
-void WorkerSession::ReportLoad(const RenewReply& report) {
-  const MonotonicTime now = base::MonotonicNow();
-  if (now - load_reported_at_ < kMinLoadReportPeriod) return;
-  bool has_latency_critical = false;
-  bool strained = false;
-  WorkerLoad load;
-  for (const RunningRun& running : report.running) {
-    const auto it = runs_.find(running.task);
-    if (it == runs_.end() || !it->second.described) continue;
-    const RunTraits& traits = it->second.traits;
-    if (traits.latency_target.count() > 0) {
-      has_latency_critical = true;
-      strained = strained ||
-                 running.measured >
-                     kStrainedShare *
-                         static_cast<double>(traits.latency_target.count());
-    }
-    strained = strained || it->second.requested_speed < 100;
-    if (traits.latency_target.count() == 0 && !traits.best_effort) continue;
-    load.runs.push_back(
-        {running.task, running.run, running.measured, running.percent});
-  }
-  if (!has_latency_critical) return;
-  // Workers without strain are only sampled, for the interference model.
-  if (!strained && now - load_reported_at_ < assignment_.normal_load_period) {
-    return;
-  }
-  load_reported_at_ = now;
-  Report(std::move(load));
-}
-
-void WorkerSession::Throttle(const ThrottleRun& command) {
-  const auto it = runs_.find(command.task);
-  if (it == runs_.end() || it->second.number != command.run) return;
-  it->second.requested_speed = command.percent;
-  if (!it->second.throttle_in_flight) SendThrottle(command);
-}
-
-void WorkerSession::SendThrottle(const ThrottleRun& command) {
-  runs_.at(command.task).throttle_in_flight = true;
-  link_->Throttle(
-      command.task, command.run, command.percent, fence_,
-      [self = shared_from_this(), command](CommandOutcome outcome) {
-        const auto it = self->runs_.find(command.task);
-        if (it == self->runs_.end() || it->second.number != command.run) return;
-        Run& run = it->second;
-        run.throttle_in_flight = false;
-        if (outcome == CommandOutcome::kAccepted) run.speed = command.percent;
-        const bool resend = outcome == CommandOutcome::kUnknown ||
-                            run.requested_speed != command.percent;
-        if (!resend || self->closed_) return;
-        self->SendThrottle(
-            {command.vm, command.task, command.run, run.requested_speed});
-      });
-}
-
 }  // namespace mangospread::dispatch
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -124,8 +124,17 @@
   void OnRenewReply(const Result<RenewReply>& result, std::uint64_t generation);
   void OnReport(const RenewReply& report);
   void ScheduleRenew();
-  /// Replaces the known state of the worker by the lists of a report.
+  /// Replaces the known state of the worker by the lists of a report, once
+  /// these are complete.
   void Synchronise(const RenewReply& report);
+  /// Replaces the known runs by the listed ones.
+  void ReplaceRuns(const RenewReply& report);
+  /// Reports that the worker is attached, though it may list more ends later.
+  /// Until then a run that it does not list is unknown.
+  void BeginReadingEnds(const RenewReply& report);
+  void ReportAttached(Attached attached);
+  /// Reports the ends that the leader does not know yet.
+  void ReportEnds(const RenewReply& report);
   /// Raises the fencing token, which invalidates commands in flight.
   void RaiseFence();
   /// Raises the fencing token and requests the worker's lists.
@@ -168,6 +177,8 @@
   std::uint64_t renew_generation_ = 0;
   bool renew_in_flight_ = false;
   bool synced_ = false;
+  /// The worker is attached but may have ends that it has not listed yet.
+  bool reading_ends_ = false;
   bool runs_known_ = false;
   /// The process that replied last may have ended. Until the next reply the
   /// worker gets no acknowledgement, lease or start, since these apply to one
--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -53,7 +53,8 @@
 /// Everything that a managed node communicates with, except its callers.
 class Site {
  public:
-  Site(base::EventLoop& loop, int worker_count) : loop_(loop), store_(loop) {
+  Site(base::EventLoop& loop, int worker_count, std::size_t max_runs)
+      : loop_(loop), max_runs_(max_runs), store_(loop) {
     store_.Put("op", "", "config", Configuration(1, false));
     for (int i = 0; i < worker_count; ++i) AddWorker();
     // An entry of another writer that does not describe a worker.
@@ -74,9 +75,10 @@
  private:
   /// A worker and the proxy through which the node reaches it.
   struct ProxiedWorker {
-    ProxiedWorker(base::EventLoop& loop, std::string id, SiteRecord& record,
+    ProxiedWorker(base::EventLoop& loop, std::string id, std::size_t max_runs,
+                  SiteRecord& record,
                   std::function<void(ProxiedWorker&, AfterCrash)> on_crash)
-        : worker(loop, std::move(id), record,
+        : worker(loop, std::move(id), max_runs, record,
                  [this, on_crash = std::move(on_crash)](AfterCrash after) {
                    on_crash(*this, after);
                  }),
@@ -89,7 +91,7 @@
   /// Starts and registers another worker.
   void AddWorker() {
     workers_.push_back(std::make_unique<ProxiedWorker>(
-        loop_, "w" + std::to_string(workers_.size() + 1), record_,
+        loop_, "w" + std::to_string(workers_.size() + 1), max_runs_, record_,
         [this](ProxiedWorker& proxied, AfterCrash after) {
           Crash(proxied, after);
         }));
@@ -239,6 +241,7 @@
   }
 
   base::EventLoop& loop_;
+  std::size_t max_runs_;  ///< Of each worker.
   SiteRecord record_;
   SiteStore store_;
   std::vector<std::unique_ptr<ProxiedWorker>> workers_;
@@ -249,7 +252,9 @@
 
 int RunSite(const Options& options) {
   base::EventLoop loop;
-  Site site(loop, options.Number("workers", 4));
+  Site site(loop, options.Number("workers", 4),
+            static_cast<std::size_t>(
+                options.Number("runs", static_cast<int>(kDefaultMaxRuns))));
   return RunHttpStandin(loop, options, [&site](const Exchange& exchange) {
     site.Handle(exchange);
   });
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -27,12 +27,15 @@
 }  // namespace
 
 SiteWorker::SiteWorker(base::EventLoop& loop, std::string id,
-                       SiteRecord& record, OnCrash on_crash)
+                       std::size_t max_runs, SiteRecord& record,
+                       OnCrash on_crash)
     : loop_(loop),
       id_(std::move(id)),
       record_(record),
       on_crash_(std::move(on_crash)),
       incarnation_(base::WallNanoseconds() / kNanosecondsPerMillisecond),
+      max_runs_(max_runs),
+      capacity_(max_runs),
       lease_timer_(loop.Every(std::chrono::milliseconds(50), 0, [this] {
         if (lease_end_ms_ == 0 || ClockMs() <= lease_end_ms_) return;
         while (!running_.empty()) {
@@ -110,7 +113,7 @@
     return refuse("late");
   }
   if (max_run_.contains(task) && run <= max_run_[task]) return refuse("old");
-  if (running_.size() >= kMaxRuns) {
+  if (running_.size() >= max_runs_) {
     ++record_.overloads;
     return refuse("room");
   }
@@ -241,6 +244,7 @@
   for (const std::string& row : odd_rows_) running.push_back(json::parse(row));
   json ended = json::array();
   for (const auto& [number, task, run, end_kind] : ended_) {
+    if (ended.size() == kEndsPerReply) break;
     ended.push_back(json::array({number, task, run, end_kind, ""}));
   }
   ReplyJson(*exchange, kOk,
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -43,8 +43,10 @@
   kNewId,   ///< Another worker starts in its place.
 };
 
-/// Number of tasks that a worker runs at most.
-inline constexpr std::size_t kMaxRuns = 8;
+/// Default of the number of tasks that a worker runs at most.
+inline constexpr std::size_t kDefaultMaxRuns = 8;
+/// Number of ends that a worker lists in a reply.
+inline constexpr std::size_t kEndsPerReply = 500;
 
 /// One worker. It runs each task for the number of milliseconds in its spec, or
 /// for 200 ms if the spec has none; tasks with the spec "fail" end as failed,
@@ -56,8 +58,9 @@
   /// Called in a later event after a task has crashed the worker.
   using OnCrash = std::function<void(AfterCrash)>;
 
-  SiteWorker(base::EventLoop& loop, std::string id, SiteRecord& record,
-             OnCrash on_crash);
+  /// @param max_runs number of tasks that it runs at most.
+  SiteWorker(base::EventLoop& loop, std::string id, std::size_t max_runs,
+             SiteRecord& record, OnCrash on_crash);
 
   /// @return the bound address; empty on failure.
   [[nodiscard]] std::string Listen();
@@ -117,7 +120,8 @@
   std::uint64_t incarnation_;
   /// End of the lease in the time of ClockMs; 0 before the first lease.
   std::uint64_t lease_end_ms_ = 0;
-  std::size_t capacity_ = kMaxRuns;
+  std::size_t max_runs_;
+  std::size_t capacity_;
   MonotonicTime capacity_known_at_{0};  ///< By the nodes.
   std::uint64_t end_count_ = 0;
   /// Number of the last acknowledged end.
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -32,9 +32,10 @@
   return id;
 }
 
-ManagedCluster::ManagedCluster(int nodes, int workers)
+ManagedCluster::ManagedCluster(int nodes, int workers, int runs)
     : platform_(logs_.path(), "site", StandinProgram(),
-                {"site", "--workers", std::to_string(workers)}) {
+                {"site", "--workers", std::to_string(workers), "--runs",
+                 std::to_string(runs)}) {
   for (int i = 0; i < nodes; ++i) {
     table_proxies_.push_back(std::make_unique<Process>(
         logs_.path(), "store-link-" + std::to_string(i + 1), StandinProgram(),
@@ -132,6 +133,14 @@
   Post(platform_.address("http"), "/standin/worker", body.dump());
 }
 
+void ManagedCluster::SilenceWorker(std::size_t worker, bool silent) {
+  const nlohmann::json body = {
+      {"worker", worker},
+      {"what", "faults"},
+      {"faults", {{"drop_up", silent}, {"drop_down", silent}}}};
+  Post(platform_.address("http"), "/standin/worker", body.dump());
+}
+
 void ManagedCluster::SetCapacity(std::size_t worker, int runs) {
   const nlohmann::json body = {
       {"worker", worker}, {"what", "capacity"}, {"runs", runs}};
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -32,12 +32,16 @@
 /// Id of the submission with the given number: 16 hexadecimal digits.
 [[nodiscard]] std::string SubmissionIdOf(int submission);
 
+/// Default of the number of tasks that a worker runs at most.
+inline constexpr int kRunsPerWorker = 8;
+
 /// A platform stand-in with `workers` workers and the nodes "n1" to "n<nodes>",
 /// each of which reaches the platform's table through a fault proxy. The
 /// constructor starts them without waiting until the nodes are ready.
 class ManagedCluster {
  public:
-  ManagedCluster(int nodes, int workers);
+  /// @param runs number of tasks that each worker runs at most.
+  ManagedCluster(int nodes, int workers, int runs = kRunsPerWorker);
 
   /// Control address of the fault proxy between a node and the table.
   [[nodiscard]] Address table_proxy(std::size_t node) const {
@@ -78,6 +82,8 @@
   [[nodiscard]] std::size_t Leader();
   /// Ends a worker for good. Its address does not respond any more.
   void RemoveWorker(std::size_t worker);
+  /// Discards all data between the nodes and a worker, or ends that.
+  void SilenceWorker(std::size_t worker, bool silent);
   /// Changes the number of tasks that a worker can run.
   void SetCapacity(std::size_t worker, int runs);
   /// Starts another worker and returns its index.
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -119,9 +119,10 @@
 }
 
 auto Fields(const Attached& item) {
-  const auto& [incarnation, starts_seen, unsent, running, ended] = item;
+  const auto& [incarnation, starts_seen, unsent, running, ended, complete] =
+      item;
   return std::tuple(incarnation, starts_seen, unsent, Fields(running),
-                    Fields(ended));
+                    Fields(ended), complete);
 }
 
 auto Fields(const RunEnded& item) {
@@ -246,6 +247,7 @@
                      "x"};
   CheckEvent(Attached{
       WorkerIncarnation(1), 2, {"u"}, {{"t", run, "c", 50, 1.5}}, {end}});
+  CheckEvent(Attached{WorkerIncarnation(1), 2, {}, {}, {end}, false});
   CheckEvent(RunEnded{WorkerIncarnation(1), end});
   CheckEvent(RunNotStarted{"t", run, CommandOutcome::kNoCapacity});
   CheckEvent(RunStarted{"t", run});
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -2,133 +2,13 @@
 
 #include <doctest/doctest.h>
 
-#include <deque>
 #include <optional>
 
-#include "base/loop/simulated_clock.hpp"
+#include "unit/dispatch/worker_session_fixture.hpp"
 
 namespace mangospread::dispatch {
 namespace {
 
-/// Records calls and replies to renewals with a report that the test edits.
-struct FakeLink final : WorkerLink {
-  explicit FakeLink(base::EventLoop& event_loop) : loop(event_loop) {}
-
-  [[nodiscard]] bool Connected() const override { return connected; }
-  void RenewLease(const RenewCommand& command, RenewCallback done) override {
-    renewals.push_back(command);
-    renewal_incarnations.push_back(report.incarnation);
-    if (error) {
-      timers.push_back(
-          loop.After(Milliseconds(1), [done = std::move(done), code = *error] {
-            done(Error{code, "w1"});
-          }));
-      return;
-    }
-    if (unresponsive) {
-      const auto timeout = command.max_wait + Milliseconds(700);
-      timers.push_back(loop.After(timeout, [done = std::move(done)] {
-        done(Error{Errc::kTimeout, "w1"});
-      }));
-      return;
-    }
-    RenewReply reply = report;
-    reply.clock = WorkerTime(1'000);
-    std::erase_if(reply.ended, [&](const EndedRun& end) {
-      return end.number <= command.acknowledged;
-    });
-    const auto delay =
-        command.max_wait.count() == 0 ? Milliseconds(1) : Milliseconds(100);
-    timers.push_back(
-        loop.After(delay, [done = std::move(done), reply] { done(reply); }));
-  }
-  void Start(const StartCommand& command, CommandCallback done) override {
-    starts.push_back(command);
-    Reply(std::move(done));
-  }
-  void Stop(const std::string&, Attempt, WorkerFence,
-            CommandCallback done) override {
-    ++stops;
-    Reply(std::move(done));
-  }
-  void Throttle(const std::string&, Attempt, int percent, WorkerFence,
-                CommandCallback done) override {
-    throttles.push_back(percent);
-    Reply(std::move(done));
-  }
-  void Reply(CommandCallback done) {
-    timers.push_back(loop.After(
-        Milliseconds(1), [this, done = std::move(done)] { done(outcome); }));
-  }
-
-  base::EventLoop& loop;
-  RenewReply report;
-  bool unresponsive = false;
-  std::optional<Errc> error;  ///< Of all renewals.
-  bool connected = true;
-  CommandOutcome outcome = CommandOutcome::kAccepted;
-  std::vector<RenewCommand> renewals;
-  /// Process that received each renewal.
-  std::vector<WorkerIncarnation> renewal_incarnations;
-  std::vector<StartCommand> starts;
-  std::vector<int> throttles;
-  int stops = 0;
-  std::deque<base::Timer> timers;
-};
-
-struct SessionFixture {
-  SessionFixture() {
-    link->report.incarnation = WorkerIncarnation(7);
-    Assignment assignment;
-    assignment.worker.vm = VmName("w1");
-    assignment.fence = WorkerFence(5 * kFenceStride);
-    session = WorkerSession::Create(
-        loop, link, assignment, WorkerSessionOptions(),
-        [this](AgentEvent event) { events.push_back(std::move(event)); },
-        [](Timing, MonotonicTime) {});
-    session->Begin();
-  }
-  ~SessionFixture() { session->Close(); }
-
-  void RunFor(Milliseconds time) {
-    const auto stop = loop.After(time, [this] { loop.Stop(); });
-    loop.Run();
-  }
-
-  /// Attaches the worker, which then lists end number 40, and acknowledges it.
-  void AcknowledgeEnd() {
-    RunFor(Milliseconds(50));
-    link->report.ended.push_back(
-        {EndNumber(40), "a.0.0.1", Attempt(1), RunEnd::kDone, {}});
-    RunFor(Milliseconds(200));
-    session->Acknowledge({VmName("w1"), WorkerIncarnation(7), EndNumber(40)});
-  }
-
-  template <typename Kind>
-  int Count() const {
-    int count = 0;
-    for (const AgentEvent& event : events) {
-      count += std::holds_alternative<Kind>(event.details) ? 1 : 0;
-    }
-    return count;
-  }
-
-  static StartRun MakeStart(std::uint64_t number) {
-    StartRun start;
-    start.vm = VmName("w1");
-    start.number = number;
-    start.task = "a.0.0." + std::to_string(number);
-    start.run = Attempt(1);
-    return start;
-  }
-
-  base::SimulatedClock clock;
-  base::EventLoop loop;
-  std::shared_ptr<FakeLink> link = std::make_shared<FakeLink>(loop);
-  std::vector<AgentEvent> events;
-  std::shared_ptr<WorkerSession> session;
-};
-
 // Guards against an unanswered start that takes effect seconds later.
 TEST_CASE_FIXTURE(SessionFixture, "an unanswered start raises the fence") {
   RunFor(Milliseconds(50));
--- a/tests/unit/platform/codec_test.cc
+++ b/tests/unit/platform/codec_test.cc
@@ -126,6 +126,22 @@
   }
 }
 
+// Guards against a list that is cut at its limit and taken for the whole, so
+// that a task whose end comes later runs twice.
+TEST_CASE("a list of 500 ends may go on") {
+  const auto reply = [](int ends) {
+    std::string body = R"({"clock-ms":1,"ended":[)";
+    for (int i = 1; i <= ends; ++i) {
+      if (i > 1) body += ",";
+      body += "[" + std::to_string(i) + R"(,"a.0.0.1",1,"done",""])";
+    }
+    return DecodeRenewReply(body + "]}");
+  };
+  REQUIRE(reply(500).ok());
+  CHECK_FALSE(reply(500).value().ends_complete);
+  CHECK(reply(499).value().ends_complete);
+}
+
 // Guards against reporting a run as not started while its start command may
 // still take effect.
 TEST_CASE("only definite refusals are decoded as refusals") {
