A change that the store rejects fails alone and is not sent again

Cause: StoreTable took the replies 400, 403 and 413 to a transaction for an unknown outcome.

Change: such a reply is the new result kRejected. The writer divides a rejected group in halves until the rejected change is alone, reports it as kRejected, logs (event 1106) and counts it (mangospread_store_changes_rejected_total), and commits the others. A group stays within 100 entries and 700,000 bytes of values. A submission whose row is rejected is refused with 400; one whose progress is rejected fails, which is stored in a row without tasks, and the ends of its tasks are acknowledged.

Tests: "a rejected change fails no other change", "a group stays within the limits of a transaction", "a refused transaction has a definite result", "a submission whose progress is rejected fails", "a rejected submission is refused as invalid" (unit).

--- a/include/mangospread/platform/table.hpp
+++ b/include/mangospread/platform/table.hpp
@@ -56,6 +56,9 @@
     kConflict,     ///< Not applied; see failed_keys.
     kUnavailable,  ///< Not applied.
     kUnknown,      ///< May have been applied, or may be applied later.
+    /// Not applied. The table does not accept this transaction, for example
+    /// because a row is too large, so sending it again has the same result.
+    kRejected,
   };
   Status status = Status::kUnknown;
   /// Keys of the conditions that failed.
--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -217,6 +217,9 @@
       add_counter("tasks_given_up_total",
                   "Tasks not started again since they crash workers",
                   counters.given_up);
+      add_counter("store_changes_rejected_total",
+                  "Changes that the store does not accept",
+                  leader->writes().rejected_by_table);
       add("workers_unresolved",
           "Workers of the former leader whose runs are not known yet", kGauge,
           static_cast<double>(leader->unresolved_workers()));
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -175,6 +175,8 @@
       return {"table_result_unknown", Severity::kWarning};
     case Event::kTableResultResolved:
       return {"table_result_resolved", Severity::kInfo};
+    case Event::kTableChangeRejected:
+      return {"table_change_rejected", Severity::kError};
     case Event::kBudgetExhausted:
       return {"budget_exhausted", Severity::kWarning};
     case Event::kChangeAccepted:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -27,6 +27,7 @@
   kTableResultUnknown = 1103,
   kTableResultResolved = 1104,
   kBudgetExhausted = 1105,
+  kTableChangeRejected = 1106,
   // Configuration.
   kChangeAccepted = 1201,
   kChangeRejected = 1202,
--- a/src/config/editor.cc
+++ b/src/config/editor.cc
@@ -138,6 +138,8 @@
       return pending->Complete(pending->change);
     case table::WriteStatus::kUnavailable:
       return pending->Complete(Error{Errc::kUnavailable, "table"});
+    case table::WriteStatus::kRejected:
+      return pending->Complete(Error{Errc::kTooLarge, "table"});
     case table::WriteStatus::kConflict: {
       const auto& failed = result.failed_keys;
       const bool resource_changed =
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -86,6 +86,14 @@
   return true;
 }
 
+void Dispatcher::Fail(const SubmissionId& id, std::string_view reason) {
+  Entry* entry = FindEntry(id);
+  if (entry == nullptr || IsFinal(entry->job->state())) return;
+  entry->job->SetState(SubmissionState::kFailed);
+  hooks_.log(entry->job->NameOf({}), VmName(), "submission_failed", reason);
+  MarkChanged(*entry);
+}
+
 std::optional<SubmissionState> Dispatcher::State(const SubmissionId& id) const {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return std::nullopt;
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -97,6 +97,9 @@
   /// Cancels a submission at the caller's request; its runs are stopped once
   /// the cancellation is stored. Returns false if there is no such submission.
   bool Cancel(const SubmissionId& id, MonotonicTime now);
+  /// Fails a submission whose progress cannot be stored. Has no effect on one
+  /// that has ended.
+  void Fail(const SubmissionId& id, std::string_view reason);
   /// The state to show to callers: a final state only once it is stored.
   [[nodiscard]] std::optional<SubmissionState> State(
       const SubmissionId& id) const;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -30,8 +30,11 @@
   table::WriterOptions options;
   options.budget = 120;
   options.burst = 240;
-  // A transaction may hold 100 entries and each change has up to four.
   options.max_group = 24;
+  // A transaction may hold 100 entries and 1 MB, in which values take a third
+  // more space than here.
+  options.max_entries = 100;
+  options.max_value_bytes = 700'000;
   return options;
 }
 
@@ -52,6 +55,18 @@
   return reply;
 }
 
+/// Why a submission that was not stored is refused, for logs.
+std::string_view RefusalReason(WriteStatus status) {
+  switch (status) {
+    case WriteStatus::kConflict:
+      return "conflict";
+    case WriteStatus::kRejected:
+      return "store_rejected";
+    default:
+      return "store_unavailable";
+  }
+}
+
 }  // namespace
 
 GroupLeader::GroupLeader(GroupLeaderDependencies dependencies,
@@ -281,12 +296,12 @@
                {"row_version", result.version.value()}});
     RequestDecision();
   } else {
-    reply = Refusal(kShortRetryAfter);
-    base::Log(base::Event::kSubmissionRefused,
-              {{"request", id.str()},
-               {"reason", result.status == WriteStatus::kConflict
-                              ? "conflict"
-                              : "store_unavailable"}});
+    reply = result.status == WriteStatus::kRejected
+                ? Reply(ServiceResult::kInvalid)
+                : Refusal(kShortRetryAfter);
+    base::Log(
+        base::Event::kSubmissionRefused,
+        {{"request", id.str()}, {"reason", RefusalReason(result.status)}});
   }
   for (const ServiceCallback& done : waiting) done(reply);
   CheckConflict(result);
@@ -361,6 +376,10 @@
   if (result.status != WriteStatus::kCommitted) {
     if (CheckConflict(result)) return;
     dirty_.insert(id);
+    // The row of a failed submission lists no tasks, so it can be stored.
+    if (result.status == WriteStatus::kRejected) {
+      dispatcher_->Fail(id, "progress_not_storable");
+    }
     if (!flush_timer_.active()) {
       flush_timer_ =
           deps_.loop.After(options_.save_retry_delay, [this] { Flush(); });
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -118,6 +118,9 @@
   void OnKnownRuns(const NodeId& agent, const FormerLeaderRuns& reported);
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
+  [[nodiscard]] const table::WriterCounters& writes() const noexcept {
+    return writer_.counters();
+  }
   [[nodiscard]] bool loaded() const noexcept { return loaded_; }
   /// Number of workers of the former leader whose runs are not known yet.
   [[nodiscard]] std::size_t unresolved_workers() const noexcept {
--- a/src/gateway/keys/key_store.cc
+++ b/src/gateway/keys/key_store.cc
@@ -129,7 +129,7 @@
   if (result.status != WriteStatus::kCommitted) {
     entries_.erase(claim->row_key);
     if (!waiter->done) return;
-    if (result.status == WriteStatus::kUnavailable) {
+    if (result.status != WriteStatus::kConflict) {
       return Finish(waiter, {UnclaimedStatus(*waiter), {}});
     }
     waiter->in_use = true;
@@ -282,7 +282,8 @@
 
 void KeyStore::OnClaimWritten(const EntryPtr& claim,
                               const table::WriteResult& result) {
-  if (result.status == WriteStatus::kUnavailable) {
+  if (result.status == WriteStatus::kUnavailable ||
+      result.status == WriteStatus::kRejected) {
     if (claim->phase == Entry::Phase::kReleasing) ReportDelay(*claim);
     claim->retry_timer =
         loop_.After(options_.retry_delay, [this, weak = std::weak_ptr(claim)] {
--- a/src/ownership/manager_rows.cc
+++ b/src/ownership/manager_rows.cc
@@ -154,6 +154,7 @@
       entry->stale = true;
       return ScheduleRetry(*entry);
     case table::WriteStatus::kUnavailable:
+    case table::WriteStatus::kRejected:
       writes_suspended_until_ =
           base::MonotonicNow() + options_.write_retry_delay;
       return;
--- a/src/scheduler/lifecycle/tasks/task_registry.cc
+++ b/src/scheduler/lifecycle/tasks/task_registry.cc
@@ -166,6 +166,7 @@
     case table::WriteStatus::kConflict:
       return hooks_.conflict(result.failed_keys);
     case table::WriteStatus::kUnavailable:
+    case table::WriteStatus::kRejected:
       if (record.state == TaskState::kAssigned && !task->dirty) {
         return hooks_.not_assigned(*task);
       }
@@ -227,6 +228,7 @@
       hooks_.conflict(result.failed_keys);
       return false;
     case table::WriteStatus::kUnavailable:
+    case table::WriteStatus::kRejected:
       failed_deletes_.insert(name);
       return false;
   }
--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -27,6 +27,18 @@
          std::any_of(change.writes.begin(), change.writes.end(), has_key);
 }
 
+std::size_t CountEntries(const Transaction& transaction) {
+  return transaction.conditions.size() + transaction.writes.size();
+}
+
+std::size_t ValueBytes(const Transaction& transaction) {
+  std::size_t bytes = 0;
+  for (const Write& write : transaction.writes) {
+    if (write.value) bytes += write.value->size();
+  }
+  return bytes;
+}
+
 /// Keys written by a group of changes, and row versions that it requires.
 class GroupKeys {
  public:
@@ -75,6 +87,7 @@
       table_(table),
       row_key_(std::move(row_key)),
       options_(options),
+      group_limit_(options.max_group),
       available_budget_(options.burst),
       budget_updated_at_(base::MonotonicNow()) {}
 
@@ -156,8 +169,16 @@
   group_token_ = NextToken();
   Transaction transaction = MakeOwnRowUpdate(group_token_);
   GroupKeys keys;
-  while (!queue_.empty() && group_.size() < options_.max_group &&
+  std::size_t value_bytes = 0;
+  while (!queue_.empty() && group_.size() < group_limit_ &&
          keys.CanAdd(queue_.front().change)) {
+    const Transaction& next = queue_.front().change;
+    const std::size_t entries = CountEntries(transaction) + CountEntries(next);
+    value_bytes += ValueBytes(next);
+    if (!group_.empty() && (entries > options_.max_entries ||
+                            value_bytes > options_.max_value_bytes)) {
+      break;
+    }
     Pending pending = std::move(queue_.front());
     queue_.pop_front();
     keys.Add(pending.change, transaction);
@@ -177,6 +198,7 @@
     case Status::kCommitted:
       SetTableReachable(true);
       own_version_ = result.version;
+      group_limit_ = std::min(options_.max_group, 2 * group_limit_);
       FinishGroup(WriteStatus::kCommitted, result.version);
       return;
     case Status::kConflict:
@@ -195,7 +217,26 @@
       resolve_attempts_ = 0;
       ResolveOutcome();
       return;
+    case Status::kRejected:
+      SetTableReachable(true);
+      HandleRejection();
+      return;
+  }
+}
+
+void Writer::HandleRejection() {
+  if (group_.size() > 1) {
+    group_limit_ = group_.size() / 2;
+    return RequeueGroup();
   }
+  const Transaction& change = group_.front().change;
+  ++counters_.rejected_by_table;
+  base::Log(base::Event::kTableChangeRejected,
+            {{"writer", row_key_},
+             {"key", change.writes.empty() ? "" : change.writes.front().key},
+             {"entries", CountEntries(change)},
+             {"bytes", ValueBytes(change)}});
+  FinishGroup(WriteStatus::kRejected, {});
 }
 
 void Writer::HandleConflict(const TransactResult& result) {
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -21,6 +21,9 @@
   kCommitted,
   kConflict,
   kUnavailable,  ///< Certainly without effect, now and later.
+  /// Certainly without effect. The table does not accept the change, and would
+  /// not accept it later either.
+  kRejected,
 };
 
 struct WriteResult {
@@ -37,6 +40,12 @@
   double burst = 100;
   /// Most changes in one transaction.
   std::size_t max_group = 128;
+  /// Most conditions and writes in one transaction, with the writer's own.
+  /// A change with more is sent alone.
+  std::size_t max_entries = 1'000;
+  /// Most bytes of all values in one transaction. A change with more is sent
+  /// alone.
+  std::size_t max_value_bytes = 4 * 1024 * 1024;
   /// Most queued changes; further ones are reported as unavailable.
   std::size_t max_queue = 4'096;
   /// A change that has not been sent within this time is reported as
@@ -56,6 +65,8 @@
   std::uint64_t resolved_uncommitted = 0;
   /// Changes not sent because the queue was full or max_wait had passed.
   std::uint64_t rejected = 0;
+  /// Changes that the table does not accept.
+  std::uint64_t rejected_by_table = 0;
 };
 
 /// Writes the changes of one component in groups. At most one transaction is in
@@ -71,6 +82,9 @@
 /// key on which another has a condition; such a change waits for the next
 /// transaction. Changes that require the same version of a row without writing
 /// it share the condition, as all writes of a scheduler do with its role row.
+///
+/// A group that the table rejects is divided until the rejected change is
+/// alone, so that it fails no other change.
 class Writer {
  public:
   using Callback = std::function<void(WriteResult)>;
@@ -114,6 +128,8 @@
   void SendGroup();
   void OnGroupResult(const TransactResult& result);
   void HandleConflict(const TransactResult& result);
+  /// Sends a rejected group again in halves; a single change has failed.
+  void HandleRejection();
   /// Determines the outcome of the group in flight.
   void ResolveOutcome();
   /// True unless the row, as read, has the version that the group requires.
@@ -138,6 +154,8 @@
   WriterCounters counters_;
   std::deque<Pending> queue_;
   std::vector<Pending> group_;
+  /// Most changes in the next group; below max_group after a rejection.
+  std::size_t group_limit_;
   RowVersion own_version_;
   std::string group_token_;
   std::uint64_t last_token_ = 0;
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "base/loop/clock.hpp"
 #include "dispatch/model/lease.hpp"
 #include "unit/dispatch/leader_fixture.hpp"
@@ -308,5 +310,55 @@
   CHECK(reply.state == SubmissionState::kCancelled);
 }
 
+// Guards against an accepted submission whose progress the table does not
+// accept: its row was sent again without end, and the ends of its tasks were
+// never acknowledged, so that the worker listed no later ones.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a submission whose progress is rejected fails") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  int rejections = 0;
+  table.rejects = [&](const Transaction& transaction) {
+    const bool rejected = std::any_of(
+        transaction.writes.begin(), transaction.writes.end(),
+        [](const Write& write) {
+          return write.key.starts_with(kProgressPrefix) && write.value &&
+                 write.value->find("failed") == std::string::npos;
+        });
+    rejections += rejected ? 1 : 0;
+    return rejected;
+  };
+  Event("w1", RunEnded{WorkerIncarnation(1),
+                       {EndNumber(1), starts[0].task, starts[0].run,
+                        RunEnd::kFailed, "checkpoint"}});
+  RunFor(std::chrono::seconds(3));
+  CHECK(rejections == 1);
+  CHECK(acknowledged[VmName("w1")] == EndNumber(1));
+  CHECK(Call(ServiceVerb::kState).state == SubmissionState::kFailed);
+  Lead(2);
+  CHECK(Call(ServiceVerb::kState).state == SubmissionState::kFailed);
+}
+
+// Guards against a submission that the table does not accept and that callers
+// send again without end.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a rejected submission is refused as invalid") {
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  table.rejects = [](const Transaction& transaction) {
+    return std::any_of(
+        transaction.writes.begin(), transaction.writes.end(),
+        [](const Write& write) { return write.key.starts_with(kJobPrefix); });
+  };
+  CHECK(Call(ServiceVerb::kSubmit).result == ServiceResult::kInvalid);
+  RunFor(std::chrono::seconds(3));
+  CHECK(starts.empty());
+  CHECK(Call(ServiceVerb::kState).result == ServiceResult::kNotFound);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -62,6 +62,8 @@
                 releases.emplace_back(agent, release->vm);
               } else if (auto* start = std::get_if<StartRun>(&command)) {
                 starts.push_back(*start);
+              } else if (auto* ack = std::get_if<AcknowledgeEnds>(&command)) {
+                acknowledged[ack->vm] = ack->number;
               }
             },
             [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
@@ -156,6 +158,7 @@
   std::map<VmName, SentAssignment> newest;
   std::vector<std::pair<NodeId, VmName>> releases;
   std::vector<StartRun> starts;
+  std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   int assignments = 0;
   std::vector<VmName> assigned_workers;
   int conflicts = 0;
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -54,7 +54,7 @@
       if (!read) return pending.push_back(exchange);
       return exchange->Reply({200, {}, Reply("", 1)});
     }
-    exchange->Reply({200, {}, replies.front()});
+    exchange->Reply({reply_status, {}, replies.front()});
     replies.pop_front();
   }
 
@@ -82,6 +82,7 @@
   net::HttpServer server;
   std::shared_ptr<net::HttpClientPool> pool;
   std::deque<std::string> read_replies;
+  int reply_status = 200;  ///< Of the prepared replies.
   std::deque<std::string> feed_replies;
   std::vector<std::shared_ptr<net::HttpExchange>> pending;
   std::vector<std::string> targets;
@@ -224,5 +225,27 @@
   CHECK(read->value()[0].value == "1");
 }
 
+// Guards against a transaction that the store does not accept and that is taken
+// for one with an unknown outcome, which is sent again.
+TEST_CASE_FIXTURE(StoreFixture, "a refused transaction has a definite result") {
+  using Status = TransactResult::Status;
+  StoreTable table(pool, "p", Milliseconds(500), [](MonotonicTime) {});
+  for (const auto& [code, expected] :
+       std::map<int, Status>{{400, Status::kRejected},
+                             {403, Status::kRejected},
+                             {413, Status::kRejected},
+                             {500, Status::kUnknown},
+                             {503, Status::kUnavailable}}) {
+    CAPTURE(code);
+    reply_status = code;
+    feed_replies = {"{}"};
+    std::optional<TransactResult> result;
+    table.Transact(
+        {}, [&](TransactResult outcome) { result = std::move(outcome); });
+    RunUntil(loop, [&] { return result.has_value(); });
+    CHECK(result->status == expected);
+  }
+}
+
 }  // namespace
 }  // namespace mangospread::platform
--- a/tests/unit/state/faulty_table.hpp
+++ b/tests/unit/state/faulty_table.hpp
@@ -54,6 +54,8 @@
   }
 
   table::MemoryRows rows;
+  /// True for transactions that the table does not accept; may be empty.
+  std::function<bool(const Transaction&)> rejects;
   /// Added to the version that a commit reports, as by a table with further
   /// commits in the meantime.
   std::uint64_t reported_version_offset = 0;
@@ -62,6 +64,9 @@
   void Serve(const Transaction& transaction, const TransactCallback& done,
              Fault fault) {
     using Status = TransactResult::Status;
+    if (rejects && rejects(transaction)) {
+      return done({Status::kRejected, {}, {}});
+    }
     switch (fault) {
       case Fault::kNone: {
         TransactResult result = rows.Transact(transaction);
--- a/tests/unit/state/writer_test.cc
+++ b/tests/unit/state/writer_test.cc
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "base/loop/clock.hpp"
 #include "unit/state/faulty_table.hpp"
@@ -204,5 +207,75 @@
   CHECK(result->status == WriteStatus::kCommitted);
 }
 
+/// True if the transaction writes a value of more than ten bytes.
+bool HasLargeValue(const Transaction& transaction) {
+  constexpr std::size_t kMaxBytes = 10;
+  return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                     [](const Write& write) {
+                       return write.value && write.value->size() > kMaxBytes;
+                     });
+}
+
+// Guards against a row that is too large for the table and fails the changes
+// that share its transaction, or is sent again without end.
+TEST_CASE_FIXTURE(Fixture, "a rejected change fails no other change") {
+  table.rejects = HasLargeValue;
+  writer.Submit(Put("first", "1"), [](const WriteResult&) {});
+  constexpr int kChanges = 40;
+  constexpr int kLarge = 17;
+  std::map<int, WriteStatus> outcomes;
+  for (int i = 0; i < kChanges; ++i) {
+    const std::string value(i == kLarge ? 11 : 1, 'x');
+    writer.Submit(Put("key " + std::to_string(i), value),
+                  [&outcomes, i](const WriteResult& r) {
+                    CHECK(outcomes.emplace(i, r.status).second);
+                  });
+  }
+  int steps = 0;
+  for (; table.pending() > 0; ++steps) table.Step();
+  CHECK(steps < kChanges);
+  REQUIRE(outcomes.size() == kChanges);
+  for (const auto& [i, status] : outcomes) {
+    CAPTURE(i);
+    CHECK(status ==
+          (i == kLarge ? WriteStatus::kRejected : WriteStatus::kCommitted));
+    CHECK(Exists("key " + std::to_string(i)) == (i != kLarge));
+  }
+  CHECK(writer.counters().rejected_by_table == 1);
+  CHECK(writer.table_reachable());
+  CHECK(writer.idle());
+}
+
+// Guards against transactions that the table rejects only since they hold too
+// many changes.
+TEST_CASE("a group stays within the limits of a transaction") {
+  base::EventLoop loop;
+  FaultyTable table;
+  WriterOptions options;
+  options.max_entries = 10;
+  options.max_value_bytes = 100;
+  Writer writer(loop, table, "writer/n/1/test", options);
+  std::size_t largest = 0;
+  table.rejects = [&](const Transaction& transaction) {
+    std::size_t bytes = 0;
+    for (const Write& write : transaction.writes) bytes += write.value->size();
+    largest = std::max(largest, bytes);
+    return transaction.conditions.size() + transaction.writes.size() > 10;
+  };
+  int committed = 0;
+  const auto count = [&](const WriteResult& r) {
+    committed += r.status == WriteStatus::kCommitted ? 1 : 0;
+  };
+  for (int i = 0; i < 20; ++i) {
+    writer.Submit(Put("small " + std::to_string(i), "1"), count);
+    writer.Submit(Put("large " + std::to_string(i), std::string(60, 'x')),
+                  count);
+  }
+  while (table.pending() > 0) table.Step();
+  CHECK(committed == 40);
+  CHECK(writer.counters().rejected_by_table == 0);
+  CHECK(largest <= 110);  // With the token in the writer's own row.
+}
+
 }  // namespace
 }  // namespace mangospread::table
