Progress of a submission is stored within the size of a row

Cause: the row progress/<id> listed each task that is done, and nothing bounded it. With about 3,000 tasks done it exceeded 65,536 bytes, the store refused it again and again, the ends of the tasks were not acknowledged, and the workers, which list 500 ends at once, listed no others: accepted submissions never started.

Change: if the list does not fit in a row (new setting platform.row-bytes, 65,536 if it is missing), tasks that are done are stored as ranges of positions or as a set of bits, whichever is shorter, and the tasks with failures, checkpoints or losses spill into the rows progress/<id>.<n>, at most ten, in the same transaction. While the list fits, the row is as the version before writes and reads it. The run number of a task that is done is not stored any more: nothing reads it. A submission with more progress than these rows hold fails, and one whose job row is too large is refused with 400. Progress() makes ranges instead of an entry for each task that is done.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -236,6 +236,8 @@
     options.data_center = settings_.data_center;
     options.leadership.contend_delay = ContendDelay(settings_.cpu_share);
     options.session.max_lease = settings_.max_lease;
+    options.leader.row_bytes =
+        static_cast<std::size_t>(settings_.store_row_bytes);
     options.peer_address = {settings_.ip, settings_.first_port};
     return options;
   }
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -174,24 +174,49 @@
   JobProgress progress;
   progress.state = state_;
   if (IsFinal(state_)) return progress;
+  int position = 0;
   for (std::size_t s = 0; s < steps_.size(); ++s) {
-    for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t) {
+    bool follows_done = false;
+    for (std::size_t t = 0; t < steps_[s].tasks.size(); ++t, ++position) {
       const Task& task = steps_[s].tasks[t];
+      const TaskIndex index{static_cast<int>(s), static_cast<int>(t)};
       const bool done = task.phase == TaskPhase::kDone;
-      const bool fresh = task.failed_runs.empty() && task.checkpoint.empty() &&
-                         task.losses.empty();
-      if (!done && fresh) continue;
-      progress.tasks.push_back({{static_cast<int>(s), static_cast<int>(t)},
-                                done,
-                                task.run,
-                                task.failed_runs,
-                                done ? std::string() : task.checkpoint,
-                                done ? std::vector<TaskLoss>() : task.losses});
+      if (done && follows_done) {
+        ++progress.done.back().count;
+      } else if (done) {
+        progress.done.push_back({position, 1, index});
+      } else if (!task.failed_runs.empty() || !task.checkpoint.empty() ||
+                 !task.losses.empty()) {
+        progress.tasks.push_back({index, false, task.run, task.failed_runs,
+                                  task.checkpoint, task.losses});
+      }
+      follows_done = done;
     }
   }
   return progress;
 }
 
+void Job::RestoreDone(const std::vector<DoneTasks>& done) {
+  std::vector<int> ends;  // Position after the last task of each step.
+  int total = 0;
+  for (const Step& step : steps_) {
+    total += static_cast<int>(step.tasks.size());
+    ends.push_back(total);
+  }
+  for (const DoneTasks& range : done) {
+    const int end = std::min(total, range.position + range.count);
+    for (int position = range.position; position < end; ++position) {
+      const auto step =
+          std::upper_bound(ends.begin(), ends.end(), position) - ends.begin();
+      const auto size =
+          static_cast<int>(steps_[static_cast<std::size_t>(step)].tasks.size());
+      const int first = ends[static_cast<std::size_t>(step)] - size;
+      SetPhase({static_cast<int>(step), position - first}, TaskPhase::kDone,
+               accepted_at_);
+    }
+  }
+}
+
 void Job::Restore(const JobProgress& progress) {
   state_ = progress.state;
   for (const TaskProgress& saved : progress.tasks) {
@@ -203,6 +228,7 @@
     task->losses = saved.losses;
     if (saved.done) SetPhase(saved.task, TaskPhase::kDone, accepted_at_);
   }
+  RestoreDone(progress.done);
   UpdateReady();
 }
 
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -81,10 +81,23 @@
   std::vector<TaskLoss> losses;
 };
 
+/// Consecutive tasks that are done. Nothing else is stored of them: they never
+/// run again.
+struct DoneTasks {
+  /// Position of the first one among all tasks, in the order of the steps.
+  int position = 0;
+  int count = 0;
+  /// The first one, if all are of one step; not stored.
+  TaskIndex first;
+};
+
 /// Stored state of a submission, in addition to the submission itself.
 struct JobProgress {
   SubmissionState state = SubmissionState::kQueued;
+  /// Tasks with more than their completion. Rows of former versions list the
+  /// tasks that are done here, too.
   std::vector<TaskProgress> tasks;
+  std::vector<DoneTasks> done;
 };
 
 /// A submission with the state of its tasks; independent of workers and clocks.
@@ -142,6 +155,9 @@
   void Restore(const JobProgress& progress);
 
  private:
+  /// Marks the tasks at the positions done. Positions past the last task have
+  /// no effect.
+  void RestoreDone(const std::vector<DoneTasks>& done);
   void AddOccurrence(int occurrence, MonotonicTime unix_epoch);
   void UpdateReady();
 
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -148,7 +148,7 @@
 
 void GroupLeader::OnLoaded(const std::vector<Row>& rows) {
   std::map<SubmissionId, JobRow> jobs;
-  std::map<SubmissionId, ProgressRow> progress;
+  StoredProgress stored;
   for (const Row& row : rows) {
     const std::size_t slash = row.key.find('/');
     const SubmissionId id(row.key.substr(slash + 1));
@@ -157,8 +157,10 @@
       auto job = DecodeJobRow(row.value);
       if (job.ok()) jobs.emplace(id, std::move(job.value()));
     } else if (prefix == kProgressPrefix) {
-      auto entry = DecodeProgressRow(row.value);
-      if (entry.ok()) progress.emplace(id, std::move(entry.value()));
+      if (!stored.Add(id.str(), row.value)) {
+        base::Log(base::Event::kEntryMalformed,
+                  {{"source", "progress"}, {"key", row.key}});
+      }
     } else if (row.key == kInterferenceKey) {
       RestoreInterference(row.value);
     } else {
@@ -172,6 +174,8 @@
       }
     }
   }
+  progress_parts_ = std::move(stored.parts);
+  const auto& progress = stored.rows;
   for (const auto& [id, row] : jobs) {
     const auto it = progress.find(id);
     RestoreJob(id, row,
@@ -271,7 +275,15 @@
   const std::string key = kJobPrefix + id.str();
   change.conditions.push_back({key, RowVersion()});
   change.conditions.push_back({kProgressPrefix + id.str(), RowVersion()});
-  change.writes.push_back({key, EncodeJobRow(row)});
+  std::string value = EncodeJobRow(row);
+  if (value.size() > options_.row_bytes) {
+    base::Log(base::Event::kSubmissionRefused, {{"request", id.str()},
+                                                {"reason", "too_large"},
+                                                {"bytes", value.size()},
+                                                {"limit", options_.row_bytes}});
+    return done(Reply(ServiceResult::kInvalid));
+  }
+  change.writes.push_back({key, std::move(value)});
   accepting_callbacks_[id].push_back(std::move(done));
   accepting_calls_.emplace(id, std::move(call));
   writer_.Submit(std::move(change), [this, id](const table::WriteResult& r) {
@@ -355,21 +367,6 @@
   }
 }
 
-void GroupLeader::Save(const SubmissionId& id) {
-  const std::uint64_t generation = dispatcher_->Generation(id);
-  const ProgressRow row{dispatcher_->Queue(id), dispatcher_->Progress(id)};
-  Transaction change = LeaderTransaction();
-  change.writes.push_back({kProgressPrefix + id.str(), EncodeProgressRow(row)});
-  if (IsFinal(row.progress.state)) {
-    change.writes.push_back({kJobPrefix + id.str(), std::nullopt});
-  }
-  saving_.insert(id);
-  writer_.Submit(std::move(change),
-                 [this, id, generation](const table::WriteResult& result) {
-                   OnSaved(id, generation, result);
-                 });
-}
-
 void GroupLeader::OnSaved(const SubmissionId& id, std::uint64_t generation,
                           const table::WriteResult& result) {
   saving_.erase(id);
@@ -422,11 +419,13 @@
     ended_.pop_front();
     Transaction change = LeaderTransaction();
     change.writes.push_back({kProgressPrefix + ended.id.str(), std::nullopt});
+    RemoveProgressParts(ended.id, 1, change);
     writer_.Submit(std::move(change),
                    [this, ended](const table::WriteResult& result) {
                      if (CheckConflict(result)) return;
                      if (result.status == WriteStatus::kCommitted) {
                        dispatcher_->Discard(ended.id);
+                       progress_parts_.erase(ended.id);
                      } else {
                        ended_.push_back(ended);
                      }
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -34,6 +34,8 @@
   /// changes share one write.
   Milliseconds save_delay{40};
   Milliseconds save_retry_delay{300};
+  /// Most bytes of a row's value that the table accepts.
+  std::size_t row_bytes = 65'536;
   /// Minimum time between placement rounds.
   Milliseconds decide_delay{8};
   /// Period at which expired leases, unassigned workers and ended submissions
@@ -176,6 +178,14 @@
   void MarkDirty(const SubmissionId& id);
   void Flush();
   void Save(const SubmissionId& id);
+  /// Encodes the progress of a submission. One that has too much of it fails;
+  /// its row is that of its final state.
+  [[nodiscard]] std::vector<std::string> EncodeProgress(const SubmissionId& id,
+                                                        ProgressRow& row);
+  /// Adds to `change` the removal of the stored rows of a submission's progress
+  /// from number `from` on.
+  void RemoveProgressParts(const SubmissionId& id, int from,
+                           Transaction& change) const;
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                const table::WriteResult& result);
   /// Deletes the rows of submissions that ended more than ended_retention ago.
@@ -285,6 +295,9 @@
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
   std::set<SubmissionId> saving_;  ///< With a write in flight.
+  /// Highest number of a stored row "progress/<id>.<n>", of those that have
+  /// any.
+  std::map<SubmissionId, int> progress_parts_;
   /// Time of the oldest change of a submission that is not stored yet.
   std::map<SubmissionId, MonotonicTime> unsaved_since_;
 
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -1,9 +1,12 @@
 #include "dispatch/leader/job_rows.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "base/json/json_reader.hpp"
 #include "base/json/json_writer.hpp"
+#include "dispatch/leader/done_tasks.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -72,6 +75,23 @@
   return row.size() < kMaxTaskFields || DecodeLosses(row[6], task.losses);
 }
 
+constexpr char kPartSeparator = '.';
+
+/// The fields of a row with progress except the tasks, without the last brace.
+std::string EncodeHead(const ProgressRow& row) {
+  std::string head =
+      base::DumpJson({{"queue", row.queue.str()},
+                      {"state", std::string(StateName(row.progress.state))}});
+  head.pop_back();
+  return head;
+}
+
+/// @param tasks JSON rows, each followed by a comma.
+std::string JoinRow(const std::string& head, std::string tasks) {
+  if (!tasks.empty()) tasks.pop_back();
+  return head + ",\"tasks\":[" + tasks + "]}";
+}
+
 }  // namespace
 
 std::string EncodeJobRow(const JobRow& row) {
@@ -109,14 +129,83 @@
   return row;
 }
 
-std::string EncodeProgressRow(const ProgressRow& row) {
-  json tasks = json::array();
+Result<std::vector<std::string>> EncodeProgressRows(const ProgressRow& row,
+                                                    std::size_t max_bytes) {
+  // Space for the number of further rows and for what joins the fields.
+  constexpr std::size_t kReservedBytes = 64;
+  const std::string head = EncodeHead(row);
+  std::string listed;
+  std::vector<std::string> tasks;
   for (const TaskProgress& task : row.progress.tasks) {
-    tasks.push_back(EncodeTask(task));
+    tasks.push_back(base::DumpJson(EncodeTask(task)) + ",");
+    listed += tasks.back();
+  }
+  const std::size_t used = head.size() + kReservedBytes;
+  const std::size_t space = max_bytes - std::min(max_bytes, used);
+  if (listed.size() <= space &&
+      CanListDone(row.progress.done, space - listed.size())) {
+    return std::vector<std::string>{
+        JoinRow(head, ListDone(row.progress.done) + listed)};
+  }
+  const std::string done = "," + EncodeDone(row.progress.done);
+  if (done.size() > space) return Error{Errc::kTooLarge, "progress"};
+  std::vector<std::string> parts = {{}};
+  for (const std::string& task : tasks) {
+    const std::size_t reserved = parts.size() == 1 ? done.size() : 0;
+    if (parts.back().size() + task.size() + reserved > space) {
+      parts.emplace_back();
+    }
+    parts.back() += task;
+    if (task.size() > space || parts.size() > kMaxProgressRows) {
+      return Error{Errc::kTooLarge, "progress"};
+    }
+  }
+  const std::string further = ",\"parts\":" + std::to_string(parts.size() - 1);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i] =
+        JoinRow(i == 0 ? head + done + further : head, std::move(parts[i]));
+  }
+  return parts;
+}
+
+std::string ProgressKey(const SubmissionId& id, int part) {
+  std::string key = kProgressPrefix + id.str();
+  if (part > 0) key += kPartSeparator + std::to_string(part);
+  return key;
+}
+
+std::pair<SubmissionId, int> ParseProgressKey(std::string_view key) {
+  const std::size_t separator = key.rfind(kPartSeparator);
+  int part = 0;
+  if (separator != std::string_view::npos) {
+    const char* end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data() + separator + 1, end, part);
+    if (parsed.ec != std::errc() || parsed.ptr != end || part < 1) part = 0;
   }
-  return base::DumpJson({{"queue", row.queue.str()},
-                         {"state", std::string(StateName(row.progress.state))},
-                         {"tasks", std::move(tasks)}});
+  if (part > 0) key = key.substr(0, separator);
+  return {SubmissionId(std::string(key)), part};
+}
+
+bool StoredProgress::Add(std::string_view key, std::string_view value) {
+  const auto [id, part] = ParseProgressKey(key);
+  if (part > 0) {
+    int& highest = parts[id];
+    highest = std::max(highest, part);
+  }
+  auto decoded = DecodeProgressRow(value);
+  if (!decoded.ok()) return false;
+  if (part == 0) {
+    rows.emplace(id, std::move(decoded.value()));
+    return true;
+  }
+  const auto first = rows.find(id);
+  // A former version stores no further rows and leaves those that there are.
+  if (first == rows.end() || part > first->second.parts) return true;
+  auto& tasks = first->second.progress.tasks;
+  for (TaskProgress& task : decoded.value().progress.tasks) {
+    tasks.push_back(std::move(task));
+  }
+  return true;
 }
 
 Result<ProgressRow> DecodeProgressRow(std::string_view value) {
@@ -140,6 +229,12 @@
     if (!DecodeTask(entry, task)) return malformed;
     row.progress.tasks.push_back(std::move(task));
   }
+  const auto parts = object.find("parts");
+  if (parts != object.end()) {
+    if (!IsCount(*parts)) return malformed;
+    row.parts = parts->get<int>();
+  }
+  if (!DecodeDone(object, row.progress.done)) return malformed;
   return row;
 }
 
--- a/src/dispatch/leader/job_rows.hpp
+++ b/src/dispatch/leader/job_rows.hpp
@@ -2,8 +2,11 @@
 /// Encoding of the table rows that store submissions.
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "dispatch/core/job.hpp"
 #include "mangospread/error.hpp"
@@ -18,12 +21,18 @@
 };
 
 /// Row "progress/<id>": the progress of a submission. Absent until the first
-/// change is stored.
+/// change is stored. Tasks for which it has no space are listed in the rows
+/// "progress/<id>.<n>", from n = 1.
 struct ProgressRow {
   QueueName queue;
   JobProgress progress;
+  int parts = 0;  ///< Number of further rows.
 };
 
+/// Most rows that store the progress of one submission: all of them fit in one
+/// transaction of 1 MB.
+inline constexpr int kMaxProgressRows = 11;
+
 inline constexpr const char* kJobPrefix = "job/";
 inline constexpr const char* kProgressPrefix = "progress/";
 /// Row with the names of all workers that may hold a lease, one per line.
@@ -33,8 +42,34 @@
 /// @errors kMalformed and those of base::ObjectReader.
 [[nodiscard]] Result<JobRow> DecodeJobRow(std::string_view value);
 
-[[nodiscard]] std::string EncodeProgressRow(const ProgressRow& row);
+/// Encodes progress in rows of at most `max_bytes`: the first one and the
+/// further ones in order. The first one lists each task that is done, as former
+/// versions do, if it has the space, and otherwise holds them as ranges or as a
+/// set of bits.
+/// @errors kTooLarge if they are more than kMaxProgressRows.
+[[nodiscard]] Result<std::vector<std::string>> EncodeProgressRows(
+    const ProgressRow& row, std::size_t max_bytes);
+/// Decodes one of the rows; `parts` is set from the first one only.
 /// @errors kMalformed.
 [[nodiscard]] Result<ProgressRow> DecodeProgressRow(std::string_view value);
 
+/// Key of a row with progress; part 0 is the first one.
+[[nodiscard]] std::string ProgressKey(const SubmissionId& id, int part);
+/// The reverse of ProgressKey, for a key without the prefix. A text that names
+/// no part is an id.
+[[nodiscard]] std::pair<SubmissionId, int> ParseProgressKey(
+    std::string_view key);
+
+/// The progress rows read from the table, with the further ones joined to the
+/// first one.
+struct StoredProgress {
+  std::map<SubmissionId, ProgressRow> rows;
+  /// Highest number of a further row of each submission.
+  std::map<SubmissionId, int> parts;
+
+  /// Adds a row with the given key (without the prefix). Returns false if it is
+  /// malformed. A row has to follow the first one, as in the order of keys.
+  bool Add(std::string_view key, std::string_view value);
+};
+
 }  // namespace mangospread::dispatch
--- a/standin/site/store.cc
+++ b/standin/site/store.cc
@@ -21,6 +21,9 @@
 constexpr int kPreconditionFailed = 412;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kRowsPerCall = 500;
+constexpr std::size_t kMaxRowBytes = 65'536;
+constexpr std::size_t kMaxEntries = 100;
+constexpr std::size_t kMaxCallBytes = 1'000'000;
 
 /// Query parameters of a request target.
 class Query {
@@ -55,6 +58,22 @@
   return target.substr(0, target.find('?')) == path;
 }
 
+/// True if the store accepts the size of a transaction and of its rows.
+bool HasAllowedSize(const Exchange& exchange, const json& transaction) {
+  if (exchange->request().body.view().size() > kMaxCallBytes) return false;
+  const json& puts = transaction.at("puts");
+  if (transaction.at("expect-rev").size() + puts.size() +
+          transaction.at("remove").size() >
+      kMaxEntries) {
+    return false;
+  }
+  return std::all_of(puts.begin(), puts.end(), [](const json& row) {
+    const auto value =
+        platform::DecodeBase64(row.at("value").get<std::string>());
+    return value.ok() && value.value().size() <= kMaxRowBytes;
+  });
+}
+
 }  // namespace
 
 bool SiteStore::Handle(const Exchange& exchange) {
@@ -99,6 +118,9 @@
 void SiteStore::Transact(const Exchange& exchange) {
   const auto body = base::ParseJson(exchange->request().body, "transaction");
   if (!body.ok()) return ReplyJson(*exchange, kBadRequest, "{}");
+  if (!HasAllowedSize(exchange, body.value())) {
+    return ReplyJson(*exchange, kBadRequest, "{}");
+  }
   const auto row_id = [](const json& row) {
     return RowId{row.at("table"), row.at("part"), row.at("key")};
   };
--- a/standin/site/store.hpp
+++ b/standin/site/store.hpp
@@ -15,7 +15,7 @@
 namespace mangospread::standin {
 
 /// Versioned rows with conditional transactions and long-polled feeds, and with
-/// faults that a test sets.
+/// faults that a test sets. Refuses rows and transactions that are too large.
 class SiteStore {
  public:
   explicit SiteStore(base::EventLoop& loop) : loop_(loop) {}
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -24,6 +24,7 @@
 constexpr int kDefaultTaskMs = 200;
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 
+
 }  // namespace
 
 SiteWorker::SiteWorker(base::EventLoop& loop, std::string id,
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -438,7 +438,8 @@
   task.checkpoint = "cp";
   task.losses = {{5, Suspicion::kSole, false}, {6, Suspicion::kPresent, true}};
   progress.progress.tasks = {task, TaskProgress{}};
-  const auto decoded_progress = DecodeProgressRow(EncodeProgressRow(progress));
+  const auto decoded_progress =
+      DecodeProgressRow(EncodeProgressRows(progress, 65'536).value()[0]);
   REQUIRE(decoded_progress.ok());
   REQUIRE(decoded_progress.value().progress.tasks.size() == 2);
   CHECK(decoded_progress.value().progress.tasks[0].losses == task.losses);
--- /dev/null
+++ b/tests/unit/dispatch/job_rows_test.cc
@@ -0,0 +1,214 @@
+// Bounds and round trips of the rows that store progress.
+#include "dispatch/leader/job_rows.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dispatch/core/job.hpp"
+#include "unit/dispatch/dispatcher_fixture.hpp"
+#include "unit/mutator.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+constexpr std::size_t kRowBytes = 65'536;
+/// A transaction holds 1 MB in which values take a third more space.
+constexpr std::size_t kTransactionBytes = 750'000;
+constexpr MonotonicTime kNow{1'000};
+/// Keeps the checks of many tasks out of the output.
+using Rows = std::vector<std::string>;
+
+Job MakeJob(const std::vector<int>& counts) {
+  std::vector<StepSpec> steps;
+  for (const int count : counts) {
+    steps.push_back(DispatcherFixture::MakeStep(count, 250));
+  }
+  return {DispatcherFixture::MakeSubmission("aa", std::move(steps)),
+          DispatcherFixture::Policy(), kNow, MonotonicTime(0)};
+}
+
+Rows Encode(const Job& job, std::size_t max_bytes = kRowBytes) {
+  auto rows = EncodeProgressRows({QueueName("q"), job.Progress()}, max_bytes);
+  REQUIRE(rows.ok());
+  std::size_t total = 0;
+  for (const std::string& row : rows.value()) {
+    CHECK(row.size() <= max_bytes);
+    total += row.size();
+  }
+  CHECK(total <= kTransactionBytes);
+  return std::move(rows.value());
+}
+
+/// Reads rows as a leader does, in the order of their keys.
+StoredProgress Read(const Rows& rows) {
+  std::map<std::string, std::string> stored;
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const std::string key =
+        ProgressKey(SubmissionId("aa"), static_cast<int>(i));
+    stored.emplace(key.substr(std::string(kProgressPrefix).size()), rows[i]);
+  }
+  StoredProgress progress;
+  for (const auto& [key, value] : stored) CHECK(progress.Add(key, value));
+  return progress;
+}
+
+/// Number of tasks that differ after a round trip.
+int CountDifferences(const Job& job, const std::vector<int>& counts,
+                     const Rows& rows) {
+  Job restored = MakeJob(counts);
+  restored.Restore(Read(rows).rows.at(SubmissionId("aa")).progress);
+  int differences = 0;
+  for (std::size_t s = 0; s < counts.size(); ++s) {
+    for (std::size_t t = 0; t < job.steps()[s].tasks.size(); ++t) {
+      const Task& expected = job.steps()[s].tasks[t];
+      const Task& actual = restored.steps()[s].tasks[t];
+      const bool done = expected.phase == TaskPhase::kDone;
+      const bool same = done ? actual.phase == TaskPhase::kDone
+                             : actual.phase == TaskPhase::kPending &&
+                                   actual.failed_runs == expected.failed_runs &&
+                                   actual.checkpoint == expected.checkpoint &&
+                                   actual.losses == expected.losses;
+      differences += same ? 0 : 1;
+    }
+  }
+  return differences;
+}
+
+// Guards against a row that grows with the tasks that are done until the store
+// does not accept it, and against tasks that run again after a takeover.
+TEST_CASE("progress of any number of tasks is stored within the bound") {
+  std::mt19937 random(7);
+  for (const int tasks : {1, 2, 7, 500, 1'700, 2'999, 6'000, 100'000}) {
+    for (const unsigned done_percent : {3U, 50U, 97U, 100U}) {
+      CAPTURE(tasks);
+      CAPTURE(done_percent);
+      const std::vector<int> counts = {tasks, 1, tasks};
+      Job job = MakeJob(counts);
+      job.SetState(SubmissionState::kRunning);
+      for (int s = 0; s < 3; s += 2) {
+        for (int t = 0; t < tasks; ++t) {
+          Task& task = *job.Find({s, t});
+          const unsigned kind = random() % 100;
+          if (kind < done_percent) {
+            job.Finish({s, t}, kNow);
+          } else if (random() % 20 == 0) {
+            task.run = random() % 4'000;
+            task.failed_runs = {1, task.run};
+            task.checkpoint = "checkpoint " + std::to_string(t);
+            task.losses = {{task.run, Suspicion::kSole, true}};
+          }
+        }
+      }
+      CHECK(CountDifferences(job, counts, Encode(job)) == 0);
+    }
+  }
+}
+
+// Guards against the worst order for ranges: every other task is done.
+TEST_CASE("alternating tasks are stored within the bound") {
+  const std::vector<int> counts = {100'000, 100'000};
+  Job job = MakeJob(counts);
+  for (int t = 0; t < 100'000; t += 2) {
+    job.Finish({0, t}, kNow);
+    job.Finish({1, t}, kNow);
+  }
+  const Rows rows = Encode(job);
+  CHECK(rows.size() == 1);
+  CHECK(CountDifferences(job, counts, rows) == 0);
+}
+
+// Guards against rows that a transaction does not hold.
+TEST_CASE("too much progress is reported") {
+  Job job = MakeJob({60'000});
+  for (int t = 0; t < 60'000; ++t) job.Find({0, t})->checkpoint = "checkpoint";
+  const auto rows =
+      EncodeProgressRows({QueueName("q"), job.Progress()}, kRowBytes);
+  REQUIRE_FALSE(rows.ok());
+  CHECK(rows.error().code == Errc::kTooLarge);
+  Job single = MakeJob({1});
+  single.Find({0, 0})->checkpoint = std::string(kRowBytes, 'x');
+  CHECK_FALSE(
+      EncodeProgressRows({QueueName("q"), single.Progress()}, kRowBytes).ok());
+}
+
+// Guards against a second run of a task after the version before takes over: it
+// reads only the list of tasks.
+TEST_CASE("a row that fits lists its tasks as the version before does") {
+  Job job = MakeJob({2'000});
+  for (int t = 0; t < 2'000; ++t) job.Finish({0, t}, kNow);
+  const Rows rows = Encode(job);
+  REQUIRE(rows.size() == 1);
+  const auto row = DecodeProgressRow(rows[0]);
+  REQUIRE(row.ok());
+  CHECK(row.value().progress.tasks.size() == 2'000);
+  CHECK(row.value().progress.done.empty());
+}
+
+// Guards against a second run of tasks that the version before has stored.
+TEST_CASE("a row of the version before is decoded") {
+  const std::string row =
+      R"({"queue":"q","state":"running","tasks":[[0,0,true,1,[],""],)"
+      R"([0,2,false,3,[2,3],"cp",[[3,2,true]]]]})";
+  const auto progress = Read({row}).rows.at(SubmissionId("aa")).progress;
+  Job job = MakeJob({3});
+  job.Restore(progress);
+  CHECK(job.Find({0, 0})->phase == TaskPhase::kDone);
+  CHECK(job.Find({0, 1})->phase == TaskPhase::kPending);
+  CHECK(job.Find({0, 2})->checkpoint == "cp");
+  CHECK(job.Find({0, 2})->losses.size() == 1);
+}
+
+// Guards against rows that the version before has left, after it has replaced
+// the first one.
+TEST_CASE("further rows that the first one does not name are not used") {
+  const std::string first = R"({"queue":"q","state":"running","tasks":[]})";
+  const std::string further =
+      R"({"queue":"q","state":"running","tasks":[[0,0,false,1,[1],"old"]]})";
+  const StoredProgress stored = Read({first, further, further});
+  CHECK(stored.rows.at(SubmissionId("aa")).progress.tasks.empty());
+  CHECK(stored.parts.at(SubmissionId("aa")) == 2);
+}
+
+// Guards against a leader that cannot start, or that marks tasks which do not
+// exist, because a row is damaged.
+TEST_CASE("damaged progress rows are decoded or rejected") {
+  const std::vector<int> counts = {4'000, 3};
+  Job job = MakeJob(counts);
+  for (int t = 0; t < 4'000; ++t) {
+    if (t % 1'000 != 0) job.Finish({0, t}, kNow);
+  }
+  job.Find({1, 2})->checkpoint = "cp";
+  Job mixed = MakeJob(counts);
+  for (int t = 0; t < 4'000; t += 2) mixed.Finish({0, t}, kNow);
+  constexpr std::size_t kSmallRow = 2'000;
+  const std::vector<std::string> valid = {Encode(job, kSmallRow)[0],
+                                          Encode(mixed, kSmallRow)[0]};
+  mangospread::test::Mutator mutator(53);
+  constexpr int kMutations = 1'000;
+  for (const std::string& text : valid) {
+    for (int i = 0; i < kMutations; ++i) {
+      StoredProgress stored;
+      if (!stored.Add("aa", mutator.Mutate(text))) continue;
+      Job restored = MakeJob(counts);
+      restored.Restore(stored.rows.at(SubmissionId("aa")).progress);
+      CHECK(restored.steps()[0].unfinished >= 0);
+    }
+  }
+  for (const char* done :
+       {R"("done":[1])", R"("done":[-1,2])", R"("done":[1,2147483647])",
+        R"("done":7)", R"("done_bits":"A!")", R"("done_bits":[])",
+        R"("parts":-1)"}) {
+    CAPTURE(std::string(done));
+    CHECK_FALSE(
+        DecodeProgressRow(R"({"queue":"q","state":"running","tasks":[],)" +
+                          std::string(done) + "}")
+            .ok());
+  }
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
--- a/tests/unit/platform/managed_fuzz_test.cc
+++ b/tests/unit/platform/managed_fuzz_test.cc
@@ -28,6 +28,7 @@
 using dispatch::test::DispatcherFixture;
 using nlohmann::json;
 
+constexpr std::size_t kRowBytes = 65'536;
 constexpr int kMutationsPerInput = 1'000;
 
 const dispatch::SubmissionId kId("a");
@@ -134,7 +135,8 @@
                                row.value().progress, fixture.now);
     fixture.dispatcher.Resume();
     fixture.dispatcher.Decide(fixture.now);
-    CHECK(dispatch::DecodeProgressRow(dispatch::EncodeProgressRow(row.value()))
+    CHECK(dispatch::DecodeProgressRow(
+              dispatch::EncodeProgressRows(row.value(), kRowBytes).value()[0])
               .ok());
   });
 }
