Count the lease of an unreported worker from its last possible grant

Cause: when the leader and the agent of a lost worker end at once, no node can report the worker, and the next leader counted the longest lease from its own start: 7.13 s, and a takeover comes up to 0.8 s after the kill. It did not know which agents could have extended the lease, nor until when.

Change: the leader stores the agents that may have granted leases which are still valid (roster/agents), and assigns workers only to agents in that row once it has stored one. A row counts only for the next epoch, so that a leader of a former version in between is noticed. A hello says how long ago the process of the sender granted a lease, at most its age. The next leader counts from the latest of these times; agents that say nothing count as before. Restored work waits at least 2 s after the load, so that a worker that replies is attached first. A leader that steps down extends no lease of its own workers any more.

Three tests of takeover_test.cc now let the leader store a new agent's name before they go on; what they check is the same.

--- /dev/null
+++ b/src/dispatch/leader/agent_register.cc
@@ -0,0 +1,99 @@
+#include "dispatch/leader/agent_register.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace mangospread::dispatch {
+namespace {
+
+/// Removes the first line from `text`.
+std::string_view TakeLine(std::string_view& text) {
+  const std::size_t end = std::min(text.find('\n'), text.size());
+  const std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  return line;
+}
+
+/// The agents in a row of this epoch; nullopt for any other row.
+std::optional<std::set<NodeId>> Decode(std::string_view row, Epoch epoch) {
+  const std::string_view line = TakeLine(row);
+  std::uint64_t written = 0;
+  const auto [end, error] =
+      std::from_chars(line.data(), line.data() + line.size(), written);
+  if (error != std::errc() || end != line.data() + line.size() ||
+      written != epoch.value()) {
+    return std::nullopt;
+  }
+  std::set<NodeId> agents;
+  while (!row.empty()) agents.emplace(std::string(TakeLine(row)));
+  return agents;
+}
+
+}  // namespace
+
+void AgentRegister::Load(const std::optional<std::string>& row, bool has_roster,
+                         MonotonicTime inherited_expiry) {
+  loaded_ = true;
+  if (row && epoch_.value() > 0) {
+    former_ = Decode(*row, Epoch(epoch_.value() - 1));
+  } else if (epoch_ == Epoch(1) && !has_roster) {
+    former_.emplace();
+  }
+  if (!former_) {
+    complete_at_ = inherited_expiry;
+    return;
+  }
+  for (const NodeId& agent : *former_) {
+    if (!connected_.contains(agent)) OnDown(agent, inherited_expiry);
+  }
+}
+
+void AgentRegister::OnUp(const NodeId& agent,
+                         std::optional<MonotonicTime> last_grant) {
+  connected_.insert(agent);
+  lost_.erase(agent);
+  // Leases that it grants from its first connection on belong to this leader.
+  if (last_grant) last_grants_.try_emplace(agent, *last_grant);
+}
+
+void AgentRegister::OnDown(const NodeId& agent, MonotonicTime lease_expiry) {
+  connected_.erase(agent);
+  MonotonicTime& expiry = lost_[agent];
+  expiry = std::max(expiry, lease_expiry);
+}
+
+MonotonicTime AgentRegister::LastFormerGrant(MonotonicTime latest) const {
+  if (!former_) return latest;
+  MonotonicTime last{0};
+  for (const NodeId& agent : *former_) {
+    const auto it = last_grants_.find(agent);
+    last = std::max(
+        last, it == last_grants_.end() ? latest : std::min(latest, it->second));
+  }
+  return last;
+}
+
+bool AgentRegister::Contains(const NodeId& agent) const {
+  return (!stored_ || stored_->contains(agent)) &&
+         (!saving_ || next_.contains(agent));
+}
+
+std::optional<std::string> AgentRegister::NextRow(MonotonicTime now) {
+  if (!loaded_ || saving_ || now < complete_at_) return std::nullopt;
+  std::erase_if(lost_, [now](const auto& lost) { return lost.second < now; });
+  next_ = connected_;
+  for (const auto& [agent, expiry] : lost_) next_.insert(agent);
+  if (stored_ == next_) return std::nullopt;
+  saving_ = true;
+  std::string row = std::to_string(epoch_.value()) + "\n";
+  for (const NodeId& agent : next_) row += agent.str() + "\n";
+  return row;
+}
+
+void AgentRegister::OnStored(bool committed) {
+  saving_ = false;
+  if (committed) stored_ = next_;
+}
+
+}  // namespace mangospread::dispatch
--- /dev/null
+++ b/src/dispatch/leader/agent_register.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// The agents that may have granted leases which are still valid, as a leader
+/// stores them for the next one.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "mangospread/ids.hpp"
+#include "mangospread/units.hpp"
+
+namespace mangospread::dispatch {
+
+/// Row with the epoch of the leader that wrote it and the names of its agents,
+/// one per line.
+inline constexpr const char* kAgentsKey = "roster/agents";
+
+/// Bounds the leases of workers that no agent reports to a new leader: only the
+/// agents of the row of the former leader can have granted them.
+///
+/// A row counts only for the next epoch. So a leader that has not stored its
+/// row yet, or a former version that writes none, may assign workers to any
+/// agent: the next leader then knows of no agents and waits for the longest
+/// time.
+class AgentRegister {
+ public:
+  explicit AgentRegister(Epoch epoch) : epoch_(epoch) {}
+
+  /// Reads the row of the former leader.
+  /// @param row nullopt if there is none.
+  /// @param has_roster a former leader has stored workers.
+  /// @param inherited_expiry time at which every lease granted under former
+  ///   leaders has expired.
+  void Load(const std::optional<std::string>& row, bool has_roster,
+            MonotonicTime inherited_expiry);
+
+  /// @param last_grant time since which the agent has granted no lease under a
+  ///   former leader; nullopt if it is not known.
+  void OnUp(const NodeId& agent, std::optional<MonotonicTime> last_grant);
+  /// @param lease_expiry time at which the leases that the agent has granted
+  ///   have expired.
+  void OnDown(const NodeId& agent, MonotonicTime lease_expiry);
+
+  /// Time after which no lease was granted under former leaders.
+  /// @param latest the same for agents that have not reported any time.
+  [[nodiscard]] MonotonicTime LastFormerGrant(MonotonicTime latest) const;
+
+  /// True if workers may be assigned to the agent: the next leader is certain
+  /// to find it in the row, or to find no row of this leader.
+  [[nodiscard]] bool Contains(const NodeId& agent) const;
+
+  /// The row to store now; nullopt if it is stored, a write is in flight, or
+  /// agents of former leaders that are not known may have granted leases. A
+  /// returned row is in flight until OnStored.
+  [[nodiscard]] std::optional<std::string> NextRow(MonotonicTime now);
+  void OnStored(bool committed);
+
+ private:
+  Epoch epoch_;
+  bool loaded_ = false;
+  bool saving_ = false;
+  /// Agents of the former leader; nullopt if they are not known.
+  std::optional<std::set<NodeId>> former_;
+  std::map<NodeId, MonotonicTime> last_grants_;
+  std::set<NodeId> connected_;
+  /// Agents that are not connected and the time at which their leases have
+  /// expired.
+  std::map<NodeId, MonotonicTime> lost_;
+  /// Time from which all agents with valid leases are known.
+  MonotonicTime complete_at_{0};
+  std::optional<std::set<NodeId>> stored_;
+  std::set<NodeId> next_;  ///< Value of the write in flight.
+};
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -73,7 +73,8 @@
                          GroupLeaderOptions options)
     : deps_(std::move(dependencies)),
       options_(options),
-      writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()) {
+      writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()),
+      agent_register_(deps_.leadership.epoch) {
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
@@ -132,7 +133,7 @@
 void GroupLeader::Load() {
   constexpr std::size_t kAll = 1'000'000;
   ReadRequest request;
-  request.keys = {kRosterKey, kInterferenceKey};
+  request.keys = {kRosterKey, kAgentsKey, kInterferenceKey};
   request.ranges = {{kJobPrefix, {}, kAll}, {kProgressPrefix, {}, kAll}};
   deps_.table.Read(
       std::move(request),
@@ -149,6 +150,7 @@
 void GroupLeader::OnLoaded(const std::vector<Row>& rows) {
   std::map<SubmissionId, JobRow> jobs;
   StoredProgress stored;
+  std::optional<std::string> agents;
   for (const Row& row : rows) {
     const std::size_t slash = row.key.find('/');
     const SubmissionId id(row.key.substr(slash + 1));
@@ -163,6 +165,8 @@
       }
     } else if (row.key == kInterferenceKey) {
       RestoreInterference(row.value);
+    } else if (row.key == kAgentsKey) {
+      agents = row.value;
     } else {
       // The roster, with one worker name per line.
       std::size_t from = 0;
@@ -195,6 +199,7 @@
   loaded_ = true;
   loaded_at_ = base::MonotonicNow();
   unresolved_ = roster_;
+  agent_register_.Load(agents, !roster_.empty(), InheritedLeaseExpiry());
   for (const auto& [vm, former] : former_workers_) AddFormerWorker(vm);
   StartAttachTimer();
   base::Log(base::Event::kSchedulerRebuilt,
@@ -209,6 +214,7 @@
                                          [this] { LogTakeoverWait(); });
   CheckResume();
   OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+  SaveAgents();
   deps_.on_loaded();
 }
 
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -15,6 +15,7 @@
 #include "base/loop/event_loop.hpp"
 #include "dispatch/core/dispatcher.hpp"
 #include "dispatch/front/submission_service.hpp"
+#include "dispatch/leader/agent_register.hpp"
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/metrics/timings.hpp"
@@ -56,6 +57,9 @@
   /// Time for agents to attach a worker before the runs that other agents
   /// reported for it are assumed to be running.
   Milliseconds attach_grace_period{400};
+  /// Shortest time for which restored work waits for a worker that no agent has
+  /// reported, so that one which responds is attached first.
+  Milliseconds unreported_grace_period{2'000};
   /// Period at which an unfinished takeover is logged.
   Milliseconds takeover_log_period{500};
   /// Workers of an agent that is lost while another node may take over are
@@ -110,7 +114,10 @@
 
   /// Replaces the list of registered workers.
   void OnWorkers(const std::map<VmName, WorkerInfo>& listed);
-  void OnAgentUp(const NodeId& agent, const DataCenter& data_center);
+  /// @param last_grant_age time for which the agent has granted no lease;
+  ///   nullopt if it is not known.
+  void OnAgentUp(const NodeId& agent, const DataCenter& data_center,
+                 std::optional<Milliseconds> last_grant_age = std::nullopt);
   void OnAgentDown(const NodeId& agent);
   /// Reports whether another node may take over.
   void SetYielding(bool yielding) noexcept { yielding_ = yielding; }
@@ -202,6 +209,8 @@
   /// Workers that may hold a lease now or in the near future.
   [[nodiscard]] std::set<VmName> TargetRoster() const;
   void SaveRoster();
+  /// Stores the agents that may have granted valid leases.
+  void SaveAgents();
   /// True if the stored roster contains the worker, so that a new leader is
   /// certain to find it there.
   [[nodiscard]] bool InRoster(const VmName& vm) const;
@@ -268,8 +277,17 @@
   [[nodiscard]] static Milliseconds LeaseLeft(const WorkerEntry& entry);
   void SendToAgent(const AgentCommand& command);
 
-  /// Time at which every lease granted under a former leader has expired.
+  /// Time at which every lease granted under a former leader has expired,
+  /// whatever its agents have granted meanwhile.
   [[nodiscard]] MonotonicTime InheritedLeaseExpiry() const;
+  /// The same for a worker that no agent has reported.
+  [[nodiscard]] MonotonicTime UnreportedLeaseExpiry() const;
+  /// True for a worker of the loaded roster of which nothing is known.
+  [[nodiscard]] bool Unreported(const VmName& vm) const {
+    return unresolved_.contains(vm) && !former_workers_.contains(vm);
+  }
+  /// Removes the workers whose leases have expired.
+  void RemoveExpired(MonotonicTime now);
 
   void RequestDecision();
   void Tick();
@@ -309,6 +327,7 @@
   std::deque<EndedSubmission> ended_;
 
   std::map<NodeId, AgentEntry> agents_;
+  AgentRegister agent_register_;
   std::map<VmName, WorkerEntry> workers_;
   std::map<VmName, WorkerInfo> listed_;  ///< Registered workers.
   /// Workers that may hold a lease, as stored in the table.
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -21,9 +21,16 @@
          LeaseUpperBound(options_.lease);
 }
 
+MonotonicTime GroupLeader::UnreportedLeaseExpiry() const {
+  const MonotonicTime last_grant =
+      agent_register_.LastFormerGrant(started_at_ + options_.loss_notice_delay);
+  return std::max(last_grant + LeaseUpperBound(options_.lease),
+                  loaded_at_ + options_.unreported_grace_period);
+}
+
 MonotonicTime GroupLeader::FormerLeaseExpiry(const VmName& vm) const {
   const auto it = former_workers_.find(vm);
-  return it == former_workers_.end() ? InheritedLeaseExpiry()
+  return it == former_workers_.end() ? UnreportedLeaseExpiry()
                                      : it->second.lease_expires_at;
 }
 
@@ -52,13 +59,19 @@
                reported.lease_left ? base::MonotonicNow() + *reported.lease_left
                                    : InheritedLeaseExpiry());
   if (!loaded_) return;
+  if (added && worker != workers_.end()) {
+    // Agents that this leader has lost may have attached the worker.
+    former.lease_expires_at =
+        std::max(former.lease_expires_at, worker->second.lease_expires_at);
+  }
   AddFormerWorker(vm);
   StartAttachTimer();
   WorkerEntry& entry = workers_.at(vm);
   if (entry.agent && !entry.attached && entry.agent != agent) {
     // It was assigned without this report.
-    const bool reporting = former.agents.contains(*entry.agent);
-    Reassign(entry, reporting ? NodeId(*entry.agent) : agent);
+    const bool stays = former.agents.contains(*entry.agent) ||
+                       !agent_register_.Contains(agent);
+    Reassign(entry, stays ? NodeId(*entry.agent) : agent);
   }
   AssignWorker(entry);
 }
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -79,6 +79,22 @@
   });
 }
 
+void GroupLeader::SaveAgents() {
+  auto row = agent_register_.NextRow(base::MonotonicNow());
+  if (!row) return;
+  Transaction change = LeaderTransaction();
+  change.writes.push_back({kAgentsKey, std::move(*row)});
+  writer_.Submit(std::move(change), [this](const table::WriteResult& result) {
+    agent_register_.OnStored(result.status == WriteStatus::kCommitted);
+    // The next tick retries.
+    if (CheckConflict(result) || result.status != WriteStatus::kCommitted) {
+      return;
+    }
+    SaveAgents();
+    AssignWorkers();
+  });
+}
+
 bool GroupLeader::InRoster(const VmName& vm) const {
   // A write in flight may remove the worker.
   return roster_.contains(vm) && (!roster_saving_ || next_roster_.contains(vm));
@@ -88,13 +104,15 @@
   const auto [it, added] = workers_.try_emplace(vm);
   if (!added) return;
   it->second.info = listed_.at(vm);
-  if (unresolved_.contains(vm)) {
-    it->second.lease_expires_at = FormerLeaseExpiry(vm);
+  if (const auto former = former_workers_.find(vm);
+      former != former_workers_.end() && unresolved_.contains(vm)) {
+    it->second.lease_expires_at = former->second.lease_expires_at;
   }
   dispatcher_->OnWorker(it->second.info);
 }
 
 bool GroupLeader::IsEligible(const NodeId& agent) const {
+  if (!agent_register_.Contains(agent)) return false;
   return agent != deps_.self ||
          (agents_.size() == 1 &&
           base::MonotonicNow() - started_at_ >= options_.self_service_delay);
@@ -255,11 +273,20 @@
   }
 }
 
-void GroupLeader::OnAgentUp(const NodeId& agent,
-                            const DataCenter& data_center) {
+void GroupLeader::OnAgentUp(const NodeId& agent, const DataCenter& data_center,
+                            std::optional<Milliseconds> last_grant_age) {
   agents_[agent] = {data_center, 0};
+  std::optional<MonotonicTime> last_grant;
+  if (last_grant_age) {
+    // All leases granted so long ago have expired.
+    constexpr Milliseconds kLongestAge = std::chrono::hours(1);
+    last_grant = base::MonotonicNow() - std::min(*last_grant_age, kLongestAge);
+  }
+  agent_register_.OnUp(agent, last_grant);
   base::Log(base::Event::kPeerAlive, {{"peer", agent.str()}});
-  if (loaded_) AssignWorkers();
+  if (!loaded_) return;
+  SaveAgents();
+  AssignWorkers();
 }
 
 void GroupLeader::OnAgentDown(const NodeId& agent) {
@@ -275,6 +302,7 @@
   }
   for (auto& [vm, former] : former_workers_) EndRenewals(agent, former);
   agents_.erase(agent);
+  agent_register_.OnDown(agent, LostLeaseExpiry());
   if (loaded_) AssignWorkers();
 }
 
@@ -417,31 +445,32 @@
   for (const VmName& vm : idle) RemoveWorker(vm, WorkerRemoval::kLeft);
 }
 
-void GroupLeader::Tick() {
-  if (!loaded_) return;
-  const MonotonicTime now = base::MonotonicNow();
+void GroupLeader::RemoveExpired(MonotonicTime now) {
   std::vector<VmName> expired;
   for (const auto& [vm, entry] : workers_) {
-    if (!entry.attached && entry.lease_expires_at.count() > 0 &&
-        now > entry.lease_expires_at) {
+    MonotonicTime expires_at = entry.lease_expires_at;
+    if (Unreported(vm)) {
+      expires_at = std::max(expires_at, UnreportedLeaseExpiry());
+    }
+    if (!entry.attached && expires_at.count() > 0 && now > expires_at) {
       expired.push_back(vm);
     }
   }
   for (const VmName& vm : expired) {
     RemoveWorker(vm, WorkerRemoval::kLeaseExpired);
   }
+}
+
+void GroupLeader::Tick() {
+  if (!loaded_) return;
+  const MonotonicTime now = base::MonotonicNow();
+  RemoveExpired(now);
   RemoveIdleWorkers();
-  if (!resumed_ && now > InheritedLeaseExpiry()) {
-    // The leases of workers that an agent has reported may have been renewed
-    // since, so these workers are removed by their own leases.
-    std::erase_if(unresolved_, [this, now](const VmName& vm) {
-      if (former_workers_.contains(vm)) return false;
-      // This leader has renewed the lease since.
-      const auto it = workers_.find(vm);
-      if (it != workers_.end() &&
-          (it->second.attached || now <= it->second.lease_expires_at)) {
-        return false;
-      }
+  if (!resumed_ && now > UnreportedLeaseExpiry()) {
+    // The leases of workers that an agent has reported, or was assigned to, may
+    // have been renewed since; these are removed by their own leases.
+    std::erase_if(unresolved_, [this](const VmName& vm) {
+      if (former_workers_.contains(vm) || workers_.contains(vm)) return false;
       base::Log(base::Event::kWorkerRemoved,
                 {{"vm", vm.str()}, {"reason", "never_attached"}});
       dispatcher_->OnRunsUnknown();
@@ -450,6 +479,7 @@
     CheckResume();
   }
   SaveRoster();
+  SaveAgents();
   AssignWorkers();
   MoveWorkers();
   SweepEnded(now);
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -122,7 +122,8 @@
           leading,
           options_.data_center,
           leader ? *leader : LeaderRecord(),
-          leading && leadership_->yielding()};
+          leading && leadership_->yielding(),
+          agent_.LastGrantAge()};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
@@ -244,7 +245,8 @@
       [this] { leadership_->OnConflict(); },
       [this] { return leadership_->confirmed(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
-  leader_->OnAgentUp(options_.node, options_.data_center);
+  leader_->OnAgentUp(options_.node, options_.data_center,
+                     agent_.LastGrantAge());
   leader_->OnWorkers(listed_);
   for (const FormerLeaderRuns& runs : agent_.CollectRuns()) {
     leader_->OnKnownRuns(options_.node, runs);
@@ -274,6 +276,7 @@
   overload_timer_.reset();
   deps_.on_leading(false);
   calls_.SetLeaderAvailable(false);
+  agent_.StopExtending();
   // The GroupLeader is destroyed later, since its own callbacks call StepDown.
   deps_.loop.Post([old = std::shared_ptr<GroupLeader>(std::move(leader_))] {});
   // Followers close their channels when they receive the hello. Closing the
@@ -343,7 +346,7 @@
   }
   peers_[channel] = hello.node;
   agents_[hello.node] = channel;
-  leader_->OnAgentUp(hello.node, hello.data_center);
+  leader_->OnAgentUp(hello.node, hello.data_center, hello.last_grant_age);
 }
 
 void Node::OnPeerClosed(const std::shared_ptr<Channel>& channel) {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -432,6 +432,7 @@
   leader.setIp(Txt(hello.leader.address.ip));
   leader.setPort(hello.leader.address.port);
   out.setYielding(hello.yielding);
+  out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
 }
 
 Hello Get(wire::Hello::Reader in) {
@@ -446,7 +447,8 @@
            {Str(leader.getIp()), leader.getPort()},
            Epoch(in.getEpoch()),
            RowVersion()},
-          in.getYielding()};
+          in.getYielding(),
+          OptionalFromWire(in.getLastGrantAgeMs())};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -24,6 +24,9 @@
   /// node is empty while no leader is known.
   LeaderRecord leader;
   bool yielding = false;  ///< The sender leads and another may take over.
+  /// Time for which the sender's node has certainly granted no lease; nullopt
+  /// if it is not known.
+  std::optional<Milliseconds> last_grant_age = std::nullopt;
 };
 
 /// A call that a follower forwards to the leader.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -14,6 +14,7 @@
   dataCenter @4 :Text;
   leader @5 :Leader;     # The leader that the sender follows or is.
   yielding @6 :Bool;     # The sender leads and another node may take over.
+  lastGrantAgeMs @7 :Int64 = -1;   # Negative if it is not known.
 }
 
 struct Leader {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -425,6 +425,8 @@
 
   inline bool getYielding() const;
 
+  inline  ::int64_t getLastGrantAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -486,6 +488,9 @@
   inline bool getYielding();
   inline void setYielding(bool value);
 
+  inline  ::int64_t getLastGrantAgeMs();
+  inline void setLastGrantAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3001,6 +3006,20 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Hello::Reader::getLastGrantAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Hello::Builder::getLastGrantAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Hello::Builder::setLastGrantAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -1,5 +1,6 @@
 #include "dispatch/worker/agent.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/overloaded.hpp"
@@ -67,6 +68,7 @@
   const auto it = sessions_.find(vm);
   if (it == sessions_.end()) return;
   it->second->Close();
+  last_grant_at_ = std::max(last_grant_at_, it->second->last_grant_at());
   sessions_.erase(it);
 }
 
@@ -92,6 +94,14 @@
   for (const auto& [vm, session] : sessions_) session->DropUnsent();
 }
 
+Milliseconds Agent::LastGrantAge() const {
+  MonotonicTime last = last_grant_at_;
+  for (const auto& [vm, session] : sessions_) {
+    last = std::max(last, session->last_grant_at());
+  }
+  return std::chrono::floor<Milliseconds>(base::MonotonicNow() - last);
+}
+
 std::vector<FormerLeaderRuns> Agent::CollectRuns() const {
   std::vector<FormerLeaderRuns> result;
   for (const auto& [vm, session] : sessions_) {
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "base/loop/clock.hpp"
 #include "base/loop/event_loop.hpp"
 #include "dispatch/worker/worker_session.hpp"
 
@@ -25,7 +26,8 @@
         make_link_(std::move(make_link)),
         options_(options),
         emit_(std::move(emit)),
-        observe_(std::move(observe)) {}
+        observe_(std::move(observe)),
+        last_grant_at_(base::MonotonicNow()) {}
   ~Agent() { ReleaseAll(); }
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
@@ -50,6 +52,10 @@
   /// leader.
   [[nodiscard]] std::vector<FormerLeaderRuns> CollectRuns() const;
 
+  /// Time for which no session of this node has granted a lease. An earlier
+  /// process of the node had ended when this one started.
+  [[nodiscard]] Milliseconds LastGrantAge() const;
+
   [[nodiscard]] std::size_t workers() const noexcept {
     return sessions_.size();
   }
@@ -65,6 +71,9 @@
   WorkerSession::Emit emit_;
   ObserveTiming observe_;
   std::map<VmName, std::shared_ptr<WorkerSession>> sessions_;
+  /// Time of the last lease granted by a session that has ended; the start of
+  /// this process if there is none.
+  MonotonicTime last_grant_at_;
 };
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -136,6 +136,7 @@
   if (worker_clock_.value() == 0) return {};
   const MonotonicTime now = base::MonotonicNow();
   const auto elapsed = duration_cast<milliseconds>(now - worker_clock_read_at_);
+  last_grant_at_ = now;
   RaiseLeaseBound(options_.lease);
   return WorkerTime(
       worker_clock_.value() +
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -94,6 +94,10 @@
   [[nodiscard]] WorkerFence assignment_fence() const noexcept {
     return assignment_.fence;
   }
+  /// Time at which this session granted the last lease; 0 if it granted none.
+  [[nodiscard]] MonotonicTime last_grant_at() const noexcept {
+    return last_grant_at_;
+  }
 
  private:
   /// State of a run on the worker.
@@ -203,6 +207,7 @@
   MonotonicTime replied_at_{0};
   /// Time up to which the worker may hold a lease.
   MonotonicTime lease_expires_at_{0};
+  MonotonicTime last_grant_at_{0};
   bool extends_lease_ = true;
   bool lease_known_ = false;  ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
--- a/tests/integration/managed/lost_worker_takeover_test.cc
+++ b/tests/integration/managed/lost_worker_takeover_test.cc
@@ -44,9 +44,25 @@
   return leader;
 }
 
+/// Index of the agent that the leader has assigned the worker to, by its log.
+std::size_t AgentOf(ManagedCluster& site, std::size_t leader,
+                    const std::string& vm) {
+  const std::string line = "name=worker_attached vm=" + vm + " agent=n";
+  std::size_t agent = 0;
+  WaitUntil("the leader logs the agent", kWaitTimeout, [&] {
+    const std::string log =
+        ReadOutput(site.log_directory(), "n" + std::to_string(leader + 1));
+    const std::size_t at = log.rfind(line);
+    if (at == std::string::npos) return false;
+    agent = std::stoul(log.substr(at + line.size())) - 1;
+    return true;
+  });
+  return agent;
+}
+
 /// Checks that all tasks run again within the time that the pages allow.
-void CheckRestart(ManagedCluster& site) {
-  const MonotonicTime from = base::MonotonicNow();
+void CheckRestart(ManagedCluster& site,
+                  MonotonicTime from = base::MonotonicNow()) {
   WaitUntil("the tasks run again", kWaitTimeout, [&] { return AllRun(site); });
   const auto waited =
       std::chrono::duration_cast<Milliseconds>(base::MonotonicNow() - from);
@@ -71,5 +87,26 @@
   CheckRestart(site);
 }
 
+// Guards against a wait that begins with the next leader although every process
+// that could extend the lease has ended before.
+TEST_CASE("tasks run again in time after leader and agent die with a worker") {
+  ManagedCluster site(3, 6);
+  site.WaitUntilReady();
+  REQUIRE(site.SubmitLongRunning(0, kSubmission, kTasks).status == kOk);
+  WaitUntil("the tasks run", kWaitTimeout, [&] { return AllRun(site); });
+  const std::size_t leader = site.Leader();
+  REQUIRE(leader < site.nodes());
+  const std::size_t agent = AgentOf(site, leader, "w1");
+  REQUIRE(agent != leader);
+  site.RemoveWorker(0);
+  const MonotonicTime killed_at = base::MonotonicNow();
+  site.node(leader).Kill();
+  site.node(agent).Kill();
+  site.RestartNode(leader);
+  site.RestartNode(agent);
+  REQUIRE(!AllRun(site));
+  CheckRestart(site, killed_at);
+}
+
 }  // namespace
 }  // namespace mangospread::testing
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -168,12 +168,13 @@
 /// The version of a leader's row is not sent, since only the store gives it;
 /// the leader's epoch is that of the frame.
 auto Fields(const Hello& item) {
-  const auto& [node, incarnation, epoch, leading, data_center, leader,
-               yielding] = item;
+  const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
+               last_grant_age] = item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
-                    leader_process, address, leader_epoch, yielding);
+                    leader_process, address, leader_epoch, yielding,
+                    last_grant_age);
 }
 
 auto Fields(const CallFrame& item) {
@@ -277,7 +278,7 @@
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
                    leader, false});
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), false,
-                   DataCenter("d"), leader, true});
+                   DataCenter("d"), leader, true, Milliseconds(1'500)});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -69,11 +69,18 @@
             [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
             [this] { return confirmed; }},
         options);
-    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"));
+    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"), last_grant_age);
     leader->Start();
     RunFor(std::chrono::milliseconds(20));
   }
 
+  /// Connects another agent and lets the leader store its name, without which
+  /// it gets no workers.
+  void ConnectAgent(const char* agent) {
+    leader->OnAgentUp(NodeId(agent), DataCenter("dc"));
+    RunFor(std::chrono::milliseconds(20));
+  }
+
   void ListWorkers(const std::vector<const char*>& names) {
     std::map<VmName, WorkerInfo> listed;
     for (const char* name : names) {
@@ -159,6 +166,8 @@
   std::vector<std::pair<NodeId, VmName>> releases;
   std::vector<StartRun> starts;
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
+  /// What "agent" says to a new leader.
+  std::optional<Milliseconds> last_grant_age;
   int assignments = 0;
   std::vector<VmName> assigned_workers;
   int conflicts = 0;
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -144,7 +144,7 @@
 // leader dies.
 TEST_CASE_FIXTURE(TakeoverFixture,
                   "a worker that no agent reaches stays with one") {
-  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  ConnectAgent("other");
   for (int attempt = 0; attempt < 6; ++attempt) {
     Event(placed.busy, WorkerUnreachable{Milliseconds(4'000)});
     RunFor(milliseconds(250));
@@ -193,7 +193,7 @@
 TEST_CASE_FIXTURE(TakeoverFixture,
                   "an attachment under a former assignment extends the lease") {
   const WorkerFence former = fences.at(placed.run.vm);
-  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  ConnectAgent("other");
   Event(placed.busy, WorkerUnreachable{Milliseconds(300)});
   REQUIRE(newest.at(placed.run.vm).assignment.fence != former);
   leader->OnAgentEvent(NodeId("agent"),
@@ -357,7 +357,7 @@
 // leases until it notices.
 TEST_CASE_FIXTURE(TakeoverFixture,
                   "a lost agent extends leases until it notices the loss") {
-  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  ConnectAgent("other");
   leader->OnAgentDown(NodeId("agent"));
   Attach(placed.idle);
   RunFor(options.loss_notice_delay + LeaseUpperBound(options.lease) -
--- /dev/null
+++ b/tests/unit/dispatch/unreported_worker_test.cc
@@ -0,0 +1,176 @@
+// How long a new leader waits for the runs of a worker that no agent reports.
+#include <doctest/doctest.h>
+
+#include "dispatch/leader/agent_register.hpp"
+#include "dispatch/model/lease.hpp"
+#include "unit/dispatch/leader_fixture.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A leader that takes over a task on a worker which no agent reports and none
+/// reaches, and another worker that is idle.
+struct UnreportedFixture : LeaderFixture {
+  UnreportedFixture() : placed(PlaceOnOneOfTwo()) {}
+
+  void TakeOver(std::uint64_t epoch) {
+    Lead(epoch);
+    ListWorkers({"w1", "w2"});
+    Attach(placed.idle);
+  }
+
+  /// Checks that the task starts when a lease has expired that was granted
+  /// `age` ago.
+  void CheckWaitsForLease(MonotonicTime age) {
+    RunFor(LeaseUpperBound(options.lease) - age - milliseconds(200));
+    CHECK(starts.empty());
+    RunFor(milliseconds(600));
+    CHECK(starts.size() == 1);
+  }
+
+  /// The same for the longest lease of any agent.
+  void CheckWaitsForAnyLease() {
+    CheckWaitsForLease(-options.loss_notice_delay);
+  }
+
+  PlacedOnOne placed;
+};
+
+// Guards against a task that waits for a lease as if it had been renewed until
+// the takeover (LOST): all processes that could renew it had ended before.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "a lease that nobody reports counts from the last grant") {
+  last_grant_age = Milliseconds(2'000);
+  TakeOver(2);
+  CheckWaitsForLease(milliseconds(2'000));
+}
+
+// Guards against a second run: an agent of a former version, or one that is not
+// connected, may have renewed the lease until it noticed the takeover.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "an agent that says nothing may have renewed a lease") {
+  SUBCASE("connected") {}
+  SUBCASE("not connected") {
+    leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+    RunFor(milliseconds(300));
+    last_grant_age = Milliseconds(5'000);
+  }
+  TakeOver(2);
+  CheckWaitsForAnyLease();
+}
+
+// Guards against a second run: a leader of a former version, or one that stored
+// no row, has assigned the worker to an agent that the row does not name.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "the agents of an earlier epoch do not bound a lease") {
+  last_grant_age = Milliseconds(5'000);
+  SUBCASE("a leader between them") { TakeOver(3); }
+  SUBCASE("no row") {
+    table.rows.Transact({{}, {{kAgentsKey, std::nullopt}}});
+    TakeOver(2);
+  }
+  SUBCASE("malformed row") {
+    table.rows.Transact({{}, {{kAgentsKey, "1x\nagent\n"}}});
+    TakeOver(2);
+  }
+  CheckWaitsForAnyLease();
+}
+
+// Guards against a wait that lasts although the last agent has connected.
+TEST_CASE_FIXTURE(UnreportedFixture, "an agent that connects late counts") {
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  last_grant_age = Milliseconds(5'000);
+  TakeOver(2);
+  RunFor(milliseconds(1'000));
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"), Milliseconds(2'000));
+  RunFor(milliseconds(200));
+  Attach(placed.idle);  // It may have been moved, to even out the load.
+  CheckWaitsForLease(milliseconds(2'250));
+}
+
+// Guards against a second run: the agent attached the worker under the new
+// leader and renewed its lease, and the event was lost with its connection.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "an agent lost after the takeover may have renewed a lease") {
+  last_grant_age = Milliseconds(5'000);
+  TakeOver(2);
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  REQUIRE(newest.at(placed.run.vm).agent == NodeId("agent"));
+  leader->OnAgentDown(NodeId("agent"));
+  RunFor(milliseconds(300));
+  Attach(placed.idle);
+  CheckWaitsForLease(milliseconds(350) - options.loss_notice_delay);
+}
+
+// Guards against a task that starts again before the list of its worker shows
+// its end: after a long time without a leader all leases have expired.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "a worker gets time to be attached after its lease") {
+  last_grant_age = Milliseconds(60'000);
+  TakeOver(2);
+  RunFor(milliseconds(1'500));
+  CHECK(starts.empty());
+  RunFor(milliseconds(1'000));
+  CHECK(starts.size() == 1);
+}
+
+// Guards against leases of an agent that the next leader does not count.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "an agent gets workers once the next leader would know it") {
+  RunFor(milliseconds(300));
+  fault = Fault::kRefuse;
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  leader->OnAgentDown(NodeId("agent"));
+  RunFor(milliseconds(1'000));
+  CHECK(newest.at(placed.run.vm).agent == NodeId("agent"));
+  fault = Fault::kNone;
+  RunFor(milliseconds(1'000));
+  CHECK(newest.at(placed.run.vm).agent == NodeId("other"));
+}
+
+// Guards against agents of a leader before the last one that the next leader
+// does not count, and against names that stay in the row for good.
+TEST_CASE("an agent stays in the row until its leases have expired") {
+  constexpr MonotonicTime kExpiry = milliseconds(7'000);
+  AgentRegister agents(Epoch(3));
+  agents.OnUp(NodeId("b"), std::nullopt);
+  SUBCASE("known from the row") {
+    agents.Load("2\na\n", true, kExpiry);
+    CHECK(agents.NextRow(milliseconds(1)) == "3\na\nb\n");
+    agents.OnStored(true);
+    CHECK_FALSE(agents.NextRow(kExpiry));
+  }
+  SUBCASE("not known") {
+    agents.Load("1\na\n", true, kExpiry);
+    CHECK_FALSE(agents.NextRow(kExpiry - milliseconds(1)));
+  }
+  CHECK(agents.NextRow(kExpiry + milliseconds(1)) == "3\nb\n");
+}
+
+// Guards against an agent that gets workers while the row without it may be
+// stored.
+TEST_CASE("an agent that is not in the row in flight gets no workers") {
+  AgentRegister agents(Epoch(1));
+  agents.Load(std::nullopt, false, milliseconds(7'000));
+  agents.OnUp(NodeId("a"), std::nullopt);
+  CHECK(agents.Contains(NodeId("a")));
+  REQUIRE(agents.NextRow(milliseconds(1)));
+  agents.OnUp(NodeId("b"), std::nullopt);
+  CHECK(agents.Contains(NodeId("a")));
+  CHECK_FALSE(agents.Contains(NodeId("b")));
+  SUBCASE("committed") {
+    agents.OnStored(true);
+    CHECK_FALSE(agents.Contains(NodeId("b")));
+    REQUIRE(agents.NextRow(milliseconds(2)));
+    agents.OnStored(true);
+  }
+  SUBCASE("without effect") { agents.OnStored(false); }
+  CHECK(agents.Contains(NodeId("b")));
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -4,6 +4,8 @@
 
 #include <optional>
 
+#include "base/loop/clock.hpp"
+#include "base/loop/simulated_clock.hpp"
 #include "unit/dispatch/worker_session_fixture.hpp"
 
 namespace mangospread::dispatch {
@@ -238,6 +240,21 @@
   CHECK(session->CollectRuns()->lease_left == Milliseconds(0));
 }
 
+// Guards against a takeover that counts the leases of a session from the
+// takeover on, or from a renewal that has granted none.
+TEST_CASE_FIXTURE(SessionFixture, "a session tells when it granted a lease") {
+  CHECK(session->last_grant_at() == MonotonicTime(0));
+  RunFor(Milliseconds(300));
+  const MonotonicTime renewed_at = session->last_grant_at();
+  CHECK(base::MonotonicNow() - renewed_at < Milliseconds(300));
+  session->Start(MakeStart(1));
+  CHECK(session->last_grant_at() == base::MonotonicNow());
+  session->StopExtending();
+  const MonotonicTime granted_at = session->last_grant_at();
+  RunFor(Milliseconds(2'000));
+  CHECK(session->last_grant_at() == granted_at);
+}
+
 // Guards against runs that nobody knows after a takeover which took longer than
 // the agents serve workers without a leader.
 TEST_CASE_FIXTURE(SessionFixture, "a suspended session keeps its runs") {
