lifecycle_bench names the writer's options that it sets

The positional list no longer compiled after max_entries and max_value_bytes were added to WriterOptions. The values are the same: the other fields of the list are the defaults.

--- a/tests/bench/lifecycle_bench.cc
+++ b/tests/bench/lifecycle_bench.cc
@@ -13,7 +13,7 @@
   test::LifecycleFixture f(100, kWorkerCapacity);
   f.options.tick = Milliseconds(100);
   f.options.max_placements_per_tick = 47;
-  f.writer_options = {150, 150, 128, 4'096, Milliseconds(2'000)};
+  f.writer_options.budget = f.writer_options.burst = 150;
   f.table.delay = Milliseconds(4);
   auto& node = f.AddNode("a");
   f.AddJob("j", R"({"team":"t","tasks":4700})");
