Follow the store's changes in time after a silent outage

Cause: a feed had one call under way and waited 3.2 s for its answer and 0.35 s more, so a call whose answer was lost hid the store's return. After silent outages of about 0.3 s, and of 3.5 to 3.9 s, nodes in touch answered by an old configuration, and a leader used an old list of workers.

Change: table::FeedSchedule decides when to call and which answers to use. An answer to a call for changes after an older version than the present one is not used. Delays are random, so that nodes do not act in step. StoreFeed only sends the calls and decodes the answers.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "api/metrics.hpp"
@@ -262,6 +263,11 @@
             }};
   }
 
+  table::FeedSchedule MakeFeedSchedule() {
+    return table::FeedSchedule(
+        [this] { return std::uniform_real_distribution<double>()(random_); });
+  }
+
   void SubscribeToCatalog() {
     const auto install = [this](const std::vector<ChangedRow>& rows) {
       for (const ChangedRow& row : rows) {
@@ -269,7 +275,7 @@
       }
     };
     catalog_feed_ = std::make_unique<platform::StoreFeed>(
-        loop_, store_pool_, "op", "",
+        loop_, store_pool_, MakeFeedSchedule(), "op", "",
         platform::FeedHooks{install, install, {}});
   }
 
@@ -300,7 +306,7 @@
           install(rows);
         };
     leader_feed_ = std::make_unique<platform::StoreFeed>(
-        loop_, store_pool_, "role", kPartition,
+        loop_, store_pool_, MakeFeedSchedule(), "role", kPartition,
         platform::FeedHooks{install_snapshot, install, {}});
   }
 
@@ -314,7 +320,7 @@
 
   void SubscribeToWorkers() {
     workers_feed_ = std::make_unique<platform::StoreFeed>(
-        loop_, store_pool_, "servers", "",
+        loop_, store_pool_, MakeFeedSchedule(), "servers", "",
         platform::FeedHooks{[this](const std::vector<ChangedRow>& rows) {
                               workers_.clear();
                               for (const ChangedRow& row : rows) {
@@ -381,6 +387,7 @@
   std::optional<Catalog> catalog_;
   std::map<VmName, WorkerInfo> workers_;
   dispatch::Node node_;
+  std::mt19937_64 random_{std::random_device{}()};
   platform::Frontend frontend_;
   net::HttpServer frontend_server_;
   net::HttpServer readiness_server_;
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -75,7 +75,9 @@
       add(all);
     };
     hooks.on_change = add;
-    return std::make_unique<StoreFeed>(loop, pool, "t", "", std::move(hooks));
+    return std::make_unique<StoreFeed>(loop, pool,
+                                       table::FeedSchedule([] { return 0.5; }),
+                                       "t", "", std::move(hooks));
   }
 
   base::EventLoop loop;
@@ -201,6 +203,23 @@
   }
 }
 
+// Guards against a view that goes back to former values when the answer to an
+// earlier call arrives after that to a later one.
+TEST_CASE_FIXTURE(StoreFixture,
+                  "a late answer to an earlier call is not used") {
+  read_replies = {Reply(RowText("a", "1", 2), 2)};
+  const auto feed = Follow();
+  RunUntil(loop, [&] { return pending.size() == 1; });
+  feed_replies = {Reply(RowText("a", "3", 4), 4)};
+  RunUntil(loop, [&] { return rows["a"] == "3" && pending.size() == 2; });
+  pending[0]->Reply({200, {}, Reply(RowText("a", "2", 3), 3)});
+  pending[1]->Reply({200, {}, Reply(RowText("b", "1", 5), 5)});
+  RunUntil(loop, [&] { return rows.contains("b") && pending.size() == 3; });
+  CHECK(rows["a"] == "3");
+  CHECK(targets.back().find("after=5") != std::string::npos);
+  CHECK(snapshots == 1);
+}
+
 // Guards against a reply to a transaction or a read that throws or is taken for
 // a success.
 TEST_CASE_FIXTURE(StoreFixture, "malformed replies to calls are no success") {
