End each call to the store when its address changes

Cause: a new address in the settings file replaces the pool of connections, and a pool that is destroyed drops its calls without a result. The writer and the leadership wait for each result, so the leader stored nothing more.

Change: ManagedNode keeps the former pools until their calls have ended, by an answer, an error or their timeout.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -11,6 +11,8 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "api/metrics.hpp"
 #include "app/signal_handler.hpp"
@@ -153,7 +155,8 @@
                {"needs_restart", needs_restart}});
     settings_ = std::move(*settings);
     if (!store_changed) return;
-    store_pool_ = net::HttpClientPool::Create(loop_, settings_.store, {});
+    former_pools_.push_back(std::exchange(
+        store_pool_, net::HttpClientPool::Create(loop_, settings_.store, {})));
     table_.SetPool(store_pool_);
     SubscribeToCatalog();
     SubscribeToLeader();
@@ -359,6 +362,8 @@
   /// Reloads a modified settings file, as the platform may change it without a
   /// signal.
   void ReloadIfModified() {
+    std::erase_if(former_pools_,
+                  [](const auto& pool) { return !pool->HasCallInProgress(); });
     const auto modified_at = SettingsModifiedAt(settings_path_);
     if (modified_at == settings_modified_at_) return;
     settings_modified_at_ = modified_at;
@@ -383,6 +388,9 @@
   platform::ManagedSettings settings_;
   dispatch::Timings timings_;
   std::shared_ptr<net::HttpClientPool> store_pool_;
+  /// Of former addresses, kept until their calls have ended: the writer and the
+  /// leadership wait for each result.
+  std::vector<std::shared_ptr<net::HttpClientPool>> former_pools_;
   platform::StoreTable table_;
   std::optional<Catalog> catalog_;
   std::map<VmName, WorkerInfo> workers_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -340,6 +340,11 @@
   connection->Start(request, extra_headers, std::move(call));
 }
 
+bool HttpClientPool::HasCallInProgress() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& connection) { return connection->busy(); });
+}
+
 void HttpClientPool::CloseIdle() {
   CloseIdleIf([](const detail::ClientConnection&) { return true; });
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -85,6 +85,9 @@
 
   /// Closes the connections that have no request in progress.
   void CloseIdle();
+  /// True while a request is in progress. Each ends by its timeout at the
+  /// latest, so an owner that must have every result keeps the pool until then.
+  [[nodiscard]] bool HasCallInProgress() const;
 
   [[nodiscard]] const Address& address() const noexcept { return address_; }
   /// True if a connection is in use, or is open and was not closed by the peer.
