Failures of submissions that fail everywhere exclude no worker

Cause: WorkerHealth counted each failure against its worker, whether or not the submission failed on every other worker too, and nothing bounded how many workers were excluded. Waves of submissions that can never be done excluded most or all workers for 3 to 24 s, and StepPlacer had no fallback, so that accepted work waited beside idle workers.

Change: a submission that fails on more workers than may be excluded at a time (at least three, or all), and succeeds on fewer, is itself at fault. Its failures count against no worker, and exclusions that rested on them end. At most a fifth of a service's workers, but at least one, is excluded at a time; the oldest exclusion of at least 3 s ends to make room for another worker. A step that no other worker could run uses the excluded ones with the fewest failures first. The delay after a refusal for lack of capacity has a field of its own. An early end is logged as `worker_readmitted` and counted.

The test "a worker on which runs fail is excluded" had a single worker and expected that nothing starts, which is the fault itself; it now has a second worker, which must get all tasks, while the first one gets none until its exclusion ends.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -216,6 +216,9 @@
                   counters.stalled);
       add_counter("workers_excluded_total", "Workers set aside for failures",
                   counters.excluded);
+      add_counter("workers_readmitted_total",
+                  "Workers set aside for failures and taken back early",
+                  counters.readmitted);
       add_counter("runs_lost_total",
                   "Runs that ended with their worker's process", counters.lost);
       add_counter("tasks_given_up_total",
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -153,6 +153,7 @@
       if (task.placed()) return;
     }
   }
+  health_.Discard(id);
   entries_.erase(it);
 }
 
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -51,8 +51,8 @@
 [[nodiscard]] std::string_view RemovalName(WorkerRemoval removal) noexcept;
 
 /// Counts of starts, refused starts, ends by kind, requeues, stalls, worker
-/// exclusions, runs lost with their worker and tasks given up for crashing
-/// workers since this dispatcher was created.
+/// exclusions and their early ends, runs lost with their worker and tasks given
+/// up for crashing workers since this dispatcher was created.
 struct DispatcherCounters {
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
@@ -61,6 +61,7 @@
   std::uint64_t requeued = 0;
   std::uint64_t stalled = 0;
   std::uint64_t excluded = 0;
+  std::uint64_t readmitted = 0;
   std::uint64_t lost = 0;
   std::uint64_t given_up = 0;
 };
@@ -216,6 +217,9 @@
   void ApplyLoss(const LostRun& lost, const VmName& vm);
   void OnResponding(WorkerSlot slot, bool responding, MonotonicTime now);
   void AddFailure(const VmName& vm, const SubmissionId& id, MonotonicTime now);
+  /// Ends the exclusion of a worker early, for the failure of a submission.
+  void ReadmitWorker(const VmName& vm, const SubmissionId& id,
+                     std::string_view reason);
   void Acknowledge(const VmName& vm, WorkerIncarnation incarnation);
 
   // Runs.
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -209,7 +209,9 @@
       for (Task& member : ref.step().tasks) member.checkpoint = end.checkpoint;
     }
   }
-  if (end.end_kind == RunEnd::kDone) health_.OnSuccess(vm, now);
+  if (end.end_kind == RunEnd::kDone) {
+    health_.OnSuccess(vm, ref.name.submission, now);
+  }
   if (end.end_kind == RunEnd::kFailed) AddFailure(vm, ref.name.submission, now);
   if (IsFinal(job.state()) || task.phase == TaskPhase::kDone) return;
   hooks_.log(ref.name, vm, "ended", RunEndName(end.end_kind));
@@ -282,8 +284,7 @@
     AddFailure(worker.info.vm, ref->name.submission, now);
   }
   if (event.reason == CommandOutcome::kNoCapacity) {
-    worker.excluded_until =
-        std::max(worker.excluded_until, now + kNoCapacityBackoff);
+    worker.full_until = now + kNoCapacityBackoff;
   }
   Requeue(*ref, CommandOutcomeName(event.reason), now);
 }
@@ -401,14 +402,32 @@
 
 void Dispatcher::AddFailure(const VmName& vm, const SubmissionId& id,
                             MonotonicTime now) {
-  const MonotonicTime exclusion = health_.OnFailure(vm, id, now);
   const WorkerSlot slot = registry_.Find(vm);
-  if (exclusion.count() == 0 || slot == kNoWorker) return;
+  if (slot == kNoWorker) return;
+  WorkerState& worker = registry_.at(slot);
+  const HealthChange change = health_.OnFailure(
+      {vm, id, worker.info.service, registry_.CountOf(worker.info.service)},
+      now);
+  for (const VmName& readmitted : change.readmitted) {
+    ReadmitWorker(readmitted, id, "submission_at_fault");
+  }
+  if (change.replaced) ReadmitWorker(*change.replaced, id, "limit");
+  if (change.exclusion.count() == 0) return;
   ++counters_.excluded;
-  registry_.at(slot).excluded_until = now + exclusion;
+  worker.excluded_until = now + change.exclusion;
+  worker.suspicion = change.suspicion;
   hooks_.log({id, 0, {}}, vm, "worker_excluded", "failures");
 }
 
+void Dispatcher::ReadmitWorker(const VmName& vm, const SubmissionId& id,
+                               std::string_view reason) {
+  const WorkerSlot slot = registry_.Find(vm);
+  if (slot == kNoWorker) return;
+  ++counters_.readmitted;
+  registry_.at(slot).excluded_until = MonotonicTime(0);
+  hooks_.log({id, 0, {}}, vm, "worker_readmitted", reason);
+}
+
 void Dispatcher::Acknowledge(const VmName& vm, WorkerIncarnation incarnation) {
   hooks_.send(AcknowledgeEnds{vm, incarnation, ledger_.SettledUpTo(vm)});
 }
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -93,8 +93,14 @@
   const auto& workers = registry_.workers();
   for (std::size_t i = 0; i < workers.size(); ++i) {
     if (!IsUsable(workers[i])) continue;
+    const auto slot = static_cast<WorkerSlot>(i);
+    if (workers[i].Excluded(now_)) {
+      excluded_.push_back(slot);
+      continue;
+    }
     reason_ = PlacementFailure::kNoCapacity;
-    AddIfFree(static_cast<WorkerSlot>(i));
+    accepting_.push_back(slot);
+    AddIfFree(slot);
   }
   std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
 }
@@ -107,6 +113,7 @@
       std::push_heap(heap_.begin(), heap_.end(), ChosenAfter);
     }
   }
+  if (heap_.empty()) AddExcluded();
   if (heap_.empty()) {
     last_ = kNoWorker;
     return {kNoWorker, reason_};
@@ -118,13 +125,34 @@
 }
 
 bool StepPlacer::IsUsable(const WorkerState& worker) const {
-  return worker.Accepts(now_) && worker.info.service == service_ &&
+  return worker.CanStart(now_) && worker.info.service == service_ &&
          Satisfies(worker, spec_);
 }
 
+bool StepPlacer::CouldRun(WorkerSlot slot) const {
+  const WorkerCapacity& capacity = At(slot).info.capacity;
+  if (spec_.cpu > capacity.cpu || spec_.memory > capacity.memory ||
+      spec_.accelerators > capacity.accelerators) {
+    return false;
+  }
+  return spec_.max_per_worker == 0 ||
+         tasks_of_step_(slot) < spec_.max_per_worker;
+}
+
+void StepPlacer::AddExcluded() {
+  if (excluded_.empty() ||
+      std::any_of(accepting_.begin(), accepting_.end(),
+                  [this](WorkerSlot slot) { return CouldRun(slot); })) {
+    return;
+  }
+  reason_ = PlacementFailure::kNoCapacity;
+  for (const WorkerSlot slot : excluded_) AddIfFree(slot);
+  excluded_.clear();
+  std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
+}
+
 bool StepPlacer::HasCapacity(WorkerSlot slot) {
-  const WorkerState& worker =
-      registry_.workers()[static_cast<std::size_t>(slot)];
+  const WorkerState& worker = At(slot);
   if (!Fits(worker, spec_)) return false;
   if (spec_.max_per_worker > 0 &&
       tasks_of_step_(slot) >= spec_.max_per_worker) {
@@ -135,12 +163,12 @@
 
 void StepPlacer::AddIfFree(WorkerSlot slot) {
   if (!HasCapacity(slot)) return;
-  const WorkerState& worker =
-      registry_.workers()[static_cast<std::size_t>(slot)];
+  const WorkerState& worker = At(slot);
   const double cost = goal_ == PlacementGoal::kLongestQuiet
                           ? static_cast<double>(worker.last_start.count())
                           : Cost(worker, model_, spec_);
-  heap_.push_back({cost, slot});
+  const int suspicion = worker.Excluded(now_) ? worker.suspicion : 0;
+  heap_.push_back({suspicion, cost, slot});
 }
 
 bool StepPlacer::LeavesHeadroom(const WorkerState& worker) {
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -31,7 +31,9 @@
 };
 
 /// Chooses a worker for each task of a step in turn: the one with the lowest
-/// cost, and of several the first.
+/// cost, and of several the first. An excluded worker is chosen, those with the
+/// fewest failures first, if no other one can run the step's tasks, even if it
+/// ran nothing else.
 ///
 /// Load pattern: steps of dozens of tasks on a fleet of a thousand workers. All
 /// workers are looked at once for the step instead of once for each task, so
@@ -51,6 +53,7 @@
 
  private:
   struct Candidate {
+    int suspicion = 0;  ///< 0 unless the worker is excluded.
     double cost = 0;
     WorkerSlot slot = kNoWorker;
   };
@@ -62,9 +65,20 @@
 
   /// True if `a` is chosen after `b`.
   static bool ChosenAfter(const Candidate& a, const Candidate& b) noexcept {
+    if (a.suspicion != b.suspicion) return a.suspicion > b.suspicion;
     return a.cost != b.cost ? a.cost > b.cost : a.slot > b.slot;
   }
+  /// True if the worker can start tasks with the step's constraints.
   [[nodiscard]] bool IsUsable(const WorkerState& worker) const;
+  /// True if the worker could run one more task of the step if it ran nothing
+  /// else.
+  [[nodiscard]] bool CouldRun(WorkerSlot slot) const;
+  /// Makes the excluded workers candidates if no other worker could run the
+  /// next task.
+  void AddExcluded();
+  [[nodiscard]] const WorkerState& At(WorkerSlot slot) const {
+    return registry_.workers()[static_cast<std::size_t>(slot)];
+  }
   /// True if one more task of the step can start on the worker.
   [[nodiscard]] bool HasCapacity(WorkerSlot slot);
   [[nodiscard]] bool LeavesHeadroom(const WorkerState& worker);
@@ -82,6 +96,9 @@
   std::vector<Candidate> heap_;  ///< The next worker is at the front.
   PlacementFailure reason_ = PlacementFailure::kNoWorker;
   WorkerSlot last_ = kNoWorker;
+  std::vector<WorkerSlot> accepting_;
+  /// Usable workers that are excluded and not yet candidates.
+  std::vector<WorkerSlot> excluded_;
 };
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -112,4 +112,12 @@
   return it == by_name_.end() ? kNoWorker : it->second;
 }
 
+std::size_t WorkerRegistry::CountOf(const ServiceName& service) const {
+  return static_cast<std::size_t>(std::count_if(
+      slots_.begin(), slots_.end(), [&](const WorkerState& worker) {
+        return !worker.slot_free && worker.attached && !worker.info.leaving() &&
+               worker.info.service == service;
+      }));
+}
+
 }  // namespace mangospread::dispatch
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -80,8 +80,12 @@
   Accelerators accelerators_used;
   /// Best-effort tasks were throttled on this worker until then.
   MonotonicTime throttled_until{0};
-  /// No placement until then, since it refused starts or runs on it failed.
+  /// No placement until then, since it refused starts for lack of capacity.
+  MonotonicTime full_until{0};
+  /// No placement until then, since runs on it failed, unless no other worker
+  /// can run a task.
   MonotonicTime excluded_until{0};
+  int suspicion = 0;  ///< Failures for which it was excluded last.
   std::uint64_t starts_issued = 0;
   std::map<TaskName, PlacedRun> runs;
   /// Runs on the worker that are not placed there and are being stopped. They
@@ -95,9 +99,16 @@
   void Invalidate() noexcept { groups_valid_ = false; }
 
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
+    return CanStart(now) && !Excluded(now);
+  }
+  /// True if it can start a task, even if runs on it failed.
+  [[nodiscard]] bool CanStart(MonotonicTime now) const noexcept {
     return attached && !slot_free && !info.leaving() &&
            silent_since.count() == 0 && stray_runs.empty() &&
-           now >= excluded_until && now >= trial_until;
+           now >= full_until && now >= trial_until;
+  }
+  [[nodiscard]] bool Excluded(MonotonicTime now) const noexcept {
+    return now < excluded_until;
   }
   void Add(const StepSpec& spec);
   void Remove(const StepSpec& spec);
@@ -114,6 +125,8 @@
   WorkerSlot Upsert(const WorkerInfo& info);
   void Erase(WorkerSlot slot);
   [[nodiscard]] WorkerSlot Find(const VmName& vm) const;
+  /// Number of workers of a service, without those that leave.
+  [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
   [[nodiscard]] WorkerState& at(WorkerSlot slot) {
     return slots_[static_cast<std::size_t>(slot)];
   }
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -103,6 +103,13 @@
                      SubmissionBody("serve", tasks, kStartupMs, true));
 }
 
+Response ManagedCluster::SubmitFailing(std::size_t node, int submission,
+                                       int tasks) {
+  constexpr int kEstimateMs = 200;
+  return SendRequest(node, net::Method::kPost, submission,
+                     SubmissionBody("fail", tasks, kEstimateMs));
+}
+
 Response ManagedCluster::SubmitCrashing(std::size_t node, int submission,
                                         const std::string& spec) {
   constexpr int kEstimateMs = 200;
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -69,6 +69,8 @@
   Response Submit(std::size_t node, int submission, int tasks, int task_ms);
   /// Submits one step of `tasks` long-running tasks.
   Response SubmitLongRunning(std::size_t node, int submission, int tasks);
+  /// Submits one step of `tasks` tasks, each of which fails after 200 ms.
+  Response SubmitFailing(std::size_t node, int submission, int tasks);
   /// Submits one task that crashes the worker which starts it.
   /// @param spec "crash", after which the worker restarts under its id, or
   ///   "crash-new-id", after which another one starts in its place.
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -280,11 +280,18 @@
   Add("a", {MakeStep(1, 1'000)});
   Add("b", {MakeStep(1, 1'000)});
   REQUIRE(Decide().size() == 2);
+  AddWorker("w2", 2'000);
   End("w1", 1, "a.0.0.0", 1, RunEnd::kFailed);
   End("w1", 2, "b.0.0.0", 1, RunEnd::kFailed);
+  Add("c", {MakeStep(1, 1'000)});
+  const auto starts = Decide();
+  REQUIRE(starts.size() == 2);
+  for (const StartRun& start : starts) CHECK(start.vm == VmName("w2"));
   CHECK(Decide().empty());
   now += std::chrono::seconds(30);
-  CHECK(Decide().size() == 2);
+  const auto later = Decide();
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].vm == VmName("w1"));
 }
 
 // Guards against a gang of which only some members start: they reserve capacity
--- a/tests/unit/dispatch/policy_test.cc
+++ b/tests/unit/dispatch/policy_test.cc
@@ -9,7 +9,6 @@
 #include "dispatch/policy/overload.hpp"
 #include "dispatch/policy/placement.hpp"
 #include "dispatch/policy/sharing_model.hpp"
-#include "dispatch/policy/worker_health.hpp"
 #include "unit/dispatch/dispatcher_fixture.hpp"
 
 namespace mangospread::dispatch::test {
@@ -483,16 +482,5 @@
   CHECK_FALSE(paused.overloaded());
 }
 
-// Guards against a faulty submission that gets workers excluded.
-TEST_CASE("a worker is excluded only for failures of several submissions") {
-  WorkerHealth health;
-  const VmName vm("w1");
-  MonotonicTime now = std::chrono::seconds(1);
-  for (int i = 0; i < 10; ++i) {
-    CHECK(health.OnFailure(vm, SubmissionId("faulty"), now).count() == 0);
-  }
-  CHECK(health.OnFailure(vm, SubmissionId("other"), now).count() > 0);
-}
-
 }  // namespace
 }  // namespace mangospread::dispatch::test
