--- a/tests/integration/managed/many_ends_test.cc
+++ b/tests/integration/managed/many_ends_test.cc
@@ -1,5 +1,5 @@
-// Guards against tasks that run twice (TWICE): a worker is cut off while more
-// of its tasks end than it lists in one reply.
+// Guards against tasks that run twice (TWICE): a worker is cut off, or the
+// leader dies, while more tasks of the worker end than it lists in one reply.
 #include <doctest/doctest.h>
 
 #include <thread>
@@ -19,9 +19,9 @@
 /// Longer than a task, and shorter than the lease of 6 s, so no run is lost.
 constexpr MonotonicTime kSilence = std::chrono::seconds(3);
 
-void CheckRunOnce(ManagedCluster& site) {
+void CheckRunOnce(ManagedCluster& site, std::size_t node) {
   WaitUntil("the submission is complete", kWaitTimeout,
-            [&] { return site.GetState(0, kSubmission) == "complete"; });
+            [&] { return site.GetState(node, kSubmission) == "complete"; });
   const RunCounters counts = site.GetCounters();
   CHECK(counts.starts == kTasks);
   CHECK(counts.done == kTasks);
@@ -46,7 +46,19 @@
   std::this_thread::sleep_for(kSilence);
   REQUIRE(site.EndedRuns(0) == kTasks);
   site.SilenceWorker(0, false);
-  CheckRunOnce(site);
+  CheckRunOnce(site, 0);
+}
+
+// No end is acknowledged until the next leader has the worker attached.
+TEST_CASE("a leader that dies while many tasks end runs each once") {
+  ManagedCluster site(3, 1, kTasks);
+  FillWorker(site);
+  const std::size_t leader = site.Leader();
+  REQUIRE(leader < site.nodes());
+  WaitUntil("the tasks begin to end", kWaitTimeout,
+            [&] { return site.EndedRuns(0) > 0; });
+  site.node(leader).Kill();
+  CheckRunOnce(site, (leader + 1) % site.nodes());
 }
 
 }  // namespace
--- a/tests/unit/dispatch/paged_ends_test.cc
+++ b/tests/unit/dispatch/paged_ends_test.cc
@@ -178,6 +178,19 @@
   CHECK(CountComplete() == 1);
 }
 
+// The leader would count the worker as silent, and suspect its runs.
+TEST_CASE_FIXTURE(PagedFixture,
+                  "a worker that misses one reply while ends are read") {
+  Assign();
+  link->error = Errc::kTimeout;
+  RunFor(Milliseconds(200));
+  link->error = std::nullopt;
+  RunFor(Milliseconds(500));
+  REQUIRE(Count<WorkerLoad>() == 2);
+  CHECK(std::get<WorkerLoad>(events.back().details).responding);
+  CHECK(Count<Attached>() == 1);
+}
+
 /// Two runs on a worker that reports an incomplete list without them.
 struct IncompleteFixture : DispatcherFixture {
   IncompleteFixture() {
@@ -297,5 +310,23 @@
   CHECK(starts.size() == 1);
 }
 
+// The report may leave out runs that the worker lists on a later page.
+TEST_CASE_FIXTURE(IncompleteTakeoverFixture,
+                  "a report about a worker whose ends are read is not used") {
+  Lead(2);
+  FormerLeaderRuns report;
+  report.worker.vm = placed.run.vm;
+  report.unreachable = true;
+  report.lease_left = Milliseconds(6'000);
+  leader->OnKnownRuns(NodeId("agent"), report);
+  ListWorkers({"w1", "w2"});
+  Attach(placed.idle);
+  Event(placed.busy, Attached{WorkerIncarnation(1), 1'000, {}, {}, {}, false});
+  RunFor(std::chrono::seconds(5));
+  CHECK(starts.empty());
+  Attach(placed.busy);
+  CHECK(starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
