--- a/src/dispatch/leader/done_tasks.cc
+++ b/src/dispatch/leader/done_tasks.cc
@@ -92,7 +92,8 @@
 std::string EncodeDone(const std::vector<DoneTasks>& done) {
   const std::string ranges = EncodeRanges(done);
   const int tasks = done.empty() ? 0 : done.back().position + done.back().count;
-  const auto bits_size = static_cast<std::size_t>(tasks / kBitsPerDigit + 1);
+  const std::size_t bits_size =
+      static_cast<std::size_t>(tasks) / kBitsPerDigit + 1;
   if (ranges.size() <= bits_size) return "\"done\":[" + ranges + "]";
   return "\"done_bits\":\"" + EncodeBits(done) + "\"";
 }
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -160,10 +160,10 @@
       return Error{Errc::kTooLarge, "progress"};
     }
   }
-  const std::string further = ",\"parts\":" + std::to_string(parts.size() - 1);
+  const std::string first_head =
+      head + done + ",\"parts\":" + std::to_string(parts.size() - 1);
   for (std::size_t i = 0; i < parts.size(); ++i) {
-    parts[i] =
-        JoinRow(i == 0 ? head + done + further : head, std::move(parts[i]));
+    parts[i] = JoinRow(i == 0 ? first_head : head, std::move(parts[i]));
   }
   return parts;
 }
