The names of all workers are stored within the size of a row

Cause: the row roster/workers holds one line for each worker. With about 5,600 workers whose names have some 11 bytes, or 3,000 with 20 bytes, it exceeds 65,536 bytes; the store refuses it, so no new worker is used any more.

Change: names for which the row has no space are in the rows roster/workers.<n>, written in the same transaction; rows that are not needed any more are removed. A single row is as before.

Test: group_leader_test.cc, "6,000 workers are stored within the bound" and "rows of workers that are gone are removed" (unit): pass.

--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -133,8 +133,10 @@
 void GroupLeader::Load() {
   constexpr std::size_t kAll = 1'000'000;
   ReadRequest request;
-  request.keys = {kRosterKey, kAgentsKey, kInterferenceKey};
-  request.ranges = {{kJobPrefix, {}, kAll}, {kProgressPrefix, {}, kAll}};
+  request.keys = {kAgentsKey, kInterferenceKey};
+  request.ranges = {{kRosterKey, {}, kAll},
+                    {kJobPrefix, {}, kAll},
+                    {kProgressPrefix, {}, kAll}};
   deps_.table.Read(
       std::move(request),
       [this, alive = alive_](const Result<std::vector<Row>>& rows) {
@@ -168,14 +170,8 @@
     } else if (row.key == kAgentsKey) {
       agents = row.value;
     } else {
-      // The roster, with one worker name per line.
-      std::size_t from = 0;
-      while (from < row.value.size()) {
-        const std::size_t to =
-            std::min(row.value.find('\n', from), row.value.size());
-        roster_.emplace(row.value.substr(from, to - from));
-        from = to + 1;
-      }
+      DecodeRoster(row.value, roster_);
+      ++roster_rows_;
     }
   }
   progress_parts_ = std::move(stored.parts);
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -332,6 +332,7 @@
   std::map<VmName, WorkerInfo> listed_;  ///< Registered workers.
   /// Workers that may hold a lease, as stored in the table.
   std::set<VmName> roster_;
+  int roster_rows_ = 0;  ///< Number of rows that hold them.
   /// Workers of the loaded roster whose runs are not known yet.
   std::set<VmName> unresolved_;
   /// Workers that agents of former leaders have reported.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -63,20 +63,29 @@
   next_roster_ = TargetRoster();
   if (next_roster_ == roster_) return;
   roster_saving_ = true;
-  std::string value;
-  for (const VmName& vm : next_roster_) value += vm.str() + "\n";
+  std::vector<std::string> rows =
+      EncodeRoster(next_roster_, options_.row_bytes);
+  const auto count = static_cast<int>(rows.size());
   Transaction change = LeaderTransaction();
-  change.writes.push_back({kRosterKey, std::move(value)});
-  writer_.Submit(std::move(change), [this](const table::WriteResult& result) {
-    roster_saving_ = false;
-    // The next tick retries.
-    if (CheckConflict(result) || result.status != WriteStatus::kCommitted) {
-      return;
-    }
-    roster_ = next_roster_;
-    ReleaseRemoved();
-    OnWorkers(std::map<VmName, WorkerInfo>(listed_));
-  });
+  for (int part = 0; part < count; ++part) {
+    change.writes.push_back(
+        {RosterKey(part), std::move(rows[static_cast<std::size_t>(part)])});
+  }
+  for (int part = count; part < roster_rows_; ++part) {
+    change.writes.push_back({RosterKey(part), std::nullopt});
+  }
+  writer_.Submit(
+      std::move(change), [this, count](const table::WriteResult& result) {
+        roster_saving_ = false;
+        // The next tick retries.
+        if (CheckConflict(result) || result.status != WriteStatus::kCommitted) {
+          return;
+        }
+        roster_ = next_roster_;
+        roster_rows_ = count;
+        ReleaseRemoved();
+        OnWorkers(std::map<VmName, WorkerInfo>(listed_));
+      });
 }
 
 void GroupLeader::SaveAgents() {
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -168,6 +168,34 @@
   return parts;
 }
 
+std::vector<std::string> EncodeRoster(const std::set<VmName>& workers,
+                                      std::size_t max_bytes) {
+  std::vector<std::string> rows(1);
+  for (const VmName& vm : workers) {
+    const std::string line = vm.str() + "\n";
+    if (!rows.back().empty() && rows.back().size() + line.size() > max_bytes) {
+      rows.emplace_back();
+    }
+    rows.back() += line;
+  }
+  return rows;
+}
+
+void DecodeRoster(std::string_view value, std::set<VmName>& workers) {
+  std::size_t from = 0;
+  while (from < value.size()) {
+    const std::size_t to = std::min(value.find('\n', from), value.size());
+    workers.emplace(std::string(value.substr(from, to - from)));
+    from = to + 1;
+  }
+}
+
+std::string RosterKey(int part) {
+  std::string key = kRosterKey;
+  if (part > 0) key += kPartSeparator + std::to_string(part);
+  return key;
+}
+
 std::string ProgressKey(const SubmissionId& id, int part) {
   std::string key = kProgressPrefix + id.str();
   if (part > 0) key += kPartSeparator + std::to_string(part);
--- a/src/dispatch/leader/job_rows.hpp
+++ b/src/dispatch/leader/job_rows.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -35,7 +36,8 @@
 
 inline constexpr const char* kJobPrefix = "job/";
 inline constexpr const char* kProgressPrefix = "progress/";
-/// Row with the names of all workers that may hold a lease, one per line.
+/// Row with the names of all workers that may hold a lease, one per line. Names
+/// for which it has no space are in the rows "roster/workers.<n>", from n = 1.
 inline constexpr const char* kRosterKey = "roster/workers";
 
 [[nodiscard]] std::string EncodeJobRow(const JobRow& row);
@@ -53,6 +55,14 @@
 /// @errors kMalformed.
 [[nodiscard]] Result<ProgressRow> DecodeProgressRow(std::string_view value);
 
+/// Divides the names over rows of at most `max_bytes`, at least one.
+[[nodiscard]] std::vector<std::string> EncodeRoster(
+    const std::set<VmName>& workers, std::size_t max_bytes);
+/// Adds the names in one of the rows.
+void DecodeRoster(std::string_view value, std::set<VmName>& workers);
+/// Key of a row with names of workers; part 0 is the first one.
+[[nodiscard]] std::string RosterKey(int part);
+
 /// Key of a row with progress; part 0 is the first one.
 [[nodiscard]] std::string ProgressKey(const SubmissionId& id, int part);
 /// The reverse of ProgressKey, for a key without the prefix. A text that names
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "base/loop/clock.hpp"
 #include "dispatch/model/lease.hpp"
@@ -310,6 +313,55 @@
   CHECK(reply.state == SubmissionState::kCancelled);
 }
 
+// Guards against workers that are never used since the row with their names is
+// larger than the table accepts, and against a takeover that knows only some of
+// them.
+TEST_CASE_FIXTURE(LeaderFixture, "6,000 workers are stored within the bound") {
+  table.rejects = [this](const Transaction& transaction) {
+    return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                       [this](const Write& write) {
+                         return write.value &&
+                                write.value->size() > options.row_bytes;
+                       });
+  };
+  std::vector<std::string> names;
+  for (int i = 0; i < 6'000; ++i) {
+    names.push_back("worker-santander-" + std::to_string(1'000 + i));
+  }
+  std::vector<const char*> workers;
+  for (const std::string& name : names) workers.push_back(name.c_str());
+  Lead(1);
+  ListWorkers(workers);
+  RunFor(std::chrono::seconds(1));
+  CHECK(newest.size() == names.size());
+  Lead(2);
+  CHECK(leader->unresolved_workers() == names.size());
+  const auto rows = table.rows.Read({{}, {{kRosterKey, {}, 10}}});
+  std::set<VmName> stored;
+  for (const Row& row : rows) {
+    CHECK(row.value.size() <= options.row_bytes);
+    DecodeRoster(row.value, stored);
+  }
+  CHECK(rows.size() == 3);
+  CHECK(stored.size() == names.size());
+}
+
+// Guards against a leader that does not find the workers which the version
+// before has stored in one row, and against rows left when there are fewer.
+TEST_CASE_FIXTURE(LeaderFixture, "rows of workers that are gone are removed") {
+  table.rows.Transact({{},
+                       {{RosterKey(0), "w1\n"},
+                        {RosterKey(1), "w2\n"},
+                        {RosterKey(2), "w3\n"}}});
+  Lead(1);
+  CHECK(leader->unresolved_workers() == 3);
+  ListWorkers({"w1"});
+  RunFor(std::chrono::seconds(20));
+  const auto rows = table.rows.Read({{}, {{kRosterKey, {}, 10}}});
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].value == "w1\n");
+}
+
 // Guards against an accepted submission whose progress the table does not
 // accept: its row was sent again without end, and the ends of its tasks were
 // never acknowledged, so that the worker listed no later ones.
