--- a/tests/unit/dispatch/job_rows_test.cc
+++ b/tests/unit/dispatch/job_rows_test.cc
@@ -24,6 +24,7 @@
 
 Job MakeJob(const std::vector<int>& counts) {
   std::vector<StepSpec> steps;
+  steps.reserve(counts.size());
   for (const int count : counts) {
     steps.push_back(DispatcherFixture::MakeStep(count, 250));
   }
