--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -24,7 +24,6 @@
 constexpr int kDefaultTaskMs = 200;
 constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 
-
 }  // namespace
 
 SiteWorker::SiteWorker(base::EventLoop& loop, std::string id,
