One check that no task ran twice, for the managed tests

Eleven places made the same two checks of the run counters; CheckNoTaskRanTwice makes both. The checks are the same. odd_entry_test, managed_path_test and store_address_test pass.

--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -1,5 +1,7 @@
 #include "integration/harness/managed.hpp"
 
+#include <doctest/doctest.h>
+
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -26,6 +28,11 @@
 
 }  // namespace
 
+void CheckNoTaskRanTwice(const RunCounters& counts) {
+  CHECK(counts.overlaps == 0);
+  CHECK(counts.repeats == 0);
+}
+
 std::string SubmissionIdOf(int submission) {
   std::string id(16, '0');
   std::snprintf(id.data(), id.size() + 1, "%016x", submission);
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -29,6 +29,10 @@
   bool capacities_known = false;
 };
 
+/// Checks that no task was started while it was running, nor after its success
+/// had been acknowledged.
+void CheckNoTaskRanTwice(const RunCounters& counts);
+
 /// Id of the submission with the given number: 16 hexadecimal digits.
 [[nodiscard]] std::string SubmissionIdOf(int submission);
 
--- a/tests/integration/managed/crashing_task_test.cc
+++ b/tests/integration/managed/crashing_task_test.cc
@@ -36,8 +36,7 @@
   const RunCounters counts = site.GetCounters();
   CHECK(MaxCrashes(site) >= 1);
   CHECK(MaxCrashes(site) <= kMaxCrashes);
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
 }
 
--- a/tests/integration/managed/faulty_submission_test.cc
+++ b/tests/integration/managed/faulty_submission_test.cc
@@ -101,8 +101,7 @@
   CHECK(traffic.failed() == 0);
   CHECK(traffic.longest() < kMaxWait + milliseconds(kGoodTaskMs));
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
 }
 
--- a/tests/integration/managed/large_submission_test.cc
+++ b/tests/integration/managed/large_submission_test.cc
@@ -43,8 +43,7 @@
             [&] { return site.GetState(1, kLarge) == "complete"; });
   const RunCounters counts = site.GetCounters();
   CHECK(counts.done == kLargeTasks + 2 * kSmallSubmissions);
-  CHECK(counts.repeats == 0);
-  CHECK(counts.overlaps == 0);
+  CheckNoTaskRanTwice(counts);
 }
 
 TEST_CASE("tasks of a large submission run once across a takeover") {
@@ -60,8 +59,7 @@
   WaitUntil("the large submission is complete", kWaitTimeout,
             [&] { return site.GetState(other, kLarge) == "complete"; });
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.repeats == 0);
-  CHECK(counts.overlaps == 0);
+  CheckNoTaskRanTwice(counts);
 }
 
 // Guards against a submission that can never be stored and that callers are
--- a/tests/integration/managed/managed_path_test.cc
+++ b/tests/integration/managed/managed_path_test.cc
@@ -31,8 +31,7 @@
 /// exceeded its capacity.
 void CheckCounts(ManagedCluster& site) {
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
 }
 
--- a/tests/integration/managed/many_ends_test.cc
+++ b/tests/integration/managed/many_ends_test.cc
@@ -25,8 +25,7 @@
   const RunCounters counts = site.GetCounters();
   CHECK(counts.starts == kTasks);
   CHECK(counts.done == kTasks);
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.expired_runs == 0);
 }
 
--- a/tests/integration/managed/odd_entry_test.cc
+++ b/tests/integration/managed/odd_entry_test.cc
@@ -89,8 +89,7 @@
             [&] { return site.GetState(leader, kAfter) == "complete"; });
   CHECK(site.EndedRuns(added) > 0);
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
   CHECK(DescribeUnexpectedEnds().empty());
 }
@@ -126,8 +125,7 @@
     return site.GetState(site.Leader(), kBefore) == "complete";
   });
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(DescribeUnexpectedEnds().empty());
 }
 
--- a/tests/integration/managed/shrinking_worker_test.cc
+++ b/tests/integration/managed/shrinking_worker_test.cc
@@ -41,8 +41,7 @@
   }
   const RunCounters counts = site.GetCounters();
   CHECK(counts.overloads == 0);
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
 }
 
 TEST_CASE("a worker that shrinks below what it runs gets no more work") {
--- a/tests/integration/managed/store_address_test.cc
+++ b/tests/integration/managed/store_address_test.cc
@@ -56,8 +56,7 @@
   CHECK(reply.status >= kOk);
   CHECK(reply.status < kFirstError);
   const RunCounters counts = site.GetCounters();
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(DescribeUnexpectedEnds().empty());
 }
 
--- a/tests/integration/soak/soak_test.cc
+++ b/tests/integration/soak/soak_test.cc
@@ -110,8 +110,7 @@
   CheckConfiguration(cluster, injector.extra_route());
   CHECK(callers.violations() == std::vector<std::string>());
   CHECK(injector.violations() == std::vector<std::string>());
-  CHECK(counts.overlaps == 0);
-  CHECK(counts.repeats == 0);
+  CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
   std::size_t accepted = 0;
   for (const auto& [number, s] : callers.submissions()) accepted += s.accepted;
