--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -275,8 +275,9 @@
   table_.Read({{row_key_}, {}},
               [this, alive = alive_](const Result<std::vector<Row>>& rows) {
                 if (!*alive) return;
-                if (rows.ok() && !OwnRowChanged(rows.value()))
+                if (rows.ok() && !OwnRowChanged(rows.value())) {
                   return Supersede();
+                }
                 OnOwnRowRead(rows);
               });
 }
