Excluded workers run no task while sound ones start none for a moment

A worker that fails at once could use up all attempts of a task meanwhile. Cause: only workers that can start a task at this moment counted as alternatives. Change: all workers of the service that stay count. Tasks of a step that end by themselves don't count against its limit there. After: "an excluded worker gets no task while others start none" (6 states) passes. The case "spread" is about a long-running step now, for which the limit holds until it is cancelled.

--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -92,14 +92,16 @@
       goal_(goal) {
   const auto& workers = registry_.workers();
   for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (!IsUsable(workers[i])) continue;
+    if (!IsSuitable(workers[i])) continue;
     const auto slot = static_cast<WorkerSlot>(i);
-    if (workers[i].Excluded(now_)) {
+    const bool excluded = workers[i].Excluded(now_);
+    if (!excluded) sound_.push_back(slot);
+    if (!workers[i].CanStart(now_)) continue;
+    if (excluded) {
       excluded_.push_back(slot);
       continue;
     }
     reason_ = PlacementFailure::kNoCapacity;
-    accepting_.push_back(slot);
     AddIfFree(slot);
   }
   std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
@@ -124,8 +126,8 @@
   return {last_, PlacementFailure::kNone};
 }
 
-bool StepPlacer::IsUsable(const WorkerState& worker) const {
-  return worker.CanStart(now_) && worker.info.service == service_ &&
+bool StepPlacer::IsSuitable(const WorkerState& worker) const {
+  return worker.Stays() && worker.info.service == service_ &&
          Satisfies(worker, spec_);
 }
 
@@ -135,13 +137,16 @@
       spec_.accelerators > capacity.accelerators) {
     return false;
   }
+  // Other tasks of the step there end, unless they are long-running or wait for
+  // this one.
+  if (!spec_.long_running && !spec_.gang) return true;
   return spec_.max_per_worker == 0 ||
          tasks_of_step_(slot) < spec_.max_per_worker;
 }
 
 void StepPlacer::AddExcluded() {
   if (excluded_.empty() ||
-      std::any_of(accepting_.begin(), accepting_.end(),
+      std::any_of(sound_.begin(), sound_.end(),
                   [this](WorkerSlot slot) { return CouldRun(slot); })) {
     return;
   }
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -68,10 +68,11 @@
     if (a.suspicion != b.suspicion) return a.suspicion > b.suspicion;
     return a.cost != b.cost ? a.cost > b.cost : a.slot > b.slot;
   }
-  /// True if the worker can start tasks with the step's constraints.
-  [[nodiscard]] bool IsUsable(const WorkerState& worker) const;
-  /// True if the worker could run one more task of the step if it ran nothing
-  /// else.
+  /// True if the worker can start tasks with the step's constraints, now or
+  /// later.
+  [[nodiscard]] bool IsSuitable(const WorkerState& worker) const;
+  /// True if the worker could run one more task of the step, now or later, if
+  /// it ran nothing else.
   [[nodiscard]] bool CouldRun(WorkerSlot slot) const;
   /// Makes the excluded workers candidates if no other worker could run the
   /// next task.
@@ -96,8 +97,10 @@
   std::vector<Candidate> heap_;  ///< The next worker is at the front.
   PlacementFailure reason_ = PlacementFailure::kNoWorker;
   WorkerSlot last_ = kNoWorker;
-  std::vector<WorkerSlot> accepting_;
-  /// Usable workers that are excluded and not yet candidates.
+  /// Suitable workers that are not excluded, also those that can start nothing
+  /// at present.
+  std::vector<WorkerSlot> sound_;
+  /// Workers that could start tasks but are excluded and not yet candidates.
   std::vector<WorkerSlot> excluded_;
 };
 
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -103,9 +103,12 @@
   }
   /// True if it can start a task, even if runs on it failed.
   [[nodiscard]] bool CanStart(MonotonicTime now) const noexcept {
-    return attached && !slot_free && !info.leaving() &&
-           silent_since.count() == 0 && stray_runs.empty() &&
-           now >= full_until && now >= trial_until;
+    return Stays() && attached && silent_since.count() == 0 &&
+           stray_runs.empty() && now >= full_until && now >= trial_until;
+  }
+  /// False if it will start no task any more.
+  [[nodiscard]] bool Stays() const noexcept {
+    return !slot_free && !info.leaving();
   }
   [[nodiscard]] bool Excluded(MonotonicTime now) const noexcept {
     return now < excluded_until;
--- a/tests/unit/dispatch/worker_health_test.cc
+++ b/tests/unit/dispatch/worker_health_test.cc
@@ -218,6 +218,24 @@
   CHECK(placements.Place().reason == PlacementFailure::kNoCapacity);
 }
 
+// Guards against tasks that use up their attempts on a worker which fails them
+// while the other one can start nothing for a moment.
+TEST_CASE("an excluded worker gets no task while others start none") {
+  Placements placements(2, 4'000);
+  placements.Exclude(0, 2);
+  WorkerState& sound = placements.registry.at(1);
+  SUBCASE("refused a start") { sound.full_until = std::chrono::hours(1); }
+  SUBCASE("silent") { sound.silent_since = MonotonicTime(1); }
+  SUBCASE("without an agent") { sound.attached = false; }
+  SUBCASE("stops a run") { sound.stray_runs = {"a.0.0.0"}; }
+  SUBCASE("tries a task") { sound.trial_until = std::chrono::hours(1); }
+  SUBCASE("runs another task of the step") {
+    placements.spec.max_per_worker = 1;
+    CHECK(placements.Place().worker == 1);
+  }
+  CHECK(placements.Place().worker == kNoWorker);
+}
+
 // Guards against a task that waits because the only workers which satisfy its
 // constraints are excluded.
 TEST_CASE("an excluded worker runs a task that no other could run") {
@@ -238,6 +256,7 @@
   SUBCASE("spread") {
     Placements placements(2, 4'000);
     placements.spec.max_per_worker = 1;
+    placements.spec.long_running = true;
     placements.Exclude(0, 2);
     CHECK(placements.Place().worker == 1);
     CHECK(placements.Place().worker == 0);
