The leader's own node serves workers while no other one may

Change: the own node is eligible while no connected node is one whose name is stored. "the own node serves workers while no other may" shows it.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -42,9 +42,9 @@
   /// Period at which expired leases, unassigned workers and ended submissions
   /// are handled.
   Milliseconds tick_period{200};
-  /// The leader's own node serves workers only while no other node is
-  /// connected, and not before it has led for this long. Otherwise the leader's
-  /// death would leave their runs unknown to the next leader.
+  /// The leader's own node serves workers only while they can be assigned to no
+  /// other node, and not before it has led for this long. Otherwise the
+  /// leader's death would leave their runs unknown to the next leader.
   Milliseconds self_service_delay{1'000};
   /// A worker of a former leader is assigned to the agent that serves it; to
   /// any other one only if no agent has reported it for this long.
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -16,6 +16,14 @@
 
 }  // namespace
 
+MonotonicTime GroupLeader::LeaseExpiry() const {
+  return base::MonotonicNow() + LeaseUpperBound(options_.lease);
+}
+
+MonotonicTime GroupLeader::LostLeaseExpiry() const {
+  return LeaseExpiry() + options_.loss_notice_delay;
+}
+
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
   return started_at_ + options_.loss_notice_delay +
          LeaseUpperBound(options_.lease);
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -122,9 +122,15 @@
 
 bool GroupLeader::IsEligible(const NodeId& agent) const {
   if (!agent_register_.Contains(agent)) return false;
-  return agent != deps_.self ||
-         (agents_.size() == 1 &&
-          base::MonotonicNow() - started_at_ >= options_.self_service_delay);
+  if (agent != deps_.self) return true;
+  if (base::MonotonicNow() - started_at_ < options_.self_service_delay) {
+    return false;
+  }
+  return std::none_of(agents_.begin(), agents_.end(),
+                      [this](const auto& other) {
+                        return other.first != deps_.self &&
+                               agent_register_.Contains(other.first);
+                      });
 }
 
 std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
@@ -227,14 +233,6 @@
   RaiseLeaseBound(entry, LostLeaseExpiry());
 }
 
-MonotonicTime GroupLeader::LeaseExpiry() const {
-  return base::MonotonicNow() + LeaseUpperBound(options_.lease);
-}
-
-MonotonicTime GroupLeader::LostLeaseExpiry() const {
-  return LeaseExpiry() + options_.loss_notice_delay;
-}
-
 void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound) {
   entry.lease_expires_at = std::max(entry.lease_expires_at, bound);
   const auto former = former_workers_.find(entry.info.vm);
--- a/tests/unit/dispatch/unreported_worker_test.cc
+++ b/tests/unit/dispatch/unreported_worker_test.cc
@@ -172,5 +172,21 @@
   CHECK(agents.Contains(NodeId("b")));
 }
 
+// Guards against workers without an agent while the store is away: the only
+// agent whose name is stored is lost, and the name of the other one cannot be.
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "the own node serves workers while no other may") {
+  const NodeId self("leader");
+  leader->OnAgentUp(self, DataCenter("dc"));
+  RunFor(milliseconds(1'300));
+  fault = Fault::kRefuse;
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  CHECK(newest.at(placed.run.vm).agent == NodeId("agent"));
+  leader->OnAgentDown(NodeId("agent"));
+  RunFor(milliseconds(300));
+  CHECK(newest.at(placed.run.vm).agent == self);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
