--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -324,11 +324,14 @@
                                 write.value->size() > options.row_bytes;
                        });
   };
+  constexpr int kWorkers = 6'000;
   std::vector<std::string> names;
-  for (int i = 0; i < 6'000; ++i) {
+  names.reserve(kWorkers);
+  for (int i = 0; i < kWorkers; ++i) {
     names.push_back("worker-santander-" + std::to_string(1'000 + i));
   }
   std::vector<const char*> workers;
+  workers.reserve(kWorkers);
   for (const std::string& name : names) workers.push_back(name.c_str());
   Lead(1);
   ListWorkers(workers);
