--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -249,20 +249,20 @@
 TEST_CASE_FIXTURE(StoreFixture, "a refused transaction has a definite result") {
   using Status = TransactResult::Status;
   StoreTable table(pool, "p", Milliseconds(500), [](MonotonicTime) {});
-  for (const auto& [code, expected] :
-       std::map<int, Status>{{400, Status::kRejected},
-                             {403, Status::kRejected},
-                             {413, Status::kRejected},
-                             {500, Status::kUnknown},
-                             {503, Status::kUnavailable}}) {
-    CAPTURE(code);
-    reply_status = code;
+  const std::map<int, Status> results = {{400, Status::kRejected},
+                                         {403, Status::kRejected},
+                                         {413, Status::kRejected},
+                                         {500, Status::kUnknown},
+                                         {503, Status::kUnavailable}};
+  for (const auto& expected : results) {
+    CAPTURE(expected.first);
+    reply_status = expected.first;
     feed_replies = {"{}"};
     std::optional<TransactResult> result;
     table.Transact(
         {}, [&](TransactResult outcome) { result = std::move(outcome); });
     RunUntil(loop, [&] { return result.has_value(); });
-    CHECK(result->status == expected);
+    CHECK(result->status == expected.second);
   }
 }
 
--- a/tests/unit/state/writer_test.cc
+++ b/tests/unit/state/writer_test.cc
@@ -235,9 +235,9 @@
   for (; table.pending() > 0; ++steps) table.Step();
   CHECK(steps < kChanges);
   REQUIRE(outcomes.size() == kChanges);
-  for (const auto& [i, status] : outcomes) {
+  for (int i = 0; i < kChanges; ++i) {
     CAPTURE(i);
-    CHECK(status ==
+    CHECK(outcomes.at(i) ==
           (i == kLarge ? WriteStatus::kRejected : WriteStatus::kCommitted));
     CHECK(Exists("key " + std::to_string(i)) == (i != kLarge));
   }
