--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -32,6 +32,12 @@
 
 }  // namespace
 
+AgentRegister::AgentRegister(Epoch epoch, NodeId self,
+                             std::optional<NodeId> former_leader)
+    : epoch_(epoch), self_(std::move(self)) {
+  if (former_leader) known_.insert(*former_leader);
+}
+
 void AgentRegister::Load(const std::optional<std::string>& row, bool has_roster,
                          MonotonicTime inherited_expiry) {
   loaded_ = true;
@@ -44,6 +50,7 @@
     complete_at_ = inherited_expiry;
     return;
   }
+  known_.insert(former_->begin(), former_->end());
   for (const NodeId& agent : *former_) {
     if (!connected_.contains(agent)) OnDown(agent, inherited_expiry);
   }
@@ -51,10 +58,34 @@
 
 void AgentRegister::OnUp(const NodeId& agent,
                          std::optional<MonotonicTime> last_grant) {
-  connected_.insert(agent);
-  lost_.erase(agent);
+  seen_.insert(agent);
+  known_.insert(agent);
   // Leases that it grants from its first connection on belong to this leader.
   if (last_grant) last_grants_.try_emplace(agent, *last_grant);
+  if (agent == self_) return;
+  connected_.insert(agent);
+  lost_.erase(agent);
+}
+
+void AgentRegister::SetServesItself(bool serves, MonotonicTime lease_expiry) {
+  if (serves == connected_.contains(self_)) return;
+  if (!serves) return OnDown(self_, lease_expiry);
+  connected_.insert(self_);
+  lost_.erase(self_);
+}
+
+bool AgentRegister::AllFormerSeen() const {
+  return former_ && std::includes(seen_.begin(), seen_.end(), former_->begin(),
+                                  former_->end());
+}
+
+bool AgentRegister::AllConnected() const {
+  // Without a row of the former leader, one is stored only after all leases of
+  // unknown agents have expired.
+  if (!stored_) return false;
+  return std::all_of(known_.begin(), known_.end(), [this](const NodeId& node) {
+    return node == self_ || connected_.contains(node);
+  });
 }
 
 void AgentRegister::OnDown(const NodeId& agent, MonotonicTime lease_expiry) {
--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -27,7 +27,11 @@
 /// time.
 class AgentRegister {
  public:
-  explicit AgentRegister(Epoch epoch) : epoch_(epoch) {}
+  /// @param self the node that leads. It is in the row only if it serves
+  ///   workers itself.
+  /// @param former_leader nullopt if it is not known.
+  AgentRegister(Epoch epoch, NodeId self,
+                std::optional<NodeId> former_leader = std::nullopt);
 
   /// Reads the row of the former leader.
   /// @param row nullopt if there is none.
@@ -43,10 +47,27 @@
   /// @param lease_expiry time at which the leases that the agent has granted
   ///   have expired.
   void OnDown(const NodeId& agent, MonotonicTime lease_expiry);
+  /// Sets whether the leading node may serve workers itself.
+  /// @param lease_expiry as for OnDown.
+  void SetServesItself(bool serves, MonotonicTime lease_expiry);
 
   /// Time after which no lease was granted under former leaders.
   /// @param latest the same for agents that have not reported any time.
   [[nodiscard]] MonotonicTime LastFormerGrant(MonotonicTime latest) const;
+  /// True if the agents of the former leader are known.
+  [[nodiscard]] bool former_known() const noexcept {
+    return former_.has_value();
+  }
+  /// True if the leading node was an agent of the former leader.
+  [[nodiscard]] bool ListedByFormer() const {
+    return former_ && former_->contains(self_);
+  }
+  /// True if all agents of the former leader are known and have connected to
+  /// this one.
+  [[nodiscard]] bool AllFormerSeen() const;
+  /// True if every node that has ever connected to this leader or is known from
+  /// the former one is connected, and the next leader will know them.
+  [[nodiscard]] bool AllConnected() const;
 
   /// True if workers may be assigned to the agent: the next leader is certain
   /// to find it in the row, or to find no row of this leader.
@@ -60,12 +81,16 @@
 
  private:
   Epoch epoch_;
+  NodeId self_;
   bool loaded_ = false;
   bool saving_ = false;
   /// Agents of the former leader; nullopt if they are not known.
   std::optional<std::set<NodeId>> former_;
   std::map<NodeId, MonotonicTime> last_grants_;
   std::set<NodeId> connected_;
+  std::set<NodeId> seen_;  ///< Nodes that have connected to this leader.
+  /// Nodes that may be elected, as far as this leader knows.
+  std::set<NodeId> known_;
   /// Agents that are not connected and the time at which their leases have
   /// expired.
   std::map<NodeId, MonotonicTime> lost_;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -74,7 +74,8 @@
     : deps_(std::move(dependencies)),
       options_(options),
       writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()),
-      agent_register_(deps_.leadership.epoch) {
+      started_at_(base::MonotonicNow()),
+      agent_register_(deps_.leadership.epoch, deps_.self, deps_.former_leader) {
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
@@ -123,7 +124,6 @@
 // Loading.
 
 void GroupLeader::Start() {
-  started_at_ = base::MonotonicNow();
   tick_timer_ = deps_.loop.Every(options_.tick_period, 0.1, [this] { Tick(); });
   interference_timer_ = deps_.loop.Every(options_.interference_save_period, 0.1,
                                          [this] { SaveInterference(); });
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -19,6 +19,7 @@
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/metrics/timings.hpp"
+#include "dispatch/model/permission.hpp"
 #include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
 
@@ -27,10 +28,11 @@
 struct GroupLeaderOptions {
   /// Longest lease that an agent grants to a worker.
   Milliseconds lease{6'000};
-  /// An agent may notice the loss of its leader, after which it extends no
-  /// lease, this much later than the leader notices the agent's or than another
-  /// leader is elected.
+  /// An agent may extend leases and start runs for this long after the last
+  /// message that the leader has confirmed; so it stops at the latest this long
+  /// after the leader has stopped or has noticed that it lost the agent.
   Milliseconds loss_notice_delay{800};
+  PermissionTimeouts permission_timeouts;
   /// Progress is stored this long after the first change, so that several
   /// changes share one write.
   Milliseconds save_delay{40};
@@ -46,6 +48,11 @@
   /// other node, and not before it has led for this long. Otherwise the
   /// leader's death would leave their runs unknown to the next leader.
   Milliseconds self_service_delay{1'000};
+  /// The leader's own node is among the stored agents, and so may serve
+  /// workers, only with fewer other agents than this. With more of them, a
+  /// leader that is cut off from all agents takes no workers, and the next one
+  /// need not wait for its leases.
+  std::size_t self_service_agents = 2;
   /// A worker of a former leader is assigned to the agent that serves it; to
   /// any other one only if no agent has reported it for this long.
   Milliseconds report_grace_period{200};
@@ -94,6 +101,8 @@
   /// True while this process has recently confirmed that it leads; false after
   /// a pause, during which another node may have been elected.
   std::function<bool()> confirmed;
+  /// The leader before this one; nullopt if it is not known.
+  std::optional<NodeId> former_leader = std::nullopt;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
@@ -119,6 +128,12 @@
   void OnAgentUp(const NodeId& agent, const DataCenter& data_center,
                  std::optional<Milliseconds> last_grant_age = std::nullopt);
   void OnAgentDown(const NodeId& agent);
+  /// Reports that the former leader has led no more from this time on.
+  void OnFormerLeaderStopped(MonotonicTime stopped_at);
+  /// True if every node that this leader knows is connected to it.
+  [[nodiscard]] bool AllNodesConnected() const {
+    return agent_register_.AllConnected();
+  }
   /// Reports whether another node may take over.
   void SetYielding(bool yielding) noexcept { yielding_ = yielding; }
   void OnAgentEvent(const NodeId& agent, const AgentEvent& event);
@@ -155,6 +170,8 @@
     /// it, not assigned to another one before this time.
     MonotonicTime retry_at{0};
     bool unreachable = false;  ///< Its agent does not reach it.
+    /// It was known to the former leader and has not been attached since.
+    bool inherited = false;
   };
   /// What agents have reported about a worker of a former leader.
   struct FormerWorker {
@@ -211,6 +228,8 @@
   void SaveRoster();
   /// Stores the agents that may have granted valid leases.
   void SaveAgents();
+  /// Decides whether this node may be stored among them.
+  void UpdateSelfService();
   /// True if the stored roster contains the worker, so that a new leader is
   /// certain to find it there.
   [[nodiscard]] bool InRoster(const VmName& vm) const;
@@ -282,6 +301,15 @@
   [[nodiscard]] MonotonicTime InheritedLeaseExpiry() const;
   /// The same for a worker that no agent has reported.
   [[nodiscard]] MonotonicTime UnreportedLeaseExpiry() const;
+  /// The same for any worker that this leader has not attached: another agent
+  /// than the reporting one may have got it last and have reported nothing; 0
+  /// if there is none.
+  [[nodiscard]] MonotonicTime SilentAgentLeaseExpiry() const;
+  /// Time from which on the former leader has extended no leases.
+  [[nodiscard]] MonotonicTime FormerLeaderLimit() const;
+  /// Time from which on agents of the former leader have started no runs, as
+  /// far as these are not reported.
+  [[nodiscard]] MonotonicTime FormerStartsLimit() const;
   /// True for a worker of the loaded roster of which nothing is known.
   [[nodiscard]] bool Unreported(const VmName& vm) const {
     return unresolved_.contains(vm) && !former_workers_.contains(vm);
@@ -304,6 +332,7 @@
   bool yielding_ = false;  ///< Another node may take over.
   MonotonicTime started_at_{0};
   MonotonicTime loaded_at_{0};
+  std::optional<MonotonicTime> former_stopped_at_;
   std::uint64_t assignments_issued_ = 0;
 
   /// Callers that wait for a submission to be stored.
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -24,14 +24,49 @@
   return LeaseExpiry() + options_.loss_notice_delay;
 }
 
+void GroupLeader::OnFormerLeaderStopped(MonotonicTime stopped_at) {
+  if (!former_stopped_at_) former_stopped_at_ = stopped_at;
+  if (loaded_) SaveAgents();
+}
+
+MonotonicTime GroupLeader::FormerLeaderLimit() const {
+  if (deps_.leadership.epoch == Epoch(1)) return started_at_;
+  const PermissionTimeouts& timeouts = options_.permission_timeouts;
+  const bool known = agent_register_.former_known();
+  // The former leader noticed the loss of this node if it was its agent. A
+  // leader that has stored no row is never undivided.
+  const bool noticed = !known || agent_register_.ListedByFormer();
+  const MonotonicTime limit =
+      started_at_ + (noticed ? timeouts.leases : timeouts.undivided);
+  // Without its row, the leader before it may not have stopped.
+  if (!known || !former_stopped_at_) return limit;
+  return std::min(limit, *former_stopped_at_);
+}
+
+MonotonicTime GroupLeader::FormerStartsLimit() const {
+  if (former_stopped_at_ || agent_register_.AllFormerSeen()) {
+    return MonotonicTime(0);
+  }
+  return started_at_ + options_.permission_timeouts.starts +
+         options_.loss_notice_delay;
+}
+
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
-  return started_at_ + options_.loss_notice_delay +
+  return FormerLeaderLimit() + options_.loss_notice_delay +
          LeaseUpperBound(options_.lease);
 }
 
+MonotonicTime GroupLeader::SilentAgentLeaseExpiry() const {
+  if (agent_register_.AllFormerSeen()) return MonotonicTime(0);
+  if (!agent_register_.former_known() && former_stopped_at_) {
+    return MonotonicTime(0);
+  }
+  return InheritedLeaseExpiry();
+}
+
 MonotonicTime GroupLeader::UnreportedLeaseExpiry() const {
-  const MonotonicTime last_grant =
-      agent_register_.LastFormerGrant(started_at_ + options_.loss_notice_delay);
+  const MonotonicTime last_grant = agent_register_.LastFormerGrant(
+      FormerLeaderLimit() + options_.loss_notice_delay);
   return std::max(last_grant + LeaseUpperBound(options_.lease),
                   loaded_at_ + options_.unreported_grace_period);
 }
@@ -108,6 +143,7 @@
   WorkerEntry& entry = it->second;
   if (!entry.attached && !entry.unreachable) SetFormerLease(entry, former);
   if (!added) return;
+  entry.inherited = true;
   entry.info = former.runs.worker;
   entry.info.listed = false;
   dispatcher_->OnWorker(entry.info);
@@ -120,6 +156,7 @@
       if (!MayBeAttached(former)) ApplyKnownRuns(vm);
     }
     CheckResume();
+    if (base::MonotonicNow() < FormerStartsLimit()) StartAttachTimer();
   });
 }
 
@@ -133,6 +170,7 @@
 void GroupLeader::ApplyKnownRuns(const VmName& vm) {
   if (!unresolved_.contains(vm)) return;
   const FormerLeaderRuns& known = former_workers_.at(vm).runs;
+  if (!known.ended && base::MonotonicNow() < FormerStartsLimit()) return;
   dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
   unresolved_.erase(vm);
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -88,7 +88,20 @@
       });
 }
 
+void GroupLeader::UpdateSelfService() {
+  const auto self = agents_.find(deps_.self);
+  if (self == agents_.end()) return;
+  agent_register_.SetServesItself(
+      agents_.size() - 1 < options_.self_service_agents ||
+          self->second.workers > 0,
+      LeaseExpiry());
+}
+
 void GroupLeader::SaveAgents() {
+  UpdateSelfService();
+  // While the leases of the leader before the former one may be extended, the
+  // next leader must not take the row for all agents.
+  if (!former_stopped_at_ && base::MonotonicNow() < FormerLeaderLimit()) return;
   auto row = agent_register_.NextRow(base::MonotonicNow());
   if (!row) return;
   Transaction change = LeaderTransaction();
@@ -113,6 +126,7 @@
   const auto [it, added] = workers_.try_emplace(vm);
   if (!added) return;
   it->second.info = listed_.at(vm);
+  it->second.inherited = unresolved_.contains(vm);
   if (const auto former = former_workers_.find(vm);
       former != former_workers_.end() && unresolved_.contains(vm)) {
     it->second.lease_expires_at = former->second.lease_expires_at;
@@ -342,6 +356,7 @@
   }
   if (std::holds_alternative<Attached>(event.details)) {
     entry.attached = true;
+    entry.inherited = false;
     entry.failed_agents.clear();
     entry.unreachable = false;
     // From now on only this agent can renew the lease.
@@ -459,6 +474,9 @@
     if (Unreported(vm)) {
       expires_at = std::max(expires_at, UnreportedLeaseExpiry());
     }
+    if (entry.inherited && expires_at.count() > 0) {
+      expires_at = std::max(expires_at, SilentAgentLeaseExpiry());
+    }
     if (!entry.attached && expires_at.count() > 0 && now > expires_at) {
       expired.push_back(vm);
     }
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -1,5 +1,6 @@
 #include "dispatch/leader/leadership.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -98,6 +99,7 @@
     self_.version = leader_->version;
     leading_ = true;
     elected_at_ = renewed_at_ = renewal_result_at_ = base::MonotonicNow();
+    confirmed_at_ = contended_at_;
     renew_timer_ =
         loop_.Every(options_.heartbeat_period, 0.1, [this] { Renew(); });
     hooks_.on_elected(*leader_);
@@ -154,6 +156,7 @@
 void Leadership::Contend() {
   if (contending_ || resigned_ || leading_ || !row_known_) return;
   contending_ = true;
+  contended_at_ = base::MonotonicNow();
   LeaderRecord claim = self_;
   claim.epoch = leader_ ? leader_->epoch.next() : Epoch(1);
   Transaction transaction;
@@ -219,14 +222,17 @@
   transaction.writes.push_back(
       {kHeartbeatKey, std::to_string(self_.epoch.value())});
   table_.Transact(std::move(transaction),
-                  [this, alive = alive_](const TransactResult& result) {
-                    if (*alive) OnRenewed(result);
+                  [this, alive = alive_, sent_at = base::MonotonicNow()](
+                      const TransactResult& result) {
+                    if (*alive) OnRenewed(result, sent_at);
                   });
 }
 
-void Leadership::OnRenewed(const TransactResult& result) {
+void Leadership::OnRenewed(const TransactResult& result,
+                           MonotonicTime sent_at) {
   renewing_ = false;
-  renewal_result_at_ = base::MonotonicNow();
+  const MonotonicTime now = base::MonotonicNow();
+  if (now - sent_at <= options_.confirmation_timeout) renewal_result_at_ = now;
   if (result.status == Status::kConflict) {
     base::Log(base::Event::kLeaderLost, {{"leader", self_.node.str()},
                                          {"reason", "renewal_conflict"},
@@ -234,13 +240,24 @@
                                          {"version", self_.version.value()}});
     return OnConflict();
   }
-  if (result.status != Status::kUnknown) {
-    return UpdateTableReachable(result.status == Status::kCommitted);
+  if (result.status == Status::kUnknown) return ConfirmByRead();
+  if (result.status == Status::kCommitted) {
+    confirmed_at_ = std::max(confirmed_at_, sent_at);
   }
+  UpdateTableReachable(result.status == Status::kCommitted);
+}
+
+void Leadership::ConfirmByRead() {
   // A single lost reply is not a reason to yield.
-  table_.Read({{kHeartbeatKey}, {}},
-              [this, alive = alive_](const Result<std::vector<Row>>& rows) {
-                if (*alive) UpdateTableReachable(rows.ok());
+  table_.Read({{kLeaderKey}, {}},
+              [this, alive = alive_, sent_at = base::MonotonicNow()](
+                  const Result<std::vector<Row>>& rows) {
+                if (!*alive) return;
+                if (leading_ && rows.ok() && !rows.value().empty() &&
+                    rows.value()[0].version == self_.version) {
+                  confirmed_at_ = std::max(confirmed_at_, sent_at);
+                }
+                UpdateTableReachable(rows.ok());
               });
 }
 
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -53,7 +53,8 @@
   Milliseconds yield_after{1'000};
   /// A leader without any result of a renewal for this long, such as a process
   /// that was paused, makes no decisions until the next one. Longer than a
-  /// renewal that the table does not answer.
+  /// renewal that the table does not answer. The result of a renewal that took
+  /// longer does not count, since it may have waited for a paused process.
   Milliseconds confirmation_timeout{1'800};
   /// A leader that yields because it is overloaded has led for at least this
   /// long, so that a load too high for every node does not move the role on and
@@ -116,6 +117,11 @@
   /// of a renewal recently. False after a pause, during which another node may
   /// have taken over.
   [[nodiscard]] bool confirmed() const noexcept;
+  /// Time at which this process sent the last claim or renewal that the table
+  /// has confirmed. No other process had been elected before.
+  [[nodiscard]] MonotonicTime confirmed_at() const noexcept {
+    return confirmed_at_;
+  }
   [[nodiscard]] const std::optional<LeaderRecord>& leader() const noexcept {
     return leader_;
   }
@@ -128,7 +134,9 @@
   void Check();
   void OnHeartbeat(RowVersion version);
   void Renew();
-  void OnRenewed(const TransactResult& result);
+  void OnRenewed(const TransactResult& result, MonotonicTime sent_at);
+  /// Reads whether this process still leads, after a lost reply.
+  void ConfirmByRead();
   /// Records whether this leader reaches the table.
   void UpdateTableReachable(bool table_reachable);
   void UpdateYielding();
@@ -155,6 +163,8 @@
   MonotonicTime renewed_at_{0};
   /// Time of the last result of a renewal, successful or not.
   MonotonicTime renewal_result_at_{0};
+  MonotonicTime contended_at_{0};  ///< Time of the last claim.
+  MonotonicTime confirmed_at_{0};
   RowVersion heartbeat_version_;  ///< Last version of the heartbeat row.
   MonotonicTime heartbeat_timeout_start_{0};
   base::Timer check_timer_;
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -31,11 +31,12 @@
       agent_(
           deps_.loop, deps_.make_link, options_.session,
           [this](AgentEvent event) { OnAgentEvent(std::move(event)); },
-          deps_.observe),
+          [this] { return OwnPermission(); }, deps_.observe),
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
                 }),
+      contact_(options_.leader.loss_notice_delay),
       calls_(deps_.loop, options_.calls,
              [this](std::uint64_t id, const ServiceCall& call) {
                ForwardCall(id, call);
@@ -97,6 +98,7 @@
 
 void Node::Follow(const LeaderRecord& leader) {
   followed_leader_ = leader;
+  followed_stopped_at_.reset();
   if (leader_channel_) leader_channel_->Close();
   leader_channel_.reset();
   OnLeaderClosed(Errc::kNotOwner);
@@ -109,9 +111,32 @@
   ChannelHooks hooks;
   hooks.on_frame = [this](Frame frame) { OnLeaderFrame(std::move(frame)); };
   hooks.on_closed = [this](Errc reason) { OnLeaderClosed(reason); };
+  hooks.on_confirmed = [this](MonotonicTime sent_at, Permission permission) {
+    OnLeaderConfirmed(sent_at, permission);
+  };
   leader_channel_ = Channel::Connect(deps_.loop, followed_leader_->address,
                                      options_.channel, std::move(hooks));
   leader_channel_->Send(MakeHello(false));
+  hello_sent_at_ = base::MonotonicNow();
+}
+
+void Node::OnLeaderConfirmed(MonotonicTime sent_at, Permission permission) {
+  const bool permitted = OwnPermission() == Permission::kStarts;
+  contact_.OnConfirmed(sent_at, permission);
+  if (!permitted) agent_.SendPermittedStarts();
+}
+
+Permission Node::OwnPermission() const {
+  return leader_ ? AgentPermission() : contact_.At(base::MonotonicNow());
+}
+
+Permission Node::AgentPermission() const {
+  if (!leader_) return Permission::kNone;
+  const PermissionTimeouts& timeouts = options_.leader.permission_timeouts;
+  const MonotonicTime age = base::MonotonicNow() - leadership_->confirmed_at();
+  // Compares two lists of all nodes, so only if it matters.
+  const bool undivided = age > timeouts.starts && leader_->AllNodesConnected();
+  return LeaderPermission(timeouts, age, undivided);
 }
 
 Hello Node::MakeHello(bool leading) const {
@@ -123,7 +148,8 @@
           options_.data_center,
           leader ? *leader : LeaderRecord(),
           leading && leadership_->yielding(),
-          agent_.LastGrantAge()};
+          agent_.LastGrantAge(),
+          leading ? AgentPermission() : Permission::kNone};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
@@ -143,6 +169,7 @@
     // reaches the table, the work goes on.
     if (connected_) return leadership_->SetLeaderYielding(hello.yielding);
     connected_ = true;
+    contact_.OnConnected(hello_sent_at_, hello.permission);
     orphan_timer_.reset();
     base::Log(base::Event::kLeaderFollowed,
               {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
@@ -162,6 +189,7 @@
   // A process that reports a lower epoch may not have read its row yet.
   const bool replaced = hello.incarnation != followed_leader_->incarnation;
   if (replaced || hello.epoch == followed_leader_->epoch) {
+    followed_stopped_at_ = base::MonotonicNow();
     leadership_->OnLeaderDenied();
   }
   if (leader_channel_) leader_channel_->Close();
@@ -186,6 +214,7 @@
                {"reason", ErrcName(reason)}});
   }
   connected_ = false;
+  contact_.OnLost();
   agent_.DropUnsent();
   agent_.StopExtending();
   leader_channel_.reset();
@@ -208,9 +237,8 @@
 
 void Node::NotifyFormerLeader() {
   if (!followed_leader_ || followed_leader_->node == options_.node) return;
-  auto channel =
-      Channel::Connect(deps_.loop, followed_leader_->address, options_.channel,
-                       {[](const Frame& /*frame*/) {}, [](Errc /*reason*/) {}});
+  auto channel = Channel::Connect(deps_.loop, followed_leader_->address,
+                                  options_.channel, ChannelHooks());
   channel->Send(MakeHello(true));
   constexpr MonotonicTime kNotifyTimeout = std::chrono::seconds(1);
   notify_timer_ =
@@ -223,9 +251,14 @@
   leader_channel_.reset();
   reconnect_timer_.reset();
   connected_ = false;
+  contact_.OnLost();
   agent_.DropUnsent();
   agent_.StopExtending();
   calls_.SetLeaderAvailable(false);
+  former_leader_.reset();
+  if (followed_leader_ && followed_leader_->epoch.next() == leader.epoch) {
+    former_leader_ = followed_leader_;
+  }
   followed_leader_ = leader;
   GroupLeaderDependencies deps{
       deps_.loop,
@@ -243,8 +276,18 @@
       deps_.observe,
       [this] { calls_.SetLeaderAvailable(true); },
       [this] { leadership_->OnConflict(); },
-      [this] { return leadership_->confirmed(); }};
+      [this] {
+        return leadership_->confirmed() &&
+               AgentPermission() == Permission::kStarts;
+      },
+      former_leader_ ? std::optional(former_leader_->node) : std::nullopt};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
+  if (followed_stopped_at_) {
+    leader_->OnFormerLeaderStopped(*followed_stopped_at_);
+  }
+  followed_stopped_at_.reset();
+  OnFormerLeaderSeen(options_.node, options_.incarnation,
+                     agent_.LastGrantAge());
   leader_->OnAgentUp(options_.node, options_.data_center,
                      agent_.LastGrantAge());
   leader_->OnWorkers(listed_);
@@ -261,6 +304,17 @@
   Announce(true);
 }
 
+void Node::OnFormerLeaderSeen(const NodeId& node, Incarnation incarnation,
+                              std::optional<Milliseconds> last_grant_age) {
+  if (!former_leader_ || former_leader_->node != node) return;
+  const MonotonicTime now = base::MonotonicNow();
+  // An earlier process had ended when this one started, which is no later than
+  // its last grant.
+  const bool ended = former_leader_->incarnation != incarnation;
+  leader_->OnFormerLeaderStopped(ended && last_grant_age ? now - *last_grant_age
+                                                         : now);
+}
+
 void Node::CheckOverload() {
   const MonotonicTime now = base::MonotonicNow();
   overload_.Observe(now, now - overload_check_due_);
@@ -300,6 +354,7 @@
   hooks.on_closed = [this, raw](Errc /*reason*/) {
     OnPeerClosed(raw->shared_from_this());
   };
+  hooks.permission = [this] { return AgentPermission(); };
   channel->SetHooks(std::move(hooks));
   peers_.emplace(std::move(channel), NodeId());
 }
@@ -346,6 +401,9 @@
   }
   peers_[channel] = hello.node;
   agents_[hello.node] = channel;
+  if (!hello.leading) {
+    OnFormerLeaderSeen(hello.node, hello.incarnation, hello.last_grant_age);
+  }
   leader_->OnAgentUp(hello.node, hello.data_center, hello.last_grant_age);
 }
 
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -13,6 +13,7 @@
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/group_leader.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/node/leader_contact.hpp"
 #include "dispatch/node/pending_calls.hpp"
 #include "dispatch/peer/channel.hpp"
 #include "dispatch/policy/overload.hpp"
@@ -85,6 +86,8 @@
   void Connect();
   void OnLeaderFrame(Frame frame);
   void OnLeaderHello(const Hello& hello);
+  /// Handles the leader's confirmation of a ping that was sent at this time.
+  void OnLeaderConfirmed(MonotonicTime sent_at, Permission permission);
   /// Adopts a newer leader that a peer reports, since this node may not reach
   /// the table. Returns false if the peer reports none.
   bool AdoptNewerLeader(const Hello& hello);
@@ -97,6 +100,9 @@
   /// the table.
   void NotifyFormerLeader();
   void StepDown();
+  /// Handles a node that does not lead, which may be the former leader.
+  void OnFormerLeaderSeen(const NodeId& node, Incarnation incarnation,
+                          std::optional<Milliseconds> last_grant_age);
   /// Lets another node lead if this one cannot keep up.
   void CheckOverload();
   void Accept(std::shared_ptr<Channel> channel);
@@ -109,6 +115,10 @@
   void Announce(bool leading);
 
   void OnAgentEvent(AgentEvent event);
+  /// What this node's agent may do at present.
+  [[nodiscard]] Permission OwnPermission() const;
+  /// What this node permits its agents as the leader.
+  [[nodiscard]] Permission AgentPermission() const;
   [[nodiscard]] Hello MakeHello(bool leading) const;
 
   NodeDependencies deps_;
@@ -127,6 +137,12 @@
   std::map<NodeId, std::shared_ptr<Channel>> agents_;
 
   std::optional<LeaderRecord> followed_leader_;
+  /// Time at which that leader was known not to lead any more.
+  std::optional<MonotonicTime> followed_stopped_at_;
+  /// The leader before this node, if it is known.
+  std::optional<LeaderRecord> former_leader_;
+  LeaderContact contact_;
+  MonotonicTime hello_sent_at_{0};  ///< To the leader.
   std::shared_ptr<Channel> leader_channel_;
   bool connected_ = false;
   PendingCalls calls_;
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-Channel::Channel(base::EventLoop& loop, ChannelTimeouts timeouts)
-    : loop_(loop), timeouts_(timeouts) {}
+Channel::Channel(base::EventLoop& loop, ChannelTimeouts timeouts, bool connects)
+    : loop_(loop), timeouts_(timeouts), connects_(connects) {}
 
 Channel::~Channel() {
   if (buffer_ != nullptr) bufferevent_free(buffer_);
@@ -43,7 +43,7 @@
                                           const Address& address,
                                           ChannelTimeouts timeouts,
                                           ChannelHooks hooks) {
-  std::shared_ptr<Channel> channel(new Channel(loop, timeouts));
+  std::shared_ptr<Channel> channel(new Channel(loop, timeouts, true));
   channel->hooks_ = std::move(hooks);
   bufferevent* buffer =
       bufferevent_socket_new(loop.raw(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -59,7 +59,7 @@
 
 std::shared_ptr<Channel> Channel::Accept(base::EventLoop& loop, int socket,
                                          ChannelTimeouts timeouts) {
-  std::shared_ptr<Channel> channel(new Channel(loop, timeouts));
+  std::shared_ptr<Channel> channel(new Channel(loop, timeouts, false));
   channel->Attach(
       bufferevent_socket_new(loop.raw(), socket, BEV_OPT_CLOSE_ON_FREE));
   return channel;
@@ -128,6 +128,10 @@
     evbuffer_remove(input, bytes.data(), size);
     auto frame = DecodeFrame(bytes);
     if (!frame.ok()) return Fail(Errc::kMalformed);
+    if (const auto* ping = std::get_if<Ping>(&frame.value())) {
+      base::CallProtected("ping", [&] { OnPing(*ping); });
+      continue;
+    }
     if (!hooks_.on_frame) continue;
     // The frames that follow are processed even if this one cannot be.
     base::CallProtected("frame",
@@ -135,6 +139,19 @@
   }
 }
 
+void Channel::OnPing(const Ping& ping) {
+  if (ping.sent_at.count() > 0 && hooks_.permission) {
+    const Permission permission = hooks_.permission();
+    if (permission != Permission::kNone)
+      Send(Ping{{}, ping.sent_at, permission});
+  }
+  const bool confirms =
+      ping.confirms.count() > 0 && ping.confirms <= base::MonotonicNow();
+  if (connects_ && confirms && hooks_.on_confirmed) {
+    hooks_.on_confirmed(ping.confirms, ping.permission);
+  }
+}
+
 void Channel::OnTick() {
   const auto keep_alive = shared_from_this();
   const MonotonicTime now = base::MonotonicNow();
@@ -144,7 +161,11 @@
   ticked_at_ = now;
   if (paused) read_at_ = std::max(read_at_, now - timeouts_.ping_period);
   if (now - read_at_ > timeouts_.receive_timeout) return Fail(Errc::kTimeout);
-  if (now - sent_at_ >= timeouts_.ping_period / 2) Send(Ping());
+  if (connects_) {
+    Send(Ping{now, {}, Permission::kNone});
+  } else if (now - sent_at_ >= timeouts_.ping_period / 2) {
+    Send(Ping());
+  }
 }
 
 void Channel::Fail(Errc reason) {
--- a/src/dispatch/peer/channel.hpp
+++ b/src/dispatch/peer/channel.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "base/loop/event_loop.hpp"
+#include "dispatch/model/permission.hpp"
 #include "dispatch/peer/frames.hpp"
 #include "mangospread/address.hpp"
 
@@ -19,11 +20,18 @@
   /// Called when the connection has closed, at most once and never from within
   /// Send.
   std::function<void(Errc reason)> on_closed;
+  /// What this side permits its peer at present. Null or kNone if nothing; then
+  /// the peer's pings are not confirmed.
+  std::function<Permission()> permission;
+  /// Called when the peer has confirmed a ping that was sent at this time.
+  std::function<void(MonotonicTime sent_at, Permission permission)>
+      on_confirmed;
 };
 
 struct ChannelTimeouts {
-  /// Period at which the channel checks the receive timeout. It sends a ping if
-  /// it sent nothing for half a period.
+  /// Period at which the channel checks the receive timeout. The side that
+  /// connected sends a ping to be confirmed, the other one a ping if it sent
+  /// nothing for half a period.
   Milliseconds ping_period{300};
   /// The channel fails when it receives nothing for this long, since a
   /// connection can stop delivering data without an error.
@@ -53,14 +61,16 @@
   [[nodiscard]] bool open() const noexcept { return buffer_ != nullptr; }
 
  private:
-  Channel(base::EventLoop& loop, ChannelTimeouts timeouts);
+  Channel(base::EventLoop& loop, ChannelTimeouts timeouts, bool connects);
   void Attach(bufferevent* buffer);
   void OnReadable();
+  void OnPing(const Ping& ping);
   void OnTick();
   void Fail(Errc reason);
 
   base::EventLoop& loop_;
   ChannelTimeouts timeouts_;
+  bool connects_;  ///< This side connected.
   ChannelHooks hooks_;
   bufferevent* buffer_ = nullptr;
   MonotonicTime read_at_{0};
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -433,10 +433,19 @@
   leader.setPort(hello.leader.address.port);
   out.setYielding(hello.yielding);
   out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
+  if (hello.permission) {
+    out.setPermission(
+        static_cast<std::uint8_t>(1 + static_cast<int>(*hello.permission)));
+  }
 }
 
 Hello Get(wire::Hello::Reader in) {
   const auto leader = in.getLeader();
+  std::optional<Permission> permission;
+  if (const std::uint8_t value = in.getPermission(); value > 0) {
+    permission =
+        ToEnum(static_cast<std::uint8_t>(value - 1), Permission::kStarts);
+  }
   return {NodeId(Str(in.getNode())),
           Incarnation(in.getIncarnation()),
           Epoch(in.getEpoch()),
@@ -448,7 +457,8 @@
            Epoch(in.getEpoch()),
            RowVersion()},
           in.getYielding(),
-          OptionalFromWire(in.getLastGrantAgeMs())};
+          OptionalFromWire(in.getLastGrantAgeMs()),
+          permission};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
@@ -490,7 +500,9 @@
     case wire::Frame::REMEMBERED:
       return Frame(Get(in.getRemembered()));
     case wire::Frame::PING:
-      return Frame(Ping());
+      return Frame(Ping{MonotonicTime(in.getSentAt()),
+                        MonotonicTime(in.getConfirms()),
+                        ToEnum(in.getPermission(), Permission::kStarts)});
   }
   return Error{Errc::kMalformed, "frame"};
 }
@@ -504,27 +516,32 @@
   capnp::MallocMessageBuilder message(
       kj::arrayPtr(first_segment.data(), first_segment.size()));
   auto root = message.initRoot<wire::Frame>();
-  std::visit(base::Overloaded{
-                 [&](const Hello& hello) { Put(root.initHello(), hello); },
-                 [&](const AgentCommand& command) {
-                   std::visit(
-                       [&](const auto& kind) { Put(root.initOrder(), kind); },
+  std::visit(
+      base::Overloaded{
+          [&](const Hello& hello) { Put(root.initHello(), hello); },
+          [&](const AgentCommand& command) {
+            std::visit([&](const auto& kind) { Put(root.initOrder(), kind); },
                        command);
-                 },
-                 [&](const AgentEvent& event) {
-                   auto out = root.initEvent();
-                   out.setVm(Txt(event.vm.str()));
-                   out.setAssignment(event.assignment.value());
-                   std::visit([&](const auto& details) { Put(out, details); },
-                              event.details);
-                 },
-                 [&](const CallFrame& call) { Put(root.initCall(), call); },
-                 [&](const ReplyFrame& reply) { Put(root.initReply(), reply); },
-                 [&](const FormerLeaderRuns& runs) {
-                   Put(root.initRemembered(), runs);
-                 },
-                 [&](const Ping& /*ping*/) { root.setPing(); }},
-             frame);
+          },
+          [&](const AgentEvent& event) {
+            auto out = root.initEvent();
+            out.setVm(Txt(event.vm.str()));
+            out.setAssignment(event.assignment.value());
+            std::visit([&](const auto& details) { Put(out, details); },
+                       event.details);
+          },
+          [&](const CallFrame& call) { Put(root.initCall(), call); },
+          [&](const ReplyFrame& reply) { Put(root.initReply(), reply); },
+          [&](const FormerLeaderRuns& runs) {
+            Put(root.initRemembered(), runs);
+          },
+          [&](const Ping& ping) {
+            root.setPing();
+            root.setSentAt(ping.sent_at.count());
+            root.setConfirms(ping.confirms.count());
+            root.setPermission(static_cast<std::uint8_t>(ping.permission));
+          }},
+      frame);
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -2,6 +2,8 @@
 /// Frames exchanged between the leader of a group and the other nodes.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -9,6 +11,7 @@
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/model/messages.hpp"
+#include "dispatch/model/permission.hpp"
 #include "mangospread/error.hpp"
 
 namespace mangospread::dispatch {
@@ -27,6 +30,9 @@
   /// Time for which the sender's node has certainly granted no lease; nullopt
   /// if it is not known.
   std::optional<Milliseconds> last_grant_age = std::nullopt;
+  /// What the sender permits its agents at present; nullopt from a version that
+  /// confirms no pings.
+  std::optional<Permission> permission = std::nullopt;
 };
 
 /// A call that a follower forwards to the leader.
@@ -41,8 +47,13 @@
   ServiceReply reply;
 };
 
-/// Keeps the connection from timing out.
-struct Ping {};
+/// Keeps the connection from timing out. The peer confirms a ping that names
+/// its time, so that the sender knows that its peer was there after that time.
+struct Ping {
+  MonotonicTime sent_at{0};   ///< On the sender's clock; 0 if not to confirm.
+  MonotonicTime confirms{0};  ///< `sent_at` of the confirmed ping, or 0.
+  Permission permission = Permission::kNone;  ///< Of the confirming side.
+};
 
 using Frame = std::variant<Hello, AgentCommand, AgentEvent, CallFrame,
                            ReplyFrame, FormerLeaderRuns, Ping>;
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -15,6 +15,7 @@
   leader @5 :Leader;     # The leader that the sender follows or is.
   yielding @6 :Bool;     # The sender leads and another node may take over.
   lastGrantAgeMs @7 :Int64 = -1;   # Negative if it is not known.
+  permission @8 :UInt8;  # 1 and a value of Permission; 0 in former versions.
 }
 
 struct Leader {
@@ -186,6 +187,11 @@
 }
 
 struct Frame {
+  # Of pings, in ns of the sender's clock; 0 if absent.
+  sentAt @7 :Int64;
+  # Of pings: `sentAt` of the peer's ping, which this one confirms.
+  confirms @8 :Int64;
+  permission @9 :UInt8;  # Value of Permission, in a ping that confirms another.
   union {
     hello @0 :Hello;
     order @1 :Order;
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -382,7 +382,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea7ca768793edf13, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ea7ca768793edf13, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -427,6 +427,8 @@
 
   inline  ::int64_t getLastGrantAgeMs() const;
 
+  inline  ::uint8_t getPermission() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -491,6 +493,9 @@
   inline  ::int64_t getLastGrantAgeMs();
   inline void setLastGrantAgeMs( ::int64_t value);
 
+  inline  ::uint8_t getPermission();
+  inline void setPermission( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2734,6 +2739,12 @@
   inline bool hasRemembered() const;
   inline  ::mangospread::dispatch::wire::Remembered::Reader getRemembered() const;
 
+  inline  ::int64_t getSentAt() const;
+
+  inline  ::int64_t getConfirms() const;
+
+  inline  ::uint8_t getPermission() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2815,6 +2826,15 @@
   inline void adoptRemembered(::capnp::Orphan< ::mangospread::dispatch::wire::Remembered>&& value);
   inline ::capnp::Orphan< ::mangospread::dispatch::wire::Remembered> disownRemembered();
 
+  inline  ::int64_t getSentAt();
+  inline void setSentAt( ::int64_t value);
+
+  inline  ::int64_t getConfirms();
+  inline void setConfirms( ::int64_t value);
+
+  inline  ::uint8_t getPermission();
+  inline void setPermission( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3020,6 +3040,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint8_t Hello::Reader::getPermission() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Hello::Builder::getPermission() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setPermission( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6212,6 +6246,48 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Frame::Reader::getSentAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Frame::Builder::getSentAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setSentAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Frame::Reader::getConfirms() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Frame::Builder::getConfirms() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setConfirms( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Frame::Reader::getPermission() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Frame::Builder::getPermission() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setPermission( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -19,8 +19,9 @@
     return;
   }
   auto link = make_link_(assignment.worker);
-  auto session = WorkerSession::Create(
-      loop_, std::move(link), std::move(assignment), options_, emit_, observe_);
+  auto session =
+      WorkerSession::Create(loop_, std::move(link), std::move(assignment),
+                            options_, emit_, permission_, observe_);
   if (former != nullptr) {
     session->ContinueFrom(*former);
     EndSession(vm);
@@ -94,6 +95,10 @@
   for (const auto& [vm, session] : sessions_) session->DropUnsent();
 }
 
+void Agent::SendPermittedStarts() {
+  for (const auto& [vm, session] : sessions_) session->SendPermittedStarts();
+}
+
 Milliseconds Agent::LastGrantAge() const {
   MonotonicTime last = last_grant_at_;
   for (const auto& [vm, session] : sessions_) {
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -21,11 +21,13 @@
       std::function<std::shared_ptr<WorkerLink>(const WorkerInfo&)>;
 
   Agent(base::EventLoop& loop, MakeLink make_link, WorkerSessionOptions options,
-        WorkerSession::Emit emit, ObserveTiming observe)
+        WorkerSession::Emit emit, WorkerSession::GetPermission permission,
+        ObserveTiming observe)
       : loop_(loop),
         make_link_(std::move(make_link)),
         options_(options),
         emit_(std::move(emit)),
+        permission_(std::move(permission)),
         observe_(std::move(observe)),
         last_grant_at_(base::MonotonicNow()) {}
   ~Agent() { ReleaseAll(); }
@@ -47,6 +49,8 @@
   /// Drops starts that were not sent yet, since the leader that issued them is
   /// lost. The leases of the workers are still renewed.
   void DropUnsent();
+  /// Sends the starts that have waited for a permission of the leader.
+  void SendPermittedStarts();
 
   /// Runs that may be on the workers assigned by former leaders, for a new
   /// leader.
@@ -69,6 +73,7 @@
   MakeLink make_link_;
   WorkerSessionOptions options_;
   WorkerSession::Emit emit_;
+  WorkerSession::GetPermission permission_;
   ObserveTiming observe_;
   std::map<VmName, std::shared_ptr<WorkerSession>> sessions_;
   /// Time of the last lease granted by a session that has ended; the start of
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -21,22 +21,23 @@
 std::shared_ptr<WorkerSession> WorkerSession::Create(
     base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
     Assignment assignment, WorkerSessionOptions options, Emit emit,
-    ObserveTiming observe) {
-  return std::shared_ptr<WorkerSession>(
-      new WorkerSession(loop, std::move(link), std::move(assignment), options,
-                        std::move(emit), std::move(observe)));
+    GetPermission permission, ObserveTiming observe) {
+  return std::shared_ptr<WorkerSession>(new WorkerSession(
+      loop, std::move(link), std::move(assignment), options, std::move(emit),
+      std::move(permission), std::move(observe)));
 }
 
 WorkerSession::WorkerSession(base::EventLoop& loop,
                              std::shared_ptr<WorkerLink> link,
                              Assignment assignment,
                              WorkerSessionOptions options, Emit emit,
-                             ObserveTiming observe)
+                             GetPermission permission, ObserveTiming observe)
     : loop_(loop),
       link_(std::move(link)),
       assignment_(std::move(assignment)),
       options_(options),
       emit_(std::move(emit)),
+      permission_(std::move(permission)),
       observe_(std::move(observe)),
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
@@ -149,11 +150,12 @@
   renew_in_flight_ = true;
   const std::uint64_t generation = ++renew_generation_;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
+  const bool extends = extends_lease_ && permission_() >= Permission::kLeases;
   const RenewCommand command =
       process_unconfirmed_
           ? RenewCommand{fence_, {}, {}, wait}
           : RenewCommand{fence_, acknowledged_,
-                         extends_lease_ ? NextLeaseEnd() : WorkerTime(), wait};
+                         extends ? NextLeaseEnd() : WorkerTime(), wait};
   link_->RenewLease(command, [self = shared_from_this(),
                               generation](const Result<RenewReply>& result) {
     self->OnRenewReply(result, generation);
@@ -326,7 +328,12 @@
   acknowledged_ = reported_end_ = highest_listed_end_ = EndNumber();
 }
 
+void WorkerSession::SendPermittedStarts() {
+  if (!closed_ && synced_ && !process_unconfirmed_) SendWaitingStarts();
+}
+
 void WorkerSession::SendWaitingStarts() {
+  if (permission_() < Permission::kStarts) return;
   for (StartRun& start : std::exchange(waiting_starts_, {})) {
     SendStart(std::move(start));
   }
@@ -352,7 +359,7 @@
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
   if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
-  if (!synced_ || process_unconfirmed_) {
+  if (!synced_ || process_unconfirmed_ || permission_() < Permission::kStarts) {
     waiting_starts_.push_back(std::move(command));
     return;
   }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -12,6 +12,7 @@
 #include "base/loop/event_loop.hpp"
 #include "dispatch/metrics/timings.hpp"
 #include "dispatch/model/messages.hpp"
+#include "dispatch/model/permission.hpp"
 
 namespace mangospread::dispatch {
 
@@ -50,11 +51,13 @@
 class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
  public:
   using Emit = std::function<void(AgentEvent)>;
+  /// What the leader permits at present.
+  using GetPermission = std::function<Permission()>;
 
   [[nodiscard]] static std::shared_ptr<WorkerSession> Create(
       base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
       Assignment assignment, WorkerSessionOptions options, Emit emit,
-      ObserveTiming observe);
+      GetPermission permission, ObserveTiming observe);
 
   /// Sends the first renewal.
   void Begin();
@@ -72,8 +75,11 @@
   /// known any more, and that it did not respond says nothing.
   void SuspendOutdated();
 
-  /// Starts a run, after the worker's lists have arrived if they are awaited.
+  /// Starts a run, after the worker's lists have arrived if they are awaited,
+  /// and as soon as the leader permits it.
   void Start(StartRun command);
+  /// Sends the starts that have waited for a permission.
+  void SendPermittedStarts();
   /// Drops the starts that wait for the worker's lists.
   void DropUnsent() { waiting_starts_.clear(); }
   /// Sets the traits of a run that the worker listed.
@@ -121,7 +127,7 @@
 
   WorkerSession(base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
                 Assignment assignment, WorkerSessionOptions options, Emit emit,
-                ObserveTiming observe);
+                GetPermission permission, ObserveTiming observe);
 
   /// Renews the lease; the worker replies after `wait` at the latest.
   void SendRenew(Milliseconds wait);
@@ -174,6 +180,7 @@
   Assignment assignment_;
   WorkerSessionOptions options_;
   Emit emit_;
+  GetPermission permission_;
   ObserveTiming observe_;
   WorkerFence fence_;
   /// Sequence number of the awaited renewal; replies to previous ones are
@@ -212,7 +219,7 @@
   bool lease_known_ = false;  ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
-  /// Starts that wait for the worker's lists.
+  /// Starts that wait for the worker's lists or for a permission.
   std::vector<StartRun> waiting_starts_;
   base::Timer renew_timer_;
 };
--- a/tests/unit/dispatch/cut_off_leader_test.cc
+++ b/tests/unit/dispatch/cut_off_leader_test.cc
@@ -182,7 +182,24 @@
             if (leader != nullptr) leader->OnAgentEvent(id, event);
           });
         },
-        [](Timing, MonotonicTime) {});
+        [this, id] { return PermissionOf(id); }, [](Timing, MonotonicTime) {});
+  }
+
+  /// What the first leader permits on its own side, since the table confirms no
+  /// renewals from the cut on.
+  [[nodiscard]] Permission FirstPermission() const {
+    if (!network.cut) return Permission::kStarts;
+    return LeaderPermission(PermissionTimeouts(), base::MonotonicNow() - cut_at,
+                            first->AllNodesConnected());
+  }
+
+  /// What the agent's leader permits it.
+  [[nodiscard]] Permission PermissionOf(const NodeId& agent) const {
+    if (network.sides.at(agent) == "l") return FirstPermission();
+    const bool forgotten =
+        network.cut && !second &&
+        base::MonotonicNow() - cut_at > GroupLeaderOptions().loss_notice_delay;
+    return forgotten ? Permission::kNone : Permission::kStarts;
   }
 
   /// The leader to which the agent is connected.
@@ -215,7 +232,11 @@
               }
               agents.at(agent)->Execute(std::move(command));
             },
-            [](Timing, MonotonicTime) {}, [] {}, [] {}, [] { return true; }},
+            [](Timing, MonotonicTime) {}, [] {}, [] {},
+            [this, epoch] {
+              return epoch > 1 || FirstPermission() == Permission::kStarts;
+            },
+            epoch > 1 ? std::optional(NodeId("l")) : std::nullopt},
         GroupLeaderOptions());
     leader->OnAgentUp(NodeId(node), DataCenter("dc"),
                       agents.at(NodeId(node))->LastGrantAge());
@@ -265,6 +286,7 @@
   /// over.
   void Cut() {
     network.cut = first_view.cut = true;
+    cut_at = base::MonotonicNow();
     RunFor(kYieldAfter);
     first->SetYielding(true);
     RunFor(kChannelTimeout - kYieldAfter);
@@ -295,6 +317,7 @@
   CutTable first_view{loop, rows};
   CutTable second_view{loop, rows};
   RowVersion version;
+  MonotonicTime cut_at{0};
   std::map<NodeId, std::unique_ptr<Agent>> agents;
   std::unique_ptr<GroupLeader> first;
   std::unique_ptr<GroupLeader> second;
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -169,12 +169,17 @@
 /// the leader's epoch is that of the frame.
 auto Fields(const Hello& item) {
   const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
-               last_grant_age] = item;
+               last_grant_age, permission] = item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
                     leader_process, address, leader_epoch, yielding,
-                    last_grant_age);
+                    last_grant_age, permission);
+}
+
+auto Fields(const Ping& item) {
+  const auto& [sent_at, confirms, permission] = item;
+  return std::tuple(sent_at, confirms, permission);
 }
 
 auto Fields(const CallFrame& item) {
@@ -279,6 +284,8 @@
                    leader, false});
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), false,
                    DataCenter("d"), leader, true, Milliseconds(1'500)});
+  CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
+                   leader, false, std::nullopt, Permission::kLeases});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
@@ -288,7 +295,9 @@
   CheckFrame(ReplyFrame{12,
                         {ServiceResult::kRefused, SubmissionState::kFailed, 5,
                          Milliseconds(700)}});
-  RoundTrip<Ping>(Ping());
+  CheckFrame(Ping());
+  CheckFrame(Ping{MonotonicTime(5), {}, Permission::kNone});
+  CheckFrame(Ping{{}, MonotonicTime(7), Permission::kStarts});
 }
 
 // Guards against a damaged number that indexes a table out of bounds, such as
--- /dev/null
+++ b/tests/unit/dispatch/leader_contact_test.cc
@@ -0,0 +1,215 @@
+// For how long a follower acts on behalf of its leader.
+#include "dispatch/node/leader_contact.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+#include "dispatch/node/node.hpp"
+#include "dispatch/peer/channel.hpp"
+#include "platform/codec.hpp"
+#include "table/memory_table.hpp"
+#include "unit/run_until.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+using mangospread::test::RunUntil;
+using std::chrono::milliseconds;
+
+constexpr Milliseconds kTimeout{800};
+
+// Guards against a permission that frames prolong which were delayed, or were
+// read late by a paused process.
+TEST_CASE("a permission counts from the message that the leader confirmed") {
+  LeaderContact contact(kTimeout);
+  CHECK(contact.At(milliseconds(1)) == Permission::kNone);
+  contact.OnConnected(milliseconds(1'000), Permission::kStarts);
+  CHECK(contact.At(milliseconds(1'800)) == Permission::kStarts);
+  CHECK(contact.At(milliseconds(1'801)) == Permission::kNone);
+  // Arrives late.
+  contact.OnConfirmed(milliseconds(1'300), Permission::kStarts);
+  CHECK(contact.At(milliseconds(2'100)) == Permission::kStarts);
+  CHECK(contact.At(milliseconds(2'101)) == Permission::kNone);
+  contact.OnConfirmed(milliseconds(900), Permission::kStarts);
+  CHECK(contact.At(milliseconds(2'101)) == Permission::kNone);
+}
+
+// Guards against starts on behalf of a leader that may have been replaced.
+TEST_CASE("a permission for leases permits no starts") {
+  LeaderContact contact(kTimeout);
+  contact.OnConnected(milliseconds(1'000), Permission::kStarts);
+  contact.OnConfirmed(milliseconds(1'500), Permission::kLeases);
+  CHECK(contact.At(milliseconds(1'700)) == Permission::kStarts);
+  CHECK(contact.At(milliseconds(2'000)) == Permission::kLeases);
+  contact.OnLost();
+  CHECK(contact.At(milliseconds(2'000)) == Permission::kNone);
+}
+
+// Guards against agents that do nothing for a leader of a former version.
+TEST_CASE("a leader that confirms no pings permits everything") {
+  LeaderContact contact(kTimeout);
+  contact.OnConnected(milliseconds(1'000), std::nullopt);
+  CHECK(contact.At(milliseconds(9'000)) == Permission::kStarts);
+}
+
+// Guards against a leader that permits what the next one does not wait for.
+TEST_CASE("a leader permits less the longer the table confirms nothing") {
+  const PermissionTimeouts timeouts;
+  const auto at = [&](MonotonicTime age, bool undivided) {
+    return LeaderPermission(timeouts, age, undivided);
+  };
+  CHECK(at(timeouts.starts, false) == Permission::kStarts);
+  CHECK(at(timeouts.leases, false) == Permission::kLeases);
+  CHECK(at(timeouts.leases + milliseconds(1), false) == Permission::kNone);
+  CHECK(at(timeouts.undivided, true) == Permission::kStarts);
+  CHECK(at(timeouts.undivided + milliseconds(1), true) == Permission::kNone);
+}
+
+/// A worker that replies at once and counts the starts that it receives.
+class CountingLink final : public WorkerLink {
+ public:
+  CountingLink(base::EventLoop& loop, int& starts)
+      : loop_(loop), starts_(starts) {}
+
+  [[nodiscard]] bool Connected() const override { return true; }
+  void RenewLease(const RenewCommand& command, RenewCallback done) override {
+    constexpr Milliseconds kReplyTime{1};
+    timers_.push_back(
+        loop_.After(command.max_wait + kReplyTime, [done = std::move(done)] {
+          done(RenewReply{WorkerTime(1), WorkerIncarnation(1), {}, {}});
+        }));
+  }
+  void Start(const StartCommand& /*command*/,
+             CommandCallback /*done*/) override {
+    ++starts_;
+  }
+  void Stop(const std::string& /*task*/, Attempt /*run*/, WorkerFence /*fence*/,
+            CommandCallback /*done*/) override {}
+  void Throttle(const std::string& /*task*/, Attempt /*run*/, int /*percent*/,
+                WorkerFence /*fence*/, CommandCallback /*done*/) override {}
+
+ private:
+  base::EventLoop& loop_;
+  int& starts_;
+  std::vector<base::Timer> timers_;
+};
+
+/// A node that follows a leader whose frames the test sends.
+struct LedFixture {
+  LedFixture() {
+    const auto bound = listener.Listen({"127.0.0.1", 0});
+    REQUIRE(bound.ok());
+    REQUIRE(node.Start().ok());
+    LeaderRecord leader;
+    leader.node = NodeId("leader");
+    leader.incarnation = Incarnation(7);
+    leader.address = bound.value();
+    leader.epoch = Epoch(1);
+    leader.version = RowVersion(1);
+    node.OnLeaderRow(leader);
+    RunUntil(loop, [&] { return node.ready(); });
+  }
+  ~LedFixture() {
+    if (channel) channel->Close();
+  }
+  LedFixture(const LedFixture&) = delete;
+  LedFixture& operator=(const LedFixture&) = delete;
+
+  void Accept(std::shared_ptr<Channel> accepted) {
+    channel = std::move(accepted);
+    ChannelHooks hooks;
+    hooks.permission = [this] { return permission; };
+    hooks.on_frame = [this](const Frame& frame) {
+      if (!std::holds_alternative<Hello>(frame)) return;
+      Hello hello;
+      hello.node = NodeId("leader");
+      hello.incarnation = Incarnation(7);
+      hello.epoch = Epoch(1);
+      hello.leading = true;
+      hello.permission = permission;
+      channel->Send(hello);
+    };
+    channel->SetHooks(std::move(hooks));
+  }
+
+  void Order() const {
+    Assignment assignment;
+    assignment.worker.vm = VmName("w1");
+    assignment.fence = WorkerFence(kFenceStride);
+    channel->Send(AgentCommand(assignment));
+    StartRun start;
+    start.vm = VmName("w1");
+    start.number = 1;
+    start.task = "a.0.0.0";
+    start.run = Attempt(1);
+    channel->Send(AgentCommand(start));
+  }
+
+  void RunFor(MonotonicTime time) {
+    const MonotonicTime end = base::MonotonicNow() + time;
+    RunUntil(loop, [&] { return base::MonotonicNow() >= end; });
+  }
+
+  static NodeOptions Options() {
+    NodeOptions options;
+    options.node = NodeId("agent");
+    options.incarnation = Incarnation(1);
+    options.data_center = DataCenter("d");
+    options.peer_address = {"127.0.0.1", 0};
+    return options;
+  }
+
+  base::EventLoop loop;
+  table::MemoryTable table{
+      [this](std::function<void()> fn) { loop.Post(std::move(fn)); }};
+  int starts = 0;
+  Permission permission = Permission::kStarts;
+  std::shared_ptr<Channel> channel;
+  ChannelListener listener{loop, ChannelTimeouts(),
+                           [this](std::shared_ptr<Channel> accepted) {
+                             Accept(std::move(accepted));
+                           }};
+  Node node{
+      {loop, table,
+       [this](const WorkerInfo&) {
+         return std::make_shared<CountingLink>(loop, starts);
+       },
+       platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
+      Options()};
+};
+
+// Guards against orders that an agent executes after its leader may have given
+// them up: the leader has not confirmed any message of the agent for too long,
+// though frames of it still arrive.
+TEST_CASE_FIXTURE(LedFixture, "an order waits for a leader that confirms") {
+  permission = Permission::kNone;
+  RunFor(kTimeout + milliseconds(100));
+  Order();
+  RunFor(milliseconds(300));
+  CHECK(starts == 0);
+  permission = Permission::kLeases;
+  RunFor(kTimeout);
+  CHECK(starts == 0);
+  permission = Permission::kStarts;
+  RunUntil(loop, [&] { return starts == 1; });
+}
+
+// Guards against an order of a lost leader that is executed after the next
+// connection.
+TEST_CASE_FIXTURE(LedFixture, "an order that waited ends with its channel") {
+  permission = Permission::kNone;
+  RunFor(kTimeout + milliseconds(100));
+  Order();
+  RunFor(milliseconds(300));
+  const auto lost = channel;
+  permission = Permission::kStarts;
+  lost->Close();
+  RunUntil(loop, [&] { return channel != lost && node.ready(); });
+  RunFor(milliseconds(1'000));
+  CHECK(starts == 0);
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/loop/clock.hpp"
 #include "base/loop/simulated_clock.hpp"
 #include "dispatch/leader/group_leader.hpp"
 #include "unit/dispatch/dispatcher_fixture.hpp"
@@ -69,6 +70,9 @@
             [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
             [this] { return confirmed; }},
         options);
+    if (epoch > 1 && former_stopped) {
+      leader->OnFormerLeaderStopped(base::MonotonicNow());
+    }
     leader->OnAgentUp(NodeId("agent"), DataCenter("dc"), last_grant_age);
     leader->Start();
     RunFor(std::chrono::milliseconds(20));
@@ -168,6 +172,7 @@
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   /// What "agent" says to a new leader.
   std::optional<Milliseconds> last_grant_age;
+  bool former_stopped = true;  ///< As the new leader knows at once.
   int assignments = 0;
   std::vector<VmName> assigned_workers;
   int conflicts = 0;
--- a/tests/unit/dispatch/leadership_test.cc
+++ b/tests/unit/dispatch/leadership_test.cc
@@ -166,6 +166,42 @@
   CHECK_FALSE(leadership.confirmed());
 }
 
+// Guards against a paused leader that takes the result of a renewal, which was
+// waiting for it, for a recent one.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a renewal confirms the time at which it was sent") {
+  leadership.SetLeaderConnected(false);
+  TimeUntilLeading();
+  REQUIRE(leadership.leading());
+  RunFor(std::chrono::seconds(1));
+  // The table's replies are not read.
+  table_timer.reset();
+  RunFor(std::chrono::seconds(3));
+  REQUIRE_FALSE(leadership.confirmed());
+  const MonotonicTime confirmed_at = leadership.confirmed_at();
+  CHECK(base::MonotonicNow() - confirmed_at > std::chrono::seconds(2));
+  while (table.pending() > 0) table.Step();
+  CHECK_FALSE(leadership.confirmed());
+  CHECK(base::MonotonicNow() - leadership.confirmed_at() >
+        std::chrono::seconds(2));
+}
+
+// Guards against a leader that permits less because single replies are lost.
+TEST_CASE_FIXTURE(FollowerFixture, "a read confirms after a lost reply") {
+  leadership.SetLeaderConnected(false);
+  TimeUntilLeading();
+  REQUIRE(leadership.leading());
+  table_timer.reset();
+  RunFor(std::chrono::milliseconds(500));
+  REQUIRE(table.pending() == 1);
+  const MonotonicTime confirmed_at = leadership.confirmed_at();
+  table.Step(FaultyTable::Fault::kLoseReply);
+  CHECK(leadership.confirmed_at() == confirmed_at);
+  REQUIRE(table.pending() == 1);
+  table.Step();
+  CHECK(leadership.confirmed_at() == base::MonotonicNow());
+}
+
 // Guards against a new leader whose first write conflicts because the table
 // replied to its claim with the table's newest version instead of the row's
 // (scenario trouble-3, seed 11).
--- a/tests/unit/dispatch/paged_ends_test.cc
+++ b/tests/unit/dispatch/paged_ends_test.cc
@@ -37,7 +37,7 @@
     session = WorkerSession::Create(
         loop, link, assignment, WorkerSessionOptions(),
         [this](AgentEvent event) { events.push_back(std::move(event)); },
-        [](Timing, MonotonicTime) {});
+        [this] { return permission; }, [](Timing, MonotonicTime) {});
     session->Begin();
     RunFor(Milliseconds(20));
   }
--- a/tests/unit/dispatch/unreported_worker_test.cc
+++ b/tests/unit/dispatch/unreported_worker_test.cc
@@ -75,7 +75,39 @@
     table.rows.Transact({{}, {{kAgentsKey, "1x\nagent\n"}}});
     TakeOver(2);
   }
-  CheckWaitsForAnyLease();
+  CheckWaitsForLease(-options.permission_timeouts.leases -
+                     options.loss_notice_delay);
+}
+
+// Guards against a second run: a former leader that is cut off extends leases
+// through an agent that is on its side (TWICE).
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "a silent former leader may extend leases for a time") {
+  leader->OnAgentUp(NodeId("leader"), DataCenter("dc"));
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  former_stopped = false;
+  last_grant_age = Milliseconds(0);
+  TakeOver(2);
+  MonotonicTime age =
+      -options.permission_timeouts.leases - options.loss_notice_delay;
+  SUBCASE("all the while") {}
+  SUBCASE("until it follows") {
+    RunFor(milliseconds(1'000));
+    leader->OnFormerLeaderStopped(base::MonotonicNow());
+    Attach(placed.idle);
+    // The leader has led for 1.09 s.
+    age = -options.loss_notice_delay;
+  }
+  SUBCASE("while all its agents have connected") {
+    for (const char* node : {"leader", "other"}) {
+      leader->OnAgentUp(NodeId(node), DataCenter("dc"), Milliseconds(0));
+    }
+    RunFor(milliseconds(300));
+    Attach(placed.idle);  // It may have been moved, to even out the load.
+    age = milliseconds(350);
+  }
+  CheckWaitsForLease(age);
 }
 
 // Guards against a wait that lasts although the last agent has connected.
@@ -136,7 +168,7 @@
 // does not count, and against names that stay in the row for good.
 TEST_CASE("an agent stays in the row until its leases have expired") {
   constexpr MonotonicTime kExpiry = milliseconds(7'000);
-  AgentRegister agents(Epoch(3));
+  AgentRegister agents(Epoch(3), NodeId("self"));
   agents.OnUp(NodeId("b"), std::nullopt);
   SUBCASE("known from the row") {
     agents.Load("2\na\n", true, kExpiry);
@@ -154,7 +186,7 @@
 // Guards against an agent that gets workers while the row without it may be
 // stored.
 TEST_CASE("an agent that is not in the row in flight gets no workers") {
-  AgentRegister agents(Epoch(1));
+  AgentRegister agents(Epoch(1), NodeId("self"));
   agents.Load(std::nullopt, false, milliseconds(7'000));
   agents.OnUp(NodeId("a"), std::nullopt);
   CHECK(agents.Contains(NodeId("a")));
--- a/tests/unit/dispatch/worker_session_fixture.hpp
+++ b/tests/unit/dispatch/worker_session_fixture.hpp
@@ -91,7 +91,7 @@
     session = WorkerSession::Create(
         loop, link, assignment, WorkerSessionOptions(),
         [this](AgentEvent event) { events.push_back(std::move(event)); },
-        [](Timing, MonotonicTime) {});
+        [this] { return permission; }, [](Timing, MonotonicTime) {});
     session->Begin();
   }
   ~SessionFixture() { session->Close(); }
@@ -132,6 +132,7 @@
   base::EventLoop loop;
   std::shared_ptr<FakeLink> link = std::make_shared<FakeLink>(loop);
   std::vector<AgentEvent> events;
+  Permission permission = Permission::kStarts;
   std::shared_ptr<WorkerSession> session;
 };
 
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -255,6 +255,42 @@
   CHECK(session->last_grant_at() == granted_at);
 }
 
+// Guards against a lease that is extended after the next leader counts it as
+// expired.
+TEST_CASE_FIXTURE(SessionFixture, "no lease is extended without permission") {
+  RunFor(Milliseconds(300));
+  permission = Permission::kNone;
+  const MonotonicTime granted_at = session->last_grant_at();
+  const std::size_t renewals = link->renewals.size();
+  RunFor(Milliseconds(1'000));
+  CHECK(session->last_grant_at() == granted_at);
+  CHECK(link->renewals.size() > renewals);
+  CHECK(link->renewals.back().lease_until == WorkerTime());
+  permission = Permission::kLeases;
+  RunFor(Milliseconds(1'000));
+  CHECK(session->last_grant_at() > granted_at);
+}
+
+// Guards against a run that is started after its leader has given it up.
+TEST_CASE_FIXTURE(SessionFixture, "a start waits for permission") {
+  RunFor(Milliseconds(50));
+  permission = Permission::kLeases;
+  session->Start(MakeStart(1));
+  RunFor(Milliseconds(1'000));
+  CHECK(link->starts.empty());
+  SUBCASE("permitted later") {
+    permission = Permission::kStarts;
+    session->SendPermittedStarts();
+    CHECK(link->starts.size() == 1);
+  }
+  SUBCASE("given up") {
+    session->DropUnsent();
+    permission = Permission::kStarts;
+    RunFor(Milliseconds(1'000));
+    CHECK(link->starts.empty());
+  }
+}
+
 // Guards against runs that nobody knows after a takeover which took longer than
 // the agents serve workers without a leader.
 TEST_CASE_FIXTURE(SessionFixture, "a suspended session keeps its runs") {
@@ -287,7 +323,7 @@
   const auto next = WorkerSession::Create(
       loop, link, assignment, WorkerSessionOptions(),
       [this](AgentEvent event) { events.push_back(std::move(event)); },
-      [](Timing, MonotonicTime) {});
+      [this] { return permission; }, [](Timing, MonotonicTime) {});
   REQUIRE_FALSE(next->CollectRuns());
   next->ContinueFrom(*session);
   session->Close();
