Divide the conversion of frames: fields, messages, frames

The values that several frames contain and the commands and events are files of their own now, in the detail namespace; frames.cc keeps calls, hellos, reports and the frame. No change of the format or of behaviour: frames_test, frame_texts_test and the fuzzed frames pass unchanged.

--- /dev/null
+++ b/src/dispatch/peer/wire_messages.cc
@@ -0,0 +1,271 @@
+#include "dispatch/peer/wire_messages.hpp"
+
+#include <kj/debug.h>
+
+#include <utility>
+#include <variant>
+
+#include "dispatch/peer/wire_fields.hpp"
+
+namespace mangospread::dispatch::detail {
+namespace {
+
+// Commands.
+
+void PutCommand(wire::Order::Builder out, const Assignment& command) {
+  auto assign = out.initAssign();
+  assign.setFence(command.fence.value());
+  assign.setStartsBefore(command.starts_before);
+  assign.setCalmLoadPeriodMs(command.normal_load_period.count());
+  assign.setLeaseLeftMs(OptionalToWire(command.lease_left));
+  Put(assign.initWorker(), command.worker);
+  assign.setRunsKnown(command.known_runs.has_value());
+  if (!command.known_runs) return;
+  Put(assign.initKnownRuns(static_cast<unsigned>(command.known_runs->size())),
+      *command.known_runs);
+}
+
+void PutCommand(wire::Order::Builder out, const StartRun& command) {
+  auto start = out.initStart();
+  start.setVm(Txt(command.vm.str()));
+  start.setNumber(command.number);
+  start.setTask(Txt(command.task));
+  start.setRun(command.run.value());
+  start.setSpec(Txt(command.spec));
+  start.setCheckpoint(Txt(command.checkpoint));
+  Put(start.initTraits(), command.traits);
+}
+
+void PutCommand(wire::Order::Builder out, const DescribeRun& command) {
+  auto describe = out.initDescribe();
+  describe.setVm(Txt(command.vm.str()));
+  describe.setTask(Txt(command.task));
+  describe.setRun(command.run.value());
+  describe.setPercent(command.percent);
+  Put(describe.initTraits(), command.traits);
+}
+
+void PutCommand(wire::Order::Builder out, const StopRun& command) {
+  auto stop = out.initStop();
+  stop.setVm(Txt(command.vm.str()));
+  stop.setTask(Txt(command.task));
+  stop.setRun(command.run.value());
+}
+
+void PutCommand(wire::Order::Builder out, const ThrottleRun& command) {
+  auto pace = out.initPace();
+  pace.setVm(Txt(command.vm.str()));
+  pace.setTask(Txt(command.task));
+  pace.setRun(command.run.value());
+  pace.setPercent(command.percent);
+}
+
+void PutCommand(wire::Order::Builder out, const AcknowledgeEnds& command) {
+  auto acknowledge = out.initAcknowledge();
+  acknowledge.setVm(Txt(command.vm.str()));
+  acknowledge.setBorn(command.incarnation.value());
+  acknowledge.setNumber(command.number.value());
+}
+
+void PutCommand(wire::Order::Builder out, const Release& command) {
+  out.setRelease(Txt(command.vm.str()));
+}
+
+Assignment GetAssignment(wire::Assignment::Reader in) {
+  Assignment assignment;
+  assignment.fence = WorkerFence(in.getFence());
+  assignment.starts_before = in.getStartsBefore();
+  assignment.normal_load_period = Milliseconds(in.getCalmLoadPeriodMs());
+  assignment.worker = Get(in.getWorker());
+  assignment.lease_left = OptionalFromWire(in.getLeaseLeftMs());
+  if (in.getRunsKnown()) assignment.known_runs = Get(in.getKnownRuns());
+  return assignment;
+}
+
+// Events.
+
+void PutDetails(wire::Event::Builder out, const Attached& event) {
+  auto attached = out.initAttached();
+  attached.setBorn(event.incarnation.value());
+  attached.setStartsSeen(event.starts_seen);
+  attached.setIncomplete(!event.complete);
+  auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
+  for (unsigned i = 0; i < event.unsent.size(); ++i) {
+    unsent.set(i, Txt(event.unsent[i]));
+  }
+  auto running =
+      attached.initRunning(static_cast<unsigned>(event.running.size()));
+  for (unsigned i = 0; i < event.running.size(); ++i) {
+    Put(running[i], event.running[i]);
+  }
+  auto ended = attached.initEnded(static_cast<unsigned>(event.ended.size()));
+  for (unsigned i = 0; i < event.ended.size(); ++i) {
+    Put(ended[i], event.ended[i]);
+  }
+}
+
+void PutRun(wire::RunEvent::Builder out, const std::string& task, Attempt run,
+            CommandOutcome outcome) {
+  out.setTask(Txt(task));
+  out.setRun(run.value());
+  out.setOutcome(static_cast<std::uint8_t>(outcome));
+}
+
+void PutDetails(wire::Event::Builder out, const RunEnded& event) {
+  auto ended = out.initEnded();
+  ended.setBorn(event.incarnation.value());
+  Put(ended.initEnd(), event.end);
+}
+
+void PutDetails(wire::Event::Builder out, const RunNotStarted& event) {
+  PutRun(out.initNotStarted(), event.task, event.run, event.reason);
+}
+
+void PutDetails(wire::Event::Builder out, const RunStarted& event) {
+  PutRun(out.initStarted(), event.task, event.run, CommandOutcome::kAccepted);
+}
+
+void PutDetails(wire::Event::Builder out, const RunStalled& event) {
+  PutRun(out.initStalled(), event.task, event.run, CommandOutcome::kAccepted);
+}
+
+void PutDetails(wire::Event::Builder out, const WorkerUnreachable& event) {
+  out.setUnreachable(event.lease_left.count());
+}
+
+void PutDetails(wire::Event::Builder out, const WorkerSuperseded& /*event*/) {
+  out.setSuperseded();
+}
+
+void PutDetails(wire::Event::Builder out, const WorkerEnded& /*event*/) {
+  out.setWorkerEnded();
+}
+
+void PutDetails(wire::Event::Builder out, const WorkerLoad& event) {
+  auto load = out.initLoad();
+  load.setSilent(!event.responding);
+  auto runs = load.initRuns(static_cast<unsigned>(event.runs.size()));
+  for (unsigned i = 0; i < event.runs.size(); ++i) {
+    const RunSample& sample = event.runs[i];
+    runs[i].setTask(Txt(sample.task));
+    runs[i].setRun(sample.run.value());
+    runs[i].setPercent(sample.percent);
+    runs[i].setMeasured(sample.measured);
+  }
+}
+
+WorkerLoad GetLoad(wire::Load::Reader in) {
+  WorkerLoad load;
+  for (const auto run : in.getRuns()) {
+    load.runs.push_back({Str(run.getTask()), Attempt(run.getRun()),
+                         run.getMeasured(), run.getPercent()});
+  }
+  load.responding = !in.getSilent();
+  return load;
+}
+
+Attached GetAttached(wire::Attached::Reader in) {
+  Attached attached;
+  attached.incarnation = WorkerIncarnation(in.getBorn());
+  attached.starts_seen = in.getStartsSeen();
+  attached.complete = !in.getIncomplete();
+  for (const auto task : in.getUnsent()) attached.unsent.push_back(Str(task));
+  for (const auto running : in.getRunning()) {
+    attached.running.push_back(Get(running));
+  }
+  for (const auto end : in.getEnded()) attached.ended.push_back(Get(end));
+  return attached;
+}
+
+decltype(AgentEvent::details) GetDetails(wire::Event::Reader in) {
+  switch (in.which()) {
+    case wire::Event::ATTACHED:
+      return GetAttached(in.getAttached());
+    case wire::Event::ENDED:
+      return RunEnded{WorkerIncarnation(in.getEnded().getBorn()),
+                      Get(in.getEnded().getEnd())};
+    case wire::Event::NOT_STARTED:
+      return RunNotStarted{
+          Str(in.getNotStarted().getTask()),
+          Attempt(in.getNotStarted().getRun()),
+          ToEnum(in.getNotStarted().getOutcome(), CommandOutcome::kUnknown)};
+    case wire::Event::STARTED:
+      return RunStarted{Str(in.getStarted().getTask()),
+                        Attempt(in.getStarted().getRun())};
+    case wire::Event::STALLED:
+      return RunStalled{Str(in.getStalled().getTask()),
+                        Attempt(in.getStalled().getRun())};
+    case wire::Event::UNREACHABLE:
+      return WorkerUnreachable{Milliseconds(in.getUnreachable())};
+    case wire::Event::SUPERSEDED:
+      return WorkerSuperseded{};
+    case wire::Event::WORKER_ENDED:
+      return WorkerEnded{};
+    case wire::Event::LOAD:
+      return GetLoad(in.getLoad());
+  }
+  KJ_FAIL_REQUIRE("unknown event");
+}
+
+}  // namespace
+
+void Put(wire::Order::Builder out, const AgentCommand& command) {
+  std::visit([&](const auto& kind) { PutCommand(out, kind); }, command);
+}
+
+Result<AgentCommand> Get(wire::Order::Reader in) {
+  switch (in.which()) {
+    case wire::Order::ASSIGN:
+      return AgentCommand(GetAssignment(in.getAssign()));
+    case wire::Order::START: {
+      const auto start = in.getStart();
+      return AgentCommand(StartRun{
+          VmName(Str(start.getVm())), start.getNumber(), Str(start.getTask()),
+          Attempt(start.getRun()), Str(start.getSpec()),
+          Str(start.getCheckpoint()), Get(start.getTraits())});
+    }
+    case wire::Order::DESCRIBE: {
+      const auto describe = in.getDescribe();
+      return AgentCommand(
+          (DescribeRun{VmName(Str(describe.getVm())), Str(describe.getTask()),
+                       Attempt(describe.getRun()), Get(describe.getTraits()),
+                       describe.getPercent()}));
+    }
+    case wire::Order::STOP: {
+      const auto stop = in.getStop();
+      return AgentCommand(
+          (StopRun{VmName(Str(stop.getVm())), Str(stop.getTask()),
+                   Attempt(stop.getRun())}));
+    }
+    case wire::Order::PACE: {
+      const auto pace = in.getPace();
+      return AgentCommand(
+          (ThrottleRun{VmName(Str(pace.getVm())), Str(pace.getTask()),
+                       Attempt(pace.getRun()), pace.getPercent()}));
+    }
+    case wire::Order::ACKNOWLEDGE: {
+      const auto acknowledge = in.getAcknowledge();
+      return AgentCommand(
+          (AcknowledgeEnds{VmName(Str(acknowledge.getVm())),
+                           WorkerIncarnation(acknowledge.getBorn()),
+                           EndNumber(acknowledge.getNumber())}));
+    }
+    case wire::Order::RELEASE:
+      return AgentCommand(Release{VmName(Str(in.getRelease()))});
+  }
+  return Error{Errc::kMalformed, "order"};
+}
+
+void Put(wire::Event::Builder out, const AgentEvent& event) {
+  out.setVm(Txt(event.vm.str()));
+  out.setAssignment(event.assignment.value());
+  std::visit([&](const auto& details) { PutDetails(out, details); },
+             event.details);
+}
+
+AgentEvent Get(wire::Event::Reader in) {
+  return {VmName(Str(in.getVm())), WorkerFence(in.getAssignment()),
+          GetDetails(in)};
+}
+
+}  // namespace mangospread::dispatch::detail
