--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -4,16 +4,12 @@
 #include <charconv>
 #include <utility>
 
+#include "dispatch/leader/lines.hpp"
+
 namespace mangospread::dispatch {
 namespace {
 
-/// Removes the first line from `text`.
-std::string_view TakeLine(std::string_view& text) {
-  const std::size_t end = std::min(text.find('\n'), text.size());
-  const std::string_view line = text.substr(0, end);
-  text.remove_prefix(std::min(end + 1, text.size()));
-  return line;
-}
+using detail::TakeLine;
 
 /// The agents in a row of this epoch; nullopt for any other row.
 std::optional<std::set<NodeId>> Decode(std::string_view row, Epoch epoch) {
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -352,6 +352,11 @@
   return true;
 }
 
+MonotonicTime GroupLeader::RetryTime(const table::WriteResult& result) const {
+  if (result.status != WriteStatus::kRejected) return MonotonicTime(0);
+  return base::MonotonicNow() + options_.rejected_row_delay;
+}
+
 void GroupLeader::MarkDirty(const SubmissionId& id) {
   dirty_.insert(id);
   unsaved_since_.emplace(id, base::MonotonicNow());
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -37,6 +37,9 @@
   /// changes share one write.
   Milliseconds save_delay{40};
   Milliseconds save_retry_delay{300};
+  /// Delay before the rows of workers or agents are sent again after the table
+  /// did not accept them.
+  Milliseconds rejected_row_delay{3'000};
   /// Most bytes of a row's value that the table accepts.
   std::size_t row_bytes = 65'536;
   /// Minimum time between placement rounds.
@@ -228,6 +231,9 @@
   void SaveRoster();
   /// Stores the agents that may have granted valid leases.
   void SaveAgents();
+  /// Time from which on a row of workers or agents may be sent after a write
+  /// with this result.
+  [[nodiscard]] MonotonicTime RetryTime(const table::WriteResult& result) const;
   /// Decides whether this node may be stored among them.
   void UpdateSelfService();
   /// True if the stored roster contains the worker, so that a new leader is
@@ -370,6 +376,8 @@
   /// Removed workers and the agents that still have a session with them.
   std::map<VmName, NodeId> unreleased_;
   bool roster_saving_ = false;
+  MonotonicTime roster_retry_at_{0};
+  MonotonicTime agents_retry_at_{0};
   std::string saved_interference_;
   bool interference_saving_ = false;
 
--- /dev/null
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -0,0 +1,142 @@
+// The agents of the group: which of them are stored, and which workers they
+// get.
+#include <algorithm>
+#include <utility>
+
+#include "base/events.hpp"
+#include "base/loop/clock.hpp"
+#include "dispatch/leader/group_leader.hpp"
+
+namespace mangospread::dispatch {
+namespace {
+
+using table::WriteStatus;
+
+}  // namespace
+
+void GroupLeader::UpdateSelfService() {
+  const auto self = agents_.find(deps_.self);
+  if (self == agents_.end()) return;
+  agent_register_.SetServesItself(
+      agents_.size() - 1 < options_.self_service_agents ||
+          self->second.workers > 0,
+      LeaseExpiry());
+}
+
+void GroupLeader::SaveAgents() {
+  UpdateSelfService();
+  // While the leases of the leader before the former one may be extended, the
+  // next leader must not take the row for all agents.
+  if (!former_stopped_at_ && base::MonotonicNow() < FormerLeaderLimit()) return;
+  if (base::MonotonicNow() < agents_retry_at_) return;
+  auto row = agent_register_.NextRow(base::MonotonicNow());
+  if (!row) return;
+  Transaction change = LeaderTransaction();
+  change.writes.push_back({kAgentsKey, std::move(*row)});
+  writer_.Submit(std::move(change), [this](const table::WriteResult& result) {
+    agent_register_.OnStored(result.status == WriteStatus::kCommitted);
+    agents_retry_at_ = RetryTime(result);
+    // A later tick retries.
+    if (CheckConflict(result) || result.status != WriteStatus::kCommitted) {
+      return;
+    }
+    SaveAgents();
+    AssignWorkers();
+  });
+}
+
+void GroupLeader::OnAgentUp(const NodeId& agent, const DataCenter& data_center,
+                            std::optional<Milliseconds> last_grant_age) {
+  agents_[agent] = {data_center, 0};
+  std::optional<MonotonicTime> last_grant;
+  if (last_grant_age) {
+    // All leases granted so long ago have expired.
+    constexpr Milliseconds kLongestAge = std::chrono::hours(1);
+    last_grant = base::MonotonicNow() - std::min(*last_grant_age, kLongestAge);
+  }
+  agent_register_.OnUp(agent, last_grant);
+  base::Log(base::Event::kPeerAlive, {{"peer", agent.str()}});
+  if (!loaded_) return;
+  SaveAgents();
+  AssignWorkers();
+}
+
+void GroupLeader::OnAgentDown(const NodeId& agent) {
+  base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
+  const bool replaced = yielding_ || !deps_.confirmed();
+  for (auto& [vm, entry] : workers_) {
+    entry.failed_agents.erase(agent);
+    if (entry.agent != agent) continue;
+    UnassignLost(entry);
+    if (replaced) {
+      entry.retry_at = base::MonotonicNow() + options_.yield_reassign_delay;
+    }
+  }
+  for (auto& [vm, former] : former_workers_) EndRenewals(agent, former);
+  agents_.erase(agent);
+  agent_register_.OnDown(agent, LostLeaseExpiry());
+  if (loaded_) AssignWorkers();
+}
+
+bool GroupLeader::IsEligible(const NodeId& agent) const {
+  if (!agent_register_.Contains(agent)) return false;
+  if (agent != deps_.self) return true;
+  if (base::MonotonicNow() - started_at_ < options_.self_service_delay) {
+    return false;
+  }
+  return std::none_of(agents_.begin(), agents_.end(),
+                      [this](const auto& other) {
+                        return other.first != deps_.self &&
+                               agent_register_.Contains(other.first);
+                      });
+}
+
+std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
+  const auto former = former_workers_.find(entry.info.vm);
+  const bool unresolved = unresolved_.contains(entry.info.vm);
+  std::optional<NodeId> best;
+  for (const auto& [agent, info] : agents_) {
+    if (entry.failed_agents.contains(agent) || !IsEligible(agent)) continue;
+    if (unresolved && former != former_workers_.end() &&
+        former->second.agents.contains(agent)) {
+      return agent;
+    }
+    if (!best || info.workers < agents_.at(*best).workers) best = agent;
+  }
+  const bool may_be_reported =
+      unresolved && former == former_workers_.end() &&
+      base::MonotonicNow() - loaded_at_ < options_.report_grace_period;
+  return may_be_reported ? std::nullopt : best;
+}
+
+void GroupLeader::MoveWorkers() {
+  // Moving a worker that may be gone would extend the time for which its lease
+  // is waited for.
+  const auto find_movable = [this](const NodeId& from, const NodeId& to) {
+    return std::find_if(
+        workers_.begin(), workers_.end(), [&](const auto& worker) {
+          return worker.second.agent == from && worker.second.attached &&
+                 !worker.second.failed_agents.contains(to);
+        });
+  };
+  for (int moves = 0; moves < options_.max_moves_per_tick; ++moves) {
+    std::optional<NodeId> least;
+    std::optional<NodeId> most;
+    for (const auto& [agent, info] : agents_) {
+      if (!IsEligible(agent)) continue;
+      if (!least || info.workers < agents_.at(*least).workers) least = agent;
+      if (!most || info.workers > agents_.at(*most).workers) most = agent;
+    }
+    if (!least || *least == deps_.self) return;
+    auto it = find_movable(deps_.self, *least);
+    if (it == workers_.end()) {
+      if (agents_.at(*most).workers - agents_.at(*least).workers < 2) return;
+      it = find_movable(*most, *least);
+    }
+    if (it == workers_.end()) return;
+    Unassign(it->second);
+    Assign(it->second, *least);
+  }
+}
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -7,6 +7,7 @@
 #include "base/json/json_reader.hpp"
 #include "base/json/json_writer.hpp"
 #include "dispatch/leader/done_tasks.hpp"
+#include "dispatch/leader/lines.hpp"
 
 namespace mangospread::dispatch {
 namespace {
@@ -182,11 +183,8 @@
 }
 
 void DecodeRoster(std::string_view value, std::set<VmName>& workers) {
-  std::size_t from = 0;
-  while (from < value.size()) {
-    const std::size_t to = std::min(value.find('\n', from), value.size());
-    workers.emplace(std::string(value.substr(from, to - from)));
-    from = to + 1;
+  while (!value.empty()) {
+    workers.emplace(std::string(detail::TakeLine(value)));
   }
 }
 
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -349,6 +349,28 @@
   CHECK(stored.size() == names.size());
 }
 
+// Guards against rows that the table does not accept and that are sent again at
+// each tick.
+TEST_CASE_FIXTURE(LeaderFixture, "rejected rows are sent again seldom") {
+  int rejections = 0;
+  table.rejects = [&](const Transaction& transaction) {
+    const bool rejected =
+        std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                    [](const Write& write) {
+                      return write.key.starts_with("roster/") && write.value;
+                    });
+    rejections += rejected ? 1 : 0;
+    return rejected;
+  };
+  Lead(1);
+  ListWorkers({"w1"});
+  RunFor(std::chrono::seconds(5));
+  CHECK(rejections == 4);
+  table.rejects = nullptr;
+  RunFor(std::chrono::seconds(4));
+  CHECK(newest.contains(VmName("w1")));
+}
+
 // Guards against a leader that does not find the workers which the version
 // before has stored in one row, and against rows left when there are fewer.
 TEST_CASE_FIXTURE(LeaderFixture, "rows of workers that are gone are removed") {
