Warnings are errors only where CMake is told so

Cause: with -DCMAKE_BUILD_TYPE=Release GCC 12 reports array-bounds in tests/integration/harness/checks/ownership.cc on arm64, and -Werror stopped the users' build.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	./scripts/install_deps.sh
 
 build: deps
-	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake -S . -B $(BUILD) -G Ninja -DMANGOSPREAD_WARNINGS_AS_ERRORS=ON >/dev/null
 	cmake --build $(BUILD) -j $(JOBS)
 
 # Runs all tests. Tests listed in KNOWN-RED.txt are excluded and printed.
