--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -244,6 +244,20 @@
   CHECK(read->value()[0].value == "1");
 }
 
+// Guards against a takeover that takes the rows before an unreadable page for
+// all rows.
+TEST_CASE_FIXTURE(StoreFixture, "a read that cannot go on fails") {
+  StoreTable table(pool, "p", Milliseconds(500), [](MonotonicTime) {});
+  read_replies = {Reply(RowText("a", "1", 2), 3, "true"), Reply("7", 3, "true"),
+                  Reply(RowText("c", "1", 2), 3)};
+  std::optional<Result<std::vector<Row>>> read;
+  table.Read({{}, {{"t/", {}, 1'000}}},
+             [&](Result<std::vector<Row>> rows) { read = std::move(rows); });
+  RunUntil(loop, [&] { return read.has_value(); });
+  REQUIRE_FALSE(read->ok());
+  CHECK(read->error().code == Errc::kMalformed);
+}
+
 // Guards against a transaction that the store does not accept and that is taken
 // for one with an unknown outcome, which is sent again.
 TEST_CASE_FIXTURE(StoreFixture, "a refused transaction has a definite result") {
