A leader that served no workers is not stored as an agent

Cause: since the leader's own node is in the row of agents while it has fewer than two others, and stayed there for a lease after more had connected, although it had served nothing. Now the lease counts from the last worker that the node released.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -378,6 +378,9 @@
   bool roster_saving_ = false;
   MonotonicTime roster_retry_at_{0};
   MonotonicTime agents_retry_at_{0};
+  /// Time at which the leases that this node has granted as the leader have
+  /// expired; 0 if it has granted none.
+  MonotonicTime self_lease_expires_at_{0};
   std::string saved_interference_;
   bool interference_saving_ = false;
 
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -18,9 +18,9 @@
   const auto self = agents_.find(deps_.self);
   if (self == agents_.end()) return;
   agent_register_.SetServesItself(
-      agents_.size() - 1 < options_.self_service_agents ||
-          self->second.workers > 0,
-      LeaseExpiry());
+      self->second.workers > 0 ||
+          agents_.size() - 1 < options_.self_service_agents,
+      self_lease_expires_at_);
 }
 
 void GroupLeader::SaveAgents() {
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -198,6 +198,7 @@
 
 void GroupLeader::Detach(WorkerEntry& entry) {
   deps_.send(*entry.agent, Release{entry.info.vm});
+  if (*entry.agent == deps_.self) self_lease_expires_at_ = LeaseExpiry();
   const auto it = agents_.find(*entry.agent);
   if (it != agents_.end()) --it->second.workers;
   entry.agent.reset();
--- a/tests/integration/managed/paused_agent_test.cc
+++ b/tests/integration/managed/paused_agent_test.cc
@@ -1,5 +1,5 @@
 // Guards against a second run of a task (TWICE): an agent that was paused reads
-// orders that its leader has given up meanwhile, and its worker has seen no
+// starts that its leader has given up meanwhile, and its worker has seen no
 // later fencing token, since nobody else reached it.
 #include <doctest/doctest.h>
 
@@ -24,7 +24,7 @@
 /// Time from the submission of the tasks until they are due.
 constexpr std::chrono::milliseconds kDueIn{3'000};
 /// The agent is paused this long before the tasks are due, so that the leader
-/// orders them before it notices the loss.
+/// starts them before it notices the loss.
 constexpr std::chrono::milliseconds kPauseBefore{200};
 
 /// A submission of tasks that are due at a time.
@@ -54,7 +54,7 @@
 }
 
 /// Three nodes and two workers, one of which is silent and has an agent that
-/// was paused before it read the orders of half of the tasks.
+/// was paused before it read the starts of half of the tasks.
 class PausedAgentSite {
  public:
   PausedAgentSite() {
@@ -68,11 +68,11 @@
     REQUIRE(agent_ != NodeIndex(AgentOf("w2")));
   }
 
-  /// Has the leader order tasks from the paused agent, of whose pause it knows
-  /// nothing yet, and silences the worker for everybody. The workers list an
-  /// end that cannot be stored, so the agent waits between two renewals most of
-  /// the time.
-  void OrderFromPausedAgent() {
+  /// Has the leader start tasks through the paused agent, of whose pause it
+  /// knows nothing yet, and silences the worker for everybody. The workers list
+  /// an end that cannot be stored, so the agent waits between two renewals most
+  /// of the time.
+  void StartThroughPausedAgent() {
     const auto due = std::chrono::system_clock::now() + kDueIn;
     REQUIRE(site_
                 .SendRequest(leader_, net::Method::kPost, kSubmission,
@@ -147,16 +147,16 @@
   int attached_before_ = 0;  ///< The agent was resumed.
 };
 
-TEST_CASE("a paused agent executes no outdated orders") {
+TEST_CASE("a paused agent executes no outdated starts") {
   PausedAgentSite site;
-  site.OrderFromPausedAgent();
+  site.StartThroughPausedAgent();
   site.ResumeAgent();
   site.CheckNoSecondRun();
 }
 
-TEST_CASE("a paused agent executes no orders of a former leader") {
+TEST_CASE("a paused agent executes no starts of a former leader") {
   PausedAgentSite site;
-  site.OrderFromPausedAgent();
+  site.StartThroughPausedAgent();
   site.KillLeader();
   site.RestartLeader();
   site.ResumeAgent();
@@ -167,7 +167,7 @@
 // until it learns that it was replaced.
 TEST_CASE("a paused leader and its agent start nothing") {
   PausedAgentSite site;
-  site.OrderFromPausedAgent();
+  site.StartThroughPausedAgent();
   site.PauseLeader();
   site.ResumeAgent();
   site.ResumeLeader();
--- a/tests/unit/dispatch/leader_contact_test.cc
+++ b/tests/unit/dispatch/leader_contact_test.cc
@@ -134,7 +134,7 @@
     channel->SetHooks(std::move(hooks));
   }
 
-  void Order() const {
+  void SendStart() const {
     Assignment assignment;
     assignment.worker.vm = VmName("w1");
     assignment.fence = WorkerFence(kFenceStride);
@@ -180,13 +180,13 @@
       Options()};
 };
 
-// Guards against orders that an agent executes after its leader may have given
+// Guards against starts that an agent executes after its leader may have given
 // them up: the leader has not confirmed any message of the agent for too long,
 // though frames of it still arrive.
-TEST_CASE_FIXTURE(LedFixture, "an order waits for a leader that confirms") {
+TEST_CASE_FIXTURE(LedFixture, "a start waits for a leader that confirms") {
   permission = Permission::kNone;
   RunFor(kTimeout + milliseconds(100));
-  Order();
+  SendStart();
   RunFor(milliseconds(300));
   CHECK(starts == 0);
   permission = Permission::kLeases;
@@ -196,12 +196,12 @@
   RunUntil(loop, [&] { return starts == 1; });
 }
 
-// Guards against an order of a lost leader that is executed after the next
+// Guards against a start by a lost leader that is executed after the next
 // connection.
-TEST_CASE_FIXTURE(LedFixture, "an order that waited ends with its channel") {
+TEST_CASE_FIXTURE(LedFixture, "a start that waited ends with its channel") {
   permission = Permission::kNone;
   RunFor(kTimeout + milliseconds(100));
-  Order();
+  SendStart();
   RunFor(milliseconds(300));
   const auto lost = channel;
   permission = Permission::kStarts;
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -41,12 +41,12 @@
     auto written = table.rows.Transact(
         {{}, {{kLeaderKey, "epoch " + std::to_string(epoch)}}});
     LeaderRecord record;
-    record.node = NodeId("leader");
+    record.node = self;
     record.epoch = Epoch(epoch);
     record.version = written.version;
     leader = std::make_unique<GroupLeader>(
         GroupLeaderDependencies{
-            loop, table, NodeId("leader"), DataCenter("dc"),
+            loop, table, self, DataCenter("dc"),
             "writer/leader-" + std::to_string(epoch), record,
             [](const SubmissionId& id, std::string_view) {
               return Result<Submission>(DispatcherFixture::MakeSubmission(
@@ -172,6 +172,7 @@
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   /// What "agent" says to a new leader.
   std::optional<Milliseconds> last_grant_age;
+  NodeId self{"leader"};       ///< The node that leads next.
   bool former_stopped = true;  ///< As the new leader knows at once.
   int assignments = 0;
   std::vector<VmName> assigned_workers;
--- a/tests/unit/dispatch/unreported_worker_test.cc
+++ b/tests/unit/dispatch/unreported_worker_test.cc
@@ -86,6 +86,7 @@
   leader->OnAgentUp(NodeId("leader"), DataCenter("dc"));
   leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
   RunFor(milliseconds(300));
+  self = NodeId("other");
   former_stopped = false;
   last_grant_age = Milliseconds(0);
   TakeOver(2);
@@ -100,9 +101,7 @@
     age = -options.loss_notice_delay;
   }
   SUBCASE("while all its agents have connected") {
-    for (const char* node : {"leader", "other"}) {
-      leader->OnAgentUp(NodeId(node), DataCenter("dc"), Milliseconds(0));
-    }
+    leader->OnAgentUp(self, DataCenter("dc"), Milliseconds(0));
     RunFor(milliseconds(300));
     Attach(placed.idle);  // It may have been moved, to even out the load.
     age = milliseconds(350);
@@ -220,5 +219,21 @@
   CHECK(newest.at(placed.run.vm).agent == self);
 }
 
+// Guards against a takeover that waits for leases of the former leader's own
+// node, which has served no worker and may never come back (LOST).
+TEST_CASE_FIXTURE(UnreportedFixture,
+                  "the own node is not stored beside several agents") {
+  const auto stored = [this] {
+    const auto rows = table.rows.Read({{kAgentsKey}, {}});
+    return rows.empty() ? std::string() : rows[0].value;
+  };
+  leader->OnAgentUp(NodeId("leader"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  CHECK(stored() == "1\nagent\nleader\n");
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(300));
+  CHECK(stored() == "1\nagent\nother\n");
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
