Texts between the nodes' own services are not cut at U+0000 either

The two functions that convert a text whole are in base/capnp_text.hpp now, for both codecs; frames are the same.

--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -19,13 +19,13 @@
 namespace mangospread::dispatch {
 namespace {
 
+using base::FromText;
+using base::ToText;
 using detail::Get;
 using detail::OptionalFromWire;
 using detail::OptionalToWire;
 using detail::Put;
-using detail::Str;
 using detail::ToEnum;
-using detail::Txt;
 
 // Calls.
 
@@ -33,9 +33,9 @@
   const ServiceCall& call = frame.call;
   out.setId(frame.id);
   out.setKind(static_cast<std::uint8_t>(call.verb));
-  out.setSubmission(Txt(call.submission.str()));
-  out.setQueue(Txt(call.policy.queue.str()));
-  out.setService(Txt(call.policy.service.str()));
+  out.setSubmission(ToText(call.submission.str()));
+  out.setQueue(ToText(call.policy.queue.str()));
+  out.setService(ToText(call.policy.service.str()));
   out.setPriority(call.policy.priority);
   out.setAttempts(call.policy.attempts);
   out.setStretch(call.policy.stretch);
@@ -49,9 +49,9 @@
   CallFrame frame;
   frame.id = in.getId();
   frame.call.verb = ToEnum(in.getKind(), ServiceVerb::kPending);
-  frame.call.submission = SubmissionId(Str(in.getSubmission()));
-  frame.call.policy = {QueueName(Str(in.getQueue())),
-                       ServiceName(Str(in.getService())),
+  frame.call.submission = SubmissionId(FromText(in.getSubmission()));
+  frame.call.policy = {QueueName(FromText(in.getQueue())),
+                       ServiceName(FromText(in.getService())),
                        in.getPriority(),
                        in.getAttempts(),
                        in.getStretch(),
@@ -78,15 +78,15 @@
 }
 
 void Put(wire::Hello::Builder out, const Hello& hello) {
-  out.setNode(Txt(hello.node.str()));
+  out.setNode(ToText(hello.node.str()));
   out.setIncarnation(hello.incarnation.value());
   out.setEpoch(hello.epoch.value());
   out.setLeading(hello.leading);
-  out.setDataCenter(Txt(hello.data_center.str()));
+  out.setDataCenter(ToText(hello.data_center.str()));
   auto leader = out.initLeader();
-  leader.setNode(Txt(hello.leader.node.str()));
+  leader.setNode(ToText(hello.leader.node.str()));
   leader.setIncarnation(hello.leader.incarnation.value());
-  leader.setIp(Txt(hello.leader.address.ip));
+  leader.setIp(ToText(hello.leader.address.ip));
   leader.setPort(hello.leader.address.port);
   out.setYielding(hello.yielding);
   out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
@@ -103,14 +103,14 @@
     permission =
         ToEnum(static_cast<std::uint8_t>(value - 1), Permission::kStarts);
   }
-  return {NodeId(Str(in.getNode())),
+  return {NodeId(FromText(in.getNode())),
           Incarnation(in.getIncarnation()),
           Epoch(in.getEpoch()),
           in.getLeading(),
-          DataCenter(Str(in.getDataCenter())),
-          {NodeId(Str(leader.getNode())),
+          DataCenter(FromText(in.getDataCenter())),
+          {NodeId(FromText(leader.getNode())),
            Incarnation(leader.getIncarnation()),
-           {Str(leader.getIp()), leader.getPort()},
+           {FromText(leader.getIp()), leader.getPort()},
            Epoch(in.getEpoch()),
            RowVersion()},
           in.getYielding(),
--- a/src/dispatch/peer/wire_fields.cc
+++ b/src/dispatch/peer/wire_fields.cc
@@ -2,71 +2,67 @@
 
 namespace mangospread::dispatch::detail {
 
-std::string Str(capnp::Text::Reader text) {
-  return {text.begin(), text.size()};
-}
-
-capnp::Text::Reader Txt(const std::string& text) {
-  return {text.c_str(), text.size()};
-}
+using base::FromText;
+using base::ToText;
 
 void Put(wire::Traits::Builder out, const RunTraits& traits) {
   out.setLongRunning(traits.long_running);
   out.setFills(traits.best_effort);
   out.setCpu(traits.cpu.value());
   out.setLatencyTargetMs(traits.latency_target.count());
-  out.setImage(Txt(traits.image.str()));
+  out.setImage(ToText(traits.image.str()));
 }
 
 RunTraits Get(wire::Traits::Reader in) {
   return {in.getLongRunning(), in.getFills(), Millicores(in.getCpu()),
-          Milliseconds(in.getLatencyTargetMs()), ImageName(Str(in.getImage()))};
+          Milliseconds(in.getLatencyTargetMs()),
+          ImageName(FromText(in.getImage()))};
 }
 
 void Put(wire::Ended::Builder out, const EndedRun& end) {
   out.setNumber(end.number.value());
-  out.setTask(Txt(end.task));
+  out.setTask(ToText(end.task));
   out.setRun(end.run.value());
   out.setHow(static_cast<std::uint8_t>(end.end_kind));
-  out.setCheckpoint(Txt(end.checkpoint));
+  out.setCheckpoint(ToText(end.checkpoint));
 }
 
 EndedRun Get(wire::Ended::Reader in) {
-  return {EndNumber(in.getNumber()), Str(in.getTask()), Attempt(in.getRun()),
-          ToEnum(in.getHow(), RunEnd::kGangIncomplete),
-          Str(in.getCheckpoint())};
+  return {EndNumber(in.getNumber()), FromText(in.getTask()),
+          Attempt(in.getRun()), ToEnum(in.getHow(), RunEnd::kGangIncomplete),
+          FromText(in.getCheckpoint())};
 }
 
 void Put(wire::Running::Builder out, const RunningRun& running) {
-  out.setTask(Txt(running.task));
+  out.setTask(ToText(running.task));
   out.setRun(running.run.value());
-  out.setCheckpoint(Txt(running.checkpoint));
+  out.setCheckpoint(ToText(running.checkpoint));
   out.setPercent(running.percent);
   out.setMeasured(running.measured);
 }
 
 RunningRun Get(wire::Running::Reader in) {
-  return {Str(in.getTask()), Attempt(in.getRun()), Str(in.getCheckpoint()),
-          in.getPercent(), in.getMeasured()};
+  return {FromText(in.getTask()), Attempt(in.getRun()),
+          FromText(in.getCheckpoint()), in.getPercent(), in.getMeasured()};
 }
 
 void Put(wire::Worker::Builder out, const WorkerInfo& worker) {
-  out.setVm(Txt(worker.vm.str()));
-  out.setService(Txt(worker.service.str()));
-  out.setIp(Txt(worker.address.ip));
+  out.setVm(ToText(worker.vm.str()));
+  out.setService(ToText(worker.service.str()));
+  out.setIp(ToText(worker.address.ip));
   out.setPort(worker.address.port);
-  out.setDataCenter(Txt(worker.data_center.str()));
-  out.setRack(Txt(worker.rack.str()));
+  out.setDataCenter(ToText(worker.data_center.str()));
+  out.setRack(ToText(worker.rack.str()));
   out.setConnections(static_cast<std::uint32_t>(worker.capacity.connections));
 }
 
 WorkerInfo Get(wire::Worker::Reader in) {
   WorkerInfo worker;
-  worker.vm = VmName(Str(in.getVm()));
-  worker.service = ServiceName(Str(in.getService()));
-  worker.address = {Str(in.getIp()), in.getPort()};
-  worker.data_center = DataCenter(Str(in.getDataCenter()));
-  worker.rack = RackName(Str(in.getRack()));
+  worker.vm = VmName(FromText(in.getVm()));
+  worker.service = ServiceName(FromText(in.getService()));
+  worker.address = {FromText(in.getIp()), in.getPort()};
+  worker.data_center = DataCenter(FromText(in.getDataCenter()));
+  worker.rack = RackName(FromText(in.getRack()));
   worker.capacity.connections = static_cast<int>(in.getConnections());
   return worker;
 }
@@ -74,7 +70,7 @@
 void Put(capnp::List<wire::RunRef>::Builder out,
          const std::vector<RunId>& runs) {
   for (unsigned i = 0; i < runs.size(); ++i) {
-    out[i].setTask(Txt(runs[i].task));
+    out[i].setTask(ToText(runs[i].task));
     out[i].setRun(runs[i].run.value());
     out[i].setJustStarted(runs[i].just_started);
   }
@@ -84,7 +80,7 @@
   std::vector<RunId> runs;
   for (const auto run : in) {
     runs.push_back(
-        {Str(run.getTask()), Attempt(run.getRun()), run.getJustStarted()});
+        {FromText(run.getTask()), Attempt(run.getRun()), run.getJustStarted()});
   }
   return runs;
 }
--- a/src/dispatch/peer/wire_fields.hpp
+++ b/src/dispatch/peer/wire_fields.hpp
@@ -11,18 +11,12 @@
 #include <string>
 #include <vector>
 
+#include "base/capnp_text.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/peer/schema/dispatch.capnp.h"
 
 namespace mangospread::dispatch::detail {
 
-/// Copies a Cap'n Proto text.
-[[nodiscard]] std::string Str(capnp::Text::Reader text);
-
-/// Refers to a text of any bytes. The implicit conversion of a std::string ends
-/// at its first zero byte.
-[[nodiscard]] capnp::Text::Reader Txt(const std::string& text);
-
 /// Converts a number to an enumerator. Throws kj::Exception for a number beyond
 /// the last one, which a damaged frame may contain.
 template <typename Enum>
--- a/src/dispatch/peer/wire_messages.cc
+++ b/src/dispatch/peer/wire_messages.cc
@@ -10,6 +10,9 @@
 namespace mangospread::dispatch::detail {
 namespace {
 
+using base::FromText;
+using base::ToText;
+
 // Commands.
 
 void PutCommand(wire::Order::Builder out, const Assignment& command) {
@@ -27,19 +30,19 @@
 
 void PutCommand(wire::Order::Builder out, const StartRun& command) {
   auto start = out.initStart();
-  start.setVm(Txt(command.vm.str()));
+  start.setVm(ToText(command.vm.str()));
   start.setNumber(command.number);
-  start.setTask(Txt(command.task));
+  start.setTask(ToText(command.task));
   start.setRun(command.run.value());
-  start.setSpec(Txt(command.spec));
-  start.setCheckpoint(Txt(command.checkpoint));
+  start.setSpec(ToText(command.spec));
+  start.setCheckpoint(ToText(command.checkpoint));
   Put(start.initTraits(), command.traits);
 }
 
 void PutCommand(wire::Order::Builder out, const DescribeRun& command) {
   auto describe = out.initDescribe();
-  describe.setVm(Txt(command.vm.str()));
-  describe.setTask(Txt(command.task));
+  describe.setVm(ToText(command.vm.str()));
+  describe.setTask(ToText(command.task));
   describe.setRun(command.run.value());
   describe.setPercent(command.percent);
   Put(describe.initTraits(), command.traits);
@@ -47,28 +50,28 @@
 
 void PutCommand(wire::Order::Builder out, const StopRun& command) {
   auto stop = out.initStop();
-  stop.setVm(Txt(command.vm.str()));
-  stop.setTask(Txt(command.task));
+  stop.setVm(ToText(command.vm.str()));
+  stop.setTask(ToText(command.task));
   stop.setRun(command.run.value());
 }
 
 void PutCommand(wire::Order::Builder out, const ThrottleRun& command) {
   auto pace = out.initPace();
-  pace.setVm(Txt(command.vm.str()));
-  pace.setTask(Txt(command.task));
+  pace.setVm(ToText(command.vm.str()));
+  pace.setTask(ToText(command.task));
   pace.setRun(command.run.value());
   pace.setPercent(command.percent);
 }
 
 void PutCommand(wire::Order::Builder out, const AcknowledgeEnds& command) {
   auto acknowledge = out.initAcknowledge();
-  acknowledge.setVm(Txt(command.vm.str()));
+  acknowledge.setVm(ToText(command.vm.str()));
   acknowledge.setBorn(command.incarnation.value());
   acknowledge.setNumber(command.number.value());
 }
 
 void PutCommand(wire::Order::Builder out, const Release& command) {
-  out.setRelease(Txt(command.vm.str()));
+  out.setRelease(ToText(command.vm.str()));
 }
 
 Assignment GetAssignment(wire::Assignment::Reader in) {
@@ -91,7 +94,7 @@
   attached.setIncomplete(!event.complete);
   auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
   for (unsigned i = 0; i < event.unsent.size(); ++i) {
-    unsent.set(i, Txt(event.unsent[i]));
+    unsent.set(i, ToText(event.unsent[i]));
   }
   auto running =
       attached.initRunning(static_cast<unsigned>(event.running.size()));
@@ -106,7 +109,7 @@
 
 void PutRun(wire::RunEvent::Builder out, const std::string& task, Attempt run,
             CommandOutcome outcome) {
-  out.setTask(Txt(task));
+  out.setTask(ToText(task));
   out.setRun(run.value());
   out.setOutcome(static_cast<std::uint8_t>(outcome));
 }
@@ -147,7 +150,7 @@
   auto runs = load.initRuns(static_cast<unsigned>(event.runs.size()));
   for (unsigned i = 0; i < event.runs.size(); ++i) {
     const RunSample& sample = event.runs[i];
-    runs[i].setTask(Txt(sample.task));
+    runs[i].setTask(ToText(sample.task));
     runs[i].setRun(sample.run.value());
     runs[i].setPercent(sample.percent);
     runs[i].setMeasured(sample.measured);
@@ -157,7 +160,7 @@
 WorkerLoad GetLoad(wire::Load::Reader in) {
   WorkerLoad load;
   for (const auto run : in.getRuns()) {
-    load.runs.push_back({Str(run.getTask()), Attempt(run.getRun()),
+    load.runs.push_back({FromText(run.getTask()), Attempt(run.getRun()),
                          run.getMeasured(), run.getPercent()});
   }
   load.responding = !in.getSilent();
@@ -169,7 +172,8 @@
   attached.incarnation = WorkerIncarnation(in.getBorn());
   attached.starts_seen = in.getStartsSeen();
   attached.complete = !in.getIncomplete();
-  for (const auto task : in.getUnsent()) attached.unsent.push_back(Str(task));
+  for (const auto task : in.getUnsent())
+    attached.unsent.push_back(FromText(task));
   for (const auto running : in.getRunning()) {
     attached.running.push_back(Get(running));
   }
@@ -186,14 +190,14 @@
                       Get(in.getEnded().getEnd())};
     case wire::Event::NOT_STARTED:
       return RunNotStarted{
-          Str(in.getNotStarted().getTask()),
+          FromText(in.getNotStarted().getTask()),
           Attempt(in.getNotStarted().getRun()),
           ToEnum(in.getNotStarted().getOutcome(), CommandOutcome::kUnknown)};
     case wire::Event::STARTED:
-      return RunStarted{Str(in.getStarted().getTask()),
+      return RunStarted{FromText(in.getStarted().getTask()),
                         Attempt(in.getStarted().getRun())};
     case wire::Event::STALLED:
-      return RunStalled{Str(in.getStalled().getTask()),
+      return RunStalled{FromText(in.getStalled().getTask()),
                         Attempt(in.getStalled().getRun())};
     case wire::Event::UNREACHABLE:
       return WorkerUnreachable{Milliseconds(in.getUnreachable())};
@@ -219,52 +223,53 @@
       return AgentCommand(GetAssignment(in.getAssign()));
     case wire::Order::START: {
       const auto start = in.getStart();
-      return AgentCommand(StartRun{
-          VmName(Str(start.getVm())), start.getNumber(), Str(start.getTask()),
-          Attempt(start.getRun()), Str(start.getSpec()),
-          Str(start.getCheckpoint()), Get(start.getTraits())});
+      return AgentCommand(
+          StartRun{VmName(FromText(start.getVm())), start.getNumber(),
+                   FromText(start.getTask()), Attempt(start.getRun()),
+                   FromText(start.getSpec()), FromText(start.getCheckpoint()),
+                   Get(start.getTraits())});
     }
     case wire::Order::DESCRIBE: {
       const auto describe = in.getDescribe();
       return AgentCommand(
-          (DescribeRun{VmName(Str(describe.getVm())), Str(describe.getTask()),
-                       Attempt(describe.getRun()), Get(describe.getTraits()),
-                       describe.getPercent()}));
+          (DescribeRun{VmName(FromText(describe.getVm())),
+                       FromText(describe.getTask()), Attempt(describe.getRun()),
+                       Get(describe.getTraits()), describe.getPercent()}));
     }
     case wire::Order::STOP: {
       const auto stop = in.getStop();
       return AgentCommand(
-          (StopRun{VmName(Str(stop.getVm())), Str(stop.getTask()),
+          (StopRun{VmName(FromText(stop.getVm())), FromText(stop.getTask()),
                    Attempt(stop.getRun())}));
     }
     case wire::Order::PACE: {
       const auto pace = in.getPace();
       return AgentCommand(
-          (ThrottleRun{VmName(Str(pace.getVm())), Str(pace.getTask()),
+          (ThrottleRun{VmName(FromText(pace.getVm())), FromText(pace.getTask()),
                        Attempt(pace.getRun()), pace.getPercent()}));
     }
     case wire::Order::ACKNOWLEDGE: {
       const auto acknowledge = in.getAcknowledge();
       return AgentCommand(
-          (AcknowledgeEnds{VmName(Str(acknowledge.getVm())),
+          (AcknowledgeEnds{VmName(FromText(acknowledge.getVm())),
                            WorkerIncarnation(acknowledge.getBorn()),
                            EndNumber(acknowledge.getNumber())}));
     }
     case wire::Order::RELEASE:
-      return AgentCommand(Release{VmName(Str(in.getRelease()))});
+      return AgentCommand(Release{VmName(FromText(in.getRelease()))});
   }
   return Error{Errc::kMalformed, "order"};
 }
 
 void Put(wire::Event::Builder out, const AgentEvent& event) {
-  out.setVm(Txt(event.vm.str()));
+  out.setVm(ToText(event.vm.str()));
   out.setAssignment(event.assignment.value());
   std::visit([&](const auto& details) { PutDetails(out, details); },
              event.details);
 }
 
 AgentEvent Get(wire::Event::Reader in) {
-  return {VmName(Str(in.getVm())), WorkerFence(in.getAssignment()),
+  return {VmName(FromText(in.getVm())), WorkerFence(in.getAssignment()),
           GetDetails(in)};
 }
 
--- a/src/rpc/codec/codec.cc
+++ b/src/rpc/codec/codec.cc
@@ -3,12 +3,13 @@
 #include <string>
 #include <string_view>
 
+#include "base/capnp_text.hpp"
+
 namespace mangospread::rpc {
 namespace {
 
-std::string TextToString(capnp::Text::Reader in) {
-  return {in.cStr(), in.size()};
-}
+using base::FromText;
+using base::ToText;
 
 std::string DataToString(capnp::Data::Reader in) {
   return {reinterpret_cast<const char*>(in.begin()), in.size()};
@@ -37,8 +38,8 @@
   auto list = init(static_cast<unsigned>(headers.size()));
   unsigned i = 0;
   for (const auto& [name, value] : headers) {
-    list[i].setName(name);
-    list[i].setValue(value);
+    list[i].setName(ToText(name));
+    list[i].setValue(ToText(value));
     ++i;
   }
 }
@@ -46,8 +47,7 @@
 net::Headers DecodeHeaders(capnp::List<wire::Header>::Reader in) {
   net::Headers headers;
   for (const auto header : in) {
-    headers.Add(TextToString(header.getName()),
-                TextToString(header.getValue()));
+    headers.Add(FromText(header.getName()), FromText(header.getValue()));
   }
   return headers;
 }
@@ -55,18 +55,18 @@
 }  // namespace
 
 void Encode(const NodeView& view, wire::NodeView::Builder out) {
-  out.setNode(view.node.str());
+  out.setNode(ToText(view.node.str()));
   out.setIncarnation(view.incarnation.value());
   out.setState(static_cast<std::uint8_t>(view.state));
-  out.setDataCenter(view.data_center.str());
-  out.setRpcAddress(ToString(view.rpc_address));
-  out.setHttpAddress(ToString(view.http_address));
+  out.setDataCenter(ToText(view.data_center.str()));
+  out.setRpcAddress(ToText(ToString(view.rpc_address)));
+  out.setHttpAddress(ToText(ToString(view.http_address)));
   out.setRevision(view.revision.value());
   out.setTableReachable(view.table_reachable);
   out.setOwnedWorkers(view.owned_workers);
   auto slots = out.initFreeSlots(static_cast<unsigned>(view.free_slots.size()));
   for (unsigned i = 0; i < slots.size(); ++i) {
-    slots[i].setService(view.free_slots[i].service.str());
+    slots[i].setService(ToText(view.free_slots[i].service.str()));
     slots[i].setFree(view.free_slots[i].free);
   }
   auto peers =
@@ -78,11 +78,11 @@
 
 NodeView Decode(wire::NodeView::Reader in) {
   NodeView view;
-  view.node = NodeId(TextToString(in.getNode()));
+  view.node = NodeId(FromText(in.getNode()));
   view.incarnation = Incarnation(in.getIncarnation());
   view.state =
       DecodeEnum(in.getState(), NodeState::kLeaving, NodeState::kStarting);
-  view.data_center = DataCenter(TextToString(in.getDataCenter()));
+  view.data_center = DataCenter(FromText(in.getDataCenter()));
   view.rpc_address = DecodeAddress(in.getRpcAddress());
   view.http_address = DecodeAddress(in.getHttpAddress());
   view.revision = Revision(in.getRevision());
@@ -90,7 +90,7 @@
   view.owned_workers = in.getOwnedWorkers();
   for (const auto slots : in.getFreeSlots()) {
     view.free_slots.push_back(
-        {ServiceName(TextToString(slots.getService())), slots.getFree()});
+        {ServiceName(FromText(slots.getService())), slots.getFree()});
   }
   for (const auto peer : in.getKnownPeers()) {
     view.known_peers.push_back(DecodeAddress(peer));
@@ -99,27 +99,27 @@
 }
 
 void Encode(const ForwardRequest& request, wire::ForwardRequest::Builder out) {
-  out.setService(request.service.str());
+  out.setService(ToText(request.service.str()));
   out.setMethod(static_cast<std::uint8_t>(request.request.method));
-  out.setTarget(request.request.target);
+  out.setTarget(ToText(request.request.target));
   EncodeHeaders(request.request.headers,
                 [&out](unsigned n) { return out.initHeaders(n); });
   out.setBody(ToData(request.request.body));
   out.setTimeoutMs(static_cast<std::uint32_t>(request.timeout.count()));
-  out.setRequestId(request.request_id.str());
+  out.setRequestId(ToText(request.request_id.str()));
   out.setIdempotent(request.idempotent);
 }
 
 ForwardRequest Decode(wire::ForwardRequest::Reader in) {
   ForwardRequest request;
-  request.service = ServiceName(TextToString(in.getService()));
+  request.service = ServiceName(FromText(in.getService()));
   request.request.method =
       DecodeEnum(in.getMethod(), net::Method::kPatch, net::Method::kPost);
-  request.request.target = TextToString(in.getTarget());
+  request.request.target = FromText(in.getTarget());
   request.request.headers = DecodeHeaders(in.getHeaders());
   request.request.body = DataToString(in.getBody());
   request.timeout = Milliseconds(in.getTimeoutMs());
-  request.request_id = RequestId(TextToString(in.getRequestId()));
+  request.request_id = RequestId(FromText(in.getRequestId()));
   request.idempotent = in.getIdempotent();
   return request;
 }
@@ -153,9 +153,9 @@
     const Change& change = delta.changes[i];
     list[i].setRevision(change.revision.value());
     list[i].setKind(static_cast<std::uint8_t>(change.key.kind));
-    list[i].setName(change.key.name);
+    list[i].setName(ToText(change.key.name));
     list[i].setDeleted(change.deleted);
-    list[i].setSpec(change.spec);
+    list[i].setSpec(ToText(change.spec));
   }
 }
 
@@ -167,16 +167,16 @@
     const auto kind = DecodeEnum(change.getKind(), ResourceKind::kPolicy,
                                  ResourceKind::kPolicy);
     delta.changes.push_back({Revision(change.getRevision()),
-                             {kind, TextToString(change.getName())},
+                             {kind, FromText(change.getName())},
                              change.getDeleted(),
-                             TextToString(change.getSpec())});
+                             FromText(change.getSpec())});
   }
   return delta;
 }
 
 void Encode(const OwnershipEntry& entry, wire::OwnershipEntry::Builder out) {
-  out.setVm(entry.vm.str());
-  out.setNode(entry.node.str());
+  out.setVm(ToText(entry.vm.str()));
+  out.setNode(ToText(entry.node.str()));
   out.setIncarnation(entry.incarnation.value());
   out.setEpoch(entry.epoch.value());
   out.setRecorded(entry.version.has_value());
@@ -185,18 +185,18 @@
 
 OwnershipEntry Decode(wire::OwnershipEntry::Reader in) {
   OwnershipEntry entry{
-      VmName(TextToString(in.getVm())), NodeId(TextToString(in.getNode())),
+      VmName(FromText(in.getVm())), NodeId(FromText(in.getNode())),
       Incarnation(in.getIncarnation()), Epoch(in.getEpoch()), std::nullopt};
   if (in.getRecorded()) entry.version = RowVersion(in.getVersion());
   return entry;
 }
 
 void Encode(const VmInfo& vm, wire::Vm::Builder out) {
-  out.setName(vm.name.str());
-  out.setAddress(ToString(vm.address));
-  out.setDataCenter(vm.data_center.str());
-  out.setRack(vm.rack.str());
-  out.setPool(vm.pool);
+  out.setName(ToText(vm.name.str()));
+  out.setAddress(ToText(ToString(vm.address)));
+  out.setDataCenter(ToText(vm.data_center.str()));
+  out.setRack(ToText(vm.rack.str()));
+  out.setPool(ToText(vm.pool));
   out.setLeaving(vm.state == VmState::kLeaving);
   out.setSlots(vm.capacity.slots);
   out.setConnections(vm.capacity.connections);
@@ -207,11 +207,11 @@
 
 VmInfo Decode(wire::Vm::Reader in) {
   VmInfo vm;
-  vm.name = VmName(TextToString(in.getName()));
+  vm.name = VmName(FromText(in.getName()));
   vm.address = DecodeAddress(in.getAddress());
-  vm.data_center = DataCenter(TextToString(in.getDataCenter()));
-  vm.rack = RackName(TextToString(in.getRack()));
-  vm.pool = TextToString(in.getPool());
+  vm.data_center = DataCenter(FromText(in.getDataCenter()));
+  vm.rack = RackName(FromText(in.getRack()));
+  vm.pool = FromText(in.getPool());
   vm.state = in.getLeaving() ? VmState::kLeaving : VmState::kLive;
   vm.capacity.slots = in.getSlots();
   vm.capacity.connections = in.getConnections();
--- a/src/rpc/codec/task_codec.cc
+++ b/src/rpc/codec/task_codec.cc
@@ -7,12 +7,13 @@
 #include <string>
 #include <utility>
 
+#include "base/capnp_text.hpp"
+
 namespace mangospread::rpc {
 namespace {
 
-std::string TextToString(capnp::Text::Reader in) {
-  return {in.cStr(), in.size()};
-}
+using base::FromText;
+using base::ToText;
 
 std::int32_t ClampToInt32(std::int64_t value) {
   return static_cast<std::int32_t>(
@@ -26,11 +27,11 @@
 }
 
 void EncodeReport(const TaskReport& report, wire::TaskReport::Builder out) {
-  out.setTask(report.task);
+  out.setTask(ToText(report.task));
   out.setAttempt(report.attempt.value());
   out.setPhase(static_cast<std::uint8_t>(report.phase));
   // An empty text takes one word in the message, an unset one takes none.
-  if (!report.checkpoint.empty()) out.setCheckpoint(report.checkpoint);
+  if (!report.checkpoint.empty()) out.setCheckpoint(ToText(report.checkpoint));
   out.setCpuMillis(ClampToInt32(report.cpu_used.value()));
   out.setMemoryMb(ClampToInt32(report.memory_used.value()));
   out.setThrottlePercent(static_cast<std::uint8_t>(report.throttle_percent));
@@ -38,11 +39,11 @@
 
 TaskReport DecodeReport(wire::TaskReport::Reader in) {
   TaskReport report;
-  report.task = TextToString(in.getTask());
+  report.task = FromText(in.getTask());
   report.attempt = Attempt(in.getAttempt());
   report.phase =
       DecodeEnum(in.getPhase(), TaskPhase::kFailed, TaskPhase::kRunning);
-  report.checkpoint = TextToString(in.getCheckpoint());
+  report.checkpoint = FromText(in.getCheckpoint());
   report.cpu_used = Millicores(in.getCpuMillis());
   report.memory_used = Mebibytes(in.getMemoryMb());
   report.throttle_percent = in.getThrottlePercent();
@@ -50,13 +51,13 @@
 }
 
 void EncodeDigest(const WorkerDigest& digest, wire::WorkerDigest::Builder out) {
-  out.setVm(digest.vm.str());
+  out.setVm(ToText(digest.vm.str()));
   out.setEpoch(digest.epoch.value());
   out.setAgeMs(static_cast<std::uint32_t>(digest.age.count()));
   out.setFull(digest.full);
   if (!digest.full) return;
-  out.setBootId(digest.boot_id);
-  out.setAddress(digest.address);
+  out.setBootId(ToText(digest.boot_id));
+  out.setAddress(ToText(digest.address));
   out.setAcceptsWork(digest.accepts_work);
   auto tasks = out.initTasks(static_cast<unsigned>(digest.tasks.size()));
   for (unsigned i = 0; i < tasks.size(); ++i) {
@@ -66,7 +67,7 @@
       out.initServices(static_cast<unsigned>(digest.services.size()));
   for (unsigned i = 0; i < services.size(); ++i) {
     const ServiceReport& service = digest.services[i];
-    services[i].setService(service.service.str());
+    services[i].setService(ToText(service.service.str()));
     services[i].setP99Ms(static_cast<float>(service.p99_ms));
     services[i].setRequests(static_cast<std::uint32_t>(service.requests));
   }
@@ -74,18 +75,18 @@
 
 WorkerDigest DecodeDigest(wire::WorkerDigest::Reader in) {
   WorkerDigest digest;
-  digest.vm = VmName(TextToString(in.getVm()));
+  digest.vm = VmName(FromText(in.getVm()));
   digest.epoch = Epoch(in.getEpoch());
   digest.age = Milliseconds(in.getAgeMs());
   digest.full = in.getFull();
-  digest.boot_id = TextToString(in.getBootId());
-  digest.address = TextToString(in.getAddress());
+  digest.boot_id = FromText(in.getBootId());
+  digest.address = FromText(in.getAddress());
   digest.accepts_work = in.getAcceptsWork();
   for (const auto task : in.getTasks()) {
     digest.tasks.push_back(DecodeReport(task));
   }
   for (const auto service : in.getServices()) {
-    digest.services.push_back({ServiceName(TextToString(service.getService())),
+    digest.services.push_back({ServiceName(FromText(service.getService())),
                                service.getP99Ms(), service.getRequests()});
   }
   return digest;
@@ -96,13 +97,13 @@
 void Encode(const TaskCall& call, wire::TaskCall::Builder out) {
   const mangospread::TaskCommand& command = call.command;
   out.setSchedulerEpoch(call.scheduler_epoch.value());
-  out.setVm(call.vm.str());
+  out.setVm(ToText(call.vm.str()));
   auto command_out = out.initCommand();
   command_out.setVerb(static_cast<std::uint8_t>(command.verb));
-  command_out.setTask(command.task);
+  command_out.setTask(ToText(command.task));
   command_out.setAttempt(command.attempt.value());
-  command_out.setCheckpoint(command.checkpoint);
-  command_out.setTaskClass(command.task_class);
+  command_out.setCheckpoint(ToText(command.checkpoint));
+  command_out.setTaskClass(ToText(command.task_class));
   command_out.setCpuMillis(command.cpu.value());
   command_out.setMemoryMb(command.memory.value());
   command_out.setAccelerators(command.accelerators.value());
@@ -113,17 +114,17 @@
 TaskCall Decode(wire::TaskCall::Reader in) {
   TaskCall call;
   call.scheduler_epoch = Epoch(in.getSchedulerEpoch());
-  call.vm = VmName(TextToString(in.getVm()));
+  call.vm = VmName(FromText(in.getVm()));
   const auto command_in = in.getCommand();
   mangospread::TaskCommand& command = call.command;
   // An unknown verb decodes to kCheckpoint, which neither starts nor stops the
   // task.
   command.verb = DecodeEnum(command_in.getVerb(), TaskVerb::kForget,
                             TaskVerb::kCheckpoint);
-  command.task = TextToString(command_in.getTask());
+  command.task = FromText(command_in.getTask());
   command.attempt = Attempt(command_in.getAttempt());
-  command.checkpoint = TextToString(command_in.getCheckpoint());
-  command.task_class = TextToString(command_in.getTaskClass());
+  command.checkpoint = FromText(command_in.getCheckpoint());
+  command.task_class = FromText(command_in.getTaskClass());
   command.cpu = Millicores(command_in.getCpuMillis());
   command.memory = Mebibytes(command_in.getMemoryMb());
   command.accelerators = Accelerators(command_in.getAccelerators());
@@ -136,7 +137,7 @@
             wire::TaskCallResult::Builder out) {
   if (result.ok()) return EncodeReport(result.value(), out.initReport());
   out.setError(static_cast<std::int32_t>(result.error().code));
-  out.setSubject(result.error().subject);
+  out.setSubject(ToText(result.error().subject));
 }
 
 Result<TaskReport> Decode(wire::TaskCallResult::Reader in) {
@@ -145,11 +146,11 @@
   const bool is_known_code =
       error > 0 && error <= static_cast<std::int32_t>(Errc::kShuttingDown);
   return Error{is_known_code ? static_cast<Errc>(error) : Errc::kUnknown,
-               TextToString(in.getSubject())};
+               FromText(in.getSubject())};
 }
 
 void Encode(const NodeReport& report, wire::NodeReport::Builder out) {
-  out.setNode(report.node.str());
+  out.setNode(ToText(report.node.str()));
   out.setSchedulerEpoch(report.scheduler_epoch.value());
   auto workers = out.initWorkers(static_cast<unsigned>(report.workers.size()));
   for (unsigned i = 0; i < workers.size(); ++i) {
@@ -159,7 +160,7 @@
 
 NodeReport Decode(wire::NodeReport::Reader in) {
   NodeReport report;
-  report.node = NodeId(TextToString(in.getNode()));
+  report.node = NodeId(FromText(in.getNode()));
   report.scheduler_epoch = Epoch(in.getSchedulerEpoch());
   for (const auto worker : in.getWorkers()) {
     report.workers.push_back(DecodeDigest(worker));
