--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -173,6 +173,10 @@
     /// it, not assigned to another one before this time.
     MonotonicTime retry_at{0};
     bool unreachable = false;  ///< Its agent does not reach it.
+    /// Agent that it was reassigned from last, and when. That agent may have
+    /// attached it before it received the release.
+    std::optional<NodeId> released_by;
+    MonotonicTime released_at{0};
     /// It was known to the former leader and has not been attached since.
     bool inherited = false;
   };
@@ -254,6 +258,9 @@
   void Unassign(WorkerEntry& entry);
   /// The same for the worker of a lost agent.
   void UnassignLost(WorkerEntry& entry);
+  /// Counts a lease that a lost agent may have granted after the worker was
+  /// reassigned: neither its report nor its receipt of the release are certain.
+  void CountLostRelease(WorkerEntry& entry, const NodeId& agent);
   /// Releases the worker without a change of its lease.
   void Detach(WorkerEntry& entry);
   /// Counts a lease that an agent may have granted until now.
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -66,6 +66,7 @@
   const bool replaced = yielding_ || !deps_.confirmed();
   for (auto& [vm, entry] : workers_) {
     entry.failed_agents.erase(agent);
+    CountLostRelease(entry, agent);
     if (entry.agent != agent) continue;
     UnassignLost(entry);
     if (replaced) {
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -133,6 +133,8 @@
 }
 
 void GroupLeader::Reassign(WorkerEntry& entry, const NodeId& agent) {
+  entry.released_by = entry.agent;
+  entry.released_at = base::MonotonicNow();
   Detach(entry);
   Assign(entry, agent);
 }
@@ -188,6 +190,17 @@
   RaiseLeaseBound(entry, LostLeaseExpiry());
 }
 
+void GroupLeader::CountLostRelease(WorkerEntry& entry, const NodeId& agent) {
+  if (entry.attached || entry.released_by != agent) return;
+  entry.released_by.reset();
+  // The agent confirms its permission with messages that follow the release, so
+  // it grants nothing later than this.
+  const MonotonicTime last_grant =
+      entry.released_at + options_.loss_notice_delay;
+  if (base::MonotonicNow() > last_grant + options_.loss_notice_delay) return;
+  RaiseLeaseBound(entry, last_grant + LeaseUpperBound(options_.lease));
+}
+
 void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound) {
   entry.lease_expires_at = std::max(entry.lease_expires_at, bound);
   const auto former = former_workers_.find(entry.info.vm);
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -120,6 +120,32 @@
   CHECK(starts.size() == 1);
 }
 
+// Guards against a second run: an agent attached the worker after it was
+// reassigned, and was lost before it could report that.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a lost agent may have attached a released worker") {
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
+  RunFor(milliseconds(1'500));
+  Attach(placed.idle);  // Either may have been moved, to even out the load.
+  Event(placed.busy, Attached{WorkerIncarnation(1),
+                              1'000,
+                              {},
+                              {{placed.run.task, placed.run.run, {}, 50, 0}},
+                              {}});
+  RunFor(milliseconds(3'000));
+  const NodeId first = newest.at(placed.run.vm).agent;
+  Event(placed.busy, WorkerUnreachable{Milliseconds(1'000)});
+  RunFor(milliseconds(100));
+  REQUIRE(newest.at(placed.run.vm).agent != first);
+  leader->OnAgentDown(first);
+  RunFor(milliseconds(300));
+  Attach(placed.idle);
+  RunFor(milliseconds(5'500));
+  CHECK(starts.empty());
+  RunFor(milliseconds(2'000));
+  CHECK(starts.size() == 1);
+}
+
 // Guards against new connections to all workers at each takeover, and against
 // an agent that knows nothing of a worker when the next leader asks.
 TEST_CASE_FIXTURE(TakeoverFixture,
