Show what a node may do: event 1824 and a gauge

The leader logs a change of what it permits, with the age of its last confirmed renewal and whether all nodes are connected; mangospread_permission shows it on every node. Braces that the linter asks for in channel.cc and wire_messages.cc.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -195,6 +195,9 @@
     constexpr auto kGauge = api::MetricType::kGauge;
     add("ready", "1 if callers are served", kGauge, ready() ? 1 : 0);
     add("leading", "1 on the leader", kGauge, node_.leader() ? 1 : 0);
+    add("permission",
+        "What this node may do: 2 start runs, 1 extend leases, 0 neither",
+        kGauge, static_cast<double>(node_.permission()));
     add("log_lines_dropped_total", "Log lines that were not written", kCounter,
         static_cast<double>(base::DroppedLogLines()));
     add("requests_in_flight", "Callers' requests without an answer", kGauge,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -297,6 +297,8 @@
       return {"hold_failed", Severity::kInfo};
     case Event::kExceptionDropped:
       return {"exception_dropped", Severity::kWarning};
+    case Event::kPermissionChanged:
+      return {"permission_changed", Severity::kInfo};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -97,6 +97,7 @@
   kRunLost = 1821,
   kTakeoverWaits = 1822,
   kExceptionDropped = 1823,
+  kPermissionChanged = 1824,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/dispatch/model/permission.hpp
+++ b/src/dispatch/model/permission.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "mangospread/units.hpp"
 
@@ -15,6 +16,18 @@
   kStarts,  ///< Runs may be started.
 };
 
+[[nodiscard]] constexpr std::string_view PermissionName(
+    Permission permission) noexcept {
+  switch (permission) {
+    case Permission::kLeases:
+      return "leases";
+    case Permission::kStarts:
+      return "starts";
+    default:
+      return "none";
+  }
+}
+
 /// How long a leader permits what after it sent the last renewal of its
 /// leadership that the table has confirmed. Another leader may have been
 /// elected at any time since.
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -1,5 +1,6 @@
 #include "dispatch/node/node.hpp"
 
+#include <chrono>
 #include <utility>
 
 #include "base/events.hpp"
@@ -31,7 +32,7 @@
       agent_(
           deps_.loop, deps_.make_link, options_.session,
           [this](AgentEvent event) { OnAgentEvent(std::move(event)); },
-          [this] { return OwnPermission(); }, deps_.observe),
+          [this] { return permission(); }, deps_.observe),
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
@@ -120,13 +121,13 @@
   hello_sent_at_ = base::MonotonicNow();
 }
 
-void Node::OnLeaderConfirmed(MonotonicTime sent_at, Permission permission) {
-  const bool permitted = OwnPermission() == Permission::kStarts;
-  contact_.OnConfirmed(sent_at, permission);
+void Node::OnLeaderConfirmed(MonotonicTime sent_at, Permission confirmed) {
+  const bool permitted = permission() == Permission::kStarts;
+  contact_.OnConfirmed(sent_at, confirmed);
   if (!permitted) agent_.SendPermittedStarts();
 }
 
-Permission Node::OwnPermission() const {
+Permission Node::permission() const {
   return leader_ ? AgentPermission() : contact_.At(base::MonotonicNow());
 }
 
@@ -296,6 +297,7 @@
   }
   agent_.SuspendNotRenewing();
   leader_->Start();
+  logged_permission_ = Permission::kStarts;
   overload_ = OverloadDetector();
   overload_check_due_ = base::MonotonicNow() + kOverloadCheckPeriod;
   overload_timer_ =
@@ -321,10 +323,22 @@
   overload_check_due_ = now + kOverloadCheckPeriod;
   overload_timer_ =
       deps_.loop.After(kOverloadCheckPeriod, [this] { CheckOverload(); });
+  LogPermission();
   // The load of this node alone is no reason to yield without followers.
   leadership_->SetOverloaded(overload_.overloaded() && !agents_.empty());
 }
 
+void Node::LogPermission() {
+  const Permission permission = AgentPermission();
+  if (permission == std::exchange(logged_permission_, permission)) return;
+  const auto age = std::chrono::duration_cast<Milliseconds>(
+      base::MonotonicNow() - leadership_->confirmed_at());
+  base::Log(base::Event::kPermissionChanged,
+            {{"permission", PermissionName(permission)},
+             {"unconfirmed_ms", age.count()},
+             {"undivided", leader_->AllNodesConnected() ? 1 : 0}});
+}
+
 void Node::StepDown() {
   base::Log(base::Event::kLeaderInactive, {{"node", options_.node.str()}});
   overload_timer_.reset();
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -79,6 +79,8 @@
   [[nodiscard]] const GroupLeader* leader() const noexcept {
     return leader_.get();
   }
+  /// What this node's agent may do at present.
+  [[nodiscard]] Permission permission() const;
 
  private:
   // As a follower.
@@ -87,7 +89,7 @@
   void OnLeaderFrame(Frame frame);
   void OnLeaderHello(const Hello& hello);
   /// Handles the leader's confirmation of a ping that was sent at this time.
-  void OnLeaderConfirmed(MonotonicTime sent_at, Permission permission);
+  void OnLeaderConfirmed(MonotonicTime sent_at, Permission confirmed);
   /// Adopts a newer leader that a peer reports, since this node may not reach
   /// the table. Returns false if the peer reports none.
   bool AdoptNewerLeader(const Hello& hello);
@@ -105,6 +107,8 @@
                           std::optional<Milliseconds> last_grant_age);
   /// Lets another node lead if this one cannot keep up.
   void CheckOverload();
+  /// Logs a change of what this node permits as the leader.
+  void LogPermission();
   void Accept(std::shared_ptr<Channel> channel);
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
   void OnPeerHello(const std::shared_ptr<Channel>& channel, const Hello& hello);
@@ -115,8 +119,6 @@
   void Announce(bool leading);
 
   void OnAgentEvent(AgentEvent event);
-  /// What this node's agent may do at present.
-  [[nodiscard]] Permission OwnPermission() const;
   /// What this node permits its agents as the leader.
   [[nodiscard]] Permission AgentPermission() const;
   [[nodiscard]] Hello MakeHello(bool leading) const;
@@ -127,6 +129,7 @@
   std::unique_ptr<Leadership> leadership_;
   ChannelListener listener_;
   std::unique_ptr<GroupLeader> leader_;
+  Permission logged_permission_ = Permission::kStarts;
   OverloadDetector overload_;
   MonotonicTime overload_check_due_{0};
   base::Timer overload_timer_;  ///< Active while this node leads.
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -142,8 +142,9 @@
 void Channel::OnPing(const Ping& ping) {
   if (ping.sent_at.count() > 0 && hooks_.permission) {
     const Permission permission = hooks_.permission();
-    if (permission != Permission::kNone)
+    if (permission != Permission::kNone) {
       Send(Ping{{}, ping.sent_at, permission});
+    }
   }
   const bool confirms =
       ping.confirms.count() > 0 && ping.confirms <= base::MonotonicNow();
--- a/src/dispatch/peer/wire_messages.cc
+++ b/src/dispatch/peer/wire_messages.cc
@@ -172,8 +172,9 @@
   attached.incarnation = WorkerIncarnation(in.getBorn());
   attached.starts_seen = in.getStartsSeen();
   attached.complete = !in.getIncomplete();
-  for (const auto task : in.getUnsent())
+  for (const auto task : in.getUnsent()) {
     attached.unsent.push_back(FromText(task));
+  }
   for (const auto running : in.getRunning()) {
     attached.running.push_back(Get(running));
   }
