A leader misses only agents that its stored row names

Cause: a leader without the store counted as divided for good once a node was gone that it had ever known, so nothing started from 1 s on in each later outage.

Change: the row decides, since the next leader reads it.

--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -11,34 +11,34 @@
 
 using detail::TakeLine;
 
-/// The agents in a row of this epoch; nullopt for any other row.
-std::optional<std::set<NodeId>> Decode(std::string_view row, Epoch epoch) {
+/// A stored row.
+struct AgentsRow {
+  Epoch epoch;
+  std::set<NodeId> agents;
+};
+
+/// @return nullopt for a malformed row.
+std::optional<AgentsRow> Decode(std::string_view row) {
   const std::string_view line = TakeLine(row);
   std::uint64_t written = 0;
   const auto [end, error] =
       std::from_chars(line.data(), line.data() + line.size(), written);
-  if (error != std::errc() || end != line.data() + line.size() ||
-      written != epoch.value()) {
+  if (error != std::errc() || end != line.data() + line.size()) {
     return std::nullopt;
   }
-  std::set<NodeId> agents;
-  while (!row.empty()) agents.emplace(std::string(TakeLine(row)));
-  return agents;
+  AgentsRow result{Epoch(written), {}};
+  while (!row.empty()) result.agents.emplace(std::string(TakeLine(row)));
+  return result;
 }
 
 }  // namespace
 
-AgentRegister::AgentRegister(Epoch epoch, NodeId self,
-                             std::optional<NodeId> former_leader)
-    : epoch_(epoch), self_(std::move(self)) {
-  if (former_leader) known_.insert(*former_leader);
-}
-
 void AgentRegister::Load(const std::optional<std::string>& row, bool has_roster,
                          MonotonicTime inherited_expiry) {
   loaded_ = true;
-  if (row && epoch_.value() > 0) {
-    former_ = Decode(*row, Epoch(epoch_.value() - 1));
+  if (auto stored = row ? Decode(*row) : std::nullopt) {
+    listed_ = stored->agents.contains(self_);
+    if (stored->epoch.next() == epoch_) former_ = std::move(stored->agents);
   } else if (epoch_ == Epoch(1) && !has_roster) {
     former_.emplace();
   }
@@ -46,7 +46,6 @@
     complete_at_ = inherited_expiry;
     return;
   }
-  known_.insert(former_->begin(), former_->end());
   for (const NodeId& agent : *former_) {
     if (!connected_.contains(agent)) OnDown(agent, inherited_expiry);
   }
@@ -55,7 +54,6 @@
 void AgentRegister::OnUp(const NodeId& agent,
                          std::optional<MonotonicTime> last_grant) {
   seen_.insert(agent);
-  known_.insert(agent);
   // Leases that it grants from its first connection on belong to this leader.
   if (last_grant) last_grants_.try_emplace(agent, *last_grant);
   if (agent == self_) return;
@@ -76,12 +74,12 @@
 }
 
 bool AgentRegister::AllConnected() const {
-  // Without a row of the former leader, one is stored only after all leases of
-  // unknown agents have expired.
-  if (!stored_) return false;
-  return std::all_of(known_.begin(), known_.end(), [this](const NodeId& node) {
-    return node == self_ || connected_.contains(node);
-  });
+  const auto connected = [this](const NodeId& agent) {
+    return agent == self_ || connected_.contains(agent);
+  };
+  // A row in flight may be stored already.
+  return stored_ && std::all_of(stored_->begin(), stored_->end(), connected) &&
+         (!saving_ || std::all_of(next_.begin(), next_.end(), connected));
 }
 
 void AgentRegister::OnDown(const NodeId& agent, MonotonicTime lease_expiry) {
--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "mangospread/ids.hpp"
 #include "mangospread/units.hpp"
@@ -29,9 +30,8 @@
  public:
   /// @param self the node that leads. It is in the row only if it serves
   ///   workers itself.
-  /// @param former_leader nullopt if it is not known.
-  AgentRegister(Epoch epoch, NodeId self,
-                std::optional<NodeId> former_leader = std::nullopt);
+  AgentRegister(Epoch epoch, NodeId self)
+      : epoch_(epoch), self_(std::move(self)) {}
 
   /// Reads the row of the former leader.
   /// @param row nullopt if there is none.
@@ -58,15 +58,14 @@
   [[nodiscard]] bool former_known() const noexcept {
     return former_.has_value();
   }
-  /// True if the leading node was an agent of the former leader.
-  [[nodiscard]] bool ListedByFormer() const {
-    return former_ && former_->contains(self_);
-  }
+  /// True if the newest row, of whichever epoch, names the leading node, or if
+  /// there is none: its leader missed this node when it was elected.
+  [[nodiscard]] bool listed() const noexcept { return listed_; }
   /// True if all agents of the former leader are known and have connected to
   /// this one.
   [[nodiscard]] bool AllFormerSeen() const;
-  /// True if every node that has ever connected to this leader or is known from
-  /// the former one is connected, and the next leader will know them.
+  /// True if a row is stored and every agent in it is connected. A node that is
+  /// not in the row waits longer if it is elected.
   [[nodiscard]] bool AllConnected() const;
 
   /// True if workers may be assigned to the agent: the next leader is certain
@@ -84,13 +83,12 @@
   NodeId self_;
   bool loaded_ = false;
   bool saving_ = false;
+  bool listed_ = true;
   /// Agents of the former leader; nullopt if they are not known.
   std::optional<std::set<NodeId>> former_;
   std::map<NodeId, MonotonicTime> last_grants_;
   std::set<NodeId> connected_;
   std::set<NodeId> seen_;  ///< Nodes that have connected to this leader.
-  /// Nodes that may be elected, as far as this leader knows.
-  std::set<NodeId> known_;
   /// Agents that are not connected and the time at which their leases have
   /// expired.
   std::map<NodeId, MonotonicTime> lost_;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -75,7 +75,7 @@
       options_(options),
       writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()),
       started_at_(base::MonotonicNow()),
-      agent_register_(deps_.leadership.epoch, deps_.self, deps_.former_leader) {
+      agent_register_(deps_.leadership.epoch, deps_.self) {
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -104,8 +104,6 @@
   /// True while this process has recently confirmed that it leads; false after
   /// a pause, during which another node may have been elected.
   std::function<bool()> confirmed;
-  /// The leader before this one; nullopt if it is not known.
-  std::optional<NodeId> former_leader = std::nullopt;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
@@ -133,7 +131,7 @@
   void OnAgentDown(const NodeId& agent);
   /// Reports that the former leader has led no more from this time on.
   void OnFormerLeaderStopped(MonotonicTime stopped_at);
-  /// True if every node that this leader knows is connected to it.
+  /// True if every agent that the stored row names is connected.
   [[nodiscard]] bool AllNodesConnected() const {
     return agent_register_.AllConnected();
   }
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -32,14 +32,12 @@
 MonotonicTime GroupLeader::FormerLeaderLimit() const {
   if (deps_.leadership.epoch == Epoch(1)) return started_at_;
   const PermissionTimeouts& timeouts = options_.permission_timeouts;
-  const bool known = agent_register_.former_known();
-  // The former leader noticed the loss of this node if it was its agent. A
-  // leader that has stored no row is never undivided.
-  const bool noticed = !known || agent_register_.ListedByFormer();
+  // A leader misses the loss of a node only if its row does not name it.
   const MonotonicTime limit =
-      started_at_ + (noticed ? timeouts.leases : timeouts.undivided);
+      started_at_ +
+      (agent_register_.listed() ? timeouts.leases : timeouts.undivided);
   // Without its row, the leader before it may not have stopped.
-  if (!known || !former_stopped_at_) return limit;
+  if (!agent_register_.former_known() || !former_stopped_at_) return limit;
   return std::min(limit, *former_stopped_at_);
 }
 
--- a/src/dispatch/model/permission.hpp
+++ b/src/dispatch/model/permission.hpp
@@ -38,12 +38,12 @@
   /// nothing of the former leader, a leader that the table refuses lets them
   /// expire.
   Milliseconds leases{3'000};
-  /// Both, while every node that is known to the leader is connected to it.
+  /// Both, while every agent that the stored row names is connected.
   Milliseconds undivided{20'000};
 };
 
 /// @param confirmed_age time since that renewal was sent.
-/// @param undivided every node known to the leader is connected to it.
+/// @param undivided every agent that the stored row names is connected.
 [[nodiscard]] constexpr Permission LeaderPermission(
     const PermissionTimeouts& timeouts, MonotonicTime confirmed_age,
     bool undivided) noexcept {
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -280,8 +280,7 @@
       [this] {
         return leadership_->confirmed() &&
                AgentPermission() == Permission::kStarts;
-      },
-      former_leader_ ? std::optional(former_leader_->node) : std::nullopt};
+      }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   if (followed_stopped_at_) {
     leader_->OnFormerLeaderStopped(*followed_stopped_at_);
