A leader unknown to the former one waits for its starts as long as for leases

Cause: by reading, FormerStartsLimit counted 1 s for a new leader that the newest row does not name, though the former one counts as undivided for 20 s then and may start runs that long. It concerns reports about workers that the new leader does not reach while an agent of the former one is silent.

--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -45,8 +45,9 @@
   if (former_stopped_at_ || agent_register_.AllFormerSeen()) {
     return MonotonicTime(0);
   }
-  return started_at_ + options_.permission_timeouts.starts +
-         options_.loss_notice_delay;
+  const PermissionTimeouts& timeouts = options_.permission_timeouts;
+  return started_at_ + options_.loss_notice_delay +
+         (agent_register_.listed() ? timeouts.starts : timeouts.undivided);
 }
 
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
