A leader without the store counts its agents' confirmations, not connections

A leader went on for 20 s without the store while the channels to all agents of its row were open. A leader that was paused until it was replaced finds them open until it has read that they were closed, and permits its agent starts in that moment.

Change: from 0.5 s after the last confirmed renewal on, the leader's replies to pings ask for a confirmation, which a follower gives until it is elected. What every agent of the stored row has confirmed counts as a confirmed renewal, from the time at which the leader sent it.

Changed tests: AllConnected became FollowedSince; the same cases, with the time as well; the fixture of cut_off_leader_test has the agents confirm.

--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -73,17 +73,32 @@
                                   former_->end());
 }
 
-bool AgentRegister::AllConnected() const {
-  const auto connected = [this](const NodeId& agent) {
-    return agent == self_ || connected_.contains(agent);
+void AgentRegister::OnConfirmed(const NodeId& agent, MonotonicTime sent_at) {
+  if (!connected_.contains(agent)) return;
+  MonotonicTime& newest = confirmed_[agent];
+  newest = std::max(newest, sent_at);
+}
+
+std::optional<MonotonicTime> AgentRegister::FollowedSince(
+    MonotonicTime now) const {
+  if (!stored_) return std::nullopt;
+  MonotonicTime since = now;
+  const auto count = [&](const NodeId& agent) {
+    if (agent == self_) return true;
+    const auto it = confirmed_.find(agent);
+    if (it == confirmed_.end()) return false;
+    since = std::min(since, it->second);
+    return true;
   };
   // A row in flight may be stored already.
-  return stored_ && std::all_of(stored_->begin(), stored_->end(), connected) &&
-         (!saving_ || std::all_of(next_.begin(), next_.end(), connected));
+  const bool all = std::all_of(stored_->begin(), stored_->end(), count) &&
+                   (!saving_ || std::all_of(next_.begin(), next_.end(), count));
+  return all ? std::optional(since) : std::nullopt;
 }
 
 void AgentRegister::OnDown(const NodeId& agent, MonotonicTime lease_expiry) {
   connected_.erase(agent);
+  confirmed_.erase(agent);
   MonotonicTime& expiry = lost_[agent];
   expiry = std::max(expiry, lease_expiry);
 }
--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -64,9 +64,15 @@
   /// True if all agents of the former leader are known and have connected to
   /// this one.
   [[nodiscard]] bool AllFormerSeen() const;
-  /// True if a row is stored and every agent in it is connected. A node that is
-  /// not in the row waits longer if it is elected.
-  [[nodiscard]] bool AllConnected() const;
+  /// Handles an agent's confirmation, before it may have been elected, of a
+  /// message that this leader sent at this time.
+  void OnConfirmed(const NodeId& agent, MonotonicTime sent_at);
+  /// Latest time after which every agent in the stored row is known to have
+  /// followed this leader; `now` if the row names no other node, nullopt if one
+  /// of its agents is not connected, has confirmed nothing, or no row is
+  /// stored. A node that is not in the row waits longer if it is elected.
+  [[nodiscard]] std::optional<MonotonicTime> FollowedSince(
+      MonotonicTime now) const;
 
   /// True if workers may be assigned to the agent: the next leader is certain
   /// to find it in the row, or to find no row of this leader.
@@ -88,6 +94,8 @@
   std::optional<std::set<NodeId>> former_;
   std::map<NodeId, MonotonicTime> last_grants_;
   std::set<NodeId> connected_;
+  /// Time of the newest message that a connected agent has confirmed.
+  std::map<NodeId, MonotonicTime> confirmed_;
   std::set<NodeId> seen_;  ///< Nodes that have connected to this leader.
   /// Agents that are not connected and the time at which their leases have
   /// expired.
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -131,9 +131,15 @@
   void OnAgentDown(const NodeId& agent);
   /// Reports that the former leader has led no more from this time on.
   void OnFormerLeaderStopped(MonotonicTime stopped_at);
-  /// True if every agent that the stored row names is connected.
-  [[nodiscard]] bool AllNodesConnected() const {
-    return agent_register_.AllConnected();
+  /// Handles an agent's confirmation of a message that was sent at this time.
+  void OnAgentConfirmed(const NodeId& agent, MonotonicTime sent_at) {
+    agent_register_.OnConfirmed(agent, sent_at);
+  }
+  /// Latest time after which every agent of the stored row followed this
+  /// leader; nullopt if one is missing.
+  [[nodiscard]] std::optional<MonotonicTime> FollowedSince(
+      MonotonicTime now) const {
+    return agent_register_.FollowedSince(now);
   }
   /// Reports whether another node may take over.
   void SetYielding(bool yielding) noexcept { yielding_ = yielding; }
--- a/src/dispatch/model/permission.hpp
+++ b/src/dispatch/model/permission.hpp
@@ -2,7 +2,9 @@
 /// What a leader permits its agents for a limited time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "mangospread/units.hpp"
@@ -38,21 +40,22 @@
   /// nothing of the former leader, a leader that the table refuses lets them
   /// expire.
   Milliseconds leases{3'000};
-  /// Both, while every agent that the stored row names is connected.
+  /// Until then, a message that every agent of the stored row has confirmed
+  /// counts as such a renewal: none of them had been elected.
   Milliseconds undivided{20'000};
 };
 
 /// @param confirmed_age time since that renewal was sent.
-/// @param undivided every agent that the stored row names is connected.
+/// @param followed_age time since the leader sent the message that every agent
+///   of the stored row has confirmed; nullopt if an agent is missing.
 [[nodiscard]] constexpr Permission LeaderPermission(
     const PermissionTimeouts& timeouts, MonotonicTime confirmed_age,
-    bool undivided) noexcept {
-  if (confirmed_age <= timeouts.starts) return Permission::kStarts;
-  if (undivided && confirmed_age <= timeouts.undivided) {
-    return Permission::kStarts;
-  }
-  return confirmed_age <= timeouts.leases ? Permission::kLeases
-                                          : Permission::kNone;
+    std::optional<MonotonicTime> followed_age) noexcept {
+  const bool undivided = followed_age && confirmed_age <= timeouts.undivided;
+  const MonotonicTime age =
+      undivided ? std::min(confirmed_age, *followed_age) : confirmed_age;
+  if (age <= timeouts.starts) return Permission::kStarts;
+  return age <= timeouts.leases ? Permission::kLeases : Permission::kNone;
 }
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -115,6 +115,10 @@
   hooks.on_confirmed = [this](MonotonicTime sent_at, Permission permission) {
     OnLeaderConfirmed(sent_at, permission);
   };
+  // Confirms to the leader that this node has not been elected yet.
+  hooks.permission = [this] {
+    return leader_ ? Permission::kNone : Permission::kStarts;
+  };
   leader_channel_ = Channel::Connect(deps_.loop, followed_leader_->address,
                                      options_.channel, std::move(hooks));
   leader_channel_->Send(MakeHello(false));
@@ -134,10 +138,20 @@
 Permission Node::AgentPermission() const {
   if (!leader_) return Permission::kNone;
   const PermissionTimeouts& timeouts = options_.leader.permission_timeouts;
-  const MonotonicTime age = base::MonotonicNow() - leadership_->confirmed_at();
-  // Compares two lists of all nodes, so only if it matters.
-  const bool undivided = age > timeouts.starts && leader_->AllNodesConnected();
-  return LeaderPermission(timeouts, age, undivided);
+  const MonotonicTime now = base::MonotonicNow();
+  const MonotonicTime age = now - leadership_->confirmed_at();
+  // Looks at all nodes, so only if it matters.
+  const auto followed_since =
+      age > timeouts.starts ? leader_->FollowedSince(now) : std::nullopt;
+  return LeaderPermission(
+      timeouts, age,
+      followed_since ? std::optional(now - *followed_since) : std::nullopt);
+}
+
+bool Node::WantsConfirmation() const {
+  // Soon enough that all agents have confirmed when it matters.
+  return leader_ && base::MonotonicNow() - leadership_->confirmed_at() >
+                        options_.leader.permission_timeouts.starts / 2;
 }
 
 Hello Node::MakeHello(bool leading) const {
@@ -330,12 +344,13 @@
 void Node::LogPermission() {
   const Permission permission = AgentPermission();
   if (permission == std::exchange(logged_permission_, permission)) return;
+  const MonotonicTime now = base::MonotonicNow();
   const auto age = std::chrono::duration_cast<Milliseconds>(
-      base::MonotonicNow() - leadership_->confirmed_at());
+      now - leadership_->confirmed_at());
   base::Log(base::Event::kPermissionChanged,
             {{"permission", PermissionName(permission)},
              {"unconfirmed_ms", age.count()},
-             {"undivided", leader_->AllNodesConnected() ? 1 : 0}});
+             {"undivided", leader_->FollowedSince(now) ? 1 : 0}});
 }
 
 void Node::StepDown() {
@@ -368,6 +383,11 @@
     OnPeerClosed(raw->shared_from_this());
   };
   hooks.permission = [this] { return AgentPermission(); };
+  hooks.wants_confirmation = [this] { return WantsConfirmation(); };
+  hooks.on_confirmed = [this, raw](MonotonicTime sent_at,
+                                   Permission /*permission*/) {
+    OnPeerConfirmed(raw->shared_from_this(), sent_at);
+  };
   channel->SetHooks(std::move(hooks));
   peers_.emplace(std::move(channel), NodeId());
 }
@@ -376,17 +396,14 @@
   if (const auto* hello = std::get_if<Hello>(&frame)) {
     return OnPeerHello(channel, *hello);
   }
-  const auto it = peers_.find(channel);
-  if (it == peers_.end()) return;
+  if (!peers_.contains(channel)) return;
   // Reports of a peer that has not introduced itself to this leader name no
   // agent to which the leader could assign a worker.
-  const auto agent = agents_.find(it->second);
-  const bool is_agent =
-      leader_ && agent != agents_.end() && agent->second == channel;
+  const auto agent = AgentAt(channel);
   if (const auto* runs = std::get_if<FormerLeaderRuns>(&frame)) {
-    if (is_agent) leader_->OnKnownRuns(it->second, *runs);
+    if (agent) leader_->OnKnownRuns(*agent, *runs);
   } else if (const auto* event = std::get_if<AgentEvent>(&frame)) {
-    if (is_agent) leader_->OnAgentEvent(it->second, *event);
+    if (agent) leader_->OnAgentEvent(*agent, *event);
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
     const std::uint64_t id = call->id;
     if (!leader_) {
@@ -420,6 +437,22 @@
   leader_->OnAgentUp(hello.node, hello.data_center, hello.last_grant_age);
 }
 
+void Node::OnPeerConfirmed(const std::shared_ptr<Channel>& channel,
+                           MonotonicTime sent_at) {
+  if (const auto agent = AgentAt(channel)) {
+    leader_->OnAgentConfirmed(*agent, sent_at);
+  }
+}
+
+std::optional<NodeId> Node::AgentAt(
+    const std::shared_ptr<Channel>& channel) const {
+  const auto peer = peers_.find(channel);
+  if (!leader_ || peer == peers_.end()) return std::nullopt;
+  const auto agent = agents_.find(peer->second);
+  if (agent == agents_.end() || agent->second != channel) return std::nullopt;
+  return peer->second;
+}
+
 void Node::OnPeerClosed(const std::shared_ptr<Channel>& channel) {
   const auto node = peers_.extract(channel);
   if (node.empty()) return;
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -112,7 +112,13 @@
   void Accept(std::shared_ptr<Channel> channel);
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
   void OnPeerHello(const std::shared_ptr<Channel>& channel, const Hello& hello);
+  /// Handles the confirmation of a ping that was sent at this time.
+  void OnPeerConfirmed(const std::shared_ptr<Channel>& channel,
+                       MonotonicTime sent_at);
   void OnPeerClosed(const std::shared_ptr<Channel>& channel);
+  /// The agent of this leader at the other end; nullopt if there is none.
+  [[nodiscard]] std::optional<NodeId> AgentAt(
+      const std::shared_ptr<Channel>& channel) const;
   void SendCommand(const NodeId& agent, AgentCommand command);
   /// Tells all connected peers whether this node leads, and if so, whether
   /// another may take over.
@@ -121,6 +127,9 @@
   void OnAgentEvent(AgentEvent event);
   /// What this node permits its agents as the leader.
   [[nodiscard]] Permission AgentPermission() const;
+  /// True if the agents are to confirm that they follow, since the table has
+  /// not confirmed it for long.
+  [[nodiscard]] bool WantsConfirmation() const;
   [[nodiscard]] Hello MakeHello(bool leading) const;
 
   NodeDependencies deps_;
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -140,19 +140,26 @@
 }
 
 void Channel::OnPing(const Ping& ping) {
-  if (ping.sent_at.count() > 0 && hooks_.permission) {
-    const Permission permission = hooks_.permission();
-    if (permission != Permission::kNone) {
-      Send(Ping{{}, ping.sent_at, permission});
-    }
-  }
+  if (ping.sent_at.count() > 0) SendReply(ping);
   const bool confirms =
       ping.confirms.count() > 0 && ping.confirms <= base::MonotonicNow();
-  if (connects_ && confirms && hooks_.on_confirmed) {
+  if (confirms && hooks_.on_confirmed) {
     hooks_.on_confirmed(ping.confirms, ping.permission);
   }
 }
 
+void Channel::SendReply(const Ping& ping) {
+  Ping reply;
+  if (hooks_.permission) reply.permission = hooks_.permission();
+  if (reply.permission != Permission::kNone) reply.confirms = ping.sent_at;
+  // Only the side that accepted asks in a reply, so no ping is answered for
+  // ever.
+  if (!connects_ && hooks_.wants_confirmation && hooks_.wants_confirmation()) {
+    reply.sent_at = base::MonotonicNow();
+  }
+  if (reply.confirms.count() > 0 || reply.sent_at.count() > 0) Send(reply);
+}
+
 void Channel::OnTick() {
   const auto keep_alive = shared_from_this();
   const MonotonicTime now = base::MonotonicNow();
--- a/src/dispatch/peer/channel.hpp
+++ b/src/dispatch/peer/channel.hpp
@@ -23,6 +23,9 @@
   /// What this side permits its peer at present. Null or kNone if nothing; then
   /// the peer's pings are not confirmed.
   std::function<Permission()> permission;
+  /// True if a reply to the peer's ping is to be confirmed in turn. May be
+  /// null.
+  std::function<bool()> wants_confirmation;
   /// Called when the peer has confirmed a ping that was sent at this time.
   std::function<void(MonotonicTime sent_at, Permission permission)>
       on_confirmed;
@@ -65,6 +68,8 @@
   void Attach(bufferevent* buffer);
   void OnReadable();
   void OnPing(const Ping& ping);
+  /// Confirms a ping if this side permits anything.
+  void SendReply(const Ping& ping);
   void OnTick();
   void Fail(Errc reason);
 
--- a/tests/unit/dispatch/cut_off_leader_test.cc
+++ b/tests/unit/dispatch/cut_off_leader_test.cc
@@ -189,8 +189,13 @@
   /// renewals from the cut on.
   [[nodiscard]] Permission FirstPermission() const {
     if (!network.cut) return Permission::kStarts;
-    return LeaderPermission(PermissionTimeouts(), base::MonotonicNow() - cut_at,
-                            first->AllNodesConnected());
+    const MonotonicTime now = base::MonotonicNow();
+    for (const auto& [node, side] : network.sides) {
+      if (side == "l") first->OnAgentConfirmed(node, now);
+    }
+    const auto since = first->FollowedSince(now);
+    return LeaderPermission(PermissionTimeouts(), now - cut_at,
+                            since ? std::optional(now - *since) : std::nullopt);
   }
 
   /// What the agent's leader permits it.
--- a/tests/unit/dispatch/leader_contact_test.cc
+++ b/tests/unit/dispatch/leader_contact_test.cc
@@ -57,14 +57,19 @@
 // Guards against a leader that permits what the next one does not wait for.
 TEST_CASE("a leader permits less the longer the table confirms nothing") {
   const PermissionTimeouts timeouts;
-  const auto at = [&](MonotonicTime age, bool undivided) {
-    return LeaderPermission(timeouts, age, undivided);
+  const auto at = [&](MonotonicTime age,
+                      std::optional<MonotonicTime> followed_age) {
+    return LeaderPermission(timeouts, age, followed_age);
   };
-  CHECK(at(timeouts.starts, false) == Permission::kStarts);
-  CHECK(at(timeouts.leases, false) == Permission::kLeases);
-  CHECK(at(timeouts.leases + milliseconds(1), false) == Permission::kNone);
-  CHECK(at(timeouts.undivided, true) == Permission::kStarts);
-  CHECK(at(timeouts.undivided + milliseconds(1), true) == Permission::kNone);
+  constexpr MonotonicTime kStep = milliseconds(1);
+  CHECK(at(timeouts.starts, std::nullopt) == Permission::kStarts);
+  CHECK(at(timeouts.leases, std::nullopt) == Permission::kLeases);
+  CHECK(at(timeouts.leases + kStep, std::nullopt) == Permission::kNone);
+  CHECK(at(timeouts.undivided, kStep) == Permission::kStarts);
+  CHECK(at(timeouts.undivided, timeouts.starts) == Permission::kStarts);
+  CHECK(at(timeouts.undivided, timeouts.leases) == Permission::kLeases);
+  CHECK(at(timeouts.undivided, timeouts.leases + kStep) == Permission::kNone);
+  CHECK(at(timeouts.undivided + kStep, kStep) == Permission::kNone);
 }
 
 /// A worker that replies at once and counts the starts that it receives.
--- a/tests/unit/dispatch/unreported_worker_test.cc
+++ b/tests/unit/dispatch/unreported_worker_test.cc
@@ -176,25 +176,51 @@
 // missing which may be elected, and against one that stops for a node that is
 // gone for good.
 TEST_CASE("a leader misses only the agents of the stored row") {
+  constexpr MonotonicTime kNow = milliseconds(9'000);
   AgentRegister agents(Epoch(2), NodeId("self"));
   agents.Load("1\na\nself\n", true, milliseconds(7'000));
   CHECK(agents.listed());
-  agents.OnUp(NodeId("a"), std::nullopt);
-  agents.OnUp(NodeId("b"), std::nullopt);
-  CHECK_FALSE(agents.AllConnected());
+  for (const char* name : {"a", "b"}) {
+    agents.OnUp(NodeId(name), std::nullopt);
+    agents.OnConfirmed(NodeId(name), milliseconds(1));
+  }
+  CHECK_FALSE(agents.FollowedSince(kNow));
   const auto store = [&](MonotonicTime now) {
     REQUIRE(agents.NextRow(now));
     agents.OnStored(true);
   };
   store(milliseconds(1));
-  CHECK(agents.AllConnected());
+  CHECK(agents.FollowedSince(kNow) == milliseconds(1));
   agents.OnDown(NodeId("b"), milliseconds(8'000));
-  CHECK_FALSE(agents.AllConnected());
+  CHECK_FALSE(agents.FollowedSince(kNow));
   // The lease of "b" has expired, so it leaves the row.
   REQUIRE(agents.NextRow(milliseconds(8'001)));
-  CHECK_FALSE(agents.AllConnected());
+  CHECK_FALSE(agents.FollowedSince(kNow));
+  agents.OnStored(true);
+  CHECK(agents.FollowedSince(kNow) == milliseconds(1));
+}
+
+// Guards against a leader that takes a node for a follower which has been
+// elected since, and whose connection is still open.
+TEST_CASE("a leader counts from the oldest confirmation of its agents") {
+  constexpr MonotonicTime kNow = milliseconds(9'000);
+  AgentRegister agents(Epoch(1), NodeId("self"));
+  agents.Load(std::nullopt, false, milliseconds(7'000));
+  agents.OnConfirmed(NodeId("a"), milliseconds(1));  // Not connected yet.
+  agents.OnUp(NodeId("a"), std::nullopt);
+  agents.OnUp(NodeId("b"), std::nullopt);
+  REQUIRE(agents.NextRow(milliseconds(1)));
   agents.OnStored(true);
-  CHECK(agents.AllConnected());
+  agents.OnConfirmed(NodeId("b"), milliseconds(400));
+  CHECK_FALSE(agents.FollowedSince(kNow));
+  agents.OnConfirmed(NodeId("a"), milliseconds(200));
+  CHECK(agents.FollowedSince(kNow) == milliseconds(200));
+  agents.OnConfirmed(NodeId("a"), milliseconds(500));
+  agents.OnConfirmed(NodeId("a"), milliseconds(300));
+  CHECK(agents.FollowedSince(kNow) == milliseconds(400));
+  agents.OnDown(NodeId("a"), milliseconds(7'000));
+  agents.OnUp(NodeId("a"), std::nullopt);
+  CHECK_FALSE(agents.FollowedSince(kNow));
 }
 
 // Guards against agents of a leader before the last one that the next leader
