A report counts for nothing while an agent that may have had the worker is silent

Cause (found by reading): an agent that the former leader had lost reports a worker that it does not reach.

Change: until the leases of the silent agent have expired, the worker's runs count as unknown; FormerStartsLimit is gone. RemoveWorker itself counts the reported runs of a lost worker, which was at two places.

Before: "a report names no runs that a silent agent started" fails (the task starts at once). Cost: that wait when the leader and an agent are gone for good and a reported worker is reached by nobody, as for an unreported one.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -274,6 +274,8 @@
   /// The same for a lost agent.
   [[nodiscard]] MonotonicTime LostLeaseExpiry() const;
   void MoveWorkers();
+  /// Counts the runs of a worker that is lost before it was attached.
+  void AddRunsOfLost(const VmName& vm);
   /// Removes a worker that has terminated or whose lease has expired.
   void RemoveWorker(const VmName& vm, WorkerRemoval removal);
   /// Ends the agents' sessions with removed workers that the stored roster does
@@ -324,9 +326,6 @@
   [[nodiscard]] MonotonicTime SilentAgentLeaseExpiry() const;
   /// Time from which on the former leader has extended no leases.
   [[nodiscard]] MonotonicTime FormerLeaderLimit() const;
-  /// Time from which on agents of the former leader have started no runs, as
-  /// far as these are not reported.
-  [[nodiscard]] MonotonicTime FormerStartsLimit() const;
   /// True for a worker of the loaded roster of which nothing is known.
   [[nodiscard]] bool Unreported(const VmName& vm) const {
     return unresolved_.contains(vm) && !former_workers_.contains(vm);
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -41,15 +41,6 @@
   return std::min(limit, *former_stopped_at_);
 }
 
-MonotonicTime GroupLeader::FormerStartsLimit() const {
-  if (former_stopped_at_ || agent_register_.AllFormerSeen()) {
-    return MonotonicTime(0);
-  }
-  const PermissionTimeouts& timeouts = options_.permission_timeouts;
-  return started_at_ + options_.loss_notice_delay +
-         (agent_register_.listed() ? timeouts.starts : timeouts.undivided);
-}
-
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
   return FormerLeaderLimit() + options_.loss_notice_delay +
          LeaseUpperBound(options_.lease);
@@ -155,7 +146,7 @@
       if (!MayBeAttached(former)) ApplyKnownRuns(vm);
     }
     CheckResume();
-    if (base::MonotonicNow() < FormerStartsLimit()) StartAttachTimer();
+    if (base::MonotonicNow() < SilentAgentLeaseExpiry()) StartAttachTimer();
   });
 }
 
@@ -169,9 +160,10 @@
 void GroupLeader::ApplyKnownRuns(const VmName& vm) {
   if (!unresolved_.contains(vm)) return;
   const FormerLeaderRuns& known = former_workers_.at(vm).runs;
-  if (!known.ended && base::MonotonicNow() < FormerStartsLimit()) return;
-  dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
+  // A silent agent may have started runs that this report does not name.
+  if (base::MonotonicNow() < SilentAgentLeaseExpiry()) return;
+  dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   unresolved_.erase(vm);
   const auto left = workers_.at(vm).lease_expires_at - base::MonotonicNow();
   base::Log(base::Event::kWorkerListed,
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -272,11 +272,6 @@
                                          {"vm", event.vm.str()}});
     return deps_.on_conflict();
   } else if (std::holds_alternative<WorkerEnded>(event.details)) {
-    // What was there under the former leader was lost with the process.
-    if (former_workers_.contains(event.vm) && unresolved_.contains(event.vm)) {
-      dispatcher_->AddUnconfirmedRuns(
-          event.vm, former_workers_.at(event.vm).runs.runs, now);
-    }
     RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
     dispatcher_->OnEvent(event, now);
@@ -309,12 +304,17 @@
   if (worker != workers_.end()) AssignWorker(worker->second);
 }
 
+void GroupLeader::AddRunsOfLost(const VmName& vm) {
+  const auto former = former_workers_.find(vm);
+  if (former == former_workers_.end()) return dispatcher_->OnRunsUnknown();
+  dispatcher_->AddUnconfirmedRuns(vm, former->second.runs.runs,
+                                  base::MonotonicNow());
+}
+
 void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
   base::Log(base::Event::kWorkerRemoved,
             {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
-  if (unresolved_.contains(vm) && !former_workers_.contains(vm)) {
-    dispatcher_->OnRunsUnknown();
-  }
+  if (unresolved_.contains(vm)) AddRunsOfLost(vm);
   const auto it = workers_.find(vm);
   if (it != workers_.end()) {
     if (it->second.agent) {
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -36,7 +36,7 @@
   }
 
   /// Checks that the task starts again, and not before `time` has passed.
-  void CheckStartsAfter(Milliseconds time) {
+  void CheckStartsAfter(MonotonicTime time) {
     RunFor(time - milliseconds(100));
     CHECK(starts.empty());
     RunFor(milliseconds(500));
@@ -57,6 +57,33 @@
   CheckStartsAfter(Milliseconds(2'000));
 }
 
+// Guards against a second run: the former leader had lost the reporting agent
+// and started the task through another one, which is silent (TWICE).
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "a report names no runs that a silent agent started") {
+  ConnectAgent("other");
+  report.runs.clear();
+  report.unreachable = true;
+  report.lease_left = Milliseconds(0);
+  TakeOver(2);
+  CheckStartsAfter(LeaseUpperBound(options.lease) + options.loss_notice_delay);
+}
+
+// Guards against a wait that lasts although that agent has reported, too.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "the reports of all former agents end the wait") {
+  ConnectAgent("other");
+  report.unreachable = true;
+  report.lease_left = Milliseconds(0);
+  TakeOver(2);
+  RunFor(milliseconds(1'000));
+  CHECK(starts.empty());
+  leader->OnAgentUp(NodeId("other"), DataCenter("dc"), Milliseconds(0));
+  Report("other");
+  RunFor(milliseconds(1'000));
+  CHECK(starts.size() == 1);
+}
+
 // Guards against a wait that begins anew with each takeover.
 TEST_CASE_FIXTURE(TakeoverFixture,
                   "a second takeover does not extend the wait") {
