--- a/tests/unit/dispatch/followed_leader_test.cc
+++ b/tests/unit/dispatch/followed_leader_test.cc
@@ -7,6 +7,7 @@
 #include "dispatch/node/node.hpp"
 #include "dispatch/peer/channel.hpp"
 #include "platform/codec.hpp"
+#include "unit/dispatch/node_options.hpp"
 #include "unit/run_until.hpp"
 #include "unit/state/faulty_table.hpp"
 
@@ -14,6 +15,7 @@
 namespace {
 
 using mangospread::test::FaultyTable;
+using mangospread::test::RunFor;
 using mangospread::test::RunUntil;
 using std::chrono::milliseconds;
 using Fault = FaultyTable::Fault;
@@ -72,21 +74,6 @@
     });
   }
 
-  static NodeOptions Options() {
-    NodeOptions options;
-    options.node = NodeId("leader");
-    options.incarnation = Incarnation(1);
-    options.data_center = DataCenter("d");
-    options.peer_address = {"127.0.0.1", 0};
-    options.leadership.contend_delay = Milliseconds(0);
-    return options;
-  }
-
-  void RunFor(MonotonicTime time) {
-    const MonotonicTime end = base::MonotonicNow() + time;
-    RunUntil(loop, [&] { return base::MonotonicNow() >= end; });
-  }
-
   base::EventLoop loop;
   FaultyTable table;
   Fault fault = Fault::kNone;
@@ -95,7 +82,7 @@
       {loop, table,
        [](const WorkerInfo&) { return std::shared_ptr<WorkerLink>(); },
        platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
-      Options()};
+      LocalNode("leader")};
   std::unique_ptr<Follower> first;
   std::unique_ptr<Follower> second;
 };
@@ -106,7 +93,7 @@
   fault = Fault::kRefuse;
   const MonotonicTime end = base::MonotonicNow() + milliseconds(4'000);
   while (base::MonotonicNow() < end) {
-    RunFor(milliseconds(100));
+    RunFor(loop, milliseconds(100));
     const MonotonicTime now = base::MonotonicNow();
     CHECK(now - first->starts_since() < milliseconds(800));
     CHECK(now - second->starts_since() < milliseconds(800));
@@ -121,13 +108,13 @@
   fault = Fault::kRefuse;
   second->confirms = false;
   const MonotonicTime cut_at = base::MonotonicNow();
-  RunFor(milliseconds(2'500));
+  RunFor(loop, milliseconds(2'500));
   CHECK(second->connected());
   const PermissionTimeouts timeouts;
   constexpr MonotonicTime kLeewayOfRoundTrip = milliseconds(100);
   CHECK(first->starts_since() <= cut_at + timeouts.starts + kLeewayOfRoundTrip);
   CHECK(node.permission() == Permission::kLeases);
-  RunFor(milliseconds(1'000));
+  RunFor(loop, milliseconds(1'000));
   CHECK(second->connected());
   CHECK(node.permission() == Permission::kNone);
   second->confirms = true;
--- a/tests/unit/dispatch/leader_contact_test.cc
+++ b/tests/unit/dispatch/leader_contact_test.cc
@@ -10,11 +10,13 @@
 #include "dispatch/peer/channel.hpp"
 #include "platform/codec.hpp"
 #include "table/memory_table.hpp"
+#include "unit/dispatch/node_options.hpp"
 #include "unit/run_until.hpp"
 
 namespace mangospread::dispatch::test {
 namespace {
 
+using mangospread::test::RunFor;
 using mangospread::test::RunUntil;
 using std::chrono::milliseconds;
 
@@ -152,20 +154,6 @@
     channel->Send(AgentCommand(start));
   }
 
-  void RunFor(MonotonicTime time) {
-    const MonotonicTime end = base::MonotonicNow() + time;
-    RunUntil(loop, [&] { return base::MonotonicNow() >= end; });
-  }
-
-  static NodeOptions Options() {
-    NodeOptions options;
-    options.node = NodeId("agent");
-    options.incarnation = Incarnation(1);
-    options.data_center = DataCenter("d");
-    options.peer_address = {"127.0.0.1", 0};
-    return options;
-  }
-
   base::EventLoop loop;
   table::MemoryTable table{
       [this](std::function<void()> fn) { loop.Post(std::move(fn)); }};
@@ -182,7 +170,7 @@
          return std::make_shared<CountingLink>(loop, starts);
        },
        platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
-      Options()};
+      LocalNode("agent")};
 };
 
 // Guards against starts that an agent executes after its leader may have given
@@ -190,12 +178,12 @@
 // though frames of it still arrive.
 TEST_CASE_FIXTURE(LedFixture, "a start waits for a leader that confirms") {
   permission = Permission::kNone;
-  RunFor(kTimeout + milliseconds(100));
+  RunFor(loop, kTimeout + milliseconds(100));
   SendStart();
-  RunFor(milliseconds(300));
+  RunFor(loop, milliseconds(300));
   CHECK(starts == 0);
   permission = Permission::kLeases;
-  RunFor(kTimeout);
+  RunFor(loop, kTimeout);
   CHECK(starts == 0);
   permission = Permission::kStarts;
   RunUntil(loop, [&] { return starts == 1; });
@@ -205,14 +193,14 @@
 // connection.
 TEST_CASE_FIXTURE(LedFixture, "a start that waited ends with its channel") {
   permission = Permission::kNone;
-  RunFor(kTimeout + milliseconds(100));
+  RunFor(loop, kTimeout + milliseconds(100));
   SendStart();
-  RunFor(milliseconds(300));
+  RunFor(loop, milliseconds(300));
   const auto lost = channel;
   permission = Permission::kStarts;
   lost->Close();
   RunUntil(loop, [&] { return channel != lost && node.ready(); });
-  RunFor(milliseconds(1'000));
+  RunFor(loop, milliseconds(1'000));
   CHECK(starts == 0);
 }
 
--- a/tests/unit/dispatch/node_test.cc
+++ b/tests/unit/dispatch/node_test.cc
@@ -11,6 +11,7 @@
 #include "dispatch/peer/channel.hpp"
 #include "platform/codec.hpp"
 #include "table/memory_table.hpp"
+#include "unit/dispatch/node_options.hpp"
 #include "unit/run_until.hpp"
 
 namespace mangospread::dispatch::test {
@@ -54,16 +55,6 @@
     RunUntil(loop, [&] { return links > 0; });
   }
 
-  static NodeOptions Options() {
-    NodeOptions options;
-    options.node = NodeId("n1");
-    options.incarnation = Incarnation(1);
-    options.data_center = DataCenter("d");
-    options.peer_address = {"127.0.0.1", 0};
-    options.leadership.contend_delay = Milliseconds(0);
-    return options;
-  }
-
   base::EventLoop loop;
   table::MemoryTable table{
       [this](std::function<void()> fn) { loop.Post(std::move(fn)); }};
@@ -75,7 +66,7 @@
          return std::make_shared<SilentLink>();
        },
        platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
-      Options()};
+      LocalNode("n1")};
   Address address;
 };
 
--- a/tests/unit/run_until.hpp
+++ b/tests/unit/run_until.hpp
@@ -28,4 +28,10 @@
   }
 }
 
+/// Runs the loop for a time.
+inline void RunFor(base::EventLoop& loop, MonotonicTime time) {
+  const MonotonicTime end = base::MonotonicNow() + time;
+  RunUntil(loop, [end] { return base::MonotonicNow() >= end; });
+}
+
 }  // namespace mangospread::test
