The soak has a preset with faults and tasks that outlast leases

Change: MANGOSPREAD_SOAK_LONG=1 pauses one or two nodes at once for up to 12 s, the leader among them in half of the cases, starves a node (80 ms of each 100 ms paused), cuts workers for up to 15 s and the store for up to 6 s, and an eighth of the submissions have tasks of 5 to 20 s.

--- a/tests/integration/soak/callers.cc
+++ b/tests/integration/soak/callers.cc
@@ -10,7 +10,6 @@
 
 constexpr int kMaxAttempts = 6;
 constexpr Milliseconds kRequestTimeout{4'000};
-constexpr Milliseconds kRequestInterval{15};
 constexpr Milliseconds kRetryInterval{150};
 constexpr int kGone = 410;
 constexpr int kTooManyRequests = 429;
@@ -20,9 +19,12 @@
   return response.ok() && response.status >= 200 && response.status < 300;
 }
 
-std::string RandomSubmissionBody(std::mt19937_64& random) {
+std::string RandomSubmissionBody(std::mt19937_64& random, int lasting_percent) {
   std::uniform_int_distribution<int> count(1, 4);
-  std::uniform_int_distribution<int> task_ms(50, 400);
+  const bool lasts =
+      std::uniform_int_distribution<int>(0, 99)(random) < lasting_percent;
+  std::uniform_int_distribution<int> task_ms(lasts ? 5'000 : 50,
+                                             lasts ? 20'000 : 400);
   const auto make_step = [&] {
     return nlohmann::json{
         {"count", count(random)}, {"cpu", 1'000}, {"mem-mb", 10}};
@@ -56,7 +58,7 @@
       } else {
         Query();
       }
-      std::this_thread::sleep_for(kRequestInterval);
+      std::this_thread::sleep_for(callers_.load_.request_interval);
     }
   }
 
@@ -82,7 +84,8 @@
 
   void Submit() {
     const int submission = callers_.next_submission_++;
-    const std::string body = RandomSubmissionBody(random_);
+    const std::string body =
+        RandomSubmissionBody(random_, callers_.load_.lasting_percent);
     bool surely_not_accepted = true;
     bool refusal_received = false;
     for (int i = 0; i < kMaxAttempts && !callers_.stopping_; ++i) {
@@ -161,8 +164,8 @@
   std::vector<Connection> connections_;
 };
 
-Callers::Callers(std::uint64_t seed, int threads)
-    : seed_(seed), thread_count_(threads) {}
+Callers::Callers(std::uint64_t seed, int threads, CallerLoad load)
+    : seed_(seed), thread_count_(threads), load_(load) {}
 
 Callers::~Callers() { Stop(); }
 
--- a/tests/integration/soak/callers.hpp
+++ b/tests/integration/soak/callers.hpp
@@ -27,11 +27,21 @@
   bool complete_reported = false;  ///< A response had the state "complete".
 };
 
+/// What the callers submit, and how often they send a request.
+struct CallerLoad {
+  /// Share of the submissions whose tasks last for seconds, in percent.
+  int lasting_percent = 0;
+  Milliseconds request_interval{15};
+};
+
+/// Tasks that last for longer than a lease, among others.
+inline constexpr CallerLoad kLastingTasks{12, Milliseconds(150)};
+
 /// Threads that send requests to random nodes and keep their connections open
 /// until the node closes them.
 class Callers {
  public:
-  Callers(std::uint64_t seed, int threads);
+  Callers(std::uint64_t seed, int threads, CallerLoad load = CallerLoad());
   ~Callers();
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
@@ -65,6 +75,7 @@
 
   std::uint64_t seed_;
   int thread_count_;
+  CallerLoad load_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> next_submission_{1};
   mutable std::mutex mutex_;
--- a/tests/integration/soak/faults.cc
+++ b/tests/integration/soak/faults.cc
@@ -22,11 +22,13 @@
 }  // namespace
 
 FaultInjector::FaultInjector(ManagedCluster& cluster, Callers& callers,
-                             int workers, std::uint64_t seed)
+                             int workers, std::uint64_t seed,
+                             FaultLimits limits)
     : cluster_(cluster),
       callers_(callers),
       worker_count_(workers),
       random_(seed),
+      limits_(limits),
       is_down_(cluster.nodes(), false) {}
 
 int FaultInjector::Draw(int lower, int upper) {
@@ -38,6 +40,12 @@
       Draw(0, static_cast<int>(cluster_.nodes()) - 1));
 }
 
+Milliseconds FaultInjector::DrawDuration(Milliseconds lower,
+                                         Milliseconds upper) {
+  return Milliseconds(
+      Draw(static_cast<int>(lower.count()), static_cast<int>(upper.count())));
+}
+
 void FaultInjector::LogFault(const std::string& description) {
   const auto elapsed =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - start_time_);
@@ -71,6 +79,7 @@
 }
 
 void FaultInjector::EndFaults() {
+  ending_ = true;
   RunScheduled(true);
   cluster_.SetTableFaults("{}");
   for (std::size_t i = 0; i < cluster_.nodes(); ++i) {
@@ -91,6 +100,7 @@
 
 void FaultInjector::InjectFault() {
   const int choice = Draw(0, 99);
+  if (limits_.stalls && Draw(0, 3) == 0) return PauseNodes();
   if (choice < 28) {
     InjectNodeFault();
   } else if (choice < 50) {
@@ -115,14 +125,9 @@
       LogFault("kill " + name);
       cluster_.node(node).Kill();
       return ScheduleRestart(node, Milliseconds(Draw(0, 1'500)));
-    case 1: {
-      const int duration_ms = Draw(200, 4'000);
-      LogFault("pause " + name + " for " + std::to_string(duration_ms));
-      cluster_.node(node).Pause();
-      return Schedule(Milliseconds(duration_ms), [this, node] {
-        if (!is_down_[node]) cluster_.node(node).Resume();
-      });
-    }
+    case 1:
+      return PauseNode(node,
+                       DrawDuration(Milliseconds(200), limits_.node_pause));
     case 2:
       LogFault("stop " + name);
       return StopNode(node);
@@ -132,6 +137,44 @@
   }
 }
 
+void FaultInjector::PauseNodes() {
+  const std::size_t leader = cluster_.Leader();
+  const bool with_leader = Draw(0, 1) == 0 && leader < cluster_.nodes();
+  const std::size_t first = with_leader ? leader : DrawNode();
+  const Milliseconds duration =
+      DrawDuration(Milliseconds(500), limits_.node_pause);
+  if (Draw(0, 2) == 0) {
+    LogFault("starve n" + std::to_string(first + 1) + " for " +
+             std::to_string(duration.count()));
+    return StarveNode(first, Clock::now() + duration);
+  }
+  PauseNode(first, duration);
+  const std::size_t second = DrawNode();
+  if (second != first) PauseNode(second, duration);
+}
+
+void FaultInjector::PauseNode(std::size_t node, Milliseconds duration) {
+  if (is_down_[node]) return;
+  LogFault("pause n" + std::to_string(node + 1) + " for " +
+           std::to_string(duration.count()));
+  cluster_.node(node).Pause();
+  Schedule(duration, [this, node] {
+    if (!is_down_[node]) cluster_.node(node).Resume();
+  });
+}
+
+void FaultInjector::StarveNode(std::size_t node, Clock::time_point until) {
+  constexpr Milliseconds kPaused{80};
+  constexpr Milliseconds kRunning{20};
+  if (is_down_[node] || ending_ || Clock::now() > until) return;
+  cluster_.node(node).Pause();
+  Schedule(kPaused, [this, node, until] {
+    if (is_down_[node]) return;
+    cluster_.node(node).Resume();
+    Schedule(kRunning, [this, node, until] { StarveNode(node, until); });
+  });
+}
+
 void FaultInjector::ScheduleRestart(std::size_t node, Milliseconds delay) {
   is_down_[node] = true;
   Schedule(delay, [this, node] { RestartIfDown(node); });
@@ -218,7 +261,8 @@
     LogFault("the table loses " + std::to_string(count) + " replies");
     return cluster_.SetTableFaults(json{{"lose_replies", count}}.dump());
   }
-  const int duration_ms = Draw(200, 3'500);
+  const auto duration_ms =
+      DrawDuration(Milliseconds(200), limits_.table_outage).count();
   LogFault("the table is down for " + std::to_string(duration_ms));
   cluster_.SetTableFaults(json{{"down", true}}.dump());
   Schedule(Milliseconds(duration_ms),
@@ -234,7 +278,8 @@
     Post(cluster_.platform_address(), "/standin/worker", body.dump());
   };
   const std::string name = " w" + std::to_string(worker + 1);
-  const int duration_ms = Draw(300, 4'000);
+  const auto duration_ms =
+      DrawDuration(Milliseconds(300), limits_.worker_fault).count();
   switch (Draw(0, 5)) {
     case 0:
       LogFault("crash" + name);
--- a/tests/integration/soak/faults.hpp
+++ b/tests/integration/soak/faults.hpp
@@ -14,12 +14,26 @@
 
 namespace mangospread::testing {
 
+/// The longest faults that are drawn.
+struct FaultLimits {
+  Milliseconds node_pause{4'000};
+  Milliseconds table_outage{3'500};
+  /// Of the connections of a worker.
+  Milliseconds worker_fault{4'000};
+  /// Nodes are paused several at a time, and starved of processor time.
+  bool stalls = false;
+};
+
+/// Longer than a lease, and than the time after which another node leads.
+inline constexpr FaultLimits kLongFaults{
+    Milliseconds(12'000), Milliseconds(6'000), Milliseconds(15'000), true};
+
 /// Draws faults from a seed, injects them from outside the nodes, and ends
 /// those that last after a random time.
 class FaultInjector {
  public:
   FaultInjector(ManagedCluster& cluster, Callers& callers, int workers,
-                std::uint64_t seed);
+                std::uint64_t seed, FaultLimits limits = FaultLimits());
 
   /// Injects faults for the given duration.
   void Run(Milliseconds duration);
@@ -43,6 +57,11 @@
   /// Draws a kind of fault and injects one of it.
   void InjectFault();
   void InjectNodeFault();
+  /// Pauses up to two nodes, the leader among them in half of the cases.
+  void PauseNodes();
+  void PauseNode(std::size_t node, Milliseconds duration);
+  /// Lets a node run for a fifth of the time only.
+  void StarveNode(std::size_t node, Clock::time_point until);
   void InjectTableConnectionFault();
   void InjectTableFault();
   void InjectWorkerFault();
@@ -65,11 +84,15 @@
   /// Draws an integer from the range [`lower`, `upper`].
   [[nodiscard]] int Draw(int lower, int upper);
   [[nodiscard]] std::size_t DrawNode();
+  /// Draws a duration up to a limit.
+  [[nodiscard]] Milliseconds DrawDuration(Milliseconds lower,
+                                          Milliseconds upper);
 
   ManagedCluster& cluster_;
   Callers& callers_;
   int worker_count_;
   std::mt19937_64 random_;
+  FaultLimits limits_;
   Clock::time_point start_time_ = Clock::now();
   std::multimap<Clock::time_point, std::function<void()>> scheduled_actions_;
   std::vector<bool> is_down_;
@@ -77,6 +100,7 @@
   std::vector<std::string> violations_;
   int config_version_ = 1;
   bool extra_route_ = false;
+  bool ending_ = false;
 };
 
 }  // namespace mangospread::testing
--- a/tests/integration/soak/soak_test.cc
+++ b/tests/integration/soak/soak_test.cc
@@ -1,7 +1,8 @@
 // Injects random faults into real nodes under load. Environment variables
 // override the defaults: MANGOSPREAD_SOAK="first-last" sets the range of seeds,
 // MANGOSPREAD_SOAK_SECONDS the duration of the load for each seed in seconds,
-// and MANGOSPREAD_SOAK_NODES the number of nodes.
+// MANGOSPREAD_SOAK_NODES the number of nodes, and MANGOSPREAD_SOAK_LONG=1 the
+// preset with faults and tasks that last for longer than a lease.
 #include <doctest/doctest.h>
 
 #include <cstdlib>
@@ -77,15 +78,17 @@
 
 /// Runs callers and faults with a seed, ends the faults and checks the results.
 void RunWithSeed(std::uint64_t seed) {
+  const bool is_long = IntFromEnvironment("MANGOSPREAD_SOAK_LONG", 0) != 0;
   const int nodes = IntFromEnvironment("MANGOSPREAD_SOAK_NODES", 3);
   const int workers = 2 * nodes;
   ManagedCluster cluster(nodes, workers);
   cluster.WaitUntilReady();
-  Callers callers(seed, kCallerThreads);
+  Callers callers(seed, kCallerThreads, is_long ? kLastingTasks : CallerLoad());
   for (std::size_t i = 0; i < cluster.nodes(); ++i) {
     callers.SetNodeAddress(i, cluster.node(i).address("front"));
   }
-  FaultInjector injector(cluster, callers, workers, seed);
+  FaultInjector injector(cluster, callers, workers, seed,
+                         is_long ? kLongFaults : FaultLimits());
   callers.Start();
   injector.Run(
       Milliseconds(1'000 * IntFromEnvironment("MANGOSPREAD_SOAK_SECONDS", 8)));
