--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -132,16 +132,18 @@
 
 std::size_t ManagedCluster::Leader() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (!nodes_[i]->running()) continue;
-    const Response metrics = Get(nodes_[i]->address("ready"), "/metrics");
-    if (metrics.ok() &&
-        metrics.body.find("\nmangospread_leading 1") != std::string::npos) {
-      return i;
-    }
+    if (IsLeading(i)) return i;
   }
   return nodes_.size();
 }
 
+bool ManagedCluster::IsLeading(std::size_t node) {
+  if (!nodes_[node]->running()) return false;
+  const Response metrics = Get(nodes_[node]->address("ready"), "/metrics");
+  return metrics.ok() &&
+         metrics.body.find("\nmangospread_leading 1") != std::string::npos;
+}
+
 void ManagedCluster::RemoveWorker(std::size_t worker) {
   const nlohmann::json body = {{"worker", worker}, {"what", "gone"}};
   Post(platform_.address("http"), "/standin/worker", body.dump());
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -86,6 +86,8 @@
 
   /// Index of the node that leads; the number of nodes if none does.
   [[nodiscard]] std::size_t Leader();
+  /// True if the node runs and leads.
+  [[nodiscard]] bool IsLeading(std::size_t node);
   /// Ends a worker for good. Its address does not respond any more.
   void RemoveWorker(std::size_t worker);
   /// Discards all data between the nodes and a worker, or ends that.
--- a/tests/integration/soak/callers.hpp
+++ b/tests/integration/soak/callers.hpp
@@ -35,7 +35,7 @@
 };
 
 /// Tasks that last for longer than a lease, among others.
-inline constexpr CallerLoad kLastingTasks{12, Milliseconds(150)};
+inline constexpr CallerLoad kLastingTasks{10, Milliseconds(60)};
 
 /// Threads that send requests to random nodes and keep their connections open
 /// until the node closes them.
--- a/tests/integration/soak/faults.cc
+++ b/tests/integration/soak/faults.cc
@@ -29,7 +29,8 @@
       worker_count_(workers),
       random_(seed),
       limits_(limits),
-      is_down_(cluster.nodes(), false) {}
+      is_down_(cluster.nodes(), false),
+      paused_until_(cluster.nodes()) {}
 
 int FaultInjector::Draw(int lower, int upper) {
   return std::uniform_int_distribution<int>(lower, upper)(random_);
@@ -100,7 +101,9 @@
 
 void FaultInjector::InjectFault() {
   const int choice = Draw(0, 99);
-  if (limits_.stalls && Draw(0, 3) == 0) return PauseNodes();
+  const int stall = limits_.stalls ? Draw(0, 5) : 5;
+  if (stall <= 1) return PauseNodes();
+  if (stall <= 3) return SilenceWorkers();
   if (choice < 28) {
     InjectNodeFault();
   } else if (choice < 50) {
@@ -138,9 +141,8 @@
 }
 
 void FaultInjector::PauseNodes() {
-  const std::size_t leader = cluster_.Leader();
-  const bool with_leader = Draw(0, 1) == 0 && leader < cluster_.nodes();
-  const std::size_t first = with_leader ? leader : DrawNode();
+  std::size_t first = DrawNode();
+  if (Draw(0, 1) == 0) first = FindLeader().value_or(first);
   const Milliseconds duration =
       DrawDuration(Milliseconds(500), limits_.node_pause);
   if (Draw(0, 2) == 0) {
@@ -155,6 +157,7 @@
 
 void FaultInjector::PauseNode(std::size_t node, Milliseconds duration) {
   if (is_down_[node]) return;
+  paused_until_[node] = std::max(paused_until_[node], Clock::now() + duration);
   LogFault("pause n" + std::to_string(node + 1) + " for " +
            std::to_string(duration.count()));
   cluster_.node(node).Pause();
@@ -163,10 +166,31 @@
   });
 }
 
+std::optional<std::size_t> FaultInjector::FindLeader() {
+  for (std::size_t node = 0; node < cluster_.nodes(); ++node) {
+    const bool responds = !is_down_[node] && paused_until_[node] < Clock::now();
+    if (responds && cluster_.IsLeading(node)) return node;
+  }
+  return std::nullopt;
+}
+
+void FaultInjector::SilenceWorkers() {
+  const auto duration = DrawDuration(Milliseconds(500), limits_.worker_fault);
+  for (int count = Draw(1, 3); count > 0; --count) {
+    const int worker = Draw(0, worker_count_ - 1);
+    LogFault("silence w" + std::to_string(worker + 1) + " for " +
+             std::to_string(duration.count()));
+    const auto index = static_cast<std::size_t>(worker);
+    cluster_.SilenceWorker(index, true);
+    Schedule(duration, [this, index] { cluster_.SilenceWorker(index, false); });
+  }
+}
+
 void FaultInjector::StarveNode(std::size_t node, Clock::time_point until) {
   constexpr Milliseconds kPaused{80};
   constexpr Milliseconds kRunning{20};
   if (is_down_[node] || ending_ || Clock::now() > until) return;
+  paused_until_[node] = std::max(paused_until_[node], until);
   cluster_.node(node).Pause();
   Schedule(kPaused, [this, node, until] {
     if (is_down_[node]) return;
--- a/tests/integration/soak/faults.hpp
+++ b/tests/integration/soak/faults.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,7 +21,8 @@
   Milliseconds table_outage{3'500};
   /// Of the connections of a worker.
   Milliseconds worker_fault{4'000};
-  /// Nodes are paused several at a time, and starved of processor time.
+  /// Nodes are paused several at a time, or starved of processor time, and
+  /// workers are silent for everybody.
   bool stalls = false;
 };
 
@@ -60,6 +62,10 @@
   /// Pauses up to two nodes, the leader among them in half of the cases.
   void PauseNodes();
   void PauseNode(std::size_t node, Milliseconds duration);
+  /// The node that leads, among those that can respond.
+  [[nodiscard]] std::optional<std::size_t> FindLeader();
+  /// Discards all data of up to three workers.
+  void SilenceWorkers();
   /// Lets a node run for a fifth of the time only.
   void StarveNode(std::size_t node, Clock::time_point until);
   void InjectTableConnectionFault();
@@ -96,6 +102,7 @@
   Clock::time_point start_time_ = Clock::now();
   std::multimap<Clock::time_point, std::function<void()>> scheduled_actions_;
   std::vector<bool> is_down_;
+  std::vector<Clock::time_point> paused_until_;
   std::vector<std::string> log_;
   std::vector<std::string> violations_;
   int config_version_ = 1;
--- a/tests/integration/soak/soak_test.cc
+++ b/tests/integration/soak/soak_test.cc
@@ -76,6 +76,12 @@
   }
 }
 
+std::string Lines(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines) text += "\n  " + line;
+  return text;
+}
+
 /// Runs callers and faults with a seed, ends the faults and checks the results.
 void RunWithSeed(std::uint64_t seed) {
   const bool is_long = IntFromEnvironment("MANGOSPREAD_SOAK_LONG", 0) != 0;
@@ -94,8 +100,7 @@
       Milliseconds(1'000 * IntFromEnvironment("MANGOSPREAD_SOAK_SECONDS", 8)));
   callers.Stop();
   injector.EndFaults();
-  std::string fault_log;
-  for (const std::string& line : injector.log()) fault_log += "\n  " + line;
+  const std::string fault_log = Lines(injector.log());
   CAPTURE(seed);
   CAPTURE(fault_log);
   INFO("logs in ", cluster.log_directory());
@@ -111,8 +116,8 @@
     CheckSubmission(cluster, number, observed, counts.started);
   }
   CheckConfiguration(cluster, injector.extra_route());
-  CHECK(callers.violations() == std::vector<std::string>());
-  CHECK(injector.violations() == std::vector<std::string>());
+  CHECK(Lines(callers.violations()) == "");
+  CHECK(Lines(injector.violations()) == "");
   CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
   std::size_t accepted = 0;
