A leader says "no such submission" only once it is confirmed after the call

Cause: a leader that was paused, or is being replaced, answers queries and cancellations from what it remembers. A submission that the next leader has accepted was answered with 410 (LOST; the caller is told that it has not run).

Change: Leadership::Confirm answers by a renewal that is sent after the question; questions share renewals. Without it the call is refused with a Retry-After. A state that may still change is refused, too, while the leader lacks the permission to start runs; a final one stays true.

Tests: "a leader says not found only after a confirmation", "a question is answered by a renewal sent after it" (did not exist before: the answer came at once). Cost: one store call more for a query of an unknown submission, many at once share it.

--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -240,13 +240,8 @@
       return Submit(std::move(call), std::move(done));
     case ServiceVerb::kCancel:
       return Cancel(call.submission, std::move(done));
-    case ServiceVerb::kState: {
-      const auto state = dispatcher_->State(call.submission);
-      ServiceReply reply =
-          Reply(state ? ServiceResult::kOk : ServiceResult::kNotFound);
-      if (state) reply.state = *state;
-      return done(reply);
-    }
+    case ServiceVerb::kState:
+      return ReplyState(call.submission, std::move(done));
     case ServiceVerb::kPending: {
       ServiceReply reply = Reply(ServiceResult::kOk);
       reply.pending = dispatcher_->Pending(call.policy.queue);
@@ -255,6 +250,25 @@
   }
 }
 
+void GroupLeader::ReplyState(const SubmissionId& id,
+                             ServiceCallback done) const {
+  const auto state = dispatcher_->State(id);
+  if (!state) return ReplyNotFound(std::move(done));
+  // A later leader may have stored the end already.
+  if (!IsFinal(*state) && !deps_.confirmed()) {
+    return done(Refusal(kShortRetryAfter));
+  }
+  ServiceReply reply = Reply(ServiceResult::kOk);
+  reply.state = *state;
+  done(reply);
+}
+
+void GroupLeader::ReplyNotFound(ServiceCallback done) const {
+  deps_.confirm([done = std::move(done)](bool leads) {
+    done(leads ? Reply(ServiceResult::kNotFound) : Refusal(kShortRetryAfter));
+  });
+}
+
 void GroupLeader::Submit(ServiceCall call, ServiceCallback done) {
   const SubmissionId id = call.submission;
   if (dispatcher_->State(id)) return done(Reply(ServiceResult::kOk));
@@ -323,7 +337,7 @@
 
 void GroupLeader::Cancel(const SubmissionId& id, ServiceCallback done) {
   const auto state = dispatcher_->State(id);
-  if (!state) return done(Reply(ServiceResult::kNotFound));
+  if (!state) return ReplyNotFound(std::move(done));
   if (IsFinal(*state)) return done(Reply(ServiceResult::kOk));
   cancelling_callbacks_[id].push_back(std::move(done));
   dispatcher_->Cancel(id, base::MonotonicNow());
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -104,6 +104,9 @@
   /// True while this process has recently confirmed that it leads; false after
   /// a pause, during which another node may have been elected.
   std::function<bool()> confirmed;
+  /// Calls `done` with whether this process still leads, as confirmed after the
+  /// call.
+  std::function<void(std::function<void(bool leads)> done)> confirm;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
@@ -206,6 +209,10 @@
 
   // Calls.
   void Submit(ServiceCall call, ServiceCallback done);
+  void ReplyState(const SubmissionId& id, ServiceCallback done) const;
+  /// Replies that there is no such submission, unless a later leader may have
+  /// accepted it.
+  void ReplyNotFound(ServiceCallback done) const;
   void OnSubmitted(const SubmissionId& id, const table::WriteResult& result);
   void Cancel(const SubmissionId& id, ServiceCallback done);
 
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -214,6 +215,26 @@
   ScheduleContend();
 }
 
+void Leadership::Confirm(std::function<void(bool leads)> done) {
+  if (!confirmed()) return done(false);
+  questions_.push_back({base::MonotonicNow(), std::move(done)});
+  Renew();
+}
+
+void Leadership::AnswerQuestions(MonotonicTime sent_at, bool leads) {
+  std::vector<Question> later;
+  for (Question& question : std::exchange(questions_, {})) {
+    if (leads && question.asked_at > sent_at) {
+      later.push_back(std::move(question));
+    } else {
+      question.done(leads);
+    }
+  }
+  questions_.insert(questions_.end(), std::move_iterator(later.begin()),
+                    std::move_iterator(later.end()));
+  if (!questions_.empty()) Renew();
+}
+
 void Leadership::Renew() {
   if (!leading_ || renewing_) return;
   renewing_ = true;
@@ -241,24 +262,24 @@
     return OnConflict();
   }
   if (result.status == Status::kUnknown) return ConfirmByRead();
-  if (result.status == Status::kCommitted) {
-    confirmed_at_ = std::max(confirmed_at_, sent_at);
-  }
-  UpdateTableReachable(result.status == Status::kCommitted);
+  const bool committed = result.status == Status::kCommitted;
+  if (committed) confirmed_at_ = std::max(confirmed_at_, sent_at);
+  UpdateTableReachable(committed);
+  AnswerQuestions(sent_at, committed);
 }
 
 void Leadership::ConfirmByRead() {
   // A single lost reply is not a reason to yield.
-  table_.Read({{kLeaderKey}, {}},
-              [this, alive = alive_, sent_at = base::MonotonicNow()](
-                  const Result<std::vector<Row>>& rows) {
-                if (!*alive) return;
-                if (leading_ && rows.ok() && !rows.value().empty() &&
-                    rows.value()[0].version == self_.version) {
-                  confirmed_at_ = std::max(confirmed_at_, sent_at);
-                }
-                UpdateTableReachable(rows.ok());
-              });
+  table_.Read({{kLeaderKey}, {}}, [this, alive = alive_,
+                                   sent_at = base::MonotonicNow()](
+                                      const Result<std::vector<Row>>& rows) {
+    if (!*alive) return;
+    const bool leads = leading_ && rows.ok() && !rows.value().empty() &&
+                       rows.value()[0].version == self_.version;
+    if (leads) confirmed_at_ = std::max(confirmed_at_, sent_at);
+    UpdateTableReachable(rows.ok());
+    AnswerQuestions(sent_at, leads);
+  });
 }
 
 void Leadership::UpdateTableReachable(bool table_reachable) {
@@ -291,6 +312,7 @@
   leading_ = false;
   yielding_ = table_lost_ = overloaded_ = false;
   renew_timer_.reset();
+  AnswerQuestions(base::MonotonicNow(), false);
   hooks_.on_stepped_down();
 }
 
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
@@ -117,6 +118,10 @@
   /// of a renewal recently. False after a pause, during which another node may
   /// have taken over.
   [[nodiscard]] bool confirmed() const noexcept;
+  /// Calls `done` with whether this process still leads, as far as a renewal
+  /// shows that is sent from now on: false if the table confirms none, or after
+  /// a pause. May call it before it returns.
+  void Confirm(std::function<void(bool leads)> done);
   /// Time at which this process sent the last claim or renewal that the table
   /// has confirmed. No other process had been elected before.
   [[nodiscard]] MonotonicTime confirmed_at() const noexcept {
@@ -133,6 +138,14 @@
   void ReadRow();
   void Check();
   void OnHeartbeat(RowVersion version);
+  /// A call of Confirm.
+  struct Question {
+    MonotonicTime asked_at{0};
+    std::function<void(bool leads)> done;
+  };
+
+  /// Answers the questions that were asked before a renewal was sent.
+  void AnswerQuestions(MonotonicTime sent_at, bool leads);
   void Renew();
   void OnRenewed(const TransactResult& result, MonotonicTime sent_at);
   /// Reads whether this process still leads, after a lost reply.
@@ -165,6 +178,7 @@
   MonotonicTime renewal_result_at_{0};
   MonotonicTime contended_at_{0};  ///< Time of the last claim.
   MonotonicTime confirmed_at_{0};
+  std::vector<Question> questions_;
   RowVersion heartbeat_version_;  ///< Last version of the heartbeat row.
   MonotonicTime heartbeat_timeout_start_{0};
   base::Timer check_timer_;
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -294,6 +294,9 @@
       [this] {
         return leadership_->confirmed() &&
                AgentPermission() == Permission::kStarts;
+      },
+      [this](std::function<void(bool)> done) {
+        leadership_->Confirm(std::move(done));
       }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   if (followed_stopped_at_) {
--- a/tests/bench/leader_bench.cc
+++ b/tests/bench/leader_bench.cc
@@ -79,7 +79,8 @@
             [this](const NodeId& agent, AgentCommand command) {
               Execute(agent, std::move(command));
             },
-            [](Timing, MonotonicTime) {}, [] {}, [] {}, [] { return true; }},
+            [](Timing, MonotonicTime) {}, [] {}, [] {}, [] { return true; },
+            [](const auto& done) { done(true); }},
         GroupLeaderOptions());
     for (int agent = 0; agent * kWorkersPerAgent < workers; ++agent) {
       leader_->OnAgentUp(NodeId("node-" + std::to_string(agent)),
--- a/tests/unit/dispatch/cut_off_leader_test.cc
+++ b/tests/unit/dispatch/cut_off_leader_test.cc
@@ -240,7 +240,8 @@
             [](Timing, MonotonicTime) {}, [] {}, [] {},
             [this, epoch] {
               return epoch > 1 || FirstPermission() == Permission::kStarts;
-            }},
+            },
+            [](const auto& done) { done(true); }},
         GroupLeaderOptions());
     leader->OnAgentUp(NodeId(node), DataCenter("dc"),
                       agents.at(NodeId(node))->LastGrantAge());
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -265,6 +266,43 @@
   CHECK(Call(ServiceVerb::kState).result == ServiceResult::kNotFound);
 }
 
+// Guards against a caller who is told that a submission was not accepted by a
+// leader that was replaced, after the next one has accepted it (LOST).
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a leader says not found only after a confirmation") {
+  Lead(1);
+  answers_questions = false;
+  for (const ServiceVerb verb : {ServiceVerb::kState, ServiceVerb::kCancel}) {
+    for (const bool leads : {true, false}) {
+      CAPTURE(leads);
+      ServiceCall call;
+      call.verb = verb;
+      call.submission = SubmissionId(kId);
+      std::optional<ServiceResult> result;
+      leader->Handle(call,
+                     [&](const ServiceReply& reply) { result = reply.result; });
+      CHECK_FALSE(result);
+      AnswerQuestions(leads);
+      CHECK(result ==
+            (leads ? ServiceResult::kNotFound : ServiceResult::kRefused));
+    }
+  }
+}
+
+// Guards against a state that a later leader has already changed.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a leader that is not confirmed says no passing state") {
+  Lead(1);
+  Call(ServiceVerb::kSubmit);
+  CHECK(Call(ServiceVerb::kState).result == ServiceResult::kOk);
+  confirmed = false;
+  CHECK(Call(ServiceVerb::kState).result == ServiceResult::kRefused);
+  confirmed = true;
+  Call(ServiceVerb::kCancel);
+  confirmed = false;
+  CHECK(Call(ServiceVerb::kState).state == SubmissionState::kCancelled);
+}
+
 // Guards against two leaders that both accept submissions. Writes of a leader
 // whose row was replaced must fail and report the conflict.
 TEST_CASE_FIXTURE(LeaderFixture, "a replaced leader cannot write") {
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -68,7 +68,11 @@
               }
             },
             [](Timing, MonotonicTime) {}, [] {}, [this] { ++conflicts; },
-            [this] { return confirmed; }},
+            [this] { return confirmed; },
+            [this](std::function<void(bool)> done) {
+              questions.push_back(std::move(done));
+              if (answers_questions) AnswerQuestions(true);
+            }},
         options);
     if (epoch > 1 && former_stopped) {
       leader->OnFormerLeaderStopped(base::MonotonicNow());
@@ -153,6 +157,11 @@
     return {run, on_first ? "w1" : "w2", on_first ? "w2" : "w1"};
   }
 
+  /// Answers whether the leader still leads.
+  void AnswerQuestions(bool leads) {
+    for (const auto& done : std::exchange(questions, {})) done(leads);
+  }
+
   void RunFor(MonotonicTime time) {
     const auto stop = loop.After(time, [this] { loop.Stop(); });
     loop.Run();
@@ -178,6 +187,8 @@
   std::vector<VmName> assigned_workers;
   int conflicts = 0;
   bool confirmed = true;
+  bool answers_questions = true;  ///< At once, with true.
+  std::vector<std::function<void(bool)>> questions;
   bool replied = false;
 };
 
--- a/tests/unit/dispatch/leadership_test.cc
+++ b/tests/unit/dispatch/leadership_test.cc
@@ -202,6 +202,60 @@
   CHECK(leadership.confirmed_at() == base::MonotonicNow());
 }
 
+// Guards against an answer on behalf of a leader that was replaced after the
+// confirmation which it relies on was sent.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a question is answered by a renewal sent after it") {
+  leadership.SetLeaderConnected(false);
+  TimeUntilLeading();
+  REQUIRE(leadership.leading());
+  table_timer.reset();
+  RunFor(std::chrono::milliseconds(500));
+  REQUIRE(table.pending() == 1);
+  std::optional<bool> leads;
+  leadership.Confirm([&](bool answer) { leads = answer; });
+  RunFor(std::chrono::milliseconds(10));
+  CHECK_FALSE(leads);
+  SUBCASE("it leads") {
+    table.Step();
+    CHECK_FALSE(leads);
+    REQUIRE(table.pending() == 1);
+    table.Step();
+    CHECK(leads == true);
+  }
+  SUBCASE("it leads, but the reply is lost") {
+    table.Step();
+    table.Step(FaultyTable::Fault::kLoseReply);
+    CHECK_FALSE(leads);
+    table.Step();
+    CHECK(leads == true);
+  }
+  SUBCASE("the table does not confirm") {
+    table.Step(FaultyTable::Fault::kRefuse);
+    CHECK(leads == false);
+  }
+  SUBCASE("it was replaced") {
+    table.Step();
+    table.rows.Transact({{}, {{kLeaderKey, EncodeLeader(Self())}}});
+    table.Step();
+    CHECK(leads == false);
+    CHECK(step_downs == 1);
+  }
+}
+
+// Guards against a paused process that answers before it has learnt that it was
+// replaced.
+TEST_CASE_FIXTURE(FollowerFixture, "a question after a pause is refused") {
+  leadership.SetLeaderConnected(false);
+  TimeUntilLeading();
+  REQUIRE(leadership.leading());
+  table_timer.reset();
+  RunFor(LeadershipOptions().confirmation_timeout + std::chrono::seconds(1));
+  std::optional<bool> leads;
+  leadership.Confirm([&](bool answer) { leads = answer; });
+  CHECK(leads == false);
+}
+
 // Guards against a new leader whose first write conflicts because the table
 // replied to its claim with the table's newest version instead of the row's
 // (scenario trouble-3, seed 11).
