An agent extends a lease only once the leader knows that it has the worker

At 17.2 s all connections are reset. At 24.6 s the leases that the leader knows have expired, and it gives up the runs of hundreds of workers, though the agent attaches and extends leases meanwhile and its reports are on their way: tasks that ended as done are started again. The form of the users' record: many cases at once, from one agent, started after a noted end.

Change: a session extends no lease until the leader has confirmed a ping that was sent after the report of the attachment; the leader handles a channel's messages in order, and it releases a session whose attachment is outdated before it confirms. So a lease that it counts as expired is extended by nobody. An agent gets no more than twice its share of the workers for 1 s after the loss of an agent, at least 64.

Before: "a lease waits until the leader knows of the attachment", "an outdated attachment is released" and "the first agent that returns does not get all workers" describe what was not so (not run on the former code, whose interface lacks the time of the confirmation). Cost: the first extension after an attachment waits for up to 0.3 s and the renewal under way (0.5 s).

--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -74,6 +74,10 @@
   [[nodiscard]] std::optional<MonotonicTime> FollowedSince(
       MonotonicTime now) const;
 
+  /// Number of agents that are connected or were lost a short time ago.
+  [[nodiscard]] std::size_t size() const noexcept {
+    return connected_.size() + lost_.size();
+  }
   /// True if workers may be assigned to the agent: the next leader is certain
   /// to find it in the row, or to find no row of this leader.
   [[nodiscard]] bool Contains(const NodeId& agent) const;
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -62,6 +62,12 @@
   /// Time between the attempts of different agents to reach a worker that none
   /// of them reaches.
   Milliseconds rotation_period{800};
+  /// For this long after the loss of an agent, no agent gets more workers than
+  /// twice its share: after a loss of all connections the first agent that
+  /// returns would get all workers, and attach them after their leases.
+  Milliseconds return_grace_period{1'000};
+  /// An agent may always get this many workers.
+  std::size_t always_assigned = 64;
   /// Maximum number of workers moved between agents per tick.
   int max_moves_per_tick = 4;
   /// Time for agents to attach a worker before the runs that other agents
@@ -297,6 +303,9 @@
   void StartAttachTimer();
   [[nodiscard]] bool MayBeAttached(const FormerWorker& former) const;
   void ApplyKnownRuns(const VmName& vm);
+  /// Handles an event of a session that an agent has no more, or that is about
+  /// to end.
+  void OnOutdatedEvent(const NodeId& agent, const AgentEvent& event);
   void OnUnreachable(WorkerEntry& entry, const NodeId& agent,
                      Milliseconds lease_left);
   /// Time at which the leases that a worker got under former leaders have
@@ -337,6 +346,9 @@
   [[nodiscard]] bool Unreported(const VmName& vm) const {
     return unresolved_.contains(vm) && !former_workers_.contains(vm);
   }
+  /// True if the agent has so many workers that agents which were lost just now
+  /// are waited for.
+  [[nodiscard]] bool HasEnough(std::size_t workers) const;
   /// Removes the workers whose leases have expired.
   void RemoveExpired(MonotonicTime now);
 
@@ -356,6 +368,7 @@
   MonotonicTime started_at_{0};
   MonotonicTime loaded_at_{0};
   std::optional<MonotonicTime> former_stopped_at_;
+  MonotonicTime agent_lost_at_{0};  ///< Time of the last loss of an agent.
   std::uint64_t assignments_issued_ = 0;
 
   /// Callers that wait for a submission to be stored.
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -63,6 +63,7 @@
 
 void GroupLeader::OnAgentDown(const NodeId& agent) {
   base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
+  agent_lost_at_ = base::MonotonicNow();
   const bool replaced = yielding_ || !deps_.confirmed();
   for (auto& [vm, entry] : workers_) {
     entry.failed_agents.erase(agent);
@@ -92,6 +93,15 @@
                       });
 }
 
+bool GroupLeader::HasEnough(std::size_t workers) const {
+  if (workers < options_.always_assigned || agent_lost_at_.count() == 0 ||
+      base::MonotonicNow() - agent_lost_at_ > options_.return_grace_period) {
+    return false;
+  }
+  const std::size_t agents = std::max<std::size_t>(agent_register_.size(), 1);
+  return workers * agents >= 2 * workers_.size();
+}
+
 std::optional<NodeId> GroupLeader::PickAgent(const WorkerEntry& entry) const {
   const auto former = former_workers_.find(entry.info.vm);
   const bool unresolved = unresolved_.contains(entry.info.vm);
@@ -102,6 +112,7 @@
         former->second.agents.contains(agent)) {
       return agent;
     }
+    if (HasEnough(static_cast<std::size_t>(info.workers))) continue;
     if (!best || info.workers < agents_.at(*best).workers) best = agent;
   }
   const bool may_be_reported =
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -236,16 +236,11 @@
 
 void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
   const auto it = workers_.find(event.vm);
-  if (it == workers_.end()) return;
+  const bool is_current = it != workers_.end() && it->second.agent == agent &&
+                          it->second.fence == event.assignment;
+  if (!is_current) return OnOutdatedEvent(agent, event);
   WorkerEntry& entry = it->second;
   const MonotonicTime now = base::MonotonicNow();
-  if (entry.agent != agent || entry.fence != event.assignment) {
-    // Before it received its release, the agent may have renewed the lease.
-    if (std::holds_alternative<Attached>(event.details)) {
-      RaiseLeaseBound(entry, LeaseExpiry());
-    }
-    return;
-  }
   if (std::holds_alternative<Attached>(event.details)) {
     entry.attached = true;
     entry.inherited = false;
@@ -279,6 +274,18 @@
   RequestDecision();
 }
 
+void GroupLeader::OnOutdatedEvent(const NodeId& agent,
+                                  const AgentEvent& event) {
+  if (!std::holds_alternative<Attached>(event.details)) return;
+  const auto it = workers_.find(event.vm);
+  const bool stays = it != workers_.end() && it->second.agent == agent;
+  // It extends the lease once it knows that the event was handled. A newer
+  // assignment, which is on its way, ends that session, too.
+  if (!stays) deps_.send(agent, Release{event.vm});
+  // An agent of a former version may have extended the lease already.
+  if (it != workers_.end()) RaiseLeaseBound(it->second, LeaseExpiry());
+}
+
 void GroupLeader::OnUnreachable(WorkerEntry& entry, const NodeId& agent,
                                 Milliseconds lease_left) {
   const VmName vm = entry.info.vm;
--- a/src/dispatch/node/leader_contact.hpp
+++ b/src/dispatch/node/leader_contact.hpp
@@ -31,6 +31,7 @@
 
   /// @param sent_at time at which the confirmed ping was sent.
   void OnConfirmed(MonotonicTime sent_at, Permission permission) {
+    confirmed_at_ = std::max(confirmed_at_, sent_at);
     if (permission >= Permission::kLeases) {
       leases_since_ = std::max(leases_since_, sent_at);
     }
@@ -41,7 +42,7 @@
 
   void OnLost() noexcept {
     connected_ = false;
-    leases_since_ = starts_since_ = MonotonicTime(0);
+    leases_since_ = starts_since_ = confirmed_at_ = MonotonicTime(0);
   }
 
   [[nodiscard]] Permission At(MonotonicTime now) const noexcept {
@@ -53,6 +54,13 @@
                                        : Permission::kNone;
   }
 
+  /// True if the leader has handled all that was sent to it up to this time,
+  /// since it handles the messages of a channel in order. Not known of a
+  /// version that confirms no pings, and then taken for granted.
+  [[nodiscard]] bool HasHandled(MonotonicTime sent_at) const noexcept {
+    return connected_ && (!confirms_pings_ || confirmed_at_ >= sent_at);
+  }
+
  private:
   [[nodiscard]] bool IsValid(MonotonicTime since,
                              MonotonicTime now) const noexcept {
@@ -64,6 +72,7 @@
   bool confirms_pings_ = false;
   MonotonicTime leases_since_{0};  ///< 0 if there is no permission.
   MonotonicTime starts_since_{0};
+  MonotonicTime confirmed_at_{0};  ///< Newest message that was confirmed.
 };
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -32,7 +32,11 @@
       agent_(
           deps_.loop, deps_.make_link, options_.session,
           [this](AgentEvent event) { OnAgentEvent(std::move(event)); },
-          [this] { return permission(); }, deps_.observe),
+          {[this] { return permission(); },
+           [this](MonotonicTime emitted_at) {
+             return LeaderHasHandled(emitted_at);
+           }},
+          deps_.observe),
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
@@ -135,6 +139,11 @@
   return leader_ ? AgentPermission() : contact_.At(base::MonotonicNow());
 }
 
+bool Node::LeaderHasHandled(MonotonicTime emitted_at) const {
+  return leader_ ? own_event_handled_at_ >= emitted_at
+                 : contact_.HasHandled(emitted_at);
+}
+
 Permission Node::AgentPermission() const {
   if (!leader_) return Permission::kNone;
   const PermissionTimeouts& timeouts = options_.leader.permission_timeouts;
@@ -481,8 +490,11 @@
   }
   // Deferred, since a session may emit an event while it executes a command
   // that the leader is issuing.
-  deps_.loop.Post([this, alive = alive_, event = std::move(event)] {
-    if (*alive && leader_) leader_->OnAgentEvent(options_.node, event);
+  deps_.loop.Post([this, alive = alive_, event = std::move(event),
+                   emitted_at = base::MonotonicNow()] {
+    if (!*alive || !leader_) return;
+    leader_->OnAgentEvent(options_.node, event);
+    own_event_handled_at_ = emitted_at;
   });
 }
 
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -125,6 +125,9 @@
   void Announce(bool leading);
 
   void OnAgentEvent(AgentEvent event);
+  /// True if the leader has handled all events of this node's agent up to this
+  /// time.
+  [[nodiscard]] bool LeaderHasHandled(MonotonicTime emitted_at) const;
   /// What this node permits its agents as the leader.
   [[nodiscard]] Permission AgentPermission() const;
   /// True if the agents are to confirm that they follow, since the table has
@@ -138,6 +141,8 @@
   std::unique_ptr<Leadership> leadership_;
   ChannelListener listener_;
   std::unique_ptr<GroupLeader> leader_;
+  /// Time at which the agent emitted the newest event that was handled here.
+  MonotonicTime own_event_handled_at_{0};
   Permission logged_permission_ = Permission::kStarts;
   OverloadDetector overload_;
   MonotonicTime overload_check_due_{0};
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -21,7 +21,7 @@
   auto link = make_link_(assignment.worker);
   auto session =
       WorkerSession::Create(loop_, std::move(link), std::move(assignment),
-                            options_, emit_, permission_, observe_);
+                            options_, emit_, leader_, observe_);
   if (former != nullptr) {
     session->ContinueFrom(*former);
     EndSession(vm);
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -21,13 +21,13 @@
       std::function<std::shared_ptr<WorkerLink>(const WorkerInfo&)>;
 
   Agent(base::EventLoop& loop, MakeLink make_link, WorkerSessionOptions options,
-        WorkerSession::Emit emit, WorkerSession::GetPermission permission,
+        WorkerSession::Emit emit, WorkerSession::LeaderView leader,
         ObserveTiming observe)
       : loop_(loop),
         make_link_(std::move(make_link)),
         options_(options),
         emit_(std::move(emit)),
-        permission_(std::move(permission)),
+        leader_(std::move(leader)),
         observe_(std::move(observe)),
         last_grant_at_(base::MonotonicNow()) {}
   ~Agent() { ReleaseAll(); }
@@ -73,7 +73,7 @@
   MakeLink make_link_;
   WorkerSessionOptions options_;
   WorkerSession::Emit emit_;
-  WorkerSession::GetPermission permission_;
+  WorkerSession::LeaderView leader_;
   ObserveTiming observe_;
   std::map<VmName, std::shared_ptr<WorkerSession>> sessions_;
   /// Time of the last lease granted by a session that has ended; the start of
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -21,23 +21,23 @@
 std::shared_ptr<WorkerSession> WorkerSession::Create(
     base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
     Assignment assignment, WorkerSessionOptions options, Emit emit,
-    GetPermission permission, ObserveTiming observe) {
+    LeaderView leader, ObserveTiming observe) {
   return std::shared_ptr<WorkerSession>(new WorkerSession(
       loop, std::move(link), std::move(assignment), options, std::move(emit),
-      std::move(permission), std::move(observe)));
+      std::move(leader), std::move(observe)));
 }
 
 WorkerSession::WorkerSession(base::EventLoop& loop,
                              std::shared_ptr<WorkerLink> link,
                              Assignment assignment,
                              WorkerSessionOptions options, Emit emit,
-                             GetPermission permission, ObserveTiming observe)
+                             LeaderView leader, ObserveTiming observe)
     : loop_(loop),
       link_(std::move(link)),
       assignment_(std::move(assignment)),
       options_(options),
       emit_(std::move(emit)),
-      permission_(std::move(permission)),
+      leader_(std::move(leader)),
       observe_(std::move(observe)),
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
@@ -144,18 +144,23 @@
       static_cast<std::uint64_t>((elapsed + options_.lease).count()));
 }
 
+bool WorkerSession::MayExtend() const {
+  return extends_lease_ && attached_at_.count() > 0 &&
+         leader_.permission() >= Permission::kLeases &&
+         leader_.has_handled(attached_at_);
+}
+
 void WorkerSession::SendRenew(Milliseconds wait) {
   if (closed_ || renew_in_flight_) return;
   renew_timer_.reset();
   renew_in_flight_ = true;
   const std::uint64_t generation = ++renew_generation_;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
-  const bool extends = extends_lease_ && permission_() >= Permission::kLeases;
   const RenewCommand command =
       process_unconfirmed_
           ? RenewCommand{fence_, {}, {}, wait}
           : RenewCommand{fence_, acknowledged_,
-                         extends ? NextLeaseEnd() : WorkerTime(), wait};
+                         MayExtend() ? NextLeaseEnd() : WorkerTime(), wait};
   link_->RenewLease(command, [self = shared_from_this(),
                               generation](const Result<RenewReply>& result) {
     self->OnRenewReply(result, generation);
@@ -202,6 +207,7 @@
 void WorkerSession::ReportUnreachable() {
   if (unreachable_reported_) return;
   unreachable_reported_ = true;
+  attached_at_ = MonotonicTime(0);
   // Commands sent before the worker became unreachable may still be in flight.
   RaiseFence();
   // The leader may give up the runs once the lease has expired.
@@ -298,6 +304,7 @@
     reported_end_ = std::max(reported_end_, end.number);
   }
   silent_since_ = MonotonicTime(0);
+  if (attached_at_.count() == 0) attached_at_ = base::MonotonicNow();
   Report(std::move(attached));
 }
 
@@ -333,7 +340,7 @@
 }
 
 void WorkerSession::SendWaitingStarts() {
-  if (permission_() < Permission::kStarts) return;
+  if (leader_.permission() < Permission::kStarts) return;
   for (StartRun& start : std::exchange(waiting_starts_, {})) {
     SendStart(std::move(start));
   }
@@ -359,7 +366,8 @@
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
   if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
-  if (!synced_ || process_unconfirmed_ || permission_() < Permission::kStarts) {
+  if (!synced_ || process_unconfirmed_ ||
+      leader_.permission() < Permission::kStarts) {
     waiting_starts_.push_back(std::move(command));
     return;
   }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -51,13 +51,18 @@
 class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
  public:
   using Emit = std::function<void(AgentEvent)>;
-  /// What the leader permits at present.
-  using GetPermission = std::function<Permission()>;
+  /// What this node knows of its leader.
+  struct LeaderView {
+    /// What it permits at present.
+    std::function<Permission()> permission;
+    /// True if it has handled all events that were emitted up to this time.
+    std::function<bool(MonotonicTime emitted_at)> has_handled;
+  };
 
   [[nodiscard]] static std::shared_ptr<WorkerSession> Create(
       base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
       Assignment assignment, WorkerSessionOptions options, Emit emit,
-      GetPermission permission, ObserveTiming observe);
+      LeaderView leader, ObserveTiming observe);
 
   /// Sends the first renewal.
   void Begin();
@@ -127,7 +132,7 @@
 
   WorkerSession(base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
                 Assignment assignment, WorkerSessionOptions options, Emit emit,
-                GetPermission permission, ObserveTiming observe);
+                LeaderView leader, ObserveTiming observe);
 
   /// Renews the lease; the worker replies after `wait` at the latest.
   void SendRenew(Milliseconds wait);
@@ -171,6 +176,8 @@
   void RaiseLeaseBound(Milliseconds lease);
   /// End of a new lease on the worker's clock; 0 if that clock is not known.
   [[nodiscard]] WorkerTime NextLeaseEnd();
+  /// True if a renewal may extend the lease.
+  [[nodiscard]] bool MayExtend() const;
   void ReportUnreachable();
   /// Closes the session, since the worker's process has terminated.
   void CloseEnded();
@@ -180,7 +187,7 @@
   Assignment assignment_;
   WorkerSessionOptions options_;
   Emit emit_;
-  GetPermission permission_;
+  LeaderView leader_;
   ObserveTiming observe_;
   WorkerFence fence_;
   /// Sequence number of the awaited renewal; replies to previous ones are
@@ -216,6 +223,10 @@
   MonotonicTime lease_expires_at_{0};
   MonotonicTime last_grant_at_{0};
   bool extends_lease_ = true;
+  /// Time at which the worker was reported as attached; 0 while the leader may
+  /// take it for unreachable. Until the leader has handled the report it may
+  /// give up the runs at the end of the lease that it knows.
+  MonotonicTime attached_at_{0};
   bool lease_known_ = false;  ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
--- a/tests/unit/dispatch/cut_off_leader_test.cc
+++ b/tests/unit/dispatch/cut_off_leader_test.cc
@@ -182,7 +182,9 @@
             if (leader != nullptr) leader->OnAgentEvent(id, event);
           });
         },
-        [this, id] { return PermissionOf(id); }, [](Timing, MonotonicTime) {});
+        WorkerSession::LeaderView{[this, id] { return PermissionOf(id); },
+                                  [](MonotonicTime) { return true; }},
+        [](Timing, MonotonicTime) {});
   }
 
   /// What the first leader permits on its own side, since the table confirms no
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -303,6 +303,53 @@
   CHECK(Call(ServiceVerb::kState).state == SubmissionState::kCancelled);
 }
 
+// Guards against a lease that an agent extends after the leader has given the
+// worker to another one (TWICE): the agent takes its report for handled.
+TEST_CASE_FIXTURE(LeaderFixture, "an outdated attachment is released") {
+  Lead(1);
+  ConnectAgent("other");
+  ListWorkers({"w1"});
+  const NodeId first = newest.at(VmName("w1")).agent;
+  const WorkerFence fence = fences.at(VmName("w1"));
+  Event("w1", WorkerUnreachable{Milliseconds(0)});
+  REQUIRE(newest.at(VmName("w1")).agent != first);
+  releases.clear();
+  leader->OnAgentEvent(
+      first,
+      {VmName("w1"), fence, Attached{WorkerIncarnation(1), 1'000, {}, {}, {}}});
+  CHECK(releases == std::vector{std::pair(first, VmName("w1"))});
+  releases.clear();
+  leader->OnAgentEvent(
+      first,
+      {VmName("w9"), fence, Attached{WorkerIncarnation(1), 1'000, {}, {}, {}}});
+  CHECK(releases == std::vector{std::pair(first, VmName("w9"))});
+}
+
+// Guards against workers whose leases expire since one agent has to attach all
+// of them: all connections were reset, and it was the first to return.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "the first agent that returns does not get all workers") {
+  options.always_assigned = 2;
+  Lead(1);
+  for (const char* agent : {"a2", "a3", "a4"}) ConnectAgent(agent);
+  ListWorkers({"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"});
+  for (const char* agent : {"agent", "a2", "a3", "a4"}) {
+    leader->OnAgentDown(NodeId(agent));
+  }
+  newest.clear();
+  leader->OnAgentUp(NodeId("a2"), DataCenter("dc"));
+  RunFor(std::chrono::milliseconds(300));
+  CHECK(newest.size() == 4);
+  SUBCASE("the others return") {
+    leader->OnAgentUp(NodeId("a3"), DataCenter("dc"));
+    CHECK(newest.size() == 8);
+  }
+  SUBCASE("they do not return") {
+    RunFor(options.return_grace_period);
+    CHECK(newest.size() == 8);
+  }
+}
+
 // Guards against two leaders that both accept submissions. Writes of a leader
 // whose row was replaced must fail and report the conflict.
 TEST_CASE_FIXTURE(LeaderFixture, "a replaced leader cannot write") {
--- a/tests/unit/dispatch/paged_ends_test.cc
+++ b/tests/unit/dispatch/paged_ends_test.cc
@@ -37,7 +37,9 @@
     session = WorkerSession::Create(
         loop, link, assignment, WorkerSessionOptions(),
         [this](AgentEvent event) { events.push_back(std::move(event)); },
-        [this] { return permission; }, [](Timing, MonotonicTime) {});
+        {[this] { return permission; },
+         [this](MonotonicTime emitted_at) { return emitted_at <= handled_at; }},
+        [](Timing, MonotonicTime) {});
     session->Begin();
     RunFor(Milliseconds(20));
   }
--- a/tests/unit/dispatch/worker_session_fixture.hpp
+++ b/tests/unit/dispatch/worker_session_fixture.hpp
@@ -91,7 +91,9 @@
     session = WorkerSession::Create(
         loop, link, assignment, WorkerSessionOptions(),
         [this](AgentEvent event) { events.push_back(std::move(event)); },
-        [this] { return permission; }, [](Timing, MonotonicTime) {});
+        {[this] { return permission; },
+         [this](MonotonicTime emitted_at) { return emitted_at <= handled_at; }},
+        [](Timing, MonotonicTime) {});
     session->Begin();
   }
   ~SessionFixture() { session->Close(); }
@@ -133,6 +135,8 @@
   std::shared_ptr<FakeLink> link = std::make_shared<FakeLink>(loop);
   std::vector<AgentEvent> events;
   Permission permission = Permission::kStarts;
+  /// The leader has handled all events up to this time.
+  MonotonicTime handled_at = MonotonicTime::max();
   std::shared_ptr<WorkerSession> session;
 };
 
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -271,6 +271,32 @@
   CHECK(session->last_grant_at() > granted_at);
 }
 
+// Guards against a lease that is extended while the leader, which has not read
+// of the attachment yet, gives up the runs when the former lease expires
+// (TWICE).
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a lease waits until the leader knows of the attachment") {
+  const auto extends = [&] {
+    const MonotonicTime granted_at = session->last_grant_at();
+    RunFor(Milliseconds(1'200));
+    return session->last_grant_at() > granted_at;
+  };
+  CHECK(extends());
+  link->unresponsive = true;
+  RunFor(Milliseconds(3'000));
+  REQUIRE(Count<WorkerUnreachable>() == 1);
+  handled_at = base::MonotonicNow();
+  link->unresponsive = false;
+  const int attached = Count<Attached>();
+  CHECK_FALSE(extends());
+  CHECK(Count<Attached>() > attached);
+  handled_at = base::MonotonicNow();
+  CHECK(extends());
+  // It stays known.
+  handled_at -= Milliseconds(500);
+  CHECK(extends());
+}
+
 // Guards against a run that is started after its leader has given it up.
 TEST_CASE_FIXTURE(SessionFixture, "a start waits for permission") {
   RunFor(Milliseconds(50));
@@ -323,7 +349,9 @@
   const auto next = WorkerSession::Create(
       loop, link, assignment, WorkerSessionOptions(),
       [this](AgentEvent event) { events.push_back(std::move(event)); },
-      [this] { return permission; }, [](Timing, MonotonicTime) {});
+      {[this] { return permission; },
+       [this](MonotonicTime emitted_at) { return emitted_at <= handled_at; }},
+      [](Timing, MonotonicTime) {});
   REQUIRE_FALSE(next->CollectRuns());
   next->ContinueFrom(*session);
   session->Close();
