--- a/tests/integration/soak/faults.cc
+++ b/tests/integration/soak/faults.cc
@@ -18,6 +18,9 @@
 /// The check of a stopped node waits at least this long for its exit.
 constexpr Milliseconds kMinStopWait{1'000};
 constexpr Milliseconds kPollInterval{10};
+/// A starved node is paused and runs by turns.
+constexpr Milliseconds kStarvedPause{80};
+constexpr Milliseconds kStarvedRun{20};
 
 }  // namespace
 
@@ -187,15 +190,13 @@
 }
 
 void FaultInjector::StarveNode(std::size_t node, Clock::time_point until) {
-  constexpr Milliseconds kPaused{80};
-  constexpr Milliseconds kRunning{20};
   if (is_down_[node] || ending_ || Clock::now() > until) return;
   paused_until_[node] = std::max(paused_until_[node], until);
   cluster_.node(node).Pause();
-  Schedule(kPaused, [this, node, until] {
+  Schedule(kStarvedPause, [this, node, until] {
     if (is_down_[node]) return;
     cluster_.node(node).Resume();
-    Schedule(kRunning, [this, node, until] { StarveNode(node, until); });
+    Schedule(kStarvedRun, [this, node, until] { StarveNode(node, until); });
   });
 }
 
