Log each claim of the leader's role with its reason and result

A node that claims over a healthy leader could not be told from one that claims after the leader was lost: no line said why it claims or what it knew by then.

Event 1825 (leadership_claimed) has the reason, the leader to be followed, the result and whether another leader was known by then. No logic changes.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -299,6 +299,8 @@
       return {"exception_dropped", Severity::kWarning};
     case Event::kPermissionChanged:
       return {"permission_changed", Severity::kInfo};
+    case Event::kLeadershipClaimed:
+      return {"leadership_claimed", Severity::kInfo};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -98,6 +98,7 @@
   kTakeoverWaits = 1822,
   kExceptionDropped = 1823,
   kPermissionChanged = 1824,
+  kLeadershipClaimed = 1825,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 #include "base/events.hpp"
@@ -13,6 +14,34 @@
 
 using Status = TransactResult::Status;
 
+std::string_view StatusName(Status status) noexcept {
+  switch (status) {
+    case Status::kCommitted:
+      return "committed";
+    case Status::kConflict:
+      return "conflict";
+    case Status::kRejected:
+      return "rejected";
+    case Status::kUnavailable:
+      return "unavailable";
+    default:
+      return "unknown";
+  }
+}
+
+void LogClaim(const TransactResult& result, ContendReason reason,
+              const std::optional<LeaderRecord>& over,
+              const std::optional<LeaderRecord>& known) {
+  const bool superseded =
+      known && (!over || known->epoch.value() > over->epoch.value());
+  base::Log(base::Event::kLeadershipClaimed,
+            {{"reason", ContendReasonName(reason)},
+             {"over", over ? over->node.str() : ""},
+             {"over_epoch", over ? over->epoch.value() : 0},
+             {"result", StatusName(result.status)},
+             {"superseded", superseded ? 1 : 0}});
+}
+
 }  // namespace
 
 Leadership::Leadership(base::EventLoop& loop, Table& table, LeaderRecord self,
@@ -45,7 +74,7 @@
   heartbeat_timeout_start_ = base::MonotonicNow();
   heartbeat_version_ = RowVersion();
   connected_ = refused_ = leader_yielding_ = false;
-  if (!leader_) return ScheduleContend();
+  if (!leader_) return ScheduleContend(ContendReason::kNoLeader);
   const bool self_leads = leader_->IsProcess(self_.node, self_.incarnation);
   if (leading_ && (!self_leads || leader_->epoch != self_.epoch)) {
     base::Log(base::Event::kLeaderLost, {{"leader", self_.node.str()},
@@ -72,7 +101,9 @@
   unknown_claim_at_.reset();
   hooks_.on_leader_changed(*leader_);
   // A previous process on this VM led; it has certainly ended.
-  if (leader_->node == self_.node && !self_leads) ScheduleContend();
+  if (leader_->node == self_.node && !self_leads) {
+    ScheduleContend(ContendReason::kRestarted);
+  }
 }
 
 void Leadership::SetLeaderConnected(bool connected) {
@@ -85,7 +116,7 @@
   if (!connected) Check();
 }
 
-void Leadership::OnLeaderDenied() { ScheduleContend(); }
+void Leadership::OnLeaderDenied() { ScheduleContend(ContendReason::kDenied); }
 
 void Leadership::SetLeaderYielding(bool yielding) {
   if (leader_yielding_ == yielding || leading_) return;
@@ -93,7 +124,7 @@
   heartbeat_version_ = RowVersion();
   heartbeat_timeout_start_ = base::MonotonicNow();
   contend_timer_.reset();
-  if (yielding) ScheduleContend();
+  if (yielding) ScheduleContend(ContendReason::kYielding);
 }
 
 void Leadership::SetOverloaded(bool overloaded) {
@@ -108,8 +139,9 @@
                          options_.confirmation_timeout;
 }
 
-void Leadership::ScheduleContend() {
+void Leadership::ScheduleContend(ContendReason reason) {
   if (contending_ || resigned_ || leading_ || contend_timer_.active()) return;
+  contend_reason_ = reason;
   const std::size_t jitter =
       std::hash<NodeId>()(self_.node) %
       static_cast<std::size_t>(options_.max_contend_jitter.count());
@@ -158,13 +190,17 @@
     transaction.writes.push_back({kAgentsKey, EncodeAgentsRow(*row)});
   }
   table_.Transact(std::move(transaction),
-                  [this, alive = alive_](const TransactResult& result) {
-                    if (*alive) OnContendResult(result);
+                  [this, alive = alive_, reason = contend_reason_,
+                   over = leader_](const TransactResult& result) {
+                    if (*alive) OnContendResult(result, reason, over);
                   });
 }
 
-void Leadership::OnContendResult(const TransactResult& result) {
+void Leadership::OnContendResult(const TransactResult& result,
+                                 ContendReason reason,
+                                 const std::optional<LeaderRecord>& over) {
   contending_ = claiming_ = false;
+  LogClaim(result, reason, over, leader_);
   if (result.status == Status::kUnknown && !leading_) {
     unknown_claim_at_ = contended_at_;
   }
@@ -176,7 +212,7 @@
       result.status == Status::kConflict &&
       std::find(result.failed_keys.begin(), result.failed_keys.end(),
                 kAgentsKey) != result.failed_keys.end();
-  if (agents_changed) ScheduleContend();
+  if (agents_changed) ScheduleContend(reason);
 }
 
 bool Leadership::may_be_elected() const noexcept {
@@ -199,7 +235,7 @@
 void Leadership::Check() {
   if (leading_ || resigned_ || (connected_ && !leader_yielding_)) return;
   if (!row_known_) return ReadRow();
-  if (!leader_) return ScheduleContend();
+  if (!leader_) return ScheduleContend(ContendReason::kNoLeader);
   table_.Read({{kHeartbeatKey}, {}}, [this, alive = alive_](
                                          const Result<std::vector<Row>>& rows) {
     if (!*alive || !rows.ok()) return;
@@ -220,7 +256,8 @@
                : options_.heartbeat_timeout;
   if (now - heartbeat_timeout_start_ < heartbeat_timeout) return;
   heartbeat_timeout_start_ = now;
-  ScheduleContend();
+  ScheduleContend(leader_yielding_ ? ContendReason::kYielding
+                                   : ContendReason::kHeartbeatStopped);
 }
 
 void Leadership::Confirm(std::function<void(bool leads)> done) {
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -9,6 +9,7 @@
 
 #include "base/loop/event_loop.hpp"
 #include "dispatch/leader/agents_row.hpp"
+#include "dispatch/leader/contend_reason.hpp"
 #include "dispatch/leader/leader_record.hpp"
 #include "mangospread/ids.hpp"
 #include "mangospread/platform/table.hpp"
@@ -122,8 +123,10 @@
   void Contend();
   /// @param agents the row with the present leader's agents, or none.
   void Claim(const std::vector<Row>& agents);
-  void ScheduleContend();
-  void OnContendResult(const TransactResult& result);
+  void ScheduleContend(ContendReason reason);
+  /// @param over the leader that the claim was to replace.
+  void OnContendResult(const TransactResult& result, ContendReason reason,
+                       const std::optional<LeaderRecord>& over);
   void ReadRow();
   void Check();
   void OnHeartbeat(RowVersion version);
@@ -156,6 +159,8 @@
   bool connected_ = false;
   bool refused_ = false;
   bool contending_ = false;
+  /// Of the scheduled or running attempt.
+  ContendReason contend_reason_ = ContendReason::kNoLeader;
   bool renewing_ = false;
   bool yielding_ = false;
   bool table_lost_ = false;       ///< This leader yields without the table.
