The loser of an election follows the winner

Cause: all claims of an election condition on the row of agents, which the winner's claim writes. A loser took that conflict for a change by the former leader and claimed again. If it had heard of the winner before the reply to its own claim (feed or hello), the new claim was against the winner. The same class elsewhere in Leadership: a claim that was due (heartbeat stopped, leader denied) was not cancelled when the leader was connected again.

Change: each attempt has a reason. It ends with a new leader, a connection to the leader, a renewed heartbeat or the end of yielding, and nothing is claimed without it. A claim is repeated only if the row of agents has changed and the leader's row has not.

--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -29,6 +29,17 @@
   }
 }
 
+/// True if the former leader has stored other agents since they were read. A
+/// winner of the election writes both rows.
+bool OnlyAgentsChanged(const TransactResult& result) {
+  const auto failed = [&](const char* key) {
+    return std::find(result.failed_keys.begin(), result.failed_keys.end(),
+                     key) != result.failed_keys.end();
+  };
+  return result.status == Status::kConflict && failed(kAgentsKey) &&
+         !failed(kLeaderKey);
+}
+
 void LogClaim(const TransactResult& result, ContendReason reason,
               const std::optional<LeaderRecord>& over,
               const std::optional<LeaderRecord>& known) {
@@ -70,7 +81,7 @@
     return;
   }
   leader_ = leader;
-  contend_timer_.reset();
+  CancelContend();
   heartbeat_timeout_start_ = base::MonotonicNow();
   heartbeat_version_ = RowVersion();
   connected_ = refused_ = leader_yielding_ = false;
@@ -110,6 +121,7 @@
   if (connected_ == connected) return;
   connected_ = connected;
   refused_ = leader_yielding_ = false;
+  if (connected) CancelContend();
   heartbeat_version_ = RowVersion();
   heartbeat_timeout_start_ = base::MonotonicNow();
   // The heartbeat timeout starts with the first read of the heartbeat row.
@@ -123,7 +135,7 @@
   leader_yielding_ = yielding;
   heartbeat_version_ = RowVersion();
   heartbeat_timeout_start_ = base::MonotonicNow();
-  contend_timer_.reset();
+  CancelContend();
   if (yielding) ScheduleContend(ContendReason::kYielding);
 }
 
@@ -134,6 +146,11 @@
   UpdateYielding();
 }
 
+void Leadership::CancelContend() {
+  contend_timer_.reset();
+  contend_reason_.reset();
+}
+
 bool Leadership::confirmed() const noexcept {
   return leading_ && base::MonotonicNow() - renewal_result_at_ <=
                          options_.confirmation_timeout;
@@ -152,17 +169,17 @@
 
 void Leadership::Contend() {
   if (contending_ || resigned_ || leading_ || !row_known_) return;
+  if (!contend_reason_) return;
   contending_ = true;
   if (!leader_) return Claim({});
   table_.Read({{kAgentsKey}, {}},
-              [this, alive = alive_,
-               epoch = leader_->epoch](const Result<std::vector<Row>>& rows) {
+              [this, alive = alive_](const Result<std::vector<Row>>& rows) {
                 if (!*alive) return;
-                const bool same = leader_ && leader_->epoch == epoch;
-                if (rows.ok() && same && !resigned_ && !leading_) {
+                if (rows.ok() && contend_reason_ && !resigned_ && !leading_) {
                   return Claim(rows.value());
                 }
                 contending_ = false;
+                contend_reason_.reset();
               });
 }
 
@@ -190,7 +207,7 @@
     transaction.writes.push_back({kAgentsKey, EncodeAgentsRow(*row)});
   }
   table_.Transact(std::move(transaction),
-                  [this, alive = alive_, reason = contend_reason_,
+                  [this, alive = alive_, reason = *contend_reason_,
                    over = leader_](const TransactResult& result) {
                     if (*alive) OnContendResult(result, reason, over);
                   });
@@ -207,12 +224,9 @@
   // The row names the winner and has the exact version; the feed may lag or be
   // down.
   if (result.status != Status::kUnavailable) ReadRow();
-  // The former leader has stored other agents since they were read.
-  const bool agents_changed =
-      result.status == Status::kConflict &&
-      std::find(result.failed_keys.begin(), result.failed_keys.end(),
-                kAgentsKey) != result.failed_keys.end();
-  if (agents_changed) ScheduleContend(reason);
+  const bool repeats = contend_reason_ && OnlyAgentsChanged(result);
+  contend_reason_.reset();
+  if (repeats) ScheduleContend(reason);
 }
 
 bool Leadership::may_be_elected() const noexcept {
@@ -249,6 +263,7 @@
   if (version != heartbeat_version_) {
     heartbeat_version_ = version;
     heartbeat_timeout_start_ = now;
+    if (contend_reason_ == ContendReason::kHeartbeatStopped) CancelContend();
     return;
   }
   const Milliseconds heartbeat_timeout =
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -124,6 +124,8 @@
   /// @param agents the row with the present leader's agents, or none.
   void Claim(const std::vector<Row>& agents);
   void ScheduleContend(ContendReason reason);
+  /// Gives up what is scheduled, and what waits for the row of agents.
+  void CancelContend();
   /// @param over the leader that the claim was to replace.
   void OnContendResult(const TransactResult& result, ContendReason reason,
                        const std::optional<LeaderRecord>& over);
@@ -159,8 +161,8 @@
   bool connected_ = false;
   bool refused_ = false;
   bool contending_ = false;
-  /// Of the scheduled or running attempt.
-  ContendReason contend_reason_ = ContendReason::kNoLeader;
+  /// Of the scheduled or running attempt; nullopt once it no longer holds.
+  std::optional<ContendReason> contend_reason_;
   bool renewing_ = false;
   bool yielding_ = false;
   bool table_lost_ = false;       ///< This leader yields without the table.
