A takeover counts from the former leader's last confirmation

Change: the next leader counts from the later of the last renewal that the heartbeat row shows and the last message that it confirmed itself. The row now has a counter, each claim conditions on it and writes its own, and a renewal without a reply counts only once its counter was read back, from the time at which it was sent. A claim because of a stopped heartbeat fails if the leader renews meanwhile.

--- a/src/dispatch/leader/former_leaders.cc
+++ b/src/dispatch/leader/former_leaders.cc
@@ -15,16 +15,18 @@
 }
 
 MonotonicTime FormerLeaders::LimitOfSilent(const FormerLeader& leader) const {
-  const bool is_last = leader == leaders_.back();
-  const MonotonicTime replaced_by = is_last ? elected_at_ : last_elected_by_;
-  MonotonicTime limit = replaced_by + timeouts_.undivided;
-  if (!leader.undivided) {
-    // Until it was elected, the agent may have confirmed that it follows.
-    const bool newly = newly_divided_.contains(leader.node);
-    limit =
-        std::min(limit, (newly ? elected_at_ : replaced_by) + timeouts_.leases);
+  if (leader == leaders_.back()) {
+    const MonotonicTime limit =
+        last_confirmed_by_ +
+        (leader.undivided ? timeouts_.undivided : timeouts_.leases);
+    return std::min(limit, LimitOfLast());
   }
-  return is_last ? std::min(limit, LimitOfLast()) : limit;
+  const MonotonicTime limit = last_elected_by_ + timeouts_.undivided;
+  if (leader.undivided) return limit;
+  // Until it was elected, the agent may have confirmed that it follows.
+  const bool newly = newly_divided_.contains(leader.node);
+  return std::min(limit,
+                  (newly ? elected_at_ : last_elected_by_) + timeouts_.leases);
 }
 
 MonotonicTime FormerLeaders::LimitOf(const FormerLeader& leader) const {
--- a/src/dispatch/leader/former_leaders.hpp
+++ b/src/dispatch/leader/former_leaders.hpp
@@ -24,10 +24,14 @@
   /// @param elected_at time at which this leader was elected.
   /// @param last_elected_by the last former leader had been elected, and so all
   ///   the others replaced.
+  /// @param last_confirmed_by the last former leader had sent all renewals that
+  ///   the table has confirmed, and all messages that this node has.
   FormerLeaders(MonotonicTime elected_at, MonotonicTime last_elected_by,
+                MonotonicTime last_confirmed_by,
                 const PermissionTimeouts& timeouts)
       : elected_at_(elected_at),
         last_elected_by_(last_elected_by),
+        last_confirmed_by_(last_confirmed_by),
         timeouts_(timeouts) {}
 
   /// @param agents those of the last leader, all of which have to follow it
@@ -78,6 +82,7 @@
 
   MonotonicTime elected_at_;
   MonotonicTime last_elected_by_;
+  MonotonicTime last_confirmed_by_;
   PermissionTimeouts timeouts_;
   std::vector<FormerLeader> leaders_;
   std::set<NodeId> agents_;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -64,6 +64,7 @@
       started_at_(base::MonotonicNow()),
       agent_register_(deps_.leadership.epoch, deps_.self),
       former_leaders_(started_at_, FormerElectedBy(),
+                      deps_.former_confirmed_by.value_or(started_at_),
                       options_.permission_timeouts) {
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -118,6 +118,10 @@
   std::optional<LeaderRecord> former_leader = std::nullopt;
   /// Time at which that one had been elected; nullopt if it is not known.
   std::optional<MonotonicTime> former_elected_by = std::nullopt;
+  /// Time by which it had sent all renewals of its leadership that the table
+  /// has confirmed, and all messages that this node has; nullopt if it is not
+  /// known.
+  std::optional<MonotonicTime> former_confirmed_by = std::nullopt;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -29,15 +29,34 @@
   }
 }
 
-/// True if the former leader has stored other agents since they were read. A
-/// winner of the election writes both rows.
-bool OnlyAgentsChanged(const TransactResult& result) {
+/// Separates the parts of the heartbeat row's value. Former versions store the
+/// epoch alone.
+constexpr char kHeartbeatSeparator = ' ';
+
+/// Content of the heartbeat row: the leader's epoch and the number of renewals
+/// that its process has sent.
+std::string EncodeHeartbeat(Epoch epoch, std::uint64_t renewals) {
+  return std::to_string(epoch.value()) + kHeartbeatSeparator +
+         std::to_string(renewals);
+}
+
+/// True if the leader has only changed other rows since they were read: nobody
+/// has been elected. A claim because of a stopped heartbeat has no reason any
+/// more if the leader has renewed it.
+bool IsRepeated(const TransactResult& result, ContendReason reason) {
   const auto failed = [&](const char* key) {
     return std::find(result.failed_keys.begin(), result.failed_keys.end(),
                      key) != result.failed_keys.end();
   };
-  return result.status == Status::kConflict && failed(kAgentsKey) &&
-         !failed(kLeaderKey);
+  if (result.status != Status::kConflict || failed(kLeaderKey)) return false;
+  if (failed(kHeartbeatKey)) return reason != ContendReason::kHeartbeatStopped;
+  return failed(kAgentsKey);
+}
+
+std::optional<Row> FindRow(const std::vector<Row>& rows, const char* key) {
+  const auto it = std::find_if(rows.begin(), rows.end(),
+                               [&](const Row& row) { return row.key == key; });
+  return it == rows.end() ? std::nullopt : std::optional(*it);
 }
 
 void LogClaim(const TransactResult& result, ContendReason reason,
@@ -82,6 +101,8 @@
   }
   leader_ = leader;
   CancelContend();
+  seen_heartbeat_.reset();
+  former_renewed_by_ = std::exchange(claim_renewed_by_, std::nullopt);
   heartbeat_timeout_start_ = base::MonotonicNow();
   heartbeat_version_ = RowVersion();
   connected_ = refused_ = leader_yielding_ = false;
@@ -172,7 +193,7 @@
   if (!contend_reason_) return;
   contending_ = true;
   if (!leader_) return Claim({});
-  table_.Read({{kAgentsKey}, {}},
+  table_.Read({{kAgentsKey, kHeartbeatKey}, {}},
               [this, alive = alive_](const Result<std::vector<Row>>& rows) {
                 if (!*alive) return;
                 if (rows.ok() && contend_reason_ && !resigned_ && !leading_) {
@@ -183,7 +204,7 @@
               });
 }
 
-void Leadership::Claim(const std::vector<Row>& agents) {
+void Leadership::Claim(const std::vector<Row>& rows) {
   if (!may_be_elected()) unknown_claim_at_.reset();
   claim_sent_at_ = base::MonotonicNow();
   contended_at_ = unknown_claim_at_.value_or(claim_sent_at_);
@@ -194,8 +215,8 @@
   transaction.conditions.push_back(
       {kLeaderKey, leader_ ? leader_->version : RowVersion()});
   transaction.writes.push_back({kLeaderKey, EncodeLeader(claim)});
-  const auto stored =
-      agents.empty() ? std::nullopt : DecodeAgentsRow(agents[0].value);
+  const auto agents = FindRow(rows, kAgentsKey);
+  const auto stored = agents ? DecodeAgentsRow(agents->value) : std::nullopt;
   const auto row =
       leader_ && stored
           ? ClaimAgentsRow(*stored, {leader_->node, leader_->incarnation},
@@ -203,9 +224,21 @@
           : std::nullopt;
   if (row) {
     // Until its epoch ends, the leader may still store another one.
-    transaction.conditions.push_back({kAgentsKey, agents[0].version});
+    transaction.conditions.push_back({kAgentsKey, agents->version});
     transaction.writes.push_back({kAgentsKey, EncodeAgentsRow(*row)});
   }
+  ObserveHeartbeat(FindRow(rows, kHeartbeatKey));
+  const bool bounded = !unknown_claim_at_ || claim_renewed_by_;
+  claim_renewed_by_.reset();
+  // A leader that yields may renew faster than a slow table answers.
+  if (leader_ && contend_reason_ != ContendReason::kYielding) {
+    transaction.conditions.push_back({kHeartbeatKey, seen_heartbeat_->version});
+    if (bounded && seen_heartbeat_->shows_renewals) {
+      claim_renewed_by_ = seen_heartbeat_->at;
+    }
+  }
+  transaction.writes.push_back(
+      {kHeartbeatKey, EncodeHeartbeat(claim.epoch, 0)});
   table_.Transact(std::move(transaction),
                   [this, alive = alive_, reason = *contend_reason_,
                    over = leader_](const TransactResult& result) {
@@ -224,7 +257,7 @@
   // The row names the winner and has the exact version; the feed may lag or be
   // down.
   if (result.status != Status::kUnavailable) ReadRow();
-  const bool repeats = contend_reason_ && OnlyAgentsChanged(result);
+  const bool repeats = contend_reason_ && IsRepeated(result, reason);
   contend_reason_.reset();
   if (repeats) ScheduleContend(reason);
 }
@@ -250,11 +283,22 @@
   if (leading_ || resigned_ || (connected_ && !leader_yielding_)) return;
   if (!row_known_) return ReadRow();
   if (!leader_) return ScheduleContend(ContendReason::kNoLeader);
-  table_.Read({{kHeartbeatKey}, {}}, [this, alive = alive_](
-                                         const Result<std::vector<Row>>& rows) {
-    if (!*alive || !rows.ok()) return;
-    OnHeartbeat(rows.value().empty() ? RowVersion() : rows.value()[0].version);
-  });
+  table_.Read({{kHeartbeatKey}, {}},
+              [this, alive = alive_](const Result<std::vector<Row>>& rows) {
+                if (!*alive || !rows.ok()) return;
+                ObserveHeartbeat(FindRow(rows.value(), kHeartbeatKey));
+                OnHeartbeat(seen_heartbeat_->version);
+              });
+}
+
+void Leadership::ObserveHeartbeat(const std::optional<Row>& row) {
+  const RowVersion version = row ? row->version : RowVersion();
+  if (seen_heartbeat_ && seen_heartbeat_->version == version) return;
+  const bool shows_renewals =
+      row && leader_ &&
+      row->value.starts_with(std::to_string(leader_->epoch.value()) +
+                             kHeartbeatSeparator);
+  seen_heartbeat_ = {version, base::MonotonicNow(), shows_renewals};
 }
 
 void Leadership::OnHeartbeat(RowVersion version) {
@@ -300,8 +344,9 @@
   renewing_ = true;
   Transaction transaction;
   transaction.conditions.push_back({kLeaderKey, self_.version});
+  ++renewals_;
   transaction.writes.push_back(
-      {kHeartbeatKey, std::to_string(self_.epoch.value())});
+      {kHeartbeatKey, EncodeHeartbeat(self_.epoch, renewals_)});
   table_.Transact(std::move(transaction),
                   [this, alive = alive_, sent_at = base::MonotonicNow()](
                       const TransactResult& result) {
@@ -321,25 +366,41 @@
                                          {"version", self_.version.value()}});
     return OnConflict();
   }
-  if (result.status == Status::kUnknown) return ConfirmByRead();
+  if (result.status == Status::kUnknown) return ConfirmByRead(sent_at);
   const bool committed = result.status == Status::kCommitted;
   if (committed) confirmed_at_ = std::max(confirmed_at_, sent_at);
   UpdateTableReachable(committed);
   AnswerQuestions(sent_at, committed);
 }
 
-void Leadership::ConfirmByRead() {
+void Leadership::ConfirmByRead(MonotonicTime renewal_sent_at) {
   // A single lost reply is not a reason to yield.
-  table_.Read({{kLeaderKey}, {}}, [this, alive = alive_,
-                                   sent_at = base::MonotonicNow()](
-                                      const Result<std::vector<Row>>& rows) {
-    if (!*alive) return;
-    const bool leads = leading_ && rows.ok() && !rows.value().empty() &&
-                       rows.value()[0].version == self_.version;
-    if (leads) confirmed_at_ = std::max(confirmed_at_, sent_at);
-    UpdateTableReachable(rows.ok());
-    AnswerQuestions(sent_at, leads);
-  });
+  table_.Read(
+      {{kLeaderKey, kHeartbeatKey}, {}},
+      [this, alive = alive_, renewal_sent_at,
+       renewed = EncodeHeartbeat(self_.epoch, renewals_),
+       sent_at = base::MonotonicNow()](const Result<std::vector<Row>>& rows) {
+        if (!*alive) return;
+        OnConfirmationRead(rows, renewed, renewal_sent_at, sent_at);
+      });
+}
+
+void Leadership::OnConfirmationRead(const Result<std::vector<Row>>& rows,
+                                    const std::string& renewed,
+                                    MonotonicTime renewal_sent_at,
+                                    MonotonicTime sent_at) {
+  bool leads = false;
+  if (rows.ok() && leading_) {
+    const auto leader = FindRow(rows.value(), kLeaderKey);
+    const auto heartbeat = FindRow(rows.value(), kHeartbeatKey);
+    leads = leader && leader->version == self_.version;
+    // What the heartbeat row does not show, the next leader does not count.
+    if (leads && heartbeat && heartbeat->value == renewed) {
+      confirmed_at_ = std::max(confirmed_at_, renewal_sent_at);
+    }
+  }
+  UpdateTableReachable(rows.ok());
+  AnswerQuestions(sent_at, leads);
 }
 
 void Leadership::UpdateTableReachable(bool table_reachable) {
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -2,9 +2,11 @@
 /// Election of the node that leads a group.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/loop/event_loop.hpp"
@@ -115,14 +117,23 @@
   [[nodiscard]] MonotonicTime confirmed_at() const noexcept {
     return confirmed_at_;
   }
+  /// Time by which the leader before this one had sent the last renewal that
+  /// the table has confirmed; nullopt if it is not known.
+  [[nodiscard]] std::optional<MonotonicTime> former_renewed_by()
+      const noexcept {
+    return former_renewed_by_;
+  }
   [[nodiscard]] const std::optional<LeaderRecord>& leader() const noexcept {
     return leader_;
   }
 
  private:
   void Contend();
-  /// @param agents the row with the present leader's agents, or none.
-  void Claim(const std::vector<Row>& agents);
+  /// @param rows those of the present leader's agents and of its heartbeat, as
+  ///   far as they exist.
+  void Claim(const std::vector<Row>& rows);
+  /// Records that the heartbeat row has this content now.
+  void ObserveHeartbeat(const std::optional<Row>& row);
   void ScheduleContend(ContendReason reason);
   /// Gives up what is scheduled, and what waits for the row of agents.
   void CancelContend();
@@ -142,8 +153,14 @@
   void AnswerQuestions(MonotonicTime sent_at, bool leads);
   void Renew();
   void OnRenewed(const TransactResult& result, MonotonicTime sent_at);
-  /// Reads whether this process still leads, after a lost reply.
-  void ConfirmByRead();
+  /// Reads whether this process still leads, after the reply to a renewal was
+  /// lost that was sent at this time.
+  void ConfirmByRead(MonotonicTime renewal_sent_at);
+  /// @param renewed content of the heartbeat row if the renewal took effect.
+  /// @param sent_at time at which the read was sent.
+  void OnConfirmationRead(const Result<std::vector<Row>>& rows,
+                          const std::string& renewed,
+                          MonotonicTime renewal_sent_at, MonotonicTime sent_at);
   /// Records whether this leader reaches the table.
   void UpdateTableReachable(bool table_reachable);
   void UpdateYielding();
@@ -182,6 +199,19 @@
   std::vector<Question> questions_;
   RowVersion heartbeat_version_;  ///< Last version of the heartbeat row.
   MonotonicTime heartbeat_timeout_start_{0};
+  /// Newest content of the heartbeat row that this process has read since it
+  /// knows the present leader.
+  struct SeenHeartbeat {
+    RowVersion version;
+    MonotonicTime at{0};  ///< When it was first read.
+    /// Its writer counts a renewal as confirmed only if this row shows it.
+    bool shows_renewals = true;
+  };
+  std::optional<SeenHeartbeat> seen_heartbeat_;
+  /// The same as former_renewed_by(), if a claim that was sent succeeds.
+  std::optional<MonotonicTime> claim_renewed_by_;
+  std::optional<MonotonicTime> former_renewed_by_;
+  std::uint64_t renewals_ = 0;  ///< Sent by this process.
   base::Timer check_timer_;
   base::Timer renew_timer_;
   base::Timer contend_timer_;
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -92,6 +92,7 @@
   followed_leader_ = leader;
   followed_since_ = base::MonotonicNow();
   followed_stopped_at_.reset();
+  follow_confirmed_at_ = MonotonicTime(0);
   if (leader_channel_) leader_channel_->Close();
   leader_channel_.reset();
   OnLeaderClosed(Errc::kNotOwner);
@@ -107,17 +108,19 @@
   hooks.on_confirmed = [this](MonotonicTime sent_at, Permission permission) {
     OnLeaderConfirmed(sent_at, permission);
   };
-  // Confirms to the leader that this node has not been elected yet.
-  hooks.permission = [this] {
-    return leader_ || leadership_->may_be_elected() ? Permission::kNone
-                                                    : Permission::kStarts;
-  };
+  hooks.permission = [this] { return ConfirmFollowing(); };
   leader_channel_ = Channel::Connect(deps_.loop, followed_leader_->address,
                                      options_.channel, std::move(hooks));
   leader_channel_->Send(MakeHello(false));
   hello_sent_at_ = base::MonotonicNow();
 }
 
+Permission Node::ConfirmFollowing() {
+  if (leader_ || leadership_->may_be_elected()) return Permission::kNone;
+  follow_confirmed_at_ = base::MonotonicNow();
+  return Permission::kStarts;
+}
+
 void Node::OnLeaderConfirmed(MonotonicTime sent_at, Permission confirmed) {
   const bool permitted = permission() == Permission::kStarts;
   contact_.OnConfirmed(sent_at, confirmed);
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -88,6 +88,9 @@
   void Connect();
   void OnLeaderFrame(Frame frame);
   void OnLeaderHello(const Hello& hello);
+  /// What this node confirms to its leader: kNone once it may have been
+  /// elected.
+  [[nodiscard]] Permission ConfirmFollowing();
   /// Handles the leader's confirmation of a ping that was sent at this time.
   void OnLeaderConfirmed(MonotonicTime sent_at, Permission confirmed);
   /// Adopts a newer leader that a peer reports, since this node may not reach
@@ -153,6 +156,8 @@
   std::optional<LeaderRecord> followed_leader_;
   /// Time at which this node heard of its election.
   MonotonicTime followed_since_{0};
+  /// Time at which this node last confirmed to it that it follows.
+  MonotonicTime follow_confirmed_at_{0};
   /// Time at which that leader was known not to lead any more.
   std::optional<MonotonicTime> followed_stopped_at_;
   LeaderContact contact_;
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -1,4 +1,5 @@
 // A node as the leader: its group and the channels of its followers.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -41,6 +42,10 @@
   const auto former_leader = follows_last ? followed_leader_ : std::nullopt;
   const auto former_elected_by =
       follows_last ? std::optional(followed_since_) : std::nullopt;
+  auto former_confirmed_by = leadership_->former_renewed_by();
+  if (former_confirmed_by) {
+    former_confirmed_by = std::max(*former_confirmed_by, follow_confirmed_at_);
+  }
   followed_leader_ = leader;
   followed_since_ = base::MonotonicNow();
   GroupLeaderDependencies deps{
@@ -67,7 +72,8 @@
         leadership_->Confirm(std::move(done));
       },
       former_leader,
-      former_elected_by};
+      former_elected_by,
+      former_confirmed_by};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   if (followed_stopped_at_ && former_leader) {
     leader_->OnFormerLeaderStopped(*followed_stopped_at_);
