Fix what the review of the elections found

- A leader whose renewals get no reply neither confirmed nor yielded (new since the heartbeat row has to show a renewal).
It now keeps the times of its unanswered renewals, confirms up to the counter that it reads, renews at once after such a read, and yields after 3 s without a confirmation.
- A former leader counted too short if clocks differ by 2% (new): the times of the last leader are counted 5% longer.
Before, the time from its last renewal to the election allowed for that.
- A claim because of a stopped heartbeat took the version that its own read showed (older): it needs the version of which the timeout ran out.
- A leader that yields anew while an attempt is running was not contended for (new): the next reason is kept until the attempt ends.
- A claim over a yielding leader was repeated after the connection was lost (older): the reason ends with the connection.
- A superseded claim without a reply counted as open for 20 s (older).
- By reading: the reply to a renewal of an earlier epoch no longer counts.

--- a/src/dispatch/leader/former_leaders.cc
+++ b/src/dispatch/leader/former_leaders.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "dispatch/model/lease.hpp"
+
 namespace mangospread::dispatch {
 
 void FormerLeaders::OnLastStopped(MonotonicTime at) {
@@ -17,8 +19,9 @@
 MonotonicTime FormerLeaders::LimitOfSilent(const FormerLeader& leader) const {
   if (leader == leaders_.back()) {
     const MonotonicTime limit =
-        last_confirmed_by_ +
-        (leader.undivided ? timeouts_.undivided : timeouts_.leases);
+        last_confirmed_by_ + OtherClockUpperBound(leader.undivided
+                                                      ? timeouts_.undivided
+                                                      : timeouts_.leases);
     return std::min(limit, LimitOfLast());
   }
   const MonotonicTime limit = last_elected_by_ + timeouts_.undivided;
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -29,17 +29,6 @@
   }
 }
 
-/// Separates the parts of the heartbeat row's value. Former versions store the
-/// epoch alone.
-constexpr char kHeartbeatSeparator = ' ';
-
-/// Content of the heartbeat row: the leader's epoch and the number of renewals
-/// that its process has sent.
-std::string EncodeHeartbeat(Epoch epoch, std::uint64_t renewals) {
-  return std::to_string(epoch.value()) + kHeartbeatSeparator +
-         std::to_string(renewals);
-}
-
 /// True if the leader has only changed other rows since they were read: nobody
 /// has been elected. A claim because of a stopped heartbeat has no reason any
 /// more if the leader has renewed it.
@@ -60,10 +49,7 @@
 }
 
 void LogClaim(const TransactResult& result, ContendReason reason,
-              const std::optional<LeaderRecord>& over,
-              const std::optional<LeaderRecord>& known) {
-  const bool superseded =
-      known && (!over || known->epoch.value() > over->epoch.value());
+              const std::optional<LeaderRecord>& over, bool superseded) {
   base::Log(base::Event::kLeadershipClaimed,
             {{"reason", ContendReasonName(reason)},
              {"over", over ? over->node.str() : ""},
@@ -142,7 +128,9 @@
   if (connected_ == connected) return;
   connected_ = connected;
   refused_ = leader_yielding_ = false;
-  if (connected) CancelContend();
+  if (connected || contend_reason_ == ContendReason::kYielding) {
+    CancelContend();
+  }
   heartbeat_version_ = RowVersion();
   heartbeat_timeout_start_ = base::MonotonicNow();
   // The heartbeat timeout starts with the first read of the heartbeat row.
@@ -170,6 +158,16 @@
 void Leadership::CancelContend() {
   contend_timer_.reset();
   contend_reason_.reset();
+  next_contend_reason_.reset();
+}
+
+void Leadership::EndContend(bool repeats) {
+  contending_ = false;
+  auto reason = std::exchange(contend_reason_, std::nullopt);
+  if (!repeats) reason.reset();
+  if (next_contend_reason_) reason = next_contend_reason_;
+  next_contend_reason_.reset();
+  if (reason) ScheduleContend(*reason);
 }
 
 bool Leadership::confirmed() const noexcept {
@@ -178,8 +176,16 @@
 }
 
 void Leadership::ScheduleContend(ContendReason reason) {
-  if (contending_ || resigned_ || leading_ || contend_timer_.active()) return;
-  contend_reason_ = reason;
+  if (resigned_ || leading_) return;
+  if (contending_) {
+    if (!contend_reason_) next_contend_reason_ = reason;
+    return;
+  }
+  // A renewed heartbeat ends an attempt only if there is no other reason.
+  if (!contend_reason_ || contend_reason_ == ContendReason::kHeartbeatStopped) {
+    contend_reason_ = reason;
+  }
+  if (contend_timer_.active()) return;
   const std::size_t jitter =
       std::hash<NodeId>()(self_.node) %
       static_cast<std::size_t>(options_.max_contend_jitter.count());
@@ -196,14 +202,26 @@
   table_.Read({{kAgentsKey, kHeartbeatKey}, {}},
               [this, alive = alive_](const Result<std::vector<Row>>& rows) {
                 if (!*alive) return;
-                if (rows.ok() && contend_reason_ && !resigned_ && !leading_) {
+                if (rows.ok() && MayClaim(rows.value())) {
                   return Claim(rows.value());
                 }
-                contending_ = false;
-                contend_reason_.reset();
+                EndContend(false);
               });
 }
 
+bool Leadership::MayClaim(const std::vector<Row>& rows) {
+  ObserveHeartbeat(FindRow(rows, kHeartbeatKey));
+  if (!contend_reason_ || resigned_ || leading_) return false;
+  return contend_reason_ != ContendReason::kHeartbeatStopped ||
+         seen_heartbeat_->version == heartbeat_version_;
+}
+
+Milliseconds Leadership::FormerLease() const {
+  if (!leader_) return kWorkerLease;
+  if (!seen_heartbeat_ || !seen_heartbeat_->row) return kFormerVersionLease;
+  return std::max(kWorkerLease, seen_heartbeat_->row->longest_lease);
+}
+
 void Leadership::Claim(const std::vector<Row>& rows) {
   if (!may_be_elected()) unknown_claim_at_.reset();
   claim_sent_at_ = base::MonotonicNow();
@@ -227,18 +245,18 @@
     transaction.conditions.push_back({kAgentsKey, agents->version});
     transaction.writes.push_back({kAgentsKey, EncodeAgentsRow(*row)});
   }
-  ObserveHeartbeat(FindRow(rows, kHeartbeatKey));
+  former_lease_ = FormerLease();
   const bool bounded = !unknown_claim_at_ || claim_renewed_by_;
   claim_renewed_by_.reset();
   // A leader that yields may renew faster than a slow table answers.
   if (leader_ && contend_reason_ != ContendReason::kYielding) {
     transaction.conditions.push_back({kHeartbeatKey, seen_heartbeat_->version});
-    if (bounded && seen_heartbeat_->shows_renewals) {
+    if (bounded && seen_heartbeat_->row) {
       claim_renewed_by_ = seen_heartbeat_->at;
     }
   }
   transaction.writes.push_back(
-      {kHeartbeatKey, EncodeHeartbeat(claim.epoch, 0)});
+      {kHeartbeatKey, EncodeHeartbeatRow({claim.epoch, 0, former_lease_})});
   table_.Transact(std::move(transaction),
                   [this, alive = alive_, reason = *contend_reason_,
                    over = leader_](const TransactResult& result) {
@@ -249,17 +267,17 @@
 void Leadership::OnContendResult(const TransactResult& result,
                                  ContendReason reason,
                                  const std::optional<LeaderRecord>& over) {
-  contending_ = claiming_ = false;
-  LogClaim(result, reason, over, leader_);
-  if (result.status == Status::kUnknown && !leading_) {
+  claiming_ = false;
+  const bool superseded = leader_ && (!over || over->epoch < leader_->epoch);
+  LogClaim(result, reason, over, superseded);
+  // A newer leader shows whether the claim has succeeded.
+  if (result.status == Status::kUnknown && !superseded) {
     unknown_claim_at_ = contended_at_;
   }
   // The row names the winner and has the exact version; the feed may lag or be
   // down.
   if (result.status != Status::kUnavailable) ReadRow();
-  const bool repeats = contend_reason_ && IsRepeated(result, reason);
-  contend_reason_.reset();
-  if (repeats) ScheduleContend(reason);
+  EndContend(IsRepeated(result, reason));
 }
 
 bool Leadership::may_be_elected() const noexcept {
@@ -294,11 +312,11 @@
 void Leadership::ObserveHeartbeat(const std::optional<Row>& row) {
   const RowVersion version = row ? row->version : RowVersion();
   if (seen_heartbeat_ && seen_heartbeat_->version == version) return;
-  const bool shows_renewals =
-      row && leader_ &&
-      row->value.starts_with(std::to_string(leader_->epoch.value()) +
-                             kHeartbeatSeparator);
-  seen_heartbeat_ = {version, base::MonotonicNow(), shows_renewals};
+  auto heartbeat = row ? DecodeHeartbeatRow(row->value) : std::nullopt;
+  const bool of_leader =
+      heartbeat && leader_ && heartbeat->epoch == leader_->epoch;
+  if (!of_leader) heartbeat.reset();
+  seen_heartbeat_ = {version, base::MonotonicNow(), heartbeat};
 }
 
 void Leadership::OnHeartbeat(RowVersion version) {
@@ -342,15 +360,19 @@
 void Leadership::Renew() {
   if (!leading_ || renewing_) return;
   renewing_ = true;
+  const MonotonicTime now = base::MonotonicNow();
+  unconfirmed_renewals_[++renewals_] = now;
+  const Milliseconds lease =
+      hooks_.longest_lease ? hooks_.longest_lease() : kWorkerLease;
   Transaction transaction;
   transaction.conditions.push_back({kLeaderKey, self_.version});
-  ++renewals_;
   transaction.writes.push_back(
-      {kHeartbeatKey, EncodeHeartbeat(self_.epoch, renewals_)});
+      {kHeartbeatKey, EncodeHeartbeatRow({self_.epoch, renewals_, lease})});
   table_.Transact(std::move(transaction),
-                  [this, alive = alive_, sent_at = base::MonotonicNow()](
-                      const TransactResult& result) {
-                    if (*alive) OnRenewed(result, sent_at);
+                  [this, alive = alive_, epoch = self_.epoch,
+                   sent_at = now](const TransactResult& result) {
+                    if (!*alive || !leading_ || self_.epoch != epoch) return;
+                    OnRenewed(result, sent_at);
                   });
 }
 
@@ -366,41 +388,51 @@
                                          {"version", self_.version.value()}});
     return OnConflict();
   }
-  if (result.status == Status::kUnknown) return ConfirmByRead(sent_at);
+  if (result.status == Status::kUnknown) return ConfirmByRead();
   const bool committed = result.status == Status::kCommitted;
-  if (committed) confirmed_at_ = std::max(confirmed_at_, sent_at);
+  if (committed) ConfirmRenewals(renewals_);
   UpdateTableReachable(committed);
   AnswerQuestions(sent_at, committed);
 }
 
-void Leadership::ConfirmByRead(MonotonicTime renewal_sent_at) {
+bool Leadership::ConfirmRenewals(std::uint64_t renewals) {
+  const auto next = unconfirmed_renewals_.upper_bound(renewals);
+  if (next == unconfirmed_renewals_.begin()) return false;
+  confirmed_at_ = std::max(confirmed_at_, std::prev(next)->second);
+  unconfirmed_renewals_.erase(unconfirmed_renewals_.begin(), next);
+  return true;
+}
+
+void Leadership::ConfirmByRead() {
   // A single lost reply is not a reason to yield.
   table_.Read(
       {{kLeaderKey, kHeartbeatKey}, {}},
-      [this, alive = alive_, renewal_sent_at,
-       renewed = EncodeHeartbeat(self_.epoch, renewals_),
+      [this, alive = alive_, epoch = self_.epoch,
        sent_at = base::MonotonicNow()](const Result<std::vector<Row>>& rows) {
-        if (!*alive) return;
-        OnConfirmationRead(rows, renewed, renewal_sent_at, sent_at);
+        if (!*alive || !leading_ || self_.epoch != epoch) return;
+        OnConfirmationRead(rows, sent_at);
       });
 }
 
 void Leadership::OnConfirmationRead(const Result<std::vector<Row>>& rows,
-                                    const std::string& renewed,
-                                    MonotonicTime renewal_sent_at,
                                     MonotonicTime sent_at) {
   bool leads = false;
-  if (rows.ok() && leading_) {
+  bool confirms = false;
+  if (rows.ok()) {
     const auto leader = FindRow(rows.value(), kLeaderKey);
-    const auto heartbeat = FindRow(rows.value(), kHeartbeatKey);
+    const auto row = FindRow(rows.value(), kHeartbeatKey);
+    const auto heartbeat = row ? DecodeHeartbeatRow(row->value) : std::nullopt;
     leads = leader && leader->version == self_.version;
     // What the heartbeat row does not show, the next leader does not count.
-    if (leads && heartbeat && heartbeat->value == renewed) {
-      confirmed_at_ = std::max(confirmed_at_, renewal_sent_at);
-    }
+    confirms = leads && heartbeat && heartbeat->epoch == self_.epoch &&
+               ConfirmRenewals(heartbeat->renewals);
   }
-  UpdateTableReachable(rows.ok());
+  const bool recently =
+      sent_at - confirmed_at_ <= options_.yield_after_unconfirmed;
+  UpdateTableReachable(rows.ok() && (confirms || recently));
   AnswerQuestions(sent_at, leads);
+  // Starts need a newer confirmation than that of a renewal that timed out.
+  if (leads) Renew();
 }
 
 void Leadership::UpdateTableReachable(bool table_reachable) {
@@ -430,7 +462,8 @@
 }
 
 void Leadership::StepDown() {
-  leading_ = false;
+  leading_ = renewing_ = false;
+  unconfirmed_renewals_.clear();
   yielding_ = table_lost_ = overloaded_ = false;
   renew_timer_.reset();
   AnswerQuestions(base::MonotonicNow(), false);
--- a/src/dispatch/leader/leadership.hpp
+++ b/src/dispatch/leader/leadership.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "base/loop/event_loop.hpp"
 #include "dispatch/leader/agents_row.hpp"
 #include "dispatch/leader/contend_reason.hpp"
+#include "dispatch/leader/heartbeat_row.hpp"
 #include "dispatch/leader/leader_record.hpp"
 #include "mangospread/ids.hpp"
 #include "mangospread/platform/table.hpp"
@@ -37,6 +39,9 @@
   /// A leader that fails to renew its heartbeat row for this long announces
   /// that others may take over.
   Milliseconds yield_after{1'000};
+  /// It also does if no renewal of its has been confirmed for this long, though
+  /// the table answers reads.
+  Milliseconds yield_after_unconfirmed{3'000};
   /// A leader without any result of a renewal for this long, such as a process
   /// that was paused, makes no decisions until the next one. Longer than a
   /// renewal that the table does not answer. The result of a renewal that took
@@ -60,10 +65,12 @@
   /// Another node may take over, since this leader cannot write to the table or
   /// is overloaded (true), or none needs to any more (false).
   std::function<void(bool yielding)> on_yield;
+  /// Length of the longest leases that workers may hold while this process
+  /// leads. Null for the lease of this version.
+  std::function<Milliseconds()> longest_lease = nullptr;
 };
 
 inline constexpr const char* kLeaderKey = "role/leader";
-inline constexpr const char* kHeartbeatKey = "beat/leader";
 
 /// Follows the leader's row and contends for it. The compare-and-set of the row
 /// decides the election. The heartbeat row and the channels only determine when
@@ -123,20 +130,34 @@
       const noexcept {
     return former_renewed_by_;
   }
+  /// Length of the longest leases that workers may hold from the time of the
+  /// leader before this one.
+  [[nodiscard]] Milliseconds former_lease() const noexcept {
+    return former_lease_;
+  }
   [[nodiscard]] const std::optional<LeaderRecord>& leader() const noexcept {
     return leader_;
   }
 
  private:
   void Contend();
+  /// True if the reason of the attempt still holds.
   /// @param rows those of the present leader's agents and of its heartbeat, as
   ///   far as they exist.
+  [[nodiscard]] bool MayClaim(const std::vector<Row>& rows);
+  /// @param rows as for MayClaim.
   void Claim(const std::vector<Row>& rows);
+  /// Length of the longest leases that workers may hold, by the present
+  /// leader's heartbeat row.
+  [[nodiscard]] Milliseconds FormerLease() const;
   /// Records that the heartbeat row has this content now.
   void ObserveHeartbeat(const std::optional<Row>& row);
   void ScheduleContend(ContendReason reason);
   /// Gives up what is scheduled, and what waits for the row of agents.
   void CancelContend();
+  /// Ends the running attempt.
+  /// @param repeats its reason may still hold.
+  void EndContend(bool repeats);
   /// @param over the leader that the claim was to replace.
   void OnContendResult(const TransactResult& result, ContendReason reason,
                        const std::optional<LeaderRecord>& over);
@@ -153,14 +174,14 @@
   void AnswerQuestions(MonotonicTime sent_at, bool leads);
   void Renew();
   void OnRenewed(const TransactResult& result, MonotonicTime sent_at);
-  /// Reads whether this process still leads, after the reply to a renewal was
-  /// lost that was sent at this time.
-  void ConfirmByRead(MonotonicTime renewal_sent_at);
-  /// @param renewed content of the heartbeat row if the renewal took effect.
+  /// Reads whether this process still leads, after a lost reply.
+  void ConfirmByRead();
   /// @param sent_at time at which the read was sent.
   void OnConfirmationRead(const Result<std::vector<Row>>& rows,
-                          const std::string& renewed,
-                          MonotonicTime renewal_sent_at, MonotonicTime sent_at);
+                          MonotonicTime sent_at);
+  /// Handles the number of renewals that the heartbeat row shows.
+  /// @return false if it shows none that was not confirmed.
+  bool ConfirmRenewals(std::uint64_t renewals);
   /// Records whether this leader reaches the table.
   void UpdateTableReachable(bool table_reachable);
   void UpdateYielding();
@@ -180,6 +201,8 @@
   bool contending_ = false;
   /// Of the scheduled or running attempt; nullopt once it no longer holds.
   std::optional<ContendReason> contend_reason_;
+  /// Of the attempt that follows the running one.
+  std::optional<ContendReason> next_contend_reason_;
   bool renewing_ = false;
   bool yielding_ = false;
   bool table_lost_ = false;       ///< This leader yields without the table.
@@ -204,14 +227,19 @@
   struct SeenHeartbeat {
     RowVersion version;
     MonotonicTime at{0};  ///< When it was first read.
-    /// Its writer counts a renewal as confirmed only if this row shows it.
-    bool shows_renewals = true;
+    /// The present leader's; nullopt if it has stored none, or if it is a
+    /// former version, which may count renewals that the row doesn't show.
+    std::optional<HeartbeatRow> row;
   };
   std::optional<SeenHeartbeat> seen_heartbeat_;
   /// The same as former_renewed_by(), if a claim that was sent succeeds.
   std::optional<MonotonicTime> claim_renewed_by_;
   std::optional<MonotonicTime> former_renewed_by_;
+  Milliseconds former_lease_{kWorkerLease};
   std::uint64_t renewals_ = 0;  ///< Sent by this process.
+  /// Times at which the renewals were sent that are not known to have taken
+  /// effect, by their numbers.
+  std::map<std::uint64_t, MonotonicTime> unconfirmed_renewals_;
   base::Timer check_timer_;
   base::Timer renew_timer_;
   base::Timer contend_timer_;
--- a/tests/unit/dispatch/claimed_agents_test.cc
+++ b/tests/unit/dispatch/claimed_agents_test.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/leader/agents_row.hpp"
 #include "dispatch/leader/former_leaders.hpp"
+#include "dispatch/model/lease.hpp"
 #include "unit/dispatch/former_leader_makers.hpp"
 #include "unit/dispatch/unreported_fixture.hpp"
 
@@ -85,7 +86,7 @@
                       milliseconds(11'000));
     leaders.OnProcess(NodeId("a"), Incarnation(3), milliseconds(12'000),
                       milliseconds(12'000));
-    CHECK(leaders.Limit() == kElected + timeouts.leases);
+    CHECK(leaders.Limit() == kElected + OtherClockUpperBound(timeouts.leases));
     CHECK(leaders.Remaining(kElected) == std::vector{Process("b", 1, false)});
   }
   SUBCASE("follows") {
@@ -115,7 +116,7 @@
   leaders.Load({Process("a", 1), Process("b", 1, false)}, {}, {});
   CHECK(leaders.Limit() == kReplaced + timeouts.undivided);
   leaders.Load({Process("a", 1, false), Process("b", 1, false)}, {}, {});
-  CHECK(leaders.Limit() == kElected + timeouts.leases);
+  CHECK(leaders.Limit() == kElected + OtherClockUpperBound(timeouts.leases));
   leaders.OnLastStopped(kElected);
   CHECK(leaders.Limit() == kElected);
 }
@@ -129,13 +130,50 @@
   const PermissionTimeouts timeouts;
   FormerLeaders leaders(kElected, kReplaced, kConfirmed, timeouts);
   leaders.Load({Process("b", 1, false)}, {}, {});
-  CHECK(leaders.Limit() == kConfirmed + timeouts.leases);
+  CHECK(leaders.Limit() == kConfirmed + OtherClockUpperBound(timeouts.leases));
   leaders.Load({Process("b", 1, true)}, {}, {});
-  CHECK(leaders.Limit() == kConfirmed + timeouts.undivided);
+  CHECK(leaders.Limit() ==
+        kConfirmed + OtherClockUpperBound(timeouts.undivided));
   leaders.Load({Process("a", 1, true), Process("b", 1, false)}, {}, {});
   CHECK(leaders.Limit() == kReplaced + timeouts.undivided);
 }
 
+// Guards against a second run: a former leader whose clock runs 2% slow permits
+// leases for longer than its successor counts, whose clock runs 2% fast. Only
+// the time from the last renewal to the election allowed for that.
+TEST_CASE("a former leader stops in time though clocks differ") {
+  const PermissionTimeouts timeouts;
+  // Both clocks show the same at the last renewal, which the successor reads at
+  // once.
+  constexpr MonotonicTime kConfirmed = milliseconds(8'500);
+  constexpr MonotonicTime kElected = milliseconds(9'500);
+  FormerLeaders leaders(kElected, milliseconds(4'000), kConfirmed, timeouts);
+  bool undivided = false;
+  SUBCASE("divided") {}
+  SUBCASE("undivided") { undivided = true; }
+  leaders.Load({Process("b", 1, undivided)}, {}, {});
+  const auto real_time = [](MonotonicTime shown, int percent) {
+    return shown * 100 / percent;
+  };
+  MonotonicTime permitted{0};  // On the former leader's clock.
+  while (LeaderPermission(timeouts, permitted,
+                          undivided ? std::optional(MonotonicTime(0))
+                                    : std::nullopt) != Permission::kNone) {
+    permitted += milliseconds(1);
+  }
+  // The lease that an agent grants at the last moment, on a worker's clock that
+  // runs 2% slow.
+  const Milliseconds lease{6'000};
+  const Milliseconds notice{800};
+  const MonotonicTime held =
+      real_time(permitted + MonotonicTime(notice) + MonotonicTime(lease), 98);
+  const MonotonicTime counted =
+      real_time(leaders.Limit() - kConfirmed + MonotonicTime(notice) +
+                    LeaseUpperBound(lease),
+                102);
+  CHECK(counted >= held);
+}
+
 /// A worker that no agent reports, after the leaders of two epochs have died
 /// of which the second stored nothing but its claim.
 struct TwoTakeoversFixture : UnreportedFixture {
@@ -198,11 +236,11 @@
                   "a silent leader of two epochs before may extend leases") {
   TakeOver();
   const PermissionTimeouts& timeouts = options.permission_timeouts;
-  MonotonicTime limit = timeouts.undivided;
+  MonotonicTime limit = OtherClockUpperBound(timeouts.undivided);
   SUBCASE("both") {}
   SUBCASE("the first one, which has lost an agent") {
     SeeFollower("other", 2);
-    limit = timeouts.leases;
+    limit = OtherClockUpperBound(timeouts.leases);
   }
   RunFor(milliseconds(300));
   Attach(placed.idle);
--- a/tests/unit/dispatch/leadership_test.cc
+++ b/tests/unit/dispatch/leadership_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include "base/loop/clock.hpp"
 #include "base/loop/simulated_clock.hpp"
 #include "unit/state/faulty_table.hpp"
@@ -321,10 +323,10 @@
 // is counted from the election instead of the leader's last renewal.
 TEST_CASE_FIXTURE(FollowerFixture,
                   "the last renewal of the former leader is known") {
-  WriteHeartbeat("1 4");
+  WriteHeartbeat("1 4 4200");
   leadership.SetLeaderConnected(false);
   RunFor(std::chrono::milliseconds(100));
-  WriteHeartbeat("1 5");
+  WriteHeartbeat("1 5 4200");
   const MonotonicTime renewed_at = base::MonotonicNow();
   TimeUntilLeading();
   REQUIRE(leadership.leading());
@@ -341,19 +343,35 @@
 TEST_CASE_FIXTURE(FollowerFixture,
                   "other heartbeat rows say nothing of the last renewal") {
   SUBCASE("a former version") { WriteHeartbeat("1"); }
-  SUBCASE("an earlier epoch") { WriteHeartbeat("0 7"); }
-  SUBCASE("a longer epoch with the same digits") { WriteHeartbeat("11 7"); }
+  SUBCASE("an earlier epoch") { WriteHeartbeat("0 7 4200"); }
+  SUBCASE("a longer epoch with the same digits") {
+    WriteHeartbeat("11 7 4200");
+  }
   leadership.SetLeaderConnected(false);
   TimeUntilLeading();
   REQUIRE(leadership.leading());
   CHECK_FALSE(leadership.former_renewed_by());
+  CHECK(leadership.former_lease() == kFormerVersionLease);
+}
+
+// Guards against a second run during an upgrade: leases of agents of a former
+// version, which the former leader has counted, count on.
+TEST_CASE_FIXTURE(FollowerFixture, "the longest lease is handed over") {
+  WriteHeartbeat("1 4 6000");
+  leadership.SetLeaderConnected(false);
+  TimeUntilLeading();
+  REQUIRE(leadership.leading());
+  CHECK(leadership.former_lease() == Milliseconds(6'000));
+  const auto rows = table.rows.Read({{kHeartbeatKey}, {}});
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].value == "2 0 6000");
 }
 
 // Guards against a leader that is replaced although it has just renewed its
 // heartbeat, and whose next one would count too short.
 TEST_CASE_FIXTURE(FollowerFixture,
                   "a claim fails if the heartbeat is renewed before it") {
-  WriteHeartbeat("1 4");
+  WriteHeartbeat("1 4 4200");
   leadership.SetLeaderConnected(false);
   RunFor(std::chrono::milliseconds(5));
   table_timer.reset();
@@ -363,12 +381,43 @@
   const auto reads = table.pending();
   for (std::size_t i = 0; i < reads; ++i) table.Step();
   REQUIRE(table.pending() == 1);
-  WriteHeartbeat("1 5");
+  WriteHeartbeat("1 5 4200");
   table.Step();
   const auto rows = table.rows.Read({{kLeaderKey}, {}});
   REQUIRE(rows.size() == 1);
   CHECK(DecodeLeader(rows[0].value).value().epoch == Epoch(1));
 }
 
+// Guards against work that stops for good under a leader which nobody replaces:
+// every renewal is unanswered, so none is confirmed by its own read, and since
+// the reads are answered, the leader does not yield either.
+TEST_CASE_FIXTURE(ElectedFixture,
+                  "a leader without answers to renewals confirms or yields") {
+  bool late = false;
+  SUBCASE("each takes effect half a second after its timeout") { late = true; }
+  SUBCASE("each is lost") {}
+  table_timer.reset();
+  while (table.pending() > 0) table.Step();
+  std::vector<base::Timer> deliveries;
+  for (int i = 0; i < 15; ++i) {
+    while (table.pending() == 0) RunFor(std::chrono::milliseconds(10));
+    RunFor(std::chrono::seconds(1));
+    REQUIRE(table.pending() == 1);
+    table.Step(late ? FaultyTable::Fault::kDelayRequest
+                    : FaultyTable::Fault::kLoseRequest);
+    if (late) {
+      deliveries.push_back(loop.After(std::chrono::milliseconds(500),
+                                      [this] { table.DeliverDelayed(); }));
+    }
+    // The read after the lost reply.
+    REQUIRE(table.pending() == 1);
+    table.Step();
+  }
+  REQUIRE(leadership.leading());
+  const auto age = base::MonotonicNow() - leadership.confirmed_at();
+  const bool recent = age <= std::chrono::seconds(5);
+  CHECK((recent || yielding));
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/single_election_test.cc
+++ b/tests/unit/dispatch/single_election_test.cc
@@ -214,5 +214,97 @@
   CHECK(elections == 0);
 }
 
+// Guards against a leader that is replaced although it renews its heartbeat
+// again before the claim is sent: the claim's own read shows the renewal, but
+// only the version that it has read is a condition of the claim.
+TEST_CASE("a claim is not sent after a renewal that its read shows") {
+  int late_elections = 0;
+  for (int renewed_at = 900; renewed_at < 1'500; renewed_at += 10) {
+    CandidatesFixture f;
+    LeadershipOptions options = WithoutJitter();
+    options.contend_delay = milliseconds(100);
+    f.AddCandidates({"a"}, options);
+    f.candidates[0]->SetLeaderConnected(false);
+    const auto requests =
+        f.loop.Every(milliseconds(1), 0, [&f] { f.HandleRequests(); });
+    f.RunFor(milliseconds(renewed_at));
+    // Elected before the renewal, which then comes too late.
+    if (f.elections > 0) continue;
+    f.WriteHeartbeat();
+    const auto renewals =
+        f.loop.Every(milliseconds(400), 0, [&f] { f.WriteHeartbeat(); });
+    f.RunFor(milliseconds(2'000));
+    late_elections += f.elections;
+  }
+  CHECK(late_elections == 0);
+}
+
+// Guards against a follower that confirms to nobody for 20 s that it follows,
+// and whose next claim is not bounded by the leader's last renewal: the row had
+// named another leader before the reply to its claim was lost.
+TEST_CASE_FIXTURE(CandidatesFixture,
+                  "a claim without a reply has failed if another leader is "
+                  "known") {
+  AddCandidates({"a", "b"});
+  for (const auto& candidate : candidates) candidate->OnLeaderDenied();
+  SendClaims();
+  table.Step();
+  DeliverRow();
+  table.Step(FaultyTable::Fault::kLoseRequest);
+  HandleRequests();
+  const auto& loser =
+      candidates[0]->leading() ? *candidates[1] : *candidates[0];
+  REQUIRE(leading() == 1);
+  REQUIRE(loser.leader()->epoch == Epoch(2));
+  CHECK_FALSE(loser.may_be_elected());
+}
+
+// Guards against an overloaded leader that nobody replaces: it yields anew
+// while a request of the former attempt, which no longer holds, is in flight.
+TEST_CASE_FIXTURE(CandidatesFixture,
+                  "a follower contends if the leader yields anew") {
+  AddCandidates({"a"});
+  Leadership& candidate = *candidates[0];
+  candidate.SetLeaderYielding(true);
+  RunFor(milliseconds(5));
+  REQUIRE(table.pending() >= 1);
+  SUBCASE("while the rows are read") {}
+  SUBCASE("while a claim is in flight that fails") {
+    const std::size_t reads = table.pending();
+    for (std::size_t i = 0; i < reads; ++i) table.Step();
+    REQUIRE(table.pending() == 1);
+    StoreAgents("1\na\nb\n");
+  }
+  candidate.SetLeaderYielding(false);
+  candidate.SetLeaderYielding(true);
+  const auto requests =
+      loop.Every(milliseconds(1), 0, [this] { HandleRequests(); });
+  const auto renewals =
+      loop.Every(milliseconds(400), 0, [this] { WriteHeartbeat(); });
+  RunFor(milliseconds(5'000));
+  CHECK(elections == 1);
+}
+
+// Guards against a leader that is replaced although it renews its heartbeat:
+// the connection over which it yielded is lost, and the claim, which has no
+// condition on the heartbeat, is repeated.
+TEST_CASE_FIXTURE(CandidatesFixture,
+                  "a claim over a yielding leader is not repeated after the "
+                  "connection is lost") {
+  AddCandidates({"a"});
+  Leadership& candidate = *candidates[0];
+  candidate.SetLeaderYielding(true);
+  SendClaims();
+  candidate.SetLeaderConnected(false);
+  StoreAgents("1\na\nb\n");
+  const auto requests =
+      loop.Every(milliseconds(1), 0, [this] { HandleRequests(); });
+  const auto renewals =
+      loop.Every(milliseconds(400), 0, [this] { WriteHeartbeat(); });
+  RunFor(milliseconds(3'000));
+  CHECK(StoredLeader().epoch == Epoch(1));
+  CHECK(elections == 0);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
