A leader counts the longest lease that workers may hold

Before the lease becomes shorter: during an upgrade, nodes of the former version grant leases of 6 s and let them be extended for 3 s without a confirmation.

A hello names the length of the leases that its sender grants (6 s if it does not), and a leader's the longest that workers may hold, which its agents count for sessions before theirs. The heartbeat row hands it over to the next leader; a row without it stands for a former version. It counts for 40 s, longer than any former leader can permit leases and they last. No value changes here.

Tests: "the longest lease is handed over", and a subcase of "an agent that is lost may have renewed the lease".

--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -42,6 +42,17 @@
   return base::WallNanoseconds() / kNanosecondsPerMillisecond;
 }
 
+/// What former leaders permit, which may be former versions if workers hold
+/// longer leases than this version grants.
+PermissionTimeouts FormerTimeouts(const GroupLeaderOptions& options,
+                                  Milliseconds former_lease) {
+  PermissionTimeouts timeouts = options.permission_timeouts;
+  if (former_lease > options.lease) {
+    timeouts.leases = std::max(timeouts.leases, kFormerVersionLeasePermission);
+  }
+  return timeouts;
+}
+
 /// Why a submission that was not stored is refused, for logs.
 std::string_view RefusalReason(WriteStatus status) {
   switch (status) {
@@ -63,9 +74,11 @@
       writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()),
       started_at_(base::MonotonicNow()),
       agent_register_(deps_.leadership.epoch, deps_.self),
+      former_timeouts_(FormerTimeouts(options_, deps_.former_lease)),
       former_leaders_(started_at_, FormerElectedBy(),
                       deps_.former_confirmed_by.value_or(started_at_),
-                      options_.permission_timeouts) {
+                      former_timeouts_),
+      agent_lease_(options_.lease) {
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -20,6 +20,7 @@
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/metrics/timings.hpp"
+#include "dispatch/model/lease.hpp"
 #include "dispatch/model/permission.hpp"
 #include "mangospread/platform/table.hpp"
 #include "table/writer.hpp"
@@ -28,7 +29,7 @@
 
 struct GroupLeaderOptions {
   /// Longest lease that an agent grants to a worker.
-  Milliseconds lease{6'000};
+  Milliseconds lease{kWorkerLease};
   /// An agent may extend leases and start runs for this long after the last
   /// message that the leader has confirmed; so it stops at the latest this long
   /// after the leader has stopped or has noticed that it lost the agent.
@@ -122,6 +123,8 @@
   /// has confirmed, and all messages that this node has; nullopt if it is not
   /// known.
   std::optional<MonotonicTime> former_confirmed_by = std::nullopt;
+  /// Length of the longest leases that workers may hold from its time.
+  Milliseconds former_lease{kWorkerLease};
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
@@ -147,6 +150,11 @@
   void OnAgentUp(const NodeId& agent, const DataCenter& data_center,
                  std::optional<Milliseconds> last_grant_age = std::nullopt);
   void OnAgentDown(const NodeId& agent);
+  /// Reports the length of the leases that a node grants: during an upgrade it
+  /// may be longer than that of this version.
+  void OnAgentLease(Milliseconds lease);
+  /// Length of the longest leases that workers may hold.
+  [[nodiscard]] Milliseconds LongestLease() const;
   /// Reports that the leader of the epoch before has led no more from this time
   /// on.
   void OnFormerLeaderStopped(MonotonicTime stopped_at);
@@ -421,6 +429,7 @@
 
   std::map<NodeId, AgentEntry> agents_;
   AgentRegister agent_register_;
+  PermissionTimeouts former_timeouts_;  ///< Of the former leaders.
   FormerLeaders former_leaders_;
   std::map<VmName, WorkerEntry> workers_;
   std::map<VmName, WorkerInfo> listed_;  ///< Registered workers.
@@ -437,6 +446,8 @@
   bool roster_saving_ = false;
   MonotonicTime roster_retry_at_{0};
   MonotonicTime agents_retry_at_{0};
+  /// Length of the longest leases that nodes which have connected grant.
+  Milliseconds agent_lease_;
   /// Time at which the leases that this node has granted as the leader have
   /// expired; 0 if it has granted none.
   MonotonicTime self_lease_expires_at_{0};
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -64,6 +64,19 @@
   AssignWorkers();
 }
 
+void GroupLeader::OnAgentLease(Milliseconds lease) {
+  agent_lease_ = std::max(agent_lease_, std::min(lease, kMaxWorkerLease));
+}
+
+Milliseconds GroupLeader::LongestLease() const {
+  // All leases of former leaders have expired by then: they permit none later
+  // than 20 s after they were replaced.
+  constexpr MonotonicTime kFormerLeasesExpire = std::chrono::seconds(40);
+  const bool inherited =
+      base::MonotonicNow() - started_at_ < kFormerLeasesExpire;
+  return inherited ? std::max(agent_lease_, deps_.former_lease) : agent_lease_;
+}
+
 void GroupLeader::OnAgentDown(const NodeId& agent) {
   base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
   agent_lost_at_ = base::MonotonicNow();
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 MonotonicTime GroupLeader::LeaseExpiry() const {
-  return base::MonotonicNow() + LeaseUpperBound(options_.lease);
+  return base::MonotonicNow() + LeaseUpperBound(LongestLease());
 }
 
 MonotonicTime GroupLeader::LostLeaseExpiry() const {
@@ -67,7 +67,7 @@
 MonotonicTime GroupLeader::FormerLeaderLimit() const {
   if (deps_.leadership.epoch == Epoch(1)) return started_at_;
   if (agent_register_.former_known()) return former_leaders_.Limit();
-  const PermissionTimeouts& timeouts = options_.permission_timeouts;
+  const PermissionTimeouts& timeouts = former_timeouts_;
   // A leader misses the loss of a node only if its row does not name it.
   return started_at_ +
          (agent_register_.listed() ? timeouts.leases : timeouts.undivided);
@@ -75,7 +75,7 @@
 
 MonotonicTime GroupLeader::InheritedLeaseExpiry() const {
   return FormerLeaderLimit() + options_.loss_notice_delay +
-         LeaseUpperBound(options_.lease);
+         LeaseUpperBound(LongestLease());
 }
 
 MonotonicTime GroupLeader::FormerElectedBy() const {
@@ -93,13 +93,13 @@
   }
   if (!agent_register_.AllFormerSeen()) return InheritedLeaseExpiry();
   if (agent_register_.AllElectedSeen()) return MonotonicTime(0);
-  return ElectedAgentLimit() + LeaseUpperBound(options_.lease);
+  return ElectedAgentLimit() + LeaseUpperBound(LongestLease());
 }
 
 MonotonicTime GroupLeader::UnreportedLeaseExpiry() const {
   const MonotonicTime last_grant = agent_register_.LastFormerGrant(
       FormerLeaderLimit() + options_.loss_notice_delay, ElectedAgentLimit());
-  return std::max(last_grant + LeaseUpperBound(options_.lease),
+  return std::max(last_grant + LeaseUpperBound(LongestLease()),
                   loaded_at_ + options_.unreported_grace_period);
 }
 
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -198,7 +198,7 @@
   const MonotonicTime last_grant =
       entry.released_at + options_.loss_notice_delay;
   if (base::MonotonicNow() > last_grant + options_.loss_notice_delay) return;
-  RaiseLeaseBound(entry, last_grant + LeaseUpperBound(options_.lease));
+  RaiseLeaseBound(entry, last_grant + LeaseUpperBound(LongestLease()));
 }
 
 void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound) {
--- a/src/dispatch/model/permission.hpp
+++ b/src/dispatch/model/permission.hpp
@@ -30,6 +30,9 @@
   }
 }
 
+/// Time for which leaders of former versions let leases be extended.
+inline constexpr Milliseconds kFormerVersionLeasePermission{3'000};
+
 /// How long a leader permits what after it sent the last renewal of its
 /// leadership that the table has confirmed. Another leader may have been
 /// elected at any time since.
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -53,6 +53,9 @@
   };
   hooks.on_elected = [this](const LeaderRecord& leader) { Lead(leader); };
   hooks.on_stepped_down = [this] { StepDown(); };
+  hooks.longest_lease = [this] {
+    return leader_ ? leader_->LongestLease() : kFormerVersionLease;
+  };
   hooks.on_yield = [this](bool yielding) {
     if (leader_) leader_->SetYielding(yielding);
     Announce(true);
@@ -165,7 +168,8 @@
           leader ? *leader : LeaderRecord(),
           leading && leadership_->yielding(),
           agent_.LastGrantAge(),
-          leading ? AgentPermission() : Permission::kNone};
+          leading ? AgentPermission() : Permission::kNone,
+          leader_ ? leader_->LongestLease() : options_.session.lease};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
@@ -186,6 +190,7 @@
     if (connected_) return leadership_->SetLeaderYielding(hello.yielding);
     connected_ = true;
     contact_.OnConnected(hello_sent_at_, hello.permission);
+    agent_.SetEarlierLease(hello.worker_lease);
     orphan_timer_.reset();
     base::Log(base::Event::kLeaderFollowed,
               {{"leader", hello.node.str()}, {"epoch", hello.epoch.value()}});
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -73,12 +73,14 @@
       },
       former_leader,
       former_elected_by,
-      former_confirmed_by};
+      former_confirmed_by,
+      leadership_->former_lease()};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   if (followed_stopped_at_ && former_leader) {
     leader_->OnFormerLeaderStopped(*followed_stopped_at_);
   }
   followed_stopped_at_.reset();
+  agent_.SetEarlierLease(leadership_->former_lease());
   leader_->OnFollowerSeen(options_.node, options_.incarnation,
                           agent_.LastGrantAge());
   leader_->OnAgentUp(options_.node, options_.data_center,
@@ -197,6 +199,7 @@
     peers_.erase(old->second);
     old->second->Close();
   }
+  leader_->OnAgentLease(hello.worker_lease);
   peers_[channel] = hello.node;
   agents_[hello.node] = channel;
   if (!hello.leading) {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -90,6 +90,7 @@
   leader.setPort(hello.leader.address.port);
   out.setYielding(hello.yielding);
   out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
+  out.setWorkerLeaseMs(hello.worker_lease.count());
   if (hello.permission) {
     out.setPermission(
         static_cast<std::uint8_t>(1 + static_cast<int>(*hello.permission)));
@@ -115,7 +116,8 @@
            RowVersion()},
           in.getYielding(),
           OptionalFromWire(in.getLastGrantAgeMs()),
-          permission};
+          permission,
+          Milliseconds(in.getWorkerLeaseMs())};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -10,6 +10,7 @@
 
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/model/lease.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/model/permission.hpp"
 #include "mangospread/error.hpp"
@@ -33,6 +34,9 @@
   /// What the sender permits its agents at present; nullopt from a version that
   /// confirms no pings.
   std::optional<Permission> permission = std::nullopt;
+  /// Length of the leases that the sender grants to workers; from a leader, of
+  /// the longest that they may hold.
+  Milliseconds worker_lease{kWorkerLease};
 };
 
 /// A call that a follower forwards to the leader.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -16,6 +16,7 @@
   yielding @6 :Bool;     # The sender leads and another node may take over.
   lastGrantAgeMs @7 :Int64 = -1;   # Negative if it is not known.
   permission @8 :UInt8;  # 1 and a value of Permission; 0 in former versions.
+  workerLeaseMs @9 :Int64 = 6000;  # Former versions grant leases of 6 s.
 }
 
 struct Leader {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -429,6 +429,8 @@
 
   inline  ::uint8_t getPermission() const;
 
+  inline  ::int64_t getWorkerLeaseMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -496,6 +498,9 @@
   inline  ::uint8_t getPermission();
   inline void setPermission( ::uint8_t value);
 
+  inline  ::int64_t getWorkerLeaseMs();
+  inline void setWorkerLeaseMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3054,6 +3059,20 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Hello::Reader::getWorkerLeaseMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 6000ll);
+}
+
+inline  ::int64_t Hello::Builder::getWorkerLeaseMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 6000ll);
+}
+inline void Hello::Builder::setWorkerLeaseMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 6000ll);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -34,6 +34,11 @@
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
 
+  /// Sets the length of the longest leases that workers may hold from sessions
+  /// of other nodes.
+  void SetEarlierLease(Milliseconds lease) {
+    options_.earlier_lease = std::min(lease, options_.max_lease);
+  }
   /// Executes a command; ignores one for a worker that is not assigned.
   void Execute(AgentCommand command);
   /// Ends the sessions of all workers.
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -268,7 +268,7 @@
 void WorkerSession::Synchronise(const RenewReply& report) {
   if (!std::exchange(lease_known_, true)) {
     // No earlier session can renew the lease any more.
-    RaiseLeaseBound(options_.lease);
+    RaiseLeaseBound(std::max(options_.lease, options_.earlier_lease));
   }
   if (report.incarnation != incarnation_) {
     reading_ends_ = false;
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -11,6 +11,7 @@
 
 #include "base/loop/event_loop.hpp"
 #include "dispatch/metrics/timings.hpp"
+#include "dispatch/model/lease.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/model/permission.hpp"
 
@@ -18,9 +19,10 @@
 
 struct WorkerSessionOptions {
   /// Lease that every renewal grants.
-  Milliseconds lease{6'000};
-  /// Longest lease that a worker accepts.
-  Milliseconds max_lease{10'000};
+  Milliseconds lease{kWorkerLease};
+  Milliseconds max_lease{kMaxWorkerLease};
+  /// Longest lease that the worker may hold from earlier sessions.
+  Milliseconds earlier_lease{kWorkerLease};
   /// Time for which the worker delays its reply to a renewal until a run ends;
   /// also the period of measurements.
   Milliseconds renew_wait{500};
--- a/tests/unit/dispatch/followed_leader_test.cc
+++ b/tests/unit/dispatch/followed_leader_test.cc
@@ -54,6 +54,13 @@
 
 /// A leader with two followers, whose names it has stored.
 struct FollowedFixture {
+  /// With times that a busy machine can tell apart.
+  static NodeOptions Options() {
+    NodeOptions options = LocalNode("leader");
+    options.leader.permission_timeouts.leases = Milliseconds(3'000);
+    return options;
+  }
+
   FollowedFixture() {
     table_timer = loop.Every(milliseconds(1), 0, [this] {
       while (table.pending() > 0) table.Step(fault);
@@ -82,7 +89,7 @@
       {loop, table,
        [](const WorkerInfo&) { return std::shared_ptr<WorkerLink>(); },
        platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
-      LocalNode("leader")};
+      Options()};
   std::unique_ptr<Follower> first;
   std::unique_ptr<Follower> second;
 };
@@ -110,7 +117,7 @@
   const MonotonicTime cut_at = base::MonotonicNow();
   RunFor(loop, milliseconds(2'500));
   CHECK(second->connected());
-  const PermissionTimeouts timeouts;
+  const PermissionTimeouts timeouts = Options().leader.permission_timeouts;
   constexpr MonotonicTime kLeewayOfRoundTrip = milliseconds(100);
   CHECK(first->starts_since() <= cut_at + timeouts.starts + kLeewayOfRoundTrip);
   CHECK(node.permission() == Permission::kLeases);
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -169,12 +169,12 @@
 /// the leader's epoch is that of the frame.
 auto Fields(const Hello& item) {
   const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
-               last_grant_age, permission] = item;
+               last_grant_age, permission, worker_lease] = item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
                     leader_process, address, leader_epoch, yielding,
-                    last_grant_age, permission);
+                    last_grant_age, permission, worker_lease);
 }
 
 auto Fields(const Ping& item) {
@@ -285,7 +285,8 @@
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), false,
                    DataCenter("d"), leader, true, Milliseconds(1'500)});
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
-                   leader, false, std::nullopt, Permission::kLeases});
+                   leader, false, std::nullopt, Permission::kLeases,
+                   Milliseconds(7'500)});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -158,11 +158,13 @@
   CHECK(newest.at(placed.run.vm).agent == NodeId("agent"));
   CHECK(WasReleasedBy("other"));
   Event(placed.busy, WorkerUnreachable{Milliseconds(500)});
-  RunFor(milliseconds(5'500));
+  RunFor(kWorkerLease + milliseconds(100));
   // It has been moved meanwhile, to even out the load.
   Attach(placed.idle);
   CHECK(starts.empty());
-  RunFor(milliseconds(1'500));
+  // The tick that removes the worker comes up to 0.22 s later.
+  RunFor(LeaseUpperBound(options.lease) + options.loss_notice_delay -
+         kWorkerLease + milliseconds(200));
   CHECK(starts.size() == 1);
 }
 
@@ -186,7 +188,7 @@
   leader->OnAgentDown(first);
   RunFor(milliseconds(300));
   Attach(placed.idle);
-  RunFor(milliseconds(5'500));
+  RunFor(kWorkerLease - milliseconds(500));
   CHECK(starts.empty());
   RunFor(milliseconds(2'000));
   CHECK(starts.size() == 1);
@@ -271,7 +273,7 @@
   leader->OnAgentEvent(NodeId("agent"),
                        {placed.run.vm, former,
                         Attached{WorkerIncarnation(1), 1'000, {}, {}, {}}});
-  RunFor(std::chrono::seconds(6));
+  RunFor(kWorkerLease);
   CHECK(starts.empty());
   RunFor(std::chrono::seconds(1));
   CHECK(starts.size() == 1);
@@ -315,6 +317,12 @@
 TEST_CASE_FIXTURE(TakeoverFixture,
                   "an agent that is lost may have renewed the lease") {
   Lead(2);
+  Milliseconds lease = kWorkerLease;
+  SUBCASE("of this version") {}
+  SUBCASE("of a former version") {
+    lease = kFormerVersionLease;
+    leader->OnAgentLease(lease);
+  }
   leader->OnAgentUp(NodeId("other"), DataCenter("dc"));
   report.lease_left = Milliseconds(1'000);
   Report("agent");
@@ -323,7 +331,7 @@
   leader->OnAgentDown(NodeId("agent"));
   Attach(placed.idle);
   REQUIRE(newest.at(placed.run.vm).agent == NodeId("other"));
-  RunFor(milliseconds(5'500));
+  RunFor(lease - milliseconds(500));
   CHECK(starts.empty());
 }
 
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -260,7 +260,7 @@
   RunFor(Milliseconds(300));
   REQUIRE(session->CollectRuns());
   CHECK(session->CollectRuns()->renewing);
-  CHECK(session->CollectRuns()->lease_left > Milliseconds(5'900));
+  CHECK(session->CollectRuns()->lease_left > kWorkerLease - Milliseconds(100));
   link->unresponsive = true;
   RunFor(Milliseconds(3'000));
   REQUIRE(Count<WorkerUnreachable>() == 1);
@@ -413,8 +413,8 @@
   RunFor(Milliseconds(900));
   REQUIRE(next->CollectRuns());
   CHECK(next->CollectRuns()->runs.size() == 1);
-  CHECK(next->CollectRuns()->lease_left < Milliseconds(4'500));
-  CHECK(next->CollectRuns()->lease_left > Milliseconds(3'000));
+  CHECK(next->CollectRuns()->lease_left < kWorkerLease - Milliseconds(1'500));
+  CHECK(next->CollectRuns()->lease_left > kWorkerLease - Milliseconds(3'000));
   // The time without a reply counts from the last reply to the former session.
   CHECK(Count<WorkerUnreachable>() == 1);
   next->Close();
@@ -454,7 +454,8 @@
     CHECK(link->renewals[i].lease_until == WorkerTime());
   }
   CHECK_FALSE(session->CollectRuns()->renewing);
-  CHECK(session->CollectRuns()->lease_left < Milliseconds(4'500));
+  CHECK(session->CollectRuns()->lease_left <
+        kWorkerLease - Milliseconds(1'500));
 }
 
 // Guards against a lease that counts as expired though another agent has
