--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "dispatch/leader/agents_row.hpp"
+#include "dispatch/leader/leader_record.hpp"
 #include "integration/harness/wait.hpp"
 #include "platform/base64.hpp"
 
@@ -155,6 +156,16 @@
          metrics.body.find("\nmangospread_leading 1") != std::string::npos;
 }
 
+Epoch ManagedCluster::LeaderEpoch() {
+  const Response response =
+      Get(platform_.address("http"),
+          "/mangospread/rows-get?table=role&part=g0&from=leader&limit=1");
+  const auto rows = nlohmann::json::parse(response.body).at("rows");
+  const auto text =
+      platform::DecodeBase64(rows.at(0).at("value").get<std::string>());
+  return dispatch::DecodeLeader(text.value()).value().epoch;
+}
+
 std::size_t ManagedCluster::AgentOf(std::size_t leader, const std::string& vm) {
   const std::string line = "name=worker_attached vm=" + vm + " agent=n";
   std::size_t agent = 0;
@@ -239,6 +250,13 @@
   Post(platform_.address("http"), "/standin/faults", faults);
 }
 
+void ManagedCluster::DelayTable(Milliseconds delay) {
+  const nlohmann::json faults = {{"delay_ms", delay.count()}};
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Post(table_proxy(i), "/standin/faults", faults.dump());
+  }
+}
+
 nlohmann::json ManagedCluster::GetRecord() {
   const Response response = Get(platform_.address("http"), "/standin/record");
   return nlohmann::json::parse(response.body);
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -11,6 +11,8 @@
 
 #include "integration/harness/http.hpp"
 #include "integration/harness/process.hpp"
+#include "mangospread/ids.hpp"
+#include "mangospread/units.hpp"
 
 namespace mangospread::testing {
 
@@ -90,6 +92,8 @@
   [[nodiscard]] std::size_t AwaitLeader();
   /// True if the node runs and leads.
   [[nodiscard]] bool IsLeading(std::size_t node);
+  /// Epoch of the leader's row in the table.
+  [[nodiscard]] Epoch LeaderEpoch();
   /// Index of the agent to which the node, as the leader, has assigned the
   /// worker last, by its log.
   [[nodiscard]] std::size_t AgentOf(std::size_t leader, const std::string& vm);
@@ -117,6 +121,8 @@
   void PutWorkerEntry(const std::string& key, const std::string& value);
   /// Replaces the faults of the table by those of the JSON object.
   void SetTableFaults(const std::string& faults);
+  /// Delays all data between every node and the table, in each direction.
+  void DelayTable(Milliseconds delay);
   /// Reads the counters from the platform stand-in.
   [[nodiscard]] RunCounters GetCounters();
   /// Directory of the log files of all processes.
