Move what two tests share into the harness

Cause: gone_leader_test and lost_worker_takeover_test started their tasks and checked the restart with the same code, delayed_link_test and stopping_peer_test set up the same two nodes with a slow link, and silent_store_test and election_test posted to all table proxies.

Change: StartLongRunning and CheckRestart in checks/restart, DelayedOwner, ManagedCluster::PostToTableProxies. The checks and their bounds stay as they are. DelayTable now fails the test if a proxy does not reply.

--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -81,6 +81,13 @@
   return response.ok() && response.status == kOk;
 }
 
+void ManagedCluster::PostToTableProxies(const std::string& target,
+                                        const std::string& body) {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    REQUIRE(Post(table_proxy(i), target, body).ok());
+  }
+}
+
 void ManagedCluster::WaitUntilReady() {
   WaitUntil("all nodes are ready", kWaitTimeout, [this] {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -252,9 +259,7 @@
 
 void ManagedCluster::DelayTable(Milliseconds delay) {
   const nlohmann::json faults = {{"delay_ms", delay.count()}};
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    Post(table_proxy(i), "/standin/faults", faults.dump());
-  }
+  PostToTableProxies("/standin/faults", faults.dump());
 }
 
 nlohmann::json ManagedCluster::GetRecord() {
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -58,6 +58,9 @@
     return platform_.address("http");
   }
 
+  /// Sends a request to the control address of every node's table proxy.
+  void PostToTableProxies(const std::string& target, const std::string& body);
+
   /// Waits until the readiness check of every node succeeds.
   void WaitUntilReady();
   /// Starts a node again after it has ended.
--- a/tests/integration/managed/lost_worker_takeover_test.cc
+++ b/tests/integration/managed/lost_worker_takeover_test.cc
@@ -3,21 +3,18 @@
 // these workers are still valid.
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <string>
 
 #include "base/loop/clock.hpp"
+#include "integration/harness/checks/restart.hpp"
 #include "integration/harness/managed.hpp"
 #include "integration/harness/wait.hpp"
 
 namespace mangospread::testing {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kSubmission = 1;
 constexpr int kTasks = 12;
-/// The pages allow 3 s in which a task does not run though there is capacity,
-/// after 4 s without a fault.
-constexpr MonotonicTime kMaxRestart = std::chrono::seconds(7);
 
 bool AllRun(ManagedCluster& site) {
   return site.GetCounters().running == kTasks;
@@ -27,11 +24,7 @@
 /// leader knows that neither responds.
 /// @return the index of the leader.
 std::size_t LoseTwoWorkers(ManagedCluster& site) {
-  site.WaitUntilReady();
-  const std::size_t leader = site.AwaitLeader();
-  site.AwaitSpreadWorkers(leader);
-  REQUIRE(site.SubmitLongRunning(0, kSubmission, kTasks).status == kOk);
-  WaitUntil("the tasks run", kWaitTimeout, [&] { return AllRun(site); });
+  const std::size_t leader = StartLongRunning(site, kTasks);
   // It may have been alone at first, and an agent; gone_leader_test is about
   // that.
   WaitUntil("the leader is no agent", kWaitTimeout,
@@ -48,21 +41,10 @@
   return leader;
 }
 
-/// Checks that all tasks run again within the time that the pages allow.
-void CheckRestart(ManagedCluster& site,
-                  MonotonicTime from = base::MonotonicNow()) {
-  WaitUntil("the tasks run again", kWaitTimeout, [&] { return AllRun(site); });
-  const auto waited =
-      std::chrono::duration_cast<Milliseconds>(base::MonotonicNow() - from);
-  CAPTURE(waited.count());
-  CHECK(waited < kMaxRestart);
-  CHECK(site.GetCounters().overlaps == 0);
-}
-
 TEST_CASE("tasks of lost workers run again in time after a takeover") {
   ManagedCluster site(3, 6);
   site.node(LoseTwoWorkers(site)).Kill();
-  CheckRestart(site);
+  CheckRestart(site, kTasks);
 }
 
 TEST_CASE("tasks of lost workers run again in time after two takeovers") {
@@ -72,18 +54,14 @@
   site.RestartNode(first);
   site.WaitUntilReady();
   site.node(site.AwaitLeader()).Kill();
-  CheckRestart(site);
+  CheckRestart(site, kTasks);
 }
 
 // Guards against a wait that begins with the next leader although every process
 // that could extend the lease has ended before.
 TEST_CASE("tasks run again in time after leader and agent die with a worker") {
   ManagedCluster site(3, 6);
-  site.WaitUntilReady();
-  const std::size_t leader = site.AwaitLeader();
-  site.AwaitSpreadWorkers(leader);
-  REQUIRE(site.SubmitLongRunning(0, kSubmission, kTasks).status == kOk);
-  WaitUntil("the tasks run", kWaitTimeout, [&] { return AllRun(site); });
+  const std::size_t leader = StartLongRunning(site, kTasks);
   const std::size_t agent = site.AgentOf(leader, "w1");
   site.RemoveWorker(0);
   const MonotonicTime killed_at = base::MonotonicNow();
@@ -92,7 +70,7 @@
   site.RestartNode(leader);
   site.RestartNode(agent);
   REQUIRE(!AllRun(site));
-  CheckRestart(site, killed_at);
+  CheckRestart(site, kTasks, killed_at);
 }
 
 // Guards against a wait for leaders that have demonstrably ended: the second
@@ -111,7 +89,7 @@
   for (std::size_t node = 0; node < site.nodes(); ++node) {
     site.RestartNode(node);
   }
-  CheckRestart(site);
+  CheckRestart(site, kTasks);
 }
 
 }  // namespace
--- a/tests/integration/managed/silent_store_test.cc
+++ b/tests/integration/managed/silent_store_test.cc
@@ -35,10 +35,11 @@
   /// Nothing that is sent arrives for `length`. Connections that were open
   /// meanwhile stay open and deliver nothing after it either.
   void FallSilent(Milliseconds length) {
-    PostToLinks("/standin/faults", R"({"drop_up":true,"drop_down":true})");
+    cluster_.PostToTableProxies("/standin/faults",
+                                R"({"drop_up":true,"drop_down":true})");
     std::this_thread::sleep_for(length);
-    PostToLinks("/standin/silence", "");
-    PostToLinks("/standin/faults", "{}");
+    cluster_.PostToTableProxies("/standin/silence", "");
+    cluster_.PostToTableProxies("/standin/faults", "{}");
   }
 
   /// True if every node knows the route, or every node does not.
@@ -54,12 +55,6 @@
   }
 
  private:
-  void PostToLinks(const std::string& target, const std::string& body) {
-    for (std::size_t i = 0; i < cluster_.nodes(); ++i) {
-      REQUIRE(Post(cluster_.table_proxy(i), target, body).ok());
-    }
-  }
-
   ManagedCluster cluster_;
   int version_ = 1;
 };
--- a/tests/integration/requests/delayed_link_test.cc
+++ b/tests/integration/requests/delayed_link_test.cc
@@ -5,8 +5,7 @@
 
 #include <atomic>
 
-#include "integration/harness/checks/ownership.hpp"
-#include "integration/harness/cluster.hpp"
+#include "integration/harness/delayed_owner.hpp"
 #include "integration/harness/load/load_generator.hpp"
 
 namespace mangospread::testing {
@@ -17,15 +16,8 @@
 constexpr int kRequestsPerThread = 5;
 
 TEST_CASE("requests forwarded over a delayed link are answered") {
-  ClusterOptions options;
-  options.nodes = 2;
-  options.workers = 1;
-  options.proxy_rpc = true;
-  Cluster cluster(options);
-  const int owner = AnyOwner(cluster);
-  REQUIRE(owner >= 0);
-  const Address other = cluster.http(1 - owner);
-  cluster.rpc_proxy(owner).SetFaults(R"({"delay_ms":250})");
+  DelayedOwner site;
+  const Address other = site.forwarder();
   std::atomic<int> answered{0};
   LoadGenerator load(kThreads, kSeed, kRequestsPerThread,
                      [&](int /*thread*/, std::mt19937& /*random*/) {
--- a/tests/integration/requests/stopping_peer_test.cc
+++ b/tests/integration/requests/stopping_peer_test.cc
@@ -9,8 +9,7 @@
 #include <set>
 #include <string>
 
-#include "integration/harness/checks/ownership.hpp"
-#include "integration/harness/cluster.hpp"
+#include "integration/harness/delayed_owner.hpp"
 #include "integration/harness/load/load_generator.hpp"
 
 namespace mangospread::testing {
@@ -20,9 +19,6 @@
 constexpr int kThreads = 6;
 constexpr int kRounds = 3;
 constexpr unsigned kMaxWorkMs = 100;
-/// Longer than the end of a node without requests takes, and shorter than the
-/// timeouts of heartbeats and probes.
-constexpr const char* kDelayToOwner = R"({"delay_ms":250})";
 
 /// A request with work of random length, so that some request is on its way to
 /// the owner at any time.
@@ -41,17 +37,9 @@
 TEST_CASE("a request forwarded to a node that ends has a known outcome") {
   for (int round = 0; round < kRounds; ++round) {
     CAPTURE(round);
-    ClusterOptions options;
-    options.nodes = 2;
-    options.workers = 1;
-    options.proxy_rpc = true;
-    options.node_arguments = {"--claim-without-table=false"};
-    Cluster cluster(options);
-    const int owner = AnyOwner(cluster);
-    REQUIRE(owner >= 0);
-    const Address other = cluster.http(1 - owner);
-    cluster.rpc_proxy(owner).SetFaults(kDelayToOwner);
-    cluster.SetTableFaults(R"({"down":true})");
+    DelayedOwner site({"--claim-without-table=false"});
+    const Address other = site.forwarder();
+    site.cluster().SetTableFaults(R"({"down":true})");
     std::atomic<int> answered{0};
     std::atomic<int> unknown{0};
     std::atomic<int> sent{0};
@@ -69,11 +57,11 @@
                        });
     WaitUntil("requests are forwarded and answered", kWaitTimeout,
               [&] { return answered > kThreads; });
-    cluster.node(owner).Terminate();
-    CHECK(cluster.node(owner).Wait(kWaitTimeout) == 0);
+    site.owner().Terminate();
+    CHECK(site.owner().Wait(kWaitTimeout) == 0);
     load.Stop();
     CHECK(unknown == 0);
-    const auto runs = cluster.RunsByKey();
+    const auto runs = site.cluster().RunsByKey();
     for (const std::string& key : refused) CHECK_FALSE(runs.contains(key));
     CHECK(static_cast<int>(runs.size()) == answered);
     MESSAGE("answered " << answered.load() << ", unknown " << unknown.load());
