--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -11,6 +11,8 @@
 
 #include "integration/harness/http.hpp"
 #include "integration/harness/process.hpp"
+#include "mangospread/ids.hpp"
+#include "mangospread/units.hpp"
 
 namespace mangospread::testing {
 
@@ -56,6 +58,9 @@
     return platform_.address("http");
   }
 
+  /// Sends a request to the control address of every node's table proxy.
+  void PostToTableProxies(const std::string& target, const std::string& body);
+
   /// Waits until the readiness check of every node succeeds.
   void WaitUntilReady();
   /// Starts a node again after it has ended.
@@ -90,6 +95,8 @@
   [[nodiscard]] std::size_t AwaitLeader();
   /// True if the node runs and leads.
   [[nodiscard]] bool IsLeading(std::size_t node);
+  /// Epoch of the leader's row in the table.
+  [[nodiscard]] Epoch LeaderEpoch();
   /// Index of the agent to which the node, as the leader, has assigned the
   /// worker last, by its log.
   [[nodiscard]] std::size_t AgentOf(std::size_t leader, const std::string& vm);
@@ -117,6 +124,8 @@
   void PutWorkerEntry(const std::string& key, const std::string& value);
   /// Replaces the faults of the table by those of the JSON object.
   void SetTableFaults(const std::string& faults);
+  /// Delays all data between every node and the table, in each direction.
+  void DelayTable(Milliseconds delay);
   /// Reads the counters from the platform stand-in.
   [[nodiscard]] RunCounters GetCounters();
   /// Directory of the log files of all processes.
