--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -193,4 +194,37 @@
 }
 
 }  // namespace
+// Guards against an exception of a leader that stores the progress of a
+// submission which it has discarded.
+TEST_CASE_FIXTURE(LeaderFixture,
+                  "a lost run of a cancelled submission is not stored") {
+  step.long_running = true;
+  options.ended_retention = Milliseconds(2'000);
+  Lead(1);
+  ListWorkers({"w1"});
+  Attach("w1");
+  Call(ServiceVerb::kSubmit);
+  REQUIRE(starts.size() == 1);
+  leader->Handle({ServiceVerb::kCancel, SubmissionId(kId), {}, {}},
+                 [](const ServiceReply&) {});
+  RunFor(std::chrono::milliseconds(200));
+  REQUIRE(leader->dispatcher().State(SubmissionId(kId)) ==
+          SubmissionState::kCancelled);
+  const std::string key = kProgressPrefix + std::string(kId);
+  int writes = 0;
+  table.rejects = [&](const Transaction& change) {
+    const bool stores = std::any_of(
+        change.writes.begin(), change.writes.end(), [&key](const auto& write) {
+          return write.key == key && write.value.has_value();
+        });
+    writes += static_cast<int>(stores);
+    return stores;
+  };
+  Event("w1", WorkerEnded{});
+  RunFor(std::chrono::seconds(5));
+  CHECK(writes == 0);
+  CHECK_FALSE(leader->dispatcher().State(SubmissionId(kId)));
+  CHECK(table.rows.Read({{key}, {}}).empty());
+}
+
 }  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -66,9 +66,9 @@
         GroupLeaderDependencies{
             loop, table, self, DataCenter("dc"),
             "writer/leader-" + std::to_string(epoch), record,
-            [](const SubmissionId& id, std::string_view) {
-              return Result<Submission>(DispatcherFixture::MakeSubmission(
-                  id.str().c_str(), {DispatcherFixture::MakeStep(1, 1'000)}));
+            [this](const SubmissionId& id, std::string_view) {
+              return Result<Submission>(
+                  DispatcherFixture::MakeSubmission(id.str().c_str(), {step}));
             },
             [this](const NodeId& agent, AgentCommand command) {
               if (auto* assignment = std::get_if<Assignment>(&command)) {
@@ -188,6 +188,8 @@
   base::SimulatedClock clock;
   base::EventLoop loop;
   GroupLeaderOptions options = Options();
+  /// The only step of each submission.
+  StepSpec step = DispatcherFixture::MakeStep(1, 1'000);
   FaultyTable table;
   Fault fault = Fault::kNone;
   base::Timer table_timer;
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -257,4 +257,23 @@
   CHECK(started[1].task == "short.0.0.0");
 }
 
+// Guards against a cancellation that stays invisible to its caller until one
+// more write is stored, for a run that cannot restart.
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "the loss of a cancelled run does not delay the final state") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  const SubmissionId id("lasting");
+  dispatcher.Cancel(id, now);
+  const std::uint64_t cancelled = dispatcher.Generation(id);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  CHECK(save_requests.size() == 1);
+  dispatcher.OnSaved(id, cancelled, now);
+  CHECK(dispatcher.State(id) == SubmissionState::kCancelled);
+}
+
 }  // namespace mangospread::dispatch::test
