Store the lost run of a long-running task again after a failed start

Seen by callers: a long-running task that has lost its run may wait behind short tasks after a takeover (LOST).

Cause: only pending tasks are stored. A task that is placed again within the 40 ms before its loss is stored is left out of that write, and if the start is then refused or not listed, nothing requests another one, so the next leader takes the task for one that never ran.

Change: each requeue of a long-running task requests a write, not only that of a removed worker. One write more for each refused start of such a task; they share the 40 ms with others.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -190,6 +190,10 @@
              reason);
   ReleaseCapacity(ref);
   ref.job().SetPhase(ref.index, TaskPhase::kPending, now);
+  if (ref.spec().long_running && !IsFinal(ref.job().state())) {
+    // A new leader would take it for a task that never ran.
+    MarkChanged(*ref.entry);
+  }
   if (ref.spec().gang) StopGang(*ref.entry, ref.index.step, now);
 }
 
--- a/src/dispatch/core/dispatcher_losses.cc
+++ b/src/dispatch/core/dispatcher_losses.cc
@@ -30,10 +30,6 @@
     const TaskRef ref =
         *FindTask(TaskName(registry_.at(slot).runs.begin()->first));
     Requeue(ref, RemovalName(removal), now);
-    // A new leader would take it for a task that never ran.
-    if (ref.spec().long_running && !IsFinal(ref.job().state())) {
-      MarkChanged(*ref.entry);
-    }
     if (silent_since.count() > 0) ref.task->without_run_since = silent_since;
   }
   health_.Discard(vm);
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -276,4 +276,36 @@
   CHECK(dispatcher.State(id) == SubmissionState::kCancelled);
 }
 
+// Guards against a task that a new leader takes for one that never ran, since
+// it was placed again before its loss was stored and the start was refused
+// (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a loss is stored after a second start that is refused") {
+  AddWorker("w0", 1'000);
+  AddWorker("w1", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  const auto first = Decide();
+  REQUIRE(first.size() == 1);
+  now += std::chrono::seconds(1);  // The run is not suspected of a crash.
+  dispatcher.OnWorkerRemoved(first[0].vm, WorkerRemoval::kLeaseExpired, now);
+  const auto second = Decide();
+  REQUIRE(second.size() == 1);
+  Save("lasting");
+  REQUIRE(dispatcher.Progress(SubmissionId("lasting")).tasks.empty());
+  save_requests.clear();
+  SUBCASE("refused") {
+    Event(second[0].vm.str().c_str(),
+          RunNotStarted{second[0].task, second[0].run,
+                        CommandOutcome::kNoCapacity});
+  }
+  SUBCASE("not listed") {
+    Event(second[0].vm.str().c_str(),
+          Attached{WorkerIncarnation(1), second[0].number, {}, {}, {}});
+  }
+  CHECK(save_requests.size() == 1);
+  CHECK(dispatcher.Progress(SubmissionId("lasting")).tasks.size() == 1);
+}
+
 }  // namespace mangospread::dispatch::test
