Hold no capacity for a restart on a worker that refuses starts

Cause: FreeSoonest takes a worker that has just refused a start, or on which an unknown run is being stopped, for one with free capacity, so the hold sits there, and none on the worker whose runs end next. The trial of a suspected task does not count as waiting time either.

Change: such workers are left out, and the end of a trial counts. Nothing starts on a worker that is left out, so no hold is needed there. The tests (three cases) failed before.

--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -184,12 +184,11 @@
 
 void StepPlacer::AddIfFreeLater(WorkerSlot slot) {
   const WorkerState& worker = At(slot);
-  if (!worker.attached || worker.silent_since.count() > 0 || !CouldRun(slot)) {
-    return;
-  }
+  if (!worker.UseIsKnown(now_) || !CouldRun(slot)) return;
   const auto until_free = ExpectedTimeUntilFree(worker, spec_, now_);
   if (!until_free) return;
-  free_later_->push_back({*until_free, slot});
+  free_later_->push_back(
+      {std::max(*until_free, worker.trial_until - now_), slot});
   std::push_heap(free_later_->begin(), free_later_->end(), FreeAfter);
 }
 
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -53,8 +53,9 @@
 
   /// The worker that is expected to have enough free capacity for one more task
   /// of the step soonest, if nothing else starts there; kNoWorker if that takes
-  /// the end of a long-running task. Not for best-effort steps. Between two
-  /// calls, only the worker of the first may change.
+  /// the end of a long-running task. Workers whose capacity unknown work uses
+  /// are left out; they start nothing meanwhile. Not for best-effort steps.
+  /// Between two calls, only the worker of the first may change.
   [[nodiscard]] WorkerSlot FreeSoonest();
 
   /// Number of workers that the first call of FreeSoonest looks at.
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -102,8 +102,12 @@
   }
   /// True if it can start a task, even if runs on it failed.
   [[nodiscard]] bool CanStart(MonotonicTime now) const noexcept {
-    return Stays() && attached && silent_since.count() == 0 &&
-           stray_runs.empty() && now >= full_until && now >= trial_until;
+    return Stays() && UseIsKnown(now) && now >= trial_until;
+  }
+  /// False if it does not respond or if unknown work uses its capacity.
+  [[nodiscard]] bool UseIsKnown(MonotonicTime now) const noexcept {
+    return attached && silent_since.count() == 0 && stray_runs.empty() &&
+           now >= full_until;
   }
   /// False if it will start no task any more.
   [[nodiscard]] bool Stays() const noexcept {
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -308,4 +308,76 @@
   CHECK(dispatcher.Progress(SubmissionId("lasting")).tasks.size() == 1);
 }
 
+// Guards against capacity that is held where nothing can start for the moment,
+// while smaller tasks use each piece of it on the other workers (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "capacity is not held on a worker that refuses starts") {
+  AddWorker("w0", 4'000);
+  StepSpec step = MakeStep(1, 4'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  // w1 would have enough capacity at once, w2 only when its runs have ended.
+  AddWorker("w2", 4'000);
+  StepSpec first = MakeStep(4, 1'000);
+  first.estimate = Milliseconds(1'100);
+  Add("first", {first});
+  REQUIRE(Decide().size() == 4);
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::milliseconds(900);
+  AddWorker("w1", 4'000);
+  SUBCASE("it has refused a start") {
+    Add("refused", {MakeStep(1, 1'000)});
+    const auto refused = Decide();
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused[0].vm == VmName("w1"));
+    dispatcher.Cancel(SubmissionId("refused"), now);
+    Event("w1", RunNotStarted{refused[0].task, refused[0].run,
+                              CommandOutcome::kNoCapacity});
+  }
+  SUBCASE("an unknown run is being stopped there") {
+    Event("w1", Attached{WorkerIncarnation(1),
+                         0,
+                         {},
+                         {{"unknown.0.0.0", Attempt(1), {}, 0, 0}},
+                         {}});
+  }
+  now += std::chrono::milliseconds(100);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  Add("next", {MakeStep(4, 1'000)});
+  End("w2", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
+// Guards against capacity that is held on a worker which starts nothing until a
+// suspected task has run there for a while, though another one is free sooner.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "the hold counts the time until a worker starts anything") {
+  AddWorker("w0", 2'000);
+  StepSpec step = MakeStep(1, 2'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w2", 2'000);
+  StepSpec first = MakeStep(2, 1'000);
+  first.estimate = Milliseconds(1'100);
+  Add("first", {first});
+  REQUIRE(Decide().size() == 2);
+  AddWorker("w3", 1'000);
+  Add("suspected", {MakeStep(1, 1'000)});
+  REQUIRE(Decide().size() == 1);
+  dispatcher.OnWorkerRemoved(VmName("w3"), WorkerRemoval::kProcessEnded, now);
+  Save("suspected");
+  AddWorker("w1", 3'000);
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  REQUIRE(started[0].vm == VmName("w1"));
+  Add("next", {MakeStep(4, 1'000)});
+  End("w2", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
 }  // namespace mangospread::dispatch::test
