Count a task's time without a run from its last run

Seen by callers: a lost long-running task waits up to a second longer behind short tasks on a full fleet (LOST), where its worker has come back without the run, where a new leader gives up a worker of the one before, and after each refused start.

Cause: the time began anew with each phase. Only the removal of a worker counted from its silence, and after a takeover that silence began with the takeover.

Change: a start that fails does not change the time, a requeue counts from the worker's silence also when the worker is attached again, and a restored task counts as having waited for the takeover, as one whose loss is stored does already. A task that has never run counts from its first start, and an end of a run counts from that end. A superseded worker counts as silent, too; the group leader handles that event itself, so only the dispatcher's test sees this part.

Four cases of three tests failed before. The fourth test passed before; it bounds the change (no precedence after a failure or a first refusal).

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -186,10 +186,15 @@
 void Dispatcher::Requeue(const TaskRef& ref, std::string_view reason,
                          MonotonicTime now) {
   ++counters_.requeued;
-  hooks_.log(ref.name, registry_.at(ref.task->worker).info.vm, "requeued",
-             reason);
+  const WorkerState& worker = registry_.at(ref.task->worker);
+  const MonotonicTime silent_since = worker.silent_since;
+  hooks_.log(ref.name, worker.info.vm, "requeued", reason);
   ReleaseCapacity(ref);
   ref.job().SetPhase(ref.index, TaskPhase::kPending, now);
+  if (silent_since.count() > 0) {
+    MonotonicTime& without_run_since = ref.task->without_run_since;
+    without_run_since = std::min(without_run_since, silent_since);
+  }
   if (ref.spec().long_running && !IsFinal(ref.job().state())) {
     // A new leader would take it for a task that never ran.
     MarkChanged(*ref.entry);
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -328,6 +328,9 @@
   placed.start_number = ++worker.starts_issued;
   placed.started_at = now;
   worker.last_start = now;
+  if (ref.task->run == 0 && !MayHaveRun(entry)) {
+    ref.task->without_run_since = now;
+  }
   if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
   ReserveCapacity(ref, slot, placed);
   if (job.state() == SubmissionState::kQueued) {
--- a/src/dispatch/core/dispatcher_losses.cc
+++ b/src/dispatch/core/dispatcher_losses.cc
@@ -25,12 +25,10 @@
   if (removal != WorkerRemoval::kLeft) {
     OnRunsLost(slot, removal == WorkerRemoval::kProcessEnded, now);
   }
-  const MonotonicTime silent_since = registry_.at(slot).silent_since;
   while (!registry_.at(slot).runs.empty()) {
     const TaskRef ref =
         *FindTask(TaskName(registry_.at(slot).runs.begin()->first));
     Requeue(ref, RemovalName(removal), now);
-    if (silent_since.count() > 0) ref.task->without_run_since = silent_since;
   }
   health_.Discard(vm);
   ledger_.Discard(vm);
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -43,6 +43,7 @@
             registry_.at(slot).attached = false;
           },
           [&](const WorkerSuperseded& /*superseded*/) {
+            OnResponding(slot, false, now);
             registry_.at(slot).attached = false;
           },
           [&](const WorkerEnded& /*ended*/) {
@@ -64,7 +65,6 @@
   if (worker.incarnation != attached.incarnation) worker.last_start = now;
   worker.attached = attached.complete;
   worker.incarnation = attached.incarnation;
-  worker.silent_since = MonotonicTime(0);
   worker.stray_runs.clear();
   for (const EndedRun& end : attached.ended) {
     OnEnded(slot, attached.incarnation, end, now);
@@ -73,6 +73,8 @@
     ReconcileRun(slot, running, now);
   }
   if (attached.complete) RequeueUnlisted(slot, attached, now);
+  // Until here, a run that is lost counts as lost since the worker was silent.
+  OnResponding(slot, true, now);
 }
 
 void Dispatcher::RequeueUnlisted(WorkerSlot slot, const Attached& attached,
@@ -200,6 +202,8 @@
   if (current) {
     ReleaseCapacity(ref);
     job.SetPhase(ref.index, TaskPhase::kPending, now);
+    // The start may have been reported with the end only.
+    task.without_run_since = now;
   }
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -145,9 +145,12 @@
                   static_cast<int>(task.phase == TaskPhase::kPending);
   step.unfinished += static_cast<int>(task.phase == TaskPhase::kDone) -
                      static_cast<int>(phase == TaskPhase::kDone);
+  // A start that fails does not interrupt the time without a run.
+  if (phase != TaskPhase::kStarting && task.phase != TaskPhase::kStarting) {
+    task.without_run_since = now;
+  }
   task.phase = phase;
   task.since = now;
-  task.without_run_since = now;
   if (phase == TaskPhase::kStarting && state_ == SubmissionState::kQueued) {
     state_ = SubmissionState::kRunning;
   }
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -35,8 +35,10 @@
   /// Generation of the submission's progress that holds all losses.
   std::uint64_t loss_generation = 0;
   MonotonicTime since{0};  ///< Start of the phase.
-  /// While pending: start of the phase or, if the task lost its worker, the
-  /// time since which that worker had been silent.
+  /// While pending or starting: end of the last run or, if the task lost its
+  /// worker, the time since which that worker had been silent. Before the first
+  /// run, time of the first start; 0 for a restored task, which has waited for
+  /// the takeover.
   MonotonicTime without_run_since{0};
   std::string checkpoint;
 
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -380,4 +380,104 @@
   CHECK(Decide().empty());
 }
 
+// Guards against a long-running task that has waited for its worker, which then
+// comes back without the run, and which waits a second more (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a lost task has waited since its worker was last heard of") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
+  SUBCASE("the worker comes back without the run") {
+    dispatcher.OnDetached(VmName("w0"), now);
+    now += std::chrono::seconds(6);
+    Event("w0", Attached{WorkerIncarnation(1), 1, {}, {}, {}});
+  }
+  SUBCASE("the worker follows another leader") {
+    Event("w0", WorkerSuperseded{});
+    now += std::chrono::seconds(6);
+    AddWorker("w1", 1'000);
+    dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  }
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a second of waiting that begins anew when a new leader gives
+// up a worker of the one before (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a run that is lost in a takeover has waited long enough") {
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  dispatcher.Restore(MakeSubmission("lasting", {step}), Policy(), JobProgress(),
+                     now);
+  AddWorker("w1", 1'000);
+  WorkerInfo lost;
+  lost.vm = VmName("w0");
+  lost.service = ServiceName("s");
+  dispatcher.OnWorker(lost);
+  dispatcher.AddUnconfirmedRuns(lost.vm, {{"lasting.0.0.0", Attempt(1), false}},
+                                now);
+  dispatcher.OnWorkerRemoved(lost.vm, WorkerRemoval::kLeaseExpired, now);
+  dispatcher.Resume();
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a second of waiting that begins anew with each start that a
+// worker refuses (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a refused start does not interrupt the time without a run") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  now += std::chrono::milliseconds(900);
+  AddWorker("w1", 1'000);
+  const auto refused = Decide();
+  REQUIRE(refused.size() == 1);
+  Event("w1", RunNotStarted{refused[0].task, refused[0].run,
+                            CommandOutcome::kNoCapacity});
+  now += std::chrono::milliseconds(400);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a task that fails at once and then goes before all short work
+// each time, or one that never ran and does so after its first refused start.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a long-running task waits after a failure and a first "
+                  "refusal") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  SUBCASE("failure") {
+    now += std::chrono::seconds(2);
+    End("w0", 1, "lasting.0.0.0", 1, RunEnd::kFailed);
+  }
+  SUBCASE("first refusal") {
+    Event("w0", RunNotStarted{"lasting.0.0.0", Attempt(1),
+                              CommandOutcome::kNoCapacity});
+    now += std::chrono::milliseconds(400);
+  }
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "short.0.0.0");
+}
+
 }  // namespace mangospread::dispatch::test
