Count only steps that hold capacity for the bound of a round

Seen by callers: a lost long-running task gets no hold, so it waits on while smaller tasks use each piece of capacity (LOST), where many steps are pending whose runs are not known.

Cause: HoldForRestarts counts the workers of a step for the 2,000 of a round before it knows whether the step has a task to hold capacity for. It also looks at all workers for such a step.

Change: the tasks are counted first, and a step without any ends there. The test failed before.

--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -149,14 +149,17 @@
   if (!candidate.restarts || spec.gang || spec.best_effort) return;
   if (holds.workers_considered >= kMaxWorkersConsidered) return;
   const Entry& entry = *candidate.entry;
+  const auto& tasks = entry.job->StepAt({candidate.step, 0}).tasks;
+  // Where runs are unknown, most tasks without a run have never had one.
+  const auto count =
+      std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
+        return task.run > 0 && !IsSuspected(task.losses) &&
+               RestartIsDue(spec, task, false, now);
+      });
+  if (count == 0) return;
   StepPlacer placer = MakePlacer(entry, candidate.step, now);
   holds.workers_considered += placer.sound_workers();
-  for (const Task& task : entry.job->StepAt({candidate.step, 0}).tasks) {
-    // Where runs are unknown, most tasks without a run have never had one.
-    if (task.run == 0 || IsSuspected(task.losses) ||
-        !RestartIsDue(spec, task, false, now)) {
-      continue;
-    }
+  for (auto held = count; held > 0; --held) {
     const WorkerSlot slot = placer.FreeSoonest();
     if (slot == kNoWorker) return;
     registry_.at(slot).Add(spec);
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -480,4 +480,30 @@
   CHECK(started[0].task == "short.0.0.0");
 }
 
+// Guards against steps with nothing to hold capacity for that use up the bound
+// of a round, so that a lost task gets no hold (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "only steps with a hold count for the bound of a round") {
+  StepSpec step = MakeStep(1, 5'000);
+  step.long_running = true;
+  dispatcher.Restore(
+      MakeSubmission("unknown", std::vector<StepSpec>(2'000, step)), Policy(),
+      JobProgress(), now);
+  dispatcher.OnRunsUnknown();
+  dispatcher.Resume();
+  AddWorker("w0", 4'000);
+  step.cpu = Millicores(4'000);
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w1", 4'000);
+  Add("first", {MakeStep(4, 1'000)});
+  REQUIRE(Decide().size() == 4);
+  Add("next", {MakeStep(4, 1'000)});
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  End("w1", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
 }  // namespace mangospread::dispatch::test
