Leave out lost runs for which progress rows have no space

Seen by callers: a submission of which more than about 24,000 long-running tasks have lost their runs at once fails (progress_too_large).

Cause: each such task is listed in the submission's rows, so that the next leader starts it before short work, and a submission with more than 11 rows of progress fails.

Change: these tasks are stored after all others, and those without space are left out: after a takeover they wait behind short tasks like tasks that never ran. Failed runs, checkpoints and losses are never left out; without space for them the submission fails as before. The test failed before.

--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -93,6 +93,26 @@
   return head + ",\"tasks\":[" + tasks + "]}";
 }
 
+/// True if nothing is stored of a task but that it has lost a run.
+bool HasOnlyLostRun(const TaskProgress& task) {
+  return !task.done && task.failed_runs.empty() && task.checkpoint.empty() &&
+         task.losses.empty();
+}
+
+/// Appends a task to the last part or to a new one. Returns false, without a
+/// change, if it would need more than kMaxProgressRows.
+/// @param reserved bytes of the first part that other fields use.
+bool AppendTask(const std::string& task, std::size_t space,
+                std::size_t reserved, std::vector<std::string>& parts) {
+  const std::size_t used = parts.size() == 1 ? reserved : 0;
+  if (parts.back().size() + task.size() + used > space) {
+    if (task.size() > space || parts.size() == kMaxProgressRows) return false;
+    parts.emplace_back();
+  }
+  parts.back() += task;
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeJobRow(const JobRow& row) {
@@ -137,9 +157,12 @@
   const std::string head = EncodeHead(row);
   std::string listed;
   std::vector<std::string> tasks;
+  std::vector<std::string> only_lost;
   for (const TaskProgress& task : row.progress.tasks) {
-    tasks.push_back(base::DumpJson(EncodeTask(task)) + ",");
-    listed += tasks.back();
+    std::string encoded = base::DumpJson(EncodeTask(task)) + ",";
+    listed += encoded;
+    auto& list = HasOnlyLostRun(task) ? only_lost : tasks;
+    list.push_back(std::move(encoded));
   }
   const std::size_t used = head.size() + kReservedBytes;
   const std::size_t space = max_bytes - std::min(max_bytes, used);
@@ -152,15 +175,13 @@
   if (done.size() > space) return Error{Errc::kTooLarge, "progress"};
   std::vector<std::string> parts = {{}};
   for (const std::string& task : tasks) {
-    const std::size_t reserved = parts.size() == 1 ? done.size() : 0;
-    if (parts.back().size() + task.size() + reserved > space) {
-      parts.emplace_back();
-    }
-    parts.back() += task;
-    if (task.size() > space || parts.size() > kMaxProgressRows) {
+    if (!AppendTask(task, space, done.size(), parts)) {
       return Error{Errc::kTooLarge, "progress"};
     }
   }
+  for (const std::string& task : only_lost) {
+    if (!AppendTask(task, space, done.size(), parts)) break;
+  }
   const std::string first_head =
       head + done + ",\"parts\":" + std::to_string(parts.size() - 1);
   for (std::size_t i = 0; i < parts.size(); ++i) {
--- a/src/dispatch/leader/job_rows.hpp
+++ b/src/dispatch/leader/job_rows.hpp
@@ -47,7 +47,9 @@
 /// Encodes progress in rows of at most `max_bytes`: the first one and the
 /// further ones in order. The first one lists each task that is done, as former
 /// versions do, if it has the space, and otherwise holds them as ranges or as a
-/// set of bits.
+/// set of bits. Tasks of which only a lost run is known are left out where
+/// there is no space for them; the next leader takes them for tasks that never
+/// ran.
 /// @errors kTooLarge if they are more than kMaxProgressRows.
 [[nodiscard]] Result<std::vector<std::string>> EncodeProgressRows(
     const ProgressRow& row, std::size_t max_bytes);
--- a/tests/unit/dispatch/job_rows_test.cc
+++ b/tests/unit/dispatch/job_rows_test.cc
@@ -136,6 +136,33 @@
       EncodeProgressRows({QueueName("q"), single.Progress()}, kRowBytes).ok());
 }
 
+// Guards against a submission that fails since too many of its long-running
+// tasks have lost their runs at once, and against progress that only this list
+// names and that is left out for it.
+TEST_CASE("lost runs beyond the space of the rows are left out") {
+  constexpr int kTasks = 60'000;
+  StepSpec step = DispatcherFixture::MakeStep(kTasks, 250);
+  step.long_running = true;
+  Job job(DispatcherFixture::MakeSubmission("aa", {step}),
+          DispatcherFixture::Policy(), kNow, MonotonicTime(0));
+  for (int t = 0; t < kTasks; ++t) job.Find({0, t})->run = 1;
+  job.Find({0, kTasks - 3})->checkpoint = "checkpoint";
+  job.Find({0, kTasks - 2})->failed_runs = {1};
+  job.Find({0, kTasks - 1})->losses = {{1, Suspicion::kSole, true}};
+  const Rows rows = Encode(job);
+  const StoredProgress stored = Read(rows);
+  const auto& tasks = stored.rows.at(SubmissionId("aa")).progress.tasks;
+  CHECK(tasks.size() > 20'000);
+  const auto stores = [&tasks](int index) {
+    return std::any_of(
+        tasks.begin(), tasks.end(),
+        [index](const TaskProgress& task) { return task.task.index == index; });
+  };
+  CHECK(stores(kTasks - 3));
+  CHECK(stores(kTasks - 2));
+  CHECK(stores(kTasks - 1));
+}
+
 // Guards against a second run of a task after the version before takes over: it
 // reads only the list of tasks.
 TEST_CASE("a row that fits lists its tasks as the version before does") {
