--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -257,4 +257,253 @@
   CHECK(started[1].task == "short.0.0.0");
 }
 
+// Guards against a cancellation that stays invisible to its caller until one
+// more write is stored, for a run that cannot restart.
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "the loss of a cancelled run does not delay the final state") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  const SubmissionId id("lasting");
+  dispatcher.Cancel(id, now);
+  const std::uint64_t cancelled = dispatcher.Generation(id);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  CHECK(save_requests.size() == 1);
+  dispatcher.OnSaved(id, cancelled, now);
+  CHECK(dispatcher.State(id) == SubmissionState::kCancelled);
+}
+
+// Guards against a task that a new leader takes for one that never ran, since
+// it was placed again before its loss was stored and the start was refused
+// (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a loss is stored after a second start that is refused") {
+  AddWorker("w0", 1'000);
+  AddWorker("w1", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  const auto first = Decide();
+  REQUIRE(first.size() == 1);
+  now += std::chrono::seconds(1);  // The run is not suspected of a crash.
+  dispatcher.OnWorkerRemoved(first[0].vm, WorkerRemoval::kLeaseExpired, now);
+  const auto second = Decide();
+  REQUIRE(second.size() == 1);
+  Save("lasting");
+  REQUIRE(dispatcher.Progress(SubmissionId("lasting")).tasks.empty());
+  save_requests.clear();
+  SUBCASE("refused") {
+    Event(second[0].vm.str().c_str(),
+          RunNotStarted{second[0].task, second[0].run,
+                        CommandOutcome::kNoCapacity});
+  }
+  SUBCASE("not listed") {
+    Event(second[0].vm.str().c_str(),
+          Attached{WorkerIncarnation(1), second[0].number, {}, {}, {}});
+  }
+  CHECK(save_requests.size() == 1);
+  CHECK(dispatcher.Progress(SubmissionId("lasting")).tasks.size() == 1);
+}
+
+// Guards against capacity that is held where nothing can start for the moment,
+// while smaller tasks use each piece of it on the other workers (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "capacity is not held on a worker that refuses starts") {
+  AddWorker("w0", 4'000);
+  StepSpec step = MakeStep(1, 4'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  // w1 would have enough capacity at once, w2 only when its runs have ended.
+  AddWorker("w2", 4'000);
+  StepSpec first = MakeStep(4, 1'000);
+  first.estimate = Milliseconds(1'100);
+  Add("first", {first});
+  REQUIRE(Decide().size() == 4);
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::milliseconds(900);
+  AddWorker("w1", 4'000);
+  SUBCASE("it has refused a start") {
+    Add("refused", {MakeStep(1, 1'000)});
+    const auto refused = Decide();
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused[0].vm == VmName("w1"));
+    dispatcher.Cancel(SubmissionId("refused"), now);
+    Event("w1", RunNotStarted{refused[0].task, refused[0].run,
+                              CommandOutcome::kNoCapacity});
+  }
+  SUBCASE("an unknown run is being stopped there") {
+    Event("w1", Attached{WorkerIncarnation(1),
+                         0,
+                         {},
+                         {{"unknown.0.0.0", Attempt(1), {}, 0, 0}},
+                         {}});
+  }
+  now += std::chrono::milliseconds(100);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  Add("next", {MakeStep(4, 1'000)});
+  End("w2", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
+// Guards against capacity that is held on a worker which starts nothing until a
+// suspected task has run there for a while, though another one is free sooner.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "the hold counts the time until a worker starts anything") {
+  AddWorker("w0", 2'000);
+  StepSpec step = MakeStep(1, 2'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w2", 2'000);
+  StepSpec first = MakeStep(2, 1'000);
+  first.estimate = Milliseconds(1'100);
+  Add("first", {first});
+  REQUIRE(Decide().size() == 2);
+  AddWorker("w3", 1'000);
+  Add("suspected", {MakeStep(1, 1'000)});
+  REQUIRE(Decide().size() == 1);
+  dispatcher.OnWorkerRemoved(VmName("w3"), WorkerRemoval::kProcessEnded, now);
+  Save("suspected");
+  AddWorker("w1", 3'000);
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  REQUIRE(started[0].vm == VmName("w1"));
+  Add("next", {MakeStep(4, 1'000)});
+  End("w2", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
+// Guards against a long-running task that has waited for its worker, which then
+// comes back without the run, and which waits a second more (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a lost task has waited since its worker was last heard of") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
+  SUBCASE("the worker comes back without the run") {
+    dispatcher.OnDetached(VmName("w0"), now);
+    now += std::chrono::seconds(6);
+    Event("w0", Attached{WorkerIncarnation(1), 1, {}, {}, {}});
+  }
+  SUBCASE("the worker follows another leader") {
+    Event("w0", WorkerSuperseded{});
+    now += std::chrono::seconds(6);
+    AddWorker("w1", 1'000);
+    dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  }
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a second of waiting that begins anew when a new leader gives
+// up a worker of the one before (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a run that is lost in a takeover has waited long enough") {
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  dispatcher.Restore(MakeSubmission("lasting", {step}), Policy(), JobProgress(),
+                     now);
+  AddWorker("w1", 1'000);
+  WorkerInfo lost;
+  lost.vm = VmName("w0");
+  lost.service = ServiceName("s");
+  dispatcher.OnWorker(lost);
+  dispatcher.AddUnconfirmedRuns(lost.vm, {{"lasting.0.0.0", Attempt(1), false}},
+                                now);
+  dispatcher.OnWorkerRemoved(lost.vm, WorkerRemoval::kLeaseExpired, now);
+  dispatcher.Resume();
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a second of waiting that begins anew with each start that a
+// worker refuses (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a refused start does not interrupt the time without a run") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  now += std::chrono::milliseconds(900);
+  AddWorker("w1", 1'000);
+  const auto refused = Decide();
+  REQUIRE(refused.size() == 1);
+  Event("w1", RunNotStarted{refused[0].task, refused[0].run,
+                            CommandOutcome::kNoCapacity});
+  now += std::chrono::milliseconds(400);
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "lasting.0.0.0");
+}
+
+// Guards against a task that fails at once and then goes before all short work
+// each time, or one that never ran and does so after its first refused start.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a long-running task waits after a failure and a first "
+                  "refusal") {
+  AddWorker("w0", 1'000);
+  StepSpec step = MakeStep(1, 1'000);
+  step.long_running = true;
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  SUBCASE("failure") {
+    now += std::chrono::seconds(2);
+    End("w0", 1, "lasting.0.0.0", 1, RunEnd::kFailed);
+  }
+  SUBCASE("first refusal") {
+    Event("w0", RunNotStarted{"lasting.0.0.0", Attempt(1),
+                              CommandOutcome::kNoCapacity});
+    now += std::chrono::milliseconds(400);
+  }
+  Add("short", {MakeStep(1, 1'000)});
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].task == "short.0.0.0");
+}
+
+// Guards against steps with nothing to hold capacity for that use up the bound
+// of a round, so that a lost task gets no hold (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "only steps with a hold count for the bound of a round") {
+  StepSpec step = MakeStep(1, 5'000);
+  step.long_running = true;
+  dispatcher.Restore(
+      MakeSubmission("unknown", std::vector<StepSpec>(2'000, step)), Policy(),
+      JobProgress(), now);
+  dispatcher.OnRunsUnknown();
+  dispatcher.Resume();
+  AddWorker("w0", 4'000);
+  step.cpu = Millicores(4'000);
+  Add("lasting", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w1", 4'000);
+  Add("first", {MakeStep(4, 1'000)});
+  REQUIRE(Decide().size() == 4);
+  Add("next", {MakeStep(4, 1'000)});
+  dispatcher.OnDetached(VmName("w0"), now);
+  now += std::chrono::seconds(1);
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  End("w1", 1, "first.0.0.0", 1, RunEnd::kDone);
+  CHECK(Decide().empty());
+}
+
 }  // namespace mangospread::dispatch::test
