--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -239,7 +239,6 @@
   const std::uint64_t now = WallMilliseconds();
   const std::uint64_t age =
       now > row.accepted_at_ms ? now - row.accepted_at_ms : 0;
-  latency_targets_.emplace(id, row.policy.latency_target);
   dispatcher_->Restore(
       std::move(submission.value()), row.policy,
       progress ? progress->progress : JobProgress(),
@@ -318,13 +317,11 @@
     return done(MakeReply(ServiceResult::kInvalid));
   }
   change.writes.push_back({key, std::move(value)});
-  const Milliseconds allowance = CallerAllowance(call.policy.latency_target);
-  accepting_calls_.emplace(id, std::move(call));
   accepting_callbacks_[id].push_back(std::move(done));
-  writer_.Submit(
-      std::move(change),
-      [this, id](const table::WriteResult& r) { OnSubmitted(id, r); },
-      allowance);
+  accepting_calls_.emplace(id, std::move(call));
+  writer_.Submit(std::move(change), [this, id](const table::WriteResult& r) {
+    OnSubmitted(id, r);
+  });
 }
 
 void GroupLeader::OnSubmitted(const SubmissionId& id,
@@ -336,7 +333,6 @@
   if (result.status == WriteStatus::kCommitted) {
     const ServiceCall& call = node.mapped();
     auto submission = deps_.decode(id, call.payload);
-    latency_targets_.emplace(id, call.policy.latency_target);
     dispatcher_->Add(std::move(submission.value()), call.policy,
                      base::MonotonicNow());
     base::Log(base::Event::kSubmissionAccepted,
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -39,12 +39,6 @@
   /// changes share one write.
   Milliseconds save_delay{40};
   Milliseconds save_retry_delay{300};
-  /// Time by which a queued write of progress may be overtaken. Acceptances and
-  /// final states, which callers wait for, may be overtaken by a quarter of
-  /// their latency target, and by no more than this.
-  Milliseconds progress_allowance{500};
-  /// The same for writes that no caller and no worker waits for.
-  Milliseconds background_allowance{1'000};
   /// Delay before the rows of workers or agents are sent again after the table
   /// did not accept them.
   Milliseconds rejected_row_delay{3'000};
@@ -269,11 +263,6 @@
                            Transaction& change) const;
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                const table::WriteResult& result);
-  /// Time by which other writes may overtake an acceptance or a final state.
-  [[nodiscard]] Milliseconds CallerAllowance(Milliseconds latency_target) const;
-  /// The same for progress in this state.
-  [[nodiscard]] Milliseconds SaveAllowance(const SubmissionId& id,
-                                           SubmissionState state) const;
   /// Deletes the rows of submissions that ended more than ended_retention ago.
   void SweepEnded(MonotonicTime now);
   void SaveInterference();
@@ -423,8 +412,6 @@
   std::map<SubmissionId, ServiceCall> accepting_calls_;
   /// Callers that wait for a cancellation to be stored.
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
-  /// Latency targets of the submissions whose final state is not stored.
-  std::map<SubmissionId, Milliseconds> latency_targets_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
   std::set<SubmissionId> saving_;  ///< With a write in flight.
   /// Highest number of a stored row "progress/<id>.<n>", of those that have
--- a/src/dispatch/leader/group_leader_progress.cc
+++ b/src/dispatch/leader/group_leader_progress.cc
@@ -40,16 +40,14 @@
     change.writes.push_back({kJobPrefix + id.str(), std::nullopt});
   }
   saving_.insert(id);
-  writer_.Submit(
-      std::move(change),
-      [this, id, generation, further](const table::WriteResult& result) {
-        if (result.status == table::WriteStatus::kCommitted) {
-          progress_parts_.erase(id);
-          if (further > 0) progress_parts_.emplace(id, further);
-        }
-        OnSaved(id, generation, result);
-      },
-      SaveAllowance(id, row.progress.state));
+  writer_.Submit(std::move(change), [this, id, generation, further](
+                                        const table::WriteResult& result) {
+    if (result.status == table::WriteStatus::kCommitted) {
+      progress_parts_.erase(id);
+      if (further > 0) progress_parts_.emplace(id, further);
+    }
+    OnSaved(id, generation, result);
+  });
 }
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader_storing.cc
+++ b/src/dispatch/leader/group_leader_storing.cc
@@ -14,9 +14,6 @@
 using table::WriteStatus;
 
 constexpr int kMaxSweptPerTick = 8;
-/// Part of the latency target by which a write that a caller waits for may be
-/// overtaken.
-constexpr int kTargetDivisor = 4;
 
 }  // namespace
 
@@ -63,20 +60,6 @@
   }
 }
 
-Milliseconds GroupLeader::CallerAllowance(Milliseconds latency_target) const {
-  if (latency_target.count() == 0) return options_.progress_allowance;
-  return std::min(latency_target / kTargetDivisor, options_.progress_allowance);
-}
-
-Milliseconds GroupLeader::SaveAllowance(const SubmissionId& id,
-                                        SubmissionState state) const {
-  const auto target = latency_targets_.find(id);
-  if (!IsFinal(state) || target == latency_targets_.end()) {
-    return options_.progress_allowance;
-  }
-  return CallerAllowance(target->second);
-}
-
 void GroupLeader::OnSaved(const SubmissionId& id, std::uint64_t generation,
                           const table::WriteResult& result) {
   saving_.erase(id);
@@ -108,7 +91,6 @@
   const auto state = dispatcher_->State(id);
   if (state && IsFinal(*state)) {
     ended_.push_back({id, now});
-    latency_targets_.erase(id);
     base::Log(base::Event::kSubmissionEnded,
               {{"request", id.str()},
                {"state", StateName(*state)},
@@ -133,18 +115,16 @@
     Transaction change = LeaderTransaction();
     change.writes.push_back({kProgressPrefix + ended.id.str(), std::nullopt});
     RemoveProgressParts(ended.id, 1, change);
-    writer_.Submit(
-        std::move(change),
-        [this, ended](const table::WriteResult& result) {
-          if (CheckConflict(result)) return;
-          if (result.status == WriteStatus::kCommitted) {
-            dispatcher_->Discard(ended.id);
-            progress_parts_.erase(ended.id);
-          } else {
-            ended_.push_back(ended);
-          }
-        },
-        options_.background_allowance);
+    writer_.Submit(std::move(change),
+                   [this, ended](const table::WriteResult& result) {
+                     if (CheckConflict(result)) return;
+                     if (result.status == WriteStatus::kCommitted) {
+                       dispatcher_->Discard(ended.id);
+                       progress_parts_.erase(ended.id);
+                     } else {
+                       ended_.push_back(ended);
+                     }
+                   });
   }
 }
 
@@ -155,16 +135,14 @@
   interference_saving_ = true;
   Transaction change = LeaderTransaction();
   change.writes.push_back({kInterferenceKey, value});
-  writer_.Submit(
-      std::move(change),
-      [this, value](const table::WriteResult& result) {
-        interference_saving_ = false;
-        if (CheckConflict(result)) return;
-        if (result.status == WriteStatus::kCommitted) {
-          saved_interference_ = value;
-        }
-      },
-      options_.background_allowance);
+  writer_.Submit(std::move(change),
+                 [this, value](const table::WriteResult& result) {
+                   interference_saving_ = false;
+                   if (CheckConflict(result)) return;
+                   if (result.status == WriteStatus::kCommitted) {
+                     saved_interference_ = value;
+                   }
+                 });
 }
 
 void GroupLeader::RestoreInterference(std::string_view value) {
--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -100,40 +100,29 @@
 
 bool Writer::idle() const noexcept { return queue_.empty() && !in_flight_; }
 
-void Writer::Submit(Transaction change, Callback done, Milliseconds allowance) {
+void Writer::Submit(Transaction change, Callback done) {
   if (queue_.size() >= options_.max_queue) {
     ++counters_.rejected;
     loop_.Post([done = std::move(done)] { done({}); });
     return;
   }
-  const MonotonicTime now = base::MonotonicNow();
-  Enqueue({std::move(change), std::move(done), now + options_.max_wait,
-           now + allowance});
+  queue_.push_back({std::move(change), std::move(done),
+                    base::MonotonicNow() + options_.max_wait});
   SendIfReady();
 }
 
-void Writer::Enqueue(Pending pending) {
-  const auto before = std::find_if(
-      queue_.rbegin(), queue_.rend(),
-      [&](const Pending& queued) { return queued.due <= pending.due; });
-  queue_.insert(before.base(), std::move(pending));
-}
-
 void Writer::SendIfReady() {
   if (in_flight_ || queue_.empty()) {
     // Changes queued behind an unresolved transaction still expire.
     if (!queue_.empty() && !timer_.active()) {
       timer_ = loop_.After(options_.max_wait, [this] {
-        const auto alive = alive_;
         ExpireQueued();
-        if (*alive) SendIfReady();
+        SendIfReady();
       });
     }
     return;
   }
-  const auto alive = alive_;
   ExpireQueued();
-  if (!*alive) return;
   // The callback of an expired change may have submitted it again, and it may
   // have been sent.
   if (queue_.empty() || in_flight_) return;
@@ -146,25 +135,11 @@
 
 void Writer::ExpireQueued() {
   const MonotonicTime now = base::MonotonicNow();
-  // The queue is not in the order of deadlines.
-  if (std::all_of(queue_.begin(), queue_.end(), [now](const Pending& queued) {
-        return queued.deadline > now;
-      })) {
-    return;
-  }
-  const auto expired = std::stable_partition(
-      queue_.begin(), queue_.end(),
-      [now](const Pending& queued) { return queued.deadline > now; });
-  std::vector<Callback> callbacks;
-  for (auto it = expired; it != queue_.end(); ++it) {
-    callbacks.push_back(std::move(it->done));
-  }
-  queue_.erase(expired, queue_.end());
-  counters_.rejected += callbacks.size();
-  const auto alive = alive_;
-  for (const Callback& done : callbacks) {
+  while (!queue_.empty() && queue_.front().deadline <= now) {
+    ++counters_.rejected;
+    const auto done = std::move(queue_.front().done);
+    queue_.pop_front();
     done({});
-    if (!*alive) return;
   }
 }
 
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -84,10 +84,6 @@
 /// transaction. Changes that require the same version of a row without writing
 /// it share the condition, as all writes of a scheduler do with its role row.
 ///
-/// Queued changes are sent in the order of the times by which they should be:
-/// the time of submission and an allowance. A change is thus overtaken only by
-/// changes submitted within its allowance, however many follow.
-///
 /// A group that the table rejects is divided until the rejected change is
 /// alone, so that it fails no other change.
 class Writer {
@@ -104,10 +100,7 @@
 
   /// Queues a change. `done` is called exactly once, unless the writer is
   /// destroyed first.
-  /// @param allowance time by which it may be sent later than another change
-  ///   submitted at the same time; to be shorter than max_wait.
-  void Submit(Transaction change, Callback done,
-              Milliseconds allowance = Milliseconds(0));
+  void Submit(Transaction change, Callback done);
 
   /// Sets the average rate, in transactions per second, and the burst to the
   /// transactions of two seconds, at least two.
@@ -128,11 +121,8 @@
     Transaction change;
     Callback done;
     MonotonicTime deadline;
-    MonotonicTime due;  ///< The changes with the earliest are sent first.
   };
 
-  /// Inserts a change behind those that are due no later.
-  void Enqueue(Pending pending);
   void SendIfReady();
   bool ConsumeBudget();
   void ExpireQueued();
