Compare the stored names of workers without a copy

Change: the names are compared in one pass over the sorted containers, and the set is built only when they differ. The new test fails when the pass overlooks a worker that the roster lacks; it guards the new comparison against a fault that the former one did not have.

--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -21,6 +21,30 @@
 constexpr Milliseconds kShortestLoadPeriod{400};
 constexpr Milliseconds kLoadPeriodPerWorker{4};
 
+/// True if `names` holds exactly the workers of the others. It is compared at
+/// each tick, so without a copy of the names.
+template <class Listed, class Known>
+bool HoldsExactly(const std::set<VmName>& names, const Listed& listed,
+                  const Known& known, const std::set<VmName>& unresolved) {
+  auto next_listed = listed.begin();
+  auto next_known = known.begin();
+  auto next_unresolved = unresolved.begin();
+  for (const VmName& vm : names) {
+    const bool is_listed =
+        next_listed != listed.end() && next_listed->first == vm;
+    const bool is_known = next_known != known.end() && next_known->first == vm;
+    const bool is_unresolved =
+        next_unresolved != unresolved.end() && *next_unresolved == vm;
+    if (!is_listed && !is_known && !is_unresolved) return false;
+    if (is_listed) ++next_listed;
+    if (is_known) ++next_known;
+    if (is_unresolved) ++next_unresolved;
+  }
+  // A worker that is missing in `names` has not been passed.
+  return next_listed == listed.end() && next_known == known.end() &&
+         next_unresolved == unresolved.end();
+}
+
 }  // namespace
 
 void GroupLeader::OnWorkers(const std::map<VmName, WorkerInfo>& listed) {
@@ -60,8 +84,8 @@
 
 void GroupLeader::SaveRoster() {
   if (roster_saving_ || base::MonotonicNow() < roster_retry_at_) return;
+  if (HoldsExactly(roster_, listed_, workers_, unresolved_)) return;
   next_roster_ = TargetRoster();
-  if (next_roster_ == roster_) return;
   roster_saving_ = true;
   std::vector<std::string> rows =
       EncodeRoster(next_roster_, options_.row_bytes);
--- a/tests/unit/dispatch/leader_rows_test.cc
+++ b/tests/unit/dispatch/leader_rows_test.cc
@@ -87,6 +87,27 @@
   CHECK(rows[0].value == "w1\n");
 }
 
+// Guards against a new worker that the comparison with the stored names
+// overlooks, whatever its place among them, and against names that are lost
+// while the runs of their workers are not known.
+TEST_CASE("a new worker is stored beside former ones") {
+  for (const char* added : {"w0", "w15", "w3"}) {
+    LeaderFixture fixture;
+    fixture.table.rows.Transact({{}, {{RosterKey(0), "w1\nw2\n"}}});
+    fixture.Lead(1);
+    fixture.ListWorkers({"w1"});
+    fixture.RunFor(std::chrono::milliseconds(300));
+    fixture.ListWorkers({"w1", added});
+    fixture.RunFor(std::chrono::milliseconds(300));
+    const auto rows = fixture.table.rows.Read({{}, {{kRosterKey, {}, 10}}});
+    REQUIRE(rows.size() == 1);
+    std::set<VmName> stored;
+    DecodeRoster(rows[0].value, stored);
+    CHECK(stored ==
+          std::set<VmName>{VmName("w1"), VmName("w2"), VmName(added)});
+  }
+}
+
 // Guards against an accepted submission whose progress the table does not
 // accept: its row was sent again without end, and the ends of its tasks were
 // never acknowledged, so that the worker listed no later ones.
