Tests of restarted tasks share how a run begins

The same five lines stood in most cases of restarted_task_test and capacity_hold_test: a worker, a long-running task that fills it, its start. They are RunLongRunning and Run of the fixture now. The REQUIRE that the tasks start moves along, so no check is lost.

--- a/tests/unit/dispatch/capacity_hold_test.cc
+++ b/tests/unit/dispatch/capacity_hold_test.cc
@@ -10,14 +10,9 @@
 TEST_CASE_FIXTURE(
     DispatcherFixture,
     "pieces of capacity are held until a lost long-running task fits") {
-  AddWorker("w0", 4'000);
-  StepSpec step = MakeStep(1, 4'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 4'000);
   AddWorker("w1", 4'000);
-  Add("first", {MakeStep(4, 1'000)});
-  REQUIRE(Decide().size() == 4);
+  Run("first", MakeStep(4, 1'000));
   Add("next", {MakeStep(8, 1'000)});
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   now += std::chrono::milliseconds(1'000);
@@ -37,25 +32,19 @@
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "capacity for a lost task is held on the worker that is free "
                   "soonest") {
-  AddWorker("w0", 4'000);
-  StepSpec step = MakeStep(1, 4'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  StepSpec step = RunLongRunning("w0", "lasting", 4'000);
   AddWorker("w1", 4'000);
   step.cpu = Millicores(2'000);
   Add("stays", {step});
   REQUIRE(Decide().size() == 1);
-  Add("beside", {MakeStep(2, 1'000)});
-  REQUIRE(Decide().size() == 2);
+  Run("beside", MakeStep(2, 1'000));
   AddWorker("w2", 4'000);
   StepSpec slow = MakeStep(4, 1'000);
   slow.estimate = Milliseconds(9'000);
   Add("slow", {slow});
   REQUIRE(Decide().size() == 4);
   AddWorker("w3", 4'000);
-  Add("quick", {MakeStep(4, 1'000)});
-  REQUIRE(Decide().size() == 4);
+  Run("quick", MakeStep(4, 1'000));
   Add("next", {MakeStep(8, 1'000)});
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   now += std::chrono::milliseconds(1'000);
@@ -71,18 +60,12 @@
 // Guards against capacity that is held beside a short run that never ends.
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "capacity is not held where a run is long overdue") {
-  AddWorker("w0", 2'000);
-  StepSpec step = MakeStep(1, 2'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 2'000);
   AddWorker("w1", 2'000);
-  Add("hangs", {MakeStep(2, 1'000)});
-  REQUIRE(Decide().size() == 2);
+  Run("hangs", MakeStep(2, 1'000));
   now += std::chrono::seconds(10);
   AddWorker("w2", 2'000);
-  Add("quick", {MakeStep(2, 1'000)});
-  REQUIRE(Decide().size() == 2);
+  Run("quick", MakeStep(2, 1'000));
   Add("next", {MakeStep(4, 1'000)});
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   now += std::chrono::milliseconds(1'000);
@@ -97,11 +80,7 @@
 // while smaller tasks use each piece of it on the other workers (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "capacity is not held on a worker that refuses starts") {
-  AddWorker("w0", 4'000);
-  StepSpec step = MakeStep(1, 4'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 4'000);
   // w1 would have enough capacity at once, w2 only when its runs have ended.
   AddWorker("w2", 4'000);
   StepSpec first = MakeStep(4, 1'000);
@@ -138,19 +117,14 @@
 // suspected task has run there for a while, though another one is free sooner.
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "the hold counts the time until a worker starts anything") {
-  AddWorker("w0", 2'000);
-  StepSpec step = MakeStep(1, 2'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 2'000);
   AddWorker("w2", 2'000);
   StepSpec first = MakeStep(2, 1'000);
   first.estimate = Milliseconds(1'100);
   Add("first", {first});
   REQUIRE(Decide().size() == 2);
   AddWorker("w3", 1'000);
-  Add("suspected", {MakeStep(1, 1'000)});
-  REQUIRE(Decide().size() == 1);
+  Run("suspected", MakeStep(1, 1'000));
   dispatcher.OnWorkerRemoved(VmName("w3"), WorkerRemoval::kProcessEnded, now);
   Save("suspected");
   AddWorker("w1", 3'000);
@@ -181,8 +155,7 @@
   Add("lasting", {step});
   REQUIRE(Decide().size() == 1);
   AddWorker("w1", 4'000);
-  Add("first", {MakeStep(4, 1'000)});
-  REQUIRE(Decide().size() == 4);
+  Run("first", MakeStep(4, 1'000));
   Add("next", {MakeStep(4, 1'000)});
   dispatcher.OnDetached(VmName("w0"), now);
   now += std::chrono::seconds(1);
--- a/tests/unit/dispatch/dispatcher_fixture.hpp
+++ b/tests/unit/dispatch/dispatcher_fixture.hpp
@@ -2,6 +2,8 @@
 /// A dispatcher whose commands and requests to store are recorded.
 #pragma once
 
+#include <doctest/doctest.h>
+
 #include <string>
 #include <utility>
 #include <vector>
@@ -90,6 +92,21 @@
                        dispatcher.Generation(SubmissionId(id)), now);
   }
 
+  /// Adds a submission of one step, all of whose tasks start at once.
+  void Run(const char* id, const StepSpec& step) {
+    Add(id, {step});
+    REQUIRE(Decide().size() == static_cast<std::size_t>(step.count));
+  }
+
+  /// Adds a worker, and a long-running task that fills it and starts at once.
+  StepSpec RunLongRunning(const char* vm, const char* id, int millicores) {
+    AddWorker(vm, millicores);
+    StepSpec step = MakeStep(1, millicores);
+    step.long_running = true;
+    Run(id, step);
+    return step;
+  }
+
   /// Removes and returns the recorded commands of one type, oldest first.
   template <typename Kind>
   std::vector<Kind> TakeCommands() {
--- a/tests/unit/dispatch/restarted_task_test.cc
+++ b/tests/unit/dispatch/restarted_task_test.cc
@@ -11,17 +11,11 @@
 // each time (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a lost long-running task takes scarce capacity in time") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   // 11 of 12 cores are used, and the last one has been taken for a second.
   AddWorker("w1", 12'000);
-  Add("long", {MakeStep(11, 1'000)});
-  REQUIRE(Decide().size() == 11);
-  Add("short", {MakeStep(1, 1'000)});
-  REQUIRE(Decide().size() == 1);
+  Run("long", MakeStep(11, 1'000));
+  Run("short", MakeStep(1, 1'000));
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   CHECK(Decide().empty());
   now += std::chrono::milliseconds(500);
@@ -39,14 +33,9 @@
 // capacity, since smaller tasks that wait use each piece of it (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a lost long-running task goes before short tasks in time") {
-  AddWorker("w0", 4'000);
-  StepSpec step = MakeStep(1, 4'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 4'000);
   AddWorker("w1", 4'000);
-  Add("first", {MakeStep(4, 1'000)});
-  REQUIRE(Decide().size() == 4);
+  Run("first", MakeStep(4, 1'000));
   Add("next", {MakeStep(4, 1'000)});
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
   now += std::chrono::milliseconds(1'000);
@@ -64,11 +53,7 @@
 // (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a lost task has waited since its worker fell silent") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   dispatcher.OnDetached(VmName("w0"), now);
   now += std::chrono::seconds(6);
   AddWorker("w1", 1'000);
@@ -174,11 +159,7 @@
 TEST_CASE_FIXTURE(
     DispatcherFixture,
     "the loss of a cancelled run does not delay the final state") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   const SubmissionId id("lasting");
   dispatcher.Cancel(id, now);
   const std::uint64_t cancelled = dispatcher.Generation(id);
@@ -224,11 +205,7 @@
 // comes back without the run, and which waits a second more (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a lost task has waited since its worker was last heard of") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
   SUBCASE("the worker comes back without the run") {
     dispatcher.OnDetached(VmName("w0"), now);
@@ -274,11 +251,7 @@
 // worker refuses (LOST).
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a refused start does not interrupt the time without a run") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   Event("w0", RunStarted{"lasting.0.0.0", Attempt(1)});
   now += std::chrono::seconds(1);
   dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
@@ -300,11 +273,7 @@
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "a long-running task waits after a failure and a first "
                   "refusal") {
-  AddWorker("w0", 1'000);
-  StepSpec step = MakeStep(1, 1'000);
-  step.long_running = true;
-  Add("lasting", {step});
-  REQUIRE(Decide().size() == 1);
+  RunLongRunning("w0", "lasting", 1'000);
   SUBCASE("failure") {
     now += std::chrono::seconds(2);
     End("w0", 1, "lasting.0.0.0", 1, RunEnd::kFailed);
