odd_entry_test waits for a leader that serves

Cause: AwaitLeader() returns as soon as a node has been elected. Until the new leader has read the stored rows, its node has no leader for its callers; as it has been without one for more than PendingCallsOptions::leader_wait (700 ms), it refuses calls at once, with Retry-After 1 s. That refusal is allowed, so the fault is in the test. AwaitServingLeader() waits until one response of a node's metrics says that it leads and that it is ready, which a leader is from the moment when it forwards calls. The check stays a single submission that must get 200: a leader that says that it serves and refuses fails the test.

The log of the next leader shows its claim as committed, 75 refused calls for the submission (first the POST, 24 ms after the claim), all with retry_after_ms=1000, then scheduler_rebuilt epoch=2 took_ms=1520, and no refusal after that. There was one election after the kill (epoch 2). A store that cannot be written to is refused with 900 ms, a leader that is not confirmed with 500 ms; neither occurs.

--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -29,6 +29,11 @@
   return body.dump();
 }
 
+/// True if a gauge has the value 1.
+bool IsSet(const std::string& metrics, const std::string& name) {
+  return metrics.find("\nmangospread_" + name + " 1\n") != std::string::npos;
+}
+
 }  // namespace
 
 void CheckNoTaskRanTwice(const RunCounters& counts) {
@@ -156,11 +161,28 @@
   return leader;
 }
 
+std::size_t ManagedCluster::AwaitServingLeader() {
+  std::size_t leader = nodes_.size();
+  WaitUntil("a leader serves", kWaitTimeout, [&] {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      const std::string metrics = GetMetrics(i);
+      if (!IsSet(metrics, "leading") || !IsSet(metrics, "ready")) continue;
+      leader = i;
+      return true;
+    }
+    return false;
+  });
+  return leader;
+}
+
 bool ManagedCluster::IsLeading(std::size_t node) {
-  if (!nodes_[node]->running()) return false;
+  return IsSet(GetMetrics(node), "leading");
+}
+
+std::string ManagedCluster::GetMetrics(std::size_t node) {
+  if (!nodes_[node]->running()) return {};
   const Response metrics = Get(nodes_[node]->address("ready"), "/metrics");
-  return metrics.ok() &&
-         metrics.body.find("\nmangospread_leading 1") != std::string::npos;
+  return metrics.ok() ? metrics.body : std::string();
 }
 
 Epoch ManagedCluster::LeaderEpoch() {
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -91,8 +91,11 @@
 
   /// Index of the node that leads; the number of nodes if none does.
   [[nodiscard]] std::size_t Leader();
-  /// Waits until a node leads, and returns its index.
+  /// Waits until a node leads, and returns its index. It may still refuse
+  /// calls, as a new leader does until it has read the stored rows.
   [[nodiscard]] std::size_t AwaitLeader();
+  /// Waits until a node leads and serves callers, and returns its index.
+  [[nodiscard]] std::size_t AwaitServingLeader();
   /// True if the node runs and leads.
   [[nodiscard]] bool IsLeading(std::size_t node);
   /// Epoch of the leader's row in the table.
@@ -135,6 +138,8 @@
 
  private:
   [[nodiscard]] nlohmann::json GetRecord();
+  /// The metrics of a node; empty if it does not run or respond.
+  [[nodiscard]] std::string GetMetrics(std::size_t node);
   [[nodiscard]] std::unique_ptr<Process> StartNode(std::size_t index);
 
   LogDirectory logs_;
--- a/tests/integration/managed/odd_entry_test.cc
+++ b/tests/integration/managed/odd_entry_test.cc
@@ -79,7 +79,7 @@
   }
   // A process that starts among the odd entries reads them all at once.
   site.node(site.AwaitLeader()).Kill();
-  const std::size_t leader = site.AwaitLeader();
+  const std::size_t leader = site.AwaitServingLeader();
   const std::size_t added = site.AddWorker();
   for (const auto& [key, value] : OddEntries()) site.PutWorkerEntry(key, value);
   CHECK(site.Submit(leader, kAfter, kTasks, kTaskMs).status == kOk);
