A stopping node answers each request that it has read

What callers saw: a request on an open connection, read 4.3 s after SIGTERM, ended 1 s later with the connection and without an answer (LOST).

Cause: a node that is not idle ends 5.3 s after SIGTERM (grace time 6 s). It reads new requests until then and answered none of those in flight. A forwarded call waits up to 2.8 s for the leader's reply, a call without a leader 0.7 s, and one that waits for a second leader up to 1.2 s from its arrival.

Why this works: 4.5 s after SIGTERM PendingCalls::Close completes all calls, with "unknown" if they were ever forwarded, else as refused, and refuses later ones at once, so a refused call has never left this process. Replies that come later name calls that no longer exist and are ignored. StopSchedule ends the process as soon as all answers are written. A process that was starved past its end still answers once before it ends, 50 ms later and within the margin of 0.7 s. An idle process ends only after two idle checks in a row, so a request that had arrived by the first one is read. A grace time shorter than the load balancer's notice is kept now; the notice used to have precedence.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -17,6 +17,7 @@
 #include "api/metrics.hpp"
 #include "app/failure_log.hpp"
 #include "app/signal_handler.hpp"
+#include "app/stop_schedule.hpp"
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
 #include "base/loop/event_loop.hpp"
@@ -42,13 +43,8 @@
 constexpr Milliseconds kStoreTimeout{1'000};
 constexpr Milliseconds kCommandTimeout{700};
 constexpr Milliseconds kLogFlushPeriod{250};
-/// The load balancer stops sending connections after two failed probes, which
-/// are one second apart.
-constexpr Milliseconds kDrainNotice{2'300};
 constexpr Milliseconds kStopCheckPeriod{50};
 constexpr Milliseconds kSettingsCheckPeriod{1'000};
-/// The process ends at least this long before its grace time does.
-constexpr Milliseconds kStopMargin{700};
 /// Partition of the store in which this system writes its rows.
 constexpr const char* kPartition = "g0";
 
@@ -128,14 +124,14 @@
   }
 
   /// Begins a graceful shutdown: asks callers to close their connections, hands
-  /// the leadership over and stops the loop when every request has a response,
-  /// or when the grace time is about to end.
+  /// the leadership over and stops the loop when every request has a response.
+  /// What is still in flight shortly before the grace time ends is answered
+  /// without a result.
   void Stop() {
-    if (stopping_) return;
-    stopping_ = true;
+    if (stop_schedule_) return;
+    stop_schedule_.emplace(base::MonotonicNow(), settings_.stop_grace);
     base::Log(base::Event::kShutdownBegun, {});
     frontend_server_.CloseConnections();
-    stop_begun_ = base::MonotonicNow();
     node_.Resign([] {});
     stop_timer_ = loop_.Every(kStopCheckPeriod, 0, [this] { CheckStopped(); });
   }
@@ -164,7 +160,7 @@
 
  private:
   [[nodiscard]] bool ready() const {
-    return !stopping_ && catalog_ && node_.ready();
+    return !stop_schedule_ && catalog_ && node_.ready();
   }
 
   /// Responds with the readiness for the load balancer, or with the metrics at
@@ -376,16 +372,18 @@
   }
 
   void CheckStopped() {
-    const auto elapsed = base::MonotonicNow() - stop_begun_;
     const bool idle = frontend_.in_flight() == 0 &&
                       frontend_server_.unwritten_responses() == 0;
-    if (elapsed < kDrainNotice ||
-        (!idle && elapsed < settings_.stop_grace - kStopMargin)) {
-      return;
+    switch (stop_schedule_->Check(base::MonotonicNow(), idle)) {
+      case StopPhase::kServe:
+        return;
+      case StopPhase::kAnswer:
+        return node_.CloseCalls();
+      case StopPhase::kEnd:
+        base::Log(base::Event::kShutdownDone,
+                  {{"in_flight", frontend_.in_flight()}});
+        return loop_.Stop();
     }
-    base::Log(base::Event::kShutdownDone,
-              {{"in_flight", frontend_.in_flight()}});
-    loop_.Stop();
   }
 
   base::EventLoop& loop_;
@@ -407,8 +405,7 @@
   std::unique_ptr<platform::StoreFeed> catalog_feed_;
   std::unique_ptr<platform::StoreFeed> leader_feed_;
   std::unique_ptr<platform::StoreFeed> workers_feed_;
-  bool stopping_ = false;
-  MonotonicTime stop_begun_{0};
+  std::optional<StopSchedule> stop_schedule_;  ///< Set while stopping.
   base::Timer stop_timer_;
   std::int64_t settings_modified_at_ = SettingsModifiedAt(settings_path_);
   base::Timer settings_timer_;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -165,6 +165,8 @@
       return {"child_failed", Severity::kError};
     case Event::kLogDropped:
       return {"log_dropped", Severity::kWarning};
+    case Event::kCallsClosed:
+      return {"calls_closed", Severity::kInfo};
     case Event::kSettingsInvalid:
       return {"settings_invalid", Severity::kError};
     case Event::kTableUnreachable:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -21,6 +21,7 @@
   kChildFailed = 1006,
   kSettingsInvalid = 1007,
   kLogDropped = 1008,
+  kCallsClosed = 1009,
   // Table.
   kTableUnreachable = 1101,
   kTableReachable = 1102,
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -73,6 +73,9 @@
 
   /// Processes a call, locally if this node leads, else through the leader.
   void Handle(ServiceCall call, ServiceCallback done);
+  /// Completes all calls at once, and later ones when they arrive, since this
+  /// process is about to end.
+  void CloseCalls() { calls_.Close(); }
 
   /// True if this node can process calls at present.
   [[nodiscard]] bool ready() const noexcept;
--- a/src/dispatch/node/pending_calls.cc
+++ b/src/dispatch/node/pending_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/events.hpp"
 #include "base/loop/clock.hpp"
 
 namespace mangospread::dispatch {
@@ -35,10 +36,8 @@
   entry.arrived_at = base::MonotonicNow();
   entry.call = std::move(call);
   entry.done = std::move(done);
-  if (!leader_available_ &&
-      (!may_wait_ || calls_.size() >= options_.max_waiting)) {
-    return Refuse(entry);
-  }
+  const bool may_wait = may_wait_ && calls_.size() < options_.max_waiting;
+  if (closed_ || (!leader_available_ && !may_wait)) return Refuse(entry);
   Insert(std::move(entry));
 }
 
@@ -79,6 +78,19 @@
   call.done(reply);
 }
 
+void PendingCalls::Close() {
+  if (closed_) return;
+  closed_ = true;
+  std::size_t forwarded = 0;
+  for (auto& [id, call] : calls_) {
+    if (call.in_flight) call.uncertain = true;
+    if (call.uncertain) ++forwarded;
+  }
+  base::Log(base::Event::kCallsClosed,
+            {{"forwarded", forwarded}, {"waiting", calls_.size() - forwarded}});
+  for (const auto& [id, call] : std::exchange(calls_, {})) Refuse(call);
+}
+
 void PendingCalls::SetLeaderAvailable(bool available) {
   if (leader_available_ == available) return;
   leader_available_ = available;
--- a/src/dispatch/node/pending_calls.hpp
+++ b/src/dispatch/node/pending_calls.hpp
@@ -44,6 +44,10 @@
   /// Completes a call. Ignores ids of calls that have completed or were
   /// forwarded again.
   void Finish(std::uint64_t id, ServiceReply reply);
+  /// Completes all calls: those that were forwarded, now or earlier, with
+  /// kUnknown, the others with kRefused. Refuses later ones immediately and
+  /// ignores late replies.
+  void Close();
   /// Reports whether a leader can be reached.
   void SetLeaderAvailable(bool available);
 
@@ -74,6 +78,7 @@
   Forward forward_;
   bool leader_available_ = false;
   bool may_wait_ = true;  ///< False after leader_wait without a leader.
+  bool closed_ = false;
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, Call> calls_;  ///< In order of arrival.
   base::Timer leader_wait_timer_;
--- a/tests/unit/dispatch/pending_calls_test.cc
+++ b/tests/unit/dispatch/pending_calls_test.cc
@@ -106,6 +106,46 @@
   CHECK(calls.size() == 0);
 }
 
+// Guards against a process that ends with calls in flight, and against a
+// refusal of a call that was forwarded, now or to a former leader.
+TEST_CASE_FIXTURE(PendingCallsFixture, "closing completes all calls") {
+  calls.SetLeaderAvailable(true);
+  Add(ServiceVerb::kSubmit);
+  REQUIRE(forwarded.size() == 1);
+  SUBCASE("while the leader processes them") {
+    Add(ServiceVerb::kSubmit);
+    calls.Close();
+    CHECK(replies ==
+          std::vector{ServiceResult::kUnknown, ServiceResult::kUnknown});
+  }
+  SUBCASE("while they wait for the next leader") {
+    calls.SetLeaderAvailable(false);
+    Add(ServiceVerb::kSubmit);
+    calls.Close();
+    CHECK(replies ==
+          std::vector{ServiceResult::kUnknown, ServiceResult::kRefused});
+  }
+  CHECK(calls.size() == 0);
+  replies.clear();
+  calls.Finish(forwarded[0], Reply(ServiceResult::kOk));
+  CHECK(replies.empty());
+}
+
+// Guards against a call that is forwarded by a process that is about to end.
+TEST_CASE_FIXTURE(PendingCallsFixture,
+                  "calls after closing are refused immediately") {
+  SUBCASE("with a leader") { calls.SetLeaderAvailable(true); }
+  SUBCASE("without a leader") {}
+  calls.Close();
+  Add(ServiceVerb::kSubmit);
+  CHECK(replies == std::vector{ServiceResult::kRefused});
+  calls.SetLeaderAvailable(true);
+  Add(ServiceVerb::kSubmit);
+  RunFor(std::chrono::seconds(3));
+  CHECK(replies.size() == 2);
+  CHECK(forwarded.empty());
+}
+
 // Guards against memory that grows during an outage.
 TEST_CASE_FIXTURE(PendingCallsFixture,
                   "the number of waiting calls is bounded") {
