--- a/src/dispatch/policy/worker_health.cc
+++ b/src/dispatch/policy/worker_health.cc
@@ -60,7 +60,9 @@
                              MonotonicTime now) {
   SubmissionRecord& outcomes = submissions_[submission];
   outcomes.outcomes[vm] = {false, now};
-  if (2 * FailedWorkers(outcomes) <= outcomes.outcomes.size()) {
+  // Counting visits all outcomes, so it is left out where it changes nothing.
+  if (outcomes.at_fault &&
+      2 * FailedWorkers(outcomes) <= outcomes.outcomes.size()) {
     outcomes.at_fault = false;
   }
   Record& record = records_[vm];
