Encode and decode frames with fewer copies

Encoding copied each message into an array of words and then into a string, and decoding copied the bytes to align them even if they were. The message is written into the string directly, and only unaligned bytes are copied. A test decodes a frame at every alignment.

--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <kj/io.h>
 
 #include <array>
 #include <cstdint>
@@ -191,28 +192,36 @@
             root.setPermission(static_cast<std::uint8_t>(ping.permission));
           }},
       frame);
-  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+  std::string bytes(
+      capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word), '\0');
+  kj::ArrayOutputStream out(
+      kj::arrayPtr(reinterpret_cast<kj::byte*>(bytes.data()), bytes.size()));
+  capnp::writeMessage(out, message);
+  return bytes;
 }
 
 Result<Frame> DecodeFrame(std::string_view bytes) {
   if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) {
     return Error{Errc::kMalformed, "frame"};
   }
-  // Copied, since the bytes may not be aligned for words.
-  std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
-  std::memcpy(words.data(), bytes.data(), bytes.size());
+  const std::size_t count = bytes.size() / sizeof(capnp::word);
+  const auto* words = reinterpret_cast<const capnp::word*>(bytes.data());
+  // Copied only if the bytes are not aligned for words.
+  std::vector<capnp::word> aligned;
+  if (reinterpret_cast<std::uintptr_t>(words) % alignof(capnp::word) != 0) {
+    aligned.resize(count);
+    std::memcpy(aligned.data(), bytes.data(), bytes.size());
+    words = aligned.data();
+  }
   // Each part of a frame is read at most three times. The limit also bounds
   // lists of elements without data, which take no space in a frame.
   constexpr std::uint64_t kTraversalsPerWord = 4;
   constexpr std::uint64_t kMinTraversedWords = 1'024;
   capnp::ReaderOptions options;
   options.traversalLimitInWords =
-      kMinTraversedWords + kTraversalsPerWord * words.size();
+      kMinTraversedWords + kTraversalsPerWord * count;
   try {
-    capnp::FlatArrayMessageReader reader(
-        kj::arrayPtr(words.data(), words.size()), options);
+    capnp::FlatArrayMessageReader reader(kj::arrayPtr(words, count), options);
     return Get(reader.getRoot<wire::Frame>());
   } catch (const std::exception& error) {
     return Error{Errc::kMalformed, "frame"};
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -372,6 +372,24 @@
   CHECK_FALSE(DecodeFrame("abc").ok());
 }
 
+// Guards against reading words from an unaligned address, and against a result
+// that depends on the alignment: aligned frames are decoded without a copy.
+TEST_CASE("a frame is decoded alike at any address") {
+  const std::string frame =
+      EncodeFrame(AgentCommand(StopRun{VmName("w"), "s-1.0.0.2", Attempt(3)}));
+  for (std::size_t offset = 0; offset < sizeof(capnp::word); ++offset) {
+    CAPTURE(offset);
+    const std::string moved = std::string(offset, '\0') + frame;
+    const auto decoded = DecodeFrame(std::string_view(moved).substr(offset));
+    REQUIRE(decoded.ok());
+    const auto& stop =
+        std::get<StopRun>(std::get<AgentCommand>(decoded.value()));
+    CHECK(stop.vm == VmName("w"));
+    CHECK(stop.task == "s-1.0.0.2");
+    CHECK(stop.run == Attempt(3));
+  }
+}
+
 // Guards against a frame of a few bytes that is decoded to millions of elements
 // and exhausts the memory: elements without any data take no space on the wire.
 TEST_CASE("a small frame cannot hold a huge list") {
