A process that has resigned denies its election at once

What callers saw: nothing yet; by reading. A claim that is in flight when its process resigns may still commit. The group then has a leader that never leads.

Cause: if the process knows of its election, it denies it to the followers, and they contend at once. If the reply to its claim was lost and it does not reach the table any more, it only knows by the records of its peers. Such a record has no version, so it was read again from the table, and followers waited for the heartbeat timeout (0.9 s) as for a leader that may only be slow.

Evidence: "a resigned process denies the election that a peer reports" failed before (it reported epoch 0). "a process that was elected after it resigned is replaced" passed before and guards the rest.

Why this works: the version is needed for the writes of a leader, and a process that has resigned makes none, so it adopts the record of its peer and denies the epoch in its first reply.

--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -77,8 +77,11 @@
   const bool names_self =
       leader && leader->IsProcess(self_.node, self_.incarnation);
   // A record from a peer has no version, and without one the conditions of this
-  // leader's writes would fail.
-  if (names_self && !leading_ && leader->version.value() == 0) return ReadRow();
+  // leader's writes would fail. A process that has resigned writes nothing, and
+  // its followers contend as soon as it denies the election.
+  if (names_self && !leading_ && !resigned_ && leader->version.value() == 0) {
+    return ReadRow();
+  }
   row_known_ = true;
   const bool same = leader && leader_ && leader->epoch == leader_->epoch;
   if (same) {
