Mode serve: requests that outlast the limit of a stop have an outcome

Cause: the stop waits for requests in flight up to the limit and then goes on to the end of the process. Requests that arrived after the limit were admitted too.

Why this works: 1.5 s before the limit (at half of a limit below 3 s) the gateway closes all sessions. One with an attempt in flight or of unknown outcome gets "unknown", the others "not-run"; a claimed key is marked or released as for any other request, and a claim that is granted later is released. A session finishes and responds once, so late replies have no effect, and new requests are refused as those after the end of all requests are.

--- a/src/app/node/node.cc
+++ b/src/app/node/node.cc
@@ -15,6 +15,9 @@
 constexpr Milliseconds kHandOverLimit{5'000};
 constexpr Milliseconds kStateCheckPeriod{100};
 constexpr Milliseconds kStopCheckPeriod{20};
+/// What is in flight this long before the limit of a stop is answered without a
+/// result. Long enough to release the keys of requests that have not run.
+constexpr Milliseconds kAnswerTime{1'500};
 
 /// A node that receives neither a response of the table nor a heartbeat of a
 /// peer for this long refuses requests.
@@ -330,8 +333,16 @@
 
 void Node::WaitForRequests(std::function<void()> done) {
   watches_.CloseAll();
-  if (gateway_.in_flight() == 0 && server_.unwritten_responses() == 0 &&
-      config_writer_.idle() && keys_.idle()) {
+  const Milliseconds answer_time =
+      std::min(kAnswerTime, settings_.stop_limit / 2);
+  if (!requests_ended_ &&
+      base::MonotonicNow() >= requests_limit_at_ - answer_time) {
+    requests_ended_ = true;
+    gateway_.CloseRequests();
+  }
+  const bool answered = requests_ended_ || gateway_.in_flight() == 0;
+  if (answered && server_.unwritten_responses() == 0 && config_writer_.idle() &&
+      keys_.idle()) {
     // A request that arrives from now on would be cut off when the process
     // ends.
     requests_ended_ = true;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,7 +1,9 @@
 #include "gateway/gateway.hpp"
 
+#include <memory>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "base/loop/clock.hpp"
 #include "gateway/request_session.hpp"
@@ -58,6 +60,15 @@
   done({Outcome::kNotRun, NotRunReason::kNoCapacity, {}});
 }
 
+void Gateway::CloseRequests() {
+  std::vector<std::shared_ptr<RequestSession>> open;
+  open.reserve(sessions_.size());
+  for (RequestSession* session : sessions_) {
+    open.push_back(session->shared_from_this());
+  }
+  for (const auto& session : open) session->Close();
+}
+
 RequestId Gateway::NextRequestId() {
   return RequestId(request_id_prefix_ + std::to_string(++next_request_));
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/loop/event_loop.hpp"
@@ -20,6 +21,8 @@
 
 namespace mangospread::gateway {
 
+class RequestSession;
+
 /// Forwards a request to a peer. Production code uses
 /// rpc::PeerService::Forward.
 using SendForward =
@@ -81,6 +84,10 @@
     return forwards_stopped_;
   }
 
+  /// Responds to all requests of callers at once, since the process is about to
+  /// end: the outcome is unknown for those that were sent.
+  void CloseRequests();
+
   /// Retries queued requests after a slot may have become free, on this node or
   /// on a peer.
   void OnSlotAvailable() { queue_.Wake(); }
@@ -125,6 +132,7 @@
   std::string request_id_prefix_;
   std::uint64_t next_request_ = 0;
   int in_flight_ = 0;
+  std::set<RequestSession*> sessions_;  ///< Requests of callers.
   bool forwards_stopped_ = false;
   /// Set to false on destruction. Sessions check it, because a call that never
   /// completes may keep a session alive longer than this object.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -62,14 +62,27 @@
       gateway_alive_(gateway.alive_),
       exchange_(std::move(exchange)) {
   ++gateway_.in_flight_;
+  gateway_.sessions_.insert(this);
 }
 
 RequestSession::~RequestSession() {
   if (!*gateway_alive_) return;
   if (admitted_) gateway_.limiter_.EndRequest(request_.service, team_);
+  gateway_.sessions_.erase(this);
   --gateway_.in_flight_;
 }
 
+void RequestSession::Close() {
+  if (responded_) return;
+  retry_timer_.reset();
+  // Its key is being released, so it has not run.
+  if (finished_) {
+    return Respond({Outcome::kNotRun, NotRunReason::kShuttingDown, {}});
+  }
+  if (attempt_in_flight_) may_have_run_ = true;
+  Refuse(NotRunReason::kShuttingDown);
+}
+
 void RequestSession::Start() {
   const NotRunReason not_ready = gateway_.admission_();
   if (not_ready != NotRunReason::kNone) return Refuse(not_ready);
@@ -96,6 +109,12 @@
 }
 
 void RequestSession::OnClaim(ClaimResult result) {
+  if (finished_) {
+    if (result.status == ClaimStatus::kGranted) {
+      gateway_.keys_.Release(key_->row_key, [] {});
+    }
+    return;
+  }
   switch (result.status) {
     case ClaimStatus::kGranted:
       key_claimed_ = true;
@@ -197,7 +216,9 @@
   const auto self = shared_from_this();
   // A request that UpdateForSend has refused is finished, so it also leaves the
   // queue.
-  entry.send = [self] { return !self->UpdateForSend() || self->TrySend(); };
+  entry.send = [self] {
+    return self->finished_ || !self->UpdateForSend() || self->TrySend();
+  };
   entry.is_disconnected = [self] {
     return self->exchange_->caller_disconnected();
   };
@@ -212,12 +233,16 @@
   const auto worker = gateway_.router_.PickLocal(*service_);
   if (worker == nullptr) return false;
   request_.request_id = gateway_.NextRequestId();
+  attempt_in_flight_ = true;
   const bool sent =
       SendToEndpoint(gateway_.router_, worker, request_,
                      [self = shared_from_this()](rpc::ForwardReply reply) {
                        self->OnReply(std::move(reply));
                      });
-  if (!sent) return false;
+  if (!sent) {
+    attempt_in_flight_ = false;
+    return false;
+  }
   ++attempts_;
   sent_at_ = base::MonotonicNow();
   return true;
@@ -230,6 +255,7 @@
   tried_peers_.insert(peer->node);
   gateway_.router_.OnForwardStarted(peer->node, request_.service);
   ++gateway_.counters_.forwarded;
+  attempt_in_flight_ = true;
   ++attempts_;
   sent_at_ = base::MonotonicNow();
   base::Log(base::Event::kRequestForwarded,
@@ -253,6 +279,8 @@
 }
 
 void RequestSession::OnReply(rpc::ForwardReply reply) {
+  attempt_in_flight_ = false;
+  if (finished_) return;
   if (reply.outcome == Outcome::kAnswered) {
     gateway_.StatsOf(request_.service)
         .median.Add(base::MonotonicNow() - sent_at_);
@@ -289,6 +317,7 @@
 }
 
 void RequestSession::Finish(rpc::ForwardReply reply) {
+  if (std::exchange(finished_, true)) return;
   if (!std::exchange(key_claimed_, false)) return Respond(std::move(reply));
   KeyStore& keys = gateway_.keys_;
   switch (reply.outcome) {
@@ -307,6 +336,7 @@
 }
 
 void RequestSession::Respond(rpc::ForwardReply reply) {
+  if (std::exchange(responded_, true)) return;
   net::Response out;
   switch (reply.outcome) {
     case Outcome::kAnswered:
--- a/src/gateway/request_session.hpp
+++ b/src/gateway/request_session.hpp
@@ -21,6 +21,9 @@
   RequestSession& operator=(const RequestSession&) = delete;
 
   void Start();
+  /// Responds to the caller at once, if there is no response yet: the outcome
+  /// is unknown if the request was sent. Late replies are ignored.
+  void Close();
 
  private:
   /// Reads service, deadline, idempotence and idempotency key from the caller's
@@ -50,7 +53,8 @@
   /// unknown if an earlier attempt may have run, else not-run.
   void Refuse(NotRunReason reason);
   /// Records the outcome for the claimed key, if there is one, or releases the
-  /// key if the request did not run, and responds to the caller.
+  /// key if the request did not run, and responds to the caller. Has no effect
+  /// on a request that is finished.
   void Finish(rpc::ForwardReply reply);
   /// Sends the outcome, and the response if there is one, to the caller.
   void Respond(rpc::ForwardReply reply);
@@ -70,6 +74,9 @@
   MonotonicTime sent_at_{0};  ///< Time of the last attempt.
   base::Timer retry_timer_;
   int attempts_ = 0;
+  bool attempt_in_flight_ = false;
+  bool finished_ = false;   ///< The outcome is known.
+  bool responded_ = false;  ///< It was sent to the caller.
   /// An attempt has ended with an unknown outcome.
   bool may_have_run_ = false;
   std::optional<KeyedRequest> key_;
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -150,6 +150,45 @@
   CHECK(gateway.in_flight() == 0);
 }
 
+// Guards against requests without an answer when the process ends, and against
+// a refusal of one that was sent or a second answer to it.
+TEST_CASE_FIXTURE(Fixture, "closing responds to all requests") {
+  Advertise("p", 1);
+  Send(net::Method::kPost);
+  REQUIRE(sent.size() == 1);
+  Send(net::Method::kPost);
+  CHECK(gateway.queue().waiting() == 1);
+  gateway.CloseRequests();
+  CHECK(gateway.counters().unknown == 1);
+  CHECK(gateway.counters().not_run == 1);
+  gateway.CloseRequests();
+  CompleteForward(SuccessReply());
+  Advertise("p", 1);
+  test::RunUntil(loop, [&] { return gateway.in_flight() == 0; });
+  CHECK(sent.size() == 1);
+  CHECK(gateway.counters().answered == 0);
+  CHECK(gateway.counters().unknown == 1);
+  CHECK(gateway.counters().not_run == 1);
+}
+
+// Guards against a key that stays claimed by a process that has ended, though
+// its request has not run.
+TEST_CASE_FIXTURE(Fixture, "a key that is granted after closing is released") {
+  Advertise("p", 1);
+  net::Headers headers;
+  headers.Add("Idempotency-Key", "k");
+  Send(net::Method::kPost, headers);
+  REQUIRE(table.pending() > 0);
+  gateway.CloseRequests();
+  CHECK(gateway.counters().not_run == 1);
+  const auto timer = loop.Every(std::chrono::milliseconds(1), 0, [this] {
+    while (table.pending() > 0) table.Step();
+  });
+  test::RunUntil(loop, [&] { return keys.idle() && gateway.in_flight() == 0; });
+  CHECK(sent.empty());
+  CHECK(gateway.counters().not_run == 1);
+}
+
 // Guards against a target that is decoded or otherwise changed between caller
 // and endpoint.
 TEST_CASE_FIXTURE(Fixture, "target is forwarded as received") {
