Keep the workers of each service in an index

A step's placement visited the workers of all services and compared the name of each worker's service. The registry now lists the slots of each service, and the workers that a step could run on later are listed only where they are needed.

--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -198,8 +198,10 @@
                              MonotonicTime now) const {
   Millicores capacity;
   Millicores used;
-  for (const WorkerState& worker : registry_.workers()) {
-    if (!worker.Accepts(now) || worker.info.service != service) continue;
+  for (const WorkerSlot slot : registry_.SlotsOf(service)) {
+    const WorkerState& worker =
+        registry_.workers()[static_cast<std::size_t>(slot)];
+    if (!worker.Accepts(now)) continue;
     capacity += worker.info.capacity.cpu;
     used += worker.cpu_used;
   }
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -131,14 +131,12 @@
       tasks_of_step_(std::move(tasks_of_step)),
       now_(now),
       goal_(goal) {
-  const auto& workers = registry_.workers();
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (!IsSuitable(workers[i])) continue;
-    const auto slot = static_cast<WorkerSlot>(i);
-    const bool excluded = workers[i].Excluded(now_);
-    if (!excluded) sound_.push_back(slot);
-    if (!workers[i].CanStart(now_)) continue;
-    if (excluded) {
+  const auto& slots = registry_.SlotsOf(service_);
+  heap_.reserve(slots.size());
+  for (const WorkerSlot slot : slots) {
+    const WorkerState& worker = At(slot);
+    if (!IsSuitable(worker) || !worker.CanStart(now_)) continue;
+    if (worker.Excluded(now_)) {
       excluded_.push_back(slot);
       continue;
     }
@@ -170,7 +168,7 @@
 WorkerSlot StepPlacer::FreeSoonest() {
   if (!free_later_) {
     free_later_.emplace();
-    for (const WorkerSlot slot : sound_) AddIfFreeLater(slot);
+    for (const WorkerSlot slot : Sound()) AddIfFreeLater(slot);
   } else if (last_free_later_ != kNoWorker) {
     AddIfFreeLater(last_free_later_);
   }
@@ -193,8 +191,17 @@
 }
 
 bool StepPlacer::IsSuitable(const WorkerState& worker) const {
-  return worker.Stays() && worker.info.service == service_ &&
-         Satisfies(worker, spec_);
+  return worker.Stays() && Satisfies(worker, spec_);
+}
+
+const std::vector<WorkerSlot>& StepPlacer::Sound() {
+  if (sound_) return *sound_;
+  sound_.emplace();
+  for (const WorkerSlot slot : registry_.SlotsOf(service_)) {
+    const WorkerState& worker = At(slot);
+    if (IsSuitable(worker) && !worker.Excluded(now_)) sound_->push_back(slot);
+  }
+  return *sound_;
 }
 
 bool StepPlacer::CouldRun(WorkerSlot slot) const {
@@ -211,8 +218,9 @@
 }
 
 void StepPlacer::AddExcluded() {
-  if (excluded_.empty() ||
-      std::any_of(sound_.begin(), sound_.end(),
+  if (excluded_.empty()) return;
+  const auto& sound = Sound();
+  if (std::any_of(sound.begin(), sound.end(),
                   [this](WorkerSlot slot) { return CouldRun(slot); })) {
     return;
   }
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -59,9 +59,7 @@
   [[nodiscard]] WorkerSlot FreeSoonest();
 
   /// Number of workers that the first call of FreeSoonest looks at.
-  [[nodiscard]] std::size_t sound_workers() const noexcept {
-    return sound_.size();
-  }
+  [[nodiscard]] std::size_t sound_workers() { return Sound().size(); }
 
  private:
   struct Candidate {
@@ -96,6 +94,9 @@
   /// True if the worker could run one more task of the step, now or later, if
   /// it ran nothing else.
   [[nodiscard]] bool CouldRun(WorkerSlot slot) const;
+  /// Suitable workers that are not excluded, also those that can start nothing
+  /// at present. Listed at the first call, since few steps need them.
+  [[nodiscard]] const std::vector<WorkerSlot>& Sound();
   /// Makes the excluded workers candidates if no other worker could run the
   /// next task.
   void AddExcluded();
@@ -122,9 +123,7 @@
   WorkerSlot last_ = kNoWorker;
   std::optional<std::vector<FreeLater>> free_later_;  ///< Heap, as heap_.
   WorkerSlot last_free_later_ = kNoWorker;
-  /// Suitable workers that are not excluded, also those that can start nothing
-  /// at present.
-  std::vector<WorkerSlot> sound_;
+  std::optional<std::vector<WorkerSlot>> sound_;
   /// Workers that could start tasks but are excluded and not yet candidates.
   std::vector<WorkerSlot> excluded_;
 };
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -86,8 +86,12 @@
 WorkerSlot WorkerRegistry::Upsert(const WorkerInfo& info) {
   const auto it = by_name_.find(info.vm);
   if (it != by_name_.end()) {
-    at(it->second).info = info;
-    return it->second;
+    const WorkerSlot slot = it->second;
+    const bool moves = at(slot).info.service != info.service;
+    if (moves) RemoveFromService(slot);
+    at(slot).info = info;
+    if (moves) AddToService(slot);
+    return slot;
   }
   WorkerSlot slot = 0;
   while (static_cast<std::size_t>(slot) < slots_.size() &&
@@ -98,11 +102,13 @@
   at(slot) = WorkerState();
   at(slot).info = info;
   by_name_.emplace(info.vm, slot);
+  AddToService(slot);
   return slot;
 }
 
 void WorkerRegistry::Erase(WorkerSlot slot) {
   by_name_.erase(at(slot).info.vm);
+  RemoveFromService(slot);
   at(slot) = WorkerState();
   at(slot).slot_free = true;
 }
@@ -112,11 +118,31 @@
   return it == by_name_.end() ? kNoWorker : it->second;
 }
 
+void WorkerRegistry::AddToService(WorkerSlot slot) {
+  auto& slots = by_service_[at(slot).info.service];
+  slots.insert(std::lower_bound(slots.begin(), slots.end(), slot), slot);
+}
+
+void WorkerRegistry::RemoveFromService(WorkerSlot slot) {
+  const auto it = by_service_.find(at(slot).info.service);
+  if (it == by_service_.end()) return;
+  std::erase(it->second, slot);
+  if (it->second.empty()) by_service_.erase(it);
+}
+
+const std::vector<WorkerSlot>& WorkerRegistry::SlotsOf(
+    const ServiceName& service) const {
+  static const std::vector<WorkerSlot> kNone;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
 std::size_t WorkerRegistry::CountOf(const ServiceName& service) const {
-  return static_cast<std::size_t>(std::count_if(
-      slots_.begin(), slots_.end(), [&](const WorkerState& worker) {
-        return !worker.slot_free && worker.attached && !worker.info.leaving() &&
-               worker.info.service == service;
+  const auto& slots = SlotsOf(service);
+  return static_cast<std::size_t>(
+      std::count_if(slots.begin(), slots.end(), [this](WorkerSlot slot) {
+        const WorkerState& worker = slots_[static_cast<std::size_t>(slot)];
+        return worker.attached && !worker.info.leaving();
       }));
 }
 
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -132,6 +132,9 @@
   WorkerSlot Upsert(const WorkerInfo& info);
   void Erase(WorkerSlot slot);
   [[nodiscard]] WorkerSlot Find(const VmName& vm) const;
+  /// Slots of the service's workers, ascending, also of those that leave.
+  [[nodiscard]] const std::vector<WorkerSlot>& SlotsOf(
+      const ServiceName& service) const;
   /// Number of workers of a service, without those that leave.
   [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
   [[nodiscard]] WorkerState& at(WorkerSlot slot) {
@@ -142,8 +145,12 @@
   }
 
  private:
+  void AddToService(WorkerSlot slot);
+  void RemoveFromService(WorkerSlot slot);
+
   std::vector<WorkerState> slots_;
   std::unordered_map<VmName, WorkerSlot> by_name_;
+  std::unordered_map<ServiceName, std::vector<WorkerSlot>> by_service_;
 };
 
 }  // namespace mangospread::dispatch
