Copy commands and worker states less often on the way to a start

A command was copied on its way from the dispatcher to the connection and a task's name when it was looked up. Placement tested twice whether a worker stays, and divided twice for each cost; the results are the same values.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -23,18 +23,18 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
-std::optional<Dispatcher::TaskRef> Dispatcher::FindTask(const TaskName& name) {
+std::optional<Dispatcher::TaskRef> Dispatcher::FindTask(TaskName name) {
   Entry* entry = FindEntry(name.submission);
   if (entry == nullptr) return std::nullopt;
   const auto index = entry->job->IndexOf(name);
   if (!index) return std::nullopt;
-  return TaskRef{entry, *index, name, entry->job->Find(*index)};
+  return TaskRef{entry, *index, std::move(name), entry->job->Find(*index)};
 }
 
 std::optional<Dispatcher::TaskRef> Dispatcher::FindTask(
     const std::string& text) {
-  const auto name = ParseTaskName(text);
-  return name.ok() ? FindTask(name.value()) : std::nullopt;
+  auto name = ParseTaskName(text);
+  return name.ok() ? FindTask(std::move(name.value())) : std::nullopt;
 }
 
 std::optional<Dispatcher::TaskRef> Dispatcher::FindRun(WorkerSlot slot,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -184,7 +184,7 @@
   };
 
   /// Returns nullopt if there is no such task.
-  [[nodiscard]] std::optional<TaskRef> FindTask(const TaskName& name);
+  [[nodiscard]] std::optional<TaskRef> FindTask(TaskName name);
   [[nodiscard]] std::optional<TaskRef> FindTask(const std::string& text);
   /// Returns nullopt unless the run is the task's current one on that worker.
   [[nodiscard]] std::optional<TaskRef> FindRun(WorkerSlot slot,
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -82,7 +82,9 @@
   const auto first_run = static_cast<std::uint32_t>(
       (deps_.leadership.epoch.value() - 1) * kRunsPerEpoch + 1);
   DispatcherHooks hooks;
-  hooks.send = [this](const AgentCommand& command) { SendToAgent(command); };
+  hooks.send = [this](AgentCommand command) {
+    SendToAgent(std::move(command));
+  };
   hooks.first_start = [this](MonotonicTime waited) {
     deps_.observe(Timing::kFirstStart, waited);
   };
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -360,7 +360,7 @@
   /// has not renewed the lease, or an event reports that it has.
   void Reassign(WorkerEntry& entry, const NodeId& agent);
   [[nodiscard]] static Milliseconds LeaseLeft(const WorkerEntry& entry);
-  void SendToAgent(const AgentCommand& command);
+  void SendToAgent(AgentCommand command);
 
   /// Time at which every lease granted under a former leader has expired,
   /// whatever its agents have granted meanwhile.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -243,7 +243,7 @@
   dispatcher_->OnDetached(entry.info.vm, base::MonotonicNow());
 }
 
-void GroupLeader::SendToAgent(const AgentCommand& command) {
+void GroupLeader::SendToAgent(AgentCommand command) {
   const VmName& vm = std::visit(
       [](const auto& kind) -> const VmName& {
         if constexpr (requires { kind.worker; }) {
@@ -255,7 +255,7 @@
       command);
   const auto it = workers_.find(vm);
   if (it == workers_.end() || !it->second.agent) return;
-  deps_.send(*it->second.agent, command);
+  deps_.send(*it->second.agent, std::move(command));
 }
 
 void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -106,10 +106,11 @@
             const StepSpec& spec) {
   const auto capacity = static_cast<double>(
       std::max<std::int64_t>(worker.info.capacity.cpu.value(), 1));
-  const auto used = static_cast<double>(worker.cpu_used.value()) / capacity;
   // Best-effort tasks prefer the most unused processor time, other tasks the
   // smallest reserved share.
-  double cost = spec.best_effort ? -Unused(worker) / capacity : used;
+  double cost = spec.best_effort
+                    ? -Unused(worker) / capacity
+                    : static_cast<double>(worker.cpu_used.value()) / capacity;
   if (spec.long_running) cost += ImageMismatch(worker, model, spec);
   if (!spec.data_rack.empty() && worker.info.rack != spec.data_rack) {
     cost += kRemoteDataCost;
@@ -135,7 +136,7 @@
   heap_.reserve(slots.size());
   for (const WorkerSlot slot : slots) {
     const WorkerState& worker = At(slot);
-    if (!IsSuitable(worker) || !worker.CanStart(now_)) continue;
+    if (!worker.CanStart(now_) || !Satisfies(worker, spec_)) continue;
     if (worker.Excluded(now_)) {
       excluded_.push_back(slot);
       continue;
@@ -230,8 +231,7 @@
   std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
 }
 
-bool StepPlacer::HasCapacity(WorkerSlot slot) {
-  const WorkerState& worker = At(slot);
+bool StepPlacer::HasCapacity(const WorkerState& worker, WorkerSlot slot) {
   if (!Fits(worker, spec_)) return false;
   if (spec_.max_per_worker > 0 &&
       tasks_of_step_(slot) >= spec_.max_per_worker) {
@@ -241,8 +241,8 @@
 }
 
 void StepPlacer::AddIfFree(WorkerSlot slot) {
-  if (!HasCapacity(slot)) return;
   const WorkerState& worker = At(slot);
+  if (!HasCapacity(worker, slot)) return;
   const double cost = goal_ == PlacementGoal::kLongestQuiet
                           ? static_cast<double>(worker.last_start.count())
                           : Cost(worker, model_, spec_);
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -104,7 +104,7 @@
     return registry_.workers()[static_cast<std::size_t>(slot)];
   }
   /// True if one more task of the step can start on the worker.
-  [[nodiscard]] bool HasCapacity(WorkerSlot slot);
+  [[nodiscard]] bool HasCapacity(const WorkerState& worker, WorkerSlot slot);
   [[nodiscard]] bool LeavesHeadroom(const WorkerState& worker);
   [[nodiscard]] double EffectOn(const ImageName& latency_critical_image);
   void AddIfFree(WorkerSlot slot);
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -17,9 +17,7 @@
 
 }  // namespace
 
-const std::vector<LatencyCriticalGroup>& WorkerState::LatencyCriticalGroups(
-    const InterferenceModel& model) const {
-  if (groups_valid_) return groups_;
+void WorkerState::UpdateGroups(const InterferenceModel& model) const {
   groups_.clear();
   std::vector<BestEffortUse> best_effort_use;
   for (const auto& [name, placed] : runs) {
@@ -56,7 +54,6 @@
     }
   }
   groups_valid_ = true;
-  return groups_;
 }
 
 void WorkerState::Add(const StepSpec& spec) {
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -95,7 +95,10 @@
   /// Latency-critical tasks grouped by image. Cached until the runs change or
   /// `Invalidate` is called after a change of the model.
   [[nodiscard]] const std::vector<LatencyCriticalGroup>& LatencyCriticalGroups(
-      const InterferenceModel& model) const;
+      const InterferenceModel& model) const {
+    if (!groups_valid_) UpdateGroups(model);
+    return groups_;
+  }
   void Invalidate() noexcept { groups_valid_ = false; }
 
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
@@ -121,6 +124,8 @@
   void Remove(const StepSpec& spec);
 
  private:
+  void UpdateGroups(const InterferenceModel& model) const;
+
   mutable std::vector<LatencyCriticalGroup> groups_;
   mutable bool groups_valid_ = false;
 };
