--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -106,10 +106,11 @@
             const StepSpec& spec) {
   const auto capacity = static_cast<double>(
       std::max<std::int64_t>(worker.info.capacity.cpu.value(), 1));
-  const auto used = static_cast<double>(worker.cpu_used.value()) / capacity;
   // Best-effort tasks prefer the most unused processor time, other tasks the
   // smallest reserved share.
-  double cost = spec.best_effort ? -Unused(worker) / capacity : used;
+  double cost = spec.best_effort
+                    ? -Unused(worker) / capacity
+                    : static_cast<double>(worker.cpu_used.value()) / capacity;
   if (spec.long_running) cost += ImageMismatch(worker, model, spec);
   if (!spec.data_rack.empty() && worker.info.rack != spec.data_rack) {
     cost += kRemoteDataCost;
@@ -131,14 +132,12 @@
       tasks_of_step_(std::move(tasks_of_step)),
       now_(now),
       goal_(goal) {
-  const auto& workers = registry_.workers();
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (!IsSuitable(workers[i])) continue;
-    const auto slot = static_cast<WorkerSlot>(i);
-    const bool excluded = workers[i].Excluded(now_);
-    if (!excluded) sound_.push_back(slot);
-    if (!workers[i].CanStart(now_)) continue;
-    if (excluded) {
+  const auto& slots = registry_.SlotsOf(service_);
+  heap_.reserve(slots.size());
+  for (const WorkerSlot slot : slots) {
+    const WorkerState& worker = At(slot);
+    if (!worker.CanStart(now_) || !Satisfies(worker, spec_)) continue;
+    if (worker.Excluded(now_)) {
       excluded_.push_back(slot);
       continue;
     }
@@ -170,7 +169,7 @@
 WorkerSlot StepPlacer::FreeSoonest() {
   if (!free_later_) {
     free_later_.emplace();
-    for (const WorkerSlot slot : sound_) AddIfFreeLater(slot);
+    for (const WorkerSlot slot : Sound()) AddIfFreeLater(slot);
   } else if (last_free_later_ != kNoWorker) {
     AddIfFreeLater(last_free_later_);
   }
@@ -193,8 +192,17 @@
 }
 
 bool StepPlacer::IsSuitable(const WorkerState& worker) const {
-  return worker.Stays() && worker.info.service == service_ &&
-         Satisfies(worker, spec_);
+  return worker.Stays() && Satisfies(worker, spec_);
+}
+
+const std::vector<WorkerSlot>& StepPlacer::Sound() {
+  if (sound_) return *sound_;
+  sound_.emplace();
+  for (const WorkerSlot slot : registry_.SlotsOf(service_)) {
+    const WorkerState& worker = At(slot);
+    if (IsSuitable(worker) && !worker.Excluded(now_)) sound_->push_back(slot);
+  }
+  return *sound_;
 }
 
 bool StepPlacer::CouldRun(WorkerSlot slot) const {
@@ -211,8 +219,9 @@
 }
 
 void StepPlacer::AddExcluded() {
-  if (excluded_.empty() ||
-      std::any_of(sound_.begin(), sound_.end(),
+  if (excluded_.empty()) return;
+  const auto& sound = Sound();
+  if (std::any_of(sound.begin(), sound.end(),
                   [this](WorkerSlot slot) { return CouldRun(slot); })) {
     return;
   }
@@ -222,8 +231,7 @@
   std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
 }
 
-bool StepPlacer::HasCapacity(WorkerSlot slot) {
-  const WorkerState& worker = At(slot);
+bool StepPlacer::HasCapacity(const WorkerState& worker, WorkerSlot slot) {
   if (!Fits(worker, spec_)) return false;
   if (spec_.max_per_worker > 0 &&
       tasks_of_step_(slot) >= spec_.max_per_worker) {
@@ -233,8 +241,8 @@
 }
 
 void StepPlacer::AddIfFree(WorkerSlot slot) {
-  if (!HasCapacity(slot)) return;
   const WorkerState& worker = At(slot);
+  if (!HasCapacity(worker, slot)) return;
   const double cost = goal_ == PlacementGoal::kLongestQuiet
                           ? static_cast<double>(worker.last_start.count())
                           : Cost(worker, model_, spec_);
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -95,7 +95,10 @@
   /// Latency-critical tasks grouped by image. Cached until the runs change or
   /// `Invalidate` is called after a change of the model.
   [[nodiscard]] const std::vector<LatencyCriticalGroup>& LatencyCriticalGroups(
-      const InterferenceModel& model) const;
+      const InterferenceModel& model) const {
+    if (!groups_valid_) UpdateGroups(model);
+    return groups_;
+  }
   void Invalidate() noexcept { groups_valid_ = false; }
 
   [[nodiscard]] bool Accepts(MonotonicTime now) const noexcept {
@@ -121,6 +124,8 @@
   void Remove(const StepSpec& spec);
 
  private:
+  void UpdateGroups(const InterferenceModel& model) const;
+
   mutable std::vector<LatencyCriticalGroup> groups_;
   mutable bool groups_valid_ = false;
 };
@@ -132,6 +137,9 @@
   WorkerSlot Upsert(const WorkerInfo& info);
   void Erase(WorkerSlot slot);
   [[nodiscard]] WorkerSlot Find(const VmName& vm) const;
+  /// Slots of the service's workers, ascending, also of those that leave.
+  [[nodiscard]] const std::vector<WorkerSlot>& SlotsOf(
+      const ServiceName& service) const;
   /// Number of workers of a service, without those that leave.
   [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
   [[nodiscard]] WorkerState& at(WorkerSlot slot) {
@@ -142,8 +150,12 @@
   }
 
  private:
+  void AddToService(WorkerSlot slot);
+  void RemoveFromService(WorkerSlot slot);
+
   std::vector<WorkerState> slots_;
   std::unordered_map<VmName, WorkerSlot> by_name_;
+  std::unordered_map<ServiceName, std::vector<WorkerSlot>> by_service_;
 };
 
 }  // namespace mangospread::dispatch
