--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -209,7 +209,7 @@
   // Copied only if the bytes are not aligned for words.
   std::vector<capnp::word> aligned;
   if (reinterpret_cast<std::uintptr_t>(words) % alignof(capnp::word) != 0) {
-    aligned.resize(count);
+    aligned = std::vector<capnp::word>(count);
     std::memcpy(aligned.data(), bytes.data(), bytes.size());
     words = aligned.data();
   }
