Count a new process of an agent only after the agents row is stored anew

What callers saw: a task could run twice. An agent sends a claim of the leader's role, gets no reply, and its process restarts; the store carries the claim out later. If the leader was cut off with all its agents, it went on for up to 20 s, while the leader after the claim counted 1.2 s for it.

Cause: a process with a claim in flight confirms to nobody that it follows, but its next process does not know of the claim.

Change: what a new process of an agent confirms does not count until the leader has stored its row of agents after that process connected. Each claim over a leader requires the version of that row, also if there was none, so an earlier claim then fails.

Evidence: restarted_claimant_test, two cases. On the former logic (OnProcess without effect, agent_register.cc as before) both fail: one overlapping run each, and the claim commits in the second case.

--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -23,6 +23,15 @@
   elected_ = row->elected;
 }
 
+void AgentRegister::OnProcess(const NodeId& agent, Incarnation incarnation) {
+  if (agent == self_) return;
+  const auto [it, first] = processes_.try_emplace(agent, incarnation);
+  if (!first && it->second == incarnation) return;
+  it->second = incarnation;
+  new_processes_.insert(agent);
+  newer_processes_.insert(agent);
+}
+
 void AgentRegister::OnUp(const NodeId& agent,
                          std::optional<MonotonicTime> last_grant) {
   seen_.insert(agent);
@@ -62,6 +71,7 @@
   MonotonicTime since = now;
   const auto count = [&](const NodeId& agent) {
     if (agent == self_) return true;
+    if (new_processes_.contains(agent)) return false;
     const auto it = confirmed_.find(agent);
     if (it == confirmed_.end()) return false;
     since = std::min(since, it->second);
@@ -127,14 +137,17 @@
     next_.agents.insert(former_->begin(), former_->end());
     next_.elected = elected_;
   }
-  if (stored_ == next_) return std::nullopt;
+  if (stored_ == next_ && new_processes_.empty()) return std::nullopt;
+  newer_processes_.clear();
   saving_ = true;
   return next_;
 }
 
 void AgentRegister::OnStored(bool committed) {
   saving_ = false;
-  if (committed) stored_ = next_;
+  if (!committed) return;
+  stored_ = next_;
+  new_processes_ = newer_processes_;
 }
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -34,6 +34,11 @@
   /// @param has_roster a former leader has stored workers.
   void Load(const std::optional<AgentsRow>& row, bool has_roster);
 
+  /// Handles the process of an agent that connects. An earlier process of the
+  /// agent may have sent a claim that the table carries out later, so what a
+  /// new one confirms does not count until a row is stored: a claim conditions
+  /// on the row that was read for it.
+  void OnProcess(const NodeId& agent, Incarnation incarnation);
   /// @param last_grant time since which the agent has granted no lease under a
   ///   former leader; nullopt if it is not known.
   void OnUp(const NodeId& agent, std::optional<MonotonicTime> last_grant);
@@ -68,8 +73,9 @@
   void OnConfirmed(const NodeId& agent, MonotonicTime sent_at);
   /// Latest time after which every agent in the stored row is known to have
   /// followed this leader; `now` if the row names no other node, nullopt if one
-  /// of its agents is not connected, has confirmed nothing, or no row is
-  /// stored. A node that is not in the row waits longer if it is elected.
+  /// of its agents is not connected, has confirmed nothing, has a new process
+  /// (OnProcess), or no row is stored. A node that is not in the row waits
+  /// longer if it is elected.
   [[nodiscard]] std::optional<MonotonicTime> FollowedSince(
       MonotonicTime now) const;
 
@@ -109,6 +115,12 @@
   std::set<NodeId> connected_;
   /// Time of the newest message that a connected agent has confirmed.
   std::map<NodeId, MonotonicTime> confirmed_;
+  std::map<NodeId, Incarnation> processes_;
+  /// Agents of which an earlier process may have sent a claim that may still
+  /// take effect.
+  std::set<NodeId> new_processes_;
+  /// Those that had not connected when the write in flight was sent.
+  std::set<NodeId> newer_processes_;
   std::set<NodeId> seen_;  ///< Nodes that have connected to this leader.
   /// Agents that are not connected and the time at which their leases have
   /// expired.
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -58,6 +58,7 @@
   const MonotonicTime started_at =
       last_grant_age ? now - GrantAge(*last_grant_age) : now;
   former_leaders_.OnProcess(node, incarnation, started_at, now);
+  agent_register_.OnProcess(node, incarnation);
   const auto& last = deps_.former_leader;
   if (last && last->node == node) {
     OnFormerLeaderStopped(last->incarnation == incarnation ? now : started_at);
--- a/src/dispatch/leader/leadership.cc
+++ b/src/dispatch/leader/leadership.cc
@@ -240,9 +240,13 @@
           ? ClaimAgentsRow(*stored, {leader_->node, leader_->incarnation},
                            claim)
           : std::nullopt;
+  if (leader_) {
+    // Until its epoch ends, the leader may still store another one, so that
+    // claims of processes that have ended fail.
+    transaction.conditions.push_back(
+        {kAgentsKey, agents ? agents->version : RowVersion()});
+  }
   if (row) {
-    // Until its epoch ends, the leader may still store another one.
-    transaction.conditions.push_back({kAgentsKey, agents->version});
     transaction.writes.push_back({kAgentsKey, EncodeAgentsRow(*row)});
   }
   former_lease_ = FormerLease();
