A leader that steps down while it loads serves no calls

What callers saw: nothing reported; found by a review. A node whose leader steps down (SIGTERM, or a renewal that conflicts) before it has read the stored rows ends with signal 11, with all calls that wait for a leader.

Cause: the object of the leader is freed by a posted function, since its own callbacks step down. A reply to its reads that comes first still reports that it has loaded, and the node forwards the waiting calls to no leader and no channel.

Why this works: the report counts only while the node leads, in the epoch of that leader.

--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -62,7 +62,12 @@
         SendCommand(agent, std::move(command));
       },
       deps_.observe,
-      [this] { calls_.SetLeaderAvailable(true); },
+      [this, epoch = leader.epoch] {
+        // The rows may arrive after this node has stepped down.
+        if (leader_ && followed_leader_->epoch == epoch) {
+          calls_.SetLeaderAvailable(true);
+        }
+      },
       [this] { leadership_->OnConflict(); },
       [this] {
         return leadership_->confirmed() &&
--- a/tests/unit/dispatch/closing_node_test.cc
+++ b/tests/unit/dispatch/closing_node_test.cc
@@ -108,5 +108,33 @@
   CHECK(replies.size() == 1);
 }
 
+// Guards against a process that ends because its node forwards a call as the
+// leader that it was until its rows arrived.
+TEST_CASE("a leader that resigns while it loads serves no calls") {
+  base::EventLoop loop;
+  FaultyTable table;
+  Node node{
+      {loop, table,
+       [](const WorkerInfo&) { return std::shared_ptr<WorkerLink>(); },
+       platform::DecodeSubmission, [](Timing, MonotonicTime) {}, [](bool) {}},
+      LocalNode("n1")};
+  REQUIRE(node.Start().ok());
+  std::vector<ServiceResult> replies;
+  node.Handle(
+      StoringLeaderFixture::MakeSubmission("00000000000000aa"),
+      [&](const ServiceReply& reply) { replies.push_back(reply.result); });
+  node.OnLeaderRow(std::nullopt);
+  RunUntil(loop, [&] {
+    if (node.leader() != nullptr) return true;
+    while (table.pending() > 0 && node.leader() == nullptr) table.Step();
+    return false;
+  });
+  REQUIRE_FALSE(node.leader()->loaded());
+  node.Resign([] {});
+  while (table.pending() > 0) table.Step();
+  RunUntil(loop, [&] { return !replies.empty(); });
+  CHECK(replies == std::vector{ServiceResult::kRefused});
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
