A stopping node refuses no copy of a submission that may run

A stopping node answers a forwarded submission with 504; its caller sends it again on another connection of the same node and gets 503, which says that it never runs, while the first copy is stored.

Cause: calls after Close are refused without a look at what Close left unknown.

Evidence: "a copy of a submission with an unknown outcome is unknown" failed before (refused); passes now.

Why this works: the node remembers the submissions and cancellations that Close completed as unknown, for the second or less until its process ends, and answers their copies alike.

--- a/src/dispatch/node/pending_calls.cc
+++ b/src/dispatch/node/pending_calls.cc
@@ -36,6 +36,8 @@
   entry.arrived_at = base::MonotonicNow();
   entry.call = std::move(call);
   entry.done = std::move(done);
+  // An earlier copy of the submission may still be carried out.
+  entry.uncertain = unknown_.contains(entry.call.submission);
   const bool may_wait = may_wait_ && calls_.size() < options_.max_waiting;
   if (closed_ || (!leader_available_ && !may_wait)) return Refuse(entry);
   Insert(std::move(entry));
@@ -84,7 +86,9 @@
   std::size_t forwarded = 0;
   for (auto& [id, call] : calls_) {
     if (call.in_flight) call.uncertain = true;
-    if (call.uncertain) ++forwarded;
+    if (!call.uncertain) continue;
+    ++forwarded;
+    if (ChangesState(call.call.verb)) unknown_.insert(call.call.submission);
   }
   base::Log(base::Event::kCallsClosed,
             {{"forwarded", forwarded}, {"waiting", calls_.size() - forwarded}});
--- a/src/dispatch/node/pending_calls.hpp
+++ b/src/dispatch/node/pending_calls.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 
 #include "base/loop/event_loop.hpp"
 #include "dispatch/front/submission_service.hpp"
@@ -45,8 +46,9 @@
   /// forwarded again.
   void Finish(std::uint64_t id, ServiceReply reply);
   /// Completes all calls: those that were forwarded, now or earlier, with
-  /// kUnknown, the others with kRefused. Refuses later ones immediately and
-  /// ignores late replies.
+  /// kUnknown, the others with kRefused. Refuses later ones immediately, except
+  /// that copies of submissions whose outcome is unknown get kUnknown, too.
+  /// Ignores late replies.
   void Close();
   /// Reports whether a leader can be reached.
   void SetLeaderAvailable(bool available);
@@ -79,6 +81,8 @@
   bool leader_available_ = false;
   bool may_wait_ = true;  ///< False after leader_wait without a leader.
   bool closed_ = false;
+  /// Submissions whose calls Close has completed with kUnknown.
+  std::set<SubmissionId> unknown_;
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, Call> calls_;  ///< In order of arrival.
   base::Timer leader_wait_timer_;
--- a/tests/unit/dispatch/pending_calls_test.cc
+++ b/tests/unit/dispatch/pending_calls_test.cc
@@ -131,6 +131,18 @@
   CHECK(replies.empty());
 }
 
+// Guards against a refusal of a submission that runs: its caller sends it again
+// after the answer that its outcome is unknown.
+TEST_CASE_FIXTURE(PendingCallsFixture,
+                  "a copy of a submission with an unknown outcome is unknown") {
+  calls.SetLeaderAvailable(true);
+  Add(ServiceVerb::kSubmit);
+  calls.Close();
+  Add(ServiceVerb::kSubmit);
+  CHECK(replies ==
+        std::vector{ServiceResult::kUnknown, ServiceResult::kUnknown});
+}
+
 // Guards against a call that is forwarded by a process that is about to end.
 TEST_CASE_FIXTURE(PendingCallsFixture,
                   "calls after closing are refused immediately") {
