Mode serve: a stop denies no copy of a request that may have run

A request that waits for its idempotency key, since another request with it is in flight, got "not run" when the node stopped, though that other one may have run.

Cause: the session closed itself without the key store, which knows the holder.

Evidence: "closing does not deny a copy that may have run" failed before (one unknown, one not-run, in place of two unknown); passes now.

Why this works: before the sessions close, the key store completes all waiting claims as at their deadlines, by its own rule of what may have run.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,6 +66,9 @@
   for (RequestSession* session : sessions_) {
     open.push_back(session->shared_from_this());
   }
+  // Whether a request that waits for its key has run depends on the request
+  // that holds the key.
+  keys_.ExpireClaims();
   for (const auto& session : open) session->Close();
 }
 
--- a/src/gateway/keys/key_store.cc
+++ b/src/gateway/keys/key_store.cc
@@ -187,6 +187,11 @@
       std::min(2 * waiter->poll_delay, options_.max_poll_delay);
 }
 
+void KeyStore::ExpireClaims() {
+  const std::set<WaiterPtr> waiters = waiters_;
+  for (const WaiterPtr& waiter : waiters) Expire(waiter);
+}
+
 void KeyStore::Expire(const WaiterPtr& waiter) {
   if (!waiter->done) return;
   Finish(waiter, {UnclaimedStatus(*waiter), {}});
--- a/src/gateway/keys/key_store.hpp
+++ b/src/gateway/keys/key_store.hpp
@@ -81,6 +81,9 @@
   void Claim(const KeyedRequest& request, MonotonicTime deadline,
              std::function<void(ClaimResult)> done);
 
+  /// Completes all calls of Claim that wait, as at their deadlines.
+  void ExpireClaims();
+
   /// Records the response to the request of a granted claim, or an unknown
   /// outcome if the response is too large to be stored. The row is written in
   /// the background; the write is retried while the table is unavailable.
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -189,6 +189,23 @@
   CHECK(gateway.counters().not_run == 1);
 }
 
+// Guards against "not run" for a request that waits for its key while another
+// copy of it runs.
+TEST_CASE_FIXTURE(Fixture, "closing does not deny a copy that may have run") {
+  Advertise("p", 2);
+  const auto timer = loop.Every(std::chrono::milliseconds(1), 0, [this] {
+    while (table.pending() > 0) table.Step();
+  });
+  net::Headers headers;
+  headers.Add("Idempotency-Key", "k");
+  Send(net::Method::kPost, headers);
+  test::RunUntil(loop, [&] { return sent.size() == 1; });
+  Send(net::Method::kPost, headers);
+  gateway.CloseRequests();
+  CHECK(gateway.counters().unknown == 2);
+  CHECK(gateway.counters().not_run == 0);
+}
+
 // Guards against a target that is decoded or otherwise changed between caller
 // and endpoint.
 TEST_CASE_FIXTURE(Fixture, "target is forwarded as received") {
