Scripts end only processes that still run

At their end the scripts signalled each process that they had started, also those that had ended, whose id another process may have by then.

Change: they signal the running jobs of their shell. Checked by a run of demo.sh (status 0, no process left); the benchmarks were not run.

--- a/scripts/bench_capacity.sh
+++ b/scripts/bench_capacity.sh
@@ -90,7 +90,7 @@
   echo "  worker link ${before[2]} -> ${after[2]} in ${seconds} s"
   echo "  node link ${before[3]} -> ${after[3]} in ${seconds} s"
   local pid
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in $(jobs -rp); do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
 }
 
--- a/scripts/bench_lib.sh
+++ b/scripts/bench_lib.sh
@@ -2,9 +2,10 @@
 # background and terminates them when the script exits.
 # shellcheck shell=bash
 logs=$(mktemp -d)
-pids=()
+# Ends only what still runs: the id of a process that has ended may be that of
+# another one by now.
 cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in $(jobs -rp); do kill "$pid" 2>/dev/null || true; done
 }
 trap cleanup EXIT
 
@@ -12,7 +13,6 @@
   local name=$1
   shift
   "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-  pids+=($!)
 }
 
 address() {  # process name, field of its "listening" line
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,8 +9,10 @@
 logs=$(mktemp -d)
 declare -A pids=()
 
+# Ends only what still runs: the id of a process that has ended may be that of
+# another one by now.
 cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in $(jobs -rp); do kill "$pid" 2>/dev/null || true; done
 }
 trap cleanup EXIT
 
