Count the workers that get no task of a step by reason

Cause: the placer knows only "no worker" and "no capacity".

Change: the conditions of a placement return the reason for which they reject a worker, and CountRejections counts the workers of a service by it, with the latency-critical image beside which most of those without headroom have none. Conditions exist once; placement itself decides as before. The counts look at every worker, so they are taken only for a step that someone asks about.

Tests: rejections_test.

--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -8,8 +8,6 @@
 namespace mangospread::dispatch {
 namespace {
 
-/// Share of its request that a latency-critical task uses on average.
-constexpr double kLatencyCriticalUse = 0.5;
 constexpr double kSameImageCost = -0.3;
 /// A best-effort task that adds less utilisation than this needs no headroom.
 constexpr double kNegligibleEffect = 0.02;
@@ -18,32 +16,7 @@
 constexpr double kRemoteDataCost = 2.0;
 
 bool Satisfies(const WorkerState& worker, const StepSpec& spec) {
-  if (spec.required_label.empty()) return true;
-  const auto& labels = worker.info.labels;
-  return std::find(labels.begin(), labels.end(), spec.required_label) !=
-         labels.end();
-}
-
-/// Processor time available to further best-effort tasks, in millicores.
-double Unused(const WorkerState& worker) {
-  const auto value = [](Millicores cpu) {
-    return static_cast<double>(cpu.value());
-  };
-  const double reserved =
-      value(worker.cpu_used) - value(worker.latency_critical_cpu);
-  return value(worker.info.capacity.cpu) - reserved -
-         kLatencyCriticalUse * value(worker.latency_critical_cpu) -
-         value(worker.best_effort_cpu);
-}
-
-bool Fits(const WorkerState& worker, const StepSpec& spec) {
-  const WorkerCapacity& capacity = worker.info.capacity;
-  if (worker.memory_used + spec.memory > capacity.memory) return false;
-  if (worker.accelerators_used + spec.accelerators > capacity.accelerators) {
-    return false;
-  }
-  if (!spec.best_effort) return worker.cpu_used + spec.cpu <= capacity.cpu;
-  return Unused(worker) >= static_cast<double>(spec.cpu.value());
+  return LabelRejection(worker, spec) == Rejection::kNone;
 }
 
 /// Time until a run is expected to end. One that has exceeded its estimate is
@@ -109,7 +82,7 @@
   // Best-effort tasks prefer the most unused processor time, other tasks the
   // smallest reserved share.
   double cost = spec.best_effort
-                    ? -Unused(worker) / capacity
+                    ? -UnusedMillicores(worker) / capacity
                     : static_cast<double>(worker.cpu_used.value()) / capacity;
   if (spec.long_running) cost += ImageMismatch(worker, model, spec);
   if (!spec.data_rack.empty() && worker.info.rack != spec.data_rack) {
@@ -231,18 +204,45 @@
   std::make_heap(heap_.begin(), heap_.end(), ChosenAfter);
 }
 
-bool StepPlacer::HasCapacity(const WorkerState& worker, WorkerSlot slot) {
-  if (!Fits(worker, spec_)) return false;
+Rejection StepPlacer::CapacityRejection(const WorkerState& worker,
+                                        WorkerSlot slot) {
+  const Rejection fit = FitRejection(worker, spec_);
+  if (fit != Rejection::kNone) return fit;
   if (spec_.max_per_worker > 0 &&
       tasks_of_step_(slot) >= spec_.max_per_worker) {
-    return false;
+    return Rejection::kSpread;
+  }
+  return spec_.best_effort && !LeavesHeadroom(worker) ? Rejection::kHeadroom
+                                                      : Rejection::kNone;
+}
+
+Rejection StepPlacer::RejectionBy(WorkerSlot slot) {
+  const WorkerState& worker = At(slot);
+  if (const Rejection start = StartRejection(worker, now_);
+      start != Rejection::kNone) {
+    return start;
   }
-  return !spec_.best_effort || LeavesHeadroom(worker);
+  if (!Satisfies(worker, spec_)) return Rejection::kLabel;
+  // A worker without capacity rejects the task whatever failed on it.
+  const Rejection capacity = CapacityRejection(worker, slot);
+  if (capacity != Rejection::kNone) return capacity;
+  return worker.Excluded(now_) ? Rejection::kSuspected : Rejection::kNone;
+}
+
+ImageName StepPlacer::ScarcestImage(WorkerSlot slot) {
+  const auto& groups = At(slot).LatencyCriticalGroups(model_);
+  const auto left = [this](const LatencyCriticalGroup& group) {
+    return group.headroom - EffectOn(group.image);
+  };
+  const auto scarcest = std::min_element(
+      groups.begin(), groups.end(),
+      [&](const auto& a, const auto& b) { return left(a) < left(b); });
+  return scarcest == groups.end() ? ImageName() : scarcest->image;
 }
 
 void StepPlacer::AddIfFree(WorkerSlot slot) {
   const WorkerState& worker = At(slot);
-  if (!HasCapacity(worker, slot)) return;
+  if (CapacityRejection(worker, slot) != Rejection::kNone) return;
   const double cost = goal_ == PlacementGoal::kLongestQuiet
                           ? static_cast<double>(worker.last_start.count())
                           : Cost(worker, model_, spec_);
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "dispatch/policy/rejections.hpp"
 #include "dispatch/policy/sharing_model.hpp"
 #include "dispatch/policy/worker_book.hpp"
 
@@ -61,6 +62,12 @@
   /// Number of workers that the first call of FreeSoonest looks at.
   [[nodiscard]] std::size_t sound_workers() { return Sound().size(); }
 
+  /// Why one more task of the step cannot start on the worker.
+  [[nodiscard]] Rejection RejectionBy(WorkerSlot slot);
+  /// Latency-critical image on the worker that one more task of the step would
+  /// leave the least headroom.
+  [[nodiscard]] ImageName ScarcestImage(WorkerSlot slot);
+
  private:
   struct Candidate {
     int suspicion = 0;  ///< 0 unless the worker is excluded.
@@ -103,8 +110,9 @@
   [[nodiscard]] const WorkerState& At(WorkerSlot slot) const {
     return registry_.workers()[static_cast<std::size_t>(slot)];
   }
-  /// True if one more task of the step can start on the worker.
-  [[nodiscard]] bool HasCapacity(const WorkerState& worker, WorkerSlot slot);
+  /// Whether one more task of the step fits on the worker.
+  [[nodiscard]] Rejection CapacityRejection(const WorkerState& worker,
+                                            WorkerSlot slot);
   [[nodiscard]] bool LeavesHeadroom(const WorkerState& worker);
   [[nodiscard]] double EffectOn(const ImageName& latency_critical_image);
   void AddIfFree(WorkerSlot slot);
