Log why a task waits after 5 s and every 10 s after

Cause: event 1804 says once that a step waits, in a budget in which most lines are dropped on a busy site, and nothing of a placed task whose worker does not confirm it.

Change: the leader looks at all tasks once a second. Event 1826 has a budget of its own of 5 lines a second: one line for the tasks of a step that wait for the same reason, with the longest wait, the workers by reason of rejection, or the worker and run of a placed task that is not confirmed, is being stopped, is paused or is on a silent worker. Long-running tasks go first; of a backlog each gets its line in turn. A wait counts through starts that fail. Rejections are counted only for the lines that are written.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -303,6 +303,8 @@
       return {"permission_changed", Severity::kInfo};
     case Event::kLeadershipClaimed:
       return {"leadership_claimed", Severity::kInfo};
+    case Event::kTaskWaits:
+      return {"task_waits", Severity::kInfo};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -100,6 +100,7 @@
   kExceptionDropped = 1823,
   kPermissionChanged = 1824,
   kLeadershipClaimed = 1825,
+  kTaskWaits = 1826,
   // API.
   kRequestInvalid = 1701,
   kWatchOpened = 1702,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -15,6 +15,7 @@
 
 #include "dispatch/core/end_ledger.hpp"
 #include "dispatch/core/job.hpp"
+#include "dispatch/core/waiting.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/policy/fill_guard.hpp"
 #include "dispatch/policy/lost_run.hpp"
@@ -143,6 +144,23 @@
   /// Starts pending tasks for which there is free capacity.
   void Decide(MonotonicTime now);
 
+  // Waiting tasks (dispatcher_waits.cc).
+
+  /// The tasks that wait, by step and reason, without the counts of rejections.
+  /// @param restored_at time from which on waits of restored tasks count.
+  [[nodiscard]] std::vector<WaitingTasks> Waiting(
+      MonotonicTime now, MonotonicTime restored_at) const;
+  /// The same for one submission; empty if there is none.
+  [[nodiscard]] std::vector<WaitingTasks> Waiting(
+      const SubmissionId& id, MonotonicTime now,
+      MonotonicTime restored_at) const;
+  /// Number of waiting tasks.
+  [[nodiscard]] WaitCounts CountWaiting(MonotonicTime now,
+                                        MonotonicTime restored_at) const;
+  /// Adds the counts of rejections to tasks that wait for a worker. Looks at
+  /// all workers of the service.
+  void AddRejections(WaitingTasks& waiting, MonotonicTime now) const;
+
   /// Number of start commands issued for a worker so far.
   [[nodiscard]] std::uint64_t StartsIssued(const VmName& vm) const;
   /// Runs that may be on a worker.
@@ -246,6 +264,27 @@
   /// left to finish.
   void DrainWorkers(MonotonicTime now);
 
+  // Waiting tasks (dispatcher_waits.cc).
+  using WaitVisitor = std::function<void(TaskIndex, const Wait&)>;
+  /// Calls `visit` for each task of the submission that waits.
+  void VisitWaits(const Entry& entry, MonotonicTime now,
+                  MonotonicTime restored_at, const WaitVisitor& visit) const;
+  [[nodiscard]] std::vector<WaitingTasks> Waiting(
+      const Entry& entry, MonotonicTime now, MonotonicTime restored_at) const;
+  [[nodiscard]] WaitReason ReasonOfPending(const Entry& entry, const Step& step,
+                                           const Task& task,
+                                           MonotonicTime now) const;
+  /// Returns nullopt for a task that runs.
+  [[nodiscard]] std::optional<WaitReason> ReasonOfPlaced(
+      const Entry& entry, const TaskIndex& index) const;
+  [[nodiscard]] MonotonicTime WaitsSince(const Entry& entry,
+                                         const TaskIndex& index,
+                                         WaitReason reason,
+                                         MonotonicTime ready_since) const;
+  /// Time since which the step's tasks could have been placed.
+  [[nodiscard]] static MonotonicTime ReadySince(const Job& job,
+                                                const Step& step);
+
   // Decisions (dispatcher_decisions.cc).
   /// True if tasks without a known run may have lost one.
   [[nodiscard]] bool MayHaveRun(const Entry& entry) const noexcept {
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -27,21 +27,6 @@
 /// it.
 constexpr std::size_t kMaxWorkersConsidered = 2'000;
 
-/// Name for logs.
-std::string_view PendingReasonName(PendingReason reason) noexcept {
-  switch (reason) {
-    case PendingReason::kNone:
-      break;
-    case PendingReason::kNoCapacity:
-      return "no_room";
-    case PendingReason::kNoUsableWorker:
-      return "no_usable_worker";
-    case PendingReason::kScarceCapacity:
-      return "scarce_room";
-  }
-  return "unknown";
-}
-
 PendingReason ReasonOf(const Placement& place) noexcept {
   return place.reason == PlacementFailure::kNoCapacity
              ? PendingReason::kNoCapacity
@@ -191,7 +176,7 @@
       [](const Task& task) { return task.phase == TaskPhase::kPending; });
   const auto index = static_cast<int>(pending - step.tasks.begin());
   hooks_.log(job.NameOf({candidate.step, index}), VmName(), "waits",
-             PendingReasonName(reason));
+             WaitReasonName(WaitReasonOf(reason)));
 }
 
 double Dispatcher::FreeShare(const ServiceName& service,
--- /dev/null
+++ b/src/dispatch/core/waiting.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// Tasks that wait for something, and why.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "dispatch/core/job.hpp"
+#include "dispatch/policy/rejections.hpp"
+
+namespace mangospread::dispatch {
+
+/// What a task without a running process waits for.
+enum class WaitReason : unsigned char {
+  // Not placed.
+  kTakeover,      ///< The runs that former leaders have left are not known yet.
+  kEarlierStep,   ///< Its step depends on one that is not done.
+  kDueLater,      ///< Its occurrence is not due.
+  kUnstoredLoss,  ///< The loss of its last run has to be stored first.
+  kGang,          ///< Other members of its gang have not ended.
+  kNoRoom,
+  kNoUsableWorker,
+  kScarceRoom,  ///< There is room, but it is left to short tasks for a while.
+  kNotTried,    ///< No placement has failed since one of its step was placed.
+  // Placed.
+  kStartUnconfirmed,  ///< The worker has not confirmed the start.
+  /// An agent of a former leader reported the run; its worker has not.
+  kRunUnconfirmed,
+  kWorkerSilent,  ///< The worker does not respond.
+  kStopping,      ///< The worker has not reported the end of the stopped run.
+  kPaused,        ///< A best-effort task at speed 0.
+};
+inline constexpr std::size_t kWaitReasonCount =
+    static_cast<std::size_t>(WaitReason::kPaused) + 1;
+
+/// Name for logs and metrics.
+[[nodiscard]] std::string_view WaitReasonName(WaitReason reason) noexcept;
+[[nodiscard]] WaitReason WaitReasonOf(PendingReason reason) noexcept;
+
+/// True if the task waits for a worker on which it can start.
+[[nodiscard]] constexpr bool WaitsForWorker(WaitReason reason) noexcept {
+  return reason >= WaitReason::kNoRoom && reason <= WaitReason::kNotTried;
+}
+
+/// One task that waits.
+struct Wait {
+  WaitReason reason = WaitReason::kNotTried;
+  /// Since the task could have run, or since the takeover if that is later: a
+  /// leader does not know when a former one started it.
+  MonotonicTime waited{0};
+};
+
+/// The tasks of a step that wait for the same reason.
+struct WaitingTasks {
+  TaskName task;  ///< The one that has waited longest.
+  TaskIndex index;
+  bool long_running = false;
+  int tasks = 0;
+  Wait wait;  ///< Of `task`.
+  /// Where `task` is placed; empty if it is not.
+  VmName vm;
+  std::uint32_t run = 0;  ///< Of `task`; 0 before the first.
+  /// Only for tasks that wait for a worker, and only where it was asked for.
+  std::optional<Rejections> rejections;
+};
+
+/// Upper bounds of the age buckets of waiting tasks, except the last one.
+inline constexpr std::array<MonotonicTime, 3> kWaitAgeBounds = {
+    std::chrono::seconds(1), std::chrono::seconds(5), std::chrono::seconds(15)};
+inline constexpr std::size_t kWaitAgeCount = kWaitAgeBounds.size() + 1;
+
+/// Number of waiting tasks by reason and age.
+using WaitCounts = std::array<std::array<int, kWaitAgeCount>, kWaitReasonCount>;
+
+/// Position of the bucket of a waiting time.
+[[nodiscard]] std::size_t WaitAge(MonotonicTime waited) noexcept;
+
+}  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -19,6 +19,7 @@
 #include "dispatch/leader/former_leaders.hpp"
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/leader/wait_log.hpp"
 #include "dispatch/metrics/timings.hpp"
 #include "dispatch/model/lease.hpp"
 #include "dispatch/model/permission.hpp"
@@ -181,6 +182,14 @@
   void OnKnownRuns(const NodeId& agent, const FormerLeaderRuns& reported);
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
+  /// The waiting tasks of a submission, with the counts of workers that reject
+  /// them.
+  [[nodiscard]] std::vector<WaitingTasks> ExplainWaits(
+      const SubmissionId& id) const;
+  /// Number of waiting tasks by reason and age.
+  [[nodiscard]] WaitCounts CountWaiting(MonotonicTime now) const {
+    return dispatcher_->CountWaiting(now, started_at_);
+  }
   [[nodiscard]] const table::WriterCounters& writes() const noexcept {
     return writer_.counters();
   }
@@ -394,6 +403,10 @@
   void LogDecision(const TaskName& name, const VmName& vm,
                    std::string_view decision, std::string_view reason) const;
   static void LogLost(const LostRun& lost, const VmName& vm);
+  // Waiting tasks (group_leader_waits.cc).
+  /// Logs tasks that have waited long, and why.
+  void LogWaits(MonotonicTime now);
+  void LogWait(const WaitingTasks& waiting, std::size_t left_out) const;
 
   GroupLeaderDependencies deps_;
   GroupLeaderOptions options_;
@@ -405,6 +418,8 @@
   MonotonicTime started_at_{0};
   MonotonicTime loaded_at_{0};
   MonotonicTime agent_lost_at_{0};  ///< Time of the last loss of an agent.
+  WaitLog wait_log_;
+  MonotonicTime waits_checked_at_{0};
   std::uint64_t assignments_issued_ = 0;
 
   /// Callers that wait for a submission to be stored.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -431,6 +431,7 @@
   AssignWorkers();
   MoveWorkers();
   SweepEnded(now);
+  LogWaits(now);
   RequestDecision();
 }
 
--- a/tests/unit/explain_log_test.cc
+++ b/tests/unit/explain_log_test.cc
@@ -30,5 +30,18 @@
   CHECK(ExplainLog(unrelated_logs, "zz").empty());
 }
 
+// Guards against a waiting task whose reason is logged but not shown for its
+// submission.
+TEST_CASE("explain-log shows why the tasks of a submission wait") {
+  std::istringstream logs(
+      "time=2026-12-06T08:30:05.000000+00:00 level=info node=a event=1826 "
+      "name=task_waits request=aa task=aa.0.1.3 tasks=2 reason=no_room "
+      "waited_ms=5100 workers=processors:40,headroom:7 beside=i-1\n");
+  CHECK(ExplainLog(logs, "aa") ==
+        "+0 ms a name=task_waits request=aa task=aa.0.1.3 tasks=2 "
+        "reason=no_room waited_ms=5100 workers=processors:40,headroom:7 "
+        "beside=i-1\n");
+}
+
 }  // namespace
 }  // namespace mangospread::cli
