Show why a submission waits on a running node, and metrics of waiting tasks

Change: GET /v1/explain/<submission> on the address of the readiness probe, and `mangospread explain <submission>`: what its tasks wait for, with the same counts as event 1826 and at any age. A node that does not lead answers 503 with the leader's name. Metrics, computed when scraped: waiting tasks by reason and age, processor time that is free on workers while tasks wait for one, and the learned effects by size.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -18,6 +18,7 @@
 #include "app/failure_log.hpp"
 #include "app/signal_handler.hpp"
 #include "app/stop_schedule.hpp"
+#include "app/wait_status.hpp"
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
 #include "base/loop/event_loop.hpp"
@@ -163,10 +164,15 @@
     return !stop_schedule_ && catalog_ && node_.ready();
   }
 
-  /// Responds with the readiness for the load balancer, or with the metrics at
-  /// /metrics.
+  /// Responds with the readiness for the load balancer, with the metrics at
+  /// /metrics, or with what a submission waits for at kExplainPath.
   void HandleProbe(net::HttpExchange& probe) const {
-    if (probe.request().target != "/metrics") {
+    const std::string& target = probe.request().target;
+    if (target.starts_with(kExplainPath)) {
+      return probe.Reply(ExplainSubmission(node_.leader(), node_.known_leader(),
+                                           target.substr(kExplainPath.size())));
+    }
+    if (target != "/metrics") {
       probe.Reply(
           {ready() ? net::status::kOk : net::status::kServiceUnavailable,
            {},
@@ -230,6 +236,7 @@
           static_cast<double>(leader->unresolved_workers()));
       add("submissions_active", "Submissions that have not ended", kGauge,
           static_cast<double>(leader->dispatcher().active()));
+      AppendWaitSamples(*leader, base::MonotonicNow(), samples);
     }
     return api::FormatPrometheusText(samples) + timings_.Expose();
   }
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -271,8 +271,9 @@
         "show configuration revisions, nodes or workers", 0, 1, RunStatus}},
       {"job", {"job <name>", "show a job's progress", 1, 1, RunJob}},
       {"explain",
-       {"explain task/<job>/<index>", "show the last decisions on a task", 1, 1,
-        RunExplain}},
+       {"explain task/<job>/<index>|<submission>",
+        "show the last decisions on a task, or what a submission waits for", 1,
+        1, RunExplain}},
       {"watch", {"watch", "print changes as JSON lines", 0, 0, RunWatch}},
   };
   return kCommands;
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -82,6 +82,11 @@
   [[nodiscard]] const GroupLeader* leader() const noexcept {
     return leader_.get();
   }
+  /// The leader that this node follows or is; nullopt if it knows none.
+  [[nodiscard]] const std::optional<LeaderRecord>& known_leader()
+      const noexcept {
+    return followed_leader_;
+  }
   /// What this node's agent may do at present.
   [[nodiscard]] Permission permission() const;
 
--- a/tests/integration/managed/managed_path_test.cc
+++ b/tests/integration/managed/managed_path_test.cc
@@ -64,6 +64,36 @@
   CheckCounts(site);
 }
 
+// Guards against a submission that waits and of which no node says why, and
+// against a follower that answers for the leader.
+TEST_CASE("the leader says what a submission waits for, the others who leads") {
+  constexpr int kNotFound = 404;
+  constexpr int kLongMs = 20'000;
+  ManagedCluster site(2, 1, 2);
+  site.WaitUntilReady();
+  REQUIRE(site.Submit(0, 1, 5, kLongMs).status == kOk);
+  const std::size_t leader = site.AwaitServingLeader();
+  const auto explain = [&](std::size_t node, const std::string& id) {
+    return Get(site.node(node).address("ready"), "/v1/explain/" + id);
+  };
+  const std::string id(15, '0');
+  WaitUntil("three tasks wait for processors", kWaitTimeout, [&] {
+    const Response answer = explain(leader, id + "1");
+    return answer.body.find(R"("reason":"no_room")") != std::string::npos &&
+           answer.body.find(R"("tasks":3)") != std::string::npos &&
+           answer.body.find(R"("processors":1)") != std::string::npos;
+  });
+  CHECK(explain(leader, id + "9").status == kNotFound);
+  const Response other = explain(1 - leader, id + "1");
+  CHECK(other.status == kUnavailable);
+  CHECK(other.body.find(R"("leader":")") != std::string::npos);
+  const std::string metrics =
+      Get(site.node(leader).address("ready"), "/metrics").body;
+  CHECK(metrics.find("mangospread_waiting_tasks{") != std::string::npos);
+  CHECK(metrics.find("mangospread_free_millicores_while_waiting{") !=
+        std::string::npos);
+}
+
 // Guards against work that is lost or done twice when the leader is killed
 // while it accepts, starts and stores submissions. Each node is killed in turn,
 // so the leader is among them.
