Try a best-effort step after a smaller one of another image

Cause: a step is skipped if a smaller one of its kind could not be placed in the same round. A best-effort step may only lack headroom beside a latency-critical image, which depends on its own image, but the rule did not compare images.

Change: a best-effort step is skipped only for a smaller one of its image. The comment on Rejection says which reason counts.

--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -85,7 +85,8 @@
 void Dispatcher::Decide(MonotonicTime now) {
   DrainWorkers(now);
   // Steps that could not be placed in this round. Larger steps of the same kind
-  // cannot be placed either and are skipped.
+  // cannot be placed either and are skipped. A best-effort step may only lack
+  // headroom, which depends on its image.
   struct Unplaced {
     const StepSpec* spec;
     const ServiceName* service;
@@ -105,6 +106,7 @@
         unplaced.begin(), unplaced.end(), [&](const Unplaced& smaller) {
           return *smaller.service == service &&
                  smaller.spec->best_effort == spec.best_effort &&
+                 (!spec.best_effort || smaller.spec->image == spec.image) &&
                  smaller.spec->cpu <= spec.cpu &&
                  smaller.spec->memory <= spec.memory &&
                  smaller.spec->accelerators <= spec.accelerators &&
--- a/src/dispatch/policy/rejections.hpp
+++ b/src/dispatch/policy/rejections.hpp
@@ -13,8 +13,8 @@
 
 class StepPlacer;
 
-/// The first reason, in this order, why one more task of a step cannot start on
-/// a worker.
+/// The first reason that applies why one more task of a step cannot start on a
+/// worker.
 enum class Rejection : unsigned char {
   kNone,  ///< It can start there.
   kLeaving,
