A follower that the elected process has denied is connected when it leads

After an election restored work could wait 0.2 s longer than needed: a follower that hears of the election from the store's feed before the elected process has read its row is told that this process does not lead, closed its channel and connected again only after the reconnect delay of 0.25 s. The takeover waits for the runs that this follower's agent reports.

Ruled out: a claim over a healthy leader.

The follower now keeps its channel, since a process that starts to lead tells all connected peers. It introduces itself again then, because the leader takes as its agents only the nodes that introduce themselves while it leads. If nothing is announced within the reconnect delay, it connects again as before.

--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -105,6 +105,8 @@
 
 void Node::Connect() {
   if (leader_ || !followed_leader_) return;
+  if (leader_channel_) leader_channel_->Close();
+  awaits_announcement_ = false;
   ChannelHooks hooks;
   hooks.on_frame = [this](Frame frame) { OnLeaderFrame(std::move(frame)); };
   hooks.on_closed = [this](Errc reason) { OnLeaderClosed(reason); };
@@ -114,6 +116,10 @@
   hooks.permission = [this] { return ConfirmFollowing(); };
   leader_channel_ = Channel::Connect(deps_.loop, followed_leader_->address,
                                      options_.channel, std::move(hooks));
+  Introduce();
+}
+
+void Node::Introduce() {
   leader_channel_->Send(MakeHello(false));
   hello_sent_at_ = base::MonotonicNow();
 }
@@ -188,7 +194,11 @@
     // A yielding leader is followed until another one is elected: if nobody
     // reaches the table, the work goes on.
     if (connected_) return leadership_->SetLeaderYielding(hello.yielding);
+    // It takes as its agents only the nodes that introduce themselves once it
+    // leads.
+    if (std::exchange(awaits_announcement_, false)) return Introduce();
     connected_ = true;
+    reconnect_timer_.reset();
     contact_.OnConnected(hello_sent_at_, hello.permission);
     agent_.SetEarlierLease(hello.worker_lease);
     orphan_timer_.reset();
@@ -207,8 +217,15 @@
                                        {"reason", "does_not_lead"},
                                        {"epoch", hello.epoch.value()}});
   if (AdoptNewerLeader(hello) || !followed_leader_) return;
-  // A process that reports a lower epoch may not have read its row yet.
   const bool replaced = hello.incarnation != followed_leader_->incarnation;
+  // A process that reports a lower epoch may not have read its row yet. It
+  // tells all connected peers when it leads.
+  if (!replaced && !connected_ && hello.epoch < followed_leader_->epoch) {
+    awaits_announcement_ = true;
+    reconnect_timer_ =
+        deps_.loop.After(options_.reconnect_delay, [this] { Connect(); });
+    return;
+  }
   if (replaced || hello.epoch == followed_leader_->epoch) {
     followed_stopped_at_ = base::MonotonicNow();
     leadership_->OnLeaderDenied();
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -89,6 +89,7 @@
   // As a follower.
   void Follow(const LeaderRecord& leader);
   void Connect();
+  void Introduce();
   void OnLeaderFrame(Frame frame);
   void OnLeaderHello(const Hello& hello);
   /// What this node confirms to its leader: kNone once it may have been
@@ -167,6 +168,9 @@
   MonotonicTime hello_sent_at_{0};  ///< To the leader.
   std::shared_ptr<Channel> leader_channel_;
   bool connected_ = false;
+  /// The process at the other end of leader_channel_ did not know of its
+  /// election.
+  bool awaits_announcement_ = false;
   PendingCalls calls_;
   std::map<VmName, WorkerInfo> listed_;
   base::Timer reconnect_timer_;
