A throttled best-effort task goes on when the task beside it has ended

A best-effort task that was paused stayed paused for ever, if the latency-critical task for which it was paused ended, moved or was cancelled: the leader changes speeds only on a report of the worker's load, and the agent sent none without a latency-critical task on the worker. A paused task isn't taken for stalled either, and it isn't moved, since that happens on a report, too. Only a takeover gave it its full speed again.

Found by reading, while a takeover's speeds were looked at.

The agent now also reports the load while the leader has requested less than the full speed for a run; the leader then finds nothing that the task could slow down, and sends the full speed. Reports end with that.

Unit tests: "a throttled run is reported without a latency-critical one" failed before (no report within 2 s) and passes; "a paused task goes on when the one beside it has ended" shows the leader's part, which is as before.

--- a/src/dispatch/worker/worker_session_runs.cc
+++ b/src/dispatch/worker/worker_session_runs.cc
@@ -43,6 +43,7 @@
   const MonotonicTime now = base::MonotonicNow();
   if (now - load_reported_at_ < kMinLoadReportPeriod) return;
   bool has_latency_critical = false;
+  bool throttled = false;
   bool strained = false;
   WorkerLoad load;
   for (const RunningRun& running : report.running) {
@@ -56,14 +57,17 @@
                      kStrainedShare *
                          static_cast<double>(traits.latency_target.count());
     }
-    strained = strained || it->second.requested_speed < 100;
+    throttled = throttled || it->second.requested_speed < 100;
     if (traits.latency_target.count() == 0 && !traits.best_effort) continue;
     load.runs.push_back(
         {running.task, running.run, running.measured, running.percent});
   }
-  if (!has_latency_critical) return;
+  // The leader speeds up a throttled run only by a report, also after the
+  // latency-critical task beside it has ended.
+  if (!has_latency_critical && !throttled) return;
   // Workers without strain are only sampled, for the interference model.
-  if (!strained && now - load_reported_at_ < assignment_.normal_load_period) {
+  if (!strained && !throttled &&
+      now - load_reported_at_ < assignment_.normal_load_period) {
     return;
   }
   load_reported_at_ = now;
--- a/tests/unit/dispatch/latency_target_test.cc
+++ b/tests/unit/dispatch/latency_target_test.cc
@@ -84,6 +84,21 @@
   CHECK(TimeUntilPaused(tails_ms) < kMaxTimeUntilPaused);
 }
 
+// Guards against a best-effort task that stays paused for ever, since the task
+// for which it was paused has ended.
+TEST_CASE_FIXTURE(WronglyNeutralFixture,
+                  "a paused task goes on when the one beside it has ended") {
+  REQUIRE(TimeUntilPaused({60}) < kMaxTimeUntilPaused);
+  for (auto it = runs.begin(); it != runs.end();) {
+    it = it->first.starts_with("service") ? runs.erase(it) : std::next(it);
+  }
+  now += kReportPeriod;
+  Report(0);
+  const auto throttles = TakeCommands<ThrottleRun>();
+  REQUIRE(throttles.size() == 1);
+  CHECK(throttles[0].percent == 100);
+}
+
 // Guards against pauses beside a task that has returned to its target.
 TEST_CASE_FIXTURE(WronglyNeutralFixture,
                   "a task that exceeds its target briefly pauses nothing") {
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -243,6 +243,29 @@
   CHECK(link->throttles == std::vector{60});
 }
 
+// Guards against a best-effort task that stays paused for ever: the
+// latency-critical task for which it was paused has ended, and the leader
+// changes speeds only by reports.
+TEST_CASE_FIXTURE(
+    SessionFixture,
+    "a throttled run is reported without a latency-critical one") {
+  RunFor(Milliseconds(50));
+  StartRun start = MakeStart(1);
+  start.traits.best_effort = true;
+  session->Start(start);
+  link->report.running.push_back({"a.0.0.1", Attempt(1), {}, 30, 0});
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() == 0);
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 0});
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() > 0);
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 100});
+  RunFor(Milliseconds(500));
+  const int reported = Count<WorkerLoad>();
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() == reported);
+}
+
 // Guards against a stalled task that makes its submission miss its target.
 TEST_CASE_FIXTURE(SessionFixture, "a run without progress is reported once") {
   RunFor(Milliseconds(50));
