A takeover leaves the speeds of best-effort tasks as they are

A new leader gave every best-effort task that it found on a worker its full speed, also those that the former leader had slowed down or paused for a latency-critical task beside them. That task could then exceed its target until the new leader had measured and throttled anew, and the time after which everything beside it is paused starts at 0 with a new leader, too. So a takeover can make an excess last longer than is allowed (HARM).

The cause is ReconcileRun: a run that is found gets the default of 100%, and DescribeRun tells the agent to set it. That this made the one HARM is not shown.

Agents now name the speed last requested for each run in what they report to a new leader. It has a field in the frames already, with 100 as the default, so agents and leaders of former versions behave as before.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -129,6 +129,9 @@
   /// Adds a worker or updates its registration. Work on a worker that left the
   /// list counts until its end is certain.
   void OnWorker(const WorkerInfo& info);
+  /// Sets what an agent of a former leader knows of the runs on a worker that
+  /// is about to list them, so that they keep their speeds.
+  void SetKnownRuns(const VmName& vm, std::vector<RunId> runs);
   /// Counts runs as placed on a worker that cannot be queried at present, or
   /// whose process has ended.
   void AddUnconfirmedRuns(const VmName& vm, const std::vector<RunId>& runs,
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -20,6 +20,12 @@
 /// capacity, which means that work unknown to the registry uses the capacity.
 constexpr MonotonicTime kNoCapacityBackoff = std::chrono::milliseconds(300);
 
+/// Takes over the speed that a former leader has requested.
+void SetFormerSpeed(PlacedRun& placed, int percent, MonotonicTime now) {
+  placed.percent = percent;
+  if (percent < 100) placed.throttled_since = now;
+}
+
 }  // namespace
 
 void Dispatcher::OnWorker(const WorkerInfo& info) { registry_.Upsert(info); }
@@ -73,6 +79,7 @@
     ReconcileRun(slot, running, now);
   }
   if (attached.complete) RequeueUnlisted(slot, attached, now);
+  worker.known_runs.clear();
   // Until here, a run that is lost counts as lost since the worker was silent.
   OnResponding(slot, true, now);
 }
@@ -125,6 +132,12 @@
     placed.run = static_cast<std::uint32_t>(running.run.value());
     // It has survived its start, since the worker lists it.
     placed.started_at = now - kStartTrial;
+    const auto& known = registry_.at(slot).known_runs;
+    const auto found =
+        std::find_if(known.begin(), known.end(), [&](const RunId& run) {
+          return run.task == running.task && run.run == running.run;
+        });
+    if (found != known.end()) SetFormerSpeed(placed, found->percent, now);
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
@@ -145,6 +158,11 @@
   hooks_.send(StopRun{worker.info.vm, task, run});
 }
 
+void Dispatcher::SetKnownRuns(const VmName& vm, std::vector<RunId> runs) {
+  const WorkerSlot slot = registry_.Find(vm);
+  if (slot != kNoWorker) registry_.at(slot).known_runs = std::move(runs);
+}
+
 void Dispatcher::AddUnconfirmedRuns(const VmName& vm,
                                     const std::vector<RunId>& runs,
                                     MonotonicTime now) {
@@ -164,6 +182,7 @@
     placed.unconfirmed = true;
     placed.started_at = registry_.at(slot).silent_since;
     if (!run_id.just_started) placed.started_at -= kStartTrial;
+    SetFormerSpeed(placed, run_id.percent, now);
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
   }
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -274,6 +274,10 @@
     entry.lease_expires_at = LeaseExpiry();
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
+    const auto former = former_workers_.find(event.vm);
+    if (former != former_workers_.end() && unresolved_.contains(event.vm)) {
+      dispatcher_->SetKnownRuns(event.vm, former->second.runs.runs);
+    }
     dispatcher_->OnEvent(event, now);
     if (std::get<Attached>(event.details).complete) {
       unresolved_.erase(event.vm);
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -19,6 +19,8 @@
   /// The run was started less than kStartTrial before the worker stopped
   /// responding.
   bool just_started = false;
+  /// Speed last requested, in per cent of full speed.
+  int percent = 100;
 };
 
 /// Assigns a worker to an agent. The agent may raise the fencing token by less
--- a/src/dispatch/peer/wire_fields.cc
+++ b/src/dispatch/peer/wire_fields.cc
@@ -73,14 +73,15 @@
     out[i].setTask(ToText(runs[i].task));
     out[i].setRun(runs[i].run.value());
     out[i].setJustStarted(runs[i].just_started);
+    out[i].setPercent(runs[i].percent);
   }
 }
 
 std::vector<RunId> Get(capnp::List<wire::RunRef>::Reader in) {
   std::vector<RunId> runs;
   for (const auto run : in) {
-    runs.push_back(
-        {FromText(run.getTask()), Attempt(run.getRun()), run.getJustStarted()});
+    runs.push_back({FromText(run.getTask()), Attempt(run.getRun()),
+                    run.getJustStarted(), run.getPercent()});
   }
   return runs;
 }
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dispatch/core/job.hpp"
+#include "dispatch/model/messages.hpp"
 #include "dispatch/model/worker_types.hpp"
 #include "dispatch/policy/load_trend.hpp"
 #include "dispatch/policy/sharing_model.hpp"
@@ -88,6 +89,8 @@
   int suspicion = 0;  ///< Failures for which it was excluded last.
   std::uint64_t starts_issued = 0;
   std::map<TaskName, PlacedRun> runs;
+  /// Runs that an agent of a former leader knows, until the worker lists them.
+  std::vector<RunId> known_runs;
   /// Runs on the worker that are not placed there and are being stopped. They
   /// use capacity, but how much may not be known.
   std::set<std::string> stray_runs;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -51,6 +51,7 @@
   for (const RunId& run : *assignment_.known_runs) {
     runs_[run.task].number = run.run;
     runs_[run.task].just_started_before = run.just_started;
+    runs_[run.task].requested_speed = run.percent;
   }
 }
 
@@ -67,6 +68,7 @@
   for (const RunId& run : runs->runs) {
     runs_[run.task].number = run.run;
     runs_[run.task].just_started_before = run.just_started;
+    runs_[run.task].requested_speed = run.percent;
   }
 }
 
@@ -85,7 +87,8 @@
         std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
   }
   for (const auto& [task, run] : runs_) {
-    collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run)});
+    collected.runs.push_back(
+        {task, run.number, MayHaveCrashedWorker(run), run.requested_speed});
   }
   if (worker_ended_) return collected;
   for (const EndedRun& end : listed_ends_) {
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -81,6 +81,9 @@
                 releases.emplace_back(agent, release->vm);
               } else if (auto* start = std::get_if<StartRun>(&command)) {
                 starts.push_back(*start);
+              } else if (auto* description =
+                             std::get_if<DescribeRun>(&command)) {
+                descriptions.push_back(*description);
               } else if (auto* ack = std::get_if<AcknowledgeEnds>(&command)) {
                 acknowledged[ack->vm] = ack->number;
               }
@@ -198,6 +201,7 @@
   std::map<VmName, SentAssignment> newest;
   std::vector<std::pair<NodeId, VmName>> releases;
   std::vector<StartRun> starts;
+  std::vector<DescribeRun> descriptions;
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   /// What "agent" says to a new leader.
   std::optional<Milliseconds> last_grant_age;
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -266,6 +266,35 @@
   CHECK(Count<WorkerLoad>() == reported);
 }
 
+// Guards against a takeover that gives all throttled runs their full speed,
+// since the next leader doesn't know their speeds (HARM).
+TEST_CASE_FIXTURE(SessionFixture, "a report names the speeds of the runs") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 30});
+  REQUIRE(session->CollectRuns());
+  REQUIRE(session->CollectRuns()->runs.size() == 1);
+  CHECK(session->CollectRuns()->runs[0].percent == 30);
+  // The session of the next leader, which may be lost before it describes the
+  // run.
+  Assignment assignment;
+  assignment.worker.vm = VmName("w1");
+  assignment.fence = WorkerFence(6 * kFenceStride);
+  SUBCASE("the same agent goes on") {}
+  SUBCASE("another agent goes on") {
+    assignment.known_runs = session->CollectRuns()->runs;
+  }
+  const auto next = WorkerSession::Create(
+      loop, link, assignment, WorkerSessionOptions(), [](const AgentEvent&) {},
+      {[] { return Permission::kStarts; }, [](MonotonicTime) { return true; }},
+      [](Timing, MonotonicTime) {});
+  next->ContinueFrom(*session);
+  REQUIRE(next->CollectRuns());
+  REQUIRE(next->CollectRuns()->runs.size() == 1);
+  CHECK(next->CollectRuns()->runs[0].percent == 30);
+  next->Close();
+}
+
 // Guards against a stalled task that makes its submission miss its target.
 TEST_CASE_FIXTURE(SessionFixture, "a run without progress is reported once") {
   RunFor(Milliseconds(50));
