--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -243,6 +243,58 @@
   CHECK(link->throttles == std::vector{60});
 }
 
+// Guards against a best-effort task that stays paused for ever: the
+// latency-critical task for which it was paused has ended, and the leader
+// changes speeds only by reports.
+TEST_CASE_FIXTURE(
+    SessionFixture,
+    "a throttled run is reported without a latency-critical one") {
+  RunFor(Milliseconds(50));
+  StartRun start = MakeStart(1);
+  start.traits.best_effort = true;
+  session->Start(start);
+  link->report.running.push_back({"a.0.0.1", Attempt(1), {}, 30, 0});
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() == 0);
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 0});
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() > 0);
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 100});
+  RunFor(Milliseconds(500));
+  const int reported = Count<WorkerLoad>();
+  RunFor(Milliseconds(2'000));
+  CHECK(Count<WorkerLoad>() == reported);
+}
+
+// Guards against a takeover that gives all throttled runs their full speed,
+// since the next leader doesn't know their speeds (HARM).
+TEST_CASE_FIXTURE(SessionFixture, "a report names the speeds of the runs") {
+  RunFor(Milliseconds(50));
+  session->Start(MakeStart(1));
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 30});
+  REQUIRE(session->CollectRuns());
+  REQUIRE(session->CollectRuns()->runs.size() == 1);
+  CHECK(session->CollectRuns()->runs[0].percent == 30);
+  // The session of the next leader, which may be lost before it describes the
+  // run.
+  Assignment assignment;
+  assignment.worker.vm = VmName("w1");
+  assignment.fence = WorkerFence(6 * kFenceStride);
+  SUBCASE("the same agent goes on") {}
+  SUBCASE("another agent goes on") {
+    assignment.known_runs = session->CollectRuns()->runs;
+  }
+  const auto next = WorkerSession::Create(
+      loop, link, assignment, WorkerSessionOptions(), [](const AgentEvent&) {},
+      {[] { return Permission::kStarts; }, [](MonotonicTime) { return true; }},
+      [](Timing, MonotonicTime) {});
+  next->ContinueFrom(*session);
+  REQUIRE(next->CollectRuns());
+  REQUIRE(next->CollectRuns()->runs.size() == 1);
+  CHECK(next->CollectRuns()->runs[0].percent == 30);
+  next->Close();
+}
+
 // Guards against a stalled task that makes its submission miss its target.
 TEST_CASE_FIXTURE(SessionFixture, "a run without progress is reported once") {
   RunFor(Milliseconds(50));
