--- a/tests/unit/dispatch/rejections_test.cc
+++ b/tests/unit/dispatch/rejections_test.cc
@@ -87,9 +87,9 @@
     change(Add("w" + std::to_string(++number)));
   }
   const Rejections counted = Count();
-  for (const auto& [rejection, change] : changes) {
-    CAPTURE(RejectionName(rejection));
-    CHECK(counted.Of(rejection) == 1);
+  for (const auto& expected : changes) {
+    CAPTURE(RejectionName(expected.first));
+    CHECK(counted.Of(expected.first) == 1);
   }
 }
 
--- a/tests/unit/dispatch/wait_log_test.cc
+++ b/tests/unit/dispatch/wait_log_test.cc
@@ -41,6 +41,7 @@
   std::set<std::string> logged;
   for (int second = 0; second < 20; ++second) {
     std::vector<WaitingTasks> waiting;
+    waiting.reserve(90);
     for (int i = 0; i < 90; ++i) {
       waiting.push_back(
           MakeWaiting("s" + std::to_string(i), seconds(10 + second)));
@@ -60,6 +61,7 @@
 TEST_CASE("long-running tasks go first and tasks that are not due last") {
   WaitLog log;
   std::vector<WaitingTasks> waiting;
+  waiting.reserve(8);
   for (int i = 0; i < 3; ++i) {
     waiting.push_back(MakeWaiting("due" + std::to_string(i), seconds(900),
                                   WaitReason::kDueLater));
