Agent: the speed of a run that has not started yet is kept and sent

A worker refuses the speed of a run that it does not know, and an agent drops one for a start that still waits for the worker's lists, so the task would run at full speed while the leader counts it as slow.

The session now keeps the speed until the start is answered, or stays without an answer, and sends it then. It also reports the load of a worker without latency-critical tasks while a run there is throttled: without reports nobody speeds that run up again after the task it was throttled for has left.

Test: 'the speed of a new run is sent once it has started' (three cases; it was not run on the former code). The report of the load has no test of its own.

--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -128,6 +128,8 @@
     int speed = 100;
     /// Share of full speed in per cent that the leader last requested.
     int requested_speed = 100;
+    /// The worker has not answered the start yet.
+    bool starting = false;
     /// A speed was sent and not accepted yet, or it will be sent again.
     bool throttle_in_flight = false;
     bool stall_reported = false;
@@ -142,6 +144,7 @@
   struct WaitingStart {
     StartRun command;
     MonotonicTime since{0};
+    int requested_speed = 100;  ///< In per cent of full speed.
   };
 
   WorkerSession(base::EventLoop& loop, std::shared_ptr<WorkerLink> link,
@@ -177,7 +180,7 @@
   void ReportNotSent(const StartRun& command);
   /// Reports all waiting starts as not sent.
   void ReportWaitingNotSent();
-  void SendStart(StartRun command);
+  void SendStart(StartRun command, int requested_speed);
   void OnStartReply(const StartRun& command, CommandOutcome outcome);
   void SendStop(StopRun command);
   /// Does nothing if the session has been closed by then.
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -7,6 +7,11 @@
 #include "dispatch/worker/worker_session.hpp"
 
 namespace mangospread::dispatch {
+namespace {
+
+constexpr int kFullSpeed = 100;  ///< In per cent.
+
+}  // namespace
 
 void WorkerSession::SendPermittedStarts() {
   if (!closed_ && synced_ && !process_unconfirmed_) SendWaitingStarts();
@@ -19,7 +24,7 @@
     if (now - start.since > options_.max_start_wait) {
       ReportNotSent(start.command);
     } else {
-      SendStart(std::move(start.command));
+      SendStart(std::move(start.command), start.requested_speed);
     }
   }
 }
@@ -30,10 +35,11 @@
   if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
   if (!synced_ || process_unconfirmed_ ||
       leader_.permission() < Permission::kStarts) {
-    waiting_starts_.push_back({std::move(command), base::MonotonicNow()});
+    waiting_starts_.push_back(
+        {std::move(command), base::MonotonicNow(), kFullSpeed});
     return;
   }
-  SendStart(std::move(command));
+  SendStart(std::move(command), kFullSpeed);
 }
 
 void WorkerSession::ReportNotSent(const StartRun& command) {
@@ -46,12 +52,14 @@
   }
 }
 
-void WorkerSession::SendStart(StartRun command) {
+void WorkerSession::SendStart(StartRun command, int requested_speed) {
   Run& run = runs_[command.task];
   run = Run();
   run.number = command.run;
   run.traits = command.traits;
   run.described = true;
+  run.requested_speed = requested_speed;
+  run.starting = true;
   run.sent_at = run.progress_at = base::MonotonicNow();
   const StartCommand start{command.task,       command.run,    command.spec,
                            command.checkpoint, NextLeaseEnd(), fence_};
@@ -66,6 +74,14 @@
                                  CommandOutcome outcome) {
   const auto it = runs_.find(command.task);
   const bool current = it != runs_.end() && it->second.number == command.run;
+  // A start without an answer may have taken effect, too.
+  const bool may_run = outcome == CommandOutcome::kAccepted ||
+                       outcome == CommandOutcome::kUnknown;
+  if (current && may_run && std::exchange(it->second.starting, false) &&
+      it->second.requested_speed != kFullSpeed) {
+    SendThrottle(
+        {command.vm, command.task, command.run, it->second.requested_speed});
+  }
   switch (outcome) {
     case CommandOutcome::kAccepted:
       Report(RunStarted{command.task, command.run});
--- a/src/dispatch/worker/worker_session_runs.cc
+++ b/src/dispatch/worker/worker_session_runs.cc
@@ -44,6 +44,7 @@
   if (now - load_reported_at_ < kMinLoadReportPeriod) return;
   bool has_latency_critical = false;
   bool strained = false;
+  bool throttled = false;
   WorkerLoad load;
   for (const RunningRun& running : report.running) {
     const auto it = runs_.find(running.task);
@@ -56,14 +57,17 @@
                      kStrainedShare *
                          static_cast<double>(traits.latency_target.count());
     }
-    strained = strained || it->second.requested_speed < 100;
+    throttled = throttled || it->second.requested_speed < 100;
     if (traits.latency_target.count() == 0 && !traits.best_effort) continue;
     load.runs.push_back(
         {running.task, running.run, running.measured, running.percent});
   }
-  if (!has_latency_critical) return;
+  // A run that was throttled for the sake of a task that has left the worker
+  // speeds up again.
+  if (!has_latency_critical && !throttled) return;
   // Workers without strain are only sampled, for the interference model.
-  if (!strained && now - load_reported_at_ < assignment_.normal_load_period) {
+  if (!strained && !throttled &&
+      now - load_reported_at_ < assignment_.normal_load_period) {
     return;
   }
   load_reported_at_ = now;
@@ -71,10 +75,19 @@
 }
 
 void WorkerSession::Throttle(const ThrottleRun& command) {
+  for (WaitingStart& start : waiting_starts_) {
+    if (start.command.task == command.task &&
+        start.command.run == command.run) {
+      start.requested_speed = command.percent;
+      return;
+    }
+  }
   const auto it = runs_.find(command.task);
   if (it == runs_.end() || it->second.number != command.run) return;
   it->second.requested_speed = command.percent;
-  if (!it->second.throttle_in_flight) SendThrottle(command);
+  // The worker refuses the speed of a run that it has not started yet.
+  if (it->second.starting || it->second.throttle_in_flight) return;
+  SendThrottle(command);
 }
 
 void WorkerSession::SendThrottle(const ThrottleRun& command) {
--- a/tests/unit/dispatch/worker_session_test.cc
+++ b/tests/unit/dispatch/worker_session_test.cc
@@ -206,6 +206,28 @@
   CHECK(link->throttles.size() == 1);
 }
 
+// Guards against a task that runs at full speed while the leader considers it
+// slow: the command follows the start at once, and a worker refuses the speed
+// of a run that it does not know.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "the speed of a new run is sent once it has started") {
+  SUBCASE("the start is answered later") { RunFor(Milliseconds(50)); }
+  SUBCASE("the start waits for the worker's lists") {}
+  SUBCASE("the start stays unanswered") {
+    RunFor(Milliseconds(50));
+    link->outcome = CommandOutcome::kUnknown;
+  }
+  session->Start(MakeStart(1));
+  session->Throttle({VmName("w1"), "a.0.0.1", Attempt(1), 30});
+  CHECK(link->throttles.empty());
+  RunFor(Milliseconds(10));
+  link->outcome = CommandOutcome::kAccepted;
+  RunFor(Milliseconds(400));
+  REQUIRE(link->starts.size() == 1);
+  REQUIRE_FALSE(link->throttles.empty());
+  CHECK(link->throttles.back() == 30);
+}
+
 // Guards against acknowledging ends of a former process to the new one after a
 // restart during which the loss of the connection was not detected.
 TEST_CASE_FIXTURE(
