Guard: tasks that speed up share the headroom, the slowest first

Each throttled task took half of the whole headroom for itself, so several tasks together exceeded it, and a paused task with a large learned effect never reached the smallest change of ten percentage points. What one task gets is now taken off for the next, the slowest goes first, and a paused one resumes at ten per cent while the measured headroom is above 0.1, whatever its learned effect.

--- a/src/dispatch/policy/fill_guard.cc
+++ b/src/dispatch/policy/fill_guard.cc
@@ -1,6 +1,8 @@
 #include "dispatch/policy/fill_guard.hpp"
 
 #include <algorithm>
+#include <cstdlib>
+#include <numeric>
 
 namespace mangospread::dispatch {
 namespace {
@@ -18,6 +20,9 @@
 /// Smaller changes of speed, in percentage points, are made only to 0 or 100
 /// per cent.
 constexpr int kMinChangePercent = 10;
+/// With this headroom a paused task resumes at kMinPercent even if its learned
+/// effect does not fit. The real effect at that speed is below it.
+constexpr double kResumeHeadroom = 0.1;
 
 /// Utilisation that a latency-critical task may still gain; negative if it
 /// exceeds its limit or is about to.
@@ -30,6 +35,63 @@
   return sample.tail_ms / static_cast<double>(sample.target.count());
 }
 
+bool IsChange(int before, int after) {
+  const int change = std::abs(after - before);
+  return change >= kMinChangePercent || (change > 0 && after % 100 == 0);
+}
+
+/// Highest speed of the task that the headroom of each latency-critical task
+/// allows, in per cent.
+int RaisedPercent(const InterferenceModel& model,
+                  const std::vector<LatencySample>& latency_critical,
+                  const std::vector<double>& headroom,
+                  const BestEffortSample& task) {
+  int percent = 100;
+  double lowest = kResumeHeadroom;
+  for (std::size_t s = 0; s < latency_critical.size(); ++s) {
+    const double effect = model.Effect(task.image, latency_critical[s].image);
+    if (effect <= kNegligibleEffect) continue;
+    const double gain =
+        std::max(0.0, headroom[s]) / (effect * task.requested_cores) / 2;
+    percent = std::min(
+        percent, task.percent + static_cast<int>(100 * std::min(gain, 1.0)));
+    lowest = std::min(lowest, headroom[s]);
+  }
+  // Whatever the learned effect is, the task makes progress.
+  if (task.percent == 0 && lowest >= kResumeHeadroom) {
+    percent = std::max(percent, kMinPercent);
+  }
+  return std::max(percent, task.percent);
+}
+
+/// Speeds up throttled tasks, the slowest first, so that none stays paused
+/// while others take all headroom. `percents` holds the speeds so far.
+void RaiseSpeeds(const InterferenceModel& model,
+                 const std::vector<LatencySample>& latency_critical,
+                 const std::vector<BestEffortSample>& tasks,
+                 std::vector<int>& percents) {
+  std::vector<double> headroom;
+  for (const LatencySample& sample : latency_critical) {
+    headroom.push_back(Headroom(model, sample));
+  }
+  std::vector<std::size_t> slowest_first(tasks.size());
+  std::iota(slowest_first.begin(), slowest_first.end(), std::size_t{0});
+  std::stable_sort(
+      slowest_first.begin(), slowest_first.end(),
+      [&](std::size_t a, std::size_t b) { return percents[a] < percents[b]; });
+  for (const std::size_t i : slowest_first) {
+    const BestEffortSample& task = tasks[i];
+    if (percents[i] >= 100 || percents[i] < task.percent) continue;
+    const int percent = RaisedPercent(model, latency_critical, headroom, task);
+    if (!IsChange(task.percent, percent)) continue;
+    for (std::size_t s = 0; s < latency_critical.size(); ++s) {
+      headroom[s] -= model.Effect(task.image, latency_critical[s].image) *
+                     task.requested_cores * (percent - percents[i]) / 100;
+    }
+    percents[i] = percent;
+  }
+}
+
 }  // namespace
 
 std::vector<SpeedLimit> AdjustSpeeds(
@@ -77,25 +139,11 @@
                   [](const LatencySample& sample) {
                     return sample.above_target_for > kEscalateAfter;
                   });
-  for (std::size_t i = 0; i < tasks.size() && !escalated; ++i) {
-    if (percents[i] >= 100 || percents[i] < tasks[i].percent) continue;
-    int percent = 100;
-    for (const LatencySample& sample : latency_critical) {
-      const double effect =
-          model.Effect(tasks[i].image, sample.image) * tasks[i].requested_cores;
-      if (effect <= kNegligibleEffect * tasks[i].requested_cores) continue;
-      const double headroom = Headroom(model, sample);
-      const int gain =
-          headroom <= 0 ? 0 : static_cast<int>(100 * headroom / effect / 2);
-      percent = std::min(percent, percents[i] + gain);
-    }
-    percents[i] = std::max(percents[i], percent);
-  }
+  if (!escalated) RaiseSpeeds(model, latency_critical, tasks, percents);
 
   std::vector<SpeedLimit> changes;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const int change = std::abs(percents[i] - tasks[i].percent);
-    if (change >= kMinChangePercent || (change > 0 && percents[i] % 100 == 0)) {
+    if (IsChange(tasks[i].percent, percents[i])) {
       changes.push_back({tasks[i].task, percents[i]});
     }
   }
