Placement: a best-effort task that has waited 2 s starts at a reduced speed

Cause: a best-effort task started only where its whole learned effect at full speed was below the headroom of each latency-critical image. The model learns nothing while nothing runs, so a large learned effect kept a task from starting for ever. A step that failed so also kept larger steps of other images from being considered, and a throttled task was stopped though no other worker could take it.

Now: after 2 s the placer takes the worker where the largest share of the effect fits, and the task starts at that speed, paused below ten per cent; AdjustSpeeds raises it with the measured headroom. Such a run counts at its commanded speed, others at full speed. Only steps of the same image are skipped after one that found no headroom. A throttled task is moved only if another worker has headroom for its full speed.

Tests: 'a task whose learned effect fits nowhere starts and ends' (three cases) and 'a task without effects does not wait behind a smaller one' failed before (7 of 14 assertions of the file) and pass now. 'all best-effort tasks end soon after the last arrival' passed before, too; it guards the targets. 515 unit tests pass.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -239,8 +239,9 @@
   void StopGang(Entry& entry, int step, MonotonicTime now);
   void MarkChanged(Entry& entry);
   /// Stops best-effort tasks that were throttled heavily for too long and write
-  /// checkpoints, so that they continue on another worker.
+  /// checkpoints, if another worker has headroom for them at full speed.
   void MoveThrottled(WorkerSlot slot, MonotonicTime now);
+  [[nodiscard]] bool FitsElsewhere(const TaskRef& ref, MonotonicTime now) const;
   /// Stops runs that would be lost with a draining worker, so that they restart
   /// on another worker. Batch runs that end soon or write no checkpoints are
   /// left to finish.
@@ -273,11 +274,16 @@
                                  MonotonicTime now) const;
   /// Places all members of a gang or none.
   bool PlaceGang(const Candidate& candidate, MonotonicTime now);
-  void Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
+  void Place(Entry& entry, const TaskIndex& index, const Placement& place,
              std::uint32_t run, MonotonicTime now);
   /// Places pending tasks that may crash their workers, each apart from other
   /// starts.
   void PlaceSuspected(const Candidate& candidate, MonotonicTime now);
+  /// True if the task is best effort and has waited for so long that it starts
+  /// at whatever speed the headroom allows. What the model has learned never
+  /// keeps a task from starting.
+  [[nodiscard]] static bool MayStartSlowly(const Step& step, const Task& task,
+                                           MonotonicTime now);
   [[nodiscard]] StepPlacer MakePlacer(
       const Entry& entry, int step, MonotonicTime now,
       PlacementGoal goal = PlacementGoal::kLowestCost) const;
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -22,6 +22,11 @@
 /// while; then it takes the one whose last start was the longest ago.
 constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
 
+/// A best-effort task that has waited this long starts at a reduced speed.
+/// Until then, room for its full speed may become free: that is a typical run
+/// time.
+constexpr MonotonicTime kMaxHeadroomWait = std::chrono::seconds(2);
+
 /// Bounds the processor time for capacity holds in a round: no further step
 /// gets any once this many workers have been considered for the steps before
 /// it.
@@ -69,8 +74,9 @@
     const Job& job = *entry->job;
     if (IsFinal(job.state()) || (entry->restored && !resumed_)) continue;
     for (std::size_t s = 0; s < job.steps().size(); ++s) {
-      const Step& step = job.steps()[s];
+      Step& step = entry->job->StepAt({static_cast<int>(s), 0});
       if (!step.ready || step.pending == 0 || now < step.due) continue;
+      if (step.available_since.count() == 0) step.available_since = now;
       candidates.push_back({{}, entry, static_cast<int>(s)});
       const bool restarts = std::any_of(
           step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
@@ -104,6 +110,14 @@
   struct Unplaced {
     const StepSpec* spec;
     const ServiceName* service;
+    /// True if it could not be placed at any speed; otherwise there may be
+    /// headroom for other images, or a larger task may start slowly.
+    bool at_any_speed;
+  };
+  const auto has_slow_start = [now](const Step& step) {
+    return std::any_of(
+        step.tasks.begin(), step.tasks.end(),
+        [&](const Task& task) { return MayStartSlowly(step, task, now); });
   };
   std::vector<Unplaced> unplaced;
   const std::vector<Candidate> candidates = Candidates(now);
@@ -114,12 +128,15 @@
   CapacityHolds holds;
   for (const Candidate& candidate : candidates) {
     const Job& job = *candidate.entry->job;
-    const StepSpec& spec = SpecOf(candidate);
+    const Step& step = job.steps()[static_cast<std::size_t>(candidate.step)];
+    const StepSpec& spec = step.spec;
     const ServiceName& service = job.policy().service;
     const bool cannot_fit = std::any_of(
         unplaced.begin(), unplaced.end(), [&](const Unplaced& smaller) {
           return *smaller.service == service &&
                  smaller.spec->best_effort == spec.best_effort &&
+                 (smaller.at_any_speed || (smaller.spec->image == spec.image &&
+                                           !has_slow_start(step))) &&
                  smaller.spec->cpu <= spec.cpu &&
                  smaller.spec->memory <= spec.memory &&
                  smaller.spec->accelerators <= spec.accelerators &&
@@ -137,7 +154,10 @@
     const bool placed =
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
     // A gang needs capacity for all its members at once.
-    if (!placed && !spec.gang) unplaced.push_back({&spec, &service});
+    if (!placed && !spec.gang) {
+      unplaced.push_back(
+          {&spec, &service, !spec.best_effort || has_slow_start(step)});
+    }
     if (!placed) HoldForRestarts(candidate, now, holds);
   }
   for (const auto& [slot, spec] : holds.tasks) registry_.at(slot).Remove(*spec);
@@ -167,6 +187,12 @@
   }
 }
 
+bool Dispatcher::MayStartSlowly(const Step& step, const Task& task,
+                                MonotonicTime now) {
+  return step.spec.best_effort && task.phase == TaskPhase::kPending &&
+         now - std::max(task.since, step.available_since) >= kMaxHeadroomWait;
+}
+
 StepPlacer Dispatcher::MakePlacer(const Entry& entry, int step,
                                   MonotonicTime now, PlacementGoal goal) const {
   const StepSpec& spec =
@@ -240,24 +266,29 @@
       continue;
     }
     // A worker on trial accepts no start, so the placer cannot be reused.
-    const Placement place =
-        MakePlacer(entry, candidate.step, now, PlacementGoal::kLongestQuiet)
-            .Next();
+    const PlacementGoal goal =
+        MayStartSlowly(entry.job->StepAt({candidate.step, 0}), task, now)
+            ? PlacementGoal::kHighestSpeed
+            : PlacementGoal::kLongestQuiet;
+    const Placement place = MakePlacer(entry, candidate.step, now, goal).Next();
     if (place.worker == kNoWorker) {
       return LogPending(candidate, ReasonOf(place));
     }
     const MonotonicTime quiet = now - registry_.at(place.worker).last_start;
     if (quiet < kStartTrial && now - task.since < kMaxTrialWait) return;
-    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
-          NextRun(task), now);
+    Place(entry, {candidate.step, static_cast<int>(t)}, place, NextRun(task),
+          now);
   }
 }
 
 bool Dispatcher::PlaceStep(const Candidate& candidate, MonotonicTime now) {
   Entry& entry = *candidate.entry;
-  const auto& tasks =
-      entry.job->steps()[static_cast<std::size_t>(candidate.step)].tasks;
+  const Step& step =
+      entry.job->steps()[static_cast<std::size_t>(candidate.step)];
+  const auto& tasks = step.tasks;
   StepPlacer placer = MakePlacer(entry, candidate.step, now);
+  std::optional<StepPlacer> slow_placer;
+  bool placed = true;
   for (std::size_t t = 0; t < tasks.size(); ++t) {
     if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
       continue;
@@ -266,15 +297,26 @@
         !RestartIsDue(SpecOf(candidate), tasks[t], MayHaveRun(entry), now)) {
       continue;
     }
-    const Placement place = placer.Next();
+    Placement place = placer.Next();
+    if (place.worker == kNoWorker && MayStartSlowly(step, tasks[t], now)) {
+      // The first placer has no candidates left, so only this one goes on.
+      if (!slow_placer) {
+        slow_placer.emplace(MakePlacer(entry, candidate.step, now,
+                                       PlacementGoal::kHighestSpeed));
+      }
+      place = slow_placer->Next();
+    }
     if (place.worker == kNoWorker) {
       LogPending(candidate, ReasonOf(place));
-      return false;
+      if (!step.spec.best_effort) return false;
+      // A later task may have waited long enough to start slowly.
+      placed = false;
+      continue;
     }
-    Place(entry, {candidate.step, static_cast<int>(t)}, place.worker,
+    Place(entry, {candidate.step, static_cast<int>(t)}, place,
           NextRun(tasks[t]), now);
   }
-  return true;
+  return placed;
 }
 
 bool Dispatcher::PlaceGang(const Candidate& candidate, MonotonicTime now) {
@@ -285,14 +327,17 @@
     StopGang(entry, candidate.step, now);
     return true;
   }
-  std::vector<WorkerSlot> slots;
+  std::vector<Placement> places;
   std::uint32_t run = 0;
   const bool suspected =
       std::any_of(step.tasks.begin(), step.tasks.end(),
                   [](const Task& task) { return IsSuspected(task.losses); });
-  StepPlacer placer = MakePlacer(
-      entry, candidate.step, now,
-      suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost);
+  PlacementGoal goal =
+      suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost;
+  if (MayStartSlowly(step, step.tasks.front(), now)) {
+    goal = PlacementGoal::kHighestSpeed;
+  }
+  StepPlacer placer = MakePlacer(entry, candidate.step, now, goal);
   for (Task& task : step.tasks) {
     const Placement place = placer.Next();
     const WorkerSlot slot = place.worker;
@@ -304,17 +349,17 @@
     registry_.at(slot).Add(step.spec);
     task.worker = slot;
     task.phase = TaskPhase::kStarting;
-    slots.push_back(slot);
+    places.push_back(place);
     run = std::max(run, NextRun(task));
   }
-  for (std::size_t t = 0; t < slots.size(); ++t) {
-    registry_.at(slots[t]).Remove(step.spec);
+  for (std::size_t t = 0; t < places.size(); ++t) {
+    registry_.at(places[t].worker).Remove(step.spec);
     step.tasks[t].worker = kNoWorker;
     step.tasks[t].phase = TaskPhase::kPending;
   }
-  if (slots.size() < step.tasks.size()) return false;
-  for (std::size_t t = 0; t < slots.size(); ++t) {
-    Place(entry, {candidate.step, static_cast<int>(t)}, slots[t], run, now);
+  if (places.size() < step.tasks.size()) return false;
+  for (std::size_t t = 0; t < places.size(); ++t) {
+    Place(entry, {candidate.step, static_cast<int>(t)}, places[t], run, now);
   }
   return true;
 }
@@ -323,13 +368,17 @@
   return std::max(task.run + 1, first_run_);
 }
 
-void Dispatcher::Place(Entry& entry, const TaskIndex& index, WorkerSlot slot,
-                       std::uint32_t run, MonotonicTime now) {
+void Dispatcher::Place(Entry& entry, const TaskIndex& index,
+                       const Placement& place, std::uint32_t run,
+                       MonotonicTime now) {
   Job& job = *entry.job;
   const TaskRef ref{&entry, index, job.NameOf(index), job.Find(index)};
-  WorkerState& worker = registry_.at(slot);
+  WorkerState& worker = registry_.at(place.worker);
   PlacedRun placed;
   placed.run = run;
+  placed.percent = place.percent;
+  placed.started_slowly = place.percent < 100;
+  if (placed.started_slowly) placed.throttled_since = now;
   placed.start_number = ++worker.starts_issued;
   placed.started_at = now;
   worker.last_start = now;
@@ -337,7 +386,7 @@
     ref.task->without_run_since = now;
   }
   if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
-  ReserveCapacity(ref, slot, placed);
+  ReserveCapacity(ref, place.worker, placed);
   if (job.state() == SubmissionState::kQueued) {
     hooks_.first_start(now - job.accepted_at());
   }
@@ -348,6 +397,10 @@
   hooks_.send(StartRun{worker.info.vm, placed.start_number, ToString(ref.name),
                        Attempt(run), job.submission().spec,
                        ref.task->checkpoint, TraitsOf(ref.spec())});
+  if (place.percent == 100) return;
+  hooks_.log(ref.name, worker.info.vm, "paced", std::to_string(place.percent));
+  hooks_.send(ThrottleRun{worker.info.vm, ToString(ref.name), Attempt(run),
+                          place.percent});
 }
 
 int Dispatcher::TasksOfStep(const Entry& entry, int step, WorkerSlot slot) {
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -378,19 +378,30 @@
 }
 
 void Dispatcher::MoveThrottled(WorkerSlot slot, MonotonicTime now) {
-  const WorkerState& worker = registry_.at(slot);
-  for (const auto& [name, placed] : worker.runs) {
+  WorkerState& worker = registry_.at(slot);
+  for (auto& [name, placed] : worker.runs) {
     if (placed.percent > kHeavyThrottlePercent || !placed.spec->checkpoints ||
         now - placed.throttled_since <= kMaxHeavyThrottle) {
       continue;
     }
     const auto ref = FindTask(name);
     if (ref->task->phase != TaskPhase::kRunning) continue;
+    if (!FitsElsewhere(*ref, now)) {
+      // Bounds how often all workers are looked at.
+      placed.throttled_since = now;
+      continue;
+    }
     hooks_.log(name, worker.info.vm, "moved", "paused_too_long");
     StopTask(*ref, now);
   }
 }
 
+bool Dispatcher::FitsElsewhere(const TaskRef& ref, MonotonicTime now) const {
+  StepPlacer placer = MakePlacer(*ref.entry, ref.index.step, now);
+  const WorkerSlot best = placer.Next().worker;
+  return best != kNoWorker && best != ref.task->worker;
+}
+
 void Dispatcher::OnDetached(const VmName& vm, MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(vm);
   if (slot != kNoWorker) OnResponding(slot, false, now);
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -64,6 +64,8 @@
   int unfinished = 0;
   int pending = 0;
   bool ready = false;  ///< All steps that it depends on are done.
+  /// Time at which its tasks could first start; 0 before that.
+  MonotonicTime available_since{0};
   /// Earliest start; 0 if the step may start at once.
   MonotonicTime due{0};
   /// Time since which there has been capacity for one of its pending tasks,
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -13,6 +13,8 @@
 constexpr double kSameImageCost = -0.3;
 /// A best-effort task that adds less utilisation than this needs no headroom.
 constexpr double kNegligibleEffect = 0.02;
+/// A best-effort task that could only start at a lower speed starts paused.
+constexpr int kMinPercent = 10;
 /// Cost of running on another rack than the data, in shares of a worker's
 /// processors.
 constexpr double kRemoteDataCost = 2.0;
@@ -118,8 +120,27 @@
   return cost;
 }
 
+/// Speed for a share of full speed, in per cent. A lower one than kMinPercent
+/// would only prolong the effect, so the task waits for more headroom, paused.
+int PercentOf(double speed_share) {
+  const int percent = static_cast<int>(100 * std::clamp(speed_share, 0.0, 1.0));
+  return percent < kMinPercent ? 0 : percent;
+}
+
 }  // namespace
 
+double SpeedShare(const std::vector<LatencyCriticalGroup>& groups,
+                  const std::function<double(const ImageName&)>& effect_on) {
+  double share = 1;
+  for (const LatencyCriticalGroup& group : groups) {
+    if (group.target.count() == 0) continue;
+    const double effect = effect_on(group.image);
+    if (effect < kNegligibleEffect) continue;
+    share = std::min(share, group.headroom / effect);
+  }
+  return share;
+}
+
 StepPlacer::StepPlacer(const WorkerRegistry& registry,
                        const InterferenceModel& model,
                        const ServiceName& service, const StepSpec& spec,
@@ -161,9 +182,10 @@
     return {kNoWorker, reason_};
   }
   std::pop_heap(heap_.begin(), heap_.end(), ChosenAfter);
-  last_ = heap_.back().slot;
+  const Candidate chosen = heap_.back();
   heap_.pop_back();
-  return {last_, PlacementFailure::kNone};
+  last_ = chosen.slot;
+  return {last_, PlacementFailure::kNone, chosen.percent};
 }
 
 WorkerSlot StepPlacer::FreeSoonest() {
@@ -237,19 +259,30 @@
       tasks_of_step_(slot) >= spec_.max_per_worker) {
     return false;
   }
-  return !spec_.best_effort || LeavesHeadroom(worker);
+  return !spec_.best_effort || goal_ == PlacementGoal::kHighestSpeed ||
+         LeavesHeadroom(worker);
 }
 
 void StepPlacer::AddIfFree(WorkerSlot slot) {
   const WorkerState& worker = At(slot);
   if (!HasCapacity(worker, slot)) return;
+  const int suspicion = worker.Excluded(now_) ? worker.suspicion : 0;
+  if (goal_ == PlacementGoal::kHighestSpeed) {
+    const double share = SpeedShareOn(worker);
+    heap_.push_back({suspicion, -share, slot, PercentOf(share)});
+    return;
+  }
   const double cost = goal_ == PlacementGoal::kLongestQuiet
                           ? static_cast<double>(worker.last_start.count())
                           : Cost(worker, model_, spec_);
-  const int suspicion = worker.Excluded(now_) ? worker.suspicion : 0;
   heap_.push_back({suspicion, cost, slot});
 }
 
+double StepPlacer::SpeedShareOn(const WorkerState& worker) {
+  return SpeedShare(worker.LatencyCriticalGroups(model_),
+                    [this](const ImageName& image) { return EffectOn(image); });
+}
+
 bool StepPlacer::LeavesHeadroom(const WorkerState& worker) {
   const auto& groups = worker.LatencyCriticalGroups(model_);
   return std::all_of(
--- a/src/dispatch/policy/placement.hpp
+++ b/src/dispatch/policy/placement.hpp
@@ -21,6 +21,7 @@
 struct Placement {
   WorkerSlot worker = kNoWorker;
   PlacementFailure reason = PlacementFailure::kNone;
+  int percent = 100;  ///< Speed at which the task should start; 0 is paused.
 };
 
 /// Which of the workers with free capacity a step's tasks get.
@@ -28,8 +29,20 @@
   kLowestCost,
   /// The one whose last start was the longest ago.
   kLongestQuiet,
+  /// The one whose headroom allows a best-effort task the highest speed. None
+  /// is rejected for lack of headroom.
+  kHighestSpeed,
 };
 
+/// Share of a best-effort task's full speed that fits into the headroom of each
+/// latency-critical group with a target. 1 and more is full speed; not positive
+/// if a group has no headroom, and then larger where less is missing.
+///
+/// @param effect_on utilisation that the task adds to an image at full speed.
+[[nodiscard]] double SpeedShare(
+    const std::vector<LatencyCriticalGroup>& groups,
+    const std::function<double(const ImageName&)>& effect_on);
+
 /// Chooses a worker for each task of a step in turn: the one with the lowest
 /// cost, and of several the first. An excluded worker is chosen, those with the
 /// fewest failures first, if no other one can run the step's tasks, even if it
@@ -66,6 +79,7 @@
     int suspicion = 0;  ///< 0 unless the worker is excluded.
     double cost = 0;
     WorkerSlot slot = kNoWorker;
+    int percent = 100;  ///< As in Placement.
   };
   /// A worker that is expected to have enough free capacity later.
   struct FreeLater {
@@ -106,6 +120,7 @@
   /// True if one more task of the step can start on the worker.
   [[nodiscard]] bool HasCapacity(const WorkerState& worker, WorkerSlot slot);
   [[nodiscard]] bool LeavesHeadroom(const WorkerState& worker);
+  [[nodiscard]] double SpeedShareOn(const WorkerState& worker);
   [[nodiscard]] double EffectOn(const ImageName& latency_critical_image);
   void AddIfFree(WorkerSlot slot);
   void AddIfFreeLater(WorkerSlot slot);
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -23,7 +23,10 @@
   for (const auto& [name, placed] : runs) {
     const StepSpec& spec = *placed.spec;
     if (spec.best_effort) {
-      best_effort_use.push_back({spec.image, Cores(spec)});
+      // A run that started slowly uses headroom only as far as others leave it,
+      // so it keeps none for its full speed.
+      const int percent = placed.started_slowly ? placed.percent : 100;
+      best_effort_use.push_back({spec.image, Cores(spec) * percent / 100});
       continue;
     }
     if (!spec.long_running) continue;
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -23,6 +23,8 @@
   /// it, as long as one of its runs is placed.
   const StepSpec* spec = nullptr;
   int percent = 100;  ///< Speed last commanded, in per cent of full speed.
+  /// Placed by PlacementGoal::kHighestSpeed, without headroom for full speed.
+  bool started_slowly = false;
   /// While the run is heavily throttled, the time at which that began; 0 before
   /// the first change of speed.
   MonotonicTime throttled_since{0};
@@ -52,8 +54,8 @@
   /// a best-effort task runs.
   double base_utilisation = 0;
   /// Utilisation that the tasks may still gain before one reaches its limit,
-  /// with all best-effort tasks at full speed. Without a target it is 1 less
-  /// what the best-effort tasks add.
+  /// with all best-effort tasks at full speed, apart from those that started
+  /// slowly. Without a target it is 1 less what the best-effort tasks add.
   double headroom = 0;
 };
 
