--- a/src/dispatch/worker/worker_session_runs.cc
+++ b/src/dispatch/worker/worker_session_runs.cc
@@ -75,10 +75,19 @@
 }
 
 void WorkerSession::Throttle(const ThrottleRun& command) {
+  for (WaitingStart& start : waiting_starts_) {
+    if (start.command.task == command.task &&
+        start.command.run == command.run) {
+      start.requested_speed = command.percent;
+      return;
+    }
+  }
   const auto it = runs_.find(command.task);
   if (it == runs_.end() || it->second.number != command.run) return;
   it->second.requested_speed = command.percent;
-  if (!it->second.throttle_in_flight) SendThrottle(command);
+  // The worker refuses the speed of a run that it has not started yet.
+  if (it->second.starting || it->second.throttle_in_flight) return;
+  SendThrottle(command);
 }
 
 void WorkerSession::SendThrottle(const ThrottleRun& command) {
