A lost long-running task that fits starts before capacity is held

Cause: Decide held capacity for a lost long-running task as soon as it fitted nowhere.

Ruled out by a second trace of (each long-running task that is pending, or placed on a silent worker, once a second): in the 4050 lines of lost tasks that had waited for 6 s, none was suspected, and no worker was unattached, silent, excluded, on trial, or had stray runs. 3414 of them found no worker with room even without holds: the fleet was full for most of the 26 s. No task stayed placed on a lost worker for good, but one did for 11.3 s, which is another matter.

Now all restarts are placed first; then capacity is held for those that fit nowhere; then everything else follows.

The new case of capacity_hold_test fails before (0 starts instead of 1). unit_tests: 512 of 512 pass.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -261,6 +261,8 @@
   /// Reserves capacity for the tasks for which RestartIsDue and that do not fit
   /// anywhere, each on the worker that is expected to have enough of it first.
   /// Otherwise smaller tasks would use each piece that becomes free there.
+  ///
+  /// @param candidate stands for tasks for which RestartIsDue.
   void HoldForRestarts(const Candidate& candidate, MonotonicTime now,
                        CapacityHolds& holds);
   /// Places pending tasks of a step. Returns false if one does not fit.
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -111,8 +111,18 @@
   for (const Candidate& candidate : candidates) {
     if (!SpecOf(candidate).gang) PlaceSuspected(candidate, now);
   }
+  // Candidates that restart lost tasks come first; these do not fit anywhere.
+  std::vector<const Candidate*> waiting_restarts;
   CapacityHolds holds;
+  bool held = false;
   for (const Candidate& candidate : candidates) {
+    // After all restarts, so that capacity held for one lost task does not keep
+    // out another one that fits there now.
+    if (!candidate.restarts && !std::exchange(held, true)) {
+      for (const Candidate* waiting : waiting_restarts) {
+        HoldForRestarts(*waiting, now, holds);
+      }
+    }
     const Job& job = *candidate.entry->job;
     const StepSpec& spec = SpecOf(candidate);
     const ServiceName& service = job.policy().service;
@@ -127,7 +137,7 @@
                  smaller.spec->max_per_worker == 0;
         });
     if (cannot_fit) {
-      HoldForRestarts(candidate, now, holds);
+      if (candidate.restarts) waiting_restarts.push_back(&candidate);
       continue;
     }
     if (spec.long_running && !candidate.restarts &&
@@ -138,7 +148,7 @@
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
     // A gang needs capacity for all its members at once.
     if (!placed && !spec.gang) unplaced.push_back({&spec, &service});
-    if (!placed) HoldForRestarts(candidate, now, holds);
+    if (!placed && candidate.restarts) waiting_restarts.push_back(&candidate);
   }
   for (const auto& [slot, spec] : holds.tasks) registry_.at(slot).Remove(*spec);
 }
@@ -146,7 +156,7 @@
 void Dispatcher::HoldForRestarts(const Candidate& candidate, MonotonicTime now,
                                  CapacityHolds& holds) {
   const StepSpec& spec = SpecOf(candidate);
-  if (!candidate.restarts || spec.gang || spec.best_effort) return;
+  if (spec.gang || spec.best_effort) return;
   if (holds.workers_considered >= kMaxWorkersConsidered) return;
   const Entry& entry = *candidate.entry;
   const auto& tasks = entry.job->StepAt({candidate.step, 0}).tasks;
--- a/tests/unit/dispatch/capacity_hold_test.cc
+++ b/tests/unit/dispatch/capacity_hold_test.cc
@@ -27,6 +27,36 @@
   CHECK(restarted[0].task == "lasting.0.0.0");
 }
 
+// Guards against a lost long-running task that waits beside a worker with
+// enough capacity, since that is held for an earlier, larger one that fits
+// nowhere (LOST).
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "a lost task that fits starts on capacity held for a larger "
+                  "one") {
+  StepSpec step = RunLongRunning("w0", "larger", 4'000);
+  AddWorker("w1", 2'000);
+  step.cpu = Millicores(2'000);
+  Add("smaller", {step});
+  REQUIRE(Decide().size() == 1);
+  AddWorker("w2", 4'000);
+  StepSpec slow = MakeStep(4, 1'000);
+  slow.estimate = Milliseconds(20'000);
+  Add("slow", {slow});
+  REQUIRE(Decide().size() == 4);
+  Add("next", {MakeStep(8, 1'000)});
+  dispatcher.OnWorkerRemoved(VmName("w0"), WorkerRemoval::kLeaseExpired, now);
+  dispatcher.OnWorkerRemoved(VmName("w1"), WorkerRemoval::kLeaseExpired, now);
+  now += std::chrono::milliseconds(1'000);
+  End("w2", 1, "slow.0.0.0", 1, RunEnd::kDone);
+  // The piece is held for either of them.
+  CHECK(Decide().empty());
+  End("w2", 2, "slow.0.0.1", 1, RunEnd::kDone);
+  const auto restarted = Decide();
+  REQUIRE(restarted.size() == 1);
+  CHECK(restarted[0].task == "smaller.0.0.0");
+  CHECK(restarted[0].vm == VmName("w2"));
+}
+
 // Guards against capacity that is held on more workers than the lost tasks
 // need, or on one where other long-running tasks leave no room for them.
 TEST_CASE_FIXTURE(DispatcherFixture,
