Slow starts only for old submissions of which a step has nothing running

Now a submission starts tasks slowly once it is 10 s old, and only if no task of the step runs; its later steps wait 2 s.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -323,11 +323,11 @@
   /// Places pending tasks that may crash their workers, each apart from other
   /// starts.
   void PlaceSuspected(const Candidate& candidate, MonotonicTime now);
-  /// True if the task is best effort and has waited for so long that it starts
-  /// at whatever speed the headroom allows. What the model has learned never
-  /// keeps a task from starting.
-  [[nodiscard]] static bool MayStartSlowly(const Step& step, const Task& task,
-                                           MonotonicTime now);
+  /// True if the task is best effort, of an old submission, and no task of its
+  /// step runs. Then it starts at whatever speed the headroom allows, so that
+  /// what the model has learned never keeps a submission from making progress.
+  [[nodiscard]] static bool MayStartSlowly(const Job& job, const Step& step,
+                                           const Task& task, MonotonicTime now);
   [[nodiscard]] StepPlacer MakePlacer(
       const Entry& entry, int step, MonotonicTime now,
       PlacementGoal goal = PlacementGoal::kLowestCost) const;
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -22,10 +22,12 @@
 /// while; then it takes the one whose last start was the longest ago.
 constexpr MonotonicTime kMaxTrialWait = std::chrono::seconds(1);
 
-/// A best-effort task that has waited this long starts at a reduced speed.
-/// Until then, room for its full speed may become free: that is a typical run
-/// time.
-constexpr MonotonicTime kMaxHeadroomWait = std::chrono::seconds(10);
+/// A best-effort submission of this age may start tasks at a reduced speed.
+/// Before that, headroom for full speed may still let it meet its objective.
+constexpr MonotonicTime kSlowStartAge = std::chrono::seconds(10);
+/// Time for which headroom for a task's full speed may become free; about a
+/// typical run time.
+constexpr MonotonicTime kMaxHeadroomWait = std::chrono::seconds(2);
 
 /// Bounds the processor time for capacity holds in a round: no further step
 /// gets any once this many workers have been considered for the steps before
@@ -100,10 +102,10 @@
     /// headroom for other images, or a larger task may start slowly.
     bool at_any_speed;
   };
-  const auto has_slow_start = [now](const Step& step) {
+  const auto has_slow_start = [now](const Job& job, const Step& step) {
     return std::any_of(
         step.tasks.begin(), step.tasks.end(),
-        [&](const Task& task) { return MayStartSlowly(step, task, now); });
+        [&](const Task& task) { return MayStartSlowly(job, step, task, now); });
   };
   std::vector<Unplaced> unplaced;
   const std::vector<Candidate> candidates = Candidates(now);
@@ -132,7 +134,7 @@
           return *smaller.service == service &&
                  smaller.spec->best_effort == spec.best_effort &&
                  (smaller.at_any_speed || (smaller.spec->image == spec.image &&
-                                           !has_slow_start(step))) &&
+                                           !has_slow_start(job, step))) &&
                  smaller.spec->cpu <= spec.cpu &&
                  smaller.spec->memory <= spec.memory &&
                  smaller.spec->accelerators <= spec.accelerators &&
@@ -152,7 +154,7 @@
     // A gang needs capacity for all its members at once.
     if (!placed && !spec.gang) {
       unplaced.push_back(
-          {&spec, &service, !spec.best_effort || has_slow_start(step)});
+          {&spec, &service, !spec.best_effort || has_slow_start(job, step)});
     }
     if (!placed && candidate.restarts) waiting_restarts.push_back(&candidate);
   }
@@ -183,10 +185,13 @@
   }
 }
 
-bool Dispatcher::MayStartSlowly(const Step& step, const Task& task,
-                                MonotonicTime now) {
+bool Dispatcher::MayStartSlowly(const Job& job, const Step& step,
+                                const Task& task, MonotonicTime now) {
   return step.spec.best_effort && task.phase == TaskPhase::kPending &&
-         now - std::max(task.since, step.available_since) >= kMaxHeadroomWait;
+         now - job.accepted_at() >= kSlowStartAge &&
+         now - std::max(task.since, step.available_since) >= kMaxHeadroomWait &&
+         std::none_of(step.tasks.begin(), step.tasks.end(),
+                      [](const Task& other) { return other.placed(); });
 }
 
 StepPlacer Dispatcher::MakePlacer(const Entry& entry, int step,
@@ -263,7 +268,8 @@
     }
     // A worker on trial accepts no start, so the placer cannot be reused.
     const PlacementGoal goal =
-        MayStartSlowly(entry.job->StepAt({candidate.step, 0}), task, now)
+        MayStartSlowly(*entry.job, entry.job->StepAt({candidate.step, 0}), task,
+                       now)
             ? PlacementGoal::kHighestSpeed
             : PlacementGoal::kLongestQuiet;
     const Placement place = MakePlacer(entry, candidate.step, now, goal).Next();
@@ -294,7 +300,8 @@
       continue;
     }
     Placement place = placer.Next();
-    if (place.worker == kNoWorker && MayStartSlowly(step, tasks[t], now)) {
+    if (place.worker == kNoWorker &&
+        MayStartSlowly(*entry.job, step, tasks[t], now)) {
       // The first placer has no candidates left, so only this one goes on.
       if (!slow_placer) {
         slow_placer.emplace(MakePlacer(entry, candidate.step, now,
@@ -330,7 +337,7 @@
                   [](const Task& task) { return IsSuspected(task.losses); });
   PlacementGoal goal =
       suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost;
-  if (MayStartSlowly(step, step.tasks.front(), now)) {
+  if (MayStartSlowly(*entry.job, step, step.tasks.front(), now)) {
     goal = PlacementGoal::kHighestSpeed;
   }
   StepPlacer placer = MakePlacer(entry, candidate.step, now, goal);
