--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -210,12 +210,7 @@
 }
 
 void GroupLeader::UnassignLost(WorkerEntry& entry) {
-  // An agent extends the lease only once it knows that its attachment was
-  // handled here. What it granted before it reported the worker unreachable is
-  // counted already. One of a former leader may still extend that one's lease.
-  const bool may_have_extended = entry.attached || entry.inherited;
   Detach(entry);
-  if (!may_have_extended) return;
   RaiseLeaseBound(entry, LostLeaseExpiry());
 }
 
