A step starts at most one task slowly in a round; paused tasks resume sooner

From the review of the slow starts, by reading: - has_slow_start and PlaceStep looked at all tasks of a step for each of its tasks, a cost that grows with the square of a large step. Now one task of a step is looked for once, suspected tasks left out, and whether one is placed follows from the step's counts. - A paused task resumed only with a headroom of 0.1, which workers near the peak of their load may never have, so it could stay paused for ever.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -328,6 +328,12 @@
   /// what the model has learned never keeps a submission from making progress.
   [[nodiscard]] static bool MayStartSlowly(const Job& job, const Step& step,
                                            const Task& task, MonotonicTime now);
+  /// Index of a task of the step that MayStartSlowly and does not need a start
+  /// apart from others.
+  [[nodiscard]] static std::optional<std::size_t> FindSlowStart(
+      const Job& job, const Step& step, MonotonicTime now);
+  /// Starts one task of a step without headroom slowly, if it may.
+  void StartSlowly(const Candidate& candidate, MonotonicTime now);
   [[nodiscard]] StepPlacer MakePlacer(
       const Entry& entry, int step, MonotonicTime now,
       PlacementGoal goal = PlacementGoal::kLowestCost) const;
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -102,11 +102,6 @@
     /// headroom for other images, or a larger task may start slowly.
     bool at_any_speed;
   };
-  const auto has_slow_start = [now](const Job& job, const Step& step) {
-    return std::any_of(
-        step.tasks.begin(), step.tasks.end(),
-        [&](const Task& task) { return MayStartSlowly(job, step, task, now); });
-  };
   std::vector<Unplaced> unplaced;
   const std::vector<Candidate> candidates = Candidates(now);
   // Before other starts, so that the workers which they get start nothing else.
@@ -134,7 +129,7 @@
           return *smaller.service == service &&
                  smaller.spec->best_effort == spec.best_effort &&
                  (smaller.at_any_speed || (smaller.spec->image == spec.image &&
-                                           !has_slow_start(job, step))) &&
+                                           !FindSlowStart(job, step, now))) &&
                  smaller.spec->cpu <= spec.cpu &&
                  smaller.spec->memory <= spec.memory &&
                  smaller.spec->accelerators <= spec.accelerators &&
@@ -153,8 +148,8 @@
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
     // A gang needs capacity for all its members at once.
     if (!placed && !spec.gang) {
-      unplaced.push_back(
-          {&spec, &service, !spec.best_effort || has_slow_start(job, step)});
+      unplaced.push_back({&spec, &service,
+                          !spec.best_effort || FindSlowStart(job, step, now)});
     }
     if (!placed && candidate.restarts) waiting_restarts.push_back(&candidate);
   }
@@ -187,11 +182,23 @@
 
 bool Dispatcher::MayStartSlowly(const Job& job, const Step& step,
                                 const Task& task, MonotonicTime now) {
-  return step.spec.best_effort && task.phase == TaskPhase::kPending &&
+  const bool none_placed = step.pending == step.unfinished;
+  return step.spec.best_effort && none_placed &&
+         task.phase == TaskPhase::kPending &&
          now - job.accepted_at() >= kSlowStartAge &&
-         now - std::max(task.since, step.available_since) >= kMaxHeadroomWait &&
-         std::none_of(step.tasks.begin(), step.tasks.end(),
-                      [](const Task& other) { return other.placed(); });
+         now - std::max(task.since, step.available_since) >= kMaxHeadroomWait;
+}
+
+std::optional<std::size_t> Dispatcher::FindSlowStart(const Job& job,
+                                                     const Step& step,
+                                                     MonotonicTime now) {
+  const auto task = std::find_if(
+      step.tasks.begin(), step.tasks.end(), [&](const Task& candidate) {
+        return !IsSuspected(candidate.losses) &&
+               MayStartSlowly(job, step, candidate, now);
+      });
+  if (task == step.tasks.end()) return std::nullopt;
+  return static_cast<std::size_t>(task - step.tasks.begin());
 }
 
 StepPlacer Dispatcher::MakePlacer(const Entry& entry, int step,
@@ -289,8 +296,6 @@
       entry.job->steps()[static_cast<std::size_t>(candidate.step)];
   const auto& tasks = step.tasks;
   StepPlacer placer = MakePlacer(entry, candidate.step, now);
-  std::optional<StepPlacer> slow_placer;
-  bool placed = true;
   for (std::size_t t = 0; t < tasks.size(); ++t) {
     if (tasks[t].phase != TaskPhase::kPending || IsSuspected(tasks[t].losses)) {
       continue;
@@ -299,27 +304,30 @@
         !RestartIsDue(SpecOf(candidate), tasks[t], MayHaveRun(entry), now)) {
       continue;
     }
-    Placement place = placer.Next();
-    if (place.worker == kNoWorker &&
-        MayStartSlowly(*entry.job, step, tasks[t], now)) {
-      // The first placer has no candidates left, so only this one goes on.
-      if (!slow_placer) {
-        slow_placer.emplace(MakePlacer(entry, candidate.step, now,
-                                       PlacementGoal::kHighestSpeed));
-      }
-      place = slow_placer->Next();
-    }
+    const Placement place = placer.Next();
     if (place.worker == kNoWorker) {
       LogPending(candidate, ReasonOf(place));
-      if (!step.spec.best_effort) return false;
-      // A later task may have waited long enough to start slowly.
-      placed = false;
-      continue;
+      StartSlowly(candidate, now);
+      return false;
     }
     Place(entry, {candidate.step, static_cast<int>(t)}, place,
           NextRun(tasks[t]), now);
   }
-  return placed;
+  return true;
+}
+
+void Dispatcher::StartSlowly(const Candidate& candidate, MonotonicTime now) {
+  Entry& entry = *candidate.entry;
+  const Step& step =
+      entry.job->steps()[static_cast<std::size_t>(candidate.step)];
+  const auto task = FindSlowStart(*entry.job, step, now);
+  if (!task) return;
+  const Placement place =
+      MakePlacer(entry, candidate.step, now, PlacementGoal::kHighestSpeed)
+          .Next();
+  if (place.worker == kNoWorker) return;
+  Place(entry, {candidate.step, static_cast<int>(*task)}, place,
+        NextRun(step.tasks[*task]), now);
 }
 
 bool Dispatcher::PlaceGang(const Candidate& candidate, MonotonicTime now) {
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -400,14 +400,15 @@
   WorkerState& worker = registry_.at(slot);
   for (auto& [name, placed] : worker.runs) {
     if (placed.percent > kHeavyThrottlePercent || !placed.spec->checkpoints ||
-        now - placed.throttled_since <= kMaxHeavyThrottle) {
+        now - std::max(placed.throttled_since, placed.move_considered) <=
+            kMaxHeavyThrottle) {
       continue;
     }
     const auto ref = FindTask(name);
     if (ref->task->phase != TaskPhase::kRunning) continue;
     if (!FitsElsewhere(*ref, now)) {
       // Bounds how often all workers are looked at.
-      placed.throttled_since = now;
+      placed.move_considered = now;
       continue;
     }
     hooks_.log(name, worker.info.vm, "moved", "paused_too_long");
--- a/src/dispatch/policy/fill_guard.cc
+++ b/src/dispatch/policy/fill_guard.cc
@@ -21,8 +21,9 @@
 /// per cent.
 constexpr int kMinChangePercent = 10;
 /// With this headroom a paused task resumes at kMinPercent even if its learned
-/// effect does not fit. The real effect at that speed is below it.
-constexpr double kResumeHeadroom = 0.1;
+/// effect does not fit. What a task adds at that speed is below the rest of the
+/// target above its usable share.
+constexpr double kResumeHeadroom = 0.02;
 
 /// Utilisation that a latency-critical task may still gain; negative if it
 /// exceeds its limit or is about to.
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -29,6 +29,8 @@
   /// While the run is heavily throttled, the time at which that began; 0 before
   /// the first change of speed.
   MonotonicTime throttled_since{0};
+  /// Time at which no better worker for a throttled run was found last.
+  MonotonicTime move_considered{0};
   TargetExcess excess;  ///< How long a latency-critical task misses its target.
   std::uint64_t start_number = 0;  ///< 0 for a run found on the worker.
   /// An estimate for a run that this dispatcher has not started.
