--- a/src/dispatch/policy/fill_guard.cc
+++ b/src/dispatch/policy/fill_guard.cc
@@ -72,6 +72,7 @@
                  const std::vector<BestEffortSample>& tasks,
                  std::vector<int>& percents) {
   std::vector<double> headroom;
+  headroom.reserve(latency_critical.size());
   for (const LatencySample& sample : latency_critical) {
     headroom.push_back(Headroom(model, sample));
   }
