--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -19,6 +19,7 @@
 #include "dispatch/leader/former_leaders.hpp"
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
+#include "dispatch/leader/lease_bound.hpp"
 #include "dispatch/leader/wait_log.hpp"
 #include "dispatch/metrics/timings.hpp"
 #include "dispatch/model/lease.hpp"
@@ -148,9 +149,14 @@
   void OnWorkers(const std::map<VmName, WorkerInfo>& listed);
   /// @param last_grant_age time for which the agent has granted no lease;
   ///   nullopt if it is not known.
+  /// @param numbers_attachments as in its Hello.
   void OnAgentUp(const NodeId& agent, const DataCenter& data_center,
-                 std::optional<Milliseconds> last_grant_age = std::nullopt);
-  void OnAgentDown(const NodeId& agent);
+                 std::optional<Milliseconds> last_grant_age = std::nullopt,
+                 bool numbers_attachments = false);
+  /// @param permitted_at time of the last message that permitted it anything;
+  ///   nullopt if it is not known.
+  void OnAgentDown(const NodeId& agent,
+                   std::optional<MonotonicTime> permitted_at = std::nullopt);
   /// Reports the length of the leases that a node grants: during an upgrade it
   /// may be longer than that of this version.
   void OnAgentLease(Milliseconds lease);
@@ -203,6 +209,10 @@
   struct AgentEntry {
     DataCenter data_center;
     int workers = 0;
+    bool numbers_attachments = false;
+    /// It has reported all that it knows of former leaders, since it does so
+    /// before its first event.
+    bool has_reported = false;
   };
   /// A worker of the group and the agent that it is assigned to.
   struct WorkerEntry {
@@ -211,9 +221,14 @@
     WorkerFence fence;
     bool attached = false;
     std::set<NodeId> failed_agents;  ///< Agents that could not reach it.
-    /// Latest time at which its lease expires unless it is renewed; 0 if no
-    /// lease was granted, or while only its agent knows, which reports it.
-    MonotonicTime lease_expires_at{0};
+    /// Covers all leases but those that its agent grants while `may_be_granted`
+    /// holds.
+    LeaseBound lease;
+    /// Its agent may extend the lease: the present attachment was handled here.
+    bool may_be_granted = false;
+    AttachmentNumber attachment;  ///< The newest that was handled.
+    /// Time at which it may last have been in contact; 0 if that is not known.
+    MonotonicTime contact_at{0};
     /// Not assigned to an agent before this time; if its agent does not reach
     /// it, not assigned to another one before this time.
     MonotonicTime retry_at{0};
@@ -230,8 +245,7 @@
     FormerLeaderRuns runs;  ///< All reported runs.
     /// The reporting agents, and whether they go on renewing its lease.
     std::map<NodeId, bool> agents;
-    /// Time at which its lease expires unless one of them renews it.
-    MonotonicTime lease_expires_at{0};
+    LeaseBound lease;  ///< Unless one of them renews it.
     /// An agent has reported no lease before the former leaders were loaded.
     bool lease_unknown = false;
   };
@@ -311,24 +325,43 @@
   /// if it is time to.
   void AssignWorker(WorkerEntry& entry);
   void Assign(WorkerEntry& entry, const NodeId& agent);
-  /// Releases the worker; its agent may have renewed the lease until now.
+  /// True if the worker's agent may have granted a lease that its bound does
+  /// not cover.
+  [[nodiscard]] bool MayHaveGranted(const WorkerEntry& entry) const;
+  /// Ends the time in which the worker's agent may extend the lease, which the
+  /// bound then covers.
+  static void EndGrants(WorkerEntry& entry);
+  static void BeginGrants(WorkerEntry& entry, AttachmentNumber attachment);
+  /// Handles whether a worker responds to its agent.
+  void OnResponding(WorkerEntry& entry, const WorkerLoad& load);
+  /// Releases the worker. Its agent may extend the lease until it has received
+  /// that.
   void Unassign(WorkerEntry& entry);
   /// The same for the worker of a lost agent.
-  void UnassignLost(WorkerEntry& entry);
+  /// @param lease_expiry time at which the leases that it has granted have
+  ///   expired.
+  void UnassignLost(WorkerEntry& entry, MonotonicTime lease_expiry);
+  /// Releases the worker and counts what its agent may have granted.
+  void DetachCounted(WorkerEntry& entry, MonotonicTime lease_expiry,
+                     LeaseEvidence evidence);
   /// Counts a lease that a lost agent may have granted after the worker was
   /// reassigned: neither its report nor its receipt of the release are certain.
   void CountLostRelease(WorkerEntry& entry, const NodeId& agent);
   /// Releases the worker without a change of its lease.
   void Detach(WorkerEntry& entry);
-  /// Counts a lease that an agent may have granted until now.
-  void RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound);
-  /// Time at which the leases that a released agent has granted have expired.
+  /// Counts a lease that an agent may have granted.
+  void RaiseLeaseBound(WorkerEntry& entry, MonotonicTime expires_at,
+                       LeaseEvidence evidence);
+  /// Time at which the leases that were granted until now have expired.
   [[nodiscard]] MonotonicTime LeaseExpiry() const;
-  /// The same for a lost agent.
-  [[nodiscard]] MonotonicTime LostLeaseExpiry() const;
+  /// Time at which the leases have expired that an agent grants which was
+  /// permitted nothing after this time.
+  [[nodiscard]] MonotonicTime GrantExpiry(MonotonicTime permitted_at) const;
   void MoveWorkers();
   /// Counts the runs of a worker that is lost before it was attached.
   void AddRunsOfLost(const VmName& vm);
+  void LogRemoved(const VmName& vm, WorkerRemoval removal,
+                  const WorkerEntry& entry) const;
   /// Removes a worker that has terminated or whose lease has expired.
   void RemoveWorker(const VmName& vm, WorkerRemoval removal);
   /// Ends the agents' sessions with removed workers that the stored roster does
@@ -356,9 +389,10 @@
   void ReleaseFormerAgents(WorkerEntry& entry, const NodeId& agent);
   /// Counts a lease that the agent may have granted until now, if it was
   /// renewing it under the former leader, and no later one.
-  void EndRenewals(const NodeId& agent, FormerWorker& former) const;
+  static void EndRenewals(const NodeId& agent, FormerWorker& former,
+                          MonotonicTime lease_expiry);
   /// Sets the end of the leases that a worker got under former leaders.
-  static void SetFormerLease(WorkerEntry& entry, const FormerWorker& former);
+  static void SetFormerLease(WorkerEntry& entry, FormerWorker& former);
   [[nodiscard]] std::optional<NodeId> PickAgent(const WorkerEntry& entry) const;
   /// True if workers may be assigned to the agent.
   [[nodiscard]] bool IsEligible(const NodeId& agent) const;
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -51,8 +51,9 @@
 }
 
 void GroupLeader::OnAgentUp(const NodeId& agent, const DataCenter& data_center,
-                            std::optional<Milliseconds> last_grant_age) {
-  agents_[agent] = {data_center, 0};
+                            std::optional<Milliseconds> last_grant_age,
+                            bool numbers_attachments) {
+  agents_[agent] = {data_center, 0, numbers_attachments, false};
   std::optional<MonotonicTime> last_grant;
   if (last_grant_age) {
     last_grant = base::MonotonicNow() - GrantAge(*last_grant_age);
@@ -77,22 +78,27 @@
   return inherited ? std::max(agent_lease_, deps_.former_lease) : agent_lease_;
 }
 
-void GroupLeader::OnAgentDown(const NodeId& agent) {
+void GroupLeader::OnAgentDown(const NodeId& agent,
+                              std::optional<MonotonicTime> permitted_at) {
   base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
   agent_lost_at_ = base::MonotonicNow();
   const bool replaced = yielding_ || !deps_.confirmed();
+  const MonotonicTime lease_expiry =
+      GrantExpiry(permitted_at.value_or(base::MonotonicNow()));
   for (auto& [vm, entry] : workers_) {
     entry.failed_agents.erase(agent);
     CountLostRelease(entry, agent);
     if (entry.agent != agent) continue;
-    UnassignLost(entry);
+    UnassignLost(entry, lease_expiry);
     if (replaced) {
       entry.retry_at = base::MonotonicNow() + options_.yield_reassign_delay;
     }
   }
-  for (auto& [vm, former] : former_workers_) EndRenewals(agent, former);
+  for (auto& [vm, former] : former_workers_) {
+    EndRenewals(agent, former, lease_expiry);
+  }
   agents_.erase(agent);
-  agent_register_.OnDown(agent, LostLeaseExpiry());
+  agent_register_.OnDown(agent, lease_expiry);
   if (loaded_) AssignWorkers();
 }
 
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -23,8 +23,9 @@
   return base::MonotonicNow() + LeaseUpperBound(LongestLease());
 }
 
-MonotonicTime GroupLeader::LostLeaseExpiry() const {
-  return LeaseExpiry() + options_.loss_notice_delay;
+MonotonicTime GroupLeader::GrantExpiry(MonotonicTime permitted_at) const {
+  return permitted_at + options_.loss_notice_delay +
+         LeaseUpperBound(LongestLease());
 }
 
 void GroupLeader::LoadAgents(const std::optional<std::string>& stored) {
@@ -107,7 +108,7 @@
 MonotonicTime GroupLeader::FormerLeaseExpiry(const VmName& vm) const {
   const auto it = former_workers_.find(vm);
   return it == former_workers_.end() ? UnreportedLeaseExpiry()
-                                     : it->second.lease_expires_at;
+                                     : it->second.lease.expires_at();
 }
 
 void GroupLeader::OnKnownRuns(const NodeId& agent,
@@ -132,16 +133,16 @@
   runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
   former.lease_unknown |= !reported.lease_left;
   if (reported.lease_left) {
-    former.lease_expires_at =
-        std::max(former.lease_expires_at,
-                 base::MonotonicNow() + MonotonicTime(*reported.lease_left));
+    former.lease.Raise(
+        base::MonotonicNow() + MonotonicTime(*reported.lease_left),
+        LeaseEvidence::kFormerLeader);
   }
   if (!loaded_) return;
   BoundUnknownLease(former);
   if (added && worker != workers_.end()) {
     // Agents that this leader has lost may have attached the worker.
-    former.lease_expires_at =
-        std::max(former.lease_expires_at, worker->second.lease_expires_at);
+    former.lease.Raise(worker->second.lease.expires_at(),
+                       worker->second.lease.raised_by());
   }
   AddFormerWorker(vm);
   StartAttachTimer();
@@ -157,23 +158,24 @@
 
 void GroupLeader::BoundUnknownLease(FormerWorker& former) const {
   if (!std::exchange(former.lease_unknown, false)) return;
-  former.lease_expires_at =
-      std::max(former.lease_expires_at, InheritedLeaseExpiry());
+  former.lease.Raise(InheritedLeaseExpiry(), LeaseEvidence::kFormerLeader);
 }
 
 void GroupLeader::CountReportedLease(WorkerEntry& entry,
                                      const FormerLeaderRuns& reported) {
   // From the attachment on, only the present agent can renew the lease.
   if (entry.attached) return;
-  if (reported.renewing) return RaiseLeaseBound(entry, LeaseExpiry());
+  if (reported.renewing) {
+    return RaiseLeaseBound(entry, LeaseExpiry(), LeaseEvidence::kFormerLeader);
+  }
   if (!reported.lease_left) return;
-  entry.lease_expires_at =
-      std::max(entry.lease_expires_at,
-               base::MonotonicNow() + MonotonicTime(*reported.lease_left));
+  RaiseLeaseBound(entry,
+                  base::MonotonicNow() + MonotonicTime(*reported.lease_left),
+                  LeaseEvidence::kFormerLeader);
 }
 
 void GroupLeader::AddFormerWorker(const VmName& vm) {
-  const FormerWorker& former = former_workers_.at(vm);
+  FormerWorker& former = former_workers_.at(vm);
   if (!unresolved_.contains(vm)) {
     // It was removed from the roster, so nothing runs there.
     for (const auto& [agent, renewing] : former.agents) {
@@ -217,7 +219,7 @@
   if (base::MonotonicNow() < SilentAgentLeaseExpiry()) return;
   dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   unresolved_.erase(vm);
-  const auto left = workers_.at(vm).lease_expires_at - base::MonotonicNow();
+  const auto left = workers_.at(vm).lease.expires_at() - base::MonotonicNow();
   base::Log(base::Event::kWorkerListed,
             {{"vm", vm.str()},
              {"remembered_runs", known.runs.size()},
@@ -229,27 +231,27 @@
   for (const auto& [other, renewing] : former.agents) {
     if (other == agent) continue;
     deps_.send(other, Release{entry.info.vm});
-    EndRenewals(other, former);
+    EndRenewals(other, former, GrantExpiry(base::MonotonicNow()));
   }
   SetFormerLease(entry, former);
 }
 
-void GroupLeader::SetFormerLease(WorkerEntry& entry,
-                                 const FormerWorker& former) {
-  entry.lease_expires_at = former.lease_expires_at;
+void GroupLeader::SetFormerLease(WorkerEntry& entry, FormerWorker& former) {
+  former.lease.Raise(entry.lease.expires_at(), entry.lease.raised_by());
+  entry.lease = former.lease;
   // The only agent that can renew the lease reports the time left of it if it
   // does not reach the worker.
   if (entry.agent &&
       former.agents == std::map<NodeId, bool>{{*entry.agent, true}}) {
-    entry.lease_expires_at = MonotonicTime(0);
+    entry.lease.Forget();
   }
 }
 
-void GroupLeader::EndRenewals(const NodeId& agent, FormerWorker& former) const {
+void GroupLeader::EndRenewals(const NodeId& agent, FormerWorker& former,
+                              MonotonicTime lease_expiry) {
   const auto it = former.agents.find(agent);
   if (it == former.agents.end() || !std::exchange(it->second, false)) return;
-  former.lease_expires_at =
-      std::max(former.lease_expires_at, LostLeaseExpiry());
+  former.lease.Raise(lease_expiry, LeaseEvidence::kFormerLeader);
 }
 
 void GroupLeader::CheckResume() {
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -125,7 +125,7 @@
   it->second.inherited = unresolved_.contains(vm);
   if (const auto former = former_workers_.find(vm);
       former != former_workers_.end() && unresolved_.contains(vm)) {
-    it->second.lease_expires_at = former->second.lease_expires_at;
+    it->second.lease = former->second.lease;
   }
   dispatcher_->OnWorker(it->second.info);
 }
@@ -157,7 +157,7 @@
 }
 
 void GroupLeader::Reassign(WorkerEntry& entry, const NodeId& agent) {
-  entry.released_by = entry.agent;
+  entry.released_by = MayHaveGranted(entry) ? entry.agent : std::nullopt;
   entry.released_at = base::MonotonicNow();
   Detach(entry);
   Assign(entry, agent);
@@ -172,6 +172,7 @@
   }
   entry.agent = agent;
   entry.attached = entry.unreachable = false;
+  entry.attachment = AttachmentNumber();
   ++agents_.at(agent).workers;
   entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
                             ++assignments_issued_ * kFenceStride);
@@ -187,7 +188,7 @@
     ReleaseFormerAgents(entry, agent);
     assignment.known_runs = former->second.runs.runs;
     // An agent that goes on with its session knows the lease better.
-    if (entry.lease_expires_at.count() > 0) {
+    if (entry.lease.known()) {
       assignment.lease_left = LeaseLeft(entry);
     }
   }
@@ -199,19 +200,54 @@
 }
 
 Milliseconds GroupLeader::LeaseLeft(const WorkerEntry& entry) {
-  const MonotonicTime left = entry.lease_expires_at - base::MonotonicNow();
+  const MonotonicTime left = entry.lease.expires_at() - base::MonotonicNow();
   return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
 }
 
+bool GroupLeader::MayHaveGranted(const WorkerEntry& entry) const {
+  if (entry.may_be_granted) return true;
+  const AgentEntry& agent = agents_.at(*entry.agent);
+  return !agent.numbers_attachments || (entry.inherited && !agent.has_reported);
+}
+
+void GroupLeader::EndGrants(WorkerEntry& entry) {
+  if (std::exchange(entry.may_be_granted, false)) {
+    entry.contact_at = base::MonotonicNow();
+  }
+}
+
+void GroupLeader::BeginGrants(WorkerEntry& entry, AttachmentNumber attachment) {
+  entry.may_be_granted = true;
+  entry.attachment = attachment;
+  entry.contact_at = base::MonotonicNow();
+}
+
+void GroupLeader::OnResponding(WorkerEntry& entry, const WorkerLoad& load) {
+  if (load.lease_left) {
+    EndGrants(entry);
+    RaiseLeaseBound(entry, base::MonotonicNow() + *load.lease_left,
+                    LeaseEvidence::kReported);
+  } else if (load.attachment > entry.attachment) {
+    BeginGrants(entry, load.attachment);
+  }
+}
+
 void GroupLeader::Unassign(WorkerEntry& entry) {
   if (!entry.agent) return;
-  Detach(entry);
-  RaiseLeaseBound(entry, LeaseExpiry());
+  // Whatever permits it more arrives after the release.
+  DetachCounted(entry, GrantExpiry(base::MonotonicNow()),
+                LeaseEvidence::kReleased);
+}
+
+void GroupLeader::UnassignLost(WorkerEntry& entry, MonotonicTime lease_expiry) {
+  DetachCounted(entry, lease_expiry, LeaseEvidence::kAgentLost);
 }
 
-void GroupLeader::UnassignLost(WorkerEntry& entry) {
+void GroupLeader::DetachCounted(WorkerEntry& entry, MonotonicTime lease_expiry,
+                                LeaseEvidence evidence) {
+  const bool may_have_granted = MayHaveGranted(entry);
   Detach(entry);
-  RaiseLeaseBound(entry, LostLeaseExpiry());
+  if (may_have_granted) RaiseLeaseBound(entry, lease_expiry, evidence);
 }
 
 void GroupLeader::CountLostRelease(WorkerEntry& entry, const NodeId& agent) {
@@ -222,15 +258,16 @@
   const MonotonicTime last_grant =
       entry.released_at + options_.loss_notice_delay;
   if (base::MonotonicNow() > last_grant + options_.loss_notice_delay) return;
-  RaiseLeaseBound(entry, last_grant + LeaseUpperBound(LongestLease()));
+  RaiseLeaseBound(entry, last_grant + LeaseUpperBound(LongestLease()),
+                  LeaseEvidence::kReleased);
 }
 
-void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime bound) {
-  entry.lease_expires_at = std::max(entry.lease_expires_at, bound);
+void GroupLeader::RaiseLeaseBound(WorkerEntry& entry, MonotonicTime expires_at,
+                                  LeaseEvidence evidence) {
+  entry.lease.Raise(expires_at, evidence);
   const auto former = former_workers_.find(entry.info.vm);
   if (former == former_workers_.end()) return;
-  former->second.lease_expires_at =
-      std::max(former->second.lease_expires_at, bound);
+  former->second.lease.Raise(expires_at, evidence);
 }
 
 void GroupLeader::Detach(WorkerEntry& entry) {
@@ -238,6 +275,7 @@
   if (*entry.agent == deps_.self) self_lease_expires_at_ = LeaseExpiry();
   const auto it = agents_.find(*entry.agent);
   if (it != agents_.end()) --it->second.workers;
+  EndGrants(entry);
   entry.agent.reset();
   entry.attached = entry.unreachable = false;
   dispatcher_->OnDetached(entry.info.vm, base::MonotonicNow());
@@ -255,10 +293,16 @@
       command);
   const auto it = workers_.find(vm);
   if (it == workers_.end() || !it->second.agent) return;
+  if (auto* start = std::get_if<StartRun>(&command)) {
+    start->attachment = it->second.attachment;
+  }
   deps_.send(*it->second.agent, std::move(command));
 }
 
 void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
+  if (const auto reporting = agents_.find(agent); reporting != agents_.end()) {
+    reporting->second.has_reported = true;
+  }
   const auto it = workers_.find(event.vm);
   const bool is_current = it != workers_.end() && it->second.agent == agent &&
                           it->second.fence == event.assignment;
@@ -271,7 +315,8 @@
     entry.failed_agents.clear();
     entry.unreachable = false;
     // From now on only this agent can renew the lease.
-    entry.lease_expires_at = LeaseExpiry();
+    entry.lease.Set(LeaseExpiry(), LeaseEvidence::kAttached);
+    BeginGrants(entry, std::get<Attached>(event.details).attachment);
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     const auto former = former_workers_.find(event.vm);
@@ -297,6 +342,9 @@
   } else if (std::holds_alternative<WorkerEnded>(event.details)) {
     RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
+    if (const auto* load = std::get_if<WorkerLoad>(&event.details)) {
+      OnResponding(entry, *load);
+    }
     dispatcher_->OnEvent(event, now);
   }
   RequestDecision();
@@ -310,8 +358,11 @@
   // It extends the lease once it knows that the event was handled. A newer
   // assignment, which is on its way, ends that session, too.
   if (!stays) deps_.send(agent, Release{event.vm});
+  if (it == workers_.end()) return;
   // An agent of a former version may have extended the lease already.
-  if (it != workers_.end()) RaiseLeaseBound(it->second, LeaseExpiry());
+  const auto sender = agents_.find(agent);
+  if (sender != agents_.end() && sender->second.numbers_attachments) return;
+  RaiseLeaseBound(it->second, LeaseExpiry(), LeaseEvidence::kAttached);
 }
 
 void GroupLeader::OnUnreachable(WorkerEntry& entry, const NodeId& agent,
@@ -321,16 +372,17 @@
             {{"vm", vm.str()},
              {"agent", agent.str()},
              {"lease_left_ms", lease_left.count()}});
+  EndGrants(entry);
   entry.attached = false;
   entry.unreachable = true;
-  entry.lease_expires_at =
-      std::max(entry.lease_expires_at, base::MonotonicNow() + lease_left);
+  RaiseLeaseBound(entry, base::MonotonicNow() + lease_left,
+                  LeaseEvidence::kReported);
   entry.failed_agents.insert(agent);
   const auto former = former_workers_.find(vm);
   if (former != former_workers_.end()) {
     // Other agents may have granted the last lease.
-    entry.lease_expires_at =
-        std::max(entry.lease_expires_at, former->second.lease_expires_at);
+    entry.lease.Raise(former->second.lease.expires_at(),
+                      former->second.lease.raised_by());
     ApplyKnownRuns(vm);
     CheckResume();
   }
@@ -346,11 +398,28 @@
                                   base::MonotonicNow());
 }
 
-void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
+void GroupLeader::LogRemoved(const VmName& vm, WorkerRemoval removal,
+                             const WorkerEntry& entry) const {
+  // -1 if no agent of this leader has had contact.
+  Milliseconds contact_age{-1};
+  if (entry.contact_at.count() > 0) {
+    const MonotonicTime age = base::MonotonicNow() - entry.contact_at;
+    contact_age = std::chrono::duration_cast<milliseconds>(age);
+    if (removal == WorkerRemoval::kLeaseExpired) {
+      deps_.observe(Timing::kLeaseExpired, age);
+    }
+  }
   base::Log(base::Event::kWorkerRemoved,
-            {{"vm", vm.str()}, {"reason", RemovalName(removal)}});
-  if (unresolved_.contains(vm)) AddRunsOfLost(vm);
+            {{"vm", vm.str()},
+             {"reason", RemovalName(removal)},
+             {"contact_age_ms", contact_age.count()},
+             {"lease_evidence", LeaseEvidenceName(entry.lease.raised_by())}});
+}
+
+void GroupLeader::RemoveWorker(const VmName& vm, WorkerRemoval removal) {
   const auto it = workers_.find(vm);
+  LogRemoved(vm, removal, it == workers_.end() ? WorkerEntry() : it->second);
+  if (unresolved_.contains(vm)) AddRunsOfLost(vm);
   if (it != workers_.end()) {
     if (it->second.agent) {
       unreleased_.insert_or_assign(vm, *it->second.agent);
@@ -397,7 +466,7 @@
 void GroupLeader::RemoveExpired(MonotonicTime now) {
   std::vector<VmName> expired;
   for (const auto& [vm, entry] : workers_) {
-    MonotonicTime expires_at = entry.lease_expires_at;
+    MonotonicTime expires_at = entry.lease.expires_at();
     if (Unreported(vm)) {
       expires_at = std::max(expires_at, UnreportedLeaseExpiry());
     }
--- a/src/dispatch/metrics/timings.cc
+++ b/src/dispatch/metrics/timings.cc
@@ -21,6 +21,8 @@
     {"mangospread_store_call_seconds", "Call to the table"},
     {"mangospread_takeover_seconds",
      "Leadership won to restored work going on"},
+    {"mangospread_lease_expired_seconds",
+     "Last contact with a worker to its removal at the end of its lease"},
 }};
 
 /// Upper bounds in seconds.
--- a/src/dispatch/metrics/timings.hpp
+++ b/src/dispatch/metrics/timings.hpp
@@ -25,8 +25,10 @@
   kEndStored,
   kTableCall,  ///< Call to the table, until its reply.
   kTakeover,   ///< Election to the resumption of restored work.
+  /// Last contact with a worker to its removal at the end of its lease.
+  kLeaseExpired,
 };
-inline constexpr std::size_t kTimingCount = 5;
+inline constexpr std::size_t kTimingCount = 6;
 
 using ObserveTiming = std::function<void(Timing, MonotonicTime)>;
 
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -62,6 +62,9 @@
   /// Checkpoint from which the run continues; empty for none.
   std::string checkpoint;
   RunTraits traits;
+  /// The newest attachment that the leader had handled. A start extends the
+  /// lease, so it is not sent under a later one before that is handled, too.
+  AttachmentNumber attachment = AttachmentNumber();
 };
 
 /// Sends the agent the traits of a run that it found on its worker, and the
@@ -119,6 +122,7 @@
   /// not listed may then have ended in any way; the other ends follow as
   /// RunEnded, and then another Attached with complete lists.
   bool complete = true;
+  AttachmentNumber attachment = AttachmentNumber();
 };
 
 struct RunEnded {
@@ -169,7 +173,13 @@
 struct WorkerLoad {
   std::vector<RunSample> runs;
   /// False after a failed renewal, until the next reply; `runs` is then empty.
+  /// A failed renewal ends the attachment.
   bool responding = true;
+  /// Upper bound of the remaining lease, with `responding` false; nullopt from
+  /// a version that may go on extending it.
+  std::optional<Milliseconds> lease_left = std::nullopt;
+  /// The attachment that begins with this report; 0 if none does.
+  AttachmentNumber attachment = AttachmentNumber();
 };
 
 /// Runs that may be on a worker which an agent serves for a former leader.
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -49,6 +49,11 @@
     mangospread::detail::StrongCounter<struct WorkerIncarnationTag>;
 /// Fencing token: commands with a lower one than the highest seen are refused.
 using WorkerFence = mangospread::detail::StrongCounter<struct WorkerFenceTag>;
+/// Number of an attachment: a time in which an agent's session may extend its
+/// worker's lease. Counted within an assignment, from 1; 0 from a version that
+/// does not number them.
+using AttachmentNumber =
+    mangospread::detail::StrongCounter<struct AttachmentNumberTag>;
 /// Sequence number of an end within one worker process; 0 before the first.
 using EndNumber = mangospread::detail::StrongCounter<struct EndNumberTag>;
 
--- a/src/dispatch/node/leader_contact.hpp
+++ b/src/dispatch/node/leader_contact.hpp
@@ -55,10 +55,11 @@
   }
 
   /// True if the leader has handled all that was sent to it up to this time,
-  /// since it handles the messages of a channel in order. Not known of a
-  /// version that confirms no pings, and then taken for granted.
+  /// since it handles the messages of a channel in order. A ping of the same
+  /// time may have been sent before. Not known of a version that confirms no
+  /// pings, and then taken for granted.
   [[nodiscard]] bool HasHandled(MonotonicTime sent_at) const noexcept {
-    return connected_ && (!confirms_pings_ || confirmed_at_ >= sent_at);
+    return connected_ && (!confirms_pings_ || confirmed_at_ > sent_at);
   }
 
  private:
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -175,7 +175,8 @@
           leading && leadership_->yielding(),
           agent_.LastGrantAge(),
           leading ? AgentPermission() : Permission::kNone,
-          leader_ ? leader_->LongestLease() : options_.session.lease};
+          leader_ ? leader_->LongestLease() : options_.session.lease,
+          true};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -122,6 +122,12 @@
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
   void OnPeerHello(const std::shared_ptr<Channel>& channel, const Hello& hello);
   /// Handles the confirmation of a ping that was sent at this time.
+  /// What this node permits a peer in a message that it sends now.
+  Permission PermitAgent(const std::shared_ptr<Channel>& channel);
+  /// Notes that a message which permits the agent something is sent now.
+  void NotePermitted(const NodeId& agent);
+  /// Tells the leader that the channel of an agent is gone.
+  void LoseAgent(const NodeId& agent);
   void OnPeerConfirmed(const std::shared_ptr<Channel>& channel,
                        MonotonicTime sent_at);
   void OnPeerClosed(const std::shared_ptr<Channel>& channel);
@@ -161,6 +167,8 @@
   std::map<std::shared_ptr<Channel>, NodeId> peers_;
   /// Channels of the other nodes that serve as agents while this node leads.
   std::map<NodeId, std::shared_ptr<Channel>> agents_;
+  /// Time of the last message that permitted an agent anything.
+  std::map<NodeId, MonotonicTime> permitted_at_;
 
   std::optional<LeaderRecord> followed_leader_;
   /// Time at which this node heard of its election.
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -140,6 +140,7 @@
   // channels here would lose the hello.
   Announce(false);
   agents_.clear();
+  permitted_at_.clear();
   reconnect_timer_ =
       deps_.loop.After(options_.reconnect_delay, [this] { Connect(); });
 }
@@ -157,7 +158,9 @@
   hooks.on_closed = [this, raw](Errc /*reason*/) {
     OnPeerClosed(raw->shared_from_this());
   };
-  hooks.permission = [this] { return AgentPermission(); };
+  hooks.permission = [this, raw] {
+    return PermitAgent(raw->shared_from_this());
+  };
   hooks.wants_confirmation = [this] { return WantsConfirmation(); };
   hooks.on_confirmed = [this, raw](MonotonicTime sent_at,
                                    Permission /*permission*/) {
@@ -199,19 +202,29 @@
   if (!leading) return;
   const auto old = agents_.find(hello.node);
   if (old != agents_.end()) {
-    if (old->second == channel) return;  // Introduced itself again.
-    leader_->OnAgentDown(hello.node);
+    // Introduced itself again; the reply has permitted it something.
+    if (old->second == channel) return NotePermitted(hello.node);
+    LoseAgent(hello.node);
     peers_.erase(old->second);
     old->second->Close();
   }
   leader_->OnAgentLease(hello.worker_lease);
   peers_[channel] = hello.node;
   agents_[hello.node] = channel;
+  NotePermitted(hello.node);
   if (!hello.leading) {
     leader_->OnFollowerSeen(hello.node, hello.incarnation,
                             hello.last_grant_age);
   }
-  leader_->OnAgentUp(hello.node, hello.data_center, hello.last_grant_age);
+  leader_->OnAgentUp(hello.node, hello.data_center, hello.last_grant_age,
+                     hello.numbers_attachments);
+}
+
+Permission Node::PermitAgent(const std::shared_ptr<Channel>& channel) {
+  const Permission permission = AgentPermission();
+  if (permission == Permission::kNone) return permission;
+  if (const auto agent = AgentAt(channel)) NotePermitted(*agent);
+  return permission;
 }
 
 void Node::OnPeerConfirmed(const std::shared_ptr<Channel>& channel,
@@ -236,7 +249,19 @@
   const auto agent = agents_.find(node.mapped());
   if (agent == agents_.end() || agent->second != channel) return;
   agents_.erase(agent);
-  if (leader_) leader_->OnAgentDown(node.mapped());
+  LoseAgent(node.mapped());
+}
+
+void Node::NotePermitted(const NodeId& agent) {
+  permitted_at_[agent] = base::MonotonicNow();
+}
+
+void Node::LoseAgent(const NodeId& agent) {
+  const auto permitted = permitted_at_.extract(agent);
+  if (leader_ == nullptr) return;
+  leader_->OnAgentDown(agent, permitted.empty()
+                                  ? std::nullopt
+                                  : std::optional(permitted.mapped()));
 }
 
 void Node::SendCommand(const NodeId& agent, AgentCommand command) {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -92,6 +92,7 @@
   out.setYielding(hello.yielding);
   out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
   out.setWorkerLeaseMs(hello.worker_lease.count());
+  out.setNumbersAttachments(hello.numbers_attachments);
   if (hello.permission) {
     out.setPermission(
         static_cast<std::uint8_t>(1 + static_cast<int>(*hello.permission)));
@@ -118,7 +119,8 @@
           in.getYielding(),
           OptionalFromWire(in.getLastGrantAgeMs()),
           permission,
-          Milliseconds(in.getWorkerLeaseMs())};
+          Milliseconds(in.getWorkerLeaseMs()),
+          in.getNumbersAttachments()};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -37,6 +37,9 @@
   /// Length of the leases that the sender grants to workers; from a leader, of
   /// the longest that they may hold.
   Milliseconds worker_lease{kWorkerLease};
+  /// As an agent, the sender numbers attachments, and extends the lease of a
+  /// worker only under one that the leader has handled.
+  bool numbers_attachments = false;
 };
 
 /// A call that a follower forwards to the leader.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -17,6 +17,7 @@
   lastGrantAgeMs @7 :Int64 = -1;   # Negative if it is not known.
   permission @8 :UInt8;  # 1 and a value of Permission; 0 in former versions.
   workerLeaseMs @9 :Int64 = 6000;  # Former versions grant leases of 6 s.
+  numbersAttachments @10 :Bool;
 }
 
 struct Leader {
@@ -62,6 +63,7 @@
   spec @4 :Text;
   checkpoint @5 :Text;
   traits @6 :Traits;
+  attachment @7 :UInt64;   # 0 from former versions, as in the events.
 }
 
 struct RunRef {
@@ -114,6 +116,7 @@
   running @3 :List(Running);
   ended @4 :List(Ended);
   incomplete @5 :Bool;   # The worker may have more ends than it has listed.
+  attachment @6 :UInt64;
 }
 
 struct RunEvent {
@@ -125,6 +128,8 @@
 struct Load {
   runs @0 :List(Running);   # Without checkpoints.
   silent @1 :Bool;          # The worker has stopped responding.
+  leaseLeftMs @2 :Int64 = -1;   # If silent; negative from former versions.
+  attachment @3 :UInt64;    # Begins with this event, if not 0.
 }
 
 # Limits a run to a share of its full speed.
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afad041d9dd731d2, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(afad041d9dd731d2, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,7 +227,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(917a03a16feb775d, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -431,6 +431,8 @@
 
   inline  ::int64_t getWorkerLeaseMs() const;
 
+  inline bool getNumbersAttachments() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -501,6 +503,9 @@
   inline  ::int64_t getWorkerLeaseMs();
   inline void setWorkerLeaseMs( ::int64_t value);
 
+  inline bool getNumbersAttachments();
+  inline void setNumbersAttachments(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1014,6 +1019,8 @@
   inline bool hasTraits() const;
   inline  ::mangospread::dispatch::wire::Traits::Reader getTraits() const;
 
+  inline  ::uint64_t getAttachment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1083,6 +1090,9 @@
   inline void adoptTraits(::capnp::Orphan< ::mangospread::dispatch::wire::Traits>&& value);
   inline ::capnp::Orphan< ::mangospread::dispatch::wire::Traits> disownTraits();
 
+  inline  ::uint64_t getAttachment();
+  inline void setAttachment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1719,6 +1729,8 @@
 
   inline bool getIncomplete() const;
 
+  inline  ::uint64_t getAttachment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1778,6 +1790,9 @@
   inline bool getIncomplete();
   inline void setIncomplete(bool value);
 
+  inline  ::uint64_t getAttachment();
+  inline void setAttachment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1917,6 +1932,10 @@
 
   inline bool getSilent() const;
 
+  inline  ::int64_t getLeaseLeftMs() const;
+
+  inline  ::uint64_t getAttachment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1955,6 +1974,12 @@
   inline bool getSilent();
   inline void setSilent(bool value);
 
+  inline  ::int64_t getLeaseLeftMs();
+  inline void setLeaseLeftMs( ::int64_t value);
+
+  inline  ::uint64_t getAttachment();
+  inline void setAttachment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3073,6 +3098,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 6000ll);
 }
 
+inline bool Hello::Reader::getNumbersAttachments() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getNumbersAttachments() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setNumbersAttachments(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3803,6 +3842,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Start::Reader::getAttachment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Start::Builder::getAttachment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setAttachment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunRef::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4769,6 +4822,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Attached::Reader::getAttachment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Attached::Builder::getAttachment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Attached::Builder::setAttachment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunEvent::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4879,6 +4946,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Load::Reader::getLeaseLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Load::Builder::getLeaseLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Load::Builder::setLeaseLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint64_t Load::Reader::getAttachment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getAttachment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setAttachment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Pace::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/peer/wire_messages.cc
+++ b/src/dispatch/peer/wire_messages.cc
@@ -37,6 +37,7 @@
   start.setSpec(ToText(command.spec));
   start.setCheckpoint(ToText(command.checkpoint));
   Put(start.initTraits(), command.traits);
+  start.setAttachment(command.attachment.value());
 }
 
 void PutCommand(wire::Order::Builder out, const DescribeRun& command) {
@@ -92,6 +93,7 @@
   attached.setBorn(event.incarnation.value());
   attached.setStartsSeen(event.starts_seen);
   attached.setIncomplete(!event.complete);
+  attached.setAttachment(event.attachment.value());
   auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
   for (unsigned i = 0; i < event.unsent.size(); ++i) {
     unsent.set(i, ToText(event.unsent[i]));
@@ -147,6 +149,8 @@
 void PutDetails(wire::Event::Builder out, const WorkerLoad& event) {
   auto load = out.initLoad();
   load.setSilent(!event.responding);
+  load.setLeaseLeftMs(OptionalToWire(event.lease_left));
+  load.setAttachment(event.attachment.value());
   auto runs = load.initRuns(static_cast<unsigned>(event.runs.size()));
   for (unsigned i = 0; i < event.runs.size(); ++i) {
     const RunSample& sample = event.runs[i];
@@ -164,6 +168,8 @@
                          run.getMeasured(), run.getPercent()});
   }
   load.responding = !in.getSilent();
+  load.lease_left = OptionalFromWire(in.getLeaseLeftMs());
+  load.attachment = AttachmentNumber(in.getAttachment());
   return load;
 }
 
@@ -172,6 +178,7 @@
   attached.incarnation = WorkerIncarnation(in.getBorn());
   attached.starts_seen = in.getStartsSeen();
   attached.complete = !in.getIncomplete();
+  attached.attachment = AttachmentNumber(in.getAttachment());
   for (const auto task : in.getUnsent()) {
     attached.unsent.push_back(FromText(task));
   }
@@ -224,11 +231,11 @@
       return AgentCommand(GetAssignment(in.getAssign()));
     case wire::Order::START: {
       const auto start = in.getStart();
-      return AgentCommand(
-          StartRun{VmName(FromText(start.getVm())), start.getNumber(),
-                   FromText(start.getTask()), Attempt(start.getRun()),
-                   FromText(start.getSpec()), FromText(start.getCheckpoint()),
-                   Get(start.getTraits())});
+      return AgentCommand(StartRun{
+          VmName(FromText(start.getVm())), start.getNumber(),
+          FromText(start.getTask()), Attempt(start.getRun()),
+          FromText(start.getSpec()), FromText(start.getCheckpoint()),
+          Get(start.getTraits()), AttachmentNumber(start.getAttachment())});
     }
     case wire::Order::DESCRIBE: {
       const auto describe = in.getDescribe();
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -81,11 +81,7 @@
   collected.unreachable = unreachable_reported_ || worker_ended_;
   collected.ended = worker_ended_;
   collected.renewing = renewing();
-  if (lease_known_) {
-    const MonotonicTime left = lease_expires_at_ - base::MonotonicNow();
-    collected.lease_left =
-        std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
-  }
+  if (lease_known_) collected.lease_left = LeaseLeft();
   for (const auto& [task, run] : runs_) {
     collected.runs.push_back(
         {task, run.number, MayHaveCrashedWorker(run), run.requested_speed});
@@ -147,10 +143,19 @@
       static_cast<std::uint64_t>((elapsed + options_.lease).count()));
 }
 
+bool WorkerSession::AttachmentHandled() const {
+  return attached_at_.count() > 0 && leader_.has_handled(attached_at_);
+}
+
 bool WorkerSession::MayExtend() const {
-  return extends_lease_ && attached_at_.count() > 0 &&
-         leader_.permission() >= Permission::kLeases &&
-         leader_.has_handled(attached_at_);
+  return extends_lease_ && leader_.permission() >= Permission::kLeases &&
+         AttachmentHandled();
+}
+
+void WorkerSession::BeginAttachment() {
+  if (attached_at_.count() > 0) return;
+  attached_at_ = base::MonotonicNow();
+  attachment_ = attachment_.next();
 }
 
 void WorkerSession::SendRenew(Milliseconds wait) {
@@ -203,8 +208,19 @@
 
 void WorkerSession::ReportResponding(bool responding) {
   if (responding == (silent_since_.count() == 0)) return;
-  silent_since_ = responding ? MonotonicTime(0) : base::MonotonicNow();
-  Report(WorkerLoad{{}, responding});
+  if (responding) {
+    silent_since_ = MonotonicTime(0);
+    BeginAttachment();
+    return Report(WorkerLoad{{}, true, std::nullopt, attachment_});
+  }
+  silent_since_ = base::MonotonicNow();
+  attached_at_ = MonotonicTime(0);
+  Report(WorkerLoad{{}, false, LeaseLeft()});
+}
+
+Milliseconds WorkerSession::LeaseLeft() const {
+  const MonotonicTime left = lease_expires_at_ - base::MonotonicNow();
+  return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
 }
 
 void WorkerSession::ReportUnreachable() {
@@ -219,9 +235,7 @@
     renew_timer_ = loop_.After(options_.retry_delay,
                                [this] { SendRenew(Milliseconds(0)); });
   }
-  const MonotonicTime left = lease_expires_at_ - base::MonotonicNow();
-  Report(WorkerUnreachable{
-      std::max(Milliseconds(0), duration_cast<milliseconds>(left))});
+  Report(WorkerUnreachable{LeaseLeft()});
 }
 
 void WorkerSession::OnReport(const RenewReply& report) {
@@ -303,7 +317,8 @@
     reported_end_ = std::max(reported_end_, end.number);
   }
   silent_since_ = MonotonicTime(0);
-  if (attached_at_.count() == 0) attached_at_ = base::MonotonicNow();
+  BeginAttachment();
+  attached.attachment = attachment_;
   Report(std::move(attached));
 }
 
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -187,7 +187,8 @@
   void AfterRetryDelay(std::function<void()> action);
   void UpdateRuns(const RenewReply& report);
   void CheckProgress(const RunningRun& running, Run& run);
-  /// Reports that the worker has stopped responding or responds again.
+  /// Reports that the worker has stopped responding, which ends the attachment,
+  /// or responds again, which begins one.
   void ReportResponding(bool responding);
   [[nodiscard]] bool MayHaveCrashedWorker(const Run& run) const noexcept;
   /// Reports the measurements of a worker that runs a latency-critical task.
@@ -198,10 +199,19 @@
   /// Raises the time up to which the worker may hold a lease, for a lease of
   /// this length that begins now.
   void RaiseLeaseBound(Milliseconds lease);
+  /// Upper bound of the remaining lease.
+  [[nodiscard]] Milliseconds LeaseLeft() const;
   /// End of a new lease on the worker's clock; 0 if that clock is not known.
   [[nodiscard]] WorkerTime NextLeaseEnd();
+  /// True if the leader has handled the present attachment, so that it counts
+  /// what is granted from now on.
+  [[nodiscard]] bool AttachmentHandled() const;
   /// True if a renewal may extend the lease.
   [[nodiscard]] bool MayExtend() const;
+  /// True if a start, which extends the lease, may be sent.
+  [[nodiscard]] bool MaySend(const StartRun& command) const;
+  /// Begins an attachment unless one goes on.
+  void BeginAttachment();
   void ReportUnreachable();
   /// Closes the session, since the worker's process has terminated.
   void CloseEnded();
@@ -247,11 +257,12 @@
   MonotonicTime lease_expires_at_{0};
   MonotonicTime last_grant_at_{0};
   bool extends_lease_ = true;
-  /// Time at which the worker was reported as attached; 0 while the leader may
-  /// take it for unreachable. Until the leader has handled the report it may
-  /// give up the runs at the end of the lease that it knows.
+  /// Time at which the attachment began, which is reported; 0 if there is none.
+  /// Until the leader has handled the report it may give up the runs at the end
+  /// of the lease that it knows.
   MonotonicTime attached_at_{0};
-  bool lease_known_ = false;  ///< That time covers the leases of others too.
+  AttachmentNumber attachment_;  ///< The present or last one.
+  bool lease_known_ = false;     ///< That time covers the leases of others too.
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
   std::vector<WaitingStart> waiting_starts_;
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -17,12 +17,22 @@
   if (!closed_ && synced_ && !process_unconfirmed_) SendWaitingStarts();
 }
 
+bool WorkerSession::MaySend(const StartRun& command) const {
+  // A leader of a former version counts each agent that it loses.
+  if (command.attachment == AttachmentNumber()) return true;
+  const bool present =
+      attached_at_.count() > 0 && command.attachment == attachment_;
+  return present || AttachmentHandled();
+}
+
 void WorkerSession::SendWaitingStarts() {
   if (leader_.permission() < Permission::kStarts) return;
   const MonotonicTime now = base::MonotonicNow();
   for (WaitingStart& start : std::exchange(waiting_starts_, {})) {
     if (now - start.since > options_.max_start_wait) {
       ReportNotSent(start.command);
+    } else if (!MaySend(start.command)) {
+      waiting_starts_.push_back(std::move(start));
     } else {
       SendStart(std::move(start.command), start.requested_speed);
     }
@@ -33,7 +43,7 @@
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
   if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
-  if (!synced_ || process_unconfirmed_ ||
+  if (!synced_ || process_unconfirmed_ || !MaySend(command) ||
       leader_.permission() < Permission::kStarts) {
     waiting_starts_.push_back(
         {std::move(command), base::MonotonicNow(), kFullSpeed});
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -89,8 +89,10 @@
 }
 
 auto Fields(const StartRun& item) {
-  const auto& [vm, number, task, run, spec, checkpoint, traits] = item;
-  return std::tuple(vm, number, task, run, spec, checkpoint, Fields(traits));
+  const auto& [vm, number, task, run, spec, checkpoint, traits, attachment] =
+      item;
+  return std::tuple(vm, number, task, run, spec, checkpoint, Fields(traits),
+                    attachment);
 }
 
 auto Fields(const DescribeRun& item) {
@@ -119,10 +121,10 @@
 }
 
 auto Fields(const Attached& item) {
-  const auto& [incarnation, starts_seen, unsent, running, ended, complete] =
-      item;
+  const auto& [incarnation, starts_seen, unsent, running, ended, complete,
+               attachment] = item;
   return std::tuple(incarnation, starts_seen, unsent, Fields(running),
-                    Fields(ended), complete);
+                    Fields(ended), complete, attachment);
 }
 
 auto Fields(const RunEnded& item) {
@@ -155,8 +157,8 @@
 auto Fields(const WorkerEnded& /*item*/) { return std::tuple(); }
 
 auto Fields(const WorkerLoad& item) {
-  const auto& [runs, responding] = item;
-  return std::tuple(Fields(runs), responding);
+  const auto& [runs, responding, lease_left, attachment] = item;
+  return std::tuple(Fields(runs), responding, lease_left, attachment);
 }
 
 auto Fields(const FormerLeaderRuns& item) {
@@ -169,12 +171,14 @@
 /// the leader's epoch is that of the frame.
 auto Fields(const Hello& item) {
   const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
-               last_grant_age, permission, worker_lease] = item;
+               last_grant_age, permission, worker_lease, numbers_attachments] =
+      item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
                     leader_process, address, leader_epoch, yielding,
-                    last_grant_age, permission, worker_lease);
+                    last_grant_age, permission, worker_lease,
+                    numbers_attachments);
 }
 
 auto Fields(const Ping& item) {
@@ -239,6 +243,8 @@
   CheckCommand(Assignment{
       MakeWorker(), std::nullopt, Milliseconds(0), WorkerFence(7), 8, {}});
   CheckCommand(StartRun{vm, 3, "a.0.1.2", run, "spec", "cp", traits});
+  CheckCommand(StartRun{vm, 3, "a.0.1.2", run, "spec", "cp", traits,
+                        AttachmentNumber(5)});
   CheckCommand(DescribeRun{vm, "t", run, traits, 40});
   CheckCommand(StopRun{vm, "t", run});
   CheckCommand(ThrottleRun{vm, "t", run, 40});
@@ -254,6 +260,8 @@
   CheckEvent(Attached{
       WorkerIncarnation(1), 2, {"u"}, {{"t", run, "c", 50, 1.5}}, {end}});
   CheckEvent(Attached{WorkerIncarnation(1), 2, {}, {}, {end}, false});
+  CheckEvent(
+      Attached{WorkerIncarnation(1), 2, {}, {}, {}, true, AttachmentNumber(6)});
   CheckEvent(RunEnded{WorkerIncarnation(1), end});
   CheckEvent(RunNotStarted{"t", run, CommandOutcome::kNoCapacity});
   CheckEvent(RunStarted{"t", run});
@@ -263,6 +271,8 @@
   CheckEvent(WorkerEnded{});
   CheckEvent(WorkerLoad{{{"t", run, 1.5, 60}}, true});
   CheckEvent(WorkerLoad{{}, false});
+  CheckEvent(WorkerLoad{{}, false, Milliseconds(7)});
+  CheckEvent(WorkerLoad{{}, true, std::nullopt, AttachmentNumber(8)});
   const auto event = RoundTrip<AgentEvent>(
       AgentEvent{VmName("w"), WorkerFence(9), WorkerEnded{}});
   CHECK(event.vm == VmName("w"));
@@ -287,6 +297,9 @@
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
                    leader, false, std::nullopt, Permission::kLeases,
                    Milliseconds(7'500)});
+  CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), false,
+                   DataCenter("d"), leader, false, std::nullopt,
+                   Permission::kNone, Milliseconds(7'500), true});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
