The leader learns of a silent worker before its agent can be lost; review of the rule

The rest of the late removals: an agent that is lost between the loss of a worker and its report of it, 1.5 s later, counts as having granted a lease until then; a leader that was paused reads "time left" late and adds its pause.

Change: a worker that refuses connections, or replies 0.15 s later than asked, ends the attachment at once, with the time left of the lease; a report that nothing can have extended since raises no bound; removal comes with the end of the lease, not at the next tick; only workers that respond are moved.

From the review by a fresh reader: an agent that numbers no attachments counts from now, not from its hello; a worker whose agent is lost is kept for 2 s so that the next one can attach it; the first failed renewal of a new worker gives it no bound; a worker that replies late twice as late each time, so that its lease goes on; the first connection of an agent alone can owe reports; an overwritten mark of a released agent; starts go out with the confirmation.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -78,7 +78,8 @@
   /// reported for it are assumed to be running.
   Milliseconds attach_grace_period{400};
   /// Shortest time for which restored work waits for a worker that no agent has
-  /// reported, so that one which responds is attached first.
+  /// reported, and work of a worker whose agent was lost, so that one which
+  /// responds is attached first.
   Milliseconds unreported_grace_period{2'000};
   /// Period at which an unfinished takeover is logged.
   Milliseconds takeover_log_period{500};
@@ -210,9 +211,6 @@
     DataCenter data_center;
     int workers = 0;
     bool numbers_attachments = false;
-    /// It has reported all that it knows of former leaders, since it does so
-    /// before its first event.
-    bool has_reported = false;
   };
   /// A worker of the group and the agent that it is assigned to.
   struct WorkerEntry {
@@ -226,9 +224,11 @@
     LeaseBound lease;
     /// Its agent may extend the lease: the present attachment was handled here.
     bool may_be_granted = false;
-    AttachmentNumber attachment;  ///< The newest that was handled.
+    AttachmentNumber last_attachment;  ///< The last that was handled.
     /// Time at which it may last have been in contact; 0 if that is not known.
     MonotonicTime contact_at{0};
+    /// Not removed before this time, so that the next agent can attach it.
+    MonotonicTime kept_until{0};
     /// Not assigned to an agent before this time; if its agent does not reach
     /// it, not assigned to another one before this time.
     MonotonicTime retry_at{0};
@@ -332,8 +332,10 @@
   /// bound then covers.
   static void EndGrants(WorkerEntry& entry);
   static void BeginGrants(WorkerEntry& entry, AttachmentNumber attachment);
-  /// Handles whether a worker responds to its agent.
-  void OnResponding(WorkerEntry& entry, const WorkerLoad& load);
+  /// Ends the grants, of which the agent reports the time left.
+  void CountReported(WorkerEntry& entry, Milliseconds lease_left);
+  /// Handles the end or the beginning of an attachment.
+  void CountLoad(WorkerEntry& entry, const WorkerLoad& load);
   /// Releases the worker. Its agent may extend the lease until it has received
   /// that.
   void Unassign(WorkerEntry& entry);
@@ -429,8 +431,12 @@
   /// True if the agent has so many workers that agents which were lost just now
   /// are waited for.
   [[nodiscard]] bool HasEnough(std::size_t workers) const;
+  /// Time after which a worker is removed unless it is attached before; nullopt
+  /// if it is attached, or while only its agent knows its lease.
+  [[nodiscard]] std::optional<MonotonicTime> RemovalTime(
+      const VmName& vm, const WorkerEntry& entry) const;
   /// Removes the workers whose leases have expired.
-  void RemoveExpired(MonotonicTime now);
+  void RemoveExpired();
 
   void RequestDecision();
   void Tick();
@@ -477,6 +483,9 @@
   std::deque<EndedSubmission> ended_;
 
   std::map<NodeId, AgentEntry> agents_;
+  /// Agents that have reported all that they know of former leaders: they do
+  /// so before their first event (Node::OnLeaderHello).
+  std::set<NodeId> reported_agents_;
   AgentRegister agent_register_;
   PermissionTimeouts former_timeouts_;  ///< Of the former leaders.
   FormerLeaders former_leaders_;
@@ -509,6 +518,7 @@
   base::Timer decide_timer_;
   base::Timer tick_timer_;
   base::Timer attach_timer_;
+  base::Timer expiry_timer_;  ///< The next lease that expires before a tick.
   base::Timer takeover_log_timer_;
   /// Set to false by the destructor, so that pending callbacks do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/dispatch/leader/group_leader_agents.cc
+++ b/src/dispatch/leader/group_leader_agents.cc
@@ -53,7 +53,7 @@
 void GroupLeader::OnAgentUp(const NodeId& agent, const DataCenter& data_center,
                             std::optional<Milliseconds> last_grant_age,
                             bool numbers_attachments) {
-  agents_[agent] = {data_center, 0, numbers_attachments, false};
+  agents_[agent] = {data_center, 0, numbers_attachments};
   std::optional<MonotonicTime> last_grant;
   if (last_grant_age) {
     last_grant = base::MonotonicNow() - GrantAge(*last_grant_age);
@@ -83,6 +83,11 @@
   base::Log(base::Event::kPeerDead, {{"peer", agent.str()}});
   agent_lost_at_ = base::MonotonicNow();
   const bool replaced = yielding_ || !deps_.confirmed();
+  const auto lost = agents_.find(agent);
+  // Other versions act for as long as they are connected.
+  if (lost == agents_.end() || !lost->second.numbers_attachments) {
+    permitted_at.reset();
+  }
   const MonotonicTime lease_expiry =
       GrantExpiry(permitted_at.value_or(base::MonotonicNow()));
   for (auto& [vm, entry] : workers_) {
@@ -150,6 +155,7 @@
     return std::find_if(
         workers_.begin(), workers_.end(), [&](const auto& worker) {
           return worker.second.agent == from && worker.second.attached &&
+                 worker.second.may_be_granted &&
                  !worker.second.failed_agents.contains(to);
         });
   };
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -157,8 +157,10 @@
 }
 
 void GroupLeader::Reassign(WorkerEntry& entry, const NodeId& agent) {
-  entry.released_by = MayHaveGranted(entry) ? entry.agent : std::nullopt;
-  entry.released_at = base::MonotonicNow();
+  if (MayHaveGranted(entry)) {
+    entry.released_by = entry.agent;
+    entry.released_at = base::MonotonicNow();
+  }
   Detach(entry);
   Assign(entry, agent);
 }
@@ -172,7 +174,7 @@
   }
   entry.agent = agent;
   entry.attached = entry.unreachable = false;
-  entry.attachment = AttachmentNumber();
+  entry.last_attachment = AttachmentNumber();
   ++agents_.at(agent).workers;
   entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
                             ++assignments_issued_ * kFenceStride);
@@ -206,8 +208,8 @@
 
 bool GroupLeader::MayHaveGranted(const WorkerEntry& entry) const {
   if (entry.may_be_granted) return true;
-  const AgentEntry& agent = agents_.at(*entry.agent);
-  return !agent.numbers_attachments || (entry.inherited && !agent.has_reported);
+  return !agents_.at(*entry.agent).numbers_attachments ||
+         (entry.inherited && !reported_agents_.contains(*entry.agent));
 }
 
 void GroupLeader::EndGrants(WorkerEntry& entry) {
@@ -218,16 +220,23 @@
 
 void GroupLeader::BeginGrants(WorkerEntry& entry, AttachmentNumber attachment) {
   entry.may_be_granted = true;
-  entry.attachment = attachment;
+  entry.last_attachment = attachment;
   entry.contact_at = base::MonotonicNow();
 }
 
-void GroupLeader::OnResponding(WorkerEntry& entry, const WorkerLoad& load) {
+void GroupLeader::CountReported(WorkerEntry& entry, Milliseconds lease_left) {
+  // The report may be read late, so it would raise a bound that covers all.
+  const bool covered = entry.lease.known() && !MayHaveGranted(entry);
+  EndGrants(entry);
+  if (covered) return;
+  RaiseLeaseBound(entry, base::MonotonicNow() + lease_left,
+                  LeaseEvidence::kReported);
+}
+
+void GroupLeader::CountLoad(WorkerEntry& entry, const WorkerLoad& load) {
   if (load.lease_left) {
-    EndGrants(entry);
-    RaiseLeaseBound(entry, base::MonotonicNow() + *load.lease_left,
-                    LeaseEvidence::kReported);
-  } else if (load.attachment > entry.attachment) {
+    if (entry.may_be_granted) CountReported(entry, *load.lease_left);
+  } else if (load.attachment > entry.last_attachment) {
     BeginGrants(entry, load.attachment);
   }
 }
@@ -240,6 +249,9 @@
 }
 
 void GroupLeader::UnassignLost(WorkerEntry& entry, MonotonicTime lease_expiry) {
+  if (entry.attached) {
+    entry.kept_until = base::MonotonicNow() + options_.unreported_grace_period;
+  }
   DetachCounted(entry, lease_expiry, LeaseEvidence::kAgentLost);
 }
 
@@ -294,15 +306,13 @@
   const auto it = workers_.find(vm);
   if (it == workers_.end() || !it->second.agent) return;
   if (auto* start = std::get_if<StartRun>(&command)) {
-    start->attachment = it->second.attachment;
+    start->attachment = it->second.last_attachment;
   }
   deps_.send(*it->second.agent, std::move(command));
 }
 
 void GroupLeader::OnAgentEvent(const NodeId& agent, const AgentEvent& event) {
-  if (const auto reporting = agents_.find(agent); reporting != agents_.end()) {
-    reporting->second.has_reported = true;
-  }
+  reported_agents_.insert(agent);
   const auto it = workers_.find(event.vm);
   const bool is_current = it != workers_.end() && it->second.agent == agent &&
                           it->second.fence == event.assignment;
@@ -343,7 +353,7 @@
     RemoveWorker(event.vm, WorkerRemoval::kProcessEnded);
   } else {
     if (const auto* load = std::get_if<WorkerLoad>(&event.details)) {
-      OnResponding(entry, *load);
+      CountLoad(entry, *load);
     }
     dispatcher_->OnEvent(event, now);
   }
@@ -372,17 +382,18 @@
             {{"vm", vm.str()},
              {"agent", agent.str()},
              {"lease_left_ms", lease_left.count()}});
-  EndGrants(entry);
+  CountReported(entry, lease_left);
   entry.attached = false;
   entry.unreachable = true;
-  RaiseLeaseBound(entry, base::MonotonicNow() + lease_left,
-                  LeaseEvidence::kReported);
   entry.failed_agents.insert(agent);
   const auto former = former_workers_.find(vm);
   if (former != former_workers_.end()) {
-    // Other agents may have granted the last lease.
-    entry.lease.Raise(former->second.lease.expires_at(),
-                      former->second.lease.raised_by());
+    // Other agents may have granted the last lease, if none has attached it
+    // here.
+    if (entry.inherited) {
+      entry.lease.Raise(former->second.lease.expires_at(),
+                        former->second.lease.raised_by());
+    }
     ApplyKnownRuns(vm);
     CheckResume();
   }
@@ -406,7 +417,7 @@
     const MonotonicTime age = base::MonotonicNow() - entry.contact_at;
     contact_age = std::chrono::duration_cast<milliseconds>(age);
     if (removal == WorkerRemoval::kLeaseExpired) {
-      deps_.observe(Timing::kLeaseExpired, age);
+      deps_.observe(Timing::kWorkerRemoved, age);
     }
   }
   base::Log(base::Event::kWorkerRemoved,
@@ -463,29 +474,47 @@
   for (const VmName& vm : idle) RemoveWorker(vm, WorkerRemoval::kLeft);
 }
 
-void GroupLeader::RemoveExpired(MonotonicTime now) {
+std::optional<MonotonicTime> GroupLeader::RemovalTime(
+    const VmName& vm, const WorkerEntry& entry) const {
+  if (entry.attached) return std::nullopt;
+  MonotonicTime expires_at = entry.lease.expires_at();
+  if (Unreported(vm)) {
+    expires_at = std::max(expires_at, UnreportedLeaseExpiry());
+  }
+  if (expires_at.count() == 0) return std::nullopt;
+  if (entry.inherited) {
+    expires_at = std::max(expires_at, SilentAgentLeaseExpiry());
+  }
+  return std::max(expires_at, entry.kept_until);
+}
+
+void GroupLeader::RemoveExpired() {
+  const MonotonicTime now = base::MonotonicNow();
   std::vector<VmName> expired;
+  MonotonicTime next_check = now + options_.tick_period;
   for (const auto& [vm, entry] : workers_) {
-    MonotonicTime expires_at = entry.lease.expires_at();
-    if (Unreported(vm)) {
-      expires_at = std::max(expires_at, UnreportedLeaseExpiry());
-    }
-    if (entry.inherited && expires_at.count() > 0) {
-      expires_at = std::max(expires_at, SilentAgentLeaseExpiry());
-    }
-    if (!entry.attached && expires_at.count() > 0 && now > expires_at) {
+    const auto removal = RemovalTime(vm, entry);
+    if (!removal) continue;
+    if (now > *removal) {
       expired.push_back(vm);
+    } else {
+      next_check = std::min(next_check, *removal + milliseconds(1));
     }
   }
   for (const VmName& vm : expired) {
     RemoveWorker(vm, WorkerRemoval::kLeaseExpired);
   }
+  // The tick does the rest.
+  if (next_check >= now + options_.tick_period) return;
+  expiry_timer_ = deps_.loop.After(next_check - now, [this] {
+    if (loaded_) RemoveExpired();
+  });
 }
 
 void GroupLeader::Tick() {
   if (!loaded_) return;
   const MonotonicTime now = base::MonotonicNow();
-  RemoveExpired(now);
+  RemoveExpired();
   RemoveIdleWorkers();
   if (!resumed_ && now > UnreportedLeaseExpiry()) {
     // The leases of workers that an agent has reported, or was assigned to, may
--- a/src/dispatch/leader/lease_bound.hpp
+++ b/src/dispatch/leader/lease_bound.hpp
@@ -38,8 +38,9 @@
   }
 }
 
-/// Upper bound of the end of a worker's lease. It rises only with evidence of a
-/// grant that it does not cover, whoever watches the worker meanwhile.
+/// Upper bound of the end of a worker's lease. What raises it is evidence of a
+/// grant that it does not cover, not a change of the agent that watches the
+/// worker.
 class LeaseBound {
  public:
   /// 0 if no lease was granted, or while only its agent knows, which reports
--- a/src/dispatch/metrics/timings.hpp
+++ b/src/dispatch/metrics/timings.hpp
@@ -26,7 +26,7 @@
   kTableCall,  ///< Call to the table, until its reply.
   kTakeover,   ///< Election to the resumption of restored work.
   /// Last contact with a worker to its removal at the end of its lease.
-  kLeaseExpired,
+  kWorkerRemoved,
 };
 inline constexpr std::size_t kTimingCount = 6;
 
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -131,9 +131,10 @@
 }
 
 void Node::OnLeaderConfirmed(MonotonicTime sent_at, Permission confirmed) {
-  const bool permitted = permission() == Permission::kStarts;
   contact_.OnConfirmed(sent_at, confirmed);
-  if (!permitted) agent_.SendPermittedStarts();
+  // Starts wait for a permission, or until the leader has handled an
+  // attachment.
+  agent_.SendPermittedStarts();
 }
 
 Permission Node::permission() const {
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -121,13 +121,13 @@
   void Accept(std::shared_ptr<Channel> channel);
   void OnPeerFrame(const std::shared_ptr<Channel>& channel, Frame frame);
   void OnPeerHello(const std::shared_ptr<Channel>& channel, const Hello& hello);
-  /// Handles the confirmation of a ping that was sent at this time.
   /// What this node permits a peer in a message that it sends now.
   Permission PermitAgent(const std::shared_ptr<Channel>& channel);
   /// Notes that a message which permits the agent something is sent now.
   void NotePermitted(const NodeId& agent);
   /// Tells the leader that the channel of an agent is gone.
   void LoseAgent(const NodeId& agent);
+  /// Handles the confirmation of a ping that was sent at this time.
   void OnPeerConfirmed(const std::shared_ptr<Channel>& channel,
                        MonotonicTime sent_at);
   void OnPeerClosed(const std::shared_ptr<Channel>& channel);
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -88,8 +88,8 @@
   agent_.SetEarlierLease(leadership_->former_lease());
   leader_->OnFollowerSeen(options_.node, options_.incarnation,
                           agent_.LastGrantAge());
-  leader_->OnAgentUp(options_.node, options_.data_center,
-                     agent_.LastGrantAge());
+  leader_->OnAgentUp(options_.node, options_.data_center, agent_.LastGrantAge(),
+                     true);
   leader_->OnWorkers(listed_);
   for (const FormerLeaderRuns& runs : agent_.CollectRuns()) {
     leader_->OnKnownRuns(options_.node, runs);
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -41,7 +41,8 @@
       observe_(std::move(observe)),
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
-      replied_at_(base::MonotonicNow()) {
+      replied_at_(base::MonotonicNow()),
+      reply_overdue_(options_.reply_overdue) {
   if (assignment_.lease_left) {
     lease_known_ = true;
     lease_expires_at_ = base::MonotonicNow() + *assignment_.lease_left;
@@ -104,6 +105,7 @@
   closed_ = true;
   suspended_ = false;
   renew_timer_.reset();
+  overdue_timer_.reset();
 }
 
 void WorkerSession::Suspend() {
@@ -119,6 +121,7 @@
 
 void WorkerSession::CloseEnded() {
   closed_ = worker_ended_ = true;
+  overdue_timer_.reset();
   if (silent_since_.count() == 0) silent_since_ = base::MonotonicNow();
   Report(WorkerEnded{});
 }
@@ -176,6 +179,16 @@
   // The link has its own timeout; this one detects an unreachable worker.
   renew_timer_ = loop_.After(wait + kRenewReplyTimeout + milliseconds(100),
                              [this] { ReportUnreachable(); });
+  if (attached_at_.count() == 0 || overdue_timer_.active()) return;
+  overdue_timer_ = loop_.After(options_.renew_wait + reply_overdue_,
+                               [this] { EndAttachment(); });
+}
+
+void WorkerSession::EndAttachment() {
+  overdue_timer_.reset();
+  attached_at_ = MonotonicTime(0);
+  if (silent_since_.count() == 0) silent_since_ = base::MonotonicNow();
+  Report(WorkerLoad{{}, false, LeaseLeft()});
 }
 
 void WorkerSession::OnRenewReply(const Result<RenewReply>& result,
@@ -190,12 +203,15 @@
 void WorkerSession::OnRenewFailed(const Error& error) {
   if (error.code == Errc::kNotOwner) return CloseEnded();
   if (error.code == Errc::kStaleEpoch) {
-    closed_ = true;
+    Close();
     Report(WorkerSuperseded{});
     return;
   }
   process_unconfirmed_ = true;
   ReportResponding(false);
+  // Nothing listens at its address, so the process is probably gone.
+  const bool refused = error.code == Errc::kConnectFailed;
+  if (refused && attached_at_.count() > 0) EndAttachment();
   base::Log(base::Event::kRenewalFailed, {{"vm", assignment_.worker.vm.str()},
                                           {"error", ErrcName(error.code)},
                                           {"subject", error.subject}});
@@ -208,14 +224,15 @@
 
 void WorkerSession::ReportResponding(bool responding) {
   if (responding == (silent_since_.count() == 0)) return;
-  if (responding) {
-    silent_since_ = MonotonicTime(0);
+  silent_since_ = responding ? MonotonicTime(0) : base::MonotonicNow();
+  if (responding && attached_at_.count() == 0) {
+    // A worker that replies late would else lose its attachment, and the lease
+    // with it, at each renewal.
+    reply_overdue_ *= 2;
     BeginAttachment();
     return Report(WorkerLoad{{}, true, std::nullopt, attachment_});
   }
-  silent_since_ = base::MonotonicNow();
-  attached_at_ = MonotonicTime(0);
-  Report(WorkerLoad{{}, false, LeaseLeft()});
+  Report(WorkerLoad{{}, responding});
 }
 
 Milliseconds WorkerSession::LeaseLeft() const {
@@ -227,6 +244,7 @@
   if (unreachable_reported_) return;
   unreachable_reported_ = true;
   attached_at_ = MonotonicTime(0);
+  overdue_timer_.reset();
   // Commands sent before the worker became unreachable may still be in flight.
   RaiseFence();
   // The leader may give up the runs once the lease has expired.
@@ -243,6 +261,7 @@
   replied_at_ = now;
   worker_clock_ = report.clock;
   worker_clock_read_at_ = now;
+  overdue_timer_.reset();
   unreachable_reported_ = false;
   process_unconfirmed_ = false;
   if (synced_ && report.incarnation != incarnation_) return Resynchronise();
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -26,6 +26,10 @@
   /// Time for which the worker delays its reply to a renewal until a run ends;
   /// also the period of measurements.
   Milliseconds renew_wait{500};
+  /// No reply for this long beyond `renew_wait` ends the attachment, so that
+  /// the leader knows of the last grant even if this agent is lost before the
+  /// timeout.
+  Milliseconds reply_overdue{150};
   /// A command without a reply for this long counts as unanswered.
   Milliseconds command_timeout{700};
   /// A worker that does not reply for this long counts as unreachable.
@@ -187,8 +191,8 @@
   void AfterRetryDelay(std::function<void()> action);
   void UpdateRuns(const RenewReply& report);
   void CheckProgress(const RunningRun& running, Run& run);
-  /// Reports that the worker has stopped responding, which ends the attachment,
-  /// or responds again, which begins one.
+  /// Reports that the worker has stopped responding, or responds again, which
+  /// begins an attachment if there is none.
   void ReportResponding(bool responding);
   [[nodiscard]] bool MayHaveCrashedWorker(const Run& run) const noexcept;
   /// Reports the measurements of a worker that runs a latency-critical task.
@@ -212,6 +216,8 @@
   [[nodiscard]] bool MaySend(const StartRun& command) const;
   /// Begins an attachment unless one goes on.
   void BeginAttachment();
+  /// Ends it since the worker does not reply, and reports that.
+  void EndAttachment();
   void ReportUnreachable();
   /// Closes the session, since the worker's process has terminated.
   void CloseEnded();
@@ -267,6 +273,8 @@
   std::map<std::string, Run> runs_;
   std::vector<WaitingStart> waiting_starts_;
   base::Timer renew_timer_;
+  base::Timer overdue_timer_;   ///< Ends the attachment.
+  Milliseconds reply_overdue_;  ///< Grows if replies arrive after that.
 };
 
 }  // namespace mangospread::dispatch
