Show until when a task on a silent worker waits, and why

The answer to explain and event 1826 get lease_left_ms and lease_evidence for tasks that wait with reason worker_silent. The leader fills them in, since the dispatcher does not know leases; both are left out while the worker's agent may still extend the lease, which the bound does not cover.

--- a/src/app/wait_status.cc
+++ b/src/app/wait_status.cc
@@ -74,6 +74,10 @@
     json["vm"] = waiting.vm.str();
     json["run"] = waiting.run;
   }
+  if (waiting.lease) {
+    json["lease_left_ms"] = waiting.lease->left.count();
+    json["lease_evidence"] = waiting.lease->evidence;
+  }
   if (waiting.rejections) {
     json["workers"] = CountsToJson(*waiting.rejections);
     const auto& image = waiting.rejections->image;
--- a/src/dispatch/core/waiting.hpp
+++ b/src/dispatch/core/waiting.hpp
@@ -10,6 +10,7 @@
 
 #include "dispatch/core/job.hpp"
 #include "dispatch/policy/rejections.hpp"
+#include "mangospread/units.hpp"
 
 namespace mangospread::dispatch {
 
@@ -53,6 +54,12 @@
   MonotonicTime waited{0};
 };
 
+/// The lease of a worker that does not respond.
+struct LeaseWait {
+  Milliseconds left{0};       ///< Until it has expired at the latest.
+  std::string_view evidence;  ///< What shows that it may last until then.
+};
+
 /// The tasks of a step that wait for the same reason.
 struct WaitingTasks {
   TaskName task;  ///< The one that has waited longest.
@@ -65,6 +72,9 @@
   std::uint32_t run = 0;  ///< Of `task`; 0 before the first.
   /// Only for tasks that wait for a worker, and only where it was asked for.
   std::optional<Rejections> rejections;
+  /// Of `vm`, if it does not respond. The leader fills it in where it knows the
+  /// end of the lease.
+  std::optional<LeaseWait> lease;
 };
 
 /// Upper bounds of the age buckets of waiting tasks, except the last one.
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -447,6 +447,7 @@
   /// Logs tasks that have waited long, and why.
   void LogWaits(MonotonicTime now);
   void LogWait(const WaitingTasks& waiting, std::size_t left_out) const;
+  void AddLease(WaitingTasks& waiting) const;
 
   GroupLeaderDependencies deps_;
   GroupLeaderOptions options_;
--- a/src/dispatch/leader/group_leader_waits.cc
+++ b/src/dispatch/leader/group_leader_waits.cc
@@ -1,5 +1,6 @@
 // Log lines of the tasks that wait.
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/events.hpp"
@@ -39,10 +40,22 @@
       wait_log_.Take(dispatcher_->Waiting(now, started_at_), now);
   for (WaitingTasks& waiting : lines.due) {
     dispatcher_->AddRejections(waiting, now);
+    AddLease(waiting);
     LogWait(waiting, lines.left_out);
   }
 }
 
+void GroupLeader::AddLease(WaitingTasks& waiting) const {
+  if (waiting.wait.reason != WaitReason::kWorkerSilent) return;
+  const auto it = workers_.find(waiting.vm);
+  if (it == workers_.end()) return;
+  const WorkerEntry& entry = it->second;
+  // The bound does not cover a lease that the agent may still extend.
+  if (entry.may_be_granted || !entry.lease.known()) return;
+  waiting.lease =
+      LeaseWait{LeaseLeft(entry), LeaseEvidenceName(entry.lease.raised_by())};
+}
+
 void GroupLeader::LogWait(const WaitingTasks& waiting,
                           std::size_t left_out) const {
   const std::string task = ToString(waiting.task);
@@ -50,6 +63,10 @@
       waiting.rejections ? WorkerCounts(*waiting.rejections) : "";
   const std::string image =
       waiting.rejections ? waiting.rejections->image.str() : "";
+  const std::string lease_left =
+      waiting.lease ? std::to_string(waiting.lease->left.count()) : "";
+  const std::string_view evidence =
+      waiting.lease ? waiting.lease->evidence : "";
   base::Log(
       base::Event::kTaskWaits,
       {{"request", waiting.task.submission.str()},
@@ -60,6 +77,8 @@
        {"long_running", waiting.long_running},
        {"vm", waiting.vm.str()},
        {"run", waiting.run},
+       {"lease_left_ms", lease_left},
+       {"lease_evidence", evidence},
        {"workers", workers},
        {"beside", image},
        {"confirmed", deps_.confirmed()},
@@ -73,8 +92,9 @@
       dispatcher_->Waiting(id, now, started_at_);
   int counted = 0;
   for (WaitingTasks& tasks : waiting) {
+    AddLease(tasks);
     if (!WaitsForWorker(tasks.wait.reason)) continue;
-    if (++counted > kMaxCountedSteps) break;
+    if (++counted > kMaxCountedSteps) continue;
     dispatcher_->AddRejections(tasks, now);
   }
   return waiting;
