--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -98,7 +98,8 @@
     if (epoch > 1 && former_stopped) {
       leader->OnFormerLeaderStopped(base::MonotonicNow());
     }
-    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"), last_grant_age);
+    leader->OnAgentUp(NodeId("agent"), DataCenter("dc"), last_grant_age,
+                      numbers_attachments);
     leader->Start();
     RunFor(std::chrono::milliseconds(20));
   }
@@ -106,7 +107,8 @@
   /// Connects another agent and lets the leader store its name, without which
   /// it gets no workers.
   void ConnectAgent(const char* agent) {
-    leader->OnAgentUp(NodeId(agent), DataCenter("dc"));
+    leader->OnAgentUp(NodeId(agent), DataCenter("dc"), std::nullopt,
+                      numbers_attachments);
     RunFor(std::chrono::milliseconds(20));
   }
 
@@ -205,9 +207,10 @@
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   /// What "agent" says to a new leader.
   std::optional<Milliseconds> last_grant_age;
-  NodeId self{"leader"};          ///< The node that leads next.
-  NodeId last_claimed{"leader"};  ///< The node whose claim is the newest.
-  bool former_stopped = true;     ///< As the new leader knows at once.
+  bool numbers_attachments = false;  ///< Of all agents.
+  NodeId self{"leader"};             ///< The node that leads next.
+  NodeId last_claimed{"leader"};     ///< The node whose claim is the newest.
+  bool former_stopped = true;        ///< As the new leader knows at once.
   int assignments = 0;
   std::vector<VmName> assigned_workers;
   int conflicts = 0;
--- a/tests/unit/dispatch/worker_session_fixture.hpp
+++ b/tests/unit/dispatch/worker_session_fixture.hpp
@@ -42,7 +42,7 @@
     reply.ends_complete = reply.ended.size() < ends_per_reply;
     if (!reply.ends_complete) reply.ended.resize(ends_per_reply);
     const auto delay =
-        command.max_wait.count() == 0 ? Milliseconds(1) : Milliseconds(100);
+        command.max_wait.count() == 0 ? Milliseconds(1) : reply_delay;
     timers.push_back(
         loop.After(delay, [done = std::move(done), reply] { done(reply); }));
   }
@@ -69,6 +69,7 @@
   RenewReply report;
   /// Number of ends after which a list is cut.
   std::size_t ends_per_reply = 500;
+  Milliseconds reply_delay{100};  ///< Of renewals that wait.
   bool unresponsive = false;
   std::optional<Errc> error;  ///< Of all renewals.
   bool connected = true;
