Reports of runs name the starts that the worker has accepted

An agent knows that, but its report to a next leader does not say so, nor does a leader's list of runs for the next agent of a worker. Every inherited loss counts as uncertain, so a task whose leaders are lost again and again keeps the starts that two certain losses would have ended.

The rule that gives a task up is unchanged, and a start without a reply still counts as uncertain.

Ruled out: the stored rows (they hold what counted as shared or sole), the write of the frozen leader (its conflict is right).

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -268,8 +268,8 @@
     const bool just_started =
         worker.silent_since.count() > 0 &&
         JustStarted(worker.silent_since - placed.started_at);
-    runs.push_back(
-        {ToString(name), Attempt(placed.run), just_started, placed.percent});
+    runs.push_back({ToString(name), Attempt(placed.run), just_started,
+                    placed.percent, placed.start_confirmed});
   }
   return runs;
 }
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -182,6 +182,7 @@
     placed.unconfirmed = true;
     placed.started_at = registry_.at(slot).silent_since;
     if (!run_id.just_started) placed.started_at -= kStartTrial;
+    placed.start_confirmed = run_id.confirmed;
     SetFormerSpeed(placed, run_id.percent, now);
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -21,6 +21,10 @@
   bool just_started = false;
   /// Speed last requested, in per cent of full speed.
   int percent = 100;
+  /// The worker accepted the start or listed the run, so the run was certainly
+  /// there. Without it, a next leader cannot count the loss of the run as
+  /// certain.
+  bool confirmed = false;
 };
 
 /// Assigns a worker to an agent. The agent may raise the fencing token by less
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -71,6 +71,7 @@
   traits @3 :Traits;
   percent @4 :Int32 = 100;   # Share of full speed, for describe.
   justStarted @5 :Bool;
+  confirmed @6 :Bool;    # The worker accepted the start or listed the run.
 }
 
 struct Acknowledge {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -1142,6 +1142,8 @@
 
   inline bool getJustStarted() const;
 
+  inline bool getConfirmed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1200,6 +1202,9 @@
   inline bool getJustStarted();
   inline void setJustStarted(bool value);
 
+  inline bool getConfirmed();
+  inline void setConfirmed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3952,6 +3957,20 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunRef::Reader::getConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunRef::Builder::getConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void RunRef::Builder::setConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Acknowledge::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/peer/wire_fields.cc
+++ b/src/dispatch/peer/wire_fields.cc
@@ -74,6 +74,7 @@
     out[i].setRun(runs[i].run.value());
     out[i].setJustStarted(runs[i].just_started);
     out[i].setPercent(runs[i].percent);
+    out[i].setConfirmed(runs[i].confirmed);
   }
 }
 
@@ -81,7 +82,8 @@
   std::vector<RunId> runs;
   for (const auto run : in) {
     runs.push_back({FromText(run.getTask()), Attempt(run.getRun()),
-                    run.getJustStarted(), run.getPercent()});
+                    run.getJustStarted(), run.getPercent(),
+                    run.getConfirmed()});
   }
   return runs;
 }
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -48,10 +48,16 @@
   }
   if (!assignment_.known_runs) return;
   runs_known_ = true;
-  for (const RunId& run : *assignment_.known_runs) {
-    runs_[run.task].number = run.run;
-    runs_[run.task].just_started_before = run.just_started;
-    runs_[run.task].requested_speed = run.percent;
+  AddKnownRuns(*assignment_.known_runs);
+}
+
+void WorkerSession::AddKnownRuns(const std::vector<RunId>& known) {
+  for (const RunId& run_id : known) {
+    Run& run = runs_[run_id.task];
+    run.number = run_id.run;
+    run.just_started_before = run_id.just_started;
+    run.requested_speed = run_id.percent;
+    run.confirmed = run_id.confirmed;
   }
 }
 
@@ -65,11 +71,7 @@
   const auto runs = former.CollectRuns();
   if (!runs || runs->ended) return;
   runs_known_ = true;
-  for (const RunId& run : runs->runs) {
-    runs_[run.task].number = run.run;
-    runs_[run.task].just_started_before = run.just_started;
-    runs_[run.task].requested_speed = run.percent;
-  }
+  AddKnownRuns(runs->runs);
 }
 
 std::optional<FormerLeaderRuns> WorkerSession::CollectRuns() const {
@@ -87,8 +89,8 @@
         std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
   }
   for (const auto& [task, run] : runs_) {
-    collected.runs.push_back(
-        {task, run.number, MayHaveCrashedWorker(run), run.requested_speed});
+    collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run),
+                              run.requested_speed, run.confirmed});
   }
   if (worker_ended_) return collected;
   for (const EndedRun& end : listed_ends_) {
@@ -317,6 +319,7 @@
     }
     run.number = running.run;
     run.just_started_before = false;
+    run.confirmed = true;
   }
   runs_ = std::move(runs);
 }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -138,6 +138,8 @@
     /// The run had just started when the worker stopped responding, as seen by
     /// another session.
     bool just_started_before = false;
+    /// The worker accepted the start or listed the run.
+    bool confirmed = false;
   };
 
   /// A start that waits for the worker's lists or for a permission.
@@ -159,6 +161,7 @@
   /// Replaces the known state of the worker by the lists of a report, once
   /// these are complete.
   void Synchronise(const RenewReply& report);
+  void AddKnownRuns(const std::vector<RunId>& known);
   /// Replaces the known runs by the listed ones.
   void ReplaceRuns(const RenewReply& report);
   /// Reports that the worker is attached, though it may list more ends later.
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -84,6 +84,7 @@
   }
   switch (outcome) {
     case CommandOutcome::kAccepted:
+      if (current) it->second.confirmed = true;
       Report(RunStarted{command.task, command.run});
       return;
     case CommandOutcome::kUnknown:
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -39,8 +39,8 @@
 // not compile until a new member is compared.
 
 auto Fields(const RunId& item) {
-  const auto& [task, run, just_started, percent] = item;
-  return std::tuple(task, run, just_started, percent);
+  const auto& [task, run, just_started, percent, confirmed] = item;
+  return std::tuple(task, run, just_started, percent, confirmed);
 }
 
 /// Labels, capacity beside the connections, and whether the worker is listed or
@@ -272,7 +272,7 @@
 // Guards against a field that an encoder or decoder omits.
 TEST_CASE("other frames preserve every field") {
   CheckFrame(FormerLeaderRuns{MakeWorker(),
-                              {{"t", Attempt(2), true, 30}},
+                              {{"t", Attempt(2), true, 30, true}},
                               true,
                               false,
                               Milliseconds(1'500),
--- a/tests/unit/dispatch/worker_crash_test.cc
+++ b/tests/unit/dispatch/worker_crash_test.cc
@@ -2,8 +2,10 @@
 // the tasks beside it (incident 2026-12-04, crashing tasks).
 #include <doctest/doctest.h>
 
+#include "dispatch/peer/frames.hpp"
 #include "dispatch/policy/lost_run.hpp"
 #include "unit/dispatch/dispatcher_fixture.hpp"
+#include "unit/dispatch/worker_session_fixture.hpp"
 
 namespace mangospread::dispatch::test {
 namespace {
@@ -98,7 +100,8 @@
 }
 
 struct CrashFixture : DispatcherFixture {
-  CrashFixture() {
+  explicit CrashFixture(std::uint32_t first_run = 1)
+      : DispatcherFixture(first_run) {
     for (const char* name : {"w1", "w2", "w3", "w4"}) AddWorker(name);
     // The workers have been up for a while.
     now += seconds(10);
@@ -342,5 +345,136 @@
   CHECK(next.StateOf("a") == SubmissionState::kFailed);
 }
 
+/// A worker whose process ends while no leader learns of it, and a next leader
+/// to which its agent reports the runs.
+struct ReportedCrashFixture : SessionFixture {
+  ReportedCrashFixture() {
+    next.dispatcher.Restore(DispatcherFixture::MakeSubmission(
+                                "a", {DispatcherFixture::MakeStep(2, 1'000)}),
+                            DispatcherFixture::Policy(), {}, next.now);
+  }
+
+  /// Replaces the session by one of another agent.
+  void Reassign(Assignment assignment) {
+    assignment.worker.vm = VmName("w1");
+    assignment.fence = WorkerFence(6 * kFenceStride);
+    session->Close();
+    session = WorkerSession::Create(
+        loop, link, std::move(assignment), WorkerSessionOptions(),
+        [](const AgentEvent&) {},
+        {[] { return Permission::kStarts; },
+         [](MonotonicTime) { return true; }},
+        [](Timing, MonotonicTime) {});
+    session->Begin();
+  }
+
+  /// The worker stops responding; later another process replies.
+  void CrashWorker() {
+    link->error = Errc::kConnectionLost;
+    RunFor(milliseconds(150));
+    link->error = Errc::kNotOwner;
+    RunFor(milliseconds(400));
+  }
+
+  /// Reports the runs that the session knows. Returns the loss that counts
+  /// against the task whose run is lost.
+  TaskLoss ReportTo(CrashFixture& leader) const {
+    const auto collected = session->CollectRuns();
+    REQUIRE(collected);
+    REQUIRE(collected->ended);
+    const auto decoded = DecodeFrame(EncodeFrame(*collected));
+    REQUIRE(decoded.ok());
+    const auto& report = std::get<FormerLeaderRuns>(decoded.value());
+    const VmName vm("w1");
+    leader.dispatcher.AddUnconfirmedRuns(vm, report.runs, leader.now);
+    leader.dispatcher.OnWorkerRemoved(vm, WorkerRemoval::kProcessEnded,
+                                      leader.now);
+    leader.Save("a");
+    const auto progress = leader.dispatcher.Progress(SubmissionId("a"));
+    REQUIRE(progress.tasks.size() == 1);
+    REQUIRE(progress.tasks[0].losses.size() == 1);
+    return progress.tasks[0].losses[0];
+  }
+
+  CrashFixture next{1'001};
+};
+
+// Guards against a task that crashes its workers beyond the limit since the
+// loss of a run counts as uncertain if the leader that started it is lost, too
+// (previsur-cuotas, crashing.toml --vary --seed 998011042302: BUDGET).
+TEST_CASE_FIXTURE(ReportedCrashFixture,
+                  "a crash counts the same if the leader is lost, too") {
+  RunFor(milliseconds(50));
+  session->Start(MakeStart(1));
+  RunFor(milliseconds(10));
+  CrashWorker();
+  const TaskLoss loss = ReportTo(next);
+  CHECK(loss.suspicion == Suspicion::kSole);
+  CHECK(loss.certain);
+  next.dispatcher.Resume();
+  const auto started = next.Decide();
+  const auto again = std::find_if(
+      started.begin(), started.end(),
+      [](const StartRun& start) { return start.task == "a.0.0.1"; });
+  REQUIRE(again != started.end());
+  next.Confirm(*again);
+  next.Crash(again->vm);
+  CHECK(next.StateOf("a") == SubmissionState::kFailed);
+}
+
+// Guards against a submission that fails although its task was not on the
+// worker when that crashed.
+TEST_CASE_FIXTURE(ReportedCrashFixture,
+                  "a reported start without a reply is no certain loss") {
+  RunFor(milliseconds(50));
+  link->outcome = CommandOutcome::kUnknown;
+  session->Start(MakeStart(1));
+  CrashWorker();
+  CHECK_FALSE(ReportTo(next).certain);
+}
+
+// Guards against a run that the worker has listed, but that counts as
+// uncertain since another session has sent its start.
+TEST_CASE_FIXTURE(ReportedCrashFixture, "a listed run is a certain loss") {
+  link->report.running = {{"a.0.0.1", Attempt(1), {}, 40, 0}};
+  Assignment assignment;
+  assignment.known_runs = std::vector{RunId{"a.0.0.1", Attempt(1), true}};
+  Reassign(std::move(assignment));
+  RunFor(milliseconds(50));
+  CrashWorker();
+  // It has worked since it was listed, so it is no suspect.
+  const auto collected = session->CollectRuns();
+  REQUIRE(collected);
+  REQUIRE(collected->runs.size() == 1);
+  CHECK(collected->runs[0].confirmed);
+  CHECK_FALSE(collected->runs[0].just_started);
+}
+
+// Guards against a loss that counts as uncertain since the worker was assigned
+// to another agent after it had fallen silent.
+TEST_CASE_FIXTURE(ReportedCrashFixture,
+                  "the next agent of a worker knows which starts it accepted") {
+  bool accepted = false;
+  SUBCASE("with a reply to the start") { accepted = true; }
+  SUBCASE("without") {}
+  CrashFixture former;
+  for (const char* name : {"w2", "w3", "w4"}) {
+    former.Event(name, WorkerLoad{{}, false});
+  }
+  former.Add("a", {DispatcherFixture::MakeStep(1, 1'000)});
+  const auto started = former.Decide();
+  REQUIRE(started.size() == 1);
+  REQUIRE(started[0].vm == VmName("w1"));
+  if (accepted) former.Confirm(started[0]);
+  former.Event("w1", WorkerLoad{{}, false});
+  Assignment assignment;
+  assignment.known_runs = former.dispatcher.Runs(VmName("w1"));
+  // That agent does not reach the worker before the process has ended.
+  link->error = Errc::kNotOwner;
+  Reassign(std::move(assignment));
+  RunFor(milliseconds(50));
+  CHECK(ReportTo(next).certain == accepted);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
