--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -19,15 +19,6 @@
 
 }  // namespace
 
-MonotonicTime GroupLeader::LeaseExpiry() const {
-  return base::MonotonicNow() + LeaseUpperBound(LongestLease());
-}
-
-MonotonicTime GroupLeader::GrantExpiry(MonotonicTime permitted_at) const {
-  return permitted_at + options_.loss_notice_delay +
-         LeaseUpperBound(LongestLease());
-}
-
 void GroupLeader::LoadAgents(const std::optional<std::string>& stored) {
   const auto row = stored ? DecodeAgentsRow(*stored) : std::nullopt;
   agent_register_.Load(row, !roster_.empty());
