The report of an agent that returns to its leader raises no bound of a lease

Cause, from the logs: an agent is frozen when the worker is assigned to it, reads the time left of the lease 2 s later, and reports it so when its connection is reset; the leader took it for a lease that the agent had granted. Change: an agent that numbers attachments, and has reported all that it knows of former leaders, has granted nothing that was not counted when it was lost.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -250,7 +250,8 @@
   [[nodiscard]] bool InRoster(const VmName& vm) const;
   void AddWorker(const VmName& vm);
   /// Counts the lease that a released agent reports for a known worker.
-  void CountReportedLease(WorkerEntry& entry, const FormerLeaderRuns& reported);
+  void CountReportedLease(WorkerEntry& entry, const NodeId& agent,
+                          const FormerLeaderRuns& reported);
   /// Counts the longest lease for a worker of which none is reported.
   void BoundUnknownLease(FormerWorker& former) const;
   /// Adds a worker that an agent has reported, or ends the agents' sessions
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -110,7 +110,9 @@
     // This leader knows the worker's runs, so the session is outdated.
     if (worker != workers_.end() && worker->second.agent == agent) return;
     deps_.send(agent, Release{vm});
-    if (worker != workers_.end()) CountReportedLease(worker->second, reported);
+    if (worker != workers_.end()) {
+      CountReportedLease(worker->second, agent, reported);
+    }
     return;
   }
   const auto [it, added] = former_workers_.try_emplace(vm);
@@ -152,10 +154,15 @@
   former.lease.Raise(InheritedLeaseExpiry(), LeaseEvidence::kFormerLeader);
 }
 
-void GroupLeader::CountReportedLease(WorkerEntry& entry,
+void GroupLeader::CountReportedLease(WorkerEntry& entry, const NodeId& agent,
                                      const FormerLeaderRuns& reported) {
   // From the attachment on, only the present agent can renew the lease.
   if (entry.attached) return;
+  // What it granted under this leader was counted when it was lost. An agent
+  // that read its assignment late reports more.
+  const bool counted =
+      agents_.at(agent).numbers_attachments && reported_agents_.contains(agent);
+  if (counted) return;
   if (reported.renewing) {
     return RaiseLeaseBound(entry, LeaseExpiry(), LeaseEvidence::kFormerLeader);
   }
--- a/tests/unit/dispatch/lost_worker_lease_test.cc
+++ b/tests/unit/dispatch/lost_worker_lease_test.cc
@@ -88,6 +88,26 @@
   CheckStartsAt(lost_at + kLeft);
 }
 
+// Guards against an agent that returns and reports the time left of a lease as
+// it has read it late, after a pause: it has granted nothing since.
+TEST_CASE_FIXTURE(LostWorkerFixture,
+                  "the report of an agent that returns adds no wait") {
+  Prepare();
+  const NodeId first = AgentOf(placed.busy);
+  const MonotonicTime lost_at = base::MonotonicNow();
+  constexpr Milliseconds kLeft{4'000};
+  Event(placed.busy, WorkerUnreachable{kLeft});
+  leader->OnAgentDown(first, base::MonotonicNow());
+  RunFor(seconds(1));
+  ConnectAgent(first.str().c_str());
+  FormerLeaderRuns report;
+  report.worker.vm = VmName(placed.busy);
+  report.unreachable = true;
+  report.lease_left = kLeft;
+  leader->OnKnownRuns(first, report);
+  CheckStartsAt(lost_at + kLeft);
+}
+
 // Guards against a second run: the worker has replied again, so its agent may
 // have extended the lease until it was lost.
 TEST_CASE_FIXTURE(LostWorkerFixture,
