--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -160,8 +160,9 @@
   if (entry.attached) return;
   // What it granted under this leader was counted when it was lost. An agent
   // that read its assignment late reports more.
-  const bool counted =
-      agents_.at(agent).numbers_attachments && reported_agents_.contains(agent);
+  const auto it = agents_.find(agent);
+  const bool counted = it != agents_.end() && it->second.numbers_attachments &&
+                       reported_agents_.contains(agent);
   if (counted) return;
   if (reported.renewing) {
     return RaiseLeaseBound(entry, LeaseExpiry(), LeaseEvidence::kFormerLeader);
