The tolerance for late replies of a worker is bounded

Cause, found by reading: each refused connection that a session survives doubles the time after which a reply counts as overdue; after 63 of them it is 0, and every later renewal ends the attachment. It stays within the time after which a worker counts as unreachable now. The new case of attachment_test fails before (10 reports of silence in 3 s in place of none).

--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -230,7 +230,7 @@
   if (responding && attached_at_.count() == 0) {
     // A worker that replies late would else lose its attachment, and the lease
     // with it, at each renewal.
-    reply_overdue_ *= 2;
+    reply_overdue_ = std::min(2 * reply_overdue_, options_.unreachable_after);
     BeginAttachment();
     return Report(WorkerLoad{{}, true, std::nullopt, attachment_});
   }
--- a/tests/unit/dispatch/attachment_test.cc
+++ b/tests/unit/dispatch/attachment_test.cc
@@ -123,5 +123,24 @@
   CHECK(with_lease >= kSeconds - 4);
 }
 
+// Guards against a tolerance for late replies that grows with each refused
+// connection until it overflows, which ends every later attachment at once.
+TEST_CASE_FIXTURE(
+    AttachmentFixture,
+    "a worker that often refuses connections stays attached later") {
+  constexpr int kRefusals = 70;
+  for (int refusal = 0; refusal < kRefusals; ++refusal) {
+    link->error = Errc::kConnectFailed;
+    RunFor(Milliseconds(400));
+    link->error = std::nullopt;
+    RunFor(Milliseconds(1'000));
+  }
+  link->reply_delay = Milliseconds(600);
+  RunFor(Milliseconds(1'000));
+  events.clear();
+  RunFor(Milliseconds(3'000));
+  CHECK(Count<WorkerLoad>() == 0);
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch
