--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -169,7 +169,8 @@
 // Guards against a second run: a start was under way while the worker was
 // reported unreachable and attached again, and its agent is lost before the
 // leader has handled that. The start would extend a lease that the leader no
-// longer counts. This fails with the rule of 7985d8e, no random seed does.
+// longer counts. The times of this case do not detect that any more, since
+// silence is reported earlier; attachment_test does.
 TEST_CASE("a delayed start extends no lease of a later attachment") {
   const QuietLog quiet;
   WorldOptions options;
