The newest run of a task counts, in whatever order reports name the runs

What callers would see: a task that runs on two workers (TWICE) after a takeover. In the same way a session kept the run that an assignment or its list of ends named last, and a worker's list replaced a newer run that was reported of another worker.

Change: Dispatcher::ReplaceOlderRun, WorkerSession::AddKnownRuns and ReconcileRun compare run numbers. A listed run that is older is stopped.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -218,6 +218,10 @@
                        MonotonicTime now);
   void ReconcileRun(WorkerSlot slot, const RunningRun& running,
                     MonotonicTime now);
+  /// Makes room for a run that an agent reports, unless the task has a newer
+  /// one already; returns whether it counts.
+  bool ReplaceOlderRun(const TaskRef& ref, std::uint32_t run,
+                       MonotonicTime now);
   /// Stops a run that is not placed on the worker.
   void StopStray(WorkerSlot slot, const std::string& task, Attempt run);
   void OnEnded(WorkerSlot slot, WorkerIncarnation incarnation,
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -114,8 +114,9 @@
     const auto& runs = registry_.at(task.worker).runs;
     const auto placed = runs.find(ref->name);
     // A worker's own list takes precedence over an agent's report about another
-    // worker.
-    if (placed != runs.end() && placed->second.unconfirmed) {
+    // worker, unless that names a newer run.
+    if (placed != runs.end() && placed->second.unconfirmed &&
+        placed->second.run <= running.run.value()) {
       ReleaseCapacity(*ref);
       ref->job().SetPhase(ref->index, TaskPhase::kPending, now);
     }
@@ -171,14 +172,12 @@
   OnResponding(slot, false, now);
   for (const RunId& run_id : runs) {
     const auto ref = FindTask(run_id.task);
-    if (!ref || ref->task->phase != TaskPhase::kPending ||
-        IsFinal(ref->job().state())) {
-      continue;
-    }
+    if (!ref || IsFinal(ref->job().state())) continue;
     PlacedRun placed;
     placed.run = static_cast<std::uint32_t>(run_id.run.value());
     // A former leader has stored the end of this run.
     if (IsCounted(ref->task->losses, placed.run)) continue;
+    if (!ReplaceOlderRun(*ref, placed.run, now)) continue;
     placed.unconfirmed = true;
     placed.started_at = registry_.at(slot).silent_since;
     if (!run_id.just_started) placed.started_at -= kStartTrial;
@@ -189,6 +188,24 @@
   }
 }
 
+bool Dispatcher::ReplaceOlderRun(const TaskRef& ref, std::uint32_t run,
+                                 MonotonicTime now) {
+  const Task& task = *ref.task;
+  if (task.phase == TaskPhase::kPending) return true;
+  if (!task.placed() || task.run >= run) return false;
+  const auto& runs = registry_.at(task.worker).runs;
+  const auto placed = runs.find(ref.name);
+  if (placed == runs.end()) return false;
+  if (!placed->second.unconfirmed) {
+    StopStray(task.worker, ToString(ref.name), Attempt(task.run));
+  }
+  hooks_.log(ref.name, registry_.at(task.worker).info.vm, "requeued",
+             "newer_run_reported");
+  ReleaseCapacity(ref);
+  ref.job().SetPhase(ref.index, TaskPhase::kPending, now);
+  return true;
+}
+
 void Dispatcher::OnEnded(WorkerSlot slot, WorkerIncarnation incarnation,
                          const EndedRun& end, MonotonicTime now) {
   const VmName vm = registry_.at(slot).info.vm;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -55,6 +55,7 @@
 void WorkerSession::AddKnownRuns(const std::vector<RunId>& known) {
   for (const RunId& run_id : known) {
     Run& run = runs_[run_id.task];
+    if (run_id.run < run.number) continue;
     run.number = run_id.run;
     run.just_started_before = run_id.just_started;
     run.requested_speed = run_id.percent;
