--- a/src/dispatch/leader/agent_register.cc
+++ b/src/dispatch/leader/agent_register.cc
@@ -49,16 +49,6 @@
   lost_.erase(self_);
 }
 
-bool AgentRegister::AllFormerSeen() const {
-  return former_ && AllSeen(*former_);
-}
-
-bool AgentRegister::AllElectedSeen() const { return AllSeen(elected_); }
-
-bool AgentRegister::AllSeen(const std::set<NodeId>& nodes) const {
-  return std::includes(seen_.begin(), seen_.end(), nodes.begin(), nodes.end());
-}
-
 void AgentRegister::OnConfirmed(const NodeId& agent, MonotonicTime sent_at) {
   if (!connected_.contains(agent)) return;
   MonotonicTime& newest = confirmed_[agent];
@@ -98,19 +88,41 @@
   return it == last_grants_.end() ? latest : std::min(latest, it->second);
 }
 
-MonotonicTime AgentRegister::LastFormerGrant(
-    MonotonicTime latest, MonotonicTime latest_of_elected) const {
+MonotonicTime AgentRegister::LastOfFormer(
+    MonotonicTime latest, MonotonicTime latest_of_elected,
+    const std::function<MonotonicTime(const NodeId&, MonotonicTime)>& grant_of)
+    const {
   if (!former_) return latest;
   MonotonicTime last{0};
   for (const NodeId& agent : *former_) {
-    last = std::max(last, LastGrantOf(agent, latest));
+    last = std::max(last, grant_of(agent, latest));
   }
   for (const NodeId& agent : elected_) {
-    last = std::max(last, LastGrantOf(agent, latest_of_elected));
+    last = std::max(last, grant_of(agent, latest_of_elected));
   }
   return last;
 }
 
+MonotonicTime AgentRegister::LastFormerGrant(
+    MonotonicTime latest, MonotonicTime latest_of_elected) const {
+  return LastOfFormer(latest, latest_of_elected,
+                      [this](const NodeId& agent, MonotonicTime bound) {
+                        return LastGrantOf(agent, bound);
+                      });
+}
+
+MonotonicTime AgentRegister::LastUnreportedGrant(
+    MonotonicTime latest, MonotonicTime latest_of_elected) const {
+  return LastOfFormer(latest, latest_of_elected,
+                      [this](const NodeId& agent, MonotonicTime bound) {
+                        const MonotonicTime last = LastGrantOf(agent, bound);
+                        const auto it = unreported_grants_.find(agent);
+                        return it == unreported_grants_.end()
+                                   ? last
+                                   : std::min(last, it->second);
+                      });
+}
+
 std::size_t AgentRegister::size() const {
   std::size_t count = connected_.size() + lost_.size();
   if (!former_ || !inherited_) return count;
--- a/src/dispatch/leader/agent_register.hpp
+++ b/src/dispatch/leader/agent_register.hpp
@@ -3,6 +3,7 @@
 /// stores them for the next one.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,13 @@
   /// @param last_grant time since which the agent has granted no lease under a
   ///   former leader; nullopt if it is not known.
   void OnUp(const NodeId& agent, std::optional<MonotonicTime> last_grant);
+  /// Handles the end of an agent's reports about former leaders: it has named
+  /// all leases that its present process granted under them.
+  /// @param started_at time by which the earlier processes of its node had
+  ///   ended.
+  void OnReported(const NodeId& agent, MonotonicTime started_at) {
+    unreported_grants_.try_emplace(agent, started_at);
+  }
   /// @param lease_expiry time at which the leases that the agent has granted
   ///   have expired.
   void OnDown(const NodeId& agent, MonotonicTime lease_expiry);
@@ -55,6 +63,9 @@
   ///   elected.
   [[nodiscard]] MonotonicTime LastFormerGrant(
       MonotonicTime latest, MonotonicTime latest_of_elected) const;
+  /// The same for the leases that no agent has reported.
+  [[nodiscard]] MonotonicTime LastUnreportedGrant(
+      MonotonicTime latest, MonotonicTime latest_of_elected) const;
   /// True if the agents of the former leader are known.
   [[nodiscard]] bool former_known() const noexcept {
     return former_.has_value();
@@ -63,11 +74,6 @@
   /// former leader that may go on, or if there is no row. Then its leader
   /// missed this node when it was elected.
   [[nodiscard]] bool listed() const noexcept { return listed_; }
-  /// True if all agents of former leaders are known and have connected to this
-  /// one, those that have been elected aside.
-  [[nodiscard]] bool AllFormerSeen() const;
-  /// True if those that have been elected have connected, too.
-  [[nodiscard]] bool AllElectedSeen() const;
   /// Handles an agent's confirmation, before it may have been elected, of a
   /// message that this leader sent at this time.
   void OnConfirmed(const NodeId& agent, MonotonicTime sent_at);
@@ -98,7 +104,14 @@
   void OnStored(bool committed);
 
  private:
-  [[nodiscard]] bool AllSeen(const std::set<NodeId>& nodes) const;
+  using Grants = std::map<NodeId, MonotonicTime>;
+
+  /// Time after which no agent of former leaders granted a lease.
+  /// @param grant_of the same for one of them, given a bound for it.
+  [[nodiscard]] MonotonicTime LastOfFormer(
+      MonotonicTime latest, MonotonicTime latest_of_elected,
+      const std::function<MonotonicTime(const NodeId&, MonotonicTime)>&
+          grant_of) const;
   [[nodiscard]] MonotonicTime LastGrantOf(const NodeId& agent,
                                           MonotonicTime latest) const;
 
@@ -111,7 +124,10 @@
   /// Agents of former leaders; nullopt if they are not known.
   std::optional<std::set<NodeId>> former_;
   std::set<NodeId> elected_;  ///< Further ones, which have been elected.
-  std::map<NodeId, MonotonicTime> last_grants_;
+  Grants last_grants_;
+  /// Of agents that have ended their reports: time after which they granted no
+  /// lease that they have not reported.
+  Grants unreported_grants_;
   std::set<NodeId> connected_;
   /// Time of the newest message that a connected agent has confirmed.
   std::map<NodeId, MonotonicTime> confirmed_;
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -123,6 +123,8 @@
   /// Handles the runs that an agent reports for a worker which it attached
   /// under a former leader.
   void OnKnownRuns(const NodeId& agent, const FormerLeaderRuns& reported);
+  /// Handles the end of these reports.
+  void OnReportsEnd(const NodeId& agent, const ReportsEnd& end);
 
   [[nodiscard]] const Dispatcher& dispatcher() const { return *dispatcher_; }
   /// The waiting tasks of a submission, with the counts of workers that reject
@@ -158,6 +160,9 @@
     /// Covers all leases but those that its agent grants while `may_be_granted`
     /// holds.
     LeaseBound lease;
+    /// Its process may hold a lease that it got from a command for the process
+    /// before until this time, whoever attaches it.
+    MonotonicTime restart_lease_expires_at{0};
     /// Its agent may extend the lease: the present attachment was handled here.
     bool may_be_granted = false;
     AttachmentNumber last_attachment;  ///< The last that was handled.
@@ -185,6 +190,12 @@
     /// An agent has reported no lease before the former leaders were loaded.
     bool lease_unknown = false;
   };
+  /// What agents have said of sessions with a worker whose runs they do not
+  /// report.
+  struct UnreportedSessions {
+    WorkerFence assignment;  ///< Of the newest one.
+    MonotonicTime lease_expires_at{0};
+  };
 
   // Loading.
   void Load();
@@ -269,6 +280,7 @@
   /// bound then covers.
   static void EndGrants(WorkerEntry& entry);
   static void BeginGrants(WorkerEntry& entry, AttachmentNumber attachment);
+  void CountAttached(WorkerEntry& entry, const Attached& attached);
   /// Ends the grants, of which the agent reports the time left.
   void CountReported(WorkerEntry& entry, Milliseconds lease_left);
   /// Handles the end or the beginning of an attachment.
@@ -342,6 +354,8 @@
   /// has not renewed the lease, or an event reports that it has.
   void Reassign(WorkerEntry& entry, const NodeId& agent);
   [[nodiscard]] static Milliseconds LeaseLeft(const WorkerEntry& entry);
+  /// Bounds the time left that a node reports.
+  [[nodiscard]] static Milliseconds BoundLeaseLeft(Milliseconds reported);
   void SendToAgent(AgentCommand command);
 
   /// Time at which every lease granted under a former leader has expired,
@@ -349,10 +363,14 @@
   [[nodiscard]] MonotonicTime InheritedLeaseExpiry() const;
   /// The same for a worker that no agent has reported.
   [[nodiscard]] MonotonicTime UnreportedLeaseExpiry() const;
-  /// The same for any worker that this leader has not attached: another agent
-  /// than the reporting one may have got it last and have reported nothing; 0
-  /// if there is none.
-  [[nodiscard]] MonotonicTime SilentAgentLeaseExpiry() const;
+  /// The same for any worker that this leader has not attached, as far as the
+  /// leases are not reported: another agent than the reporting one may have got
+  /// it last, and be silent or have been replaced by a process that knows
+  /// nothing of it.
+  [[nodiscard]] MonotonicTime UnknownLeaseExpiry() const;
+  /// The same for one worker: an agent may also have ended the session in which
+  /// it got the worker last.
+  [[nodiscard]] MonotonicTime UnknownLeaseExpiry(const VmName& vm) const;
   /// Time at which every former leader had been elected.
   [[nodiscard]] MonotonicTime FormerElectedBy() const;
   /// Time from which on no former leader has granted leases as an agent. One
@@ -421,8 +439,8 @@
   std::deque<EndedSubmission> ended_;
 
   std::map<NodeId, AgentEntry> agents_;
-  /// Agents that have reported all that they know of former leaders: they do
-  /// so before their first event (Node::OnLeaderHello).
+  /// Agents that have reported all that they know of former leaders: former
+  /// versions do so before their first event, and say nothing of its end.
   std::set<NodeId> reported_agents_;
   AgentRegister agent_register_;
   PermissionTimeouts former_timeouts_;  ///< Of the former leaders.
@@ -436,6 +454,7 @@
   std::set<VmName> unresolved_;
   /// Workers that agents of former leaders have reported.
   std::map<VmName, FormerWorker> former_workers_;
+  std::map<VmName, UnreportedSessions> unreported_sessions_;
   std::set<VmName> next_roster_;  ///< Value of the write in flight.
   /// Removed workers and the agents that still have a session with them.
   std::map<VmName, NodeId> unreleased_;
--- a/src/dispatch/leader/group_leader_leases.cc
+++ b/src/dispatch/leader/group_leader_leases.cc
@@ -25,6 +25,11 @@
          LeaseUpperBound(LongestLease());
 }
 
+Milliseconds GroupLeader::BoundLeaseLeft(Milliseconds reported) {
+  return std::min(reported, std::chrono::ceil<milliseconds>(
+                                LeaseUpperBound(kMaxWorkerLease)));
+}
+
 Milliseconds GroupLeader::LeaseLeft(const WorkerEntry& entry) {
   const MonotonicTime left = entry.lease.expires_at() - base::MonotonicNow();
   return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
@@ -32,8 +37,7 @@
 
 bool GroupLeader::MayHaveGranted(const WorkerEntry& entry) const {
   if (entry.may_be_granted) return true;
-  return !agents_.at(*entry.agent).numbers_attachments ||
-         (entry.inherited && !reported_agents_.contains(*entry.agent));
+  return !agents_.at(*entry.agent).numbers_attachments;
 }
 
 void GroupLeader::EndGrants(WorkerEntry& entry) {
@@ -48,6 +52,18 @@
   entry.contact_at = base::MonotonicNow();
 }
 
+void GroupLeader::CountAttached(WorkerEntry& entry, const Attached& attached) {
+  const Milliseconds restart_lease =
+      BoundLeaseLeft(attached.restart_lease_left);
+  entry.restart_lease_expires_at =
+      std::max(entry.restart_lease_expires_at,
+               base::MonotonicNow() + MonotonicTime(restart_lease));
+  // From now on only this agent can renew the lease.
+  entry.lease.Set(std::max(LeaseExpiry(), entry.restart_lease_expires_at),
+                  LeaseEvidence::kAttached);
+  BeginGrants(entry, attached.attachment);
+}
+
 void GroupLeader::CountReported(WorkerEntry& entry, Milliseconds lease_left) {
   // The report may be read late, so it would raise a bound that covers all.
   const bool covered = entry.lease.known() && !MayHaveGranted(entry);
@@ -115,7 +131,7 @@
   }
   if (expires_at.count() == 0) return std::nullopt;
   if (entry.inherited) {
-    expires_at = std::max(expires_at, SilentAgentLeaseExpiry());
+    expires_at = std::max(expires_at, UnknownLeaseExpiry(vm));
   }
   return std::max(expires_at, entry.kept_until);
 }
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -80,13 +80,24 @@
                                          options_.loss_notice_delay);
 }
 
-MonotonicTime GroupLeader::SilentAgentLeaseExpiry() const {
+MonotonicTime GroupLeader::UnknownLeaseExpiry() const {
   if (!agent_register_.former_known() && former_leaders_.last_stopped_at()) {
     return MonotonicTime(0);
   }
-  if (!agent_register_.AllFormerSeen()) return InheritedLeaseExpiry();
-  if (agent_register_.AllElectedSeen()) return MonotonicTime(0);
-  return ElectedAgentLimit() + LeaseUpperBound(LongestLease());
+  const MonotonicTime last_grant = agent_register_.LastUnreportedGrant(
+      FormerLeaderLimit() + options_.loss_notice_delay, ElectedAgentLimit());
+  return last_grant + LeaseUpperBound(LongestLease());
+}
+
+MonotonicTime GroupLeader::UnknownLeaseExpiry(const VmName& vm) const {
+  const MonotonicTime any = UnknownLeaseExpiry();
+  const auto sessions = unreported_sessions_.find(vm);
+  if (sessions == unreported_sessions_.end()) return any;
+  const auto former = former_workers_.find(vm);
+  const bool superseded =
+      former != former_workers_.end() &&
+      former->second.runs.runs_as_of > sessions->second.assignment;
+  return superseded ? any : std::max(any, sessions->second.lease_expires_at);
 }
 
 MonotonicTime GroupLeader::UnreportedLeaseExpiry() const {
@@ -124,6 +135,7 @@
   // The session of another agent may be with a later process.
   runs.ended = reported.ended && (added || runs.ended);
   runs.runs.insert(runs.runs.end(), reported.runs.begin(), reported.runs.end());
+  runs.runs_as_of = std::max(runs.runs_as_of, reported.runs_as_of);
   former.lease_unknown |= !reported.lease_left;
   if (reported.lease_left) {
     former.lease.Raise(
@@ -149,6 +161,20 @@
   AssignWorker(entry);
 }
 
+void GroupLeader::OnReportsEnd(const NodeId& agent, const ReportsEnd& end) {
+  const MonotonicTime now = base::MonotonicNow();
+  reported_agents_.insert(agent);
+  agent_register_.OnReported(agent, now - GrantAge(end.process_age));
+  for (const UnreportedLease& lease : end.unreported) {
+    if (loaded_ && !unresolved_.contains(lease.vm)) continue;
+    UnreportedSessions& sessions = unreported_sessions_[lease.vm];
+    sessions.assignment = std::max(sessions.assignment, lease.assignment);
+    sessions.lease_expires_at =
+        std::max(sessions.lease_expires_at,
+                 now + MonotonicTime(BoundLeaseLeft(lease.lease_left)));
+  }
+}
+
 void GroupLeader::BoundUnknownLease(FormerWorker& former) const {
   if (!std::exchange(former.lease_unknown, false)) return;
   former.lease.Raise(InheritedLeaseExpiry(), LeaseEvidence::kFormerLeader);
@@ -199,7 +225,7 @@
       if (!MayBeAttached(former)) ApplyKnownRuns(vm);
     }
     CheckResume();
-    if (base::MonotonicNow() < SilentAgentLeaseExpiry()) StartAttachTimer();
+    if (!resumed_) StartAttachTimer();
   });
 }
 
@@ -214,8 +240,9 @@
   if (!unresolved_.contains(vm)) return;
   const FormerLeaderRuns& known = former_workers_.at(vm).runs;
   if (known.ended) return RemoveWorker(vm, WorkerRemoval::kProcessEnded);
-  // A silent agent may have started runs that this report does not name.
-  if (base::MonotonicNow() < SilentAgentLeaseExpiry()) return;
+  // An agent that got the worker later may have started runs there that this
+  // report does not name.
+  if (base::MonotonicNow() < UnknownLeaseExpiry(vm)) return;
   dispatcher_->AddUnconfirmedRuns(vm, known.runs, base::MonotonicNow());
   unresolved_.erase(vm);
   const auto left = workers_.at(vm).lease.expires_at() - base::MonotonicNow();
@@ -275,7 +302,7 @@
     lease_expires_at = std::max(lease_expires_at, FormerLeaseExpiry(vm));
     if (former_workers_.contains(vm)) {
       ++reported;
-      lease_expires_at = std::max(lease_expires_at, SilentAgentLeaseExpiry());
+      lease_expires_at = std::max(lease_expires_at, UnknownLeaseExpiry(vm));
     }
     const auto it = workers_.find(vm);
     if (it != workers_.end() && it->second.agent) ++assigned;
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -184,11 +184,13 @@
   assignment.starts_before = dispatcher_->StartsIssued(vm);
   if (!unresolved_.contains(vm)) {
     assignment.known_runs = dispatcher_->Runs(vm);
+    assignment.runs_as_of = entry.fence;
     assignment.lease_left = LeaseLeft(entry);
   } else if (const auto former = former_workers_.find(vm);
              former != former_workers_.end()) {
     ReleaseFormerAgents(entry, agent);
     assignment.known_runs = former->second.runs.runs;
+    assignment.runs_as_of = former->second.runs.runs_as_of;
     // An agent that goes on with its session knows the lease better.
     if (entry.lease.known()) {
       assignment.lease_left = LeaseLeft(entry);
@@ -243,9 +245,7 @@
     entry.inherited = false;
     entry.failed_agents.clear();
     entry.unreachable = false;
-    // From now on only this agent can renew the lease.
-    entry.lease.Set(LeaseExpiry(), LeaseEvidence::kAttached);
-    BeginGrants(entry, std::get<Attached>(event.details).attachment);
+    CountAttached(entry, std::get<Attached>(event.details));
     base::Log(base::Event::kWorkerAttached,
               {{"vm", event.vm.str()}, {"agent", agent.str()}});
     const auto former = former_workers_.find(event.vm);
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -42,6 +42,9 @@
   /// Time between load reports while no task is close to its latency target and
   /// none is throttled.
   Milliseconds normal_load_period{400};
+  /// The newest assignment of the worker whose runs `known_runs` covers; 0 if
+  /// that is not known.
+  WorkerFence runs_as_of = WorkerFence();
 };
 
 /// Number of fencing tokens that one assignment may use.
@@ -127,6 +130,10 @@
   /// RunEnded, and then another Attached with complete lists.
   bool complete = true;
   AttachmentNumber attachment = AttachmentNumber();
+  /// The worker's process may have got a lease from a command for the process
+  /// before, whose clock differs; upper bound of its remaining time, 0 if there
+  /// is none.
+  Milliseconds restart_lease_left{0};
 };
 
 struct RunEnded {
@@ -200,6 +207,27 @@
   /// The agent goes on renewing the lease until the worker is assigned anew or
   /// released.
   bool renewing = false;
+  /// The newest assignment of the worker whose runs `runs` covers; 0 if that is
+  /// not known. An agent with a newer one may have started others.
+  WorkerFence runs_as_of = WorkerFence();
+};
+
+/// A lease granted in a session that is not among the reports of its agent: the
+/// session has ended, or its runs are not known.
+struct UnreportedLease {
+  VmName vm;
+  WorkerFence assignment;  ///< Of the session.
+  Milliseconds lease_left{0};
+};
+
+/// Ends an agent's reports about former leaders. Its process has granted no
+/// other valid lease under them than those reported or named here, and started
+/// no run on a worker that is neither.
+struct ReportsEnd {
+  /// Time since the process started, by which the earlier ones of its node had
+  /// ended. It does not know what these granted.
+  Milliseconds process_age{0};
+  std::vector<UnreportedLease> unreported;
 };
 
 struct AgentEvent {
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -177,6 +177,7 @@
           agent_.LastGrantAge(),
           leading ? AgentPermission() : Permission::kNone,
           leader_ ? leader_->LongestLease() : options_.session.lease,
+          true,
           true};
 }
 
@@ -212,6 +213,7 @@
     for (FormerLeaderRuns& runs : agent_.CollectRuns()) {
       leader_channel_->Send(std::move(runs));
     }
+    if (hello.ends_reports) leader_channel_->Send(agent_.CollectReportsEnd());
     agent_.SuspendNotRenewing();
     return;
   }
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -94,6 +94,7 @@
   for (const FormerLeaderRuns& runs : agent_.CollectRuns()) {
     leader_->OnKnownRuns(options_.node, runs);
   }
+  leader_->OnReportsEnd(options_.node, agent_.CollectReportsEnd());
   agent_.SuspendNotRenewing();
   leader_->Start();
   logged_permission_ = Permission::kStarts;
@@ -180,6 +181,8 @@
   const auto agent = AgentAt(channel);
   if (const auto* runs = std::get_if<FormerLeaderRuns>(&frame)) {
     if (agent) leader_->OnKnownRuns(*agent, *runs);
+  } else if (const auto* end = std::get_if<ReportsEnd>(&frame)) {
+    if (agent) leader_->OnReportsEnd(*agent, *end);
   } else if (const auto* event = std::get_if<AgentEvent>(&frame)) {
     if (agent) leader_->OnAgentEvent(*agent, *event);
   } else if (auto* call = std::get_if<CallFrame>(&frame)) {
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -93,6 +93,7 @@
   out.setLastGrantAgeMs(OptionalToWire(hello.last_grant_age));
   out.setWorkerLeaseMs(hello.worker_lease.count());
   out.setNumbersAttachments(hello.numbers_attachments);
+  out.setEndsReports(hello.ends_reports);
   if (hello.permission) {
     out.setPermission(
         static_cast<std::uint8_t>(1 + static_cast<int>(*hello.permission)));
@@ -120,7 +121,8 @@
           OptionalFromWire(in.getLastGrantAgeMs()),
           permission,
           Milliseconds(in.getWorkerLeaseMs()),
-          in.getNumbersAttachments()};
+          in.getNumbersAttachments(),
+          in.getEndsReports()};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
@@ -130,6 +132,7 @@
   out.setEnded(reported.ended);
   out.setLeaseLeftMs(OptionalToWire(reported.lease_left));
   out.setRenewing(reported.renewing);
+  out.setRunsAsOf(reported.runs_as_of.value());
 }
 
 FormerLeaderRuns Get(wire::Remembered::Reader in) {
@@ -140,9 +143,33 @@
   reported.ended = in.getEnded();
   reported.lease_left = OptionalFromWire(in.getLeaseLeftMs());
   reported.renewing = in.getRenewing();
+  reported.runs_as_of = WorkerFence(in.getRunsAsOf());
   return reported;
 }
 
+void Put(wire::ReportsEnd::Builder out, const ReportsEnd& end) {
+  out.setProcessAgeMs(end.process_age.count());
+  auto leases =
+      out.initUnreported(static_cast<unsigned>(end.unreported.size()));
+  for (unsigned i = 0; i < end.unreported.size(); ++i) {
+    const UnreportedLease& lease = end.unreported[i];
+    leases[i].setVm(ToText(lease.vm.str()));
+    leases[i].setAssignment(lease.assignment.value());
+    leases[i].setLeaseLeftMs(lease.lease_left.count());
+  }
+}
+
+ReportsEnd Get(wire::ReportsEnd::Reader in) {
+  ReportsEnd end;
+  end.process_age = Milliseconds(in.getProcessAgeMs());
+  for (const auto lease : in.getUnreported()) {
+    end.unreported.push_back({VmName(FromText(lease.getVm())),
+                              WorkerFence(lease.getAssignment()),
+                              Milliseconds(lease.getLeaseLeftMs())});
+  }
+  return end;
+}
+
 Result<Frame> Get(wire::Frame::Reader in) {
   switch (in.which()) {
     case wire::Frame::HELLO:
@@ -160,6 +187,8 @@
       return Frame(Get(in.getReply()));
     case wire::Frame::REMEMBERED:
       return Frame(Get(in.getRemembered()));
+    case wire::Frame::REPORTS_END:
+      return Frame(Get(in.getReportsEnd()));
     case wire::Frame::PING:
       return Frame(Ping{MonotonicTime(in.getSentAt()),
                         MonotonicTime(in.getConfirms()),
@@ -187,6 +216,7 @@
           [&](const FormerLeaderRuns& runs) {
             Put(root.initRemembered(), runs);
           },
+          [&](const ReportsEnd& end) { Put(root.initReportsEnd(), end); },
           [&](const Ping& ping) {
             root.setPing();
             root.setSentAt(ping.sent_at.count());
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -40,6 +40,9 @@
   /// As an agent, the sender numbers attachments, and extends the lease of a
   /// worker only under one that the leader has handled.
   bool numbers_attachments = false;
+  /// As an agent, the sender ends its reports about former leaders with
+  /// ReportsEnd; as the leader, it takes that frame.
+  bool ends_reports = false;
 };
 
 /// A call that a follower forwards to the leader.
@@ -63,7 +66,7 @@
 };
 
 using Frame = std::variant<Hello, AgentCommand, AgentEvent, CallFrame,
-                           ReplyFrame, FormerLeaderRuns, Ping>;
+                           ReplyFrame, FormerLeaderRuns, Ping, ReportsEnd>;
 
 [[nodiscard]] std::string EncodeFrame(const Frame& frame);
 /// @errors kMalformed.
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -18,6 +18,7 @@
   permission @8 :UInt8;  # 1 and a value of Permission; 0 in former versions.
   workerLeaseMs @9 :Int64 = 6000;  # Former versions grant leases of 6 s.
   numbersAttachments @10 :Bool;
+  endsReports @11 :Bool; # Sends reportsEnd as an agent, takes it as the leader.
 }
 
 struct Leader {
@@ -45,6 +46,7 @@
   runsKnown @4 :Bool;
   knownRuns @5 :List(RunRef);
   leaseLeftMs @6 :Int64 = -1;   # Negative if it is not known.
+  runsAsOf @7 :UInt64;   # Newest assignment that knownRuns covers; 0 if unknown.
 }
 
 struct Traits {
@@ -118,6 +120,7 @@
   ended @4 :List(Ended);
   incomplete @5 :Bool;   # The worker may have more ends than it has listed.
   attachment @6 :UInt64;
+  restartLeaseLeftMs @7 :Int64;   # 0 without one and from former versions.
 }
 
 struct RunEvent {
@@ -191,6 +194,19 @@
   ended @3 :Bool;        # The worker's process has ended.
   leaseLeftMs @4 :Int64 = -1;   # Negative if it is not known.
   renewing @5 :Bool;     # The agent goes on renewing the lease.
+  runsAsOf @6 :UInt64;   # As in Assignment.
+}
+
+struct UnreportedLease {
+  vm @0 :Text;
+  assignment @1 :UInt64;
+  leaseLeftMs @2 :Int64;
+}
+
+# Follows the last Remembered of a connection.
+struct ReportsEnd {
+  processAgeMs @0 :Int64;
+  unreported @1 :List(UnreportedLease);
 }
 
 struct Frame {
@@ -207,5 +223,6 @@
     reply @4 :Reply;
     ping @5 :Void;
     remembered @6 :Remembered;
+    reportsEnd @10 :ReportsEnd;   # Only to a leader that takes it.
   }
 }
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -36,6 +36,8 @@
 CAPNP_DECLARE_SCHEMA(87f227d46b03a0ce);
 CAPNP_DECLARE_SCHEMA(ba5467ef87e391d4);
 CAPNP_DECLARE_SCHEMA(82f7ce9992398d47);
+CAPNP_DECLARE_SCHEMA(d280101955785d59);
+CAPNP_DECLARE_SCHEMA(b0234e1cc797af61);
 CAPNP_DECLARE_SCHEMA(ea7ca768793edf13);
 
 }  // namespace schemas
@@ -98,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f9b1b34112797f6d, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,7 +229,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f7c658347af1b89d, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,7 +360,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82f7ce9992398d47, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UnreportedLease {
+  UnreportedLease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d280101955785d59, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReportsEnd {
+  ReportsEnd() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0234e1cc797af61, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -379,6 +411,7 @@
     REPLY,
     PING,
     REMEMBERED,
+    REPORTS_END,
   };
 
   struct _capnpPrivate {
@@ -433,6 +466,8 @@
 
   inline bool getNumbersAttachments() const;
 
+  inline bool getEndsReports() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -506,6 +541,9 @@
   inline bool getNumbersAttachments();
   inline void setNumbersAttachments(bool value);
 
+  inline bool getEndsReports();
+  inline void setEndsReports(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -798,6 +836,8 @@
 
   inline  ::int64_t getLeaseLeftMs() const;
 
+  inline  ::uint64_t getRunsAsOf() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -855,6 +895,9 @@
   inline  ::int64_t getLeaseLeftMs();
   inline void setLeaseLeftMs( ::int64_t value);
 
+  inline  ::uint64_t getRunsAsOf();
+  inline void setRunsAsOf( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1736,6 +1779,8 @@
 
   inline  ::uint64_t getAttachment() const;
 
+  inline  ::int64_t getRestartLeaseLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1798,6 +1843,9 @@
   inline  ::uint64_t getAttachment();
   inline void setAttachment( ::uint64_t value);
 
+  inline  ::int64_t getRestartLeaseLeftMs();
+  inline void setRestartLeaseLeftMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2648,6 +2696,8 @@
 
   inline bool getRenewing() const;
 
+  inline  ::uint64_t getRunsAsOf() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2702,6 +2752,9 @@
   inline bool getRenewing();
   inline void setRenewing(bool value);
 
+  inline  ::uint64_t getRunsAsOf();
+  inline void setRunsAsOf( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2729,6 +2782,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class UnreportedLease::Reader {
+public:
+  typedef UnreportedLease Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getAssignment() const;
+
+  inline  ::int64_t getLeaseLeftMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UnreportedLease::Builder {
+public:
+  typedef UnreportedLease Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getAssignment();
+  inline void setAssignment( ::uint64_t value);
+
+  inline  ::int64_t getLeaseLeftMs();
+  inline void setLeaseLeftMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UnreportedLease::Pipeline {
+public:
+  typedef UnreportedLease Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ReportsEnd::Reader {
+public:
+  typedef ReportsEnd Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getProcessAgeMs() const;
+
+  inline bool hasUnreported() const;
+  inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Reader getUnreported() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReportsEnd::Builder {
+public:
+  typedef ReportsEnd Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getProcessAgeMs();
+  inline void setProcessAgeMs( ::int64_t value);
+
+  inline bool hasUnreported();
+  inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Builder getUnreported();
+  inline void setUnreported( ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Builder initUnreported(unsigned int size);
+  inline void adoptUnreported(::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>> disownUnreported();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ReportsEnd::Pipeline {
+public:
+  typedef ReportsEnd Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -2780,6 +3010,10 @@
 
   inline  ::uint8_t getPermission() const;
 
+  inline bool isReportsEnd() const;
+  inline bool hasReportsEnd() const;
+  inline  ::mangospread::dispatch::wire::ReportsEnd::Reader getReportsEnd() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2870,6 +3104,14 @@
   inline  ::uint8_t getPermission();
   inline void setPermission( ::uint8_t value);
 
+  inline bool isReportsEnd();
+  inline bool hasReportsEnd();
+  inline  ::mangospread::dispatch::wire::ReportsEnd::Builder getReportsEnd();
+  inline void setReportsEnd( ::mangospread::dispatch::wire::ReportsEnd::Reader value);
+  inline  ::mangospread::dispatch::wire::ReportsEnd::Builder initReportsEnd();
+  inline void adoptReportsEnd(::capnp::Orphan< ::mangospread::dispatch::wire::ReportsEnd>&& value);
+  inline ::capnp::Orphan< ::mangospread::dispatch::wire::ReportsEnd> disownReportsEnd();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3117,6 +3359,20 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getEndsReports() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getEndsReports() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEndsReports(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3554,6 +3810,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t Assignment::Reader::getRunsAsOf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Assignment::Builder::getRunsAsOf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Assignment::Builder::setRunsAsOf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Traits::Reader::getLongRunning() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4855,6 +5125,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Attached::Reader::getRestartLeaseLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Attached::Builder::getRestartLeaseLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Attached::Builder::setRestartLeaseLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunEvent::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6020,6 +6304,130 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Remembered::Reader::getRunsAsOf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Remembered::Builder::getRunsAsOf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Remembered::Builder::setRunsAsOf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UnreportedLease::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UnreportedLease::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UnreportedLease::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UnreportedLease::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UnreportedLease::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UnreportedLease::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UnreportedLease::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UnreportedLease::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UnreportedLease::Reader::getAssignment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UnreportedLease::Builder::getAssignment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UnreportedLease::Builder::setAssignment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UnreportedLease::Reader::getLeaseLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UnreportedLease::Builder::getLeaseLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UnreportedLease::Builder::setLeaseLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ReportsEnd::Reader::getProcessAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ReportsEnd::Builder::getProcessAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReportsEnd::Builder::setProcessAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReportsEnd::Reader::hasUnreported() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportsEnd::Builder::hasUnreported() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Reader ReportsEnd::Reader::getUnreported() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Builder ReportsEnd::Builder::getUnreported() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReportsEnd::Builder::setUnreported( ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>::Builder ReportsEnd::Builder::initUnreported(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReportsEnd::Builder::adoptUnreported(
+    ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>> ReportsEnd::Builder::disownUnreported() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mangospread::dispatch::wire::UnreportedLease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::mangospread::dispatch::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6421,6 +6829,60 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isReportsEnd() const {
+  return which() == Frame::REPORTS_END;
+}
+inline bool Frame::Builder::isReportsEnd() {
+  return which() == Frame::REPORTS_END;
+}
+inline bool Frame::Reader::hasReportsEnd() const {
+  if (which() != Frame::REPORTS_END) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasReportsEnd() {
+  if (which() != Frame::REPORTS_END) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mangospread::dispatch::wire::ReportsEnd::Reader Frame::Reader::getReportsEnd() const {
+  KJ_IREQUIRE((which() == Frame::REPORTS_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mangospread::dispatch::wire::ReportsEnd::Builder Frame::Builder::getReportsEnd() {
+  KJ_IREQUIRE((which() == Frame::REPORTS_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setReportsEnd( ::mangospread::dispatch::wire::ReportsEnd::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REPORTS_END);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mangospread::dispatch::wire::ReportsEnd::Builder Frame::Builder::initReportsEnd() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REPORTS_END);
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptReportsEnd(
+    ::capnp::Orphan< ::mangospread::dispatch::wire::ReportsEnd>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::REPORTS_END);
+  ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mangospread::dispatch::wire::ReportsEnd> Frame::Builder::disownReportsEnd() {
+  KJ_IREQUIRE((which() == Frame::REPORTS_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::mangospread::dispatch::wire::ReportsEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/dispatch/peer/wire_messages.cc
+++ b/src/dispatch/peer/wire_messages.cc
@@ -22,6 +22,7 @@
   assign.setCalmLoadPeriodMs(command.normal_load_period.count());
   assign.setLeaseLeftMs(OptionalToWire(command.lease_left));
   Put(assign.initWorker(), command.worker);
+  assign.setRunsAsOf(command.runs_as_of.value());
   assign.setRunsKnown(command.known_runs.has_value());
   if (!command.known_runs) return;
   Put(assign.initKnownRuns(static_cast<unsigned>(command.known_runs->size())),
@@ -82,6 +83,7 @@
   assignment.normal_load_period = Milliseconds(in.getCalmLoadPeriodMs());
   assignment.worker = Get(in.getWorker());
   assignment.lease_left = OptionalFromWire(in.getLeaseLeftMs());
+  assignment.runs_as_of = WorkerFence(in.getRunsAsOf());
   if (in.getRunsKnown()) assignment.known_runs = Get(in.getKnownRuns());
   return assignment;
 }
@@ -94,6 +96,7 @@
   attached.setStartsSeen(event.starts_seen);
   attached.setIncomplete(!event.complete);
   attached.setAttachment(event.attachment.value());
+  attached.setRestartLeaseLeftMs(event.restart_lease_left.count());
   auto unsent = attached.initUnsent(static_cast<unsigned>(event.unsent.size()));
   for (unsigned i = 0; i < event.unsent.size(); ++i) {
     unsent.set(i, ToText(event.unsent[i]));
@@ -179,6 +182,7 @@
   attached.starts_seen = in.getStartsSeen();
   attached.complete = !in.getIncomplete();
   attached.attachment = AttachmentNumber(in.getAttachment());
+  attached.restart_lease_left = Milliseconds(in.getRestartLeaseLeftMs());
   for (const auto task : in.getUnsent()) {
     attached.unsent.push_back(FromText(task));
   }
--- a/src/dispatch/worker/agent.cc
+++ b/src/dispatch/worker/agent.cc
@@ -70,9 +70,21 @@
   if (it == sessions_.end()) return;
   it->second->Close();
   last_grant_at_ = std::max(last_grant_at_, it->second->last_grant_at());
+  KeepLease(vm, *it->second);
   sessions_.erase(it);
 }
 
+void Agent::KeepLease(const VmName& vm, const WorkerSession& session) {
+  const MonotonicTime now = base::MonotonicNow();
+  std::erase_if(ended_sessions_, [now](const auto& ended) {
+    return ended.second.lease_expires_at < now;
+  });
+  EndedSessions& ended = ended_sessions_[vm];
+  ended.assignment = std::max(ended.assignment, session.assignment_fence());
+  ended.lease_expires_at =
+      std::max(ended.lease_expires_at, session.lease_expires_at());
+}
+
 void Agent::ReleaseAll() {
   while (!sessions_.empty()) EndSession(VmName(sessions_.begin()->first));
 }
@@ -107,6 +119,26 @@
   return std::chrono::floor<Milliseconds>(base::MonotonicNow() - last);
 }
 
+ReportsEnd Agent::CollectReportsEnd() const {
+  const MonotonicTime now = base::MonotonicNow();
+  ReportsEnd end;
+  end.process_age = std::chrono::floor<Milliseconds>(now - started_at_);
+  const auto add = [&](const VmName& vm, WorkerFence assignment,
+                       MonotonicTime expires_at) {
+    if (expires_at < now) return;
+    end.unreported.push_back(
+        {vm, assignment, std::chrono::ceil<Milliseconds>(expires_at - now)});
+  };
+  for (const auto& [vm, ended] : ended_sessions_) {
+    add(vm, ended.assignment, ended.lease_expires_at);
+  }
+  for (const auto& [vm, session] : sessions_) {
+    if (session->CollectRuns()) continue;
+    add(vm, session->assignment_fence(), session->lease_expires_at());
+  }
+  return end;
+}
+
 std::vector<FormerLeaderRuns> Agent::CollectRuns() const {
   std::vector<FormerLeaderRuns> result;
   for (const auto& [vm, session] : sessions_) {
--- a/src/dispatch/worker/agent.hpp
+++ b/src/dispatch/worker/agent.hpp
@@ -29,7 +29,8 @@
         emit_(std::move(emit)),
         leader_(std::move(leader)),
         observe_(std::move(observe)),
-        last_grant_at_(base::MonotonicNow()) {}
+        started_at_(base::MonotonicNow()),
+        last_grant_at_(started_at_) {}
   ~Agent() { ReleaseAll(); }
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
@@ -60,6 +61,8 @@
   /// Runs that may be on the workers assigned by former leaders, for a new
   /// leader.
   [[nodiscard]] std::vector<FormerLeaderRuns> CollectRuns() const;
+  /// What CollectRuns leaves out, to be sent after it.
+  [[nodiscard]] ReportsEnd CollectReportsEnd() const;
 
   /// Time for which no session of this node has granted a lease. An earlier
   /// process of the node had ended when this one started.
@@ -70,8 +73,16 @@
   }
 
  private:
+  /// What is kept of the sessions with a worker that have ended.
+  struct EndedSessions {
+    WorkerFence assignment;  ///< Of the newest one.
+    MonotonicTime lease_expires_at{0};
+  };
+
   void Assign(Assignment assignment);
   void EndSession(const VmName& vm);
+  /// Keeps the lease that an ended session may have granted until it expires.
+  void KeepLease(const VmName& vm, const WorkerSession& session);
   WorkerSession* FindSession(const VmName& vm);
 
   base::EventLoop& loop_;
@@ -81,6 +92,8 @@
   WorkerSession::LeaderView leader_;
   ObserveTiming observe_;
   std::map<VmName, std::shared_ptr<WorkerSession>> sessions_;
+  std::map<VmName, EndedSessions> ended_sessions_;
+  MonotonicTime started_at_;
   /// Time of the last lease granted by a session that has ended; the start of
   /// this process if there is none.
   MonotonicTime last_grant_at_;
--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -49,6 +49,7 @@
   }
   if (!assignment_.known_runs) return;
   runs_known_ = true;
+  runs_as_of_ = assignment_.runs_as_of;
   AddKnownRuns(*assignment_.known_runs);
 }
 
@@ -68,11 +69,13 @@
 void WorkerSession::ContinueFrom(const WorkerSession& former) {
   lease_known_ = lease_known_ || former.lease_known_;
   lease_expires_at_ = std::max(lease_expires_at_, former.lease_expires_at_);
+  restart_lease_expires_at_ = former.restart_lease_expires_at_;
   replied_at_ = former.replied_at_;
   if (runs_known_) return;
   const auto runs = former.CollectRuns();
   if (!runs || runs->ended) return;
   runs_known_ = true;
+  runs_as_of_ = runs->runs_as_of;
   AddKnownRuns(runs->runs);
 }
 
@@ -85,6 +88,7 @@
   collected.unreachable = unreachable_reported_ || worker_ended_;
   collected.ended = worker_ended_;
   collected.renewing = renewing();
+  collected.runs_as_of = runs_as_of_;
   if (lease_known_) collected.lease_left = LeaseLeft();
   for (const auto& [task, run] : runs_) {
     collected.runs.push_back({task, run.number, MayHaveCrashedWorker(run),
@@ -238,8 +242,8 @@
   Report(WorkerLoad{{}, responding});
 }
 
-Milliseconds WorkerSession::LeaseLeft() const {
-  const MonotonicTime left = lease_expires_at_ - base::MonotonicNow();
+Milliseconds WorkerSession::TimeUntil(MonotonicTime time) {
+  const MonotonicTime left = time - base::MonotonicNow();
   return std::max(Milliseconds(0), std::chrono::ceil<milliseconds>(left));
 }
 
@@ -316,6 +320,7 @@
   if (!report.ends_complete) return BeginReadingEnds(report);
   reading_ends_ = false;
   synced_ = runs_known_ = true;
+  runs_as_of_ = assignment_.fence;
   ReplaceRuns(report);
   Attached attached{
       incarnation_, starts_seen_, {}, report.running, report.ended};
@@ -341,6 +346,7 @@
   silent_since_ = MonotonicTime(0);
   BeginAttachment();
   attached.attachment = attachment_;
+  attached.restart_lease_left = TimeUntil(restart_lease_expires_at_);
   Report(std::move(attached));
 }
 
@@ -364,6 +370,8 @@
   // end on the former's clock; the worker limits such a lease to max_lease.
   if (incarnation_ != WorkerIncarnation()) {
     RaiseLeaseBound(options_.max_lease);
+    restart_lease_expires_at_ =
+        base::MonotonicNow() + LeaseUpperBound(options_.max_lease);
     // Another agent may have started runs on the new process.
     runs_known_ = false;
     runs_.clear();
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -120,6 +120,10 @@
   [[nodiscard]] MonotonicTime last_grant_at() const noexcept {
     return last_grant_at_;
   }
+  /// Time up to which the worker may hold a lease that this session knows of.
+  [[nodiscard]] MonotonicTime lease_expires_at() const noexcept {
+    return lease_expires_at_;
+  }
 
  private:
   /// State of a run on the worker.
@@ -165,6 +169,8 @@
   /// Replaces the known state of the worker by the lists of a report, once
   /// these are complete.
   void Synchronise(const RenewReply& report);
+  /// Adds the runs that an assignment or a former session names; of two runs of
+  /// a task the newer one counts.
   void AddKnownRuns(const std::vector<RunId>& known);
   /// Replaces the known runs by the listed ones.
   void ReplaceRuns(const RenewReply& report);
@@ -207,7 +213,11 @@
   /// this length that begins now.
   void RaiseLeaseBound(Milliseconds lease);
   /// Upper bound of the remaining lease.
-  [[nodiscard]] Milliseconds LeaseLeft() const;
+  [[nodiscard]] Milliseconds LeaseLeft() const {
+    return TimeUntil(lease_expires_at_);
+  }
+  /// 0 for a time that has passed.
+  [[nodiscard]] static Milliseconds TimeUntil(MonotonicTime time);
   /// End of a new lease on the worker's clock; 0 if that clock is not known.
   [[nodiscard]] WorkerTime NextLeaseEnd();
   /// True if the leader has handled the present attachment, so that it counts
@@ -241,6 +251,7 @@
   /// The worker is attached but may have ends that it has not listed yet.
   bool reading_ends_ = false;
   bool runs_known_ = false;
+  WorkerFence runs_as_of_;  ///< As in the assignment.
   /// The process that replied last may have ended. Until the next reply the
   /// worker gets no acknowledgement, lease or start, since these apply to one
   /// process.
@@ -264,6 +275,9 @@
   MonotonicTime replied_at_{0};
   /// Time up to which the worker may hold a lease.
   MonotonicTime lease_expires_at_{0};
+  /// The same for a lease that the worker's process may have got from a command
+  /// for the process before; 0 if there is none.
+  MonotonicTime restart_lease_expires_at_{0};
   MonotonicTime last_grant_at_{0};
   bool extends_lease_ = true;
   /// Time at which the attachment began, which is reported; 0 if there is none.
--- /dev/null
+++ b/tests/unit/dispatch/former_reports_test.cc
@@ -0,0 +1,162 @@
+// What a new leader concludes from what agents report of former leaders, and
+// from what they do not report.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dispatch/model/lease.hpp"
+#include "unit/dispatch/leader_fixture.hpp"
+#include "unit/dispatch/worker_session_fixture.hpp"
+
+namespace mangospread::dispatch::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A leader that takes over a task on a worker that does not respond. Its agent
+/// has granted the last lease 1 s ago, and reports no time left of it.
+struct FormerReportsFixture : LeaderFixture {
+  FormerReportsFixture() {
+    numbers_attachments = true;
+    placed.emplace(PlaceOnOneOfTwo());
+    report.worker.vm = placed->run.vm;
+    report.unreachable = true;
+    report.lease_left = Milliseconds(0);
+    report.runs_as_of = WorkerFence(3);
+    last_grant_age = Milliseconds(1'000);
+  }
+
+  void LeadWithReport() {
+    taken_over_at = base::MonotonicNow();
+    Lead(2);
+    leader->OnKnownRuns(NodeId("agent"), report);
+    ListWorkers({"w1", "w2"});
+  }
+
+  void TakeOver() {
+    LeadWithReport();
+    Attach(placed->idle);
+  }
+
+  void EndReports(Milliseconds process_age,
+                  std::vector<UnreportedLease> unreported = {}) {
+    leader->OnReportsEnd(NodeId("agent"), {process_age, std::move(unreported)});
+  }
+
+  /// Checks that the task starts this long after the takeover. Detecting that
+  /// takes up to 0.7 s.
+  void CheckStartsAfter(MonotonicTime time) {
+    const MonotonicTime passed = base::MonotonicNow() - taken_over_at;
+    RunFor(time - passed - milliseconds(100));
+    CHECK(starts.empty());
+    RunFor(milliseconds(800));
+    CHECK(starts.size() == 1);
+  }
+
+  std::optional<PlacedOnOne> placed;
+  FormerLeaderRuns report;
+  MonotonicTime taken_over_at{0};
+};
+
+constexpr Milliseconds kOldProcess = std::chrono::hours(1);
+
+// Guards against a second run: the agent that reports the worker lost it to
+// another one, whose next process knows nothing of that.
+TEST_CASE_FIXTURE(FormerReportsFixture,
+                  "an agent's new process does not vouch for the former one") {
+  TakeOver();
+  const MonotonicTime lease = LeaseUpperBound(options.lease);
+  SUBCASE("the process is older than any lease") {
+    EndReports(kOldProcess);
+    CheckStartsAfter(milliseconds(200));
+  }
+  SUBCASE("its predecessor may have granted a lease") {
+    EndReports(Milliseconds(500));
+    // The node's first hello bounds that.
+    CheckStartsAfter(lease - milliseconds(1'000));
+  }
+  SUBCASE("the reports do not end") {
+    CheckStartsAfter(lease - milliseconds(1'000));
+  }
+}
+
+// Guards against a second run: the agent that reports the worker lost it to
+// another one, which has ended its session meanwhile.
+TEST_CASE_FIXTURE(FormerReportsFixture,
+                  "a lease of a session that is not reported counts") {
+  TakeOver();
+  SUBCASE("newer than the report") {
+    EndReports(kOldProcess,
+               {{report.worker.vm, WorkerFence(4), Milliseconds(2'000)}});
+    CheckStartsAfter(milliseconds(2'000));
+  }
+  SUBCASE("older than the report, which includes what it knew") {
+    EndReports(kOldProcess,
+               {{report.worker.vm, WorkerFence(2), Milliseconds(2'000)}});
+    CheckStartsAfter(milliseconds(200));
+  }
+}
+
+// Guards against a wait that begins anew with each loss of an agent that still
+// owes its reports (LOST).
+TEST_CASE_FIXTURE(FormerReportsFixture,
+                  "losses of an agent that owes reports add no wait") {
+  report.runs = {{placed->run.task, placed->run.run}};
+  LeadWithReport();
+  for (int loss = 0; loss < 3; ++loss) {
+    RunFor(milliseconds(500));
+    const NodeId agent("agent");
+    leader->OnAgentDown(agent, base::MonotonicNow());
+    leader->OnAgentUp(agent, DataCenter("dc"), Milliseconds(0), true);
+    leader->OnKnownRuns(agent, report);
+  }
+  RunFor(milliseconds(20));
+  Attach(placed->idle);
+  CheckStartsAfter(LeaseUpperBound(options.lease) - milliseconds(1'000));
+}
+
+// Guards against a second run: a command for the worker's former process gave
+// the next one a lease that is longer than those of agents.
+TEST_CASE_FIXTURE(FormerReportsFixture,
+                  "a restarted worker's longer lease outlives its agent") {
+  Lead(2);
+  ListWorkers({"w1", "w2"});
+  Attach(placed->idle);
+  Event(placed->busy, Attached{WorkerIncarnation(2),
+                               1'000,
+                               {},
+                               {{placed->run.task, placed->run.run, {}, 50, 0}},
+                               {},
+                               true,
+                               AttachmentNumber(1),
+                               Milliseconds(9'000)});
+  taken_over_at = base::MonotonicNow();
+  leader->OnAgentDown(NodeId("agent"), base::MonotonicNow());
+  ConnectAgent("other");
+  RunFor(milliseconds(100));
+  Attach(placed->idle);
+  CheckStartsAfter(milliseconds(9'000));
+}
+
+// Guards against the same: the session has to name that lease.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "a session names the longer lease of a restarted worker") {
+  RunFor(Milliseconds(300));
+  link->report.incarnation = WorkerIncarnation(8);
+  RunFor(Milliseconds(1'500));
+  std::vector<Milliseconds> left;
+  for (const AgentEvent& event : events) {
+    const auto* attached = std::get_if<Attached>(&event.details);
+    if (attached != nullptr) left.push_back(attached->restart_lease_left);
+  }
+  REQUIRE(left.size() == 2);
+  CHECK(left[0] == Milliseconds(0));
+  CHECK(left[1] > Milliseconds(9'000));
+}
+
+}  // namespace
+}  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -72,6 +72,11 @@
   return std::tuple(task, run, measured, percent);
 }
 
+auto Fields(const UnreportedLease& item) {
+  const auto& [vm, assignment, lease_left] = item;
+  return std::tuple(vm, assignment, lease_left);
+}
+
 template <typename T>
 auto Fields(const std::vector<T>& items) {
   std::vector<decltype(Fields(items.front()))> fields;
@@ -82,10 +87,11 @@
 
 auto Fields(const Assignment& item) {
   const auto& [worker, known_runs, lease_left, fence, starts_before,
-               normal_load_period] = item;
+               normal_load_period, runs_as_of] = item;
   return std::tuple(Fields(worker), known_runs.has_value(),
                     Fields(known_runs.value_or(std::vector<RunId>())),
-                    lease_left, fence, starts_before, normal_load_period);
+                    lease_left, fence, starts_before, normal_load_period,
+                    runs_as_of);
 }
 
 auto Fields(const StartRun& item) {
@@ -122,9 +128,9 @@
 
 auto Fields(const Attached& item) {
   const auto& [incarnation, starts_seen, unsent, running, ended, complete,
-               attachment] = item;
+               attachment, restart_lease_left] = item;
   return std::tuple(incarnation, starts_seen, unsent, Fields(running),
-                    Fields(ended), complete, attachment);
+                    Fields(ended), complete, attachment, restart_lease_left);
 }
 
 auto Fields(const RunEnded& item) {
@@ -162,23 +168,29 @@
 }
 
 auto Fields(const FormerLeaderRuns& item) {
-  const auto& [worker, runs, unreachable, ended, lease_left, renewing] = item;
+  const auto& [worker, runs, unreachable, ended, lease_left, renewing,
+               runs_as_of] = item;
   return std::tuple(Fields(worker), Fields(runs), unreachable, ended,
-                    lease_left, renewing);
+                    lease_left, renewing, runs_as_of);
+}
+
+auto Fields(const ReportsEnd& item) {
+  const auto& [process_age, unreported] = item;
+  return std::tuple(process_age, Fields(unreported));
 }
 
 /// The version of a leader's row is not sent, since only the store gives it;
 /// the leader's epoch is that of the frame.
 auto Fields(const Hello& item) {
   const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
-               last_grant_age, permission, worker_lease, numbers_attachments] =
-      item;
+               last_grant_age, permission, worker_lease, numbers_attachments,
+               ends_reports] = item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
                     leader_process, address, leader_epoch, yielding,
                     last_grant_age, permission, worker_lease,
-                    numbers_attachments);
+                    numbers_attachments, ends_reports);
 }
 
 auto Fields(const Ping& item) {
@@ -234,10 +246,10 @@
                          ImageName("i")};
   const VmName vm("w");
   const Attempt run(4);
-  CheckCommand(
-      Assignment{MakeWorker(),
-                 std::vector<RunId>{{"t", Attempt(2), true}, {"u", run, false}},
-                 Milliseconds(3), WorkerFence(7), 8, Milliseconds(9)});
+  CheckCommand(Assignment{
+      MakeWorker(),
+      std::vector<RunId>{{"t", Attempt(2), true}, {"u", run, false}},
+      Milliseconds(3), WorkerFence(7), 8, Milliseconds(9), WorkerFence(6)});
   CheckCommand(Assignment{
       MakeWorker(), std::vector<RunId>(), std::nullopt, WorkerFence(7), 8, {}});
   CheckCommand(Assignment{
@@ -262,6 +274,14 @@
   CheckEvent(Attached{WorkerIncarnation(1), 2, {}, {}, {end}, false});
   CheckEvent(
       Attached{WorkerIncarnation(1), 2, {}, {}, {}, true, AttachmentNumber(6)});
+  CheckEvent(Attached{WorkerIncarnation(1),
+                      2,
+                      {},
+                      {},
+                      {},
+                      true,
+                      AttachmentNumber(6),
+                      Milliseconds(9'000)});
   CheckEvent(RunEnded{WorkerIncarnation(1), end});
   CheckEvent(RunNotStarted{"t", run, CommandOutcome::kNoCapacity});
   CheckEvent(RunStarted{"t", run});
@@ -286,8 +306,11 @@
                               true,
                               false,
                               Milliseconds(1'500),
-                              false});
+                              false,
+                              WorkerFence(5)});
   CheckFrame(FormerLeaderRuns{MakeWorker(), {}, false, true, {}, true});
+  CheckFrame(ReportsEnd{Milliseconds(12'000),
+                        {{VmName("w"), WorkerFence(4), Milliseconds(700)}}});
   const LeaderRecord leader{
       NodeId("l"), Incarnation(4), {"10.0.0.2", 81}, Epoch(3), RowVersion()};
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
@@ -300,6 +323,9 @@
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), false,
                    DataCenter("d"), leader, false, std::nullopt,
                    Permission::kNone, Milliseconds(7'500), true});
+  CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
+                   leader, false, std::nullopt, std::nullopt,
+                   Milliseconds(7'500), false, true});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
@@ -447,66 +473,5 @@
   CHECK(RoundTrip<FormerLeaderRuns>(runs).runs.size() == kRuns);
 }
 
-// Guards against progress that the next leader decodes differently.
-TEST_CASE("submission rows preserve every field") {
-  JobRow job;
-  job.policy.queue = QueueName("q");
-  job.policy.service = ServiceName("s");
-  job.policy.priority = 2;
-  job.policy.attempts = 4;
-  job.policy.stretch = 2.2;
-  job.policy.latency_target = Milliseconds(250);
-  job.accepted_at_ms = 77;
-  job.payload = R"({"steps":[{}]})";
-  const auto decoded = DecodeJobRow(EncodeJobRow(job));
-  REQUIRE(decoded.ok());
-  CHECK(decoded.value().policy.queue == QueueName("q"));
-  CHECK(decoded.value().policy.service == ServiceName("s"));
-  CHECK(decoded.value().policy.priority == 2);
-  CHECK(decoded.value().policy.attempts == 4);
-  CHECK(decoded.value().policy.stretch == 2.2);
-  CHECK(decoded.value().policy.latency_target == Milliseconds(250));
-  CHECK(decoded.value().accepted_at_ms == 77);
-  CHECK(decoded.value().payload == job.payload);
-
-  ProgressRow progress;
-  progress.queue = QueueName("q");
-  progress.progress.state = SubmissionState::kRunning;
-  TaskProgress task;
-  task.task = {1, 2};
-  task.done = true;
-  task.run = 3;
-  task.failed_runs = {1, 3};
-  task.checkpoint = "cp";
-  task.losses = {{5, Suspicion::kSole, false}, {6, Suspicion::kPresent, true}};
-  progress.progress.tasks = {task, TaskProgress{}};
-  const auto decoded_progress =
-      DecodeProgressRow(EncodeProgressRows(progress, 65'536).value()[0]);
-  REQUIRE(decoded_progress.ok());
-  REQUIRE(decoded_progress.value().progress.tasks.size() == 2);
-  CHECK(decoded_progress.value().progress.tasks[0].losses == task.losses);
-  CHECK(decoded_progress.value().progress.tasks[1].losses.empty());
-  CHECK(decoded_progress.value().progress.tasks[0].task == TaskIndex{1, 2});
-  CHECK(decoded_progress.value().queue == QueueName("q"));
-  CHECK(decoded_progress.value().progress.state == SubmissionState::kRunning);
-  CHECK(decoded_progress.value().progress.tasks[0].done);
-  CHECK(decoded_progress.value().progress.tasks[0].run == 3);
-  CHECK(decoded_progress.value().progress.tasks[0].checkpoint == "cp");
-  CHECK(decoded_progress.value().progress.tasks[0].failed_runs ==
-        task.failed_runs);
-  CHECK_FALSE(DecodeProgressRow("{}").ok());
-  const auto with_loss = [](const std::string& loss) {
-    return DecodeProgressRow(
-        R"({"queue":"q","state":"running","tasks":[[0,0,false,1,[],"",[)" +
-        loss + "]]]}");
-  };
-  CHECK(with_loss("[1,3,true]").ok());
-  CHECK_FALSE(with_loss("[1,4,true]").ok());
-  CHECK_FALSE(with_loss("[1,-1,true]").ok());
-  CHECK_FALSE(with_loss("[1,3]").ok());
-  CHECK_FALSE(with_loss("7").ok());
-  CHECK_FALSE(DecodeJobRow("7").ok());
-}
-
 }  // namespace
 }  // namespace mangospread::dispatch
--- a/tests/unit/dispatch/inherited_worker_test.cc
+++ b/tests/unit/dispatch/inherited_worker_test.cc
@@ -96,6 +96,7 @@
     Lead(epoch);
     ListWorkers({"w1", "w2"});
     Attach(placed.idle);
+    EndReports("agent");
   };
   FormerLeaderRuns idle;
   idle.worker.vm = placed.run.vm;
--- a/tests/unit/dispatch/job_rows_test.cc
+++ b/tests/unit/dispatch/job_rows_test.cc
@@ -238,5 +238,66 @@
   }
 }
 
+// Guards against progress that the next leader decodes differently.
+TEST_CASE("submission rows preserve every field") {
+  JobRow job;
+  job.policy.queue = QueueName("q");
+  job.policy.service = ServiceName("s");
+  job.policy.priority = 2;
+  job.policy.attempts = 4;
+  job.policy.stretch = 2.2;
+  job.policy.latency_target = Milliseconds(250);
+  job.accepted_at_ms = 77;
+  job.payload = R"({"steps":[{}]})";
+  const auto decoded = DecodeJobRow(EncodeJobRow(job));
+  REQUIRE(decoded.ok());
+  CHECK(decoded.value().policy.queue == QueueName("q"));
+  CHECK(decoded.value().policy.service == ServiceName("s"));
+  CHECK(decoded.value().policy.priority == 2);
+  CHECK(decoded.value().policy.attempts == 4);
+  CHECK(decoded.value().policy.stretch == 2.2);
+  CHECK(decoded.value().policy.latency_target == Milliseconds(250));
+  CHECK(decoded.value().accepted_at_ms == 77);
+  CHECK(decoded.value().payload == job.payload);
+
+  ProgressRow progress;
+  progress.queue = QueueName("q");
+  progress.progress.state = SubmissionState::kRunning;
+  TaskProgress task;
+  task.task = {1, 2};
+  task.done = true;
+  task.run = 3;
+  task.failed_runs = {1, 3};
+  task.checkpoint = "cp";
+  task.losses = {{5, Suspicion::kSole, false}, {6, Suspicion::kPresent, true}};
+  progress.progress.tasks = {task, TaskProgress{}};
+  const auto decoded_progress =
+      DecodeProgressRow(EncodeProgressRows(progress, 65'536).value()[0]);
+  REQUIRE(decoded_progress.ok());
+  REQUIRE(decoded_progress.value().progress.tasks.size() == 2);
+  CHECK(decoded_progress.value().progress.tasks[0].losses == task.losses);
+  CHECK(decoded_progress.value().progress.tasks[1].losses.empty());
+  CHECK(decoded_progress.value().progress.tasks[0].task == TaskIndex{1, 2});
+  CHECK(decoded_progress.value().queue == QueueName("q"));
+  CHECK(decoded_progress.value().progress.state == SubmissionState::kRunning);
+  CHECK(decoded_progress.value().progress.tasks[0].done);
+  CHECK(decoded_progress.value().progress.tasks[0].run == 3);
+  CHECK(decoded_progress.value().progress.tasks[0].checkpoint == "cp");
+  CHECK(decoded_progress.value().progress.tasks[0].failed_runs ==
+        task.failed_runs);
+  CHECK_FALSE(DecodeProgressRow("{}").ok());
+  const auto with_loss = [](const std::string& loss) {
+    return DecodeProgressRow(
+        R"({"queue":"q","state":"running","tasks":[[0,0,false,1,[],"",[)" +
+        loss + "]]]}");
+  };
+  CHECK(with_loss("[1,3,true]").ok());
+  CHECK_FALSE(with_loss("[1,4,true]").ok());
+  CHECK_FALSE(with_loss("[1,-1,true]").ok());
+  CHECK_FALSE(with_loss("[1,3]").ok());
+  CHECK_FALSE(with_loss("7").ok());
+  CHECK_FALSE(DecodeJobRow("7").ok());
+}
+
 }  // namespace
 }  // namespace mangospread::dispatch::test
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -112,6 +112,13 @@
     RunFor(std::chrono::milliseconds(20));
   }
 
+  /// Lets an agent say that it has reported all that it knows of former
+  /// leaders.
+  void EndReports(const char* agent,
+                  Milliseconds process_age = std::chrono::hours(1)) {
+    leader->OnReportsEnd(NodeId(agent), {process_age, {}});
+  }
+
   void ListWorkers(const std::vector<const char*>& names) {
     std::map<VmName, WorkerInfo> listed;
     for (const char* name : names) {
--- a/tests/unit/dispatch/lease_world.hpp
+++ b/tests/unit/dispatch/lease_world.hpp
@@ -153,6 +153,10 @@
   // Channels.
   MonotonicTime FrameDelay(const AgentNode& node, Milliseconds steady);
   void SendToLeader(AgentNode& node, Call handle);
+  /// Sends a frame that arrives with the one before, if that is on its way. It
+  /// takes no random delay of its own, so that a seed keeps its order.
+  void SendWithLast(AgentNode& node, Call handle);
+  void DeliverToLeader(AgentNode& node, MonotonicTime delay, Call handle);
   void SendToAgent(const std::shared_ptr<Connection>& connection, Call handle);
   void Tick();
   void TickAgent(AgentNode& node);
--- a/tests/unit/dispatch/lease_world_channels.cc
+++ b/tests/unit/dispatch/lease_world_channels.cc
@@ -42,8 +42,18 @@
 }
 
 void LeaseWorld::SendToLeader(AgentNode& node, Call handle) {
+  if (!node.connection || !node.connection->agent_open) return;
+  DeliverToLeader(node, FrameDelay(node, node.to_leader), std::move(handle));
+}
+
+void LeaseWorld::SendWithLast(AgentNode& node, Call handle) {
+  if (!node.connection || !node.connection->agent_open) return;
+  DeliverToLeader(node, milliseconds(1), std::move(handle));
+}
+
+void LeaseWorld::DeliverToLeader(AgentNode& node, MonotonicTime delay,
+                                 Call handle) {
   const auto connection = node.connection;
-  if (!connection || !connection->agent_open) return;
   const auto receive = [connection, handle = std::move(handle)] {
     if (connection->lost || !connection->leader_open) return;
     connection->leader_read_at = base::MonotonicNow();
@@ -51,7 +61,7 @@
   };
   const MonotonicTime now = base::MonotonicNow();
   MonotonicTime& last = connection->last_to_leader;
-  last = std::max(last, now + FrameDelay(node, node.to_leader));
+  last = std::max(last, now + delay);
   network_.timers.After(last - now, receive);
 }
 
@@ -201,6 +211,10 @@
       leader_->OnKnownRuns(node.id, runs);
     });
   }
+  SendWithLast(node, [this, &node, connection = node.connection,
+                      end = node.agent->CollectReportsEnd()] {
+    if (IsCurrent(*connection)) leader_->OnReportsEnd(node.id, end);
+  });
   node.agent->SuspendNotRenewing();
 }
 
--- a/tests/unit/dispatch/takeover_test.cc
+++ b/tests/unit/dispatch/takeover_test.cc
@@ -47,7 +47,11 @@
     Attach(placed.idle);
   }
 
-  void Report(const char* agent) { leader->OnKnownRuns(NodeId(agent), report); }
+  /// Reports the worker, and that the agent knows of no other.
+  void Report(const char* agent) {
+    leader->OnKnownRuns(NodeId(agent), report);
+    EndReports(agent);
+  }
 
   bool WasReleasedBy(const char* agent) const {
     return std::count(releases.begin(), releases.end(),
