A worker's restart counts whichever agent attaches it

Change: the leader compares the processes of two attachments and counts the longest lease that workers accept.

A restart that nobody has seen when agent and leader are lost stays uncounted.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -163,6 +163,7 @@
     /// Its process may hold a lease that it got from a command for the process
     /// before until this time, whoever attaches it.
     MonotonicTime restart_lease_expires_at{0};
+    WorkerIncarnation incarnation;  ///< Of the last attachment.
     /// Its agent may extend the lease: the present attachment was handled here.
     bool may_be_granted = false;
     AttachmentNumber last_attachment;  ///< The last that was handled.
--- a/src/dispatch/leader/group_leader_leases.cc
+++ b/src/dispatch/leader/group_leader_leases.cc
@@ -14,6 +14,12 @@
 
 using std::chrono::milliseconds;
 
+/// Upper bound of the time for which a worker holds the longest lease that it
+/// accepts.
+Milliseconds LongestWorkerLease() {
+  return std::chrono::ceil<milliseconds>(LeaseUpperBound(kMaxWorkerLease));
+}
+
 }  // namespace
 
 MonotonicTime GroupLeader::LeaseExpiry() const {
@@ -26,8 +32,7 @@
 }
 
 Milliseconds GroupLeader::BoundLeaseLeft(Milliseconds reported) {
-  return std::min(reported, std::chrono::ceil<milliseconds>(
-                                LeaseUpperBound(kMaxWorkerLease)));
+  return std::min(reported, LongestWorkerLease());
 }
 
 Milliseconds GroupLeader::LeaseLeft(const WorkerEntry& entry) {
@@ -53,8 +58,13 @@
 }
 
 void GroupLeader::CountAttached(WorkerEntry& entry, const Attached& attached) {
-  const Milliseconds restart_lease =
-      BoundLeaseLeft(attached.restart_lease_left);
+  Milliseconds restart_lease = BoundLeaseLeft(attached.restart_lease_left);
+  const WorkerIncarnation before =
+      std::exchange(entry.incarnation, attached.incarnation);
+  // Another agent may have attached the process before.
+  if (before != WorkerIncarnation() && before != attached.incarnation) {
+    restart_lease = LongestWorkerLease();
+  }
   entry.restart_lease_expires_at =
       std::max(entry.restart_lease_expires_at,
                base::MonotonicNow() + MonotonicTime(restart_lease));
--- a/tests/unit/dispatch/former_reports_test.cc
+++ b/tests/unit/dispatch/former_reports_test.cc
@@ -126,20 +126,31 @@
   Lead(2);
   ListWorkers({"w1", "w2"});
   Attach(placed->idle);
-  Event(placed->busy, Attached{WorkerIncarnation(2),
-                               1'000,
-                               {},
-                               {{placed->run.task, placed->run.run, {}, 50, 0}},
-                               {},
-                               true,
-                               AttachmentNumber(1),
-                               Milliseconds(9'000)});
+  Attached attached{WorkerIncarnation(2),
+                    1'000,
+                    {},
+                    {{placed->run.task, placed->run.run, {}, 50, 0}},
+                    {},
+                    true,
+                    AttachmentNumber(1),
+                    Milliseconds(0)};
+  MonotonicTime lease = milliseconds(9'000);
+  SUBCASE("its agent has seen both processes") {
+    attached.restart_lease_left = Milliseconds(9'000);
+  }
+  SUBCASE("another agent has seen the one before") {
+    attached.incarnation = WorkerIncarnation(1);
+    Event(placed->busy, attached);
+    attached.incarnation = WorkerIncarnation(2);
+    lease = LeaseUpperBound(kMaxWorkerLease);
+  }
+  Event(placed->busy, attached);
   taken_over_at = base::MonotonicNow();
   leader->OnAgentDown(NodeId("agent"), base::MonotonicNow());
   ConnectAgent("other");
   RunFor(milliseconds(100));
   Attach(placed->idle);
-  CheckStartsAfter(milliseconds(9'000));
+  CheckStartsAfter(lease);
 }
 
 // Guards against the same: the session has to name that lease.
