--- a/tests/unit/dispatch/takeover_reports_test.cc
+++ b/tests/unit/dispatch/takeover_reports_test.cc
@@ -91,6 +91,25 @@
   order.CheckNothingEarly();
 }
 
+// Guards against a second run: the leader takes an agent for known from its
+// hello on, though its reports are still on their way (seeds 56140 and 66304 of
+// the changes of the leader).
+TEST_CASE("an agent whose reports have not arrived is not known") {
+  OutdatedSession order(3);
+  REQUIRE_FALSE(order.world.worker(order.vm).runs.empty());
+  // The agent has extended the lease meanwhile.
+  order.world.RunFor(milliseconds(1'000));
+  order.world.Gone(order.vm);
+  order.world.ChangeLeader(milliseconds(300));
+  // It connects after the former agent's report, and shortly before the end of
+  // the lease that this names.
+  order.world.Freeze(*order.present, milliseconds(1'900));
+  REQUIRE(order.world.RunUntil("leader sees " + order.present->id.str(),
+                               milliseconds(4'000)));
+  order.present->to_leader = Milliseconds(900);
+  order.CheckNothingEarly();
+}
+
 // Guards against a second run: the new process executes a command with a lease
 // end on the clock of the former one, which it limits to 10 s, and the agent is
 // lost, so that the leader counts a usual lease.
