The directed case of a delayed start detects the mechanism again

Cause: since a session reports silence after an overdue reply, the worker of "a delayed start extends no lease of a later attachment" was unreachable when the start arrived, and its agent had no permission then, so the start was never sent. With WorkerSession::MaySend returning true the case passed on. It did fail with MayExtend without AttachmentHandled, by a renewal after the worker had been attached again, so "detects nothing" was wrong in part.

Change: new times. The start is sent before the leader has handled the report of silence, and arrives after the worker has replied again; it also checks that nothing was started. The order that it still detected, and the same after silence, is a case of its own, "a renewal extends no lease of an unhandled attachment".

Shown to fail (scratch build, `unit_tests -tc="a delayed start*,a renewal extends*"`): with MaySend returning true the first case fails in both checks; with MayExtend without AttachmentHandled the second fails in both checks of both orders; with both off all fail; with neither off all pass.

--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -16,6 +16,7 @@
 
 using lease_bound::AgentNode;
 using lease_bound::LeaseWorld;
+using lease_bound::ModelWorker;
 using lease_bound::WorldOptions;
 using std::chrono::milliseconds;
 
@@ -166,43 +167,101 @@
   CheckNeverLate(outcome);
 }
 
-// Guards against a second run: a start was under way while the worker was
-// reported unreachable and attached again, and its agent is lost before the
-// leader has handled that. The start would extend a lease that the leader no
-// longer counts. The times of this case do not detect that any more, since
-// silence is reported earlier; attachment_test does.
-TEST_CASE("a delayed start extends no lease of a later attachment") {
+/// One worker, which its only agent has reported as silent, and which replies
+/// again while the frames to the leader are delayed. Without random faults.
+struct ReturnedWorker {
+  explicit ReturnedWorker(int tasks) : world(Options(tasks)) {}
+
+  static WorldOptions Options(int tasks) {
+    WorldOptions options;
+    options.faults = false;
+    options.workers = 1;
+    options.agents = 1;
+    options.tasks = tasks;
+    return options;
+  }
+
+  void FallSilent() {
+    worker().cut_off = true;
+    REQUIRE(world.RunUntil("a1 misses w1", milliseconds(1'500)));
+  }
+
+  /// @param report is not handled by the leader.
+  void Reply(const std::string& report) {
+    worker().cut_off = false;
+    agent.to_leader = Milliseconds(1'000);
+    REQUIRE(world.RunUntil(report, milliseconds(300)));
+  }
+
+  /// Loses the agent with all frames under way, until the leader gives up the
+  /// worker.
+  void LoseAgent() {
+    world.Reset(agent, false, true);
+    world.Replace(agent, std::chrono::seconds(10));
+    REQUIRE(world.RunUntil("leader removes w1", std::chrono::seconds(8)));
+  }
+
+  [[nodiscard]] ModelWorker& worker() { return world.worker(VmName("w1")); }
+
   const QuietLog quiet;
-  WorldOptions options;
-  options.faults = false;
-  options.workers = 1;
-  options.agents = 1;
-  options.tasks = 0;
-  LeaseWorld world(options);
+  LeaseWorld world;
   AgentNode& agent = world.agent(0);
-  const VmName vm("w1");
-  world.worker(vm).cut_off = true;
-  agent.to_leader = Milliseconds(600);
-  REQUIRE(world.RunUntil("a1 misses w1", milliseconds(1'500)));
-  agent.to_leader = Milliseconds(5);
+};
+
+struct DelayedStart : ReturnedWorker {
+  DelayedStart() : ReturnedWorker(0) {}
+};
+
+struct DelayedRenewal : ReturnedWorker {
+  DelayedRenewal() : ReturnedWorker(1) {}
+};
+
+// Guards against a second run: a start is under way while the worker is
+// reported silent and replies again, and its agent is lost before the leader
+// has handled the reply. The start would extend a lease that the leader no
+// longer counts. Fails with starts of any attachment sent.
+TEST_CASE_FIXTURE(DelayedStart,
+                  "a delayed start extends no lease of a later attachment") {
+  agent.to_leader = Milliseconds(300);
+  FallSilent();
   // The leader has not heard of the silence yet.
-  world.RunFor(milliseconds(560));
-  agent.to_agent = Milliseconds(1'000);
+  world.RunFor(milliseconds(255));
+  agent.to_agent = Milliseconds(600);
   world.Submit(SubmissionId("00000000000000bb"), 1);
   REQUIRE(world.RunUntil("leader starts", milliseconds(39)));
   // What follows the start on the channel arrives right after it, so that the
   // agent has a permission then.
   agent.to_agent = Milliseconds(5);
-  REQUIRE(world.RunUntil("a1 does not reach w1", milliseconds(1'000)));
-  world.worker(vm).cut_off = false;
-  world.RunFor(milliseconds(10));
-  agent.to_leader = Milliseconds(1'000);
-  REQUIRE(world.RunUntil("a1 attaches w1", milliseconds(300)));
   world.RunFor(milliseconds(300));
-  world.Reset(agent, false, true);
-  world.Replace(agent, std::chrono::seconds(10));
-  REQUIRE(world.RunUntil("leader removes w1", std::chrono::seconds(8)));
+  Reply("a1 hears w1");
+  world.RunFor(milliseconds(250));
+  INFO(world.Trace());
+  CHECK(worker().runs.empty());
+  LoseAgent();
+  CHECK(world.early().empty());
+}
+
+// Guards against the same by a renewal. Fails with leases extended before the
+// leader has handled the attachment.
+TEST_CASE_FIXTURE(DelayedRenewal,
+                  "a renewal extends no lease of an unhandled attachment") {
+  FallSilent();
+  std::string reply;
+  SUBCASE("of a worker that was silent") {
+    world.RunFor(milliseconds(600));
+    reply = "a1 hears w1";
+  }
+  SUBCASE("of a worker that was unreachable") {
+    REQUIRE(world.RunUntil("a1 does not reach w1", milliseconds(1'500)));
+    world.RunFor(milliseconds(10));
+    reply = "a1 attaches w1";
+  }
+  const WorkerTime lease = worker().lease;
+  Reply(reply);
+  world.RunFor(milliseconds(50));
   INFO(world.Trace());
+  CHECK(worker().lease == lease);
+  LoseAgent();
   CHECK(world.early().empty());
 }
 
