Two lease cases of sessions detect their mechanisms

Both passed with the mechanism switched off, since another one covered the order:

- "a silent worker is reported before it is unreachable", refused connections: without EndAttachment on a refused connection the overdue reply (650 ms) still gave the report within the 800 ms of the case.
It is now due within 300 ms.
- "a start that waited beyond the lease is not sent": without ReportWaitingNotSent in ReportUnreachable the start was still dropped by max_start_wait when the worker replied again.
The case now also checks that it is reported as not sent before the worker replies.

Nothing else in the cases changes.

--- a/tests/unit/dispatch/attachment_test.cc
+++ b/tests/unit/dispatch/attachment_test.cc
@@ -77,9 +77,14 @@
 TEST_CASE_FIXTURE(AttachmentFixture,
                   "a silent worker is reported before it is unreachable") {
   RunFor(Milliseconds(1'000));
+  Milliseconds reported_by{800};
   SUBCASE("it does not reply") { link->unresponsive = true; }
-  SUBCASE("it refuses connections") { link->error = Errc::kConnectFailed; }
-  RunFor(Milliseconds(800));
+  SUBCASE("it refuses connections") {
+    link->error = Errc::kConnectFailed;
+    // Before a reply would be overdue.
+    reported_by = Milliseconds(300);
+  }
+  RunFor(reported_by);
   CHECK(Count<WorkerUnreachable>() == 0);
   REQUIRE(NewestLoad() != nullptr);
   CHECK_FALSE(NewestLoad()->responding);
--- a/tests/unit/dispatch/session_lease_test.cc
+++ b/tests/unit/dispatch/session_lease_test.cc
@@ -189,6 +189,8 @@
   session->Start(MakeStart(1));
   RunFor(Milliseconds(9'000));
   REQUIRE(Count<WorkerUnreachable>() == 1);
+  // The leader may place the task elsewhere before the worker replies.
+  CHECK(Count<RunNotStarted>() == 1);
   link->connected = true;
   link->unresponsive = false;
   RunFor(Milliseconds(1'500));
