Agents of a former version in the lease model act like one

Cause: with numbers_attachments off, only the leader of the model took the agents for those of a former version; the agents themselves were of the present one.

--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -170,14 +170,16 @@
 /// One worker, which its only agent has reported as silent, and which replies
 /// again while the frames to the leader are delayed. Without random faults.
 struct ReturnedWorker {
-  explicit ReturnedWorker(int tasks) : world(Options(tasks)) {}
+  explicit ReturnedWorker(int tasks, bool numbers_attachments = true)
+      : world(Options(tasks, numbers_attachments)) {}
 
-  static WorldOptions Options(int tasks) {
+  static WorldOptions Options(int tasks, bool numbers_attachments) {
     WorldOptions options;
     options.faults = false;
     options.workers = 1;
     options.agents = 1;
     options.tasks = tasks;
+    options.numbers_attachments = numbers_attachments;
     return options;
   }
 
@@ -212,6 +214,10 @@
   DelayedStart() : ReturnedWorker(0) {}
 };
 
+struct FormerVersionStart : ReturnedWorker {
+  FormerVersionStart() : ReturnedWorker(0, false) {}
+};
+
 struct DelayedRenewal : ReturnedWorker {
   DelayedRenewal() : ReturnedWorker(1) {}
 };
@@ -241,8 +247,36 @@
   CHECK(world.early().empty());
 }
 
-// Guards against the same by a renewal. Fails with leases extended before the
-// leader has handled the attachment.
+// Guards against a second run: an agent of a former version sends a start under
+// an attachment that the leader has not handled, and is lost. Fails if the
+// leader takes its attachments for numbered ones.
+TEST_CASE_FIXTURE(FormerVersionStart,
+                  "a start that a former version sends is counted") {
+  // In steps, so that the leader does not lose the agent.
+  for (const int delay : {600, 1'000}) {
+    agent.to_leader = Milliseconds(delay);
+    world.RunFor(milliseconds(400));
+  }
+  FallSilent();
+  agent.to_leader = Milliseconds(5);
+  // The leader has not heard of the silence yet.
+  world.RunFor(milliseconds(955));
+  agent.to_agent = Milliseconds(730);
+  world.Submit(SubmissionId("00000000000000bb"), 1);
+  REQUIRE(world.RunUntil("leader starts", milliseconds(39)));
+  agent.to_agent = Milliseconds(5);
+  REQUIRE(world.RunUntil("a1 does not reach w1", milliseconds(1'000)));
+  world.RunFor(milliseconds(10));
+  Reply("a1 attaches w1");
+  world.RunFor(milliseconds(100));
+  INFO(world.Trace());
+  CHECK(worker().runs.size() == 1);
+  LoseAgent();
+  CHECK(world.early().empty());
+}
+
+// Guards against a second run by a renewal under such an attachment. Fails with
+// leases extended before the leader has handled the attachment.
 TEST_CASE_FIXTURE(DelayedRenewal,
                   "a renewal extends no lease of an unhandled attachment") {
   FallSilent();
--- a/tests/unit/dispatch/lease_world.hpp
+++ b/tests/unit/dispatch/lease_world.hpp
@@ -24,7 +24,9 @@
 /// Which faults a world has.
 struct WorldOptions {
   std::uint64_t seed = 1;
-  /// As in the Hello of the agents.
+  /// As in the Hello of the agents. Those that do not are of a former version:
+  /// they send every start, and extend leases at once when a worker replies
+  /// again that they have not reported as unreachable.
   bool numbers_attachments = true;
   /// The leader ends twice, and another one takes over.
   bool changes_leader = false;
@@ -76,6 +78,10 @@
   /// Events of timers while the process was frozen, which it emits when it
   /// resumes.
   std::vector<std::pair<MonotonicTime, AgentEvent>> unsent;
+  /// Of agents of a former version: when each worker was reported as attached,
+  /// and for each time at which one replied again, when it had been attached.
+  std::map<VmName, MonotonicTime> attached_at;
+  std::map<MonotonicTime, MonotonicTime> continued_since;
   base::Timer reconnect_timer;
   base::Timer orphan_timer;
 };
--- a/tests/unit/dispatch/lease_world_channels.cc
+++ b/tests/unit/dispatch/lease_world_channels.cc
@@ -31,6 +31,22 @@
   }
 }
 
+/// Removes what agents of a former version do not report. An attachment of
+/// theirs goes on when the worker replies again.
+void RemoveAttachment(AgentNode& node, AgentEvent& event) {
+  const MonotonicTime now = base::MonotonicNow();
+  if (auto* attached = std::get_if<Attached>(&event.details)) {
+    node.attached_at[event.vm] = now;
+    attached->attachment = AttachmentNumber();
+  } else if (auto* load = std::get_if<WorkerLoad>(&event.details)) {
+    if (load->attachment != AttachmentNumber()) {
+      node.continued_since[now] = node.attached_at[event.vm];
+    }
+    load->attachment = AttachmentNumber();
+    load->lease_left.reset();
+  }
+}
+
 }  // namespace
 
 MonotonicTime LeaseWorld::FrameDelay(const AgentNode& node,
@@ -117,6 +133,8 @@
   node.process = std::make_shared<Process>();
   node.contact.OnLost();
   node.unsent.clear();
+  node.attached_at.clear();
+  node.continued_since.clear();
   node.agent = std::make_unique<Agent>(
       loop_,
       [this, &node](const WorkerInfo& worker) {
@@ -131,7 +149,10 @@
                                         : node.contact.At(base::MonotonicNow());
           },
           [&node](MonotonicTime emitted_at) {
-            return node.contact.HasHandled(emitted_at);
+            const auto former = node.continued_since.find(emitted_at);
+            return node.contact.HasHandled(former == node.continued_since.end()
+                                               ? emitted_at
+                                               : former->second);
           }},
       [](Timing, MonotonicTime) {});
   Connect(node);
@@ -139,6 +160,7 @@
 
 void LeaseWorld::OnEvent(AgentNode& node, AgentEvent event) {
   if (!node.process->alive) return;
+  if (!options_.numbers_attachments) RemoveAttachment(node, event);
   if (node.process->frozen) {
     node.unsent.emplace_back(base::MonotonicNow(), std::move(event));
     return;
