--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -115,7 +115,7 @@
 }
 
 // Guards against a second run (TWICE): the leader gives up a worker while a
-// lease that an agent granted is valid. Seeds 17, 51 and 52 fail with agents
+// lease that an agent granted is valid. Seeds 9, 23 and 37 fail with agents
 // that extend leases before the leader has handled the attachment.
 TEST_CASE("no lease is valid when its worker is given up") {
   CheckNeverEarly(RunSeeds(WorldOptions(), Seeds(kSeeds)));
