--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "app/serve.hpp"
+#include "cli/check_waits.hpp"
 #include "cli/commands.hpp"
 #include "cli/explain_log.hpp"
 #include "cli/load/load.hpp"
@@ -23,6 +24,9 @@
          "(load --help)\n"
          "  explain-log <id>                  show what logs on standard input "
          "contain about a submission\n"
+         "  check-waits <file>...             list submissions that had "
+         "nothing "
+         "running beside free workers\n"
          "  version                           print the version\n";
 }
 
@@ -33,6 +37,9 @@
   if (command == "explain-log" && arguments.size() == 1) {
     return cli::RunExplainLog(arguments[0]);
   }
+  if (command == "check-waits" && !arguments.empty()) {
+    return cli::RunCheckWaits(arguments);
+  }
   if (cli::IsCommand(command)) return cli::RunCommand(command, arguments);
   if (command == "version") {
     std::printf("mangospread %d.%d.%d\n", MANGOSPREAD_VERSION_MAJOR,
--- a/src/app/wait_status.cc
+++ b/src/app/wait_status.cc
@@ -1,5 +1,7 @@
 #include "app/wait_status.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -42,6 +44,20 @@
   }
 }
 
+void AppendIdleCounts(const dispatch::IdleCounts& counts,
+                      std::vector<api::Sample>& samples) {
+  for (std::size_t reason = 0; reason < counts.size(); ++reason) {
+    const std::string name(
+        dispatch::WaitReasonName(static_cast<WaitReason>(reason)));
+    samples.push_back({"idle_submissions",
+                       "Submissions that have nothing running though a step is "
+                       "ready, by what a task of them waits for",
+                       kGauge,
+                       static_cast<double>(counts[reason]),
+                       {{"reason", name}}});
+  }
+}
+
 /// True if a task waits for a worker.
 bool WorkersAreMissing(const WaitCounts& counts) {
   for (std::size_t reason = 0; reason < counts.size(); ++reason) {
@@ -69,7 +85,13 @@
       {"tasks", waiting.tasks},
       {"reason", dispatch::WaitReasonName(waiting.wait.reason)},
       {"waited_ms",
-       std::chrono::duration_cast<Milliseconds>(waiting.wait.waited).count()}};
+       std::chrono::duration_cast<Milliseconds>(waiting.wait.waited).count()},
+      {"running", waiting.runs.running},
+      {"paused", waiting.runs.paused}};
+  if (waiting.capacity) {
+    json["reserved"] = waiting.capacity->reserved;
+    json["fits"] = waiting.capacity->fits;
+  }
   if (!waiting.vm.empty()) {
     json["vm"] = waiting.vm.str();
     json["run"] = waiting.run;
@@ -86,6 +108,41 @@
   return json;
 }
 
+/// Rounds to whole units.
+std::string Rounded(double value) {
+  return std::to_string(std::llround(value));
+}
+
+/// What the submission has running, and how full its service is, as a sentence.
+std::string Summarize(const std::vector<WaitingTasks>& waits) {
+  const WaitingTasks& first = waits.front();
+  const auto& runs = first.runs;
+  std::string text;
+  if (runs.idle) {
+    const auto seconds = std::chrono::duration<double>(*runs.idle).count();
+    text = "For " + Rounded(seconds) +
+           " s nothing of it has been running though a step is ready";
+  } else if (runs.running == 0) {
+    text = "Nothing of it runs, and no step is ready";
+  } else {
+    text = std::to_string(runs.running) + " of its tasks run";
+  }
+  if (runs.paused > 0) text += "; " + std::to_string(runs.paused) + " paused";
+  int fits = 0;
+  for (const WaitingTasks& tasks : waits) {
+    if (!tasks.capacity || WaitsAsPlanned(tasks.wait.reason)) continue;
+    fits = std::max(fits, tasks.capacity->fits);
+  }
+  if (first.capacity) {
+    constexpr double kPercent = 100;
+    text += "; " + Rounded(first.capacity->reserved * kPercent) +
+            "% of the processors of its service are reserved, and a task that "
+            "is ready fits " +
+            std::to_string(fits) + " times, headroom aside";
+  }
+  return text + ".";
+}
+
 net::Response MakeResponse(int status, const nlohmann::json& json) {
   net::Response response;
   response.status = status;
@@ -100,6 +157,7 @@
                        std::vector<api::Sample>& samples) {
   const WaitCounts counts = leader.CountWaiting(now);
   AppendWaitCounts(counts, samples);
+  AppendIdleCounts(leader.idle_counts(), samples);
   dispatch::FreeProcessors free;
   if (WorkersAreMissing(counts)) {
     free = CountFreeProcessors(leader.dispatcher().registry(), now);
@@ -145,12 +203,13 @@
                         {{"error", "no such submission"}});
   }
   nlohmann::json waits = nlohmann::json::array();
-  for (const WaitingTasks& waiting : leader->ExplainWaits(submission)) {
-    waits.push_back(ToJson(waiting));
-  }
-  return MakeResponse(net::status::kOk, {{"submission", id},
-                                         {"state", StateName(*state)},
-                                         {"waits", std::move(waits)}});
+  const auto waiting = leader->ExplainWaits(submission);
+  for (const WaitingTasks& tasks : waiting) waits.push_back(ToJson(tasks));
+  nlohmann::json answer = {{"submission", id},
+                           {"state", StateName(*state)},
+                           {"waits", std::move(waits)}};
+  if (!waiting.empty()) answer["summary"] = Summarize(waiting);
+  return MakeResponse(net::status::kOk, answer);
 }
 
 }  // namespace mangospread::app
--- a/src/cli/explain_log.cc
+++ b/src/cli/explain_log.cc
@@ -3,46 +3,21 @@
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
-#include <iomanip>
 #include <iostream>
-#include <optional>
 #include <sstream>
 #include <vector>
 
 #include "cli/commands.hpp"
+#include "cli/log_records.hpp"
 
 namespace mangospread::cli {
 namespace {
 
-constexpr double kMillisecondsPerSecond = 1'000;
-
 struct TimelineEntry {
   double time_ms = 0;
   std::string text;
 };
 
-/// Value of `key` in a line of key=value fields; empty if the key is absent.
-std::string FieldValue(const std::string& line, const std::string& key) {
-  std::size_t begin = line.find(" " + key + "=");
-  if (begin == std::string::npos) return {};
-  begin += key.size() + 2;
-  return line.substr(begin, line.find(' ', begin) - begin);
-}
-
-/// Unix time in milliseconds of a UTC time like
-/// 2026-12-04T08:30:00.123456+00:00.
-std::optional<double> ParseTime(const std::string& text) {
-  std::tm calendar{};
-  std::istringstream stream(text);
-  stream >> std::get_time(&calendar, "%Y-%m-%dT%H:%M:%S");
-  if (stream.fail()) return std::nullopt;
-  double fraction = 0;
-  stream >> fraction;
-  return (static_cast<double>(timegm(&calendar)) + fraction) *
-         kMillisecondsPerSecond;
-}
-
 /// True if a line is about the submission `id` or one of its tasks.
 bool RefersTo(const std::string& line, std::string_view id) {
   const std::string task = FieldValue(line, "task");
@@ -56,12 +31,9 @@
 std::string ExplainLog(std::istream& lines, std::string_view id) {
   std::vector<TimelineEntry> entries;
   std::string line;
-  while (std::getline(lines, line)) {
-    // Log collectors may prepend fields of their own.
-    const std::size_t record_begin = line.find("time=");
-    if (record_begin == std::string::npos || !RefersTo(line, id)) continue;
-    line = " " + line.substr(record_begin);
-    const auto timestamp_ms = ParseTime(FieldValue(line, "time"));
+  while (ReadLogRecord(lines, line)) {
+    if (!RefersTo(line, id)) continue;
+    const auto timestamp_ms = ParseLogTime(FieldValue(line, "time"));
     const std::size_t name_field = line.find(" name=");
     if (!timestamp_ms || name_field == std::string::npos) continue;
     entries.push_back(
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -164,6 +164,10 @@
   /// all workers of the service.
   void AddRejections(WaitingTasks& waiting, MonotonicTime now) const;
 
+  /// Adds the free capacity of the services. Looks at all workers of a service
+  /// once for each size of task.
+  void AddCapacity(std::vector<WaitingTasks>& waiting, MonotonicTime now) const;
+
   /// Number of start commands issued for a worker so far.
   [[nodiscard]] std::uint64_t StartsIssued(const VmName& vm) const;
   /// Runs that may be on a worker.
@@ -285,6 +289,14 @@
                                          const TaskIndex& index,
                                          WaitReason reason,
                                          MonotonicTime ready_since) const;
+  /// Number of tasks of the step, or of whole gangs, that fit on the workers.
+  [[nodiscard]] int FitsOf(const Entry& entry, const Step& step,
+                           MonotonicTime now) const;
+  /// What the submission has running.
+  /// @param waiting all of its tasks that wait.
+  [[nodiscard]] static SubmissionRuns RunsOf(
+      const Entry& entry, const std::vector<WaitingTasks>& waiting,
+      MonotonicTime now, MonotonicTime restored_at);
   /// Time since which the step's tasks could have been placed.
   [[nodiscard]] static MonotonicTime ReadySince(const Job& job,
                                                 const Step& step);
--- a/src/dispatch/core/dispatcher_waits.cc
+++ b/src/dispatch/core/dispatcher_waits.cc
@@ -1,10 +1,27 @@
 // Which tasks wait, and why.
 #include <algorithm>
+#include <map>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/core/dispatcher.hpp"
 
 namespace mangospread::dispatch {
+namespace {
+
+/// Bounds the count of tasks of a step that fit on one worker.
+constexpr int kMaxFits = 1'000;
+
+/// What the number of tasks of a step that fit depends on, apart from the
+/// service.
+auto SizeOf(const StepSpec& spec) {
+  return std::tuple(spec.cpu.value(), spec.memory.value(),
+                    spec.accelerators.value(), spec.best_effort,
+                    spec.max_per_worker, spec.required_label,
+                    spec.gang ? spec.count : 1);
+}
+
+}  // namespace
 
 MonotonicTime Dispatcher::ReadySince(const Job& job, const Step& step) {
   MonotonicTime since = std::max(job.accepted_at(), step.due);
@@ -110,14 +127,15 @@
   std::vector<WaitingTasks> found;
   VisitWaits(entry, now, restored_at, [&](TaskIndex index, const Wait& wait) {
     // The later steps of a chain and of an occurrence say nothing new.
-    const bool once = wait.reason == WaitReason::kEarlierStep ||
-                      wait.reason == WaitReason::kDueLater;
+    const bool once = WaitsAsPlanned(wait.reason);
     auto same = std::find_if(found.begin(), found.end(),
                              [&](const WaitingTasks& other) {
                                return other.wait.reason == wait.reason &&
                                       (once || other.index.step == index.step);
                              });
     if (same == found.end()) same = found.insert(same, WaitingTasks());
+    same->shortest =
+        same->tasks == 0 ? wait.waited : std::min(same->shortest, wait.waited);
     ++same->tasks;
     if (same->tasks > 1 && wait.waited <= same->wait.waited) return;
     const Step& step = job.steps()[static_cast<std::size_t>(index.step)];
@@ -132,9 +150,38 @@
             ? registry_.workers()[static_cast<std::size_t>(task.worker)].info.vm
             : VmName();
   });
+  const SubmissionRuns runs = RunsOf(entry, found, now, restored_at);
+  for (WaitingTasks& waiting : found) waiting.runs = runs;
   return found;
 }
 
+SubmissionRuns Dispatcher::RunsOf(const Entry& entry,
+                                  const std::vector<WaitingTasks>& waiting,
+                                  MonotonicTime now,
+                                  MonotonicTime restored_at) {
+  SubmissionRuns runs;
+  const Job& job = *entry.job;
+  for (const Step& step : job.steps()) runs.running += step.unfinished;
+  MonotonicTime idle = MonotonicTime::max();
+  for (const WaitingTasks& tasks : waiting) {
+    runs.running -= tasks.tasks;
+    if (tasks.wait.reason == WaitReason::kPaused) runs.paused += tasks.tasks;
+    if (WaitsAsPlanned(tasks.wait.reason)) continue;
+    // Tasks that ran until recently have waited for a shorter time than others.
+    idle = std::min(idle, tasks.shortest);
+  }
+  if (runs.running > 0 || idle == MonotonicTime::max()) return runs;
+  MonotonicTime last_end = entry.restored ? restored_at : job.accepted_at();
+  for (const Step& step : job.steps()) {
+    for (const Task& task : step.tasks) {
+      if (task.phase != TaskPhase::kDone) continue;
+      last_end = std::max(last_end, task.since);
+    }
+  }
+  runs.idle = std::min(idle, now - last_end);
+  return runs;
+}
+
 std::vector<WaitingTasks> Dispatcher::Waiting(MonotonicTime now,
                                               MonotonicTime restored_at) const {
   std::vector<WaitingTasks> all;
@@ -173,4 +220,41 @@
       CountRejections(registry_, it->second.job->policy().service, placer);
 }
 
+int Dispatcher::FitsOf(const Entry& entry, const Step& step,
+                       MonotonicTime now) const {
+  int fits = 0;
+  for (const WorkerSlot slot : registry_.SlotsOf(entry.job->policy().service)) {
+    const WorkerState& worker =
+        registry_.workers()[static_cast<std::size_t>(slot)];
+    if (!worker.CanStart(now)) continue;
+    if (LabelRejection(worker, step.spec) != Rejection::kNone) continue;
+    fits += FitCount(worker, step.spec, kMaxFits);
+  }
+  return step.spec.gang ? fits / std::max(1, step.spec.count) : fits;
+}
+
+void Dispatcher::AddCapacity(std::vector<WaitingTasks>& waiting,
+                             MonotonicTime now) const {
+  using Size = decltype(SizeOf(StepSpec()));
+  std::map<ServiceName, double> reserved;
+  std::map<std::pair<ServiceName, Size>, int> fits;
+  for (WaitingTasks& tasks : waiting) {
+    const auto entry = entries_.find(tasks.task.submission);
+    if (entry == entries_.end()) continue;
+    const Job& job = *entry->second.job;
+    const ServiceName& service = job.policy().service;
+    const Step& step = job.steps()[static_cast<std::size_t>(tasks.index.step)];
+    auto share = reserved.find(service);
+    if (share == reserved.end()) {
+      share = reserved.emplace(service, 1 - FreeShare(service, now)).first;
+    }
+    const std::pair size(service, SizeOf(step.spec));
+    auto count = fits.find(size);
+    if (count == fits.end()) {
+      count = fits.emplace(size, FitsOf(entry->second, step, now)).first;
+    }
+    tasks.capacity = FreeCapacity{share->second, count->second};
+  }
+}
+
 }  // namespace mangospread::dispatch
--- a/src/dispatch/core/waiting.hpp
+++ b/src/dispatch/core/waiting.hpp
@@ -46,6 +46,18 @@
   return reason >= WaitReason::kNoRoom && reason <= WaitReason::kNotTried;
 }
 
+/// True if the task waits as its submission demands: its step is not ready.
+[[nodiscard]] constexpr bool WaitsAsPlanned(WaitReason reason) noexcept {
+  return reason == WaitReason::kEarlierStep || reason == WaitReason::kDueLater;
+}
+
+/// True if a process may be running the task although the leader does not know
+/// of one that does.
+[[nodiscard]] constexpr bool MayHaveProcess(WaitReason reason) noexcept {
+  return reason == WaitReason::kRunUnconfirmed ||
+         reason == WaitReason::kWorkerSilent || reason == WaitReason::kStopping;
+}
+
 /// One task that waits.
 struct Wait {
   WaitReason reason = WaitReason::kNotTried;
@@ -60,13 +72,38 @@
   std::string_view evidence;  ///< What shows that it may last until then.
 };
 
+/// What a submission has running while tasks of it wait.
+struct SubmissionRuns {
+  int running = 0;  ///< Tasks that run, without the paused ones.
+  int paused = 0;   ///< Best-effort tasks at speed 0.
+  /// If none runs though a step is ready, for how long; counted from the
+  /// takeover if that is later.
+  std::optional<MonotonicTime> idle;
+};
+
+/// Free capacity of a service for the tasks of a step.
+struct FreeCapacity {
+  /// Share, 0 to 1, of the processors of the service's workers that accept
+  /// starts which tasks that are not best effort have reserved; 1 if no worker
+  /// accepts any.
+  double reserved = 0;
+  /// Number of tasks like those of the step, or of whole gangs, for which the
+  /// workers have processors, memory and accelerators. Headroom and earlier
+  /// failures on a worker do not count.
+  int fits = 0;
+};
+
 /// The tasks of a step that wait for the same reason.
 struct WaitingTasks {
   TaskName task;  ///< The one that has waited longest.
   TaskIndex index;
   bool long_running = false;
   int tasks = 0;
-  Wait wait;  ///< Of `task`.
+  Wait wait;                  ///< Of `task`.
+  MonotonicTime shortest{0};  ///< Shortest wait of the tasks.
+  SubmissionRuns runs;        ///< Of the submission.
+  /// Only where it was asked for.
+  std::optional<FreeCapacity> capacity;
   /// Where `task` is placed; empty if it is not.
   VmName vm;
   std::uint32_t run = 0;  ///< Of `task`; 0 before the first.
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -18,6 +18,7 @@
 #include "dispatch/leader/agent_register.hpp"
 #include "dispatch/leader/former_leaders.hpp"
 #include "dispatch/leader/group_leader_options.hpp"
+#include "dispatch/leader/idle_submissions.hpp"
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/leader/lease_bound.hpp"
@@ -133,6 +134,11 @@
   [[nodiscard]] WaitCounts CountWaiting(MonotonicTime now) const {
     return dispatcher_->CountWaiting(now, started_at_);
   }
+  /// Number of submissions that have nothing running though a step is ready, by
+  /// reason, as of the last check.
+  [[nodiscard]] const IdleCounts& idle_counts() const noexcept {
+    return idle_submissions_.counts();
+  }
   [[nodiscard]] const table::WriterCounters& writes() const noexcept {
     return writer_.counters();
   }
@@ -383,7 +389,11 @@
   // Waiting tasks (group_leader_waits.cc).
   /// Logs tasks that have waited long, and why.
   void LogWaits(MonotonicTime now);
-  void LogWait(const WaitingTasks& waiting, std::size_t left_out) const;
+  /// Finds the submissions that have nothing running. Logs those that could.
+  void LogIdle(const std::vector<WaitingTasks>& waiting, MonotonicTime now);
+  /// @param cause why the line is due: "waits" or "idle".
+  void LogWait(const WaitingTasks& waiting, std::string_view cause,
+               std::size_t left_out) const;
   void AddLease(WaitingTasks& waiting) const;
 
   GroupLeaderDependencies deps_;
@@ -397,6 +407,7 @@
   MonotonicTime loaded_at_{0};
   MonotonicTime agent_lost_at_{0};  ///< Time of the last loss of an agent.
   WaitLog wait_log_;
+  IdleSubmissions idle_submissions_;
   MonotonicTime waits_checked_at_{0};
   std::uint64_t assignments_issued_ = 0;
 
--- a/src/dispatch/leader/group_leader_waits.cc
+++ b/src/dispatch/leader/group_leader_waits.cc
@@ -1,4 +1,6 @@
 // Log lines of the tasks that wait.
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -14,7 +16,8 @@
 using std::chrono::milliseconds;
 
 /// All tasks are looked at for the lines, so not at every tick.
-constexpr MonotonicTime kWaitCheckPeriod = std::chrono::seconds(1);
+/// With a tick on top, the lines of an idle submission are less than 1 s apart.
+constexpr MonotonicTime kWaitCheckPeriod = std::chrono::milliseconds(700);
 /// Bounds the processor time for an answer: the counts of further steps are
 /// left out.
 constexpr int kMaxCountedSteps = 20;
@@ -36,12 +39,32 @@
 void GroupLeader::LogWaits(MonotonicTime now) {
   if (now - waits_checked_at_ < kWaitCheckPeriod) return;
   waits_checked_at_ = now;
-  WaitLog::Lines lines =
-      wait_log_.Take(dispatcher_->Waiting(now, started_at_), now);
+  std::vector<WaitingTasks> all = dispatcher_->Waiting(now, started_at_);
+  LogIdle(all, now);
+  WaitLog::Lines lines = wait_log_.Take(std::move(all), now);
+  dispatcher_->AddCapacity(lines.due, now);
   for (WaitingTasks& waiting : lines.due) {
     dispatcher_->AddRejections(waiting, now);
     AddLease(waiting);
-    LogWait(waiting, lines.left_out);
+    LogWait(waiting, "waits", lines.left_out);
+  }
+}
+
+void GroupLeader::LogIdle(const std::vector<WaitingTasks>& waiting,
+                          MonotonicTime now) {
+  std::vector<WaitingTasks> idle;
+  std::copy_if(waiting.begin(), waiting.end(), std::back_inserter(idle),
+               [](const WaitingTasks& tasks) {
+                 return tasks.runs.idle && !WaitsAsPlanned(tasks.wait.reason);
+               });
+  dispatcher_->AddCapacity(idle, now);
+  const IdleSubmissions::Lines lines =
+      idle_submissions_.Update(std::move(idle), now);
+  for (const MonotonicTime duration : lines.ended) {
+    deps_.observe(Timing::kIdle, duration);
+  }
+  for (const WaitingTasks& tasks : lines.due) {
+    LogWait(tasks, "idle", lines.left_out);
   }
 }
 
@@ -56,7 +79,7 @@
       LeaseWait{LeaseLeft(entry), LeaseEvidenceName(entry.lease.raised_by())};
 }
 
-void GroupLeader::LogWait(const WaitingTasks& waiting,
+void GroupLeader::LogWait(const WaitingTasks& waiting, std::string_view cause,
                           std::size_t left_out) const {
   const std::string task = ToString(waiting.task);
   const std::string workers =
@@ -67,6 +90,12 @@
       waiting.lease ? std::to_string(waiting.lease->left.count()) : "";
   const std::string_view evidence =
       waiting.lease ? waiting.lease->evidence : "";
+  const std::string idle =
+      waiting.runs.idle
+          ? std::to_string(
+                duration_cast<milliseconds>(*waiting.runs.idle).count())
+          : "";
+  const FreeCapacity capacity = waiting.capacity.value_or(FreeCapacity());
   base::Log(
       base::Event::kTaskWaits,
       {{"request", waiting.task.submission.str()},
@@ -75,6 +104,11 @@
        {"reason", WaitReasonName(waiting.wait.reason)},
        {"waited_ms", duration_cast<milliseconds>(waiting.wait.waited).count()},
        {"long_running", waiting.long_running},
+       {"running", waiting.runs.running},
+       {"paused", waiting.runs.paused},
+       {"idle_ms", idle},
+       {"reserved", capacity.reserved},
+       {"fits", capacity.fits},
        {"vm", waiting.vm.str()},
        {"run", waiting.run},
        {"lease_left_ms", lease_left},
@@ -82,6 +116,7 @@
        {"workers", workers},
        {"beside", image},
        {"confirmed", deps_.confirmed()},
+       {"cause", cause},
        {"left_out", left_out}});
 }
 
@@ -90,6 +125,7 @@
   const MonotonicTime now = base::MonotonicNow();
   std::vector<WaitingTasks> waiting =
       dispatcher_->Waiting(id, now, started_at_);
+  dispatcher_->AddCapacity(waiting, now);
   int counted = 0;
   for (WaitingTasks& tasks : waiting) {
     AddLease(tasks);
--- a/src/dispatch/leader/wait_log.cc
+++ b/src/dispatch/leader/wait_log.cc
@@ -8,15 +8,9 @@
 namespace mangospread::dispatch {
 namespace {
 
-/// True if the tasks wait as their submission demands.
-bool WaitsAsPlanned(const WaitingTasks& waiting) {
-  return waiting.wait.reason == WaitReason::kEarlierStep ||
-         waiting.wait.reason == WaitReason::kDueLater;
-}
-
 /// Lower goes first.
 int Rank(const WaitingTasks& waiting) {
-  if (WaitsAsPlanned(waiting)) return 2;
+  if (WaitsAsPlanned(waiting.wait.reason)) return 2;
   return waiting.long_running ? 0 : 1;
 }
 
@@ -24,7 +18,7 @@
 
 WaitLog::Key WaitLog::KeyOf(const WaitingTasks& waiting) {
   // These name the first step that waits, which changes as steps end.
-  const int step = WaitsAsPlanned(waiting) ? 0 : waiting.index.step;
+  const int step = WaitsAsPlanned(waiting.wait.reason) ? 0 : waiting.index.step;
   return {waiting.task.submission, step, waiting.wait.reason};
 }
 
--- a/src/dispatch/metrics/timings.cc
+++ b/src/dispatch/metrics/timings.cc
@@ -23,6 +23,9 @@
      "Leadership won to restored work going on"},
     {"mangospread_lease_expired_seconds",
      "Last contact with a worker to its removal at the end of its lease"},
+    {"mangospread_submission_idle_seconds",
+     "Time during which a submission had nothing running though a step was "
+     "ready"},
 }};
 
 /// Upper bounds in seconds.
--- a/src/dispatch/metrics/timings.hpp
+++ b/src/dispatch/metrics/timings.hpp
@@ -27,8 +27,11 @@
   kTakeover,   ///< Election to the resumption of restored work.
   /// Last contact with a worker to its removal at the end of its lease.
   kWorkerRemoved,
+  /// Time during which a submission has nothing running though a step is
+  /// ready. Shorter times than the leader's period of checks may be missing.
+  kIdle,
 };
-inline constexpr std::size_t kTimingCount = 6;
+inline constexpr std::size_t kTimingCount = 7;
 
 using ObserveTiming = std::function<void(Timing, MonotonicTime)>;
 
--- a/src/dispatch/policy/rejections.cc
+++ b/src/dispatch/policy/rejections.cc
@@ -92,6 +92,28 @@
   return has_processors ? Rejection::kNone : Rejection::kProcessors;
 }
 
+int FitCount(const WorkerState& worker, const StepSpec& spec,
+             int most) noexcept {
+  const auto bound = [&most](double free, double needed) {
+    if (needed <= 0) return;
+    most = std::min(most, static_cast<int>(std::max(0.0, free) / needed));
+  };
+  const WorkerCapacity& capacity = worker.info.capacity;
+  const auto difference = [](auto total, auto used) {
+    return static_cast<double>(total.value()) -
+           static_cast<double>(used.value());
+  };
+  if (spec.max_per_worker > 0) most = std::min(most, spec.max_per_worker);
+  bound(spec.best_effort ? UnusedMillicores(worker)
+                         : difference(capacity.cpu, worker.cpu_used),
+        static_cast<double>(spec.cpu.value()));
+  bound(difference(capacity.memory, worker.memory_used),
+        static_cast<double>(spec.memory.value()));
+  bound(difference(capacity.accelerators, worker.accelerators_used),
+        static_cast<double>(spec.accelerators.value()));
+  return std::max(0, most);
+}
+
 Rejections CountRejections(const WorkerRegistry& registry,
                            const ServiceName& service, StepPlacer& placer) {
   Rejections rejections;
--- a/src/dispatch/policy/rejections.hpp
+++ b/src/dispatch/policy/rejections.hpp
@@ -46,6 +46,10 @@
 /// Whether a task of the step fits into the worker's free capacity.
 [[nodiscard]] Rejection FitRejection(const WorkerState& worker,
                                      const StepSpec& spec) noexcept;
+/// Number of tasks of the step, run at the same time, that fit into the
+/// worker's free capacity; at most `most`.
+[[nodiscard]] int FitCount(const WorkerState& worker, const StepSpec& spec,
+                           int most) noexcept;
 /// Processor time available to further best-effort tasks, in millicores.
 [[nodiscard]] double UnusedMillicores(const WorkerState& worker) noexcept;
 
--- a/tests/unit/dispatch/figures_test.cc
+++ b/tests/unit/dispatch/figures_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "app/wait_status.hpp"
 #include "net/http_status.hpp"
 #include "unit/dispatch/leader_fixture.hpp"
@@ -70,8 +72,18 @@
   CHECK(counts[reason] == std::array<int, kWaitAgeCount>{0, 1, 0, 0});
   std::vector<api::Sample> samples;
   app::AppendWaitSamples(*leader, base::MonotonicNow(), samples);
-  CHECK(samples.size() ==
-        kWaitReasonCount * kWaitAgeCount + 2 + kEffectBuckets);
+  CHECK(samples.size() == kWaitReasonCount * kWaitAgeCount + kWaitReasonCount +
+                              2 + kEffectBuckets);
+  const auto idle =
+      std::find_if(samples.begin(), samples.end(), [](const auto& sample) {
+        return sample.name == "idle_submissions" && sample.value > 0;
+      });
+  REQUIRE(idle != samples.end());
+  CHECK(idle->labels == decltype(idle->labels){{"reason", "no_usable_worker"}});
+  CHECK(answer.body.str().find(
+            "s nothing of it has been running though a step is ready; 100% of "
+            "the processors of its service are reserved, and a task that is "
+            "ready fits 0 times, headroom aside.") != std::string::npos);
 }
 
 // Guards against a follower that denies a submission instead of naming the
--- a/tests/unit/dispatch/latency_target_test.cc
+++ b/tests/unit/dispatch/latency_target_test.cc
@@ -84,6 +84,20 @@
   CHECK(TimeUntilPaused(tails_ms) < kMaxTimeUntilPaused);
 }
 
+// Guards against a submission that counts as running although its only task
+// stands still.
+TEST_CASE_FIXTURE(WronglyNeutralFixture,
+                  "a submission of which all is paused is idle") {
+  REQUIRE(TimeUntilPaused({60}) < kMaxTimeUntilPaused);
+  now += std::chrono::seconds(2);
+  const auto waiting = dispatcher.Waiting(now, MonotonicTime(0));
+  REQUIRE(waiting.size() == 1);
+  CHECK(waiting[0].wait.reason == WaitReason::kPaused);
+  CHECK(waiting[0].runs.paused == 1);
+  CHECK(waiting[0].runs.running == 0);
+  CHECK(waiting[0].runs.idle == waiting[0].wait.waited);
+}
+
 // Guards against a best-effort task that stays paused for ever, since the task
 // for which it was paused has ended.
 TEST_CASE_FIXTURE(WronglyNeutralFixture,
