--- a/src/cli/check_waits.cc
+++ b/src/cli/check_waits.cc
@@ -36,7 +36,8 @@
   double reserved = 0;
   int fits = 0;
   bool confirmed = true;
-  std::size_t left_out = 0;  ///< Lines about idle submissions.
+  bool idle_line = false;    ///< One of those about idle submissions.
+  std::size_t left_out = 0;  ///< Of those.
 };
 
 int ToInt(const std::string& text) {
@@ -61,7 +62,8 @@
   line.reserved = ToDouble(FieldValue(record, "reserved"));
   line.fits = ToInt(FieldValue(record, "fits"));
   line.confirmed = FieldValue(record, "confirmed") != "0";
-  if (FieldValue(record, "cause") == "idle") {
+  line.idle_line = FieldValue(record, "cause") == "idle";
+  if (line.idle_line) {
     line.left_out =
         static_cast<std::size_t>(ToInt(FieldValue(record, "left_out")));
   }
@@ -90,6 +92,8 @@
       End();
     } else if (!SaysNothing(line) && line.fits >= kMinFits) {
       Continue(line);
+    } else if (line.idle_line) {
+      End();  // The leader shows the tasks of the submission that could run.
     }
     last_line_ms_ = line.time_ms;
   }
@@ -109,6 +113,9 @@
     const double since =
         next_leader ? line.time_ms - *line.idle_ms : line.time_ms;
     if (span_ && since - span_->end_ms > kMaxGapMs) End();
+    // It ran between two lines of the same leader.
+    const double begin_ms = line.time_ms - *line.idle_ms;
+    if (span_ && !next_leader && begin_ms > span_->end_ms) End();
     if (!span_) Begin(line);
     last_node_ = line.node;
     span_->end_ms = line.time_ms;
--- a/src/dispatch/leader/idle_submissions.cc
+++ b/src/dispatch/leader/idle_submissions.cc
@@ -52,28 +52,47 @@
   return ended;
 }
 
+void IdleSubmissions::AddNew(std::vector<WaitingTasks>& idle, MonotonicTime now,
+                             std::vector<MonotonicTime>& ended) {
+  for (WaitingTasks& tasks : idle) {
+    const MonotonicTime begin = std::max(now - *tasks.runs.idle, last_check_);
+    auto [it, added] = idle_since_.emplace(tasks.task.submission, begin);
+    if (!added && begin > last_check_) {
+      // It ran since the last check.
+      ended.push_back(begin - it->second);
+      it->second = begin;
+    }
+    tasks.runs.idle = now - it->second;
+  }
+}
+
 IdleSubmissions::Lines IdleSubmissions::Update(std::vector<WaitingTasks> idle,
                                                MonotonicTime now) {
   Lines lines;
   lines.due = OneEach(std::move(idle));
   lines.ended = RemoveEnded(lines.due, now);
+  AddNew(lines.due, now, lines.ended);
+  last_check_ = now;
   counts_ = {};
   for (const WaitingTasks& tasks : lines.due) {
     ++counts_[static_cast<std::size_t>(tasks.wait.reason)];
-    idle_since_.emplace(tasks.task.submission, now - *tasks.runs.idle);
   }
-  std::erase_if(lines.due, [](const WaitingTasks& tasks) {
+  std::erase_if(lines.due, [this](const WaitingTasks& tasks) {
+    if (logged_.contains(tasks.task.submission)) return false;
     return *tasks.runs.idle < kFirstLine || !CouldRun(tasks);
   });
   std::stable_sort(lines.due.begin(), lines.due.end(),
-                   [&](const WaitingTasks& a, const WaitingTasks& b) {
-                     return idle_since_.at(a.task.submission) <
-                            idle_since_.at(b.task.submission);
+                   [](const WaitingTasks& a, const WaitingTasks& b) {
+                     return *a.runs.idle > *b.runs.idle;
                    });
   if (lines.due.size() > kMaxLines) {
     lines.left_out = lines.due.size() - kMaxLines;
     lines.due.erase(lines.due.begin() + kMaxLines, lines.due.end());
   }
+  logged_.clear();
+  for (const WaitingTasks& tasks : lines.due) {
+    if (CouldRun(tasks)) logged_.insert(tasks.task.submission);
+  }
   return lines;
 }
 
--- a/tests/unit/check_waits_test.cc
+++ b/tests/unit/check_waits_test.cc
@@ -86,6 +86,11 @@
   Line large;
   large.fits = 1;
   CHECK(Check(Idle(0, 50, large)).spans.empty());
+  large.second = 12.4;
+  large.idle_ms = 2'400;
+  CHECK(Check(Idle(10, 12.3) + large.Text() +
+              Idle(10, 14.6).substr(Idle(10, 12.9).size()))
+            .spans.empty());
   Line not_ready;
   not_ready.reason = "due_later";
   CHECK(Check(Idle(0, 50, not_ready)).spans.empty());
@@ -102,6 +107,14 @@
   CHECK(Check(Idle(10, 12.3) + runs.Text() + Idle(12.5, 14.6)).spans.empty());
 }
 
+// Guards against two waits that count as one since a run between them was
+// shorter than the time between two lines.
+TEST_CASE("check-waits notices a run between two lines") {
+  const std::string before = Idle(10, 12.3);  // The last line is at 12.0.
+  CHECK(Check(before + Idle(12.2, 14.9)).spans.empty());
+  CHECK(Check(before + Idle(11.9, 14.9)).spans.size() == 1);
+}
+
 // Guards against a wait that counts from before there was room: only the time
 // since the first line is known to be without a reason.
 TEST_CASE("check-waits counts from the time at which the tasks fit") {
--- a/tests/unit/dispatch/idle_submissions_test.cc
+++ b/tests/unit/dispatch/idle_submissions_test.cc
@@ -126,14 +126,15 @@
   }
   WaitingTasks full = MakeIdle("a", seconds(20));
   full.capacity->reserved = 0.5;
-  CHECK(idle.Update({full}, seconds(120)).due.empty());
-  WaitingTasks large = MakeIdle("a", seconds(21));
+  CHECK(idle.Update({full}, seconds(120)).due.size() == 1);  // The last line.
+  CHECK(idle.Update({full}, seconds(121)).due.empty());
+  WaitingTasks large = MakeIdle("a", seconds(22));
   large.capacity->fits = 1;
-  CHECK(idle.Update({large}, seconds(121)).due.empty());
+  CHECK(idle.Update({large}, seconds(122)).due.empty());
   for (const WaitReason reason :
        {WaitReason::kWorkerSilent, WaitReason::kRunUnconfirmed,
         WaitReason::kStopping, WaitReason::kTakeover}) {
-    CHECK(idle.Update({MakeIdle("a", seconds(22), reason)}, seconds(122))
+    CHECK(idle.Update({MakeIdle("a", seconds(23), reason)}, seconds(123))
               .due.empty());
     CHECK(CountOf(idle, reason) == 1);
   }
@@ -159,14 +160,14 @@
   IdleSubmissions idle;
   for (int second = 2; second < 8; ++second) {
     std::vector<WaitingTasks> waiting;
-    for (int i = 0; i < 200; ++i) {
+    for (int i = 0; i < 300; ++i) {
       waiting.push_back(
           MakeIdle("s" + std::to_string(i), seconds(second) + milliseconds(i)));
     }
     const auto lines = idle.Update(std::move(waiting), seconds(100 + second));
     REQUIRE(lines.due.size() == IdleSubmissions::kMaxLines);
-    CHECK(lines.left_out == 200 - IdleSubmissions::kMaxLines);
-    CHECK(lines.due[0].task.submission == SubmissionId("s199"));
+    CHECK(lines.left_out == 300 - IdleSubmissions::kMaxLines);
+    CHECK(lines.due[0].task.submission == SubmissionId("s299"));
   }
 }
 
@@ -175,7 +176,7 @@
 TEST_CASE("the time of an idle submission is measured once, at its end") {
   IdleSubmissions idle;
   CHECK(idle.Update({MakeIdle("a", seconds(1))}, seconds(101)).ended.empty());
-  CHECK(idle.Update({MakeIdle("a", seconds(1), WaitReason::kStartUnconfirmed)},
+  CHECK(idle.Update({MakeIdle("a", seconds(4), WaitReason::kNotTried)},
                     seconds(104))
             .ended.empty());
   CHECK(idle.Update({}, seconds(105)).ended ==
@@ -183,6 +184,21 @@
   CHECK(idle.Update({}, seconds(106)).ended.empty());
 }
 
+// Guards against a time that includes one in which a task of the submission
+// ran: a paused task counts from before, if it was heavily throttled then.
+TEST_CASE("a submission that ran at the last check is idle since then") {
+  IdleSubmissions idle;
+  CHECK(idle.Update({}, seconds(100)).due.empty());
+  const auto paused = MakeIdle("a", seconds(9), WaitReason::kPaused);
+  auto lines = idle.Update({paused}, seconds(102));
+  REQUIRE(lines.due.size() == 1);
+  CHECK(lines.due[0].runs.idle == seconds(2));
+  lines = idle.Update({MakeIdle("a", milliseconds(500))}, seconds(103));
+  CHECK(lines.ended == std::vector<MonotonicTime>{milliseconds(2'500)});
+  REQUIRE(lines.due.size() == 1);
+  CHECK(lines.due[0].runs.idle == milliseconds(500));
+}
+
 /// The log lines that are written while it exists.
 class CapturedLog {
  public:
