--- a/src/cli/check_waits.cc
+++ b/src/cli/check_waits.cc
@@ -87,12 +87,13 @@
 
   void Add(const WaitLine& line) {
     const bool none_runs = line.running == 0 && line.idle_ms;
+    const bool judged = !SaysNothing(line);
     if (line.running > 0 ||
-        (!SaysNothing(line) && (!none_runs || line.reserved >= kMaxReserved))) {
+        (judged && (!none_runs || line.reserved >= kMaxReserved))) {
       End();
-    } else if (!SaysNothing(line) && line.fits >= kMinFits) {
+    } else if (judged && line.fits >= kMinFits) {
       Continue(line);
-    } else if (line.idle_line) {
+    } else if (judged && line.idle_line) {
       End();  // The leader shows the tasks of the submission that could run.
     }
     last_line_ms_ = line.time_ms;
--- a/tests/unit/check_waits_test.cc
+++ b/tests/unit/check_waits_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+#include <cstdio>
 #include <fstream>
 #include <iomanip>
 #include <sstream>
@@ -45,7 +47,7 @@
   for (double second = from + 1.2; second <= until; second += 0.8) {
     Line line = like;
     line.second = second;
-    line.idle_ms = static_cast<int>((second - from) * 1'000);
+    line.idle_ms = static_cast<int>(std::lround((second - from) * 1'000));
     text += line.Text();
   }
   return text;
