--- a/tests/unit/dispatch/idle_submissions_test.cc
+++ b/tests/unit/dispatch/idle_submissions_test.cc
@@ -96,6 +96,7 @@
   CHECK(waiting[0].capacity->fits == 2);
 }
 
+// Guards against room that is counted by processors alone.
 TEST_CASE("the count of tasks that fit regards all resources and limits") {
   WorkerState worker;
   worker.info.capacity.cpu = Millicores(8'000);
