--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -144,11 +144,12 @@
 }
 
 // Guards against a second run after a takeover, in the orders that broke the
-// property: the only agent that knows a worker's lease ends with the leader,
-// its next process connects, and another agent reports an outdated session
-// (1134, 1707, 1742); an outdated run that is reported first hides a newer run
-// of its task (2736). The others are those of 50001 to 70000 that fail on
-// 5c71c27.
+// property. An agent reports an outdated session, and the only agent that knows
+// the worker's lease has ended, and its next process connects (1134, 1707,
+// 1742, 50304, 63484, 65776, 68138, 69999), is connected but has not reported
+// yet (56140, 66304), or has ended its session since the worker was assigned to
+// another one, which never heard of it (56686, 65368). An outdated run that is
+// reported first hides a newer run of its task (2736, 59312, 61210).
 TEST_CASE("no lease is valid in the takeovers that were seen to fail") {
   WorldOptions options;
   options.changes_leader = true;
--- a/tests/unit/dispatch/takeover_reports_test.cc
+++ b/tests/unit/dispatch/takeover_reports_test.cc
@@ -110,6 +110,30 @@
   order.CheckNothingEarly();
 }
 
+// Guards against a second run: the leader knows nothing of a lease that an
+// agent granted in a session which the former leader has released, while the
+// next agent never read its assignment (seeds 56686 and 65368 of the changes of
+// the leader).
+TEST_CASE("the lease of a released session counts after a takeover") {
+  OutdatedSession order(3);
+  LeaseWorld& world = order.world;
+  REQUIRE_FALSE(world.worker(order.vm).runs.empty());
+  // The agent has extended the lease meanwhile.
+  world.RunFor(milliseconds(1'000));
+  world.agent(0).to_agent = Milliseconds(1'000);
+  world.Reset(*order.present, true, true);
+  const std::string report =
+      order.present->id.str() + " reports " + order.vm.str();
+  REQUIRE(world.RunUntil(report, milliseconds(300)));
+  REQUIRE(world.AssignedAgent(order.vm) == &world.agent(0));
+  world.RunFor(milliseconds(20));
+  REQUIRE(order.present->agent->CollectRuns().empty());
+  world.Gone(order.vm);
+  world.ChangeLeader(milliseconds(300));
+  world.agent(0).to_agent = Milliseconds(5);
+  order.CheckNothingEarly();
+}
+
 // Guards against a second run: the new process executes a command with a lease
 // end on the clock of the former one, which it limits to 10 s, and the agent is
 // lost, so that the leader counts a usual lease.
