A starved submission starts or resumes slowly beside a half-empty service

Cause: a best-effort task without headroom could start slowly only in a submission of 10 s and more, only if no task of its step was placed, then possibly paused; and a paused task resumed only with headroom, however empty the service was.

A submission of which nothing has run for 2 s, while under 55% of the service's processors are reserved, resumes a paused task (or gang) at 10%, or starts one at 10% or more. The next load report with an excess pauses it again.

--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -190,6 +190,12 @@
     std::uint64_t saved_generation = 0;
     SubmissionState visible_state = SubmissionState::kQueued;
     bool restored = false;  ///< Read from the store; its tasks wait for Resume.
+    /// Time since which none of its tasks runs, paused ones not counted; 0
+    /// while one does.
+    MonotonicTime idle_since{0};
+    /// It has been idle for too long beside a half-empty service, and nothing
+    /// of it is being started.
+    bool starved = false;
   };
   struct Candidate;
   /// A task together with its submission's entry.
@@ -289,6 +295,22 @@
   [[nodiscard]] static MonotonicTime ReadySince(const Job& job,
                                                 const Step& step);
 
+  // Idle submissions (dispatcher_idle.cc).
+  /// Finds the submissions that are starved.
+  void UpdateIdle(MonotonicTime now);
+  enum class Activity : unsigned char { kNone, kStarting, kRunning };
+  /// The furthest that a task of the submission has got on a worker that
+  /// responds; a paused task is not counted.
+  [[nodiscard]] Activity ActivityOf(const Entry& entry) const;
+  /// True if little of the service's processors is reserved.
+  [[nodiscard]] bool IsHalfEmpty(const ServiceName& service) const;
+  /// Resumes one paused task, or gang, of each starved submission at a low
+  /// speed. The next load report that shows an excess pauses it again.
+  void ResumePaused(MonotonicTime now);
+  /// The paused tasks of a step, those of a gang or the one that takes the
+  /// smallest share of the headroom beside it.
+  [[nodiscard]] std::vector<TaskIndex> PausedTasks(const Entry& entry) const;
+
   // Decisions (dispatcher_decisions.cc).
   /// True if tasks without a known run may have lost one.
   [[nodiscard]] bool MayHaveRun(const Entry& entry) const noexcept {
@@ -323,15 +345,16 @@
   /// Places pending tasks that may crash their workers, each apart from other
   /// starts.
   void PlaceSuspected(const Candidate& candidate, MonotonicTime now);
-  /// True if the task is best effort, of an old submission, and no task of its
-  /// step runs. Then it starts at whatever speed the headroom allows, so that
-  /// what the model has learned never keeps a submission from making progress.
-  [[nodiscard]] static bool MayStartSlowly(const Job& job, const Step& step,
+  /// True if the task is best effort, of a starved or old submission, and no
+  /// task of its step is placed. Then it starts at whatever speed the headroom
+  /// allows, so that what the model has learned never keeps a submission from
+  /// making progress.
+  [[nodiscard]] static bool MayStartSlowly(const Entry& entry, const Step& step,
                                            const Task& task, MonotonicTime now);
   /// Index of a task of the step that MayStartSlowly and does not need a start
   /// apart from others.
   [[nodiscard]] static std::optional<std::size_t> FindSlowStart(
-      const Job& job, const Step& step, MonotonicTime now);
+      const Entry& entry, const Step& step, MonotonicTime now);
   /// Starts one task of a step without headroom slowly, if it may.
   void StartSlowly(const Candidate& candidate, MonotonicTime now);
   [[nodiscard]] StepPlacer MakePlacer(
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -28,6 +28,8 @@
 /// Time for which headroom for a task's full speed may become free; about a
 /// typical run time.
 constexpr MonotonicTime kMaxHeadroomWait = std::chrono::seconds(2);
+/// Lowest speed, in per cent, at which a task of a starved submission starts.
+constexpr int kMinStarvedPercent = 10;
 
 /// Bounds the processor time for capacity holds in a round: no further step
 /// gets any once this many workers have been considered for the steps before
@@ -92,6 +94,8 @@
 
 void Dispatcher::Decide(MonotonicTime now) {
   DrainWorkers(now);
+  UpdateIdle(now);
+  ResumePaused(now);
   // Steps that could not be placed in this round. Larger steps of the same kind
   // cannot be placed either and are skipped. A best-effort step may only lack
   // headroom, which depends on its image.
@@ -128,8 +132,9 @@
         unplaced.begin(), unplaced.end(), [&](const Unplaced& smaller) {
           return *smaller.service == service &&
                  smaller.spec->best_effort == spec.best_effort &&
-                 (smaller.at_any_speed || (smaller.spec->image == spec.image &&
-                                           !FindSlowStart(job, step, now))) &&
+                 (smaller.at_any_speed ||
+                  (smaller.spec->image == spec.image &&
+                   !FindSlowStart(*candidate.entry, step, now))) &&
                  smaller.spec->cpu <= spec.cpu &&
                  smaller.spec->memory <= spec.memory &&
                  smaller.spec->accelerators <= spec.accelerators &&
@@ -144,12 +149,15 @@
         !MayTakeCapacity(candidate, now)) {
       continue;
     }
+    const std::uint64_t started_before = counters_.started;
     const bool placed =
         spec.gang ? PlaceGang(candidate, now) : PlaceStep(candidate, now);
+    if (counters_.started > started_before) candidate.entry->starved = false;
     // A gang needs capacity for all its members at once.
     if (!placed && !spec.gang) {
-      unplaced.push_back({&spec, &service,
-                          !spec.best_effort || FindSlowStart(job, step, now)});
+      unplaced.push_back(
+          {&spec, &service,
+           !spec.best_effort || FindSlowStart(*candidate.entry, step, now)});
     }
     if (!placed && candidate.restarts) waiting_restarts.push_back(&candidate);
   }
@@ -180,22 +188,22 @@
   }
 }
 
-bool Dispatcher::MayStartSlowly(const Job& job, const Step& step,
+bool Dispatcher::MayStartSlowly(const Entry& entry, const Step& step,
                                 const Task& task, MonotonicTime now) {
+  if (!step.spec.best_effort || task.phase != TaskPhase::kPending) return false;
+  if (entry.starved) return true;
   const bool none_placed = step.pending == step.unfinished;
-  return step.spec.best_effort && none_placed &&
-         task.phase == TaskPhase::kPending &&
-         now - job.accepted_at() >= kSlowStartAge &&
+  return none_placed && now - entry.job->accepted_at() >= kSlowStartAge &&
          now - std::max(task.since, step.available_since) >= kMaxHeadroomWait;
 }
 
-std::optional<std::size_t> Dispatcher::FindSlowStart(const Job& job,
+std::optional<std::size_t> Dispatcher::FindSlowStart(const Entry& entry,
                                                      const Step& step,
                                                      MonotonicTime now) {
   const auto task = std::find_if(
       step.tasks.begin(), step.tasks.end(), [&](const Task& candidate) {
-        return !IsSuspected(candidate.losses) &&
-               MayStartSlowly(job, step, candidate, now);
+        return (step.spec.gang || !IsSuspected(candidate.losses)) &&
+               MayStartSlowly(entry, step, candidate, now);
       });
   if (task == step.tasks.end()) return std::nullopt;
   return static_cast<std::size_t>(task - step.tasks.begin());
@@ -275,8 +283,7 @@
     }
     // A worker on trial accepts no start, so the placer cannot be reused.
     const PlacementGoal goal =
-        MayStartSlowly(*entry.job, entry.job->StepAt({candidate.step, 0}), task,
-                       now)
+        MayStartSlowly(entry, entry.job->StepAt({candidate.step, 0}), task, now)
             ? PlacementGoal::kHighestSpeed
             : PlacementGoal::kLongestQuiet;
     const Placement place = MakePlacer(entry, candidate.step, now, goal).Next();
@@ -320,7 +327,7 @@
   Entry& entry = *candidate.entry;
   const Step& step =
       entry.job->steps()[static_cast<std::size_t>(candidate.step)];
-  const auto task = FindSlowStart(*entry.job, step, now);
+  const auto task = FindSlowStart(entry, step, now);
   if (!task) return;
   const Placement place =
       MakePlacer(entry, candidate.step, now, PlacementGoal::kHighestSpeed)
@@ -345,7 +352,7 @@
                   [](const Task& task) { return IsSuspected(task.losses); });
   PlacementGoal goal =
       suspected ? PlacementGoal::kLongestQuiet : PlacementGoal::kLowestCost;
-  if (MayStartSlowly(*entry.job, step, step.tasks.front(), now)) {
+  if (MayStartSlowly(entry, step, step.tasks.front(), now)) {
     goal = PlacementGoal::kHighestSpeed;
   }
   StepPlacer placer = MakePlacer(entry, candidate.step, now, goal);
@@ -387,8 +394,9 @@
   WorkerState& worker = registry_.at(place.worker);
   PlacedRun placed;
   placed.run = run;
-  placed.percent = place.percent;
-  placed.started_slowly = place.percent < 100;
+  placed.percent = entry.starved ? std::max(place.percent, kMinStarvedPercent)
+                                 : place.percent;
+  placed.started_slowly = placed.percent < 100;
   if (placed.started_slowly) placed.throttled_since = now;
   placed.start_number = ++worker.starts_issued;
   placed.started_at = now;
@@ -408,10 +416,10 @@
   hooks_.send(StartRun{worker.info.vm, placed.start_number, ToString(ref.name),
                        Attempt(run), job.submission().spec,
                        ref.task->checkpoint, TraitsOf(ref.spec())});
-  if (place.percent == 100) return;
-  hooks_.log(ref.name, worker.info.vm, "paced", std::to_string(place.percent));
+  if (placed.percent == 100) return;
+  hooks_.log(ref.name, worker.info.vm, "paced", std::to_string(placed.percent));
   hooks_.send(ThrottleRun{worker.info.vm, ToString(ref.name), Attempt(run),
-                          place.percent});
+                          placed.percent});
 }
 
 int Dispatcher::TasksOfStep(const Entry& entry, int step, WorkerSlot slot) {
