--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -191,7 +191,7 @@
 bool Dispatcher::MayStartSlowly(const Entry& entry, const Step& step,
                                 const Task& task, MonotonicTime now) {
   if (!step.spec.best_effort || task.phase != TaskPhase::kPending) return false;
-  if (entry.starved) return now - step.available_since >= kMaxHeadroomWait;
+  if (entry.starved) return true;
   const bool none_placed = step.pending == step.unfinished;
   return none_placed && now - entry.job->accepted_at() >= kSlowStartAge &&
          now - std::max(task.since, step.available_since) >= kMaxHeadroomWait;
--- a/src/dispatch/core/dispatcher_idle.cc
+++ b/src/dispatch/core/dispatcher_idle.cc
@@ -70,9 +70,15 @@
   std::map<ServiceName, bool> half_empty;
   for (Entry* entry : active_) {
     entry->starved = false;
+    const auto& steps = entry->job->steps();
+    const bool turn_has_come =
+        (!entry->restored || resumed_) &&
+        std::any_of(steps.begin(), steps.end(), [now](const Step& step) {
+          return step.ready && step.unfinished > 0 && now >= step.due;
+        });
     const Activity activity =
-        entry->restored && !resumed_ ? Activity::kRunning : ActivityOf(*entry);
-    if (activity == Activity::kRunning) {
+        turn_has_come ? ActivityOf(*entry) : Activity::kNone;
+    if (!turn_has_come || activity == Activity::kRunning) {
       entry->idle_since = MonotonicTime(0);
       continue;
     }
