An outdated attachment adds no wait: a case for it

Cause: no case under tests/unit/dispatch failed when OnOutdatedEvent counted a lease for agents that number their attachments, too, which adds up to 4.5 s to the wait for a lost worker (LOST).

Change: a case in lost_worker_lease_test.

Shown to fail (scratch build) with the exemption in OnOutdatedEvent off; passes with it on.

--- a/tests/unit/dispatch/lost_worker_lease_test.cc
+++ b/tests/unit/dispatch/lost_worker_lease_test.cc
@@ -108,6 +108,29 @@
   CheckStartsAt(lost_at + kLeft);
 }
 
+// Guards against an attachment that is reported under a former assignment and
+// adds a lease to the wait: none was extended under it, since the leader has
+// not handled it.
+TEST_CASE_FIXTURE(LostWorkerFixture, "an outdated attachment adds no wait") {
+  Prepare();
+  const NodeId first = AgentOf(placed.busy);
+  const WorkerFence fence = fences[VmName(placed.busy)];
+  const MonotonicTime lost_at = base::MonotonicNow();
+  constexpr Milliseconds kLeft{4'000};
+  Event(placed.busy, WorkerUnreachable{kLeft});
+  REQUIRE(fences[VmName(placed.busy)] != fence);
+  RunFor(seconds(2));
+  leader->OnAgentEvent(first, {VmName(placed.busy), fence,
+                               Attached{WorkerIncarnation(1),
+                                        1'000,
+                                        {},
+                                        {},
+                                        {},
+                                        true,
+                                        AttachmentNumber(2)}});
+  CheckStartsAt(lost_at + kLeft);
+}
+
 // Guards against a second run: the worker has replied again, so its agent may
 // have extended the lease until it was lost.
 TEST_CASE_FIXTURE(LostWorkerFixture,
