--- a/src/cli/check_waits.cc
+++ b/src/cli/check_waits.cc
@@ -88,13 +88,14 @@
   void Add(const WaitLine& line) {
     const bool none_runs = line.running == 0 && line.idle_ms;
     const bool judged = !SaysNothing(line);
-    if (line.running > 0 ||
-        (judged && (!none_runs || line.reserved >= kMaxReserved))) {
+    const bool fits = line.fits >= kMinFits;
+    // An idle line shows the tasks of the submission that could run, if any.
+    const bool full =
+        line.reserved >= kMaxReserved || (line.idle_line && !fits);
+    if (line.running > 0 || (judged && (!none_runs || full))) {
       End();
-    } else if (judged && line.fits >= kMinFits) {
+    } else if (judged && fits) {
       Continue(line);
-    } else if (judged && line.idle_line) {
-      End();  // The leader shows the tasks of the submission that could run.
     }
     last_line_ms_ = line.time_ms;
   }
