--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -386,6 +386,7 @@
   DispatcherHooks hooks_;
   std::uint32_t first_run_;
   MonotonicTime unix_epoch_;
+  MonotonicTime idle_checked_at_{0};  ///< Time of the last UpdateIdle.
   bool resumed_ = true;
   bool runs_unknown_ = false;
   std::unordered_map<SubmissionId, Entry> entries_;
--- a/src/dispatch/core/dispatcher_idle.cc
+++ b/src/dispatch/core/dispatcher_idle.cc
@@ -12,6 +12,8 @@
 /// whatever the model has learned. The platform allows it three seconds, of
 /// which starts and changes of speed take a part.
 constexpr MonotonicTime kMaxIdle = std::chrono::seconds(2);
+/// Bounds the processor time of a leader with many submissions.
+constexpr MonotonicTime kIdleCheckPeriod = std::chrono::milliseconds(100);
 /// The platform counts a service as half empty below 0.5. Starts on their way
 /// are counted here but not there.
 constexpr double kHalfEmptyShare = 0.55;
@@ -67,6 +69,8 @@
 }
 
 void Dispatcher::UpdateIdle(MonotonicTime now) {
+  if (now - idle_checked_at_ < kIdleCheckPeriod) return;
+  idle_checked_at_ = now;
   std::map<ServiceName, bool> half_empty;
   for (Entry* entry : active_) {
     entry->starved = false;
--- a/tests/unit/dispatch/idle_submissions_test.cc
+++ b/tests/unit/dispatch/idle_submissions_test.cc
@@ -161,6 +161,7 @@
   IdleSubmissions idle;
   for (int second = 2; second < 8; ++second) {
     std::vector<WaitingTasks> waiting;
+    waiting.reserve(300);
     for (int i = 0; i < 300; ++i) {
       waiting.push_back(
           MakeIdle("s" + std::to_string(i), seconds(second) + milliseconds(i)));
--- a/tests/unit/dispatch/reports_end_test.cc
+++ b/tests/unit/dispatch/reports_end_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -132,8 +133,9 @@
   const auto link = std::make_shared<FakeLink>(loop);
   link->report.incarnation = WorkerIncarnation(7);
   Agent agent(
-      loop, [&](const WorkerInfo&) { return link; }, WorkerSessionOptions(),
-      [](const AgentEvent&) {},
+      loop,
+      [&](const WorkerInfo&) -> std::shared_ptr<WorkerLink> { return link; },
+      WorkerSessionOptions(), [](const AgentEvent&) {},
       {[] { return Permission::kStarts; }, [](MonotonicTime) { return true; }},
       [](Timing, MonotonicTime) {});
   Assignment first;
@@ -216,8 +218,9 @@
   const auto link = std::make_shared<FakeLink>(loop);
   link->unresponsive = true;
   Agent agent(
-      loop, [&](const WorkerInfo&) { return link; }, WorkerSessionOptions(),
-      [](const AgentEvent&) {},
+      loop,
+      [&](const WorkerInfo&) -> std::shared_ptr<WorkerLink> { return link; },
+      WorkerSessionOptions(), [](const AgentEvent&) {},
       {[] { return Permission::kStarts; }, [](MonotonicTime) { return true; }},
       [](Timing, MonotonicTime) {});
   Assignment assignment;
--- a/tests/unit/dispatch/starved_submission_test.cc
+++ b/tests/unit/dispatch/starved_submission_test.cc
@@ -24,10 +24,6 @@
   return wanted == nullptr ? usual : std::stoull(wanted);
 }
 
-long Milli(MonotonicTime time) {
-  return std::chrono::duration_cast<Milliseconds>(time).count();
-}
-
 /// The seeds that broke a rule and what the worlds have tried.
 struct Outcome {
   std::string starved;
--- a/tests/unit/dispatch/starved_world.hpp
+++ b/tests/unit/dispatch/starved_world.hpp
@@ -3,6 +3,8 @@
 /// kinds wait, workers are lost and leaders change.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <random>
@@ -15,6 +17,11 @@
 
 namespace mangospread::dispatch::test {
 
+/// For traces.
+inline std::int64_t Milli(MonotonicTime time) {
+  return std::chrono::duration_cast<Milliseconds>(time).count();
+}
+
 /// A submission that had nothing running for too long.
 struct StarvedSubmission {
   std::string id;
--- a/tests/unit/dispatch/starved_world_promise.cc
+++ b/tests/unit/dispatch/starved_world_promise.cc
@@ -20,10 +20,6 @@
   return StepPrefix(id, step) + std::to_string(index);
 }
 
-long Milli(MonotonicTime time) {
-  return std::chrono::duration_cast<Milliseconds>(time).count();
-}
-
 }  // namespace
 
 bool StarvedWorld::Runs(const std::string& id) const {
@@ -151,7 +147,7 @@
     if (was_starved || accepted.starved_for <= kMaxStarved) continue;
     const bool seen =
         std::any_of(starved_.begin(), starved_.end(),
-                    [&](const auto& other) { return other.id == id; });
+                    [&id = id](const auto& other) { return other.id == id; });
     if (!seen) starved_.push_back(Describe(accepted));
   }
 }
