--- a/tests/unit/dispatch/lease_bound_test.cc
+++ b/tests/unit/dispatch/lease_bound_test.cc
@@ -150,7 +150,8 @@
 // 1742, 50304, 63484, 65776, 68138, 69999), is connected but has not reported
 // yet (56140, 66304), or has ended its session since the worker was assigned to
 // another one, which never heard of it (56686, 65368). An outdated run that is
-// reported first hides a newer run of its task (2736, 59312, 61210).
+// reported first hides a newer run of its task (2736, 59312, 61210). A session
+// goes on from an outdated bound of the lease (300079).
 TEST_CASE("no lease is valid in the takeovers that were seen to fail") {
   WorldOptions options;
   options.changes_leader = true;
