--- a/tests/unit/dispatch/former_reports_test.cc
+++ b/tests/unit/dispatch/former_reports_test.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "dispatch/model/lease.hpp"
-#include "unit/dispatch/leader_fixture.hpp"
+#include "unit/dispatch/former_reports_fixture.hpp"
 #include "unit/dispatch/worker_session_fixture.hpp"
 
 namespace mangospread::dispatch::test {
@@ -17,19 +17,8 @@
 
 using std::chrono::milliseconds;
 
-/// A leader that takes over a task on a worker that does not respond. Its agent
-/// has granted the last lease 1 s ago, and reports no time left of it.
-struct FormerReportsFixture : LeaderFixture {
-  FormerReportsFixture() {
-    numbers_attachments = true;
-    placed.emplace(PlaceOnOneOfTwo());
-    report.worker.vm = placed->run.vm;
-    report.unreachable = true;
-    report.lease_left = Milliseconds(0);
-    report.runs_as_of = WorkerFence(3);
-    last_grant_age = Milliseconds(1'000);
-  }
-
+/// A takeover whose restored task waits for what its agent reports.
+struct TakeoverReportsFixture : FormerReportsFixture {
   void LeadWithReport() {
     taken_over_at = base::MonotonicNow();
     Lead(2);
@@ -42,11 +31,6 @@
     Attach(placed->idle);
   }
 
-  void EndReportsAfter(Milliseconds process_age,
-                       std::vector<UnreportedLease> unreported = {}) {
-    leader->OnReportsEnd(NodeId("agent"), {process_age, std::move(unreported)});
-  }
-
   /// Checks that the task starts this long after the takeover. Detecting that
   /// takes up to 0.7 s.
   void CheckStartsAfter(MonotonicTime time) {
@@ -57,25 +41,21 @@
     CHECK(starts.size() == 1);
   }
 
-  std::optional<PlacedOnOne> placed;
-  FormerLeaderRuns report;
   MonotonicTime taken_over_at{0};
 };
 
-constexpr Milliseconds kOldProcess = std::chrono::hours(1);
-
 // Guards against a second run: the agent that reports the worker lost it to
 // another one, whose next process knows nothing of that.
-TEST_CASE_FIXTURE(FormerReportsFixture,
+TEST_CASE_FIXTURE(TakeoverReportsFixture,
                   "an agent's new process does not vouch for the former one") {
   TakeOver();
   const MonotonicTime lease = LeaseUpperBound(options.lease);
   SUBCASE("the process is older than any lease") {
-    EndReportsAfter(kOldProcess);
+    EndReportsWith("agent", kOldProcess);
     CheckStartsAfter(milliseconds(200));
   }
   SUBCASE("its predecessor may have granted a lease") {
-    EndReportsAfter(Milliseconds(500));
+    EndReportsWith("agent", Milliseconds(500));
     // The node's first hello bounds that.
     CheckStartsAfter(lease - milliseconds(1'000));
   }
@@ -86,24 +66,24 @@
 
 // Guards against a second run: the agent that reports the worker lost it to
 // another one, which has ended its session meanwhile.
-TEST_CASE_FIXTURE(FormerReportsFixture,
+TEST_CASE_FIXTURE(TakeoverReportsFixture,
                   "a lease of a session that is not reported counts") {
   TakeOver();
   SUBCASE("newer than the report") {
-    EndReportsAfter(kOldProcess,
-                    {{report.worker.vm, WorkerFence(4), Milliseconds(2'000)}});
+    EndReportsWith("agent", kOldProcess,
+                   {{report.worker.vm, WorkerFence(4), Milliseconds(2'000)}});
     CheckStartsAfter(milliseconds(2'000));
   }
   SUBCASE("older than the report, which includes what it knew") {
-    EndReportsAfter(kOldProcess,
-                    {{report.worker.vm, WorkerFence(2), Milliseconds(2'000)}});
+    EndReportsWith("agent", kOldProcess,
+                   {{report.worker.vm, WorkerFence(2), Milliseconds(2'000)}});
     CheckStartsAfter(milliseconds(200));
   }
 }
 
 // Guards against a wait that begins anew with each loss of an agent that still
 // owes its reports (LOST).
-TEST_CASE_FIXTURE(FormerReportsFixture,
+TEST_CASE_FIXTURE(TakeoverReportsFixture,
                   "losses of an agent that owes reports add no wait") {
   report.runs = {{placed->run.task, placed->run.run}};
   LeadWithReport();
@@ -121,7 +101,7 @@
 
 // Guards against a second run: a command for the worker's former process gave
 // the next one a lease that is longer than those of agents.
-TEST_CASE_FIXTURE(FormerReportsFixture,
+TEST_CASE_FIXTURE(TakeoverReportsFixture,
                   "a restarted worker's longer lease outlives its agent") {
   Lead(2);
   ListWorkers({"w1", "w2"});
--- a/tests/unit/dispatch/reports_end_test.cc
+++ b/tests/unit/dispatch/reports_end_test.cc
@@ -12,7 +12,7 @@
 #include "dispatch/model/lease.hpp"
 #include "dispatch/peer/frames.hpp"
 #include "dispatch/worker/agent.hpp"
-#include "unit/dispatch/leader_fixture.hpp"
+#include "unit/dispatch/former_reports_fixture.hpp"
 #include "unit/dispatch/worker_session_fixture.hpp"
 
 namespace mangospread::dispatch::test {
@@ -20,22 +20,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Milliseconds kOldProcess = std::chrono::hours(1);
-
-struct ReportsEndFixture : LeaderFixture {
-  ReportsEndFixture() {
-    numbers_attachments = true;
-    placed.emplace(PlaceOnOneOfTwo());
-    report.worker.vm = placed->run.vm;
-    report.unreachable = true;
-    report.lease_left = Milliseconds(0);
-    report.runs_as_of = WorkerFence(3);
-    last_grant_age = Milliseconds(1'000);
-  }
-  void End(const char* agent, Milliseconds process_age,
-           std::vector<UnreportedLease> unreported = {}) {
-    leader->OnReportsEnd(NodeId(agent), {process_age, std::move(unreported)});
-  }
+struct ReportsEndFixture : FormerReportsFixture {
   /// Time from now until the task starts; 0 if it does not within 15 s.
   Milliseconds TimeToStart() {
     for (int ms = 0; ms <= 15'000; ms += 50) {
@@ -44,8 +29,6 @@
     }
     return Milliseconds(0);
   }
-  std::optional<PlacedOnOne> placed;
-  FormerLeaderRuns report;
 };
 
 // Guards against a second run: the agent lost the worker to another one, which
@@ -61,7 +44,7 @@
   SUBCASE("ended") { report.ended = true; }
   SUBCASE("control: unreachable") {}
   leader->OnKnownRuns(NodeId("agent"), report);
-  End("agent", kOldProcess);
+  EndReportsWith("agent", kOldProcess);
   ListWorkers({"w1", "w2"});
   Attach(placed->idle);
   const Milliseconds time = TimeToStart();
@@ -76,10 +59,10 @@
   SUBCASE("ended") { report.ended = true; }
   SUBCASE("control: unreachable") {}
   leader->OnKnownRuns(NodeId("agent"), report);
-  End("agent", kOldProcess);
+  EndReportsWith("agent", kOldProcess);
   ConnectAgent("other");
-  End("other", kOldProcess,
-      {{report.worker.vm, WorkerFence(4), Milliseconds(2'000)}});
+  EndReportsWith("other", kOldProcess,
+                 {{report.worker.vm, WorkerFence(4), Milliseconds(2'000)}});
   ListWorkers({"w1", "w2"});
   Attach(placed->idle);
   const Milliseconds time = TimeToStart();
@@ -93,7 +76,7 @@
   ConnectAgent("other");
   Lead(2);
   leader->OnKnownRuns(NodeId("agent"), report);
-  End("agent", kOldProcess);
+  EndReportsWith("agent", kOldProcess);
   ListWorkers({"w1", "w2"});
   Attach(placed->idle);
   SUBCASE("ended") { Event(placed->busy, WorkerEnded{}); }
@@ -110,12 +93,12 @@
   leader->OnKnownRuns(NodeId("agent"), report);
   ListWorkers({"w1", "w2"});
   SUBCASE("same assignment") {
-    End("agent", kOldProcess,
-        {{report.worker.vm, WorkerFence(3), Milliseconds(4'000)}});
+    EndReportsWith("agent", kOldProcess,
+                   {{report.worker.vm, WorkerFence(3), Milliseconds(4'000)}});
   }
   SUBCASE("control: older") {
-    End("agent", kOldProcess,
-        {{report.worker.vm, WorkerFence(2), Milliseconds(4'000)}});
+    EndReportsWith("agent", kOldProcess,
+                   {{report.worker.vm, WorkerFence(2), Milliseconds(4'000)}});
   }
   Attach(placed->idle);
   const Milliseconds time = TimeToStart();
@@ -205,7 +188,7 @@
   Lead(2);
   leader->OnKnownRuns(NodeId("agent"), report);
   ListWorkers({"w1", "w2"});
-  End("agent", kOldProcess);
+  EndReportsWith("agent", kOldProcess);
   Attach(placed->idle);
   const Milliseconds time = TimeToStart();
   CHECK(time > milliseconds(0));
