--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -318,10 +318,8 @@
   /// The furthest that a task of the submission has got on a worker that
   /// responds; a paused task is not counted.
   [[nodiscard]] Activity ActivityOf(const Entry& entry) const;
-  /// True if tasks that are not best effort have reserved little of the
-  /// service's processors.
-  [[nodiscard]] bool IsHalfEmpty(const ServiceName& service,
-                                 MonotonicTime now) const;
+  /// True if little of the service's processors is reserved.
+  [[nodiscard]] bool IsHalfEmpty(const ServiceName& service) const;
   /// Resumes one paused task, or gang, of each starved submission at a low
   /// speed. The next load report that shows an excess pauses it again.
   void ResumePaused(MonotonicTime now);
--- a/src/dispatch/core/dispatcher_idle.cc
+++ b/src/dispatch/core/dispatcher_idle.cc
@@ -51,9 +51,21 @@
   return activity;
 }
 
-bool Dispatcher::IsHalfEmpty(const ServiceName& service,
-                             MonotonicTime now) const {
-  return 1 - FreeShare(service, now) < kHalfEmptyShare;
+bool Dispatcher::IsHalfEmpty(const ServiceName& service) const {
+  double capacity = 0;
+  double reserved = 0;
+  for (const WorkerSlot slot : registry_.SlotsOf(service)) {
+    const WorkerState& worker =
+        registry_.workers()[static_cast<std::size_t>(slot)];
+    if (!worker.Stays() || !worker.attached ||
+        worker.silent_since.count() > 0) {
+      continue;
+    }
+    capacity += static_cast<double>(worker.info.capacity.cpu.value());
+    reserved += static_cast<double>(worker.cpu_used.value() +
+                                    worker.best_effort_cpu.value());
+  }
+  return reserved < kHalfEmptyShare * capacity;
 }
 
 void Dispatcher::UpdateIdle(MonotonicTime now) {
@@ -80,7 +92,7 @@
     }
     const ServiceName& service = entry->job->policy().service;
     const auto [known, added] = half_empty.try_emplace(service, false);
-    if (added) known->second = IsHalfEmpty(service, now);
+    if (added) known->second = IsHalfEmpty(service);
     entry->starved = known->second;
   }
 }
