--- a/review/support-2/deployment.hpp
+++ b/review/support-2/deployment.hpp
@@ -68,6 +68,9 @@
     stopped_ = true;
     balancer_.join();
     for (Node& node : nodes_) EndProcess(node, SIGKILL);
+    fleet_.Stop();
+    store_.Stop();
+    while (Server::threads() > 0) SleepMs(10);
     if (std::getenv("KEEP_LOGS") == nullptr) {
       std::filesystem::remove_all(folder_);
     } else {
--- a/review/support-2/fleet.hpp
+++ b/review/support-2/fleet.hpp
@@ -38,6 +38,7 @@
   std::int64_t started_at = 0;
   std::int64_t ended_at = -1;  ///< -1 while it runs.
   std::string how;             ///< "crashed" if its worker's process ended.
+  std::int64_t noted_at = -1;  ///< When acked-upto reached its end.
 };
 
 inline std::string SubmissionOf(const std::string& task) {
@@ -68,7 +69,18 @@
   ~Fleet() {
     stopped_ = true;
     ticker_.join();
-    for (auto& [id, worker] : workers_) worker->server.reset();
+  }
+
+  /// Ends all workers. The handlers in progress return soon.
+  void Stop() {
+    const std::lock_guard lock(mutex_);
+    for (auto& [id, worker] : workers_) {
+      worker->up = false;
+      worker->expires_at = 0;
+      ++worker->life;
+      if (worker->server) worker->server->Close();
+    }
+    changed_.notify_all();
   }
 
   /// Tells the workers what the tasks of a submission do, one plan for each
@@ -165,6 +177,7 @@
   struct End {
     std::uint64_t number = 0;
     json row;
+    std::size_t log = 0;
   };
   struct Worker {
     std::string id;
@@ -400,7 +413,8 @@
     if (!saved.empty()) run.saved_ms = std::stoll(saved, nullptr, 16);
     if (run.plan.gang == 0) run.works_from = NowMs();
     run.log = log_.size();
-    log_.push_back({task, number, worker.id, worker.kinds, NowMs(), -1, ""});
+    log_.push_back(
+        {task, number, worker.id, worker.kinds, NowMs(), -1, "", -1});
     worker.running.push_back(std::move(run));
     return Answer(worker, 200, {});
   }
@@ -423,6 +437,7 @@
     Extend(worker, body);
     const std::uint64_t acked = body.value("acked-upto", std::uint64_t{0});
     while (!worker.ended.empty() && worker.ended.front().number <= acked) {
+      log_[worker.ended.front().log].noted_at = NowMs();
       worker.ended.pop_front();
     }
     const int wait = std::min(body.value("wait-ms", 0), 2'000);
--- a/review/support-2/http.hpp
+++ b/review/support-2/http.hpp
@@ -21,6 +21,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace review2 {
 
@@ -145,11 +146,13 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in at = detail::ToAddress(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
-    close(fd);
-    throw std::runtime_error("cannot bind " + address);
+  // A former server at this address may be about to close its socket.
+  for (int tries = 0; tries < 100; ++tries) {
+    if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) return fd;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
-  return fd;
+  close(fd);
+  throw std::runtime_error("cannot bind " + address);
 }
 
 /// A free port of a loopback address, found by binding it for a moment.
@@ -174,7 +177,11 @@
     const int fd = BindSocket(address);
     listen(fd, 512);
     state_->listener = fd;
-    std::thread([state = state_] { Accept(state); }).detach();
+    ++threads();
+    std::thread([state = state_] {
+      Accept(state);
+      --threads();
+    }).detach();
   }
   ~Server() { Close(); }
   Server(const Server&) = delete;
@@ -184,10 +191,16 @@
     const std::lock_guard lock(state_->mutex);
     if (std::exchange(state_->closed, true)) return;
     shutdown(state_->listener, SHUT_RDWR);
-    close(state_->listener);
     for (const int fd : state_->connections) shutdown(fd, SHUT_RDWR);
   }
 
+  /// Number of threads of all servers that have not ended. What the handlers
+  /// refer to must exist until it is 0.
+  static std::atomic<int>& threads() {
+    static std::atomic<int> count{0};
+    return count;
+  }
+
  private:
   struct State {
     std::mutex mutex;
@@ -203,13 +216,18 @@
       const std::lock_guard lock(state->mutex);
       if (state->closed || (fd < 0 && errno != ECONNABORTED)) {
         if (fd >= 0) close(fd);
+        close(state->listener);
         return;
       }
       if (fd < 0) continue;
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       state->connections.insert(fd);
-      std::thread([state, fd] { Serve(state, fd); }).detach();
+      ++threads();
+      std::thread([state, fd] {
+        Serve(state, fd);
+        --threads();
+      }).detach();
     }
   }
 
--- a/review/support-2/store.hpp
+++ b/review/support-2/store.hpp
@@ -40,6 +40,8 @@
 
   [[nodiscard]] const std::string& address() const { return address_; }
 
+  void Stop() { server_.Close(); }
+
   /// Writes a row as the operator or a worker does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value) {
