--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,7 +1,6 @@
-// A submission with many tasks that checkpoint. All machines of the system lose
-// power for some seconds, so the leases expire and every run ends as lapsed,
-// with its checkpoint. The submission can be done, and must not be shown as
-// failed.
+// A worker crashes and starts again at once under its id and at its address,
+// as one of another kind. Until it has registered, the store holds the entry of
+// its former life. No task may start on it that requires the former kind.
 #include "deployment.hpp"
 
 namespace {
@@ -9,65 +8,62 @@
 using namespace review2;
 
 constexpr int kWorkers = 8;
-constexpr int kNodes = 3;
-constexpr int kTasks = 20'000;
-constexpr std::int64_t kWorkMs = 30'000;
-constexpr std::int64_t kDownMs = 7'000;
-constexpr const char* kSubmission = "10b0000000000001";
+constexpr int kWorkersOfKindA = 2;
+constexpr std::int64_t kDownMs = 1'500;
+constexpr std::int64_t kSubmitPeriodMs = 200;
+constexpr int kBefore = 15;
+constexpr int kAfter = 30;
 
-std::size_t Begun(const Fleet& fleet) { return fleet.Log().size(); }
+std::string Id(int n) {
+  char text[17];
+  std::snprintf(text, sizeof text, "7a5e00000000%04x", n);
+  return text;
+}
+
+void Submit(Deployment& deployment, int n) {
+  deployment.fleet().Describe(Id(n), {{400, 1'000}});
+  (void)deployment.CallAny(
+      "POST", Id(n),
+      R"({"spec":"x","steps":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":400,"requires":"a"}]})");
+  SleepMs(kSubmitPeriodMs);
+}
 
 int Run() {
-  Deployment deployment("review/10/record.txt", kNodes);
+  Deployment deployment("review/10/record.txt", 3);
   Fleet& fleet = deployment.fleet();
   for (int i = 0; i < kWorkers; ++i) {
-    fleet.Add("i-" + std::to_string(i), "r1-" + std::to_string(i % 2), {"a"});
+    fleet.Add("i-" + std::to_string(i), "r1-" + std::to_string(i % 2),
+              {i < kWorkersOfKindA ? "a" : "b"});
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
-  TaskPlan plan;
-  plan.work_ms = kWorkMs;
-  plan.cpu = 10;
-  plan.checkpoints = true;
-  fleet.Describe(kSubmission, {plan});
-  const Reply accepted = deployment.CallAny("POST", kSubmission,
-                                            json{{"spec", "x"},
-                                                 {"steps",
-                                                  {{{"count", kTasks},
-                                                    {"cpu", plan.cpu},
-                                                    {"mem-mb", 1},
-                                                    {"estimate-ms", kWorkMs},
-                                                    {"checkpoint", true}}}}}
-                                                .dump());
-  if (accepted.status != 200) return kExitNotRun;
-  for (int tries = 0; tries < 25 && Begun(fleet) < kTasks; ++tries) {
-    SleepMs(1'000);
-  }
-  deployment.record().Add("runs begun: " + std::to_string(Begun(fleet)));
-  SleepMs(2'000);
+  int submitted = 0;
+  while (submitted < kBefore) Submit(deployment, submitted++);
+  std::thread trouble;
   if (WithTrouble()) {
-    for (int i = 0; i < kNodes; ++i) deployment.KillNode(i);
-    SleepMs(kDownMs);
-    for (int i = 0; i < kNodes; ++i) deployment.StartNode(i);
+    fleet.Crash("i-0");
+    trouble = std::thread([&fleet] {
+      SleepMs(kDownMs);
+      fleet.RestartAs("i-0", {"b"});
+    });
   }
-  std::string state;
-  while (NowMs() < 105'000) {
-    state = deployment.State(kSubmission);
-    if (state == "complete" || state == "failed" || state == "cancelled") break;
-    SleepMs(1'000);
-  }
-  std::map<std::string, int> ends;
-  for (const StartedRun& run : fleet.Log()) ++ends[run.how];
-  std::string summary = "state " + state + ", ends of runs:";
-  for (const auto& [how, count] : ends) {
-    summary += " " + (how.empty() ? "none" : how) + " " + std::to_string(count);
-  }
-  deployment.record().Add(summary);
-  if (state == "failed" && ends["failed"] == 0) {
-    deployment.record().Add("LOST: shown as failed without cause");
-    return kExitBroken;
+  while (submitted < kBefore + kAfter) Submit(deployment, submitted++);
+  if (trouble.joinable()) trouble.join();
+  SleepMs(3'000);
+  fleet.RecordRuns();
+  int runs = 0;
+  int wrong = 0;
+  for (const StartedRun& run : fleet.Log()) {
+    ++runs;
+    wrong += run.labels.contains("a") ? 0 : 1;
   }
-  return state == "complete" || state == "running" ? kExitHeld : kExitNotRun;
+  deployment.record().Add("runs " + std::to_string(runs) +
+                          ", without the label that they require " +
+                          std::to_string(wrong));
+  if (runs == 0) return kExitNotRun;
+  if (wrong == 0) return kExitHeld;
+  deployment.record().Add("ROUTE: started without the label in requires");
+  return kExitBroken;
 }
 
 }  // namespace
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,6 +1,6 @@
-// A task whose workers crash while it is at work, one worker at a time. It can
-// be done, and none of its runs ends as failed, so its submission must not be
-// shown as failed.
+// Scheduled submissions with many times are accepted. The platform kills a
+// process that exceeds memory-mb and starts it again. Other work must still be
+// answered for.
 #include "deployment.hpp"
 
 namespace {
@@ -8,53 +8,131 @@
 using namespace review2;
 
 constexpr int kWorkers = 8;
-constexpr int kCrashes = 4;
-constexpr std::int64_t kAtWorkMs = 1'000;
-constexpr std::int64_t kDownMs = 2'000;
-constexpr const char* kSubmission = "5c0e7a21d94b36f8";
+constexpr int kNodes = 3;
+constexpr long kMemoryMb = 260;
+constexpr std::int64_t kRestartMs = 1'000;
+constexpr int kSchedules = 8;
+/// Once a second for a day.
+constexpr int kTimes = 86'400;
+constexpr int kFewTimes = 60;
+constexpr std::int64_t kFinishMs = 14'000;
+/// Ends of one machine's process that the pages count as a fault, on two
+/// machines.
+constexpr int kFaultEnds = 3;
+constexpr const char* kPlain = "9a1a000000000001";
+
+long ResidentMb(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::stol(line.substr(6)) / 1024;
+  }
+  return 0;
+}
+
+/// Ends and restarts processes over their memory limit, as the platform does.
+class MemoryLimit {
+ public:
+  explicit MemoryLimit(Deployment& deployment)
+      : deployment_(deployment), thread_([this] { Watch(); }) {}
+  ~MemoryLimit() {
+    stopped_ = true;
+    thread_.join();
+  }
+  MemoryLimit(const MemoryLimit&) = delete;
+  MemoryLimit& operator=(const MemoryLimit&) = delete;
+
+  [[nodiscard]] int FaultyNodes() const {
+    int nodes = 0;
+    for (const auto& ends : ends_) nodes += ends >= kFaultEnds ? 1 : 0;
+    return nodes;
+  }
+
+ private:
+  void Watch() {
+    std::int64_t restart_at[kNodes] = {};
+    while (!stopped_) {
+      for (int i = 0; i < kNodes; ++i) {
+        if (restart_at[i] > 0 && NowMs() >= restart_at[i]) {
+          restart_at[i] = 0;
+          deployment_.StartNode(i);
+        }
+        if (restart_at[i] > 0) continue;
+        const long resident = ResidentMb(deployment_.pid(i));
+        if (resident <= kMemoryMb) continue;
+        deployment_.record().Add("node " + std::to_string(i) + " uses " +
+                                 std::to_string(resident) + " MB");
+        deployment_.KillNode(i);
+        ++ends_[i];
+        restart_at[i] = NowMs() + kRestartMs;
+      }
+      SleepMs(10);
+    }
+    for (int i = 0; i < kNodes; ++i) {
+      if (restart_at[i] > 0) deployment_.StartNode(i);
+    }
+  }
+
+  Deployment& deployment_;
+  std::atomic<int> ends_[kNodes] = {};
+  std::atomic<bool> stopped_{false};
+  std::thread thread_;
+};
+
+std::string Schedule(int times) {
+  return json{
+      {"spec", "x"},
+      {"steps",
+       {{{"count", 1}, {"cpu", 100}, {"mem-mb", 16}, {"estimate-ms", 300}}}},
+      {"times", times},
+      {"interval-ms", 1'000},
+      {"start-at-ms", UnixMs() + 3'600'000}}
+      .dump();
+}
 
 int Run() {
-  Deployment deployment("review/6/record.txt", 3);
+  Deployment deployment("review/6/record.txt", kNodes);
   Fleet& fleet = deployment.fleet();
   for (int i = 0; i < kWorkers; ++i) {
     fleet.Add("i-" + std::to_string(i), "r1-" + std::to_string(i % 2), {"a"});
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
-  fleet.Describe(kSubmission, {{6'000, 2'000}});
-  const Reply accepted = deployment.CallAny(
-      "POST", kSubmission,
-      R"({"spec":"x","steps":[{"count":1,"cpu":2000,"mem-mb":256,"estimate-ms":6000}]})");
-  if (accepted.status != 200) return kExitNotRun;
-  const int crashes = WithTrouble() ? kCrashes : 0;
-  for (int i = 0; i < crashes; ++i) {
-    std::string worker;
-    for (int tries = 0; tries < 400 && worker.empty(); ++tries) {
-      worker = fleet.WorkerOf(kSubmission, kAtWorkMs);
-      if (worker.empty()) SleepMs(50);
-    }
-    if (worker.empty()) break;
-    fleet.Crash(worker);
-    SleepMs(kDownMs);
-    fleet.Restart(worker);
+  MemoryLimit limit(deployment);
+  fleet.Describe(kPlain, {{60'000, 1'000}});
+  const Reply plain = deployment.CallAny(
+      "POST", kPlain,
+      R"({"spec":"x","steps":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":60000}]})");
+  if (plain.status != 200) return kExitNotRun;
+  int accepted = 0;
+  for (int i = 0; i < kSchedules; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof id, "9b1b00000000%04x", i);
+    fleet.Describe(id, {{300, 100}});
+    accepted +=
+        deployment
+            .CallAny("POST", id, Schedule(WithTrouble() ? kTimes : kFewTimes))
+            .status == 200;
   }
-  std::string state;
-  for (int tries = 0; tries < 40; ++tries) {
-    state = deployment.State(kSubmission);
-    if (state == "complete" || state == "failed" || state == "cancelled") break;
-    SleepMs(500);
+  deployment.record().Add("schedules accepted: " + std::to_string(accepted));
+  if (accepted == 0) return kExitNotRun;
+  SleepMs(5'000);
+  // The plain submission is asked for until an answer says its state.
+  const std::int64_t asked_at = NowMs();
+  bool answered = false;
+  while (!answered && NowMs() - asked_at < kFinishMs) {
+    const std::string state = deployment.State(kPlain);
+    answered = !state.empty();
   }
   fleet.RecordRuns();
-  int failed_runs = 0;
-  for (const StartedRun& run : fleet.Log()) failed_runs += run.how == "failed";
-  deployment.record().Add("state " + state + ", runs that ended as failed: " +
-                          std::to_string(failed_runs));
-  if (state == "complete") return kExitHeld;
-  if (state == "failed" && failed_runs == 0) {
-    deployment.record().Add("LOST: shown as failed without cause");
-    return kExitBroken;
-  }
-  return kExitNotRun;
+  deployment.record().Add(std::string("accepted submission answered for: ") +
+                          (answered ? "yes" : "no") +
+                          ", machines whose process was ended " +
+                          std::to_string(kFaultEnds) +
+                          " times: " + std::to_string(limit.FaultyNodes()));
+  if (answered && limit.FaultyNodes() < 2) return kExitHeld;
+  deployment.record().Add("LOST or Fault: see the claim");
+  return kExitBroken;
 }
 
 }  // namespace
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,7 +1,7 @@
-// A machine freezes with a consumer's request in its socket. The consumer gets
-// no answer in its time, leaves, and cancels at another machine, which answers
-// at once. No task of the submission may start or run on later than `cancel_ms`
-// after that.
+// A submission with many tasks that checkpoint. All machines of the system lose
+// power for some seconds, so the leases expire and every run ends as lapsed,
+// with its checkpoint. The submission can be done, and must not be shown as
+// failed.
 #include "deployment.hpp"
 
 namespace {
@@ -9,61 +9,65 @@
 using namespace review2;
 
 constexpr int kWorkers = 8;
-constexpr std::int64_t kFreezeMs = 4'000;
-constexpr int kDeadlineMs = 3'000;
-constexpr std::int64_t kWatchMs = 20'000;
-constexpr const char* kSubmission = "8ca0ce1000000001";
-constexpr const char* kBody =
-    R"({"spec":"x","steps":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":1000,"long-running":true}]})";
+constexpr int kNodes = 3;
+constexpr int kTasks = 20'000;
+constexpr std::int64_t kWorkMs = 30'000;
+constexpr std::int64_t kDownMs = 7'000;
+constexpr const char* kSubmission = "10b0000000000001";
+
+std::size_t Begun(const Fleet& fleet) { return fleet.Log().size(); }
 
 int Run() {
-  Deployment deployment("review/8/record.txt", 3);
+  Deployment deployment("review/8/record.txt", kNodes);
   Fleet& fleet = deployment.fleet();
   for (int i = 0; i < kWorkers; ++i) {
     fleet.Add("i-" + std::to_string(i), "r1-" + std::to_string(i % 2), {"a"});
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
-  const int leader = deployment.Leader();
-  if (leader < 0) return kExitNotRun;
-  const int frozen = (leader + 1) % deployment.size();
-  const int other = (leader + 2) % deployment.size();
   TaskPlan plan;
-  plan.lasts = true;
+  plan.work_ms = kWorkMs;
+  plan.cpu = 10;
+  plan.checkpoints = true;
   fleet.Describe(kSubmission, {plan});
-  std::thread thaw;
+  const Reply accepted = deployment.CallAny("POST", kSubmission,
+                                            json{{"spec", "x"},
+                                                 {"steps",
+                                                  {{{"count", kTasks},
+                                                    {"cpu", plan.cpu},
+                                                    {"mem-mb", 1},
+                                                    {"estimate-ms", kWorkMs},
+                                                    {"checkpoint", true}}}}}
+                                                .dump());
+  if (accepted.status != 200) return kExitNotRun;
+  for (int tries = 0; tries < 25 && Begun(fleet) < kTasks; ++tries) {
+    SleepMs(1'000);
+  }
+  deployment.record().Add("runs begun: " + std::to_string(Begun(fleet)));
+  SleepMs(2'000);
   if (WithTrouble()) {
-    deployment.Signal(frozen, SIGSTOP, "freezes");
-    thaw = std::thread([&] {
-      SleepMs(kFreezeMs);
-      deployment.Signal(frozen, SIGCONT, "wakes");
-    });
+    for (int i = 0; i < kNodes; ++i) deployment.KillNode(i);
+    SleepMs(kDownMs);
+    for (int i = 0; i < kNodes; ++i) deployment.StartNode(i);
+  }
+  std::string state;
+  while (NowMs() < 105'000) {
+    state = deployment.State(kSubmission);
+    if (state == "complete" || state == "failed" || state == "cancelled") break;
+    SleepMs(1'000);
+  }
+  std::map<std::string, int> ends;
+  for (const StartedRun& run : fleet.Log()) ++ends[run.how];
+  std::string summary = "state " + state + ", ends of runs:";
+  for (const auto& [how, count] : ends) {
+    summary += " " + (how.empty() ? "none" : how) + " " + std::to_string(count);
   }
-  // The consumer waits for as long as its Deadline-Ms says, then leaves.
-  const Reply handed_in =
-      deployment.CallNode(frozen, "POST", kSubmission, kBody, kDeadlineMs);
-  if (!WithTrouble()) SleepMs(1'000);
-  const Reply cancelled = deployment.CallNode(other, "DELETE", kSubmission);
-  const std::int64_t cancelled_at = NowMs();
-  if (thaw.joinable()) thaw.join();
-  if (cancelled.status != 200 && cancelled.status != 410) return kExitNotRun;
-  if (WithTrouble() && handed_in.status != 0) return kExitNotRun;
-  SleepMs(kWatchMs - (NowMs() - cancelled_at));
-  (void)deployment.State(kSubmission);
-  fleet.RecordRuns();
-  const std::int64_t bound = cancelled_at + kCancelMs + kStopTimeoutMs;
-  // Counted only once the frozen machine has been in touch again.
-  const std::int64_t in_touch = cancelled_at + kFreezeMs + 2 * kContactMs;
-  bool broken = false;
-  for (const StartedRun& run : fleet.Log()) {
-    const std::int64_t until = run.ended_at < 0 ? NowMs() : run.ended_at;
-    broken = broken || (until > bound && until > in_touch);
+  deployment.record().Add(summary);
+  if (state == "failed" && ends["failed"] == 0) {
+    deployment.record().Add("LOST: shown as failed without cause");
+    return kExitBroken;
   }
-  deployment.record().Add("cancelling acknowledged at " +
-                          std::to_string(cancelled_at));
-  if (!broken) return kExitHeld;
-  deployment.record().Add("UNASKED: runs on after its cancelling");
-  return kExitBroken;
+  return state == "complete" || state == "running" ? kExitHeld : kExitNotRun;
 }
 
 }  // namespace
--- a/review/support-2/fleet.hpp
+++ b/review/support-2/fleet.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -134,6 +135,18 @@
     Begin(*workers_.at(id));
   }
 
+  /// From now on a share of the starts is left unanswered and carried out 2 to
+  /// 12 s later; 0 ends that.
+  void SetLateShare(double share) {
+    const std::lock_guard lock(mutex_);
+    late_share_ = share;
+  }
+  /// Highest fence that a worker has seen.
+  [[nodiscard]] std::uint64_t FenceOf(const std::string& id) const {
+    const std::lock_guard lock(mutex_);
+    return workers_.at(id)->fence;
+  }
+
   [[nodiscard]] std::vector<StartedRun> Log() const {
     const std::lock_guard lock(mutex_);
     return log_;
@@ -360,17 +373,38 @@
     if (!expected.empty() && expected != id) return Answer(worker, 421, {});
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object()) return Answer(worker, 400, {});
+    const std::string path = request.Path();
+    const bool late =
+        path == "/mangospread/run-start" && late_share_ > 0 &&
+        std::uniform_real_distribution<double>()(random_) < late_share_;
+    if (late && !WaitLate(worker, life, lock)) return {};
     const std::uint64_t fence = body.value("fence", std::uint64_t{0});
     if (fence < worker.fence) return Answer(worker, 409, "fence");
     worker.fence = fence;
-    const std::string path = request.Path();
-    if (path == "/mangospread/run-start") return Start(worker, body);
+    if (path == "/mangospread/run-start") {
+      const Reply reply = Start(worker, body);
+      return late ? Reply() : reply;
+    }
     if (path == "/mangospread/run-stop") return Stop(worker, body);
     if (path == "/mangospread/pace") return Answer(worker, 200, {});
     if (path != "/mangospread/hold") return Answer(worker, 400, {});
     return Hold(worker, life, body, lock);
   }
 
+  /// Waits before an order is carried out late. Returns false if the worker's
+  /// process has ended meanwhile.
+  bool WaitLate(const Worker& worker, int life,
+                std::unique_lock<std::mutex>& lock) {
+    const std::int64_t until =
+        NowMs() + std::uniform_int_distribution<int>(2'000, 12'000)(random_);
+    while (worker.life == life && NowMs() < until) {
+      lock.unlock();
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      lock.lock();
+    }
+    return worker.life == life;
+  }
+
   static Reply Answer(const Worker& worker, int status,
                       const std::string& reason) {
     json body = {{"clock-ms", worker.Clock()}, {"born", worker.born}};
@@ -477,6 +511,8 @@
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::vector<TaskPlan>> plans_;
   std::vector<StartedRun> log_;
+  double late_share_ = 0;
+  std::mt19937 random_{11};
   std::atomic<bool> stopped_{false};
   std::thread ticker_;
 };
