--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,6 +1,6 @@
-// A task whose workers crash while it is at work, one worker at a time. It can
-// be done, and none of its runs ends as failed, so its submission must not be
-// shown as failed.
+// A submission of several thousand small tasks that last is cancelled, and the
+// DELETE is answered with 200. Its tasks must be gone cancel_ms +
+// stop-timeout-ms later.
 #include "deployment.hpp"
 
 namespace {
@@ -8,10 +8,16 @@
 using namespace review2;
 
 constexpr int kWorkers = 8;
-constexpr int kCrashes = 4;
-constexpr std::int64_t kAtWorkMs = 1'000;
-constexpr std::int64_t kDownMs = 2'000;
-constexpr const char* kSubmission = "5c0e7a21d94b36f8";
+constexpr int kTasks = 6'000;
+constexpr int kFewTasks = 160;
+constexpr std::int64_t kWatchMs = 15'000;
+constexpr const char* kSubmission = "9ca0ce1000000001";
+
+int AtWork(const Fleet& fleet) {
+  int runs = 0;
+  for (const StartedRun& run : fleet.Log()) runs += run.ended_at < 0 ? 1 : 0;
+  return runs;
+}
 
 int Run() {
   Deployment deployment("review/9/record.txt", 3);
@@ -21,40 +27,45 @@
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
-  fleet.Describe(kSubmission, {{6'000, 2'000}});
-  const Reply accepted = deployment.CallAny(
-      "POST", kSubmission,
-      R"({"spec":"x","steps":[{"count":1,"cpu":2000,"mem-mb":256,"estimate-ms":6000}]})");
+  const int tasks = WithTrouble() ? kTasks : kFewTasks;
+  TaskPlan plan;
+  plan.lasts = true;
+  plan.cpu = 10;
+  fleet.Describe(kSubmission, {plan});
+  const Reply accepted = deployment.CallAny("POST", kSubmission,
+                                            json{{"spec", "x"},
+                                                 {"steps",
+                                                  {{{"count", tasks},
+                                                    {"cpu", plan.cpu},
+                                                    {"mem-mb", 1},
+                                                    {"estimate-ms", 400},
+                                                    {"long-running", true}}}}}
+                                                .dump());
   if (accepted.status != 200) return kExitNotRun;
-  const int crashes = WithTrouble() ? kCrashes : 0;
-  for (int i = 0; i < crashes; ++i) {
-    std::string worker;
-    for (int tries = 0; tries < 400 && worker.empty(); ++tries) {
-      worker = fleet.WorkerOf(kSubmission, kAtWorkMs);
-      if (worker.empty()) SleepMs(50);
-    }
-    if (worker.empty()) break;
-    fleet.Crash(worker);
-    SleepMs(kDownMs);
-    fleet.Restart(worker);
-  }
-  std::string state;
-  for (int tries = 0; tries < 40; ++tries) {
-    state = deployment.State(kSubmission);
-    if (state == "complete" || state == "failed" || state == "cancelled") break;
+  for (int tries = 0; tries < 40 && AtWork(fleet) < tasks; ++tries) {
     SleepMs(500);
   }
-  fleet.RecordRuns();
-  int failed_runs = 0;
-  for (const StartedRun& run : fleet.Log()) failed_runs += run.how == "failed";
-  deployment.record().Add("state " + state + ", runs that ended as failed: " +
-                          std::to_string(failed_runs));
-  if (state == "complete") return kExitHeld;
-  if (state == "failed" && failed_runs == 0) {
-    deployment.record().Add("LOST: shown as failed without cause");
-    return kExitBroken;
+  // Calm for longer than contact-ms.
+  SleepMs(kContactMs + 2'000);
+  deployment.record().Add("runs at work " + std::to_string(AtWork(fleet)));
+  const Reply cancelled = deployment.CallAny("DELETE", kSubmission);
+  const std::int64_t cancelled_at = NowMs();
+  if (cancelled.status != 200) return kExitNotRun;
+  int late = 0;
+  while (NowMs() < cancelled_at + kWatchMs) {
+    SleepMs(500);
+    const int runs = AtWork(fleet);
+    const std::int64_t since = NowMs() - cancelled_at;
+    deployment.record().Add(std::to_string(since) +
+                            " ms after the answer, runs at work " +
+                            std::to_string(runs));
+    if (since > kCancelMs + kStopTimeoutMs) late = std::max(late, runs);
+    if (runs == 0) break;
   }
-  return kExitNotRun;
+  if (late == 0) return kExitHeld;
+  deployment.record().Add("UNASKED: tasks run on after the cancelling: " +
+                          std::to_string(late));
+  return kExitBroken;
 }
 
 }  // namespace
