--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,12 +5,13 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
+rm -f "$out"/case*
 for number in 6 7 8 9 10; do
-  source=review/$number/case.cc
+  source=review/$number/main.cc
   [ -e "$source" ] || continue
   g++ -std=c++20 -O1 -pthread -Ireview/support-2 "$source" -o "$out/case$number" &
 done
 wait
 for number in 6 7 8 9 10; do
-  [ ! -e "review/$number/case.cc" ] || [ -x "$out/case$number" ]
+  [ ! -e "review/$number/main.cc" ] || [ -x "$out/case$number" ]
 done
