--- a/review/10/main.cc
+++ b/review/10/main.cc
@@ -1,12 +1,11 @@
 // A worker crashes and starts again at once under its id and at its address,
 // as one of another kind. Until it has registered, the store holds the entry of
 // its former life. No task may start on it that requires the former kind.
-#include "deployment.hpp"
+#include "../support-2/deployment.hpp"
 
+namespace review2 {
 namespace {
 
-using namespace review2;
-
 constexpr int kWorkers = 8;
 constexpr int kWorkersOfKindA = 2;
 constexpr std::int64_t kDownMs = 1'500;
@@ -67,5 +66,6 @@
 }
 
 }  // namespace
+}  // namespace review2
 
-int main() { return Run(); }
+int main() { return review2::Run(); }
--- a/review/6/main.cc
+++ b/review/6/main.cc
@@ -1,15 +1,14 @@
 // Scheduled submissions with many times are accepted. The platform kills a
 // process that exceeds memory-mb and starts it again. Other work must still be
 // answered for.
-#include "deployment.hpp"
+#include "../support-2/deployment.hpp"
 
+namespace review2 {
 namespace {
 
-using namespace review2;
-
 constexpr int kWorkers = 8;
 constexpr int kNodes = 3;
-constexpr long kMemoryMb = 260;
+constexpr std::int64_t kMemoryMb = 260;
 constexpr std::int64_t kRestartMs = 1'000;
 constexpr int kSchedules = 8;
 /// Once a second for a day.
@@ -21,11 +20,11 @@
 constexpr int kFaultEnds = 3;
 constexpr const char* kPlain = "9a1a000000000001";
 
-long ResidentMb(pid_t pid) {
+std::int64_t ResidentMb(pid_t pid) {
   std::ifstream file("/proc/" + std::to_string(pid) + "/status");
   std::string line;
   while (std::getline(file, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) return std::stol(line.substr(6)) / 1024;
+    if (line.rfind("VmRSS:", 0) == 0) return std::stoll(line.substr(6)) / 1024;
   }
   return 0;
 }
@@ -58,7 +57,7 @@
           deployment_.StartNode(i);
         }
         if (restart_at[i] > 0) continue;
-        const long resident = ResidentMb(deployment_.pid(i));
+        const std::int64_t resident = ResidentMb(deployment_.pid(i));
         if (resident <= kMemoryMb) continue;
         deployment_.record().Add("node " + std::to_string(i) + " uses " +
                                  std::to_string(resident) + " MB");
@@ -136,5 +135,6 @@
 }
 
 }  // namespace
+}  // namespace review2
 
-int main() { return Run(); }
+int main() { return review2::Run(); }
--- a/review/8/main.cc
+++ b/review/8/main.cc
@@ -2,12 +2,11 @@
 // power for some seconds, so the leases expire and every run ends as lapsed,
 // with its checkpoint. The submission can be done, and must not be shown as
 // failed.
-#include "deployment.hpp"
+#include "../support-2/deployment.hpp"
 
+namespace review2 {
 namespace {
 
-using namespace review2;
-
 constexpr int kWorkers = 8;
 constexpr int kNodes = 3;
 constexpr int kTasks = 20'000;
@@ -71,5 +70,6 @@
 }
 
 }  // namespace
+}  // namespace review2
 
-int main() { return Run(); }
+int main() { return review2::Run(); }
--- a/review/9/main.cc
+++ b/review/9/main.cc
@@ -1,12 +1,11 @@
 // A submission of several thousand small tasks that last is cancelled, and the
 // DELETE is answered with 200. Its tasks must be gone cancel_ms +
 // stop-timeout-ms later.
-#include "deployment.hpp"
+#include "../support-2/deployment.hpp"
 
+namespace review2 {
 namespace {
 
-using namespace review2;
-
 constexpr int kWorkers = 8;
 constexpr int kTasks = 6'000;
 constexpr int kFewTasks = 160;
@@ -69,5 +68,6 @@
 }
 
 }  // namespace
+}  // namespace review2
 
-int main() { return Run(); }
+int main() { return review2::Run(); }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,7 @@
 for number in 6 7 8 9 10; do
   source=review/$number/main.cc
   [ -e "$source" ] || continue
-  g++ -std=c++20 -O1 -pthread -Ireview/support-2 "$source" -o "$out/case$number" &
+  g++ -std=c++20 -O1 -pthread "$source" -o "$out/case$number" &
 done
 wait
 for number in 6 7 8 9 10; do
