--- a/review/10/main.cc
+++ b/review/10/main.cc
@@ -1,6 +1,6 @@
-// A worker crashes and starts again at once under its id and at its address,
-// as one of another kind. Until it has registered, the store holds the entry of
-// its former life. No task may start on it that requires the former kind.
+// The store is down for some seconds. Meanwhile a worker crashes and starts
+// again under its id and at its address, as one of another kind, and cannot
+// register yet. No task may start on it that requires the former kind.
 #include "../support-2/deployment.hpp"
 
 namespace review2 {
@@ -8,24 +8,11 @@
 
 constexpr int kWorkers = 8;
 constexpr int kWorkersOfKindA = 2;
+constexpr std::int64_t kStoreDownMs = 4'200;
+constexpr std::int64_t kCrashAfterMs = 500;
 constexpr std::int64_t kDownMs = 1'500;
-constexpr std::int64_t kSubmitPeriodMs = 200;
-constexpr int kBefore = 15;
-constexpr int kAfter = 30;
-
-std::string Id(int n) {
-  char text[17];
-  std::snprintf(text, sizeof text, "7a5e00000000%04x", n);
-  return text;
-}
-
-void Submit(Deployment& deployment, int n) {
-  deployment.fleet().Describe(Id(n), {{400, 1'000}});
-  (void)deployment.CallAny(
-      "POST", Id(n),
-      R"({"spec":"x","steps":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":400,"requires":"a"}]})");
-  SleepMs(kSubmitPeriodMs);
-}
+constexpr int kTasks = 200;
+constexpr const char* kSubmission = "7a5e000000000001";
 
 int Run() {
   Deployment deployment("review/10/record.txt", 3);
@@ -36,19 +23,31 @@
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
-  int submitted = 0;
-  while (submitted < kBefore) Submit(deployment, submitted++);
-  std::thread trouble;
+  fleet.Describe(kSubmission, {{400, 8'000}});
+  const Reply accepted = deployment.CallAny("POST", kSubmission,
+                                            json{{"spec", "x"},
+                                                 {"steps",
+                                                  {{{"count", kTasks},
+                                                    {"cpu", 8'000},
+                                                    {"mem-mb", 64},
+                                                    {"estimate-ms", 400},
+                                                    {"requires", "a"}}}}}
+                                                .dump());
+  if (accepted.status != 200) return kExitNotRun;
+  SleepMs(2'000);
   if (WithTrouble()) {
+    deployment.record().Add("the store is down");
+    deployment.store().SetDown(true);
+    const std::int64_t up_at = NowMs() + kStoreDownMs;
+    SleepMs(kCrashAfterMs);
     fleet.Crash("i-0");
-    trouble = std::thread([&fleet] {
-      SleepMs(kDownMs);
-      fleet.RestartAs("i-0", {"b"});
-    });
+    SleepMs(kDownMs);
+    fleet.RestartAs("i-0", {"b"});
+    SleepMs(up_at - NowMs());
+    deployment.store().SetDown(false);
+    deployment.record().Add("the store is back");
   }
-  while (submitted < kBefore + kAfter) Submit(deployment, submitted++);
-  if (trouble.joinable()) trouble.join();
-  SleepMs(3'000);
+  SleepMs(10'000);
   fleet.RecordRuns();
   int runs = 0;
   int wrong = 0;
--- a/review/6/main.cc
+++ b/review/6/main.cc
@@ -115,7 +115,7 @@
   }
   deployment.record().Add("schedules accepted: " + std::to_string(accepted));
   if (accepted == 0) return kExitNotRun;
-  SleepMs(5'000);
+  SleepMs(kFinishMs);
   // The plain submission is asked for until an answer says its state.
   const std::int64_t asked_at = NowMs();
   bool answered = false;
--- a/review/9/main.cc
+++ b/review/9/main.cc
@@ -9,12 +9,17 @@
 constexpr int kWorkers = 8;
 constexpr int kTasks = 6'000;
 constexpr int kFewTasks = 160;
+/// Other submissions, which nobody cancels.
+constexpr int kOthers = 4;
 constexpr std::int64_t kWatchMs = 15'000;
 constexpr const char* kSubmission = "9ca0ce1000000001";
 
 int AtWork(const Fleet& fleet) {
   int runs = 0;
-  for (const StartedRun& run : fleet.Log()) runs += run.ended_at < 0 ? 1 : 0;
+  for (const StartedRun& run : fleet.Log()) {
+    const bool cancelled = SubmissionOf(run.task) == kSubmission;
+    runs += cancelled && run.ended_at < 0 ? 1 : 0;
+  }
   return runs;
 }
 
@@ -26,6 +31,17 @@
   }
   if (!deployment.WaitReady()) return kExitNotRun;
   SleepMs(3'000);
+  TaskPlan other;
+  other.work_ms = 60'000;
+  other.cpu = 100;
+  for (int i = 0; i < kOthers; ++i) {
+    const std::string id = "9ca0ce200000000" + std::to_string(i);
+    fleet.Describe(id, {other});
+    const Reply reply = deployment.CallAny(
+        "POST", id,
+        R"({"spec":"x","steps":[{"count":2,"cpu":100,"mem-mb":1,"estimate-ms":60000}]})");
+    if (reply.status != 200) return kExitNotRun;
+  }
   const int tasks = WithTrouble() ? kTasks : kFewTasks;
   TaskPlan plan;
   plan.lasts = true;
--- a/review/support-2/fleet.hpp
+++ b/review/support-2/fleet.hpp
@@ -123,16 +123,20 @@
   }
 
   /// Starts a worker again under its id and at its address. It knows nothing of
-  /// before, and registers with its first heartbeat.
+  /// before, and registers at once, or as soon as the store takes it.
   void Restart(const std::string& id) {
     const std::lock_guard lock(mutex_);
-    Begin(*workers_.at(id));
+    Worker& worker = *workers_.at(id);
+    Begin(worker);
+    Register(worker);
   }
   /// The same as a worker of another kind.
   void RestartAs(const std::string& id, std::set<std::string> kinds) {
     const std::lock_guard lock(mutex_);
-    workers_.at(id)->kinds = std::move(kinds);
-    Begin(*workers_.at(id));
+    Worker& worker = *workers_.at(id);
+    worker.kinds = std::move(kinds);
+    Begin(worker);
+    Register(worker);
   }
 
   /// From now on a share of the starts is left unanswered and carried out 2 to
@@ -236,6 +240,11 @@
   }
 
   void Register(Worker& worker) {
+    constexpr std::int64_t kRetryMs = 100;
+    if (store_.down()) {
+      worker.next_beat = NowMs() + kRetryMs;
+      return;
+    }
     json labels = json::array();
     for (const auto& kind : worker.kinds) labels.push_back(kind);
     labels.push_back(worker.rack);
--- a/review/support-2/store.hpp
+++ b/review/support-2/store.hpp
@@ -42,6 +42,10 @@
 
   void Stop() { server_.Close(); }
 
+  /// While it is down, the store answers 503 and takes no writes.
+  void SetDown(bool down) { down_ = down; }
+  [[nodiscard]] bool down() const { return down_; }
+
   /// Writes a row as the operator or a worker does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value) {
@@ -98,6 +102,7 @@
 
   Reply Handle(const Request& request) {
     const std::string path = request.Path();
+    if (down_) return {503, "{}"};
     if (path == "/mangospread/rows-tx") return Transact(request);
     if (path == "/mangospread/rows-get") return Get(request);
     if (path == "/mangospread/rows-feed") return Feed(request);
@@ -180,6 +185,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t version_ = 0;
+  std::atomic<bool> down_{false};
   std::map<RowId, Row> rows_;
   std::map<std::string, std::vector<Change>> history_;
   std::string address_;
