--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -47,8 +47,10 @@
   return id;
 }
 
-ManagedCluster::ManagedCluster(int nodes, int workers, int runs)
-    : platform_(logs_.path(), "site", StandinProgram(),
+ManagedCluster::ManagedCluster(int nodes, int workers, int runs,
+                               NodeLimits limits)
+    : limits_(limits),
+      platform_(logs_.path(), "site", StandinProgram(),
                 {"site", "--workers", std::to_string(workers), "--runs",
                  std::to_string(runs)}) {
   for (int i = 0; i < nodes; ++i) {
@@ -69,7 +71,9 @@
       << "port-range = [0, 0]\n[listen]\n"
       << "front = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
       << "[platform]\naddr = \""
-      << ToString(table_proxies_[index]->address("proxy")) << "\"\n";
+      << ToString(table_proxies_[index]->address("proxy")) << "\"\n"
+      << "[limits]\nmemory-mb = " << limits_.memory_mb
+      << "\nmax-fds = " << limits_.max_fds << "\n";
   return std::make_unique<Process>(
       logs_.path(), name, NodeProgram(),
       std::vector<std::string>{"serve", "--managed", "--settings",
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -41,13 +41,20 @@
 /// Default of the number of tasks that a worker runs at most.
 inline constexpr int kRunsPerWorker = 8;
 
+/// What a node's VM bears, as its settings name it.
+struct NodeLimits {
+  int memory_mb = 260;
+  int max_fds = 4'100;
+};
+
 /// A platform stand-in with `workers` workers and the nodes "n1" to "n<nodes>",
 /// each of which reaches the platform's table through a fault proxy. The
 /// constructor starts them without waiting until the nodes are ready.
 class ManagedCluster {
  public:
   /// @param runs number of tasks that each worker runs at most.
-  ManagedCluster(int nodes, int workers, int runs = kRunsPerWorker);
+  ManagedCluster(int nodes, int workers, int runs = kRunsPerWorker,
+                 NodeLimits limits = {});
 
   /// Control address of the fault proxy between a node and the table.
   [[nodiscard]] Address table_proxy(std::size_t node) const {
@@ -142,6 +149,7 @@
   [[nodiscard]] std::string GetMetrics(std::size_t node);
   [[nodiscard]] std::unique_ptr<Process> StartNode(std::size_t index);
 
+  NodeLimits limits_;
   LogDirectory logs_;
   Process platform_;
   std::vector<std::unique_ptr<Process>> table_proxies_;
