Evacuation of a data centre: no starts, gentle moves, load by and by

Change: Evacuations are part of a node's state. The leader's dispatcher places nothing there (rejection 'evacuated' in explain), an agent withholds starts by its own knowledge, whatever its leader knows, also those that wait for a permission since before. A returned data centre's workers are chosen after others at first, for 5 s. Events 1827, 1828.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -305,6 +305,10 @@
       return {"leadership_claimed", Severity::kInfo};
     case Event::kTaskWaits:
       return {"task_waits", Severity::kInfo};
+    case Event::kEvacuationChanged:
+      return {"evacuation_changed", Severity::kInfo};
+    case Event::kStartWithheld:
+      return {"start_withheld", Severity::kInfo};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
@@ -315,6 +319,8 @@
       return {"worker_listed", Severity::kInfo};
     case Event::kRequestInvalid:
       return {"request_invalid", Severity::kInfo};
+    case Event::kClientClosed:
+      return {"client_closed", Severity::kInfo};
     case Event::kWatchOpened:
       return {"watch_opened", Severity::kInfo};
     case Event::kWatchClosed:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -101,8 +101,11 @@
   kPermissionChanged = 1824,
   kLeadershipClaimed = 1825,
   kTaskWaits = 1826,
+  kEvacuationChanged = 1827,
+  kStartWithheld = 1828,
   // API.
   kRequestInvalid = 1701,
+  kClientClosed = 1704,
   kWatchOpened = 1702,
   kWatchClosed = 1703,
 };
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "dispatch/core/end_ledger.hpp"
 #include "dispatch/core/job.hpp"
 #include "dispatch/core/waiting.hpp"
+#include "dispatch/model/evacuation.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/policy/fill_guard.hpp"
 #include "dispatch/policy/lost_run.hpp"
@@ -53,8 +54,9 @@
 [[nodiscard]] std::string_view RemovalName(WorkerRemoval removal) noexcept;
 
 /// Counts of starts, refused starts, ends by kind, requeues, stalls, worker
-/// exclusions and their early ends, runs lost with their worker and tasks given
-/// up for crashing workers since this dispatcher was created.
+/// exclusions and their early ends, runs lost with their worker, tasks given up
+/// for crashing workers and runs moved for an evacuation since this dispatcher
+/// was created.
 struct DispatcherCounters {
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
@@ -66,6 +68,7 @@
   std::uint64_t readmitted = 0;
   std::uint64_t lost = 0;
   std::uint64_t given_up = 0;
+  std::uint64_t evacuated = 0;
 };
 
 /// State of all submissions of a group and of the workers that run them.
@@ -144,6 +147,14 @@
   void OnWorkerRemoved(const VmName& vm, WorkerRemoval removal,
                        MonotonicTime now);
 
+  // Evacuations (dispatcher_evacuation.cc).
+
+  /// Replaces the evacuations. Workers there start nothing; what can go on
+  /// elsewhere at little cost is moved while there is room.
+  void SetEvacuations(const Evacuations& evacuations, MonotonicTime now);
+  /// Number of runs that may be on the workers of a data centre.
+  [[nodiscard]] int RunsUnderEvacuation(const DataCenter& data_center) const;
+
   /// Starts pending tasks for which there is free capacity.
   void Decide(MonotonicTime now);
 
@@ -282,6 +293,17 @@
   /// left to finish.
   void DrainWorkers(MonotonicTime now);
 
+  // Evacuations (dispatcher_evacuation.cc).
+  /// Moves at most one task away from an evacuated data centre.
+  void MoveEvacuated(MonotonicTime now);
+  /// True if moving the task costs little: it goes on from a checkpoint, or all
+  /// tasks of its step are at work and one of them may be interrupted.
+  [[nodiscard]] bool MayLeaveEvacuated(const TaskRef& ref,
+                                       const PlacedRun& placed,
+                                       MonotonicTime now) const;
+  /// True if each task of the step has been measured at work just now.
+  [[nodiscard]] bool AllAtWork(const TaskRef& ref, MonotonicTime now) const;
+
   // Waiting tasks (dispatcher_waits.cc).
   using WaitVisitor = std::function<void(TaskIndex, const Wait&)>;
   /// Calls `visit` for each task of the submission that waits.
@@ -397,6 +419,10 @@
   WorkerHealth health_;
   InterferenceModel interference_;
   EndLedger ledger_;
+  Evacuations evacuations_;
+  MonotonicTime next_evacuation_move_{0};
+  /// Worker at which the last search for a task to move ended.
+  std::size_t evacuation_cursor_ = 0;
   DispatcherCounters counters_;
 };
 
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -94,6 +94,7 @@
 
 void Dispatcher::Decide(MonotonicTime now) {
   DrainWorkers(now);
+  MoveEvacuated(now);
   UpdateIdle(now);
   ResumePaused(now);
   // Steps that could not be placed in this round. Larger steps of the same kind
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -28,7 +28,10 @@
 
 }  // namespace
 
-void Dispatcher::OnWorker(const WorkerInfo& info) { registry_.Upsert(info); }
+void Dispatcher::OnWorker(const WorkerInfo& info) {
+  const WorkerSlot slot = registry_.Upsert(info);
+  registry_.at(slot).evacuated = evacuations_.contains(info.data_center);
+}
 
 void Dispatcher::OnEvent(const AgentEvent& event, MonotonicTime now) {
   const WorkerSlot slot = registry_.Find(event.vm);
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -85,6 +85,8 @@
 
   /// Replaces the list of registered workers.
   void OnWorkers(const std::map<VmName, WorkerInfo>& listed);
+  /// Replaces the evacuations, which hold from now on.
+  void SetEvacuations(const Evacuations& evacuations);
   /// @param last_grant_age time for which the agent has granted no lease;
   ///   nullopt if it is not known.
   /// @param numbers_attachments as in its Hello.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -75,6 +75,11 @@
   AssignWorkers();
 }
 
+void GroupLeader::SetEvacuations(const Evacuations& evacuations) {
+  dispatcher_->SetEvacuations(evacuations, base::MonotonicNow());
+  if (loaded_) RequestDecision();
+}
+
 std::set<VmName> GroupLeader::TargetRoster() const {
   std::set<VmName> wanted = unresolved_;
   for (const auto& [vm, info] : listed_) wanted.insert(vm);
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -22,6 +22,9 @@
           {[this] { return permission(); },
            [this](MonotonicTime emitted_at) {
              return LeaderHasHandled(emitted_at);
+           },
+           [this](const DataCenter& data_center) {
+             return evacuations_.contains(data_center);
            }},
           deps_.observe),
       listener_(deps_.loop, options_.channel,
@@ -78,6 +81,33 @@
   if (leader_) leader_->OnWorkers(listed_);
 }
 
+void Node::OnEvacuations(Evacuations evacuations) {
+  const Evacuations former =
+      std::exchange(evacuations_, std::move(evacuations));
+  for (const auto& [data_center, version] : former) {
+    if (!evacuations_.contains(data_center)) {
+      LogEvacuation(data_center, version, false);
+    }
+  }
+  for (const auto& [data_center, version] : evacuations_) {
+    if (!former.contains(data_center))
+      LogEvacuation(data_center, version, true);
+  }
+  if (leader_) leader_->SetEvacuations(evacuations_);
+}
+
+void Node::LogEvacuation(const DataCenter& data_center, RowVersion version,
+                         bool in_force) const {
+  // -1 on a follower, which does not know.
+  const int runs =
+      leader_ ? leader_->dispatcher().RunsUnderEvacuation(data_center) : -1;
+  base::Log(base::Event::kEvacuationChanged,
+            {{"data_center", data_center.str()},
+             {"in_force", in_force ? 1 : 0},
+             {"version", version.value()},
+             {"runs", runs}});
+}
+
 void Node::Handle(ServiceCall call, ServiceCallback done) {
   calls_.Add(std::move(call), std::move(done));
 }
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -70,6 +70,9 @@
   }
   /// Replaces the list of registered workers.
   void OnWorkers(std::map<VmName, WorkerInfo> listed);
+  /// Replaces the evacuations. This node's agent starts nothing there from now
+  /// on, whatever its leader knows of them.
+  void OnEvacuations(Evacuations evacuations);
 
   /// Processes a call, locally if this node leads, else through the leader.
   void Handle(ServiceCall call, ServiceCallback done);
@@ -135,6 +138,8 @@
   [[nodiscard]] std::optional<NodeId> AgentAt(
       const std::shared_ptr<Channel>& channel) const;
   void SendCommand(const NodeId& agent, AgentCommand command);
+  void LogEvacuation(const DataCenter& data_center, RowVersion version,
+                     bool in_force) const;
   /// Tells all connected peers whether this node leads, and if so, whether
   /// another may take over.
   void Announce(bool leading);
@@ -186,6 +191,7 @@
   bool awaits_announcement_ = false;
   PendingCalls calls_;
   std::map<VmName, WorkerInfo> listed_;
+  Evacuations evacuations_;
   base::Timer reconnect_timer_;
   base::Timer orphan_timer_;
   base::Timer notify_timer_;
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -81,6 +81,7 @@
       former_confirmed_by,
       leadership_->former_lease()};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
+  leader_->SetEvacuations(evacuations_);
   if (followed_stopped_at_ && former_leader) {
     leader_->OnFormerLeaderStopped(*followed_stopped_at_);
   }
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -17,6 +17,12 @@
 /// processors.
 constexpr double kRemoteDataCost = 2.0;
 
+/// Cost of a worker whose data centre's evacuation has just ended, in shares of
+/// its processors. It falls to 0 within kReturnTime, so that the data centre's
+/// workers, which are all free and cold, get load by and by.
+constexpr double kReturnCost = 1.0;
+constexpr MonotonicTime kReturnTime = std::chrono::seconds(5);
+
 bool Satisfies(const WorkerState& worker, const StepSpec& spec) {
   return LabelRejection(worker, spec) == Rejection::kNone;
 }
@@ -76,6 +82,15 @@
   return mismatch;
 }
 
+/// Cost for a recently ended evacuation of the worker's data centre.
+double ReturnCost(const WorkerState& worker, MonotonicTime now) {
+  if (!worker.returned_at) return 0;
+  const MonotonicTime left = *worker.returned_at + kReturnTime - now;
+  if (left.count() <= 0) return 0;
+  return kReturnCost * static_cast<double>(left.count()) /
+         static_cast<double>(kReturnTime.count());
+}
+
 /// Lower is better.
 double Cost(const WorkerState& worker, const InterferenceModel& model,
             const StepSpec& spec) {
@@ -273,9 +288,10 @@
     heap_.push_back({suspicion, -share, slot, PercentOf(share)});
     return;
   }
-  const double cost = goal_ == PlacementGoal::kLongestQuiet
-                          ? static_cast<double>(worker.last_start.count())
-                          : Cost(worker, model_, spec_);
+  const double cost =
+      goal_ == PlacementGoal::kLongestQuiet
+          ? static_cast<double>(worker.last_start.count())
+          : Cost(worker, model_, spec_) + ReturnCost(worker, now_);
   heap_.push_back({suspicion, cost, slot});
 }
 
--- a/src/dispatch/policy/rejections.cc
+++ b/src/dispatch/policy/rejections.cc
@@ -19,6 +19,8 @@
       return "free";
     case Rejection::kLeaving:
       return "leaving";
+    case Rejection::kEvacuated:
+      return "evacuated";
     case Rejection::kDetached:
       return "detached";
     case Rejection::kSilent:
@@ -50,7 +52,8 @@
 Rejection StartRejection(const WorkerState& worker,
                          MonotonicTime now) noexcept {
   if (worker.CanStart(now)) return Rejection::kNone;
-  if (!worker.Stays()) return Rejection::kLeaving;
+  if (worker.slot_free || worker.info.leaving()) return Rejection::kLeaving;
+  if (worker.evacuated) return Rejection::kEvacuated;
   if (!worker.attached) return Rejection::kDetached;
   if (worker.silent_since.count() > 0) return Rejection::kSilent;
   if (!worker.stray_runs.empty()) return Rejection::kUnknownUse;
--- a/src/dispatch/policy/rejections.hpp
+++ b/src/dispatch/policy/rejections.hpp
@@ -18,6 +18,7 @@
 enum class Rejection : unsigned char {
   kNone,  ///< It can start there.
   kLeaving,
+  kEvacuated,   ///< Its data centre is under evacuation.
   kDetached,    ///< No agent is connected to it.
   kSilent,      ///< It does not respond.
   kUnknownUse,  ///< Runs that are being stopped use its capacity.
--- a/src/dispatch/policy/worker_book.cc
+++ b/src/dispatch/policy/worker_book.cc
@@ -142,7 +142,7 @@
   return static_cast<std::size_t>(
       std::count_if(slots.begin(), slots.end(), [this](WorkerSlot slot) {
         const WorkerState& worker = slots_[static_cast<std::size_t>(slot)];
-        return worker.attached && !worker.info.leaving();
+        return worker.attached && worker.Stays();
       }));
 }
 
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -77,7 +78,10 @@
   /// suspected task that it has just started.
   MonotonicTime trial_until{0};
   bool slot_free = false;  ///< The slot is free for another worker.
-  Millicores cpu_used;     ///< Reserved by tasks that are not best effort.
+  bool evacuated = false;  ///< Its data centre is under evacuation.
+  /// End of the last evacuation of its data centre; nullopt if there was none.
+  std::optional<MonotonicTime> returned_at;
+  Millicores cpu_used;  ///< Reserved by tasks that are not best effort.
   /// The part of cpu_used reserved by long-running tasks, which serve requests.
   Millicores latency_critical_cpu;
   Millicores best_effort_cpu;  ///< Requested by best-effort tasks.
@@ -120,9 +124,10 @@
     return attached && silent_since.count() == 0 && stray_runs.empty() &&
            now >= full_until;
   }
-  /// False if it will start no task any more.
+  /// False if it will start no task any more, or not before its data centre's
+  /// evacuation ends.
   [[nodiscard]] bool Stays() const noexcept {
-    return !slot_free && !info.leaving();
+    return !slot_free && !info.leaving() && !evacuated;
   }
   [[nodiscard]] bool Excluded(MonotonicTime now) const noexcept {
     return now < excluded_until;
@@ -147,7 +152,7 @@
   /// Slots of the service's workers, ascending, also of those that leave.
   [[nodiscard]] const std::vector<WorkerSlot>& SlotsOf(
       const ServiceName& service) const;
-  /// Number of workers of a service, without those that leave.
+  /// Number of workers of a service, without those that leave or are evacuated.
   [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
   [[nodiscard]] WorkerState& at(WorkerSlot slot) {
     return slots_[static_cast<std::size_t>(slot)];
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -61,12 +61,14 @@
 class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
  public:
   using Emit = std::function<void(AgentEvent)>;
-  /// What this node knows of its leader.
+  /// What this node knows of its leader and of the operator's requests.
   struct LeaderView {
     /// What it permits at present.
     std::function<Permission()> permission;
     /// True if it has handled all events that were emitted up to this time.
     std::function<bool(MonotonicTime emitted_at)> has_handled;
+    /// True if the data centre is under evacuation. May be null.
+    std::function<bool(const DataCenter&)> is_evacuated = nullptr;
   };
 
   [[nodiscard]] static std::shared_ptr<WorkerSession> Create(
@@ -195,6 +197,10 @@
   /// have waited for too long as not sent.
   void SendWaitingStarts();
   void ReportNotSent(const StartRun& command);
+  /// True if the worker's data centre is under evacuation.
+  [[nodiscard]] bool IsEvacuated() const;
+  /// Refuses a start on an evacuated worker.
+  void WithholdStart(const StartRun& command);
   /// Reports all waiting starts as not sent.
   void ReportWaitingNotSent();
   void SendStart(StartRun command, int requested_speed);
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -31,6 +31,8 @@
   for (WaitingStart& start : std::exchange(waiting_starts_, {})) {
     if (now - start.since > options_.max_start_wait) {
       ReportNotSent(start.command);
+    } else if (IsEvacuated()) {
+      WithholdStart(start.command);
     } else if (!MaySend(start.command)) {
       waiting_starts_.push_back(std::move(start));
     } else {
@@ -43,6 +45,7 @@
   starts_seen_ = command.number;
   process_unconfirmed_ = process_unconfirmed_ || !link_->Connected();
   if (unreachable_reported_ || reading_ends_) return ReportNotSent(command);
+  if (IsEvacuated()) return WithholdStart(command);
   if (!synced_ || process_unconfirmed_ || !MaySend(command) ||
       leader_.permission() < Permission::kStarts) {
     waiting_starts_.push_back(
@@ -56,6 +59,22 @@
   Report(RunNotStarted{command.task, command.run, CommandOutcome::kNotSent});
 }
 
+bool WorkerSession::IsEvacuated() const {
+  return leader_.is_evacuated &&
+         leader_.is_evacuated(assignment_.worker.data_center);
+}
+
+void WorkerSession::WithholdStart(const StartRun& command) {
+  base::Log(base::Event::kStartWithheld,
+            {{"task", command.task},
+             {"run", command.run.value()},
+             {"vm", command.vm.str()},
+             {"data_center", assignment_.worker.data_center.str()}});
+  // The leader does not know of the evacuation yet. For lack of capacity it
+  // leaves the worker out for a while, too.
+  Report(RunNotStarted{command.task, command.run, CommandOutcome::kNoCapacity});
+}
+
 void WorkerSession::ReportWaitingNotSent() {
   for (const WaitingStart& start : std::exchange(waiting_starts_, {})) {
     ReportNotSent(start.command);
