HTTP server: limits of all connections together

Cause: the server's limits hold for each connection alone: any number of them, each with an unfinished body, and requests sent ahead without bound, since evhttp goes on reading while it writes an answer. Change: ConnectionGuard counts what each connection has sent and has had no answer to (with the memory of header fields), bounds connections, bytes, and the time of a head, a body and an answer as a whole, and closes the one whose unfinished request began first. A request that the handler has is never closed; one that exceeds the budget is refused with 503 before it is passed on. Without ClientLimits nothing changes. Ruled out: a filtering bufferevent, since evhttp misses the rest of a body that arrives in two reads through one (libevent 2.1.12).

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -20,6 +21,8 @@
 namespace {
 
 constexpr int kInternalError = 500;
+/// Sent when the requests in progress hold too much memory.
+constexpr const char* kRetryAfterSeconds = "1";
 
 std::optional<Method> ToMethod(evhttp_cmd_type type) {
   switch (type) {
@@ -62,15 +65,25 @@
   }
 }
 
+/// The bufferevent of the request's connection, which is open.
+bufferevent* BuffereventOf(evhttp_request* raw) {
+  return evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
+}
+
 /// Counts a response until it is written to its socket or its connection ends.
 void CountUntilWritten(evhttp_request* raw, detail::ServerState& server) {
   evhttp_connection* connection = evhttp_request_get_connection(raw);
   if (connection == nullptr) return;
   ++server.unwritten_responses;
+  if (server.guard) server.guard->OnResponse(BuffereventOf(raw));
   evhttp_request_set_on_complete_cb(
       raw,
       [](evhttp_request* completed, void* arg) {
-        --static_cast<detail::ServerState*>(arg)->unwritten_responses;
+        auto* state = static_cast<detail::ServerState*>(arg);
+        --state->unwritten_responses;
+        if (state->guard) {
+          state->guard->OnResponseTaken(BuffereventOf(completed));
+        }
         evhttp_connection_set_closecb(evhttp_request_get_connection(completed),
                                       nullptr, nullptr);
       },
@@ -173,10 +186,7 @@
 HttpServer::HttpServer(base::EventLoop& loop, HttpServerLimits limits,
                        Handler handler)
     : http_(evhttp_new(loop.raw())), handler_(std::move(handler)) {
-  evhttp_set_max_headers_size(http_,
-                              static_cast<ev_ssize_t>(limits.max_header_bytes));
-  evhttp_set_max_body_size(http_,
-                           static_cast<ev_ssize_t>(limits.max_body_bytes));
+  SetRequestLimits(limits.max_header_bytes, limits.max_body_bytes);
   evhttp_set_timeout(http_, static_cast<int>(limits.timeout.count()));
   evhttp_set_default_content_type(http_, nullptr);
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
@@ -186,27 +196,65 @@
   evhttp_set_gencb(
       http_,
       [](evhttp_request* raw, void* arg) {
-        auto* self = static_cast<HttpServer*>(arg);
-        const auto method = ToMethod(evhttp_request_get_command(raw));
-        if (!method) {
-          evhttp_send_error(raw, HTTP_BADMETHOD, nullptr);
-          return;
-        }
-        SetNoDelay(raw);
-        // The destructor of the exchange responds if the handler throws.
-        base::CallProtected("http_server", [&] {
-          self->handler_(std::make_shared<HttpExchange>(
-              raw, ReadRequest(raw, *method), self->state_));
-        });
+        static_cast<HttpServer*>(arg)->OnRequest(raw);
       },
       this);
+  if (!limits.clients) return;
+  state_->guard = std::make_shared<detail::ConnectionGuard>(
+      loop, *limits.clients,
+      [this](bool accepting) { SetAccepting(accepting); });
+  evhttp_set_bevcb(
+      http_,
+      [](event_base* /*base*/, void* arg) {
+        return static_cast<detail::ConnectionGuard*>(arg)->MakeConnection();
+      },
+      state_->guard.get());
 }
 
 HttpServer::~HttpServer() {
   state_->alive = false;
+  if (state_->guard) state_->guard->Detach();
   evhttp_free(http_);
 }
 
+void HttpServer::OnRequest(evhttp_request* raw) {
+  const auto method = ToMethod(evhttp_request_get_command(raw));
+  if (!method) {
+    evhttp_send_error(raw, HTTP_BADMETHOD, nullptr);
+    return;
+  }
+  SetNoDelay(raw);
+  if (state_->guard && !state_->guard->OnRequest(BuffereventOf(raw))) {
+    evhttp_add_header(evhttp_request_get_output_headers(raw), "Retry-After",
+                      kRetryAfterSeconds);
+    evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection",
+                      "close");
+    evhttp_send_reply(raw, HTTP_SERVUNAVAIL, nullptr, nullptr);
+    return;
+  }
+  // The destructor of the exchange responds if the handler throws.
+  base::CallProtected("http_server", [&] {
+    handler_(
+        std::make_shared<HttpExchange>(raw, ReadRequest(raw, *method), state_));
+  });
+}
+
+void HttpServer::SetAccepting(bool accepting) {
+  if (socket_ == nullptr) return;
+  evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
+  if (accepting) {
+    evconnlistener_enable(listener);
+  } else {
+    evconnlistener_disable(listener);
+  }
+}
+
+void HttpServer::SetRequestLimits(std::size_t max_header_bytes,
+                                  std::size_t max_body_bytes) {
+  evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(max_header_bytes));
+  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(max_body_bytes));
+}
+
 Result<Address> HttpServer::Listen(const Address& address) {
   socket_ =
       evhttp_bind_socket_with_handle(http_, address.ip.c_str(), address.port);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/loop/event_loop.hpp"
 #include "mangospread/address.hpp"
 #include "mangospread/error.hpp"
+#include "net/connection_guard.hpp"
 #include "net/http_message.hpp"
 
 struct evhttp;
@@ -28,6 +30,7 @@
   bool closing = false;  ///< Responses carry "Connection: close".
   /// Responses not yet completely written to their sockets.
   std::size_t unwritten_responses = 0;
+  std::shared_ptr<ConnectionGuard> guard;  ///< Null without ClientLimits.
 };
 
 }  // namespace detail
@@ -87,6 +90,8 @@
   std::size_t max_body_bytes = 8 * 1024 * 1024 + 64 * 1024;
   /// Idle and slow connections are closed after this time.
   std::chrono::seconds timeout{60};
+  /// Of a server whose clients cannot be relied upon.
+  std::optional<ClientLimits> clients = std::nullopt;
 };
 
 /// HTTP server on an event loop, which also calls the handler of requests.
@@ -118,7 +123,26 @@
   /// Closes the listening socket; open connections remain open.
   void StopListening();
 
+  /// Sets the limits of the requests on connections that are accepted from now
+  /// on, in bytes.
+  void SetRequestLimits(std::size_t max_header_bytes,
+                        std::size_t max_body_bytes);
+
+  /// Connections that were closed and requests that were refused by the
+  /// ClientLimits; all 0 without them.
+  [[nodiscard]] ClientRefusals refusals() const noexcept {
+    return state_->guard ? state_->guard->refusals() : ClientRefusals{};
+  }
+  /// Bytes that clients have sent and that are not answered; 0 without
+  /// ClientLimits.
+  [[nodiscard]] std::size_t held_bytes() const noexcept {
+    return state_->guard ? state_->guard->held_bytes() : 0;
+  }
+
  private:
+  void OnRequest(evhttp_request* raw);
+  void SetAccepting(bool accepting);
+
   evhttp* http_;
   evhttp_bound_socket* socket_ = nullptr;
   Handler handler_;
