Managed nodes: evacuations from the operator's table, limits of clients

Change: the feed of the operator's table also carries evacuations; a reading of all rows replaces them. Metrics for both.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "api/metrics.hpp"
+#include "app/client_limits.hpp"
 #include "app/failure_log.hpp"
 #include "app/signal_handler.hpp"
 #include "app/stop_schedule.hpp"
@@ -27,6 +28,7 @@
 #include "net/http_status.hpp"
 #include "platform/codec.hpp"
 #include "platform/frontend.hpp"
+#include "platform/operator_requests.hpp"
 #include "platform/settings.hpp"
 #include "platform/store.hpp"
 #include "platform/worker_link.hpp"
@@ -46,6 +48,9 @@
 constexpr Milliseconds kLogFlushPeriod{250};
 constexpr Milliseconds kStopCheckPeriod{50};
 constexpr Milliseconds kSettingsCheckPeriod{1'000};
+/// Probes and operators' requests have short heads and no body.
+constexpr std::size_t kMaxProbeHeaderBytes = 8'192;
+constexpr std::size_t kMaxProbeBodyBytes = 1'024;
 /// Partition of the store in which this system writes its rows.
 constexpr const char* kPartition = "g0";
 
@@ -95,12 +100,13 @@
                           dispatch::ServiceCallback done) {
                      node_.Handle(std::move(call), std::move(done));
                    }}),
-        frontend_server_(loop, {},
+        frontend_server_(loop, MakeCallerLimits(),
                          [this](std::shared_ptr<net::HttpExchange> exchange) {
                            frontend_.Handle(std::move(exchange));
                          }),
         readiness_server_(
-            loop, {}, [this](const std::shared_ptr<net::HttpExchange>& probe) {
+            loop, MakeProbeLimits(),
+            [this](const std::shared_ptr<net::HttpExchange>& probe) {
               HandleProbe(*probe);
             }) {}
 
@@ -117,7 +123,7 @@
     if (!frontend.ok()) return frontend.error();
     auto readiness = readiness_server_.Listen(settings_.readiness);
     if (!readiness.ok()) return readiness.error();
-    SubscribeToCatalog();
+    SubscribeToOperator();
     SubscribeToLeader();
     settings_timer_ =
         loop_.Every(kSettingsCheckPeriod, 0.1, [this] { ReloadIfModified(); });
@@ -154,7 +160,7 @@
     former_pools_.push_back(std::exchange(
         store_pool_, net::HttpClientPool::Create(loop_, settings_.store, {})));
     table_.SetPool(store_pool_);
-    SubscribeToCatalog();
+    SubscribeToOperator();
     SubscribeToLeader();
     if (workers_feed_) SubscribeToWorkers();
   }
@@ -186,6 +192,19 @@
     probe.Reply(response);
   }
 
+  static void AppendRefusals(const net::ClientRefusals& refusals,
+                             std::vector<api::Sample>& samples) {
+    for (std::size_t i = 0; i < refusals.size(); ++i) {
+      samples.push_back(
+          {"callers_refused_total",
+           "Callers' connections closed and requests refused by the limits",
+           api::MetricType::kCounter,
+           static_cast<double>(refusals[i]),
+           {{"reason",
+             net::ClientRefusalName(static_cast<net::ClientRefusal>(i))}}});
+    }
+  }
+
   [[nodiscard]] std::string ExposeMetrics() const {
     std::vector<api::Sample> samples;
     const auto add = [&samples](const char* name, const char* help,
@@ -201,8 +220,13 @@
         kGauge, static_cast<double>(node_.permission()));
     add("log_lines_dropped_total", "Log lines that were not written", kCounter,
         static_cast<double>(base::DroppedLogLines()));
+    add("evacuated_data_centers", "Data centres under evacuation", kGauge,
+        static_cast<double>(evacuations_.size()));
     add("requests_in_flight", "Callers' requests without an answer", kGauge,
         frontend_.in_flight());
+    add("caller_bytes_held", "Bytes that callers have sent, without an answer",
+        kGauge, static_cast<double>(frontend_server_.held_bytes()));
+    AppendRefusals(frontend_server_.refusals(), samples);
     if (const auto* leader = node_.leader()) {
       const auto& counters = leader->dispatcher().counters();
       const auto add_counter = [&](const char* name, const char* help,
@@ -228,6 +252,9 @@
       add_counter("tasks_given_up_total",
                   "Tasks not started again since they crash workers",
                   counters.given_up);
+      add_counter("runs_moved_for_evacuation_total",
+                  "Runs stopped to go on outside an evacuated data centre",
+                  counters.evacuated);
       add_counter("store_changes_rejected_total",
                   "Changes that the store does not accept",
                   leader->writes().rejected_by_table);
@@ -241,6 +268,24 @@
     return api::FormatPrometheusText(samples) + timings_.Expose();
   }
 
+  /// Until a configuration is in force, its defaults hold.
+  net::HttpServerLimits MakeCallerLimits() const {
+    const Catalog defaults;
+    net::HttpServerLimits limits;
+    limits.max_header_bytes = defaults.max_header_bytes;
+    limits.max_body_bytes = defaults.max_body_bytes;
+    limits.clients = CallerLimits(settings_);
+    return limits;
+  }
+
+  static net::HttpServerLimits MakeProbeLimits() {
+    net::HttpServerLimits limits;
+    limits.max_header_bytes = kMaxProbeHeaderBytes;
+    limits.max_body_bytes = kMaxProbeBodyBytes;
+    limits.clients = ProbeLimits();
+    return limits;
+  }
+
   dispatch::NodeOptions MakeOptions() const {
     dispatch::NodeOptions options;
     options.node = settings_.node;
@@ -279,15 +324,27 @@
         [this] { return std::uniform_real_distribution<double>()(random_); });
   }
 
-  void SubscribeToCatalog() {
-    const auto install = [this](const std::vector<ChangedRow>& rows) {
+  void SubscribeToOperator() {
+    const auto install_catalog = [this](const std::vector<ChangedRow>& rows) {
       for (const ChangedRow& row : rows) {
         if (row.key == "config" && row.value) InstallCatalog(*row.value);
       }
     };
-    catalog_feed_ = std::make_unique<platform::StoreFeed>(
-        loop_, store_pool_, MakeFeedSchedule(), "op", "",
-        platform::FeedHooks{install, install, {}});
+    platform::FeedHooks hooks;
+    hooks.on_snapshot = [this, install_catalog](const auto& rows) {
+      install_catalog(rows);
+      if (platform::ReplaceEvacuations(rows, evacuations_)) {
+        node_.OnEvacuations(evacuations_);
+      }
+    };
+    hooks.on_change = [this, install_catalog](const auto& rows) {
+      install_catalog(rows);
+      if (platform::UpdateEvacuations(rows, evacuations_)) {
+        node_.OnEvacuations(evacuations_);
+      }
+    };
+    operator_feed_ = std::make_unique<platform::StoreFeed>(
+        loop_, store_pool_, MakeFeedSchedule(), "op", "", std::move(hooks));
   }
 
   void InstallCatalog(const std::string& value) {
@@ -300,6 +357,8 @@
     }
     if (catalog_ && catalog.value().revision <= catalog_->revision) return;
     catalog_ = std::move(catalog.value());
+    frontend_server_.SetRequestLimits(catalog_->max_header_bytes,
+                                      catalog_->max_body_bytes);
     base::Log(base::Event::kCatalogInstalled,
               {{"revision", catalog_->revision.value()},
                {"routes", catalog_->routes.size()}});
@@ -403,13 +462,14 @@
   std::vector<std::shared_ptr<net::HttpClientPool>> former_pools_;
   platform::StoreTable table_;
   std::optional<Catalog> catalog_;
+  dispatch::Evacuations evacuations_;
   std::map<VmName, WorkerInfo> workers_;
   dispatch::Node node_;
   std::mt19937_64 random_{std::random_device{}()};
   platform::Frontend frontend_;
   net::HttpServer frontend_server_;
   net::HttpServer readiness_server_;
-  std::unique_ptr<platform::StoreFeed> catalog_feed_;
+  std::unique_ptr<platform::StoreFeed> operator_feed_;
   std::unique_ptr<platform::StoreFeed> leader_feed_;
   std::unique_ptr<platform::StoreFeed> workers_feed_;
   std::optional<StopSchedule> stop_schedule_;  ///< Set while stopping.
--- a/src/dispatch/model/catalog.hpp
+++ b/src/dispatch/model/catalog.hpp
@@ -28,7 +28,9 @@
   std::vector<QueueRoute> routes;
   /// Services whose workers start tasks without a check of their capacity.
   std::vector<ServiceName> services_without_admission_check;
-  std::size_t max_body_bytes = 256 * 1024;
+  /// Limits of callers' requests.
+  std::size_t max_body_bytes = std::size_t{256} * 1024;
+  std::size_t max_header_bytes = std::size_t{32} * 1024;
 
   /// Returns the route with the longest matching prefix, or null.
   [[nodiscard]] const QueueRoute* Find(std::string_view host,
