--- a/src/app/client_limits.hpp
+++ b/src/app/client_limits.hpp
@@ -16,4 +16,12 @@
 /// those of callers.
 [[nodiscard]] net::ClientLimits ProbeLimits();
 
+/// Most connections of peers: a quarter of the sockets.
+[[nodiscard]] std::size_t MaxPeers(const platform::ManagedSettings& settings);
+
+/// Most memory of accepted submissions on a leader, in bytes: two fifths of
+/// its memory.
+[[nodiscard]] std::size_t MaxWorkBytes(
+    const platform::ManagedSettings& settings);
+
 }  // namespace mangospread::app
--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -261,6 +261,8 @@
       add("workers_unresolved",
           "Workers of the former leader whose runs are not known yet", kGauge,
           static_cast<double>(leader->unresolved_workers()));
+      add("work_bytes", "Memory of accepted submissions", kGauge,
+          static_cast<double>(leader->dispatcher().work_bytes()));
       add("submissions_active", "Submissions that have not ended", kGauge,
           static_cast<double>(leader->dispatcher().active()));
       AppendWaitSamples(*leader, base::MonotonicNow(), samples);
@@ -295,6 +297,8 @@
     options.session.max_lease = settings_.max_lease;
     options.leader.row_bytes =
         static_cast<std::size_t>(settings_.store_row_bytes);
+    options.leader.max_work_bytes = MaxWorkBytes(settings_);
+    options.max_peers = MaxPeers(settings_);
     options.peer_address = {settings_.ip, settings_.first_port};
     return options;
   }
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -57,6 +57,7 @@
   if (!added) return;
   it->second.job = std::make_unique<Job>(std::move(submission),
                                          std::move(policy), now, unix_epoch_);
+  work_bytes_ += MemoryOfJob(it->second.job->submission());
   active_.push_back(&it->second);
 }
 
@@ -69,6 +70,7 @@
   Entry& entry = it->second;
   entry.job = std::make_unique<Job>(std::move(submission), std::move(policy),
                                     accepted_at, unix_epoch_);
+  work_bytes_ += MemoryOfJob(entry.job->submission());
   entry.job->Restore(progress);
   entry.visible_state = progress.state;
   entry.restored = true;
@@ -154,6 +156,7 @@
     }
   }
   health_.Discard(id);
+  work_bytes_ -= MemoryOfJob(it->second.job->submission());
   entries_.erase(it);
 }
 
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -197,6 +197,8 @@
     return counters_;
   }
   [[nodiscard]] std::size_t active() const noexcept { return active_.size(); }
+  /// Memory of all submissions, in bytes, as MemoryOfJob counts it.
+  [[nodiscard]] std::size_t work_bytes() const noexcept { return work_bytes_; }
 
  private:
   struct Entry {
@@ -419,6 +421,7 @@
   WorkerHealth health_;
   InterferenceModel interference_;
   EndLedger ledger_;
+  std::size_t work_bytes_ = 0;
   Evacuations evacuations_;
   MonotonicTime next_evacuation_move_{0};
   /// Worker at which the last search for a task to move ended.
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -43,8 +43,23 @@
   return paths;
 }
 
+/// Overhead of the memory that a step refers to.
+constexpr std::size_t kAllocationBytes = 64;
+
 }  // namespace
 
+std::size_t MemoryOfJob(const Submission& submission) {
+  std::size_t occurrence = 0;
+  for (const StepSpec& step : submission.steps) {
+    occurrence += sizeof(Step) + kAllocationBytes +
+                  step.after.size() * sizeof(int) +
+                  static_cast<std::size_t>(step.count) * sizeof(Task);
+  }
+  const auto occurrences =
+      static_cast<std::size_t>(std::max(submission.occurrences, 1));
+  return submission.spec.size() + occurrence * occurrences;
+}
+
 Job::Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at,
          MonotonicTime unix_epoch)
     : submission_(std::move(submission)),
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -2,6 +2,7 @@
 /// A submission with the state of its tasks.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -107,6 +108,10 @@
   std::vector<DoneTasks> done;
 };
 
+/// Memory that a Job of the submission takes, in bytes, from the sizes of its
+/// parts.
+[[nodiscard]] std::size_t MemoryOfJob(const Submission& submission);
+
 /// A submission with the state of its tasks; independent of workers and clocks.
 /// The steps of an occurrence follow those of the previous occurrence.
 class Job {
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -22,6 +22,9 @@
 /// outage is not known and they give up after a few seconds. Differs from other
 /// delays, so that a log line shows which of them applied.
 constexpr Milliseconds kTableDownRetryAfter{900};
+/// Memory becomes free when submissions have ended and their states are not
+/// asked for any more.
+constexpr Milliseconds kNoMemoryRetryAfter{5'000};
 constexpr MonotonicTime kLoadRetryDelay = milliseconds(300);
 
 table::WriterOptions MakeWriterOptions() {
@@ -302,6 +305,17 @@
                {"subject", submission.error().subject}});
     return done(MakeReply(ServiceResult::kInvalid));
   }
+  const std::size_t bytes = MemoryOfJob(submission.value());
+  if (dispatcher_->work_bytes() + accepting_bytes_ + bytes >
+      options_.max_work_bytes) {
+    base::Log(base::Event::kSubmissionRefused,
+              {{"request", id.str()},
+               {"reason", "memory"},
+               {"bytes", bytes},
+               {"held", dispatcher_->work_bytes() + accepting_bytes_},
+               {"limit", options_.max_work_bytes}});
+    return done(MakeRefusal(kNoMemoryRetryAfter));
+  }
   if (!writer_.table_reachable()) {
     return done(MakeRefusal(kTableDownRetryAfter));
   }
@@ -321,9 +335,12 @@
   change.writes.push_back({key, std::move(value)});
   accepting_callbacks_[id].push_back(std::move(done));
   accepting_calls_.emplace(id, std::move(call));
-  writer_.Submit(std::move(change), [this, id](const table::WriteResult& r) {
-    OnSubmitted(id, r);
-  });
+  accepting_bytes_ += bytes;
+  writer_.Submit(std::move(change),
+                 [this, id, bytes](const table::WriteResult& result) {
+                   accepting_bytes_ -= bytes;
+                   OnSubmitted(id, result);
+                 });
 }
 
 void GroupLeader::OnSubmitted(const SubmissionId& id,
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -438,6 +438,7 @@
   /// Callers that wait for a submission to be stored.
   std::map<SubmissionId, std::vector<ServiceCallback>> accepting_callbacks_;
   std::map<SubmissionId, ServiceCall> accepting_calls_;
+  std::size_t accepting_bytes_ = 0;  ///< Memory that these will take.
   /// Callers that wait for a cancellation to be stored.
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
--- a/src/dispatch/leader/group_leader_options.hpp
+++ b/src/dispatch/leader/group_leader_options.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 
 #include "dispatch/model/lease.hpp"
 #include "dispatch/model/permission.hpp"
@@ -27,6 +28,9 @@
   Milliseconds rejected_row_delay{3'000};
   /// Most bytes of a row's value that the table accepts.
   std::size_t row_bytes = 65'536;
+  /// Most memory of accepted submissions, in bytes; more are refused. Those of
+  /// former leaders are loaded whatever they take.
+  std::size_t max_work_bytes = std::numeric_limits<std::size_t>::max();
   /// Minimum time between placement rounds.
   Milliseconds decide_delay{8};
   /// Period at which expired leases, unassigned workers and ended submissions
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -36,6 +36,9 @@
   Milliseconds orphan_timeout{3'500};
   PendingCallsOptions calls;
   Milliseconds reconnect_delay{250};
+  /// Most accepted channels, those that have not introduced themselves
+  /// included.
+  std::size_t max_peers = 1'500;
 };
 
 struct NodeDependencies {
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -152,6 +152,7 @@
 }
 
 void Node::Accept(std::shared_ptr<Channel> channel) {
+  if (peers_.size() >= options_.max_peers) return channel->Close();
   ChannelHooks hooks;
   Channel* raw = channel.get();
   hooks.on_frame = [this, raw](Frame frame) {
@@ -200,6 +201,7 @@
 
 void Node::OnPeerHello(const std::shared_ptr<Channel>& channel,
                        const Hello& hello) {
+  channel->SetIntroduced();
   AdoptNewerLeader(hello);
   const bool leading = leader_ != nullptr;
   channel->Send(MakeHello(leading));
--- a/src/dispatch/peer/channel.cc
+++ b/src/dispatch/peer/channel.cc
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::uint32_t kMaxFrameBytes = 16 * 1024 * 1024;
+/// Limit before the other end has introduced itself.
+constexpr std::uint32_t kMaxFirstFrameBytes = 16 * 1024;
 constexpr int kBacklog = 128;
 
 sockaddr_in ToSocketAddress(const Address& address) {
@@ -33,7 +35,10 @@
 }  // namespace
 
 Channel::Channel(base::EventLoop& loop, ChannelTimeouts timeouts, bool connects)
-    : loop_(loop), timeouts_(timeouts), connects_(connects) {}
+    : loop_(loop),
+      timeouts_(timeouts),
+      connects_(connects),
+      introduced_(connects) {}
 
 Channel::~Channel() {
   if (buffer_ != nullptr) bufferevent_free(buffer_);
@@ -121,7 +126,9 @@
       return;
     }
     size = ntohl(size);
-    if (size > kMaxFrameBytes) return Fail(Errc::kMalformed);
+    if (size > (introduced_ ? kMaxFrameBytes : kMaxFirstFrameBytes)) {
+      return Fail(Errc::kMalformed);
+    }
     if (evbuffer_get_length(input) < sizeof(size) + size) return;
     evbuffer_drain(input, sizeof(size));
     std::string bytes(size, '\0');
--- a/src/dispatch/peer/channel.hpp
+++ b/src/dispatch/peer/channel.hpp
@@ -62,6 +62,9 @@
   /// Closes without calling on_closed.
   void Close();
   [[nodiscard]] bool open() const noexcept { return buffer_ != nullptr; }
+  /// Accepts frames of any size from the other end, which has introduced
+  /// itself. Before that an accepted channel takes only small ones.
+  void SetIntroduced() noexcept { introduced_ = true; }
 
  private:
   Channel(base::EventLoop& loop, ChannelTimeouts timeouts, bool connects);
@@ -76,6 +79,7 @@
   base::EventLoop& loop_;
   ChannelTimeouts timeouts_;
   bool connects_;  ///< This side connected.
+  bool introduced_;
   ChannelHooks hooks_;
   bufferevent* buffer_ = nullptr;
   MonotonicTime read_at_{0};
