Limits of clients and evacuations: what the review of both found

An agent follows its leader again 5 s after its feed failed; a leader starts nothing before it knows the evacuations, for at most 4 s after its start. The case of chunks of one byte and the two time limits of evacuations have no test.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -270,12 +270,9 @@
     return api::FormatPrometheusText(samples) + timings_.Expose();
   }
 
-  /// Until a configuration is in force, its defaults hold.
+  /// The limits of requests hold once a configuration is in force.
   net::HttpServerLimits MakeCallerLimits() const {
-    const Catalog defaults;
     net::HttpServerLimits limits;
-    limits.max_header_bytes = defaults.max_header_bytes;
-    limits.max_body_bytes = defaults.max_body_bytes;
     limits.clients = CallerLimits(settings_);
     return limits;
   }
@@ -299,6 +296,7 @@
         static_cast<std::size_t>(settings_.store_row_bytes);
     options.leader.max_work_bytes = MaxWorkBytes(settings_);
     options.max_peers = MaxPeers(settings_);
+    options.awaits_evacuations = true;
     options.peer_address = {settings_.ip, settings_.first_port};
     return options;
   }
@@ -337,9 +335,8 @@
     platform::FeedHooks hooks;
     hooks.on_snapshot = [this, install_catalog](const auto& rows) {
       install_catalog(rows);
-      if (platform::ReplaceEvacuations(rows, evacuations_)) {
-        node_.OnEvacuations(evacuations_);
-      }
+      platform::ReplaceEvacuations(rows, evacuations_);
+      node_.OnEvacuations(evacuations_);
     };
     hooks.on_change = [this, install_catalog](const auto& rows) {
       install_catalog(rows);
@@ -347,6 +344,9 @@
         node_.OnEvacuations(evacuations_);
       }
     };
+    hooks.on_reachable = [this](bool reachable) {
+      node_.OnOperatorReachable(reachable);
+    };
     operator_feed_ = std::make_unique<platform::StoreFeed>(
         loop_, store_pool_, MakeFeedSchedule(), "op", "", std::move(hooks));
   }
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -424,8 +424,9 @@
   std::size_t work_bytes_ = 0;
   Evacuations evacuations_;
   MonotonicTime next_evacuation_move_{0};
-  /// Worker at which the last search for a task to move ended.
+  /// Worker and run at which the last search for a task to move ended.
   std::size_t evacuation_cursor_ = 0;
+  TaskName last_move_considered_;
   DispatcherCounters counters_;
 };
 
--- a/src/dispatch/core/dispatcher_evacuation.cc
+++ b/src/dispatch/core/dispatcher_evacuation.cc
@@ -1,5 +1,6 @@
 // Data centres under evacuation: no starts there, and moves of what runs there.
 #include <algorithm>
+#include <map>
 
 #include "dispatch/core/dispatcher.hpp"
 
@@ -48,21 +49,29 @@
   next_evacuation_move_ = now + kMovePeriod;
   const std::size_t workers = registry_.workers().size();
   int considered = 0;
+  std::map<ServiceName, bool> has_room;
   for (std::size_t i = 0; i < workers; ++i) {
-    evacuation_cursor_ = (evacuation_cursor_ + 1) % workers;
-    const auto slot = static_cast<WorkerSlot>(evacuation_cursor_);
+    const auto slot = static_cast<WorkerSlot>(evacuation_cursor_ % workers);
     const WorkerState& worker = registry_.at(slot);
-    if (!worker.evacuated || !worker.UseIsKnown(now)) continue;
-    for (const auto& [name, placed] : worker.runs) {
-      const auto ref = FindTask(name);
-      if (!MayLeaveEvacuated(*ref, placed, now)) continue;
-      if (considered++ >= kMovesConsidered) return;
-      if (FreeShare(worker.info.service, now) <= kMinFreeShare) continue;
-      if (!FitsElsewhere(*ref, now)) continue;
-      ++counters_.evacuated;
-      hooks_.log(name, worker.info.vm, "moved", "evacuated");
-      return StopTask(*ref, now);
+    auto run = worker.runs.end();
+    if (worker.evacuated && worker.UseIsKnown(now)) {
+      const auto [room, added] = has_room.try_emplace(worker.info.service);
+      if (added) room->second = FreeShare(room->first, now) > kMinFreeShare;
+      if (room->second) run = worker.runs.upper_bound(last_move_considered_);
+    }
+    for (; run != worker.runs.end(); ++run) {
+      const auto ref = FindTask(run->first);
+      if (!MayLeaveEvacuated(*ref, run->second, now)) continue;
+      last_move_considered_ = run->first;
+      if (FitsElsewhere(*ref, now)) {
+        ++counters_.evacuated;
+        hooks_.log(run->first, worker.info.vm, "moved", "evacuated");
+        return StopTask(*ref, now);
+      }
+      if (++considered >= kMovesConsidered) return;
     }
+    evacuation_cursor_ = (evacuation_cursor_ + 1) % workers;
+    last_move_considered_ = TaskName();
   }
 }
 
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -133,6 +133,7 @@
   if (!loaded_ || decide_timer_.active()) return;
   decide_timer_ = deps_.loop.After(options_.decide_delay, [this] {
     // The next tick requests a decision again.
+    if (deps_.knows_evacuations && !deps_.knows_evacuations()) return;
     if (deps_.confirmed()) dispatcher_->Decide(base::MonotonicNow());
   });
 }
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -65,6 +65,8 @@
   std::optional<MonotonicTime> former_confirmed_by = std::nullopt;
   /// Length of the longest leases that workers may hold from its time.
   Milliseconds former_lease{kWorkerLease};
+  /// False while the evacuations are not known yet. May be null.
+  std::function<bool()> knows_evacuations = nullptr;
 };
 
 /// Schedules the submissions of a group while this process leads it. Every
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -24,13 +24,14 @@
              return LeaderHasHandled(emitted_at);
            },
            [this](const DataCenter& data_center) {
-             return evacuations_.contains(data_center);
+             return IsEvacuated(data_center);
            }},
           deps_.observe),
       listener_(deps_.loop, options_.channel,
                 [this](std::shared_ptr<Channel> channel) {
                   Accept(std::move(channel));
                 }),
+      created_at_(base::MonotonicNow()),
       contact_(options_.leader.loss_notice_delay),
       calls_(deps_.loop, options_.calls,
              [this](std::uint64_t id, const ServiceCall& call) {
@@ -93,9 +94,26 @@
     if (!former.contains(data_center))
       LogEvacuation(data_center, version, true);
   }
+  evacuations_known_ = true;
   if (leader_) leader_->SetEvacuations(evacuations_);
 }
 
+void Node::OnOperatorReachable(bool reachable) {
+  operator_lost_at_ =
+      reachable ? std::nullopt : std::optional(base::MonotonicNow());
+}
+
+bool Node::IsEvacuated(const DataCenter& data_center) const {
+  if (!evacuations_.contains(data_center)) return false;
+  return !operator_lost_at_ || base::MonotonicNow() - *operator_lost_at_ <=
+                                   options_.evacuations_trust;
+}
+
+bool Node::KnowsEvacuations() const {
+  return !options_.awaits_evacuations || evacuations_known_ ||
+         base::MonotonicNow() - created_at_ >= options_.evacuations_wait;
+}
+
 void Node::LogEvacuation(const DataCenter& data_center, RowVersion version,
                          bool in_force) const {
   // -1 on a follower, which does not know.
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -39,6 +39,14 @@
   /// Most accepted channels, those that have not introduced themselves
   /// included.
   std::size_t max_peers = 1'500;
+  /// As the leader, starts nothing before the evacuations are known, for at
+  /// most `evacuations_wait` after its start.
+  bool awaits_evacuations = false;
+  Milliseconds evacuations_wait{4'000};
+  /// For this long after the operator's requests could not be read any more, an
+  /// agent withholds starts by what it knows; then it follows its leader, since
+  /// the evacuation may have ended.
+  Milliseconds evacuations_trust{5'000};
 };
 
 struct NodeDependencies {
@@ -76,6 +84,8 @@
   /// Replaces the evacuations. This node's agent starts nothing there from now
   /// on, whatever its leader knows of them.
   void OnEvacuations(Evacuations evacuations);
+  /// Reports whether the operator's requests can be read.
+  void OnOperatorReachable(bool reachable);
 
   /// Processes a call, locally if this node leads, else through the leader.
   void Handle(ServiceCall call, ServiceCallback done);
@@ -141,6 +151,8 @@
   [[nodiscard]] std::optional<NodeId> AgentAt(
       const std::shared_ptr<Channel>& channel) const;
   void SendCommand(const NodeId& agent, AgentCommand command);
+  [[nodiscard]] bool IsEvacuated(const DataCenter& data_center) const;
+  [[nodiscard]] bool KnowsEvacuations() const;
   void LogEvacuation(const DataCenter& data_center, RowVersion version,
                      bool in_force) const;
   /// Tells all connected peers whether this node leads, and if so, whether
@@ -185,6 +197,7 @@
   MonotonicTime follow_confirmed_at_{0};
   /// Time at which that leader was known not to lead any more.
   std::optional<MonotonicTime> followed_stopped_at_;
+  MonotonicTime created_at_;
   LeaderContact contact_;
   MonotonicTime hello_sent_at_{0};  ///< To the leader.
   std::shared_ptr<Channel> leader_channel_;
@@ -195,6 +208,9 @@
   PendingCalls calls_;
   std::map<VmName, WorkerInfo> listed_;
   Evacuations evacuations_;
+  bool evacuations_known_ = false;
+  /// Time since which the operator's requests cannot be read.
+  std::optional<MonotonicTime> operator_lost_at_;
   base::Timer reconnect_timer_;
   base::Timer orphan_timer_;
   base::Timer notify_timer_;
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -79,7 +79,8 @@
       former_leader,
       former_elected_by,
       former_confirmed_by,
-      leadership_->former_lease()};
+      leadership_->former_lease(),
+      [this] { return KnowsEvacuations(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->SetEvacuations(evacuations_);
   if (followed_stopped_at_ && former_leader) {
--- a/src/net/connection_guard.cc
+++ b/src/net/connection_guard.cc
@@ -22,6 +22,8 @@
       return "connections";
     case ClientRefusal::kTime:
       return "time";
+    case ClientRefusal::kAhead:
+      return "ahead";
   }
   return "unknown";
 }
@@ -37,6 +39,11 @@
 /// A complete body is held by the exchange, by the call and by the frame that
 /// carries it to the leader.
 constexpr std::size_t kCopiesOfRequest = 3;
+/// Memory that a read takes at least: evhttp moves whole blocks of a chunked
+/// body, however few bytes they hold.
+constexpr std::size_t kReadBytes = 1'024;
+/// More than the operator's limit of a head.
+constexpr std::size_t kMaxScannedBytes = std::size_t{64} * 1024;
 /// Connections that are accepted while as many are being closed.
 constexpr std::size_t kAcceptMargin = 16;
 constexpr Milliseconds kCheckPeriod{250};
@@ -62,9 +69,8 @@
 }
 
 bufferevent* ConnectionGuard::MakeConnection() {
-  if (connections_.size() >= limits_.max_connections) ReleaseFreed();
   if (connections_.size() - closing_ >= limits_.max_connections) {
-    const auto victim = LeastProgress();
+    const auto victim = LeastProgress(false);
     if (victim != connections_.end()) {
       Close(*victim, ClientRefusal::kConnections);
     }
@@ -85,7 +91,6 @@
       },
       &*connection);
   Charge(*connection);
-  KeepBudget();
   if (connections_.size() >= limits_.max_connections + kAcceptMargin) {
     SetAccepting(false);
   }
@@ -101,24 +106,30 @@
                               std::size_t size) {
   if (connection == connections_.end() || connection->closing) return;
   Count(connection, size);
-  // evhttp reads again for the next request.
-  if (connection->ahead > limits_.max_ahead_bytes) {
+  const std::size_t unread =
+      evbuffer_get_length(bufferevent_get_input(connection->socket));
+  if (connection->phase >= Phase::kHandled &&
+      unread > limits_.max_ahead_bytes) {
+    // evhttp reads again when it writes the response.
     bufferevent_disable(connection->socket, EV_READ);
+    if (connection->phase == Phase::kAnswered &&
+        unread > 2 * limits_.max_ahead_bytes) {
+      Close(*connection, ClientRefusal::kAhead);
+    }
   }
   KeepBudget();
 }
 
 void ConnectionGuard::Count(Connections::iterator connection,
                             std::size_t size) {
-  if (connection->phase >= Phase::kHandled) {
-    connection->ahead += size;
-  } else {
+  if (connection->phase < Phase::kHandled) {
     if (connection->phase == Phase::kIdle) Begin(connection, Phase::kHead);
     evbuffer* input = bufferevent_get_input(connection->socket);
     evbuffer_ptr added{};
     evbuffer_ptr_set(input, &added, evbuffer_get_length(input) - size,
                      EVBUFFER_PTR_SET);
-    const auto bytes = static_cast<ev_ssize_t>(size);
+    const auto bytes =
+        static_cast<ev_ssize_t>(std::min(size, kMaxScannedBytes));
     const int count = evbuffer_peek(input, bytes, &added, nullptr, 0);
     std::vector<evbuffer_iovec> parts(static_cast<std::size_t>(count));
     evbuffer_peek(input, bytes, &added, parts.data(), count);
@@ -128,6 +139,7 @@
     }
   }
   connection->received += size;
+  ++connection->reads;
   Charge(*connection);
 }
 
@@ -154,30 +166,40 @@
   connections_.splice(connections_.end(), connections_, connection);
 }
 
+std::size_t ConnectionGuard::HeldBy(const Connection& connection) {
+  if (connection.closing) return 0;
+  const std::size_t copies =
+      connection.phase == Phase::kHandled ? kCopiesOfRequest : 1;
+  const std::size_t received =
+      std::max(connection.received, connection.reads * kReadBytes);
+  return kConnectionBytes + received * copies +
+         connection.head_lines * kFieldBytes;
+}
+
 void ConnectionGuard::Charge(Connection& connection) {
-  std::size_t bytes = 0;
-  if (!connection.closing) {
-    const std::size_t copies =
-        connection.phase == Phase::kHandled ? kCopiesOfRequest : 1;
-    bytes = kConnectionBytes + connection.received * copies +
-            connection.head_lines * kFieldBytes;
-  }
+  const std::size_t bytes = HeldBy(connection);
   budget_.Replace(std::exchange(connection.charged, bytes), bytes);
+  const std::size_t handled =
+      connection.phase == Phase::kHandled ? bytes : std::size_t{0};
+  handled_bytes_ += handled;
+  handled_bytes_ -= std::exchange(connection.handled, handled);
 }
 
 void ConnectionGuard::KeepBudget() {
   while (budget_.exceeded()) {
-    const auto victim = LeastProgress();
+    const auto victim = LeastProgress(true);
     if (victim == connections_.end()) return;
     Close(*victim, ClientRefusal::kMemory);
   }
 }
 
-ConnectionGuard::Connections::iterator ConnectionGuard::LeastProgress() {
+ConnectionGuard::Connections::iterator ConnectionGuard::LeastProgress(
+    bool unfinished) {
   return std::find_if(connections_.begin(), connections_.end(),
-                      [](const Connection& connection) {
+                      [unfinished](const Connection& connection) {
                         return !connection.closing &&
-                               connection.phase != Phase::kHandled;
+                               connection.phase != Phase::kHandled &&
+                               (!unfinished || connection.received > 0);
                       });
 }
 
@@ -197,15 +219,32 @@
   }
 }
 
+evhttp_connection* ConnectionGuard::HttpConnectionOf(
+    const Connection& connection) {
+  // evhttp passes its connection to its callbacks, and clears them when it
+  // frees the connection.
+  void* argument = nullptr;
+  bufferevent_getcb(connection.socket, nullptr, nullptr, nullptr, &argument);
+  return static_cast<evhttp_connection*>(argument);
+}
+
+void ConnectionGuard::SetRequestLimits(std::size_t max_header_bytes,
+                                       std::size_t max_body_bytes) {
+  for (const Connection& connection : connections_) {
+    evhttp_connection* http = HttpConnectionOf(connection);
+    if (http == nullptr) continue;
+    evhttp_connection_set_max_headers_size(
+        http, static_cast<ev_ssize_t>(max_header_bytes));
+    evhttp_connection_set_max_body_size(
+        http, static_cast<ev_ssize_t>(max_body_bytes));
+  }
+}
+
 void ConnectionGuard::FreeClosed() {
   for (Connection& connection : connections_) {
     if (!connection.closing) continue;
-    // The argument of evhttp's callbacks is its connection; null once that is
-    // freed.
-    void* argument = nullptr;
-    bufferevent_getcb(connection.socket, nullptr, nullptr, nullptr, &argument);
-    if (argument == nullptr) continue;
-    evhttp_connection_free(static_cast<evhttp_connection*>(argument));
+    evhttp_connection* http = HttpConnectionOf(connection);
+    if (http != nullptr) evhttp_connection_free(http);
   }
   ReleaseFreed();
 }
@@ -213,9 +252,7 @@
 void ConnectionGuard::ReleaseFreed() {
   for (auto it = connections_.begin(); it != connections_.end();) {
     const auto connection = it++;
-    void* argument = nullptr;
-    bufferevent_getcb(connection->socket, nullptr, nullptr, nullptr, &argument);
-    if (argument == nullptr) Release(connection);
+    if (HttpConnectionOf(*connection) == nullptr) Release(connection);
   }
   if (connections_.size() < limits_.max_connections + kAcceptMargin) {
     SetAccepting(true);
@@ -225,6 +262,7 @@
 void ConnectionGuard::Release(Connections::iterator connection) {
   if (connection->closing) --closing_;
   budget_.Replace(connection->charged, 0);
+  handled_bytes_ -= connection->handled;
   by_socket_.erase(connection->socket);
   bufferevent_decref(connection->socket);
   connections_.erase(connection);
@@ -256,12 +294,14 @@
   if (it->closing) return false;
   it->phase = Phase::kHandled;
   it->since = base::MonotonicNow();
-  it->ahead = 0;
+  // Others are closed only if the request is accepted then.
+  if (handled_bytes_ + HeldBy(*it) > budget_.limit()) {
+    ++refusals_[static_cast<std::size_t>(ClientRefusal::kMemory)];
+    return false;
+  }
   Charge(*it);
   KeepBudget();
-  if (!budget_.exceeded()) return true;
-  ++refusals_[static_cast<std::size_t>(ClientRefusal::kMemory)];
-  return false;
+  return true;
 }
 
 void ConnectionGuard::OnResponse(bufferevent* connection) {
@@ -277,7 +317,7 @@
   if (it == connections_.end() || it->closing) return;
   const std::size_t unread =
       evbuffer_get_length(bufferevent_get_input(it->socket));
-  it->received = it->ahead = it->head_lines = 0;
+  it->received = it->reads = it->head_lines = 0;
   Begin(it, Phase::kIdle);
   if (unread > 0) return Count(it, unread);
   Charge(*it);
--- a/src/net/connection_guard.hpp
+++ b/src/net/connection_guard.hpp
@@ -14,6 +14,7 @@
 #include "net/memory_budget.hpp"
 
 struct bufferevent;
+struct evhttp_connection;
 
 namespace mangospread::net {
 
@@ -26,7 +27,8 @@
   std::size_t max_connections = 1'000;
   /// Bytes sent and not answered, of all connections.
   std::size_t max_held_bytes = std::size_t{64} * 1024 * 1024;
-  /// Bytes that are read ahead while a request of the client is handled.
+  /// Bytes that are read ahead while a request of the client is handled. A
+  /// client that has sent twice as many is closed.
   std::size_t max_ahead_bytes = std::size_t{512} * 1024;
   /// From the first byte of a head to its end.
   std::chrono::milliseconds head_timeout{10'000};
@@ -41,9 +43,10 @@
   kMemory,
   kConnections,
   kTime,
+  kAhead,  ///< Requests sent ahead without reading the answers.
 };
 inline constexpr std::size_t kClientRefusalCount =
-    static_cast<std::size_t>(ClientRefusal::kTime) + 1;
+    static_cast<std::size_t>(ClientRefusal::kAhead) + 1;
 
 /// Name for logs and metrics.
 [[nodiscard]] const char* ClientRefusalName(ClientRefusal refusal) noexcept;
@@ -57,7 +60,7 @@
 /// Counts what each connection holds and closes those with the least progress
 /// when a limit is exceeded: the one whose unfinished request began first. A
 /// request that was passed to the server's handler is never closed for another
-/// one.
+/// one. Not for servers that stream responses.
 class ConnectionGuard {
  public:
   /// @param set_accepting starts or stops accepting connections.
@@ -69,6 +72,9 @@
 
   /// Creates the bufferevent of a connection that is about to be accepted.
   [[nodiscard]] bufferevent* MakeConnection();
+  /// Sets the limits of requests on the present connections, in bytes.
+  void SetRequestLimits(std::size_t max_header_bytes,
+                        std::size_t max_body_bytes);
   /// Handles a complete request. Returns false if it has to be refused, since
   /// the requests in progress hold too much.
   [[nodiscard]] bool OnRequest(bufferevent* connection);
@@ -105,10 +111,11 @@
     Phase phase = Phase::kIdle;
     MonotonicTime since{0};      ///< Begin of the phase.
     std::size_t received = 0;    ///< Bytes since the last response was taken.
-    std::size_t ahead = 0;       ///< Bytes since the request was complete.
+    std::size_t reads = 0;       ///< Reads since then.
     std::size_t head_lines = 0;  ///< Lines of the head so far.
     bool line_empty = false;     ///< No character yet in the present line.
     std::size_t charged = 0;     ///< Share of the budget.
+    std::size_t handled = 0;     ///< Share of handled_bytes_.
     bool closing = false;
   };
   using Connections = std::list<Connection>;
@@ -123,8 +130,14 @@
   void Charge(Connection& connection);
   /// Closes connections until the budget holds.
   void KeepBudget();
-  /// Connection with the least progress; end if none may be closed.
-  [[nodiscard]] Connections::iterator LeastProgress();
+  /// Bytes of the budget for the connection in its present state.
+  [[nodiscard]] static std::size_t HeldBy(const Connection& connection);
+  /// The oldest connection without a request in progress; end if there is none.
+  /// @param unfinished only one that has sent a part of a request.
+  [[nodiscard]] Connections::iterator LeastProgress(bool unfinished);
+  /// evhttp's connection; null once it is freed.
+  [[nodiscard]] static evhttp_connection* HttpConnectionOf(
+      const Connection& connection);
   /// Closes the connection when the present callback has returned.
   void Close(Connection& connection, ClientRefusal reason);
   /// Frees the closed connections.
@@ -144,6 +157,7 @@
   /// Ordered by the begin of the present request, the oldest first.
   Connections connections_;
   std::unordered_map<bufferevent*, Connections::iterator> by_socket_;
+  std::size_t handled_bytes_ = 0;  ///< Held by the requests in progress.
   std::size_t closing_ = 0;  ///< Connections that are closed but not freed.
   bool accepting_ = true;
   ClientRefusals refusals_{};
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -229,6 +229,7 @@
                       kRetryAfterSeconds);
     evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection",
                       "close");
+    CountUntilWritten(raw, *state_);
     evhttp_send_reply(raw, HTTP_SERVUNAVAIL, nullptr, nullptr);
     return;
   }
@@ -253,6 +254,9 @@
                                   std::size_t max_body_bytes) {
   evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(max_header_bytes));
   evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(max_body_bytes));
+  if (state_->guard) {
+    state_->guard->SetRequestLimits(max_header_bytes, max_body_bytes);
+  }
 }
 
 Result<Address> HttpServer::Listen(const Address& address) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -123,8 +123,8 @@
   /// Closes the listening socket; open connections remain open.
   void StopListening();
 
-  /// Sets the limits of the requests on connections that are accepted from now
-  /// on, in bytes.
+  /// Sets the limits of requests, in bytes: on connections that are accepted
+  /// from now on and, with ClientLimits, on the present ones.
   void SetRequestLimits(std::size_t max_header_bytes,
                         std::size_t max_body_bytes);
 
--- a/tests/unit/connection_guard_test.cc
+++ b/tests/unit/connection_guard_test.cc
@@ -155,6 +155,34 @@
   CHECK(fixture.exchanges.front()->connected());
 }
 
+// Guards against requests sent ahead that take the budget, so that other
+// clients are closed for one that sends without end.
+TEST_CASE("requests sent ahead are read up to a limit") {
+  ClientLimits limits;
+  limits.max_held_bytes = 400'000;
+  limits.max_ahead_bytes = 20'000;
+  GuardFixture fixture(limits);
+  const Client pipelining(fixture.address);
+  std::string requests;
+  while (requests.size() < 150'000) requests += kGet;
+  pipelining.Send(requests);
+  fixture.AwaitRequests(1);
+  Client other(fixture.address);
+  other.Send(Post(10, "x"));
+  test::RunFor(fixture.loop, std::chrono::milliseconds(50));
+  other.Read();
+  CHECK_FALSE(other.closed);
+  // A request in progress counts three times.
+  CHECK(fixture.server->held_bytes() < 3 * 60'000);
+  for (int i = 0; i < 20; ++i) {
+    fixture.AwaitRequests(1);
+    const auto exchange = std::move(fixture.exchanges.front());
+    fixture.exchanges.clear();
+    exchange->Reply({200, {}, {}});
+  }
+  CHECK(fixture.server->held_bytes() < 3 * 60'000);
+}
+
 TEST_CASE("a head and a body have a time as a whole") {
   ClientLimits limits;
   limits.head_timeout = std::chrono::milliseconds(300);
