--- a/standin/site/run.cc
+++ b/standin/site/run.cc
@@ -53,8 +53,12 @@
 /// Everything that a managed node communicates with, except its callers.
 class Site {
  public:
-  Site(base::EventLoop& loop, int worker_count, std::size_t max_runs)
-      : loop_(loop), max_runs_(max_runs), store_(loop) {
+  /// @param zones number of data centres over which the workers are spread.
+  Site(base::EventLoop& loop, int worker_count, std::size_t max_runs, int zones)
+      : loop_(loop),
+        max_runs_(max_runs),
+        zones_(static_cast<std::size_t>(zones)),
+        store_(loop) {
     store_.Put("op", "", "config", Configuration(1, false));
     for (int i = 0; i < worker_count; ++i) AddWorker();
     // An entry of another writer that does not describe a worker.
@@ -86,6 +90,7 @@
     SiteWorker worker;
     Proxy proxy;
     std::string address;
+    std::string zone;
   };
 
   /// Starts and registers another worker.
@@ -101,11 +106,14 @@
     if (!target.ok() || !bound.ok()) throw std::runtime_error("bind failed");
     proxied.proxy.SetTarget(target.value());
     proxied.address = ToString(bound.value());
+    const std::size_t number = (workers_.size() - 1) % zones_;
+    proxied.zone = number == 0 ? "dc" : "dc" + std::to_string(number + 1);
     Register(proxied, "ready");
   }
 
-  /// Writes a row of the table of servers as another writer does. The body is
-  /// {"key": text, "value": base64}.
+  /// Writes a row as another writer does, or deletes it without a value. The
+  /// body is {"table": text, "key": text, "value": base64}; the table of
+  /// servers is the default.
   void WriteRow(const Exchange& exchange) {
     const auto body = base::ParseJson(exchange->request().body, "row");
     const auto value = platform::DecodeBase64(
@@ -113,7 +121,13 @@
     if (!body.ok() || !value.ok()) {
       return ReplyJson(*exchange, kBadRequest, "{}");
     }
-    store_.Put("servers", "", body.value().value("key", ""), value.value());
+    const std::string table = body.value().value("table", "servers");
+    const std::string key = body.value().value("key", "");
+    if (body.value().contains("value")) {
+      store_.Put(table, "", key, value.value());
+    } else {
+      store_.Remove(table, "", key);
+    }
     ReplyJson(*exchange, kOk, "{}");
   }
 
@@ -123,7 +137,7 @@
                base::DumpJson(
                    {{"service", "batch"},
                     {"addr", proxied.address},
-                    {"zone", "dc"},
+                    {"zone", proxied.zone},
                     {"state", state},
                     {"capacity",
                      {{"cpu", kMillicoresPerRun * proxied.worker.capacity()},
@@ -235,6 +249,7 @@
         [](const auto& proxied) { return proxied->worker.CapacityKnown(); });
     ReplyJson(*exchange, kOk,
               base::DumpJson({{"starts", record_.starts},
+                              {"starts_by_worker", record_.starts_by_worker},
                               {"running", running},
                               {"capacities_known", capacities_known},
                               {"done", record_.done},
@@ -249,7 +264,8 @@
   }
 
   base::EventLoop& loop_;
-  std::size_t max_runs_;  ///< Of each worker.
+  std::size_t max_runs_;
+  std::size_t zones_;  ///< Of each worker.
   SiteRecord record_;
   SiteStore store_;
   std::vector<std::unique_ptr<ProxiedWorker>> workers_;
@@ -262,7 +278,8 @@
   base::EventLoop loop;
   Site site(loop, options.Number("workers", 4),
             static_cast<std::size_t>(
-                options.Number("runs", static_cast<int>(kDefaultMaxRuns))));
+                options.Number("runs", static_cast<int>(kDefaultMaxRuns))),
+            std::max(options.Number("zones", 1), 1));
   return RunHttpStandin(loop, options, [&site](const Exchange& exchange) {
     site.Handle(exchange);
   });
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -119,6 +119,7 @@
   }
   if (running_.size() >= capacity_ && CapacityKnown()) ++record_.overloads;
   ++record_.starts;
+  ++record_.starts_by_worker[id_];
   if (record_.running[task] > 0) ++record_.overlaps;
   if (record_.acknowledged_done.contains(task)) ++record_.repeats;
   ++record_.running[task];
--- a/standin/site/workers.hpp
+++ b/standin/site/workers.hpp
@@ -31,6 +31,7 @@
   std::map<std::string, int> running;
   /// Tasks that ended as done and whose end a node has acknowledged.
   std::set<std::string> acknowledged_done;
+  std::map<std::string, int> starts_by_worker;
   /// Submissions of which at least one task was started.
   std::set<std::string> started;
   /// Number of workers that each task has crashed.
--- a/tests/integration/harness/managed.cc
+++ b/tests/integration/harness/managed.cc
@@ -48,11 +48,12 @@
 }
 
 ManagedCluster::ManagedCluster(int nodes, int workers, int runs,
-                               NodeLimits limits)
+                               NodeLimits limits, int data_centers)
     : limits_(limits),
-      platform_(logs_.path(), "site", StandinProgram(),
-                {"site", "--workers", std::to_string(workers), "--runs",
-                 std::to_string(runs)}) {
+      platform_(
+          logs_.path(), "site", StandinProgram(),
+          {"site", "--workers", std::to_string(workers), "--runs",
+           std::to_string(runs), "--zones", std::to_string(data_centers)}) {
   for (int i = 0; i < nodes; ++i) {
     table_proxies_.push_back(std::make_unique<Process>(
         logs_.path(), "store-link-" + std::to_string(i + 1), StandinProgram(),
@@ -279,6 +280,27 @@
   Post(platform_.address("http"), "/standin/row", body.dump());
 }
 
+void ManagedCluster::Evacuate(const std::string& data_center, bool evacuated,
+                              int in_force) {
+  nlohmann::json body = {{"table", "op"}, {"key", "evacuate/" + data_center}};
+  if (evacuated) body["value"] = platform::EncodeBase64("{}");
+  REQUIRE(Post(platform_.address("http"), "/standin/row", body.dump()).status ==
+          kOk);
+  const std::string line =
+      "\nmangospread_evacuated_data_centers " + std::to_string(in_force) + "\n";
+  WaitUntil("the nodes know the evacuations", kWaitTimeout, [&] {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i]->running()) continue;
+      if (GetMetrics(i).find(line) == std::string::npos) return false;
+    }
+    return true;
+  });
+}
+
+std::map<std::string, int> ManagedCluster::StartsByWorker() {
+  return GetRecord().at("starts_by_worker");
+}
+
 void ManagedCluster::SetTableFaults(const std::string& faults) {
   Post(platform_.address("http"), "/standin/faults", faults);
 }
--- a/tests/integration/harness/managed.hpp
+++ b/tests/integration/harness/managed.hpp
@@ -53,8 +53,9 @@
 class ManagedCluster {
  public:
   /// @param runs number of tasks that each worker runs at most.
+  /// @param data_centers the workers are spread over "dc", "dc2" and so on.
   ManagedCluster(int nodes, int workers, int runs = kRunsPerWorker,
-                 NodeLimits limits = {});
+                 NodeLimits limits = {}, int data_centers = 1);
 
   /// Control address of the fault proxy between a node and the table.
   [[nodiscard]] Address table_proxy(std::size_t node) const {
@@ -132,6 +133,11 @@
   void ListOddRuns(std::size_t worker, const nlohmann::json& rows);
   /// Writes an entry among those of the workers, as another writer does.
   void PutWorkerEntry(const std::string& key, const std::string& value);
+  /// Requests the evacuation of a data centre, or takes it back, and waits
+  /// until all running nodes know that `in_force` evacuations are in force.
+  void Evacuate(const std::string& data_center, bool evacuated, int in_force);
+  /// Number of runs that each worker has started, by its name.
+  [[nodiscard]] std::map<std::string, int> StartsByWorker();
   /// Replaces the faults of the table by those of the JSON object.
   void SetTableFaults(const std::string& faults);
   /// Delays all data between every node and the table, in each direction.
