--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -17,6 +17,7 @@
 #include "api/metrics.hpp"
 #include "app/client_limits.hpp"
 #include "app/failure_log.hpp"
+#include "app/node_metrics.hpp"
 #include "app/signal_handler.hpp"
 #include "app/stop_schedule.hpp"
 #include "app/wait_status.hpp"
@@ -192,19 +193,6 @@
     probe.Reply(response);
   }
 
-  static void AppendRefusals(const net::ClientRefusals& refusals,
-                             std::vector<api::Sample>& samples) {
-    for (std::size_t i = 0; i < refusals.size(); ++i) {
-      samples.push_back(
-          {"callers_refused_total",
-           "Callers' connections closed and requests refused by the limits",
-           api::MetricType::kCounter,
-           static_cast<double>(refusals[i]),
-           {{"reason",
-             net::ClientRefusalName(static_cast<net::ClientRefusal>(i))}}});
-    }
-  }
-
   [[nodiscard]] std::string ExposeMetrics() const {
     std::vector<api::Sample> samples;
     const auto add = [&samples](const char* name, const char* help,
@@ -228,44 +216,7 @@
         kGauge, static_cast<double>(frontend_server_.held_bytes()));
     AppendRefusals(frontend_server_.refusals(), samples);
     if (const auto* leader = node_.leader()) {
-      const auto& counters = leader->dispatcher().counters();
-      const auto add_counter = [&](const char* name, const char* help,
-                                   std::uint64_t value) {
-        add(name, help, kCounter, static_cast<double>(value));
-      };
-      add_counter("starts_total", "Start orders", counters.started);
-      add_counter("starts_refused_total", "Starts that did not happen",
-                  counters.refused);
-      add_counter("runs_done_total", "Runs that ended as done", counters.done);
-      add_counter("runs_failed_total", "Runs that failed", counters.failed);
-      add_counter("runs_requeued_total", "Runs that start again",
-                  counters.requeued);
-      add_counter("runs_stalled_total", "Runs without progress",
-                  counters.stalled);
-      add_counter("workers_excluded_total", "Workers set aside for failures",
-                  counters.excluded);
-      add_counter("workers_readmitted_total",
-                  "Workers set aside for failures and taken back early",
-                  counters.readmitted);
-      add_counter("runs_lost_total",
-                  "Runs that ended with their worker's process", counters.lost);
-      add_counter("tasks_given_up_total",
-                  "Tasks not started again since they crash workers",
-                  counters.given_up);
-      add_counter("runs_moved_for_evacuation_total",
-                  "Runs stopped to go on outside an evacuated data centre",
-                  counters.evacuated);
-      add_counter("store_changes_rejected_total",
-                  "Changes that the store does not accept",
-                  leader->writes().rejected_by_table);
-      add("workers_unresolved",
-          "Workers of the former leader whose runs are not known yet", kGauge,
-          static_cast<double>(leader->unresolved_workers()));
-      add("work_bytes", "Memory of accepted submissions", kGauge,
-          static_cast<double>(leader->dispatcher().work_bytes()));
-      add("submissions_active", "Submissions that have not ended", kGauge,
-          static_cast<double>(leader->dispatcher().active()));
-      AppendWaitSamples(*leader, base::MonotonicNow(), samples);
+      AppendLeaderSamples(*leader, samples);
     }
     return api::FormatPrometheusText(samples) + timings_.Expose();
   }
