--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -91,8 +91,8 @@
     }
   }
   for (const auto& [data_center, version] : evacuations_) {
-    if (!former.contains(data_center))
-      LogEvacuation(data_center, version, true);
+    if (former.contains(data_center)) continue;
+    LogEvacuation(data_center, version, true);
   }
   evacuations_known_ = true;
   if (leader_) leader_->SetEvacuations(evacuations_);
--- a/tests/unit/dispatch/evacuation_test.cc
+++ b/tests/unit/dispatch/evacuation_test.cc
@@ -49,8 +49,8 @@
     for (const StartRun& start : started) {
       WorkerLoad load;
       for (const StartRun& run : started) {
-        if (run.vm == start.vm)
-          load.runs.push_back({run.task, run.run, 5, 100});
+        if (run.vm != start.vm) continue;
+        load.runs.push_back({run.task, run.run, 5, 100});
       }
       Event(start.vm.str().c_str(), std::move(load));
     }
