--- a/src/net/connection_guard.cc
+++ b/src/net/connection_guard.cc
@@ -309,6 +309,9 @@
   if (it == connections_.end()) return;
   it->phase = Phase::kAnswered;
   it->since = base::MonotonicNow();
+  // What remains was sent ahead.
+  it->received = evbuffer_get_length(bufferevent_get_input(it->socket));
+  it->reads = it->head_lines = 0;
   Charge(*it);
 }
 
--- a/src/net/connection_guard.hpp
+++ b/src/net/connection_guard.hpp
@@ -133,7 +133,8 @@
   /// Bytes of the budget for the connection in its present state.
   [[nodiscard]] static std::size_t HeldBy(const Connection& connection);
   /// The oldest connection without a request in progress; end if there is none.
-  /// @param unfinished only one that has sent a part of a request.
+  /// @param unfinished only one that has sent something to which no response
+  ///   was begun.
   [[nodiscard]] Connections::iterator LeastProgress(bool unfinished);
   /// evhttp's connection; null once it is freed.
   [[nodiscard]] static evhttp_connection* HttpConnectionOf(
