A task that requires a label waits for the registration of the process

Cause: an entry of the list was not told from one of a former process, since "born" was not read from it. The agent attaches the new process as soon as it answers, and the dispatcher took it back into use with the former labels. The same cause without an outage: an agent that had a start waiting sent it to the next process, and so did one that got the start after it had noticed the restart, before the leader had.

Change: WorkerInfo names the registered process. While it differs from the attached one, no task that requires a label is placed there (rejection "unregistered"); others are, since the worker refuses what does not fit. A start names the process that it was decided for, and a session refuses it for another.

Ruled out: to attach such a process only once it has registered; its runs would be unknown for as long as the store is away.

Not covered: a service whose workers do not guard their capacity may get more than a restarted worker of a smaller kind holds, until it registers.

--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -416,7 +416,8 @@
   hooks_.log(ref.name, worker.info.vm, "placed", "");
   hooks_.send(StartRun{worker.info.vm, placed.start_number, ToString(ref.name),
                        Attempt(run), job.submission().spec,
-                       ref.task->checkpoint, TraitsOf(ref.spec())});
+                       ref.task->checkpoint, TraitsOf(ref.spec()),
+                       AttachmentNumber(), worker.incarnation});
   if (placed.percent == 100) return;
   hooks_.log(ref.name, worker.info.vm, "paced", std::to_string(placed.percent));
   hooks_.send(ThrottleRun{worker.info.vm, ToString(ref.name), Attempt(run),
--- a/src/dispatch/model/messages.hpp
+++ b/src/dispatch/model/messages.hpp
@@ -72,6 +72,9 @@
   /// The newest attachment that the leader had handled. A start extends the
   /// lease, so it is not sent under a later one before that is handled, too.
   AttachmentNumber attachment = AttachmentNumber();
+  /// The worker process that the start was decided for; 0 if it is not known.
+  /// Another process under the worker's id may lack the required label.
+  WorkerIncarnation incarnation = WorkerIncarnation();
 };
 
 /// Sends the agent the traits of a run that it found on its worker, and the
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -17,9 +17,16 @@
 
 namespace mangospread::dispatch {
 
+/// Incarnation of a worker process: the Unix time of its start in milliseconds.
+using WorkerIncarnation =
+    mangospread::detail::StrongCounter<struct WorkerIncarnationTag>;
+
 /// A worker as registered.
 struct WorkerInfo {
   VmName vm;
+  /// The process that registered; 0 if the registration does not say. Another
+  /// process under the same id may have other labels.
+  WorkerIncarnation incarnation;
   ServiceName service;
   Address address;
   DataCenter data_center;
@@ -33,7 +40,8 @@
   [[nodiscard]] bool leaving() const noexcept { return draining || !listed; }
 
   friend bool operator==(const WorkerInfo& a, const WorkerInfo& b) {
-    return a.vm == b.vm && a.service == b.service && a.address == b.address &&
+    return a.vm == b.vm && a.incarnation == b.incarnation &&
+           a.service == b.service && a.address == b.address &&
            a.data_center == b.data_center && a.rack == b.rack &&
            a.labels == b.labels && a.capacity.cpu == b.capacity.cpu &&
            a.capacity.memory == b.capacity.memory &&
@@ -44,9 +52,6 @@
 
 /// Milliseconds on a worker's own steady clock, which may run 2% slow.
 using WorkerTime = mangospread::detail::StrongCounter<struct WorkerTimeTag>;
-/// Incarnation of a worker process: the Unix time of its start in milliseconds.
-using WorkerIncarnation =
-    mangospread::detail::StrongCounter<struct WorkerIncarnationTag>;
 /// Fencing token: commands with a lower one than the highest seen are refused.
 using WorkerFence = mangospread::detail::StrongCounter<struct WorkerFenceTag>;
 /// Number of an attachment: a time in which an agent's session may extend its
--- a/src/dispatch/peer/schema/dispatch.capnp
+++ b/src/dispatch/peer/schema/dispatch.capnp
@@ -19,6 +19,7 @@
   workerLeaseMs @9 :Int64 = 6000;  # Former versions grant leases of 6 s.
   numbersAttachments @10 :Bool;
   endsReports @11 :Bool; # Sends reportsEnd as an agent, takes it as the leader.
+  maxWorkBytes @12 :UInt64;   # 0 from former versions.
 }
 
 struct Leader {
@@ -66,6 +67,7 @@
   checkpoint @5 :Text;
   traits @6 :Traits;
   attachment @7 :UInt64;   # 0 from former versions, as in the events.
+  born @8 :UInt64;         # Process it was decided for; 0 from former versions.
 }
 
 struct RunRef {
--- a/src/dispatch/peer/schema/dispatch.capnp.h
+++ b/src/dispatch/peer/schema/dispatch.capnp.h
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f257b349b00b4a67, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afad041d9dd731d2, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(afad041d9dd731d2, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -468,6 +468,8 @@
 
   inline bool getEndsReports() const;
 
+  inline  ::uint64_t getMaxWorkBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -544,6 +546,9 @@
   inline bool getEndsReports();
   inline void setEndsReports(bool value);
 
+  inline  ::uint64_t getMaxWorkBytes();
+  inline void setMaxWorkBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1064,6 +1069,8 @@
 
   inline  ::uint64_t getAttachment() const;
 
+  inline  ::uint64_t getBorn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1136,6 +1143,9 @@
   inline  ::uint64_t getAttachment();
   inline void setAttachment( ::uint64_t value);
 
+  inline  ::uint64_t getBorn();
+  inline void setBorn( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3373,6 +3383,20 @@
       ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Hello::Reader::getMaxWorkBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getMaxWorkBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setMaxWorkBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4131,6 +4155,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Start::Reader::getBorn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Start::Builder::getBorn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setBorn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunRef::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/peer/wire_messages.cc
+++ b/src/dispatch/peer/wire_messages.cc
@@ -39,6 +39,7 @@
   start.setCheckpoint(ToText(command.checkpoint));
   Put(start.initTraits(), command.traits);
   start.setAttachment(command.attachment.value());
+  start.setBorn(command.incarnation.value());
 }
 
 void PutCommand(wire::Order::Builder out, const DescribeRun& command) {
@@ -239,7 +240,8 @@
           VmName(FromText(start.getVm())), start.getNumber(),
           FromText(start.getTask()), Attempt(start.getRun()),
           FromText(start.getSpec()), FromText(start.getCheckpoint()),
-          Get(start.getTraits()), AttachmentNumber(start.getAttachment())});
+          Get(start.getTraits()), AttachmentNumber(start.getAttachment()),
+          WorkerIncarnation(start.getBorn())});
     }
     case wire::Order::DESCRIBE: {
       const auto describe = in.getDescribe();
--- a/src/dispatch/policy/placement.cc
+++ b/src/dispatch/policy/placement.cc
@@ -261,7 +261,8 @@
       start != Rejection::kNone) {
     return start;
   }
-  if (!Satisfies(worker, spec_)) return Rejection::kLabel;
+  const Rejection label = LabelRejection(worker, spec_);
+  if (label != Rejection::kNone) return label;
   // A worker without capacity rejects the task whatever failed on it.
   const Rejection capacity = CapacityRejection(worker, slot);
   if (capacity != Rejection::kNone) return capacity;
--- a/src/dispatch/policy/rejections.cc
+++ b/src/dispatch/policy/rejections.cc
@@ -33,6 +33,8 @@
       return "on_trial";
     case Rejection::kLabel:
       return "label";
+    case Rejection::kUnregistered:
+      return "unregistered";
     case Rejection::kSuspected:
       return "suspected";
     case Rejection::kProcessors:
@@ -62,6 +64,7 @@
 
 Rejection LabelRejection(const WorkerState& worker, const StepSpec& spec) {
   if (spec.required_label.empty()) return Rejection::kNone;
+  if (!worker.LabelsAreKnown()) return Rejection::kUnregistered;
   const auto& labels = worker.info.labels;
   const bool has_label = std::find(labels.begin(), labels.end(),
                                    spec.required_label) != labels.end();
--- a/src/dispatch/policy/rejections.hpp
+++ b/src/dispatch/policy/rejections.hpp
@@ -25,6 +25,8 @@
   kRefused,     ///< It has just refused starts for lack of capacity.
   kOnTrial,     ///< It has just started a suspected task.
   kLabel,       ///< It lacks the label that the step requires.
+  /// The step requires a label, and its process has not registered yet.
+  kUnregistered,
   kProcessors,
   kMemory,
   kAccelerators,
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -129,6 +129,13 @@
   [[nodiscard]] bool Stays() const noexcept {
     return !slot_free && !info.leaving() && !evacuated;
   }
+  /// False if its registration is of another process than the one attached, so
+  /// that the labels of this one are not known.
+  [[nodiscard]] bool LabelsAreKnown() const noexcept {
+    constexpr WorkerIncarnation kUnknown;
+    return info.incarnation == kUnknown || incarnation == kUnknown ||
+           info.incarnation == incarnation;
+  }
   [[nodiscard]] bool Excluded(MonotonicTime now) const noexcept {
     return now < excluded_until;
   }
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -197,6 +197,8 @@
   /// have waited for too long as not sent.
   void SendWaitingStarts();
   void ReportNotSent(const StartRun& command);
+  /// True if the start was decided for another process than the present one.
+  [[nodiscard]] bool IsForOtherProcess(const StartRun& command) const noexcept;
   /// True if the worker's data centre is under evacuation.
   [[nodiscard]] bool IsEvacuated() const;
   /// Refuses a start on an evacuated worker.
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -29,7 +29,8 @@
   if (leader_.permission() < Permission::kStarts) return;
   const MonotonicTime now = base::MonotonicNow();
   for (WaitingStart& start : std::exchange(waiting_starts_, {})) {
-    if (now - start.since > options_.max_start_wait) {
+    if (now - start.since > options_.max_start_wait ||
+        IsForOtherProcess(start.command)) {
       ReportNotSent(start.command);
     } else if (IsEvacuated()) {
       WithholdStart(start.command);
@@ -52,9 +53,16 @@
         {std::move(command), base::MonotonicNow(), kFullSpeed});
     return;
   }
+  if (IsForOtherProcess(command)) return ReportNotSent(command);
   SendStart(std::move(command), kFullSpeed);
 }
 
+bool WorkerSession::IsForOtherProcess(const StartRun& command) const noexcept {
+  constexpr WorkerIncarnation kUnknown;
+  return command.incarnation != kUnknown && incarnation_ != kUnknown &&
+         command.incarnation != incarnation_;
+}
+
 void WorkerSession::ReportNotSent(const StartRun& command) {
   Report(RunNotStarted{command.task, command.run, CommandOutcome::kNotSent});
 }
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -43,11 +43,11 @@
   return std::tuple(task, run, just_started, percent, confirmed);
 }
 
-/// Labels, capacity beside the connections, and whether the worker is listed or
-/// drains are used by the leader only and not sent.
+/// The registered process, labels, capacity beside the connections, and whether
+/// the worker is listed or drains are used by the leader only and not sent.
 auto Fields(const WorkerInfo& item) {
-  const auto& [vm, service, address, data_center, rack, labels, capacity,
-               draining, listed] = item;
+  const auto& [vm, incarnation, service, address, data_center, rack, labels,
+               capacity, draining, listed] = item;
   return std::tuple(vm, service, address, data_center, rack,
                     capacity.connections);
 }
@@ -95,10 +95,10 @@
 }
 
 auto Fields(const StartRun& item) {
-  const auto& [vm, number, task, run, spec, checkpoint, traits, attachment] =
-      item;
+  const auto& [vm, number, task, run, spec, checkpoint, traits, attachment,
+               incarnation] = item;
   return std::tuple(vm, number, task, run, spec, checkpoint, Fields(traits),
-                    attachment);
+                    attachment, incarnation);
 }
 
 auto Fields(const DescribeRun& item) {
@@ -256,7 +256,7 @@
       MakeWorker(), std::nullopt, Milliseconds(0), WorkerFence(7), 8, {}});
   CheckCommand(StartRun{vm, 3, "a.0.1.2", run, "spec", "cp", traits});
   CheckCommand(StartRun{vm, 3, "a.0.1.2", run, "spec", "cp", traits,
-                        AttachmentNumber(5)});
+                        AttachmentNumber(5), WorkerIncarnation(6)});
   CheckCommand(DescribeRun{vm, "t", run, traits, 40});
   CheckCommand(StopRun{vm, "t", run});
   CheckCommand(ThrottleRun{vm, "t", run, 40});
