Accepted work fits into the memory of every node that may lead

- VMs of different sizes: a leader accepted up to two fifths of its own memory, and a smaller node that followed loaded it "whatever it takes".
A leader of 512 MB accepted 205 MB; the nodes of 160 MB beside it could not lead any more.
- Restored by a successor: it reads all stored requests, held a second copy of them while it decoded, and what they took was not counted.
A request of 60 KB whose job takes 1 KB counted 1 KB.
- While they run: what the leader and the agents hold of a placed task was not counted.

Change: nodes name their limit in the hello, the leader accepts no more than the least of those seen in its term. The stored request and the runs count, until the submission has ended. A job holds the occurrences that are due and the next one, so that what is counted is a bound, and a schedule of 86,400 takes one occurrence at first. Rows of jobs are decoded one by one.

Open: a node that no leader of the term has seen does not count. Occurrences that are done stay until the submission ends.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -48,6 +48,10 @@
   return ref;
 }
 
+void Dispatcher::SetWorkBytes(Entry& entry, std::size_t bytes) {
+  work_bytes_ += bytes - std::exchange(entry.work_bytes, bytes);
+}
+
 // Submissions.
 
 void Dispatcher::Add(Submission submission, QueuePolicy policy,
@@ -57,7 +61,7 @@
   if (!added) return;
   it->second.job = std::make_unique<Job>(std::move(submission),
                                          std::move(policy), now, unix_epoch_);
-  work_bytes_ += MemoryOfJob(it->second.job->submission());
+  SetWorkBytes(it->second, MemoryOfJob(it->second.job->submission()));
   active_.push_back(&it->second);
 }
 
@@ -70,7 +74,9 @@
   Entry& entry = it->second;
   entry.job = std::make_unique<Job>(std::move(submission), std::move(policy),
                                     accepted_at, unix_epoch_);
-  work_bytes_ += MemoryOfJob(entry.job->submission());
+  SetWorkBytes(entry, IsFinal(progress.state)
+                          ? MemoryOfEndedJob(entry.job->submission())
+                          : MemoryOfJob(entry.job->submission()));
   entry.job->Restore(progress);
   entry.visible_state = progress.state;
   entry.restored = true;
@@ -141,6 +147,7 @@
     return;
   }
   entry->visible_state = state;
+  SetWorkBytes(*entry, MemoryOfEndedJob(entry->job->submission()));
   StopAll(*entry, now);
   std::erase(active_, entry);
 }
@@ -156,7 +163,7 @@
     }
   }
   health_.Discard(id);
-  work_bytes_ -= MemoryOfJob(it->second.job->submission());
+  SetWorkBytes(it->second, 0);
   entries_.erase(it);
 }
 
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -197,7 +197,8 @@
     return counters_;
   }
   [[nodiscard]] std::size_t active() const noexcept { return active_.size(); }
-  /// Memory of all submissions, in bytes, as MemoryOfJob counts it.
+  /// Memory of all submissions, in bytes, as MemoryOfJob and MemoryOfEndedJob
+  /// count it.
   [[nodiscard]] std::size_t work_bytes() const noexcept { return work_bytes_; }
 
  private:
@@ -206,6 +207,7 @@
     std::uint64_t generation = 0;
     std::uint64_t saved_generation = 0;
     SubmissionState visible_state = SubmissionState::kQueued;
+    std::size_t work_bytes = 0;  ///< Its part of work_bytes().
     bool restored = false;  ///< Read from the store; its tasks wait for Resume.
     /// Time since which none of its tasks runs, paused ones not counted; 0
     /// while one does.
@@ -273,6 +275,8 @@
 
   // Runs.
   Entry* FindEntry(const SubmissionId& id);
+  /// Sets the part of a submission in work_bytes().
+  void SetWorkBytes(Entry& entry, std::size_t bytes);
   void ReserveCapacity(const TaskRef& ref, WorkerSlot slot,
                        const PlacedRun& placed);
   /// Records that a placed run was accepted or listed by its worker.
--- a/src/dispatch/core/dispatcher_decisions.cc
+++ b/src/dispatch/core/dispatcher_decisions.cc
@@ -93,6 +93,7 @@
 }
 
 void Dispatcher::Decide(MonotonicTime now) {
+  for (Entry* entry : active_) entry->job->AddDueOccurrences(now);
   DrainWorkers(now);
   MoveEvacuated(now);
   UpdateIdle(now);
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -43,12 +43,34 @@
   return paths;
 }
 
+/// Gives all members of a gang the same checkpoint, which any of them may have
+/// written: their rows may have been stored at different times.
+void ShareCheckpoint(Step& gang) {
+  const auto saved =
+      std::find_if(gang.tasks.begin(), gang.tasks.end(),
+                   [](const Task& task) { return !task.checkpoint.empty(); });
+  if (saved == gang.tasks.end()) return;
+  const std::string checkpoint = saved->checkpoint;
+  for (Task& member : gang.tasks) member.checkpoint = checkpoint;
+}
+
 /// Overhead of the memory that a step refers to.
 constexpr std::size_t kAllocationBytes = 64;
+/// What the leader and an agent hold of a task while it is placed.
+constexpr std::size_t kRunBytes = 400;
 
 }  // namespace
 
 std::size_t MemoryOfJob(const Submission& submission) {
+  std::size_t tasks = 0;
+  for (const StepSpec& step : submission.steps) {
+    tasks += static_cast<std::size_t>(step.count);
+  }
+  return MemoryOfEndedJob(submission) + submission.stored_bytes +
+         tasks * kRunBytes;
+}
+
+std::size_t MemoryOfEndedJob(const Submission& submission) {
   std::size_t occurrence = 0;
   for (const StepSpec& step : submission.steps) {
     occurrence += sizeof(Step) + kAllocationBytes +
@@ -64,7 +86,8 @@
          MonotonicTime unix_epoch)
     : submission_(std::move(submission)),
       policy_(std::move(policy)),
-      accepted_at_(accepted_at) {
+      accepted_at_(accepted_at),
+      unix_epoch_(unix_epoch) {
   critical_paths_ = CriticalPaths(submission_.steps);
   const Milliseconds path =
       critical_paths_.empty()
@@ -73,18 +96,33 @@
   const MonotonicTime objective = TimeToObjective(path, policy_);
   objective_ = accepted_at + objective;
   last_useful_ = accepted_at + kLastUsefulFactor * objective;
-  const int occurrences = std::max(1, submission_.occurrences);
-  for (int k = 0; k < occurrences; ++k) AddOccurrence(k, unix_epoch);
-  UpdateReady();
+  AddNextOccurrence();
 }
 
-void Job::AddOccurrence(int occurrence, MonotonicTime unix_epoch) {
-  const int first = static_cast<int>(steps_.size());
-  MonotonicTime due{0};
-  if (submission_.occurrences > 0) {
-    due = unix_epoch + submission_.first_due +
-          submission_.interval * occurrence + kDueMargin;
+int Job::OccurrenceCount() const noexcept {
+  return std::max(1, submission_.occurrences);
+}
+
+MonotonicTime Job::DueTime(int occurrence) const {
+  if (submission_.occurrences == 0) return MonotonicTime(0);
+  return unix_epoch_ + submission_.first_due +
+         submission_.interval * occurrence + kDueMargin;
+}
+
+void Job::AddDueOccurrences(MonotonicTime now) {
+  while (occurrences_ < OccurrenceCount() && DueTime(occurrences_ - 1) <= now) {
+    AddNextOccurrence();
   }
+}
+
+void Job::AddOccurrencesTo(int occurrence) {
+  const int last = std::min(occurrence, OccurrenceCount() - 1);
+  while (occurrences_ <= last) AddNextOccurrence();
+}
+
+void Job::AddNextOccurrence() {
+  const int first = static_cast<int>(steps_.size());
+  const MonotonicTime due = DueTime(occurrences_++);
   for (const StepSpec& spec : submission_.steps) {
     Step step;
     step.spec = spec;
@@ -96,6 +134,7 @@
     step.critical_path = std::min(
         critical_paths_[steps_.size() - static_cast<std::size_t>(first)],
         kMaxObjective);
+    step.ready = IsReady(step);
     steps_.push_back(std::move(step));
   }
 }
@@ -105,7 +144,7 @@
   return step.due + (objective_ - accepted_at_);
 }
 
-std::optional<TaskIndex> Job::IndexOf(const TaskName& name) const {
+std::optional<TaskIndex> Job::IndexOf(const TaskName& name) {
   const auto is_index = [](int value, std::size_t size) {
     return value >= 0 && static_cast<std::size_t>(value) < size;
   };
@@ -113,9 +152,10 @@
   // The occurrence is checked before the multiplication, which would overflow
   // for the name of a task that does not exist.
   if (!is_index(name.task.step, steps) ||
-      !is_index(name.occurrence, steps_.size() / steps)) {
+      !is_index(name.occurrence, static_cast<std::size_t>(OccurrenceCount()))) {
     return std::nullopt;
   }
+  AddOccurrencesTo(name.occurrence);
   const TaskIndex index{
       name.occurrence * static_cast<int>(steps) + name.task.step,
       name.task.index};
@@ -137,8 +177,8 @@
 }
 
 bool Job::long_running() const noexcept {
-  return std::any_of(steps_.begin(), steps_.end(),
-                     [](const Step& step) { return step.spec.long_running; });
+  return std::any_of(submission_.steps.begin(), submission_.steps.end(),
+                     [](const StepSpec& step) { return step.long_running; });
 }
 
 Task* Job::Find(const TaskIndex& index) {
@@ -175,18 +215,20 @@
   SetPhase(index, TaskPhase::kDone, now);
   if (steps_[static_cast<std::size_t>(index.step)].unfinished > 0) return false;
   UpdateReady();
-  return std::all_of(steps_.begin(), steps_.end(),
+  return occurrences_ == OccurrenceCount() &&
+         std::all_of(steps_.begin(), steps_.end(),
                      [](const Step& step) { return step.unfinished == 0; });
 }
 
+bool Job::IsReady(const Step& step) const {
+  return std::all_of(
+      step.spec.after.begin(), step.spec.after.end(), [this](int prerequisite) {
+        return steps_[static_cast<std::size_t>(prerequisite)].unfinished == 0;
+      });
+}
+
 void Job::UpdateReady() {
-  for (Step& step : steps_) {
-    step.ready = std::all_of(
-        step.spec.after.begin(), step.spec.after.end(),
-        [this](int prerequisite) {
-          return steps_[static_cast<std::size_t>(prerequisite)].unfinished == 0;
-        });
-  }
+  for (Step& step : steps_) step.ready = IsReady(step);
 }
 
 JobProgress Job::Progress() const {
@@ -209,7 +251,7 @@
       } else if (!task.failed_runs.empty() || !task.checkpoint.empty() ||
                  !task.losses.empty() || lost_run) {
         progress.tasks.push_back({index, false, task.run, task.failed_runs,
-                                  task.checkpoint, task.losses});
+                                  task.checkpoint, task.losses, position});
       }
       follows_done = done;
     }
@@ -217,6 +259,19 @@
   return progress;
 }
 
+void Job::AddOccurrencesOf(const JobProgress& progress) {
+  const int steps = static_cast<int>(submission_.steps.size());
+  int tasks = 0;
+  for (const StepSpec& step : submission_.steps) tasks += step.count;
+  if (tasks == 0) return;
+  for (const TaskProgress& saved : progress.tasks) {
+    AddOccurrencesTo(saved.task.step / steps);
+  }
+  for (const DoneTasks& range : progress.done) {
+    AddOccurrencesTo((range.position + range.count - 1) / tasks);
+  }
+}
+
 void Job::RestoreDone(const std::vector<DoneTasks>& done) {
   std::vector<int> ends;  // Position after the last task of each step.
   int total = 0;
@@ -240,6 +295,7 @@
 
 void Job::Restore(const JobProgress& progress) {
   state_ = progress.state;
+  AddOccurrencesOf(progress);
   for (const TaskProgress& saved : progress.tasks) {
     Task* task = Find(saved.task);
     if (task == nullptr) continue;
@@ -249,6 +305,9 @@
     task->losses = saved.losses;
     if (saved.done) SetPhase(saved.task, TaskPhase::kDone, accepted_at_);
   }
+  for (Step& step : steps_) {
+    if (step.spec.gang) ShareCheckpoint(step);
+  }
   RestoreDone(progress.done);
   UpdateReady();
 }
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,6 +88,8 @@
   std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;
   std::vector<TaskLoss> losses;
+  /// Position among all tasks, in the order of the steps; not stored.
+  int position = 0;
 };
 
 /// Consecutive tasks that are done. Nothing else is stored of them: they never
@@ -108,12 +111,18 @@
   std::vector<DoneTasks> done;
 };
 
-/// Memory that a Job of the submission takes, in bytes, from the sizes of its
-/// parts.
+/// Most memory that a Job of the submission and its runs take, in bytes, from
+/// the sizes of its parts. Includes the stored request, which a leader reads
+/// when it takes over.
 [[nodiscard]] std::size_t MemoryOfJob(const Submission& submission);
+/// The same once the submission has ended: nothing of it runs any more, and the
+/// request is not stored any more.
+[[nodiscard]] std::size_t MemoryOfEndedJob(const Submission& submission);
 
 /// A submission with the state of its tasks; independent of workers and clocks.
-/// The steps of an occurrence follow those of the previous occurrence.
+/// The steps of an occurrence follow those of the previous occurrence. Of the
+/// occurrences that are not due it holds the next one only, unless a task of a
+/// later one has been asked for.
 class Job {
  public:
   /// @param unix_epoch the Unix epoch as a monotonic time, for due times.
@@ -128,10 +137,13 @@
     return accepted_at_;
   }
   [[nodiscard]] SubmissionState state() const noexcept { return state_; }
-  [[nodiscard]] std::vector<Step>& steps() noexcept { return steps_; }
-  [[nodiscard]] const std::vector<Step>& steps() const noexcept {
+  /// The steps of the occurrences that it holds. References to them stay valid.
+  [[nodiscard]] std::deque<Step>& steps() noexcept { return steps_; }
+  [[nodiscard]] const std::deque<Step>& steps() const noexcept {
     return steps_;
   }
+  /// Adds the occurrences that have become due, and the next one.
+  void AddDueOccurrences(MonotonicTime now);
   /// Time by which the whole submission should be complete, by the estimates.
   [[nodiscard]] MonotonicTime objective() const noexcept { return objective_; }
   /// Time after which a completion has no value for the caller.
@@ -150,8 +162,9 @@
 
   /// Returns null if the submission has no such task.
   [[nodiscard]] Task* Find(const TaskIndex& index);
-  /// Position of a task; nullopt if the submission has no such task.
-  [[nodiscard]] std::optional<TaskIndex> IndexOf(const TaskName& name) const;
+  /// Position of a task, whose occurrence is added; nullopt if the submission
+  /// has no such task.
+  [[nodiscard]] std::optional<TaskIndex> IndexOf(const TaskName& name);
   [[nodiscard]] TaskName NameOf(const TaskIndex& index) const;
   [[nodiscard]] Step& StepAt(const TaskIndex& index) {
     return steps_[static_cast<std::size_t>(index.step)];
@@ -170,17 +183,27 @@
   /// Marks the tasks at the positions done. Positions past the last task have
   /// no effect.
   void RestoreDone(const std::vector<DoneTasks>& done);
-  void AddOccurrence(int occurrence, MonotonicTime unix_epoch);
+  /// Number of occurrences, at least 1.
+  [[nodiscard]] int OccurrenceCount() const noexcept;
+  /// Adds all occurrences up to this one.
+  void AddOccurrencesTo(int occurrence);
+  void AddNextOccurrence();
+  /// Adds all occurrences up to the last one with progress.
+  void AddOccurrencesOf(const JobProgress& progress);
+  [[nodiscard]] MonotonicTime DueTime(int occurrence) const;
+  [[nodiscard]] bool IsReady(const Step& step) const;
   void UpdateReady();
 
   Submission submission_;
   QueuePolicy policy_;
   std::vector<Milliseconds> critical_paths_;  ///< By step.
   MonotonicTime accepted_at_;
+  MonotonicTime unix_epoch_;
   MonotonicTime objective_;
   MonotonicTime last_useful_;
   SubmissionState state_ = SubmissionState::kQueued;
-  std::vector<Step> steps_;
+  int occurrences_ = 0;  ///< Number of occurrences in `steps_`.
+  std::deque<Step> steps_;
 };
 
 }  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -1,5 +1,6 @@
 #include "dispatch/leader/group_leader.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/events.hpp"
@@ -76,6 +77,7 @@
       options_(options),
       writer_(deps_.loop, deps_.table, deps_.writer_key, MakeWriterOptions()),
       started_at_(base::MonotonicNow()),
+      max_work_bytes_(options_.max_work_bytes),
       agent_register_(deps_.leadership.epoch, deps_.self),
       former_timeouts_(FormerTimeouts(options_, deps_.former_lease)),
       former_leaders_(started_at_, FormerElectedBy(),
@@ -167,7 +169,8 @@
 }
 
 void GroupLeader::OnLoaded(const std::vector<Row>& rows) {
-  std::map<SubmissionId, JobRow> jobs;
+  // Decoded at once, since the requests take as much memory again.
+  std::map<SubmissionId, StoredJob> jobs;
   StoredProgress stored;
   std::optional<std::string> agents;
   for (const Row& row : rows) {
@@ -175,8 +178,8 @@
     const SubmissionId id(row.key.substr(slash + 1));
     const std::string prefix = row.key.substr(0, slash + 1);
     if (prefix == kJobPrefix) {
-      auto job = DecodeJobRow(row.value);
-      if (job.ok()) jobs.emplace(id, std::move(job.value()));
+      auto job = DecodeStoredJob(id, row.value);
+      if (job) jobs.emplace(id, std::move(*job));
     } else if (prefix == kProgressPrefix) {
       if (!stored.Add(id.str(), row.value)) {
         base::Log(base::Event::kEntryMalformed,
@@ -191,12 +194,12 @@
       ++roster_rows_;
     }
   }
-  progress_parts_ = std::move(stored.parts);
+  progress_rows_ = std::move(stored.further);
   const auto& progress = stored.rows;
-  for (const auto& [id, row] : jobs) {
+  for (auto& [id, job] : jobs) {
     const auto it = progress.find(id);
-    RestoreJob(id, row,
-               it == progress.end() ? std::nullopt : std::optional(it->second));
+    RestoreJob(std::move(job),
+               it == progress.end() ? JobProgress() : it->second.progress);
   }
   for (const auto& [id, row] : progress) {
     if (!jobs.contains(id) && IsFinal(row.progress.state)) {
@@ -234,23 +237,34 @@
   deps_.on_loaded();
 }
 
-void GroupLeader::RestoreJob(const SubmissionId& id, const JobRow& row,
-                             const std::optional<ProgressRow>& progress) {
-  auto submission = deps_.decode(id, row.payload);
+std::optional<GroupLeader::StoredJob> GroupLeader::DecodeStoredJob(
+    const SubmissionId& id, std::string_view value) const {
+  auto row = DecodeJobRow(value);
+  if (!row.ok()) return std::nullopt;
+  auto submission = deps_.decode(id, row.value().payload);
   if (!submission.ok()) {
     base::Log(base::Event::kEntryMalformed,
               {{"source", "job"}, {"request", id.str()}});
-    return;
+    return std::nullopt;
   }
+  return StoredJob{std::move(submission.value()), std::move(row.value().policy),
+                   row.value().accepted_at_ms};
+}
+
+void GroupLeader::RestoreJob(StoredJob job, const JobProgress& progress) {
   const std::uint64_t now = WallMilliseconds();
   const std::uint64_t age =
-      now > row.accepted_at_ms ? now - row.accepted_at_ms : 0;
+      now > job.accepted_at_ms ? now - job.accepted_at_ms : 0;
   dispatcher_->Restore(
-      std::move(submission.value()), row.policy,
-      progress ? progress->progress : JobProgress(),
+      std::move(job.submission), std::move(job.policy), progress,
       base::MonotonicNow() - milliseconds(static_cast<std::int64_t>(age)));
 }
 
+void GroupLeader::OnWorkLimit(std::size_t max_work_bytes) {
+  if (max_work_bytes == 0) return;
+  max_work_bytes_ = std::min(max_work_bytes_, max_work_bytes);
+}
+
 // Calls.
 
 void GroupLeader::Handle(ServiceCall call, ServiceCallback done) {
@@ -307,14 +321,13 @@
     return done(MakeReply(ServiceResult::kInvalid));
   }
   const std::size_t bytes = MemoryOfJob(submission.value());
-  if (dispatcher_->work_bytes() + accepting_bytes_ + bytes >
-      options_.max_work_bytes) {
+  if (dispatcher_->work_bytes() + accepting_bytes_ + bytes > max_work_bytes_) {
     base::Log(base::Event::kSubmissionRefused,
               {{"request", id.str()},
                {"reason", "memory"},
                {"bytes", bytes},
                {"held", dispatcher_->work_bytes() + accepting_bytes_},
-               {"limit", options_.max_work_bytes}});
+               {"limit", max_work_bytes_}});
     return done(MakeRefusal(kNoMemoryRetryAfter));
   }
   if (!writer_.table_reachable()) {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -67,6 +67,10 @@
   void OnAgentLease(Milliseconds lease);
   /// Length of the longest leases that workers may hold.
   [[nodiscard]] Milliseconds LongestLease() const;
+  /// Reports the most memory of accepted submissions, in bytes, that a node can
+  /// hold as the leader; 0 if it is not known. No more is accepted, since that
+  /// node may lead next.
+  void OnWorkLimit(std::size_t max_work_bytes);
   /// Reports that the leader of the epoch before has led no more from this time
   /// on.
   void OnFormerLeaderStopped(MonotonicTime stopped_at);
@@ -176,8 +180,16 @@
   /// Reads the row of agents, and which leaders before may go on.
   void LoadAgents(const std::optional<std::string>& stored);
   void OnLoaded(const std::vector<Row>& rows);
-  void RestoreJob(const SubmissionId& id, const JobRow& row,
-                  const std::optional<ProgressRow>& progress);
+  /// An accepted submission as it is stored.
+  struct StoredJob {
+    Submission submission;
+    QueuePolicy policy;
+    std::uint64_t accepted_at_ms = 0;  ///< Since the Unix epoch.
+  };
+  /// Decodes the row of an accepted submission; nullopt if it is malformed.
+  [[nodiscard]] std::optional<StoredJob> DecodeStoredJob(
+      const SubmissionId& id, std::string_view value) const;
+  void RestoreJob(StoredJob job, const JobProgress& progress);
   /// Lets restored tasks start once the runs of all workers of the loaded
   /// roster are known or have certainly ended.
   void CheckResume();
@@ -404,6 +416,7 @@
   std::map<SubmissionId, std::vector<ServiceCallback>> accepting_callbacks_;
   std::map<SubmissionId, ServiceCall> accepting_calls_;
   std::size_t accepting_bytes_ = 0;  ///< Memory that these will take.
+  std::size_t max_work_bytes_;       ///< The least of this node's and all seen.
   /// Callers that wait for a cancellation to be stored.
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
--- a/src/dispatch/leader/group_leader_options.hpp
+++ b/src/dispatch/leader/group_leader_options.hpp
@@ -28,8 +28,9 @@
   Milliseconds rejected_row_delay{3'000};
   /// Most bytes of a row's value that the table accepts.
   std::size_t row_bytes = 65'536;
-  /// Most memory of accepted submissions, in bytes; more are refused. Those of
-  /// former leaders are loaded whatever they take.
+  /// Most memory of accepted submissions, in bytes; more are refused, as are
+  /// more than any other node seen can hold as the leader. Those of former
+  /// leaders are loaded whatever they take.
   std::size_t max_work_bytes = std::numeric_limits<std::size_t>::max();
   /// Minimum time between placement rounds.
   Milliseconds decide_delay{8};
--- a/src/dispatch/model/submission.hpp
+++ b/src/dispatch/model/submission.hpp
@@ -70,6 +70,7 @@
   int occurrences = 0;
   Milliseconds first_due{0};  ///< Since the Unix epoch.
   Milliseconds interval{0};
+  std::size_t stored_bytes = 0;  ///< Size of the request that describes it.
 };
 
 /// Queue settings that apply to a submission, as of its acceptance.
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -226,7 +226,8 @@
           leading ? AgentPermission() : Permission::kNone,
           leader_ ? leader_->LongestLease() : options_.session.lease,
           true,
-          true};
+          true,
+          options_.leader.max_work_bytes};
 }
 
 void Node::OnLeaderFrame(Frame frame) {
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -216,6 +216,7 @@
     old->second->Close();
   }
   leader_->OnAgentLease(hello.worker_lease);
+  leader_->OnWorkLimit(hello.max_work_bytes);
   peers_[channel] = hello.node;
   agents_[hello.node] = channel;
   NotePermitted(hello.node);
--- a/src/dispatch/peer/frames.cc
+++ b/src/dispatch/peer/frames.cc
@@ -94,6 +94,7 @@
   out.setWorkerLeaseMs(hello.worker_lease.count());
   out.setNumbersAttachments(hello.numbers_attachments);
   out.setEndsReports(hello.ends_reports);
+  out.setMaxWorkBytes(hello.max_work_bytes);
   if (hello.permission) {
     out.setPermission(
         static_cast<std::uint8_t>(1 + static_cast<int>(*hello.permission)));
@@ -122,7 +123,8 @@
           permission,
           Milliseconds(in.getWorkerLeaseMs()),
           in.getNumbersAttachments(),
-          in.getEndsReports()};
+          in.getEndsReports(),
+          in.getMaxWorkBytes()};
 }
 
 void Put(wire::Remembered::Builder out, const FormerLeaderRuns& reported) {
--- a/src/dispatch/peer/frames.hpp
+++ b/src/dispatch/peer/frames.hpp
@@ -43,6 +43,9 @@
   /// As an agent, the sender ends its reports about former leaders with
   /// ReportsEnd; as the leader, it takes that frame.
   bool ends_reports = false;
+  /// Most memory of accepted submissions that the sender can hold as the
+  /// leader, in bytes; 0 from former versions.
+  std::size_t max_work_bytes = 0;
 };
 
 /// A call that a follower forwards to the leader.
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -184,13 +184,13 @@
 auto Fields(const Hello& item) {
   const auto& [node, incarnation, epoch, leading, data_center, leader, yielding,
                last_grant_age, permission, worker_lease, numbers_attachments,
-               ends_reports] = item;
+               ends_reports, max_work_bytes] = item;
   const auto& [leader_node, leader_process, address, leader_epoch, version] =
       leader;
   return std::tuple(node, incarnation, epoch, leading, data_center, leader_node,
                     leader_process, address, leader_epoch, yielding,
                     last_grant_age, permission, worker_lease,
-                    numbers_attachments, ends_reports);
+                    numbers_attachments, ends_reports, max_work_bytes);
 }
 
 auto Fields(const Ping& item) {
