Stops of many runs reach their worker as fast as it answers

Cause: a session sent each stop at once, as a call of its own. Beyond the 64 connections to the worker the pool refused the call, and each refused stop had a timer of 200 ms, however soon a connection was free: 64 stops each 200 ms. A renewal that met the full pool failed, too.

Change: a session has a queue of stops, sends the next one when one is answered and uses half of the connections. After a failure it waits for the reply to another stop, or 200 ms. A run is in the queue once, and leaves it when its end is listed.

Ruled out: one message for several runs, since the worker's protocol has one call for each; more connections, which the worker limits.

--- a/src/dispatch/worker/worker_session.cc
+++ b/src/dispatch/worker/worker_session.cc
@@ -16,6 +16,11 @@
 /// Time for a reply after the wait that the renewal requests.
 constexpr Milliseconds kRenewReplyTimeout{700};
 
+/// Leaves half of the worker's connections to other calls.
+std::size_t MaxStopsInFlight(const WorkerCapacity& capacity) {
+  return static_cast<std::size_t>(std::max(capacity.connections, 0)) / 2;
+}
+
 }  // namespace
 
 std::shared_ptr<WorkerSession> WorkerSession::Create(
@@ -42,6 +47,7 @@
       fence_(assignment_.fence),
       starts_seen_(assignment_.starts_before),
       replied_at_(base::MonotonicNow()),
+      stops_(MaxStopsInFlight(assignment_.worker.capacity)),
       reply_overdue_(options_.reply_overdue) {
   if (assignment_.lease_left) {
     lease_known_ = true;
@@ -112,6 +118,7 @@
   closed_ = true;
   suspended_ = false;
   renew_timer_.reset();
+  stop_timer_.reset();
   overdue_timer_.reset();
 }
 
@@ -290,6 +297,7 @@
     highest_listed_end_ = std::max(highest_listed_end_, end.number);
     const auto it = runs_.find(end.task);
     if (it != runs_.end() && it->second.number == end.run) runs_.erase(it);
+    stops_.Drop(end.task, end.run);
     if (end.number <= reported_end_) continue;
     reported_end_ = end.number;
     Report(RunEnded{incarnation_, end});
@@ -377,6 +385,7 @@
     // Another agent may have started runs on the new process.
     runs_known_ = false;
     runs_.clear();
+    stops_.Clear();
   }
   incarnation_ = incarnation;
   acknowledged_ = reported_end_ = highest_listed_end_ = EndNumber();
--- a/src/dispatch/worker/worker_session.hpp
+++ b/src/dispatch/worker/worker_session.hpp
@@ -14,6 +14,7 @@
 #include "dispatch/model/lease.hpp"
 #include "dispatch/model/messages.hpp"
 #include "dispatch/model/permission.hpp"
+#include "dispatch/worker/stop_queue.hpp"
 
 namespace mangospread::dispatch {
 
@@ -207,7 +208,9 @@
   void ReportWaitingNotSent();
   void SendStart(StartRun command, int requested_speed);
   void OnStartReply(const StartRun& command, CommandOutcome outcome);
-  void SendStop(StopRun command);
+  /// Sends queued stops, as many as may be in flight.
+  void SendStops();
+  void OnStopReply(const StopRun& command, CommandOutcome outcome);
   /// Does nothing if the session has been closed by then.
   void AfterRetryDelay(std::function<void()> action);
   void UpdateRuns(const RenewReply& report);
@@ -302,6 +305,8 @@
   MonotonicTime load_reported_at_{0};
   std::map<std::string, Run> runs_;
   std::vector<WaitingStart> waiting_starts_;
+  StopQueue stops_;
+  base::Timer stop_timer_;  ///< Delays the stops after one has failed.
   base::Timer renew_timer_;
   base::Timer overdue_timer_;   ///< Ends the attachment.
   Milliseconds reply_overdue_;  ///< Grows if replies arrive after that.
--- a/src/dispatch/worker/worker_session_commands.cc
+++ b/src/dispatch/worker/worker_session_commands.cc
@@ -163,17 +163,33 @@
     waiting_starts_.erase(waiting);
     return;
   }
-  SendStop(command);
+  stops_.Add(command);
+  SendStops();
 }
 
-void WorkerSession::SendStop(StopRun command) {
+void WorkerSession::SendStops() {
+  if (closed_ || stop_timer_.active()) return;
+  while (const auto stop = stops_.Take()) {
+    link_->Stop(
+        stop->task, stop->run, fence_,
+        [self = shared_from_this(), command = *stop](CommandOutcome outcome) {
+          self->OnStopReply(command, outcome);
+        });
+  }
+}
+
+void WorkerSession::OnStopReply(const StopRun& command,
+                                CommandOutcome outcome) {
+  const bool last = stops_.OnReply(command);
   if (closed_) return;
-  link_->Stop(
-      command.task, command.run, fence_,
-      [self = shared_from_this(), command](CommandOutcome outcome) {
-        if (!MayRetry(outcome)) return;
-        self->AfterRetryDelay([self, command] { self->SendStop(command); });
-      });
+  if (!MayRetry(outcome)) return SendStops();
+  stops_.Add(command);
+  // Goes on with the reply to another one, or after the delay.
+  if (!last) return;
+  stop_timer_ = loop_.After(options_.retry_delay, [this] {
+    stop_timer_.reset();
+    SendStops();
+  });
 }
 
 void WorkerSession::AfterRetryDelay(std::function<void()> action) {
--- a/tests/unit/dispatch/worker_session_fixture.hpp
+++ b/tests/unit/dispatch/worker_session_fixture.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "base/loop/simulated_clock.hpp"
@@ -50,10 +53,13 @@
     starts.push_back(command);
     Reply(std::move(done));
   }
-  void Stop(const std::string&, Attempt, WorkerFence,
+  void Stop(const std::string& task, Attempt, WorkerFence,
             CommandCallback done) override {
     ++stops;
-    Reply(std::move(done));
+    Reply([this, task, done = std::move(done)](CommandOutcome reply) {
+      if (reply == CommandOutcome::kAccepted) accepted_stops.insert(task);
+      done(reply);
+    });
   }
   void Throttle(const std::string&, Attempt, int percent, WorkerFence,
                 CommandCallback done) override {
@@ -61,8 +67,14 @@
     Reply(std::move(done));
   }
   void Reply(CommandCallback done) {
-    timers.push_back(loop.After(
-        Milliseconds(1), [this, done = std::move(done)] { done(outcome); }));
+    const bool refused = calls_in_progress >= connections;
+    calls_in_progress += refused ? 0 : 1;
+    timers.push_back(
+        loop.After(Milliseconds(1), [this, refused, done = std::move(done)] {
+          if (refused) return done(CommandOutcome::kNotSent);
+          --calls_in_progress;
+          done(outcome);
+        }));
   }
 
   base::EventLoop& loop;
@@ -80,6 +92,10 @@
   std::vector<StartCommand> starts;
   std::vector<int> throttles;
   int stops = 0;
+  std::set<std::string> accepted_stops;  ///< Their tasks.
+  /// Commands beyond this number are not sent.
+  int connections = std::numeric_limits<int>::max();
+  int calls_in_progress = 0;
   std::deque<base::Timer> timers;
 };
 
