An assignment is replaced before its fencing tokens are used up

Change: the leader counts the attachments of an assignment. An agent raises its token at most twice from one to the next, so after 256 of them the worker is assigned anew, to the same agent, with a higher token. Tokens of later assignments and leaders stay higher, as before.

Ruled out: a wider stride. The tokens of an epoch have 32 bits; wider ones would leave no way back to a former version, whose tokens would be lower.

--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -141,6 +141,7 @@
     /// before until this time, whoever attaches it.
     MonotonicTime restart_lease_expires_at{0};
     WorkerIncarnation incarnation;  ///< Of the last attachment.
+    int attachments = 0;  ///< Number of them in the present assignment.
     /// Its agent may extend the lease: the present attachment was handled here.
     bool may_be_granted = false;
     AttachmentNumber last_attachment;  ///< The last that was handled.
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -20,6 +20,10 @@
 /// The period grows with the number of workers, which bounds the leader's cost.
 constexpr Milliseconds kShortestLoadPeriod{400};
 constexpr Milliseconds kLoadPeriodPerWorker{4};
+/// Attachments after which an assignment is replaced. An agent raises its
+/// fencing token at most twice from one attachment to the next, and has
+/// kFenceStride tokens.
+constexpr int kMaxAttachmentsPerAssignment = kFenceStride / 4;
 
 /// True if `names` holds exactly the workers of the others. It is compared at
 /// each tick, so without a copy of the names.
@@ -180,6 +184,7 @@
   entry.agent = agent;
   entry.attached = entry.unreachable = false;
   entry.last_attachment = AttachmentNumber();
+  entry.attachments = 0;
   ++agents_.at(agent).workers;
   entry.fence = WorkerFence(deps_.leadership.epoch.value() * kFencesPerEpoch +
                             ++assignments_issued_ * kFenceStride);
@@ -261,6 +266,10 @@
     if (std::get<Attached>(event.details).complete) {
       unresolved_.erase(event.vm);
       CheckResume();
+      if (++entry.attachments >= kMaxAttachmentsPerAssignment) {
+        Unassign(entry);
+        Assign(entry, agent);
+      }
     }
   } else if (const auto* unreachable =
                  std::get_if<WorkerUnreachable>(&event.details)) {
