Progress of any number of tasks is stored, in rows of blocks

Cause: the leases of all tasks expire, each ends with its checkpoint, and the list of them needs about 840 KB. All rows of a submission had to fit into one transaction, 11 rows of 64 KB; EncodeProgress ended a submission with more.

Change: where the list does not fit into one row, the tasks are divided into blocks of 128 positions, each with a row of its own. Only the rows that changed are written (a digest of each is kept), by as many transactions as it takes, one after the other. The order of the writes keeps each task as it was before or as it is now, whichever transaction is the last; ends are acknowledged after the last one. A save that goes on is left when the submission is cancelled. Rows of former versions are read and replaced. A submission whose tasks could not be marked as done in a row is refused when it is handed in.

Ruled out: leaving checkpoints out, as the lost runs of long-running tasks were: the work of all of them would start over. Transactions in any order: a block leaves out what is known of a task that is done, so the failures of a task could be lost between two of them.

Open: a submission whose row the store rejects for a reason of its own still fails ("progress_not_storable"), as before.

--- a/src/dispatch/leader/done_tasks.cc
+++ b/src/dispatch/leader/done_tasks.cc
@@ -98,6 +98,16 @@
   return "\"done_bits\":\"" + EncodeBits(done) + "\"";
 }
 
+std::size_t MaxDoneBytes(const Submission& submission) {
+  constexpr std::size_t kFieldBytes = 16;  // Name of the field and quotes.
+  std::size_t tasks = 0;
+  for (const StepSpec& step : submission.steps) {
+    tasks += static_cast<std::size_t>(step.count);
+  }
+  tasks *= static_cast<std::size_t>(std::max(submission.occurrences, 1));
+  return tasks / kBitsPerDigit + 1 + kFieldBytes;
+}
+
 bool DecodeDone(const json& object, std::vector<DoneTasks>& done) {
   const auto ranges = object.find("done");
   if (ranges != object.end()) return DecodeRanges(*ranges, done);
--- a/src/dispatch/leader/done_tasks.hpp
+++ b/src/dispatch/leader/done_tasks.hpp
@@ -15,6 +15,8 @@
 /// six tasks, the first one in the lowest bit. Its length is at most a sixth of
 /// the number of tasks.
 [[nodiscard]] std::string EncodeDone(const std::vector<DoneTasks>& done);
+/// Most bytes that EncodeDone returns for the tasks of the submission.
+[[nodiscard]] std::size_t MaxDoneBytes(const Submission& submission);
 /// Decodes the fields, both optional. Returns false if one is malformed.
 [[nodiscard]] bool DecodeDone(const nlohmann::json& object,
                               std::vector<DoneTasks>& done);
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -5,6 +5,7 @@
 
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
+#include "dispatch/leader/done_tasks.hpp"
 #include "dispatch/leader/interference_row.hpp"
 
 namespace mangospread::dispatch {
@@ -27,6 +28,8 @@
 /// asked for any more.
 constexpr Milliseconds kNoMemoryRetryAfter{5'000};
 constexpr MonotonicTime kLoadRetryDelay = milliseconds(300);
+/// What a first row of progress holds beside the tasks that are done.
+constexpr std::size_t kOtherProgressBytes = 1'024;
 
 table::WriterOptions MakeWriterOptions() {
   table::WriterOptions options;
@@ -346,6 +349,12 @@
                                                 {"limit", options_.row_bytes}});
     return done(MakeReply(ServiceResult::kInvalid));
   }
+  if (MaxDoneBytes(submission.value()) + kOtherProgressBytes >
+      options_.row_bytes) {
+    base::Log(base::Event::kSubmissionRefused,
+              {{"request", id.str()}, {"reason", "too_many_tasks"}});
+    return done(MakeReply(ServiceResult::kInvalid));
+  }
   change.writes.push_back({key, std::move(value)});
   accepting_callbacks_[id].push_back(std::move(done));
   accepting_calls_.emplace(id, std::move(call));
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -23,6 +23,7 @@
 #include "dispatch/leader/job_rows.hpp"
 #include "dispatch/leader/leadership.hpp"
 #include "dispatch/leader/lease_bound.hpp"
+#include "dispatch/leader/progress_writes.hpp"
 #include "dispatch/leader/wait_log.hpp"
 #include "dispatch/metrics/timings.hpp"
 #include "dispatch/model/lease.hpp"
@@ -210,18 +211,31 @@
   void MarkDirty(const SubmissionId& id);
   void Flush();
   void Save(const SubmissionId& id);
-  /// Encodes the progress of a submission. One that has too much of it fails;
-  /// its row is that of its final state.
-  [[nodiscard]] std::vector<std::string> EncodeProgress(const SubmissionId& id,
-                                                        ProgressRow& row);
-  /// Adds to `change` the removal of the stored rows of a submission's progress
-  /// from number `from` on.
-  void RemoveProgressParts(const SubmissionId& id, int from,
-                           Transaction& change) const;
+  /// Progress that is being stored, by one transaction after the other.
+  struct ProgressSave;
+  /// Returns the writes that store the progress of a submission as it is now,
+  /// and that progress.
+  [[nodiscard]] std::vector<ProgressWrite> PlanSave(const SubmissionId& id,
+                                                    ProgressRow& row);
+  /// Sends as many of the next rows as one transaction holds.
+  void SendNextRows(std::shared_ptr<ProgressSave> save);
+  /// Notes that the rows from number `first` on which were sent are committed.
+  void NoteRows(const ProgressSave& save, std::size_t first);
+  void OnRowsSent(const std::shared_ptr<ProgressSave>& save,
+                  const table::WriteResult& result);
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                const table::WriteResult& result);
   /// Deletes the rows of submissions that ended more than ended_retention ago.
   void SweepEnded(MonotonicTime now);
+  struct EndedSubmission {
+    SubmissionId id;
+    MonotonicTime ended_at{0};
+  };
+  /// Removes the stored progress of an ended submission, or some rows of it
+  /// before the rest.
+  void RemoveProgress(const EndedSubmission& ended);
+  /// Removes some rows of blocks. Returns false if there are none.
+  bool RemoveBlocks(const EndedSubmission& ended);
   void SaveInterference();
   void RestoreInterference(std::string_view value);
   /// A transaction that fails unless this process still leads.
@@ -422,16 +436,12 @@
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
   std::set<SubmissionId> saving_;  ///< With a write in flight.
-  /// Highest number of a stored row "progress/<id>.<n>", of those that have
-  /// any.
-  std::map<SubmissionId, int> progress_parts_;
+  /// The stored rows of progress beside the first ones, of the submissions that
+  /// have any.
+  std::map<SubmissionId, FurtherProgressRows> progress_rows_;
   /// Time of the oldest change of a submission that is not stored yet.
   std::map<SubmissionId, MonotonicTime> unsaved_since_;
 
-  struct EndedSubmission {
-    SubmissionId id;
-    MonotonicTime ended_at{0};
-  };
   /// Oldest first; an entry whose row could not be deleted moves to the end.
   std::deque<EndedSubmission> ended_;
 
--- a/src/dispatch/leader/group_leader_storing.cc
+++ b/src/dispatch/leader/group_leader_storing.cc
@@ -112,19 +112,7 @@
        ++swept) {
     const EndedSubmission ended = ended_.front();
     ended_.pop_front();
-    Transaction change = LeaderTransaction();
-    change.writes.push_back({kProgressPrefix + ended.id.str(), std::nullopt});
-    RemoveProgressParts(ended.id, 1, change);
-    writer_.Submit(std::move(change),
-                   [this, ended](const table::WriteResult& result) {
-                     if (CheckConflict(result)) return;
-                     if (result.status == WriteStatus::kCommitted) {
-                       dispatcher_->Discard(ended.id);
-                       progress_parts_.erase(ended.id);
-                     } else {
-                       ended_.push_back(ended);
-                     }
-                   });
+    RemoveProgress(ended);
   }
 }
 
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -1,8 +1,11 @@
 #include "dispatch/leader/job_rows.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/json/json_reader.hpp"
 #include "base/json/json_writer.hpp"
@@ -77,6 +80,8 @@
 }
 
 constexpr char kPartSeparator = '.';
+/// Before the number of a block, which former versions take for no part.
+constexpr char kBlockMark = 'b';
 
 /// The fields of a row with progress except the tasks, without the last brace.
 std::string EncodeHead(const ProgressRow& row) {
@@ -93,26 +98,68 @@
   return head + ",\"tasks\":[" + tasks + "]}";
 }
 
-/// True if nothing is stored of a task but that it has lost a run.
-bool HasOnlyLostRun(const TaskProgress& task) {
-  return !task.done && task.failed_runs.empty() && task.checkpoint.empty() &&
-         task.losses.empty();
+/// Space for the number of further rows and for what joins the fields.
+constexpr std::size_t kReservedBytes = 64;
+/// Least size of a task in a row.
+constexpr std::size_t kMinTaskBytes = 20;
+
+/// Bytes that a row with this head has for tasks.
+std::size_t SpaceBeside(const std::string& head, std::size_t max_bytes) {
+  return max_bytes - std::min(max_bytes, head.size() + kReservedBytes);
 }
 
-/// Appends a task to the last part or to a new one. Returns false, without a
-/// change, if it would need more than kMaxProgressRows.
-/// @param reserved bytes of the first part that other fields use.
-bool AppendTask(const std::string& task, std::size_t space,
-                std::size_t reserved, std::vector<std::string>& parts) {
-  const std::size_t used = parts.size() == 1 ? reserved : 0;
-  if (parts.back().size() + task.size() + used > space) {
-    if (task.size() > space || parts.size() == kMaxProgressRows) return false;
-    parts.emplace_back();
+/// JSON rows of the tasks, each followed by a comma.
+std::string ListTasks(std::span<const TaskProgress> tasks) {
+  std::string listed;
+  for (const TaskProgress& task : tasks) {
+    listed += base::DumpJson(EncodeTask(task)) + ",";
   }
-  parts.back() += task;
+  return listed;
+}
+
+std::string JoinBlock(std::string tasks) {
+  if (!tasks.empty()) tasks.pop_back();
+  return R"({"tasks":[)" + tasks + "]}";
+}
+
+/// Removes the longest checkpoint of the tasks. Returns false if there is none.
+bool DropLongestCheckpoint(std::vector<TaskProgress>& tasks) {
+  const auto longest =
+      std::max_element(tasks.begin(), tasks.end(),
+                       [](const TaskProgress& a, const TaskProgress& b) {
+                         return a.checkpoint.size() < b.checkpoint.size();
+                       });
+  if (longest == tasks.end() || longest->checkpoint.empty()) return false;
+  longest->checkpoint.clear();
   return true;
 }
 
+/// Decodes the list "tasks". Returns false if it is malformed.
+bool DecodeTasks(const json& object, std::vector<TaskProgress>& tasks) {
+  const auto list = object.find("tasks");
+  if (list == object.end() || !list->is_array()) return false;
+  for (const json& entry : *list) {
+    TaskProgress task;
+    if (!DecodeTask(entry, task)) return false;
+    tasks.push_back(std::move(task));
+  }
+  return true;
+}
+
+/// Returns nullopt if the text is not a number.
+std::optional<int> ParseNumber(std::string_view text) {
+  int number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return number;
+}
+
+template <typename T>
+void AppendBytes(std::string& bytes, const T& value) {
+  bytes.append(reinterpret_cast<const char*>(&value), sizeof(value));
+}
+
 }  // namespace
 
 std::string EncodeJobRow(const JobRow& row) {
@@ -150,44 +197,41 @@
   return row;
 }
 
-Result<std::vector<std::string>> EncodeProgressRows(const ProgressRow& row,
-                                                    std::size_t max_bytes) {
-  // Space for the number of further rows and for what joins the fields.
-  constexpr std::size_t kReservedBytes = 64;
+Result<std::string> EncodeProgressRow(const ProgressRow& row,
+                                      std::size_t max_bytes) {
+  const Error too_large{Errc::kTooLarge, "progress"};
   const std::string head = EncodeHead(row);
-  std::string listed;
-  std::vector<std::string> tasks;
-  std::vector<std::string> only_lost;
-  for (const TaskProgress& task : row.progress.tasks) {
-    std::string encoded = base::DumpJson(EncodeTask(task)) + ",";
-    listed += encoded;
-    auto& list = HasOnlyLostRun(task) ? only_lost : tasks;
-    list.push_back(std::move(encoded));
-  }
-  const std::size_t used = head.size() + kReservedBytes;
-  const std::size_t space = max_bytes - std::min(max_bytes, used);
-  if (listed.size() <= space &&
-      CanListDone(row.progress.done, space - listed.size())) {
-    return std::vector<std::string>{
-        JoinRow(head, ListDone(row.progress.done) + listed)};
+  const std::size_t space = SpaceBeside(head, max_bytes);
+  if (row.progress.tasks.size() > space / kMinTaskBytes) return too_large;
+  std::string listed = ListTasks(row.progress.tasks);
+  if (listed.size() > space) return too_large;
+  if (CanListDone(row.progress.done, space - listed.size())) {
+    return JoinRow(head, ListDone(row.progress.done) + listed);
   }
   const std::string done = "," + EncodeDone(row.progress.done);
-  if (done.size() > space) return Error{Errc::kTooLarge, "progress"};
-  std::vector<std::string> parts = {{}};
-  for (const std::string& task : tasks) {
-    if (!AppendTask(task, space, done.size(), parts)) {
-      return Error{Errc::kTooLarge, "progress"};
-    }
-  }
-  for (const std::string& task : only_lost) {
-    if (!AppendTask(task, space, done.size(), parts)) break;
+  if (done.size() + listed.size() > space) return too_large;
+  return JoinRow(head + done, std::move(listed));
+}
+
+Result<std::string> EncodeBlockedProgressRow(const ProgressRow& row,
+                                             std::size_t max_bytes) {
+  const std::string head = EncodeHead(row);
+  const std::string done = "," + EncodeDone(row.progress.done);
+  if (done.size() > SpaceBeside(head, max_bytes)) {
+    return Error{Errc::kTooLarge, "progress"};
   }
-  const std::string first_head =
-      head + done + ",\"parts\":" + std::to_string(parts.size() - 1);
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    parts[i] = JoinRow(i == 0 ? first_head : head, std::move(parts[i]));
+  return JoinRow(head + done + R"(,"blocked":true)", {});
+}
+
+std::string EncodeProgressBlock(std::span<const TaskProgress> tasks,
+                                std::size_t max_bytes) {
+  std::string row = JoinBlock(ListTasks(tasks));
+  if (row.size() <= max_bytes) return row;
+  std::vector<TaskProgress> reduced(tasks.begin(), tasks.end());
+  while (row.size() > max_bytes && DropLongestCheckpoint(reduced)) {
+    row = JoinBlock(ListTasks(reduced));
   }
-  return parts;
+  return row;
 }
 
 std::vector<std::string> EncodeRoster(const std::set<VmName>& workers,
@@ -221,27 +265,58 @@
   return key;
 }
 
-std::pair<SubmissionId, int> ParseProgressKey(std::string_view key) {
+std::string ProgressBlockKey(const SubmissionId& id, int block) {
+  return kProgressPrefix + id.str() + kPartSeparator + kBlockMark +
+         std::to_string(block);
+}
+
+ProgressRowName ParseProgressKey(std::string_view key) {
+  const ProgressRowName whole{SubmissionId(std::string(key)), 0, std::nullopt};
   const std::size_t separator = key.rfind(kPartSeparator);
-  int part = 0;
-  if (separator != std::string_view::npos) {
-    const char* end = key.data() + key.size();
-    const auto parsed = std::from_chars(key.data() + separator + 1, end, part);
-    if (parsed.ec != std::errc() || parsed.ptr != end || part < 1) part = 0;
+  if (separator == std::string_view::npos) return whole;
+  std::string_view name = key.substr(separator + 1);
+  const bool is_block = name.starts_with(kBlockMark);
+  if (is_block) name.remove_prefix(1);
+  const auto number = ParseNumber(name);
+  const int least = is_block ? 0 : 1;
+  if (!number || *number < least) return whole;
+  const SubmissionId id(std::string(key.substr(0, separator)));
+  if (is_block) return {id, 0, number};
+  return {id, *number, std::nullopt};
+}
+
+std::uint64_t BlockDigest(std::span<const TaskProgress> tasks) {
+  std::string bytes;
+  for (const TaskProgress& task : tasks) {
+    AppendBytes(bytes, task.task.step);
+    AppendBytes(bytes, task.task.index);
+    AppendBytes(bytes, task.done);
+    AppendBytes(bytes, task.run);
+    AppendBytes(bytes, task.failed_runs.size());
+    for (const std::uint32_t run : task.failed_runs) AppendBytes(bytes, run);
+    AppendBytes(bytes, task.checkpoint.size());
+    bytes += task.checkpoint;
+    AppendBytes(bytes, task.losses.size());
+    for (const TaskLoss& loss : task.losses) {
+      AppendBytes(bytes, loss.run);
+      AppendBytes(bytes, loss.suspicion);
+      AppendBytes(bytes, loss.certain);
+    }
   }
-  if (part > 0) key = key.substr(0, separator);
-  return {SubmissionId(std::string(key)), part};
+  return XXH64(bytes.data(), bytes.size(), 0);
 }
 
 bool StoredProgress::Add(std::string_view key, std::string_view value) {
-  const auto [id, part] = ParseProgressKey(key);
+  const auto [id, part, block] = ParseProgressKey(key);
+  if (block) return AddBlock(id, *block, value);
   if (part > 0) {
-    int& highest = parts[id];
+    int& highest = further[id].parts;
     highest = std::max(highest, part);
   }
   auto decoded = DecodeProgressRow(value);
   if (!decoded.ok()) return false;
   if (part == 0) {
+    if (decoded.value().blocked) further[id].blocked = true;
     rows.emplace(id, std::move(decoded.value()));
     return true;
   }
@@ -255,15 +330,28 @@
   return true;
 }
 
+bool StoredProgress::AddBlock(const SubmissionId& id, int block,
+                              std::string_view value) {
+  std::uint64_t& digest = further[id].blocks[block];
+  const auto decoded = DecodeProgressBlock(value);
+  if (!decoded.ok()) return false;
+  digest = BlockDigest(decoded.value());
+  const auto first = rows.find(id);
+  // The row may be left from a time when the first one had no space.
+  if (first == rows.end() || !first->second.blocked) return true;
+  auto& tasks = first->second.progress.tasks;
+  tasks.insert(tasks.end(), decoded.value().begin(), decoded.value().end());
+  return true;
+}
+
 Result<ProgressRow> DecodeProgressRow(std::string_view value) {
   const auto parsed = base::ParseJson(value, "progress");
   if (!parsed.ok()) return parsed.error();
   const json& object = parsed.value();
   const Error malformed{Errc::kMalformed, "progress"};
   if (!object.is_object() || !object.contains("queue") ||
-      !object.contains("state") || !object.contains("tasks") ||
-      !object["queue"].is_string() || !object["state"].is_string() ||
-      !object["tasks"].is_array()) {
+      !object.contains("state") || !object["queue"].is_string() ||
+      !object["state"].is_string()) {
     return malformed;
   }
   ProgressRow row;
@@ -271,18 +359,29 @@
   const auto state = ParseState(object["state"].get<std::string>());
   if (!state) return malformed;
   row.progress.state = *state;
-  for (const json& entry : object["tasks"]) {
-    TaskProgress task;
-    if (!DecodeTask(entry, task)) return malformed;
-    row.progress.tasks.push_back(std::move(task));
-  }
+  if (!DecodeTasks(object, row.progress.tasks)) return malformed;
   const auto parts = object.find("parts");
   if (parts != object.end()) {
     if (!IsCount(*parts)) return malformed;
     row.parts = parts->get<int>();
   }
+  const auto blocked = object.find("blocked");
+  if (blocked != object.end()) {
+    if (!blocked->is_boolean()) return malformed;
+    row.blocked = blocked->get<bool>();
+  }
   if (!DecodeDone(object, row.progress.done)) return malformed;
   return row;
 }
 
+Result<std::vector<TaskProgress>> DecodeProgressBlock(std::string_view value) {
+  const auto parsed = base::ParseJson(value, "progress");
+  if (!parsed.ok()) return parsed.error();
+  std::vector<TaskProgress> tasks;
+  if (!parsed.value().is_object() || !DecodeTasks(parsed.value(), tasks)) {
+    return Error{Errc::kMalformed, "progress"};
+  }
+  return tasks;
+}
+
 }  // namespace mangospread::dispatch
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -325,7 +325,7 @@
                    Permission::kNone, Milliseconds(7'500), true});
   CheckFrame(Hello{NodeId("n"), Incarnation(2), Epoch(3), true, DataCenter("d"),
                    leader, false, std::nullopt, std::nullopt,
-                   Milliseconds(7'500), false, true});
+                   Milliseconds(7'500), false, true, 67'108'864});
   CheckFrame(CallFrame{
       11,
       {ServiceVerb::kSubmit,
--- a/tests/unit/platform/managed_fuzz_test.cc
+++ b/tests/unit/platform/managed_fuzz_test.cc
@@ -136,7 +136,7 @@
     fixture.dispatcher.Resume();
     fixture.dispatcher.Decide(fixture.now);
     CHECK(dispatch::DecodeProgressRow(
-              dispatch::EncodeProgressRows(row.value(), kRowBytes).value()[0])
+              dispatch::EncodeProgressRow(row.value(), kRowBytes).value())
               .ok());
   });
 }
