--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -271,7 +271,7 @@
 }
 
 ProgressRowName ParseProgressKey(std::string_view key) {
-  const ProgressRowName whole{SubmissionId(std::string(key)), 0, std::nullopt};
+  ProgressRowName whole{SubmissionId(std::string(key)), 0, std::nullopt};
   const std::size_t separator = key.rfind(kPartSeparator);
   if (separator == std::string_view::npos) return whole;
   std::string_view name = key.substr(separator + 1);
