--- a/tests/unit/dispatch/work_memory_test.cc
+++ b/tests/unit/dispatch/work_memory_test.cc
@@ -134,8 +134,9 @@
   Job job = MakeDaySchedule();
   REQUIRE(job.IndexOf({SubmissionId("a"), 40, {0, 0}}));
   CHECK_FALSE(job.IndexOf({SubmissionId("a"), 86'400, {0, 0}}));
-  for (int k = 0; k < 30; ++k)
+  for (int k = 0; k < 30; ++k) {
     CHECK_FALSE(job.Finish({k, 0}, MonotonicTime(0)));
+  }
   job.Find({40, 0})->checkpoint = "checkpoint";
   job.SetState(SubmissionState::kRunning);
   Job restored = MakeDaySchedule();
