--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -151,12 +151,13 @@
                " ms");
 }
 
-void Store::SetDown(bool down) {
+void Store::SetDown(bool down, bool resets) {
   const std::lock_guard lock(mutex_);
   down_ = down;
+  resets_ = resets;
   if (!down) Expire();
   changed_.notify_all();
-  record_.Line(down ? "store: down, silent" : "store: up");
+  record_.Line(!down ? "store: up" : resets ? "store: down, resets" : "store: down, silent");
 }
 
 void Store::SetPingTimeout(Millis timeout) { ping_timeout_ = timeout; }
@@ -189,6 +190,7 @@
 bool Store::DropIfDown() {
   std::unique_lock lock(mutex_);
   if (!down_) return false;
+  if (resets_) return true;
   // No answer; the caller's time-out ends the call.
   changed_.wait_for(lock, std::chrono::seconds(20), [this] { return !down_; });
   return true;
--- a/review/support-3/world.hpp
+++ b/review/support-3/world.hpp
@@ -43,8 +43,8 @@
   void Remove(const std::string& table, const std::string& key);
   /// Answers of calls take this much longer.
   void SetDelay(Millis delay);
-  /// While down, calls get no answer and have no effect.
-  void SetDown(bool down);
+  /// While down, calls have no effect and get no answer, or a reset.
+  void SetDown(bool down, bool resets = false);
   /// Removes registrations of workers that have been silent for this long.
   void SetPingTimeout(Millis timeout);
   /// True if a row of this table and key exists in any part.
@@ -82,6 +82,7 @@
   std::uint64_t version_ = 0;
   Millis delay_{4};
   bool down_ = false;
+  bool resets_ = false;
   Millis ping_timeout_{0};
   Clock::time_point start_ = Clock::now();
   Server server_;  ///< Last, since its threads use the others.
