--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -10,7 +10,7 @@
 // Those of consumers that neither leave nor cancel.
 constexpr int kOthers = 12;
 constexpr int kSteps = 5;
-constexpr double kCancelS = 3.0;  // cancel_ms
+constexpr double kCancelS = 3.0;   // cancel_ms
 constexpr double kContactS = 3.0;  // contact-ms
 // "The platform's store is slow": 60 times 4 ms, for 4.5 s at most.
 constexpr Millis kSlowAnswer{240};
@@ -32,13 +32,15 @@
   for (int i = 0; i < 10; ++i) world.AddWorker(WorkerNumber(i));
   std::vector<json> steps;
   for (int step = 0; step < kSteps; ++step) {
-    json entry = {{"count", 2}, {"cpu", 1'000}, {"mem-mb", 1'000},
+    json entry = {{"count", 2},
+                  {"cpu", 1'000},
+                  {"mem-mb", 1'000},
                   {"estimate-ms", 2'500}};
     if (step > 0) entry["after"] = json::array({step - 1});
     steps.push_back(entry);
     for (int i = 0; i < kSubmissions + kOthers; ++i) {
-      world.plans[IdOf(i) + "." + std::to_string(step)] = {1'000, 1'000,
-                                                           Millis(2'500), false};
+      world.plans[IdOf(i) + "." + std::to_string(step)] = {
+          1'000, 1'000, Millis(2'500), false};
     }
   }
   if (!world.Start(Config(true))) return kCouldNotRun;
--- a/review/support-3/http.hpp
+++ b/review/support-3/http.hpp
@@ -185,8 +185,8 @@
       if (!SendAll(fd, "HTTP/1.1 " + std::to_string(response->status) +
                            " X\r\nContent-Type: application/json\r\n"
                            "Content-Length: " +
-                           std::to_string(response->body.size()) +
-                           "\r\n\r\n" + response->body)) {
+                           std::to_string(response->body.size()) + "\r\n\r\n" +
+                           response->body)) {
         break;
       }
     }
--- a/review/support-3/scenario.hpp
+++ b/review/support-3/scenario.hpp
@@ -13,26 +13,26 @@
 
 /// A configuration with one queue and one service.
 inline json Config(bool admission_check) {
-  return {{"version", 3},
-          {"routes",
-           json::array({{{"name", kQueue},
-                         {"host", "shop.example"},
-                         {"prefix", kPrefix},
-                         {"kind", "unsafe"},
-                         {"timeout-ms", 3'000},
-                         {"target-latency-ms", 1'000},
-                         {"priority", 0},
-                         {"service", "shop"},
-                         {"attempts", 4},
-                         {"stretch", 2.0}}})},
-          {"services", json::array({{{"name", "shop"},
-                                     {"health-path", "/health"},
-                                     {"max-conns", 64},
-                                     {"protocol", "h1"},
-                                     {"tls", false},
-                                     {"admission-check", admission_check},
-                                     {"standby", false}}})},
-          {"limits", {{"max-body-bytes", 262'144}, {"max-header-bytes", 8'192}}}};
+  return {
+      {"version", 3},
+      {"routes", json::array({{{"name", kQueue},
+                               {"host", "shop.example"},
+                               {"prefix", kPrefix},
+                               {"kind", "unsafe"},
+                               {"timeout-ms", 3'000},
+                               {"target-latency-ms", 1'000},
+                               {"priority", 0},
+                               {"service", "shop"},
+                               {"attempts", 4},
+                               {"stretch", 2.0}}})},
+      {"services", json::array({{{"name", "shop"},
+                                 {"health-path", "/health"},
+                                 {"max-conns", 64},
+                                 {"protocol", "h1"},
+                                 {"tls", false},
+                                 {"admission-check", admission_check},
+                                 {"standby", false}}})},
+      {"limits", {{"max-body-bytes", 262'144}, {"max-header-bytes", 8'192}}}};
 }
 
 /// The N-th submission's ID.
--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -36,6 +36,24 @@
   return out;
 }
 
+std::string DecodeBase64(const std::string& text) {
+  static const std::string kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  std::uint32_t group = 0;
+  int bits = 0;
+  for (const char c : text) {
+    const std::size_t digit = kDigits.find(c);
+    if (digit == std::string::npos) break;
+    group = group << 6 | static_cast<std::uint32_t>(digit);
+    bits += 6;
+    if (bits < 8) continue;
+    bits -= 8;
+    out += static_cast<char>(group >> bits & 255);
+  }
+  return out;
+}
+
 std::string DecodeUrl(const std::string& text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -65,8 +83,8 @@
 bool PortIsFree(const std::string& ip, int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = SocketAddress(ip, port);
-  const bool free = bind(fd, reinterpret_cast<sockaddr*>(&address),
-                         sizeof(address)) == 0;
+  const bool free =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   close(fd);
   return free;
 }
@@ -129,7 +147,7 @@
 bool Store::Put(const std::string& table, const std::string& key,
                 const std::string& value) {
   const std::lock_guard lock(mutex_);
-  if (down_) return false;
+  if (down_ || operator_part_down_) return false;
   ++version_;
   const std::string encoded = EncodeBase64(value);
   Apply({table, "", key}, &encoded);
@@ -157,7 +175,25 @@
   resets_ = resets;
   if (!down) Expire();
   changed_.notify_all();
-  record_.Line(!down ? "store: up" : resets ? "store: down, resets" : "store: down, silent");
+  record_.Line(!down    ? "store: up"
+               : resets ? "store: down, resets"
+                        : "store: down, silent");
+}
+
+void Store::SetOperatorPartDown(bool down) {
+  const std::lock_guard lock(mutex_);
+  operator_part_down_ = down;
+  changed_.notify_all();
+  record_.Line(down ? "store: the part of op and servers is down, busy"
+                    : "store: the part of op and servers is up");
+}
+
+std::string Store::NodesRow(const std::string& table, const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  for (const auto& [id, row] : rows_) {
+    if (std::get<0>(id) == table && std::get<2>(id) == key) return row.value;
+  }
+  return {};
 }
 
 void Store::SetPingTimeout(Millis timeout) { ping_timeout_ = timeout; }
@@ -201,7 +237,15 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   const auto query = ParseQuery(request.target);
   Response response;
-  if (path == "/mangospread/rows-tx") {
+  const auto table = query.find("table");
+  const auto is_operator_part = [&] {
+    const std::lock_guard lock(mutex_);
+    return operator_part_down_ && table != query.end() &&
+           (table->second == "op" || table->second == "servers");
+  };
+  if (is_operator_part()) {
+    response.status = 503;
+  } else if (path == "/mangospread/rows-tx") {
     response = Transact(json::parse(request.body));
   } else if (path == "/mangospread/rows-get") {
     response = Get(query);
@@ -216,6 +260,7 @@
     delay = delay_;
   }
   std::this_thread::sleep_for(delay);
+  if (is_operator_part()) return Response{503, "{}"};
   if (DropIfDown()) return std::nullopt;
   return response;
 }
@@ -307,13 +352,13 @@
   const Millis wait(query.contains("wait-ms") ? std::stol(query.at("wait-ms"))
                                               : 0);
   const auto has_change = [&] {
-    return std::any_of(history_.rbegin(), history_.rend(),
-                       [&](const Change& change) {
-                         return change.version > after &&
-                                std::get<0>(change.id) == table;
-                       });
+    return std::any_of(
+        history_.rbegin(), history_.rend(), [&](const Change& change) {
+          return change.version > after && std::get<0>(change.id) == table;
+        });
   };
-  changed_.wait_for(lock, wait, [&] { return down_ || has_change(); });
+  changed_.wait_for(
+      lock, wait, [&] { return down_ || operator_part_down_ || has_change(); });
   json rows = json::array();
   for (const Change& change : history_) {
     if (change.version <= after || std::get<0>(change.id) != table) continue;
@@ -328,8 +373,9 @@
     }
     rows.push_back(std::move(row));
   }
-  return {200,
-          json({{"rows", rows}, {"ver", version_}, {"now-ms", NowMs()}}).dump()};
+  return {
+      200,
+      json({{"rows", rows}, {"ver", version_}, {"now-ms", NowMs()}}).dump()};
 }
 
 // Worker.
@@ -378,19 +424,20 @@
 
 void Worker::Register() {
   if (!up_) return;
-  json entry = {{"service", options_.service},
-                {"addr", options_.ip + ":" + std::to_string(port_)},
-                {"zone", options_.zone},
-                {"version", "v1"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"cold-left-ms", 0},
-                {"capacity",
-                 {{"cpu", options_.cpu}, {"mem-mb", options_.memory}, {"gpu", 0}}},
-                {"labels", options_.labels},
-                {"clock-ms", ClockMs()},
-                {"born", born_},
-                {"seq", ++seq_}};
+  json entry = {
+      {"service", options_.service},
+      {"addr", options_.ip + ":" + std::to_string(port_)},
+      {"zone", options_.zone},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", "ready"},
+      {"cold-left-ms", 0},
+      {"capacity",
+       {{"cpu", options_.cpu}, {"mem-mb", options_.memory}, {"gpu", 0}}},
+      {"labels", options_.labels},
+      {"clock-ms", ClockMs()},
+      {"born", born_},
+      {"seq", ++seq_}};
   world_.store.Put("servers", options_.id, entry.dump());
 }
 
@@ -401,8 +448,9 @@
 }
 
 Response Worker::Refuse(const char* reason) const {
-  return {409, json({{"clock-ms", ClockMs()}, {"born", born_}, {"reason", reason}})
-                   .dump()};
+  return {409,
+          json({{"clock-ms", ClockMs()}, {"born", born_}, {"reason", reason}})
+              .dump()};
 }
 
 int Worker::CpuInUse() const {
@@ -431,7 +479,8 @@
   if (request.target == "/mangospread/run-stop") return Stop(body);
   if (request.target == "/mangospread/hold") return Hold(body, lock);
   if (request.target == "/mangospread/pace") {
-    return Response{200, json({{"clock-ms", ClockMs()}, {"born", born_}}).dump()};
+    return Response{200,
+                    json({{"clock-ms", ClockMs()}, {"born", born_}}).dump()};
   }
   return Response{404, "{}"};
 }
@@ -476,8 +525,8 @@
 std::optional<Response> Worker::Hold(const json& body,
                                      std::unique_lock<std::mutex>& lock) {
   const std::int64_t deadline = body.value("deadline-ms", std::int64_t{0});
-  lease_end_ = std::max(lease_end_,
-                        std::min(deadline, ClockMs() + kHoldLimit.count()));
+  lease_end_ =
+      std::max(lease_end_, std::min(deadline, ClockMs() + kHoldLimit.count()));
   const std::uint64_t acked = body.value("acked-upto", std::uint64_t{0});
   std::erase_if(ended_,
                 [&](const auto& end) { return std::get<0>(end) <= acked; });
@@ -494,9 +543,9 @@
   for (const auto& [task, run] : runs_) {
     const auto elapsed = Clock::now() - run.started;
     const std::int64_t percent =
-        run.plan.lasts ? 100
-                       : std::min<std::int64_t>(
-                             99, elapsed * 100 / run.plan.duration);
+        run.plan.lasts
+            ? 100
+            : std::min<std::int64_t>(99, elapsed * 100 / run.plan.duration);
     running.push_back(json::array({task, run.number, "", percent, 0}));
   }
   json ended = json::array();
@@ -576,6 +625,30 @@
   return it == plans.end() ? TaskPlan() : it->second;
 }
 
+int World::Leader() {
+  const std::string row = DecodeBase64(store.NodesRow("role", "leader"));
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    if (row.find(nodes[i].name) != std::string::npos) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void World::Kill(int node) {
+  NodeProcess& process = nodes[static_cast<std::size_t>(node)];
+  kill(process.pid, SIGKILL);
+  waitpid(process.pid, nullptr, 0);
+  process.pid = -1;
+  record.Line("node " + process.name + ": killed");
+}
+
+bool World::Restart(int node) {
+  NodeProcess& process = nodes[static_cast<std::size_t>(node)];
+  record.Line("node " + process.name + ": starts again");
+  return StartNode(process);
+}
+
 Worker& World::AddWorker(WorkerOptions options) {
   workers.push_back(std::make_unique<Worker>(*this, std::move(options)));
   return *workers.back();
--- a/review/support-3/world.hpp
+++ b/review/support-3/world.hpp
@@ -45,6 +45,11 @@
   void SetDelay(Millis delay);
   /// While down, calls have no effect and get no answer, or a reset.
   void SetDown(bool down, bool resets = false);
+  /// The operator's and the workers' rows can't be reached: calls for them get
+  /// 503. The other parts of the store are well.
+  void SetOperatorPartDown(bool down);
+  /// The value of a row of the nodes' part, in base64; empty if there is none.
+  std::string NodesRow(const std::string& table, const std::string& key);
   /// Removes registrations of workers that have been silent for this long.
   void SetPingTimeout(Millis timeout);
   /// True if a row of this table and key exists in any part.
@@ -83,6 +88,7 @@
   Millis delay_{4};
   bool down_ = false;
   bool resets_ = false;
+  bool operator_part_down_ = false;
   Millis ping_timeout_{0};
   Clock::time_point start_ = Clock::now();
   Server server_;  ///< Last, since its threads use the others.
@@ -166,7 +172,8 @@
   std::uint64_t seq_ = 0;
   std::map<std::string, Run> runs_;
   std::map<std::string, std::uint64_t> highest_;
-  std::vector<std::tuple<std::uint64_t, std::string, std::uint64_t, std::string>>
+  std::vector<
+      std::tuple<std::uint64_t, std::string, std::uint64_t, std::string>>
       ended_;
   Server server_;  ///< Last, since its threads use the others.
 };
@@ -210,6 +217,12 @@
             const std::string& task, std::uint64_t run,
             const std::string& detail = {});
   TaskPlan PlanOf(const std::string& task) const;
+  /// Index of the node that the row role/leader names; -1 if there is none.
+  int Leader();
+  /// Ends a node's process with SIGKILL.
+  void Kill(int node);
+  /// Starts a node again that was ended.
+  bool Restart(int node);
 
  private:
   void Tick();
