--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -2,8 +2,7 @@
 // is answered with 410, and the submission then runs to its end.
 #include "../support-3/scenario.hpp"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr int kSubmissions = 6;
@@ -25,10 +24,9 @@
   int status = 0;
 };
 
-}  // namespace
-
-int main(int, char** argv) {
-  World world(argv[1], 3);
+/// Returns the exit code.
+int Run(const char* folder) {
+  World world(folder, 3);
   for (int i = 0; i < 10; ++i) world.AddWorker(WorkerNumber(i));
   std::vector<json> steps;
   for (int step = 0; step < kSteps; ++step) {
@@ -102,3 +100,8 @@
   if (acknowledged == 0) return kCouldNotRun;
   return broken > 0 ? kBroken : kHeld;
 }
+
+}  // namespace
+}  // namespace review
+
+int main(int /*count*/, char** arguments) { return review::Run(arguments[1]); }
--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -37,14 +37,14 @@
 }
 
 std::string DecodeBase64(const std::string& text) {
-  static const std::string kDigits =
+  constexpr std::string_view kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   std::uint32_t group = 0;
   int bits = 0;
   for (const char c : text) {
     const std::size_t digit = kDigits.find(c);
-    if (digit == std::string::npos) break;
+    if (digit == std::string_view::npos) break;
     group = group << 6 | static_cast<std::uint32_t>(digit);
     bits += 6;
     if (bits < 8) continue;
--- a/review/support-3/world.hpp
+++ b/review/support-3/world.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
