--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -19,7 +20,7 @@
 constexpr const char* kStoreIp = "127.0.0.5";
 
 std::string EncodeBase64(const std::string& text) {
-  static const char* kDigits =
+  constexpr const char* kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (std::size_t i = 0; i < text.size(); i += 3) {
@@ -686,6 +687,8 @@
   const std::string log = temporary_ + "/" + node.name + ".log";
   node.pid = fork();
   if (node.pid == 0) {
+    // Ends with the driver, also if that is stopped by its time limit.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("MANGOSPREAD_CONFIG", node.settings.c_str(), 1);
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDOUT_FILENO);
