An idle leader tries again after a refused write

Callers saw: after the store had refused one write of an idle leader (503 or 429), every later submission was refused with 503, however long the store was well again, until something else had to be written.

Cause: Writer::table_reachable() turned true only when a transaction was answered, and the leader starts none for a submission while it is false. Its other writes (workers, agents, progress) come only with changes. Found by holding each call against a submission whose write was refused.

Change: 300 ms after a failed transaction, with nothing in flight, the next change may be tried. While an outcome is being resolved, as in a silent outage, the writer is not idle, so nothing else waits for the table.

--- a/src/table/writer.cc
+++ b/src/table/writer.cc
@@ -98,6 +98,11 @@
   options_.burst = std::max(kBurstSeconds, kBurstSeconds * per_second);
 }
 
+bool Writer::table_reachable() const noexcept {
+  return table_reachable_ ||
+         (idle() && base::MonotonicNow() - failed_at_ >= options_.probe_delay);
+}
+
 bool Writer::idle() const noexcept { return queue_.empty() && !in_flight_; }
 
 void Writer::Submit(Transaction change, Callback done) {
@@ -359,6 +364,7 @@
 }
 
 void Writer::SetTableReachable(bool reachable) {
+  if (!reachable) failed_at_ = base::MonotonicNow();
   if (table_reachable_ == reachable) return;
   table_reachable_ = reachable;
   base::Log(
--- a/src/table/writer.hpp
+++ b/src/table/writer.hpp
@@ -52,6 +52,8 @@
   /// A change that has not been sent within this time is reported as
   /// unavailable.
   Milliseconds max_wait{2'000};
+  /// Time after a failed transaction from which on another one may be tried.
+  Milliseconds probe_delay{300};
 };
 
 struct WriterCounters {
@@ -108,10 +110,10 @@
 
   /// True if nothing is queued or in flight.
   [[nodiscard]] bool idle() const noexcept;
-  /// False from the first failed transaction until the table responds again.
-  [[nodiscard]] bool table_reachable() const noexcept {
-    return table_reachable_;
-  }
+  /// False from a failed transaction on until the table responds again, or
+  /// until probe_delay has passed: with nothing to write, only the next change
+  /// can show whether it does.
+  [[nodiscard]] bool table_reachable() const noexcept;
   [[nodiscard]] const WriterCounters& counters() const noexcept {
     return counters_;
   }
@@ -164,6 +166,7 @@
   /// The group in flight conflicted on the writer's own row.
   bool own_row_conflict_ = false;
   bool table_reachable_ = true;
+  MonotonicTime failed_at_{0};  ///< Time of the last failed transaction.
   base::TokenBucket budget_;
   int resolve_attempts_ = 0;
   base::Timer timer_;
--- a/tests/unit/dispatch/group_leader_test.cc
+++ b/tests/unit/dispatch/group_leader_test.cc
@@ -108,6 +108,16 @@
   CHECK(Call(ServiceVerb::kState).result == ServiceResult::kNotFound);
 }
 
+// Guards against a leader that refuses all submissions after a single refused
+// write, as long as it has nothing else to write.
+TEST_CASE_FIXTURE(LeaderFixture, "an idle leader tries a refused table again") {
+  Lead(1);
+  fault = Fault::kRefuse;
+  CHECK(Call(ServiceVerb::kSubmit).result == ServiceResult::kRefused);
+  fault = Fault::kNone;
+  CHECK(Call(ServiceVerb::kSubmit).result == ServiceResult::kOk);
+}
+
 // Guards against a caller who is told that a submission was not accepted by a
 // leader that was replaced, after the next one has accepted it (LOST).
 TEST_CASE_FIXTURE(LeaderFixture,
