--- a/src/app/node/node.cc
+++ b/src/app/node/node.cc
@@ -32,8 +32,6 @@
 constexpr std::size_t kRequestConnections = 16;
 constexpr std::size_t kControlConnections = 2;
 
-constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
-
 std::string WriterRow(const Settings& settings, Incarnation incarnation,
                       const char* purpose) {
   return "writer/" + settings.node.str() + "/" +
@@ -153,8 +151,7 @@
             }),
       key_sweep_(
           loop_, {}, *platform_.table, key_writer_,
-          [this] { return IsKeySweeper(); },
-          [] { return base::WallNanoseconds() / kNanosecondsPerMillisecond; }),
+          [this] { return IsKeySweeper(); }, &base::WallMilliseconds),
       gateway_(
           loop_, MakeGatewayOptions(settings_, incarnation_), store_, router_,
           keys_,
--- a/src/base/loop/clock.cc
+++ b/src/base/loop/clock.cc
@@ -26,4 +26,9 @@
 
 std::uint64_t WallNanoseconds() noexcept { return ReadClock(CLOCK_REALTIME); }
 
+std::uint64_t WallMilliseconds() noexcept {
+  constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
+  return WallNanoseconds() / kNanosecondsPerMillisecond;
+}
+
 }  // namespace mangospread::base
--- a/src/base/loop/clock.hpp
+++ b/src/base/loop/clock.hpp
@@ -14,5 +14,7 @@
 
 /// Wall-clock time in nanoseconds since the Unix epoch.
 [[nodiscard]] std::uint64_t WallNanoseconds() noexcept;
+/// The same in milliseconds.
+[[nodiscard]] std::uint64_t WallMilliseconds() noexcept;
 
 }  // namespace mangospread::base
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -18,7 +18,6 @@
 /// Run numbers per task reserved for one epoch, so that runs of a later epoch
 /// have higher numbers.
 constexpr std::uint32_t kRunsPerEpoch = 1'000;
-constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 constexpr Milliseconds kShortRetryAfter{500};
 /// Callers are told full seconds, and the shortest, since the length of an
 /// outage is not known and they give up after a few seconds. Differs from other
@@ -45,10 +44,6 @@
   return options;
 }
 
-std::uint64_t WallMilliseconds() {
-  return base::WallNanoseconds() / kNanosecondsPerMillisecond;
-}
-
 /// What former leaders permit, which may be former versions if workers hold
 /// longer leases than this version grants.
 PermissionTimeouts FormerTimeouts(const GroupLeaderOptions& options,
@@ -255,7 +250,7 @@
 }
 
 void GroupLeader::RestoreJob(StoredJob job, const JobProgress& progress) {
-  const std::uint64_t now = WallMilliseconds();
+  const std::uint64_t now = base::WallMilliseconds();
   const std::uint64_t age =
       now > job.accepted_at_ms ? now - job.accepted_at_ms : 0;
   dispatcher_->Restore(
@@ -336,7 +331,7 @@
   if (!writer_.table_reachable()) {
     return done(MakeRefusal(kTableDownRetryAfter));
   }
-  JobRow row{call.policy, WallMilliseconds(), call.payload};
+  JobRow row{call.policy, base::WallMilliseconds(), call.payload};
   Transaction change = LeaderTransaction();
   const std::string key = kJobPrefix + id.str();
   change.conditions.push_back({key, RowVersion()});
--- a/src/gateway/keys/key_store.cc
+++ b/src/gateway/keys/key_store.cc
@@ -12,8 +12,6 @@
 
 using table::WriteStatus;
 
-constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
-
 }  // namespace
 
 /// A request that waits for the result of KeyStore::Claim.
@@ -111,7 +109,7 @@
   claim->row_key = waiter->request.row_key;
   claim->row.node = options_.node;
   claim->row.incarnation = options_.incarnation;
-  claim->row.claimed_ms = base::WallNanoseconds() / kNanosecondsPerMillisecond;
+  claim->row.claimed_ms = base::WallMilliseconds();
   claim->row.fingerprint = waiter->request.fingerprint;
   claim->claimant = waiter;
   entries_[claim->row_key] = claim;
--- a/standin/site/workers.cc
+++ b/standin/site/workers.cc
@@ -22,7 +22,6 @@
 /// which they have to be in touch, and one heartbeat.
 constexpr MonotonicTime kCapacityGrace = Milliseconds(3'000 + 1'500);
 constexpr int kDefaultTaskMs = 200;
-constexpr std::uint64_t kNanosecondsPerMillisecond = 1'000'000;
 
 }  // namespace
 
@@ -33,7 +32,7 @@
       id_(std::move(id)),
       record_(record),
       on_crash_(std::move(on_crash)),
-      incarnation_(base::WallNanoseconds() / kNanosecondsPerMillisecond),
+      incarnation_(base::WallMilliseconds()),
       max_runs_(max_runs),
       capacity_(max_runs),
       lease_timer_(loop.Every(std::chrono::milliseconds(50), 0, [this] {
@@ -195,8 +194,7 @@
   ended_.clear();
   pending_renewals_.clear();
   fence_ = lease_end_ms_ = end_count_ = acknowledged_ = 0;
-  incarnation_ = std::max(incarnation_ + 1,
-                          base::WallNanoseconds() / kNanosecondsPerMillisecond);
+  incarnation_ = std::max(incarnation_ + 1, base::WallMilliseconds());
   return Listen();
 }
 
