An acknowledged cancelling holds for a submission that is on its way

Cause: the leader looked only at submissions that it had accepted, and it decided on "not found" before it confirmed its leadership and did not look again after that. In a run of the case with logs the 410 was sent 134 ms after the same leader had accepted the submission. A cancelling that overtakes its submission had the same effect, and nothing in one leader's memory can exclude it: the copy may wait at another node and reach the next leader.

Change: calls on a submission wait while a write decides whether it exists, and are then handled by what is known. A cancelling of an unknown submission is stored under the condition that none of its rows exists; acceptance has the same condition, so the store decides which is first under any leader. A copy that arrives later is accepted, shown as cancelled and never starts. A query looks again once the leadership is confirmed.

Ruled out: an unknown outcome taken for "not stored" (five outcomes of the write tried), an answer by the node that was asked (it forwards).

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -309,6 +309,8 @@
       return {"evacuation_changed", Severity::kInfo};
     case Event::kStartWithheld:
       return {"start_withheld", Severity::kInfo};
+    case Event::kCallDeferred:
+      return {"call_deferred", Severity::kInfo};
     case Event::kTakeoverWaits:
       return {"takeover_waits", Severity::kInfo};
     case Event::kRunLost:
--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -103,6 +103,7 @@
   kTaskWaits = 1826,
   kEvacuationChanged = 1827,
   kStartWithheld = 1828,
+  kCallDeferred = 1829,
   // API.
   kRequestInvalid = 1701,
   kClientClosed = 1704,
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -54,7 +54,7 @@
   for (Task& member : gang.tasks) member.checkpoint = checkpoint;
 }
 
-/// Overhead of the memory that a step refers to.
+/// Overhead of the memory that a step or a submission refers to.
 constexpr std::size_t kAllocationBytes = 64;
 /// What the leader and an agent hold of a task while it is placed.
 constexpr std::size_t kRunBytes = 400;
@@ -79,7 +79,8 @@
   }
   const auto occurrences =
       static_cast<std::size_t>(std::max(submission.occurrences, 1));
-  return submission.spec.size() + occurrence * occurrences;
+  return sizeof(Job) + kAllocationBytes + submission.spec.size() +
+         occurrence * occurrences;
 }
 
 Job::Job(Submission submission, QueuePolicy policy, MonotonicTime accepted_at,
--- a/src/dispatch/front/submission_service.hpp
+++ b/src/dispatch/front/submission_service.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "dispatch/model/submission.hpp"
 
@@ -18,6 +19,21 @@
   kPending,
 };
 
+/// Name of a verb in logs.
+[[nodiscard]] constexpr std::string_view VerbName(ServiceVerb verb) noexcept {
+  switch (verb) {
+    case ServiceVerb::kSubmit:
+      return "submit";
+    case ServiceVerb::kState:
+      return "state";
+    case ServiceVerb::kCancel:
+      return "cancel";
+    case ServiceVerb::kPending:
+      return "pending";
+  }
+  return "unknown";
+}
+
 /// A caller's request.
 struct ServiceCall {
   ServiceVerb verb = ServiceVerb::kState;
--- a/src/dispatch/leader/group_leader.cc
+++ b/src/dispatch/leader/group_leader.cc
@@ -5,7 +5,6 @@
 
 #include "base/events.hpp"
 #include "base/loop/clock.hpp"
-#include "dispatch/leader/done_tasks.hpp"
 #include "dispatch/leader/interference_row.hpp"
 
 namespace mangospread::dispatch {
@@ -13,23 +12,11 @@
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using table::WriteStatus;
 
 /// Run numbers per task reserved for one epoch, so that runs of a later epoch
 /// have higher numbers.
 constexpr std::uint32_t kRunsPerEpoch = 1'000;
-constexpr Milliseconds kShortRetryAfter{500};
-/// Callers are told full seconds, and the shortest, since the length of an
-/// outage is not known and they give up after a few seconds. Differs from other
-/// delays, so that a log line shows which of them applied.
-constexpr Milliseconds kTableDownRetryAfter{900};
-/// Memory becomes free when submissions have ended and their states are not
-/// asked for any more.
-constexpr Milliseconds kNoMemoryRetryAfter{5'000};
 constexpr MonotonicTime kLoadRetryDelay = milliseconds(300);
-/// What a first row of progress holds beside the tasks that are done.
-constexpr std::size_t kOtherProgressBytes = 1'024;
-
 table::WriterOptions MakeWriterOptions() {
   table::WriterOptions options;
   options.budget = 120;
@@ -55,18 +42,6 @@
   return timeouts;
 }
 
-/// Why a submission that was not stored is refused, for logs.
-std::string_view RefusalReason(WriteStatus status) {
-  switch (status) {
-    case WriteStatus::kConflict:
-      return "conflict";
-    case WriteStatus::kRejected:
-      return "store_rejected";
-    default:
-      return "store_unavailable";
-  }
-}
-
 }  // namespace
 
 GroupLeader::GroupLeader(GroupLeaderDependencies dependencies,
@@ -208,6 +183,7 @@
       dispatcher_->Restore(std::move(submission), std::move(policy),
                            row.progress, base::MonotonicNow());
       ended_.push_back({id, base::MonotonicNow()});
+      if (!row.submitted) unsubmitted_.insert(id);
     }
   }
   loaded_ = true;
@@ -263,138 +239,4 @@
   max_work_bytes_ = std::min(max_work_bytes_, max_work_bytes);
 }
 
-// Calls.
-
-void GroupLeader::Handle(ServiceCall call, ServiceCallback done) {
-  if (!loaded_) return done(MakeRefusal(kShortRetryAfter));
-  switch (call.verb) {
-    case ServiceVerb::kSubmit:
-      return Submit(std::move(call), std::move(done));
-    case ServiceVerb::kCancel:
-      return Cancel(call.submission, std::move(done));
-    case ServiceVerb::kState:
-      return ReplyState(call.submission, std::move(done));
-    case ServiceVerb::kPending: {
-      ServiceReply reply = MakeReply(ServiceResult::kOk);
-      reply.pending = dispatcher_->Pending(call.policy.queue);
-      return done(reply);
-    }
-  }
-}
-
-void GroupLeader::ReplyState(const SubmissionId& id,
-                             ServiceCallback done) const {
-  const auto state = dispatcher_->State(id);
-  if (!state) return ReplyNotFound(std::move(done));
-  // A later leader may have stored the end already.
-  if (!IsFinal(*state) && !deps_.confirmed()) {
-    return done(MakeRefusal(kShortRetryAfter));
-  }
-  ServiceReply reply = MakeReply(ServiceResult::kOk);
-  reply.state = *state;
-  done(reply);
-}
-
-void GroupLeader::ReplyNotFound(ServiceCallback done) const {
-  deps_.confirm([done = std::move(done)](bool leads) {
-    done(leads ? MakeReply(ServiceResult::kNotFound)
-               : MakeRefusal(kShortRetryAfter));
-  });
-}
-
-void GroupLeader::Submit(ServiceCall call, ServiceCallback done) {
-  const SubmissionId id = call.submission;
-  if (dispatcher_->State(id)) return done(MakeReply(ServiceResult::kOk));
-  if (const auto it = accepting_callbacks_.find(id);
-      it != accepting_callbacks_.end()) {
-    it->second.push_back(std::move(done));
-    return;
-  }
-  const auto submission = deps_.decode(id, call.payload);
-  if (!submission.ok()) {
-    base::Log(base::Event::kSubmissionRefused,
-              {{"request", id.str()},
-               {"error", ErrcName(submission.error().code)},
-               {"subject", submission.error().subject}});
-    return done(MakeReply(ServiceResult::kInvalid));
-  }
-  const std::size_t bytes = MemoryOfJob(submission.value());
-  if (dispatcher_->work_bytes() + accepting_bytes_ + bytes > max_work_bytes_) {
-    base::Log(base::Event::kSubmissionRefused,
-              {{"request", id.str()},
-               {"reason", "memory"},
-               {"bytes", bytes},
-               {"held", dispatcher_->work_bytes() + accepting_bytes_},
-               {"limit", max_work_bytes_}});
-    return done(MakeRefusal(kNoMemoryRetryAfter));
-  }
-  if (!writer_.table_reachable()) {
-    return done(MakeRefusal(kTableDownRetryAfter));
-  }
-  JobRow row{call.policy, base::WallMilliseconds(), call.payload};
-  Transaction change = LeaderTransaction();
-  const std::string key = kJobPrefix + id.str();
-  change.conditions.push_back({key, RowVersion()});
-  change.conditions.push_back({kProgressPrefix + id.str(), RowVersion()});
-  std::string value = EncodeJobRow(row);
-  if (value.size() > options_.row_bytes) {
-    base::Log(base::Event::kSubmissionRefused, {{"request", id.str()},
-                                                {"reason", "too_large"},
-                                                {"bytes", value.size()},
-                                                {"limit", options_.row_bytes}});
-    return done(MakeReply(ServiceResult::kInvalid));
-  }
-  if (MaxDoneBytes(submission.value()) + kOtherProgressBytes >
-      options_.row_bytes) {
-    base::Log(base::Event::kSubmissionRefused,
-              {{"request", id.str()}, {"reason", "too_many_tasks"}});
-    return done(MakeReply(ServiceResult::kInvalid));
-  }
-  change.writes.push_back({key, std::move(value)});
-  accepting_callbacks_[id].push_back(std::move(done));
-  accepting_calls_.emplace(id, std::move(call));
-  accepting_bytes_ += bytes;
-  writer_.Submit(std::move(change),
-                 [this, id, bytes](const table::WriteResult& result) {
-                   accepting_bytes_ -= bytes;
-                   OnSubmitted(id, result);
-                 });
-}
-
-void GroupLeader::OnSubmitted(const SubmissionId& id,
-                              const table::WriteResult& result) {
-  const auto waiting = std::exchange(accepting_callbacks_[id], {});
-  accepting_callbacks_.erase(id);
-  const auto node = accepting_calls_.extract(id);
-  ServiceReply reply = MakeReply(ServiceResult::kOk);
-  if (result.status == WriteStatus::kCommitted) {
-    const ServiceCall& call = node.mapped();
-    auto submission = deps_.decode(id, call.payload);
-    dispatcher_->Add(std::move(submission.value()), call.policy,
-                     base::MonotonicNow());
-    base::Log(base::Event::kSubmissionAccepted,
-              {{"request", id.str()},
-               {"queue", call.policy.queue.str()},
-               {"row_version", result.version.value()}});
-    RequestDecision();
-  } else {
-    reply = result.status == WriteStatus::kRejected
-                ? MakeReply(ServiceResult::kInvalid)
-                : MakeRefusal(kShortRetryAfter);
-    base::Log(
-        base::Event::kSubmissionRefused,
-        {{"request", id.str()}, {"reason", RefusalReason(result.status)}});
-  }
-  for (const ServiceCallback& done : waiting) done(reply);
-  CheckConflict(result);
-}
-
-void GroupLeader::Cancel(const SubmissionId& id, ServiceCallback done) {
-  const auto state = dispatcher_->State(id);
-  if (!state) return ReplyNotFound(std::move(done));
-  if (IsFinal(*state)) return done(MakeReply(ServiceResult::kOk));
-  cancelling_callbacks_[id].push_back(std::move(done));
-  dispatcher_->Cancel(id, base::MonotonicNow());
-}
-
 }  // namespace mangospread::dispatch
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -16,6 +16,7 @@
 #include "dispatch/core/dispatcher.hpp"
 #include "dispatch/front/submission_service.hpp"
 #include "dispatch/leader/agent_register.hpp"
+#include "dispatch/leader/deferred_calls.hpp"
 #include "dispatch/leader/former_leaders.hpp"
 #include "dispatch/leader/group_leader_dependencies.hpp"
 #include "dispatch/leader/group_leader_options.hpp"
@@ -145,14 +146,33 @@
   /// Logs for which workers restored work waits and for how long at most.
   void LogTakeoverWait();
 
-  // Calls.
+  // Calls (group_leader_calls.cc).
+  /// Lets a call wait for the write that decides about its submission.
+  void Defer(ServiceCall call, ServiceCallback done);
+  /// Ends the wait for such a write, and handles the calls that waited.
+  void Settle(const SubmissionId& id, const table::WriteResult& result);
   void Submit(ServiceCall call, ServiceCallback done);
-  void ReplyState(const SubmissionId& id, ServiceCallback done) const;
+  void OnSubmitted(Submission submission, const QueuePolicy& policy,
+                   const table::WriteResult& result,
+                   const ServiceCallback& done);
+  /// Accepts a submission that was cancelled before: none of it ever runs.
+  void SubmitCancelled(const ServiceCall& call, ServiceCallback done);
+  void ReplyState(ServiceCall call, ServiceCallback done);
   /// Replies that there is no such submission, unless a later leader may have
-  /// accepted it.
-  void ReplyNotFound(ServiceCallback done) const;
-  void OnSubmitted(const SubmissionId& id, const table::WriteResult& result);
-  void Cancel(const SubmissionId& id, ServiceCallback done);
+  /// accepted it, or this one has meanwhile.
+  void ReplyNotFound(ServiceCall call, ServiceCallback done);
+  void Cancel(const ServiceCall& call, ServiceCallback done);
+  /// Stores that a submission is cancelled of which nothing is known, so that a
+  /// copy which is still on its way starts nothing, whoever leads then.
+  void CancelUnsubmitted(const ServiceCall& call, ServiceCallback done);
+  void OnCancelledUnsubmitted(const SubmissionId& id, const QueuePolicy& policy,
+                              const table::WriteResult& result,
+                              const ServiceCallback& done);
+  [[nodiscard]] bool HasMemoryFor(const SubmissionId& id,
+                                  std::size_t bytes) const;
+  [[nodiscard]] Result<Submission> DecodeCall(const ServiceCall& call) const;
+  /// A transaction that fails if a submission with this id is stored.
+  [[nodiscard]] Transaction AbsentSubmission(const SubmissionId& id) const;
 
   // Storing.
   void MarkDirty(const SubmissionId& id);
@@ -172,6 +192,8 @@
                   const table::WriteResult& result);
   void OnSaved(const SubmissionId& id, std::uint64_t generation,
                const table::WriteResult& result);
+  /// Keeps the state of an ended submission for ended_retention from now on.
+  void RetainEnded(const SubmissionId& id);
   /// Deletes the rows of submissions that ended more than ended_retention ago.
   void SweepEnded(MonotonicTime now);
   struct EndedSubmission {
@@ -374,11 +396,10 @@
   MonotonicTime waits_checked_at_{0};
   std::uint64_t assignments_issued_ = 0;
 
-  /// Callers that wait for a submission to be stored.
-  std::map<SubmissionId, std::vector<ServiceCallback>> accepting_callbacks_;
-  std::map<SubmissionId, ServiceCall> accepting_calls_;
-  std::size_t accepting_bytes_ = 0;  ///< Memory that these will take.
-  std::size_t max_work_bytes_;       ///< The least of this node's and all seen.
+  DeferredCalls deferred_calls_;
+  /// Cancelled submissions that nobody has submitted yet. They are not shown.
+  std::set<SubmissionId> unsubmitted_;
+  std::size_t max_work_bytes_;  ///< The least of this node's and all seen.
   /// Callers that wait for a cancellation to be stored.
   std::map<SubmissionId, std::vector<ServiceCallback>> cancelling_callbacks_;
   std::set<SubmissionId> dirty_;   ///< With changes to be stored.
--- a/src/dispatch/leader/group_leader_progress.cc
+++ b/src/dispatch/leader/group_leader_progress.cc
@@ -125,6 +125,7 @@
 }
 
 void GroupLeader::RemoveProgress(const EndedSubmission& ended) {
+  if (deferred_calls_.Contains(ended.id)) return ended_.push_back(ended);
   // The first row goes last: it tells the next leader that the others are to
   // be removed.
   if (RemoveBlocks(ended)) return;
@@ -135,15 +136,17 @@
   for (int part = 1; part <= parts; ++part) {
     change.writes.push_back({ProgressKey(ended.id, part), std::nullopt});
   }
+  if (unsubmitted_.contains(ended.id)) deferred_calls_.Begin(ended.id, 0);
   writer_.Submit(std::move(change),
                  [this, ended](const table::WriteResult& result) {
-                   if (CheckConflict(result)) return;
                    if (result.status == WriteStatus::kCommitted) {
                      dispatcher_->Discard(ended.id);
                      progress_rows_.erase(ended.id);
+                     unsubmitted_.erase(ended.id);
                    } else {
                      ended_.push_back(ended);
                    }
+                   Settle(ended.id, result);
                  });
 }
 
--- a/src/dispatch/leader/job_rows.cc
+++ b/src/dispatch/leader/job_rows.cc
@@ -89,6 +89,7 @@
       base::DumpJson({{"queue", row.queue.str()},
                       {"state", std::string(StateName(row.progress.state))}});
   head.pop_back();
+  if (!row.submitted) head += R"(,"submitted":false)";
   return head;
 }
 
@@ -134,6 +135,15 @@
   return true;
 }
 
+/// Sets the flag if the object has the field. Returns false if it is malformed.
+bool DecodeFlag(const json& object, const char* field, bool& flag) {
+  const auto it = object.find(field);
+  if (it == object.end()) return true;
+  if (!it->is_boolean()) return false;
+  flag = it->get<bool>();
+  return true;
+}
+
 /// Decodes the list "tasks". Returns false if it is malformed.
 bool DecodeTasks(const json& object, std::vector<TaskProgress>& tasks) {
   const auto list = object.find("tasks");
@@ -365,10 +375,9 @@
     if (!IsCount(*parts)) return malformed;
     row.parts = parts->get<int>();
   }
-  const auto blocked = object.find("blocked");
-  if (blocked != object.end()) {
-    if (!blocked->is_boolean()) return malformed;
-    row.blocked = blocked->get<bool>();
+  if (!DecodeFlag(object, "blocked", row.blocked) ||
+      !DecodeFlag(object, "submitted", row.submitted)) {
+    return malformed;
   }
   if (!DecodeDone(object, row.progress.done)) return malformed;
   return row;
--- a/src/dispatch/leader/job_rows.hpp
+++ b/src/dispatch/leader/job_rows.hpp
@@ -32,6 +32,9 @@
   JobProgress progress;
   int parts = 0;         ///< Number of further rows of a former version.
   bool blocked = false;  ///< The tasks are listed in the rows of the blocks.
+  /// False for a submission that was cancelled before anybody submitted it;
+  /// former versions take it for one that was submitted.
+  bool submitted = true;
 };
 
 /// Number of positions in a block.
