A worker that is missing from the list keeps its tasks until it has left

Cause: DrainWorkers took a missing entry for a worker that leaves. Entries that expire in an outage are back about two seconds after its end, and a list that was not read says nothing.

Change: a missing worker gets no more work, as before, but has left only once the list has lacked it for 3 s during which changes of the list could be read. Tasks of a step with max-unavailable move away from one that responds one at a time, while the others are at work and another worker has room.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -346,21 +346,22 @@
   void SubscribeToWorkers() {
     workers_feed_ = std::make_unique<platform::StoreFeed>(
         loop_, store_pool_, MakeFeedSchedule(), "servers", "",
-        platform::FeedHooks{[this](const std::vector<ChangedRow>& rows) {
-                              workers_.clear();
-                              for (const ChangedRow& row : rows) {
-                                InstallWorker(row);
-                              }
-                              node_.OnWorkers(workers_);
-                            },
-                            [this](const std::vector<ChangedRow>& rows) {
-                              bool changed = false;
-                              for (const ChangedRow& row : rows) {
-                                changed = InstallWorker(row) || changed;
-                              }
-                              if (changed) node_.OnWorkers(workers_);
-                            },
-                            {}});
+        platform::FeedHooks{
+            [this](const std::vector<ChangedRow>& rows) {
+              workers_.clear();
+              for (const ChangedRow& row : rows) {
+                InstallWorker(row);
+              }
+              node_.OnWorkers(workers_);
+            },
+            [this](const std::vector<ChangedRow>& rows) {
+              bool changed = false;
+              for (const ChangedRow& row : rows) {
+                changed = InstallWorker(row) || changed;
+              }
+              if (changed) node_.OnWorkers(workers_);
+            },
+            [this](bool reachable) { node_.OnWorkersReachable(reachable); }});
   }
 
   /// Updates the list of workers. Returns true if it changed.
--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -238,15 +238,20 @@
   }
 }
 
+bool Dispatcher::MayInterrupt(const TaskRef& ref, MonotonicTime now) const {
+  return ref.spec().max_unavailable == 0 ||
+         (AllAtWork(ref, now) && FitsElsewhere(ref, now));
+}
+
 void Dispatcher::DrainWorkers(MonotonicTime now) {
   for (const WorkerState& worker : registry_.workers()) {
-    if (worker.slot_free || !worker.attached || !worker.info.leaving()) {
-      continue;
-    }
+    const bool leaves = worker.info.draining || worker.info.gone;
+    if (worker.slot_free || !worker.attached || !leaves) continue;
     const std::map<TaskName, PlacedRun> runs = worker.runs;
     for (const auto& [name, placed] : runs) {
       const auto ref = FindTask(name);
       if (ref->task->phase != TaskPhase::kRunning) continue;
+      if (!worker.info.draining && !MayInterrupt(*ref, now)) continue;
       const bool ends_soon =
           !placed.spec->long_running &&
           now - ref->task->since + kDrainMargin >= placed.spec->estimate;
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -298,6 +298,9 @@
   /// on another worker. Batch runs that end soon or write no checkpoints are
   /// left to finish.
   void DrainWorkers(MonotonicTime now);
+  /// True if a task on a worker that responds may be interrupted to move it:
+  /// the others of its step are at work, and it fits elsewhere.
+  [[nodiscard]] bool MayInterrupt(const TaskRef& ref, MonotonicTime now) const;
 
   // Evacuations (dispatcher_evacuation.cc).
   /// Moves at most one task away from an evacuated data centre.
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -51,8 +51,13 @@
   /// Processes a call. `done` may be called from within Handle.
   void Handle(ServiceCall call, ServiceCallback done);
 
-  /// Replaces the list of registered workers.
+  /// Replaces the list of registered workers. A worker that is missing gets no
+  /// more work, and has left once the list has lacked it for
+  /// missing_grace_period.
   void OnWorkers(const std::map<VmName, WorkerInfo>& listed);
+  /// Reports whether the list is as stored at present. Until it is, as at the
+  /// start, nothing follows from a worker that is missing.
+  void SetWorkersCurrent(bool current);
   /// Replaces the evacuations, which hold from now on.
   void SetEvacuations(const Evacuations& evacuations);
   /// @param last_grant_age time for which the agent has granted no lease;
@@ -288,6 +293,9 @@
   /// Ends the agents' sessions with removed workers that the stored roster does
   /// not contain any more. Until then the next leader may ask for them.
   void ReleaseRemoved();
+  /// Notes which workers have been missing from the list for so long that they
+  /// have left.
+  void MarkGone();
   /// Removes workers that left the list and on which nothing can run.
   void RemoveIdleWorkers();
   /// Gives agents time to attach workers before the reported runs are used: the
@@ -422,6 +430,8 @@
   FormerLeaders former_leaders_;
   std::map<VmName, WorkerEntry> workers_;
   std::map<VmName, WorkerInfo> listed_;  ///< Registered workers.
+  /// Time since which these are as stored; nullopt if they may have changed.
+  std::optional<MonotonicTime> listed_current_since_;
   /// Workers that may hold a lease, as stored in the table.
   std::set<VmName> roster_;
   int roster_rows_ = 0;  ///< Number of rows that hold them.
--- a/src/dispatch/leader/group_leader_options.hpp
+++ b/src/dispatch/leader/group_leader_options.hpp
@@ -76,6 +76,10 @@
   /// Period at which the learned interference between images that share
   /// workers is stored.
   Milliseconds interference_save_period{3'000};
+  /// A worker counts as gone once the list has lacked it for this long while
+  /// the list could be read: entries that expired in an outage of the table are
+  /// back about two seconds after its end.
+  Milliseconds missing_grace_period{3'000};
   /// Time for which the state of an ended submission is kept.
   Milliseconds ended_retention{150'000};
 };
--- a/src/dispatch/leader/group_leader_takeover.cc
+++ b/src/dispatch/leader/group_leader_takeover.cc
@@ -216,6 +216,7 @@
   entry.inherited = true;
   entry.info = former.runs.worker;
   entry.info.listed = false;
+  entry.missing_since = base::MonotonicNow();
   dispatcher_->OnWorker(entry.info);
 }
 
--- a/src/dispatch/leader/group_leader_workers.cc
+++ b/src/dispatch/leader/group_leader_workers.cc
@@ -58,6 +58,7 @@
     const auto it = workers_.find(vm);
     if (it == workers_.end()) continue;
     const bool moved = it->second.info.address != info.address;
+    it->second.missing_since.reset();
     if (it->second.info == info && !moved) continue;
     it->second.info = info;
     dispatcher_->OnWorker(info);
@@ -65,9 +66,9 @@
   }
   for (auto& [vm, entry] : workers_) {
     if (!entry.info.listed || listed_.contains(vm)) continue;
-    // The worker has left or is unreachable. Its runs keep their capacity
-    // reserved until they have certainly ended.
+    // Its runs keep their capacity reserved until they have certainly ended.
     entry.info.listed = false;
+    entry.missing_since = base::MonotonicNow();
     dispatcher_->OnWorker(entry.info);
     base::Log(base::Event::kWorkerListed,
               {{"vm", vm.str()}, {"listed", false}});
@@ -79,6 +80,26 @@
   AssignWorkers();
 }
 
+void GroupLeader::SetWorkersCurrent(bool current) {
+  if (!current) return listed_current_since_.reset();
+  if (!listed_current_since_) listed_current_since_ = base::MonotonicNow();
+}
+
+void GroupLeader::MarkGone() {
+  if (!listed_current_since_) return;
+  const MonotonicTime now = base::MonotonicNow();
+  for (auto& [vm, entry] : workers_) {
+    if (!entry.missing_since || entry.info.gone) continue;
+    const MonotonicTime since =
+        std::max(*entry.missing_since, *listed_current_since_);
+    if (now - since < options_.missing_grace_period) continue;
+    entry.info.gone = true;
+    dispatcher_->OnWorker(entry.info);
+    base::Log(base::Event::kWorkerListed,
+              {{"vm", vm.str()}, {"listed", false}, {"gone", true}});
+  }
+}
+
 void GroupLeader::SetEvacuations(const Evacuations& evacuations) {
   dispatcher_->SetEvacuations(evacuations, base::MonotonicNow());
   if (loaded_) RequestDecision();
@@ -426,6 +447,7 @@
   if (!loaded_) return;
   const MonotonicTime now = base::MonotonicNow();
   RemoveExpired();
+  MarkGone();
   RemoveIdleWorkers();
   if (!resumed_ && now > UnreportedLeaseExpiry()) {
     // The leases of workers that an agent has reported, or was assigned to, may
--- a/src/dispatch/leader/group_members.hpp
+++ b/src/dispatch/leader/group_members.hpp
@@ -46,6 +46,8 @@
   /// it, not assigned to another one before this time.
   MonotonicTime retry_at{0};
   bool unreachable = false;  ///< Its agent does not reach it.
+  /// Time since which the list of workers lacks it; nullopt if it is listed.
+  std::optional<MonotonicTime> missing_since;
   /// Agent that it was reassigned from last, and when. That agent may have
   /// attached it before it received the release.
   std::optional<NodeId> released_by;
--- a/src/dispatch/model/worker_types.hpp
+++ b/src/dispatch/model/worker_types.hpp
@@ -35,8 +35,10 @@
   WorkerCapacity capacity;
   bool draining = false;
   bool listed = true;  ///< False once it is missing from the list of workers.
+  /// True once it has been missing for so long that it has left.
+  bool gone = false;
 
-  /// True if it leaves or has left, so that it gets no further work.
+  /// True if it leaves or may have left, so that it gets no further work.
   [[nodiscard]] bool leaving() const noexcept { return draining || !listed; }
 
   friend bool operator==(const WorkerInfo& a, const WorkerInfo& b) {
@@ -46,7 +48,7 @@
            a.labels == b.labels && a.capacity.cpu == b.capacity.cpu &&
            a.capacity.memory == b.capacity.memory &&
            a.capacity.accelerators == b.capacity.accelerators &&
-           a.draining == b.draining && a.listed == b.listed;
+           a.draining == b.draining && a.listed == b.listed && a.gone == b.gone;
   }
 };
 
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -79,7 +79,14 @@
 
 void Node::OnWorkers(std::map<VmName, WorkerInfo> listed) {
   listed_ = std::move(listed);
-  if (leader_) leader_->OnWorkers(listed_);
+  if (!leader_) return;
+  workers_read_ = true;
+  leader_->OnWorkers(listed_);
+  leader_->SetWorkersCurrent(true);
+}
+
+void Node::OnWorkersReachable(bool reachable) {
+  if (leader_) leader_->SetWorkersCurrent(reachable && workers_read_);
 }
 
 void Node::OnEvacuations(Evacuations evacuations) {
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -79,8 +79,10 @@
   void OnLeaderRow(const std::optional<LeaderRecord>& leader) {
     leadership_->OnRow(leader);
   }
-  /// Replaces the list of registered workers.
+  /// Replaces the list of registered workers by one that was just read.
   void OnWorkers(std::map<VmName, WorkerInfo> listed);
+  /// Reports whether changes of that list can be read.
+  void OnWorkersReachable(bool reachable);
   /// Replaces the evacuations. This node's agent starts nothing there from now
   /// on, whatever its leader knows of them.
   void OnEvacuations(Evacuations evacuations);
@@ -207,6 +209,7 @@
   bool awaits_announcement_ = false;
   PendingCalls calls_;
   std::map<VmName, WorkerInfo> listed_;
+  bool workers_read_ = false;  ///< Since this node leads.
   Evacuations evacuations_;
   bool evacuations_known_ = false;
   /// Time since which the operator's requests cannot be read.
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -92,6 +92,7 @@
                           agent_.LastGrantAge());
   leader_->OnAgentUp(options_.node, options_.data_center, agent_.LastGrantAge(),
                      true);
+  workers_read_ = false;
   leader_->OnWorkers(listed_);
   for (const FormerLeaderRuns& runs : agent_.CollectRuns()) {
     leader_->OnKnownRuns(options_.node, runs);
--- a/tests/unit/dispatch/frames_test.cc
+++ b/tests/unit/dispatch/frames_test.cc
@@ -47,7 +47,7 @@
 /// the worker is listed or drains are used by the leader only and not sent.
 auto Fields(const WorkerInfo& item) {
   const auto& [vm, incarnation, service, address, data_center, rack, labels,
-               capacity, draining, listed] = item;
+               capacity, draining, listed, gone] = item;
   return std::tuple(vm, service, address, data_center, rack,
                     capacity.connections);
 }
--- a/tests/unit/dispatch/leader_fixture.hpp
+++ b/tests/unit/dispatch/leader_fixture.hpp
@@ -81,6 +81,8 @@
                 releases.emplace_back(agent, release->vm);
               } else if (auto* start = std::get_if<StartRun>(&command)) {
                 starts.push_back(*start);
+              } else if (auto* stop = std::get_if<StopRun>(&command)) {
+                stops.push_back(*stop);
               } else if (auto* description =
                              std::get_if<DescribeRun>(&command)) {
                 descriptions.push_back(*description);
@@ -210,6 +212,7 @@
   std::map<VmName, SentAssignment> newest;
   std::vector<std::pair<NodeId, VmName>> releases;
   std::vector<StartRun> starts;
+  std::vector<StopRun> stops;
   std::vector<DescribeRun> descriptions;
   std::map<VmName, EndNumber> acknowledged;  ///< Ends.
   /// What "agent" says to a new leader.
