Pending counts submissions until a worker has begun one of their tasks

Cause: the count went by a state that is set when a start is issued.

Change: a submission has begun once a worker accepts a start, lists a run or reports an end. The state that a query shows and the order of work are as before.

--- a/src/dispatch/core/dispatcher.cc
+++ b/src/dispatch/core/dispatcher.cc
@@ -116,7 +116,7 @@
       std::count_if(active_.begin(), active_.end(), [&](const Entry* entry) {
         return entry->job->policy().queue == queue &&
                entry->job->submission().occurrences == 0 &&
-               entry->job->state() == SubmissionState::kQueued;
+               !entry->job->begun() && !IsFinal(entry->job->state());
       }));
 }
 
@@ -184,6 +184,7 @@
   WorkerState& worker = registry_.at(ref.task->worker);
   PlacedRun& placed = worker.runs.at(ref.name);
   if (std::exchange(placed.start_confirmed, true)) return;
+  ref.job().SetBegun();
   if (IsSuspected(ref.task->losses)) worker.trial_until = now + kStartTrial;
 }
 
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -109,8 +109,8 @@
   /// The state to show to callers: a final state only once it is stored.
   [[nodiscard]] std::optional<SubmissionState> State(
       const SubmissionId& id) const;
-  /// Number of submissions of the queue of which no task has been started yet.
-  /// Submissions with scheduled occurrences are not counted.
+  /// Number of submissions of the queue of which no worker has begun a task
+  /// yet. Submissions with scheduled occurrences are not counted.
   [[nodiscard]] int Pending(const QueueName& queue) const;
   /// Progress to store, as of the current generation. The submission must
   /// exist, as for Queue and Generation.
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -185,6 +185,7 @@
     placed.started_at = registry_.at(slot).silent_since;
     if (!run_id.just_started) placed.started_at -= kStartTrial;
     placed.start_confirmed = run_id.confirmed;
+    if (placed.start_confirmed) ref->job().SetBegun();
     SetFormerSpeed(placed, run_id.percent, now);
     ReserveCapacity(*ref, slot, placed);
     ref->job().SetPhase(ref->index, TaskPhase::kStarting, now);
@@ -246,6 +247,7 @@
     // The start may have been reported with the end only.
     task.without_run_since = now;
   }
+  job.SetBegun();
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
     if (ref.spec().gang) {
--- a/src/dispatch/core/job.cc
+++ b/src/dispatch/core/job.cc
@@ -296,6 +296,7 @@
 
 void Job::Restore(const JobProgress& progress) {
   state_ = progress.state;
+  begun_ = state_ != SubmissionState::kQueued;
   AddOccurrencesOf(progress);
   for (const TaskProgress& saved : progress.tasks) {
     Task* task = Find(saved.task);
--- a/src/dispatch/core/job.hpp
+++ b/src/dispatch/core/job.hpp
@@ -151,6 +151,10 @@
     return last_useful_;
   }
   [[nodiscard]] bool has_pending() const noexcept;
+  /// True once a worker has begun one of its tasks. A start that was refused
+  /// is none.
+  [[nodiscard]] bool begun() const noexcept { return begun_; }
+  void SetBegun() noexcept { begun_ = true; }
   /// True once a start of one of its tasks was issued.
   [[nodiscard]] bool started() const noexcept {
     return state_ != SubmissionState::kQueued;
@@ -202,6 +206,7 @@
   MonotonicTime objective_;
   MonotonicTime last_useful_;
   SubmissionState state_ = SubmissionState::kQueued;
+  bool begun_ = false;
   int occurrences_ = 0;  ///< Number of occurrences in `steps_`.
   std::deque<Step> steps_;
 };
--- a/src/dispatch/front/submission_service.hpp
+++ b/src/dispatch/front/submission_service.hpp
@@ -75,7 +75,7 @@
 struct ServiceReply {
   ServiceResult result = ServiceResult::kUnknown;
   SubmissionState state = SubmissionState::kQueued;  ///< For kState.
-  /// For kPending: the queue's submissions of which no task has been started.
+  /// For kPending: the queue's submissions of which no task has begun.
   int pending = 0;
   Milliseconds retry_after{0};  ///< For kRefused; 0 if unspecified.
 };
--- a/tests/unit/dispatch/dispatcher_test.cc
+++ b/tests/unit/dispatch/dispatcher_test.cc
@@ -331,6 +331,33 @@
   CHECK(dispatcher.State(SubmissionId("a")) == SubmissionState::kComplete);
 }
 
+// Guards against a submission that is not counted as pending though every
+// worker has refused its starts (MIXED), or that is counted once it has begun.
+TEST_CASE_FIXTURE(DispatcherFixture, "a refused start begins nothing") {
+  const QueueName queue("q");
+  AddWorker("w1");
+  Add("a", {MakeStep(1, 1'000)});
+  CHECK(dispatcher.Pending(queue) == 1);
+  const auto refused = Decide();
+  REQUIRE(refused.size() == 1);
+  Event("w1", RunNotStarted{refused[0].task, refused[0].run,
+                            CommandOutcome::kUnhealthy});
+  CHECK(dispatcher.Pending(queue) == 1);
+  now += std::chrono::seconds(10);
+  const auto started = Decide();
+  REQUIRE(started.size() == 1);
+  SUBCASE("until a worker accepts one") {
+    Event("w1", RunStarted{started[0].task, started[0].run});
+  }
+  SUBCASE("until it has ended") {
+    End("w1", 1, started[0].task, started[0].run.value(), RunEnd::kFailed);
+  }
+  SUBCASE("until it is cancelled") {
+    CHECK(dispatcher.Cancel(SubmissionId("a"), now));
+  }
+  CHECK(dispatcher.Pending(queue) == 0);
+}
+
 // Guards against an occurrence that starts before its time or waits for another
 // occurrence.
 TEST_CASE_FIXTURE(DispatcherFixture, "each occurrence starts when it is due") {
