A smaller process of an unguarded worker waits for its registration

Cause: the capacity of the former process stayed in force until the new registration was read. The check of the registration's process covered labels only and relied on the worker to refuse what does not fit; admission-check was read from the configuration and not used.

Change: the services without admission check reach the dispatcher; while the registration of one of their workers is of another process, nothing starts there.

--- a/src/app/platform_serve.cc
+++ b/src/app/platform_serve.cc
@@ -312,6 +312,7 @@
     }
     if (catalog_ && catalog.value().revision <= catalog_->revision) return;
     catalog_ = std::move(catalog.value());
+    node_.SetUnguardedServices(catalog_->services_without_admission_check);
     frontend_server_.SetRequestLimits(catalog_->max_header_bytes,
                                       catalog_->max_body_bytes);
     base::Log(base::Event::kCatalogInstalled,
--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -140,6 +140,9 @@
   /// whose process has ended.
   void AddUnconfirmedRuns(const VmName& vm, const std::vector<RunId>& runs,
                           MonotonicTime now);
+  /// Replaces the services whose workers start whatever they are told to. A
+  /// process of theirs gets no start before it has registered its capacity.
+  void SetUnguardedServices(const std::set<ServiceName>& services);
   void OnEvent(const AgentEvent& event, MonotonicTime now);
   /// Reports that no agent is connected to the worker any more.
   void OnDetached(const VmName& vm, MonotonicTime now);
@@ -430,6 +433,7 @@
   EndLedger ledger_;
   std::size_t work_bytes_ = 0;
   Evacuations evacuations_;
+  std::set<ServiceName> unguarded_services_;
   MonotonicTime next_evacuation_move_{0};
   /// Worker and run at which the last search for a task to move ended.
   std::size_t evacuation_cursor_ = 0;
--- a/src/dispatch/core/dispatcher_workers.cc
+++ b/src/dispatch/core/dispatcher_workers.cc
@@ -30,7 +30,18 @@
 
 void Dispatcher::OnWorker(const WorkerInfo& info) {
   const WorkerSlot slot = registry_.Upsert(info);
-  registry_.at(slot).evacuated = evacuations_.contains(info.data_center);
+  WorkerState& worker = registry_.at(slot);
+  worker.evacuated = evacuations_.contains(info.data_center);
+  worker.guards_capacity = !unguarded_services_.contains(info.service);
+}
+
+void Dispatcher::SetUnguardedServices(const std::set<ServiceName>& services) {
+  unguarded_services_ = services;
+  const auto workers = static_cast<WorkerSlot>(registry_.workers().size());
+  for (WorkerSlot slot = 0; slot < workers; ++slot) {
+    WorkerState& worker = registry_.at(slot);
+    worker.guards_capacity = !services.contains(worker.info.service);
+  }
 }
 
 void Dispatcher::OnEvent(const AgentEvent& event, MonotonicTime now) {
--- a/src/dispatch/leader/group_leader.hpp
+++ b/src/dispatch/leader/group_leader.hpp
@@ -60,6 +60,10 @@
   void SetWorkersCurrent(bool current);
   /// Replaces the evacuations, which hold from now on.
   void SetEvacuations(const Evacuations& evacuations);
+  /// Replaces the services whose workers do not guard their capacity.
+  void SetUnguardedServices(const std::set<ServiceName>& services) {
+    dispatcher_->SetUnguardedServices(services);
+  }
   /// @param last_grant_age time for which the agent has granted no lease;
   ///   nullopt if it is not known.
   /// @param numbers_attachments as in its Hello.
--- a/src/dispatch/model/catalog.hpp
+++ b/src/dispatch/model/catalog.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +28,7 @@
   Revision revision;
   std::vector<QueueRoute> routes;
   /// Services whose workers start tasks without a check of their capacity.
-  std::vector<ServiceName> services_without_admission_check;
+  std::set<ServiceName> services_without_admission_check;
   /// Limits of callers' requests.
   std::size_t max_body_bytes = std::size_t{256} * 1024;
   std::size_t max_header_bytes = std::size_t{32} * 1024;
--- a/src/dispatch/node/node.cc
+++ b/src/dispatch/node/node.cc
@@ -105,6 +105,11 @@
   if (leader_) leader_->SetEvacuations(evacuations_);
 }
 
+void Node::SetUnguardedServices(std::set<ServiceName> services) {
+  unguarded_services_ = std::move(services);
+  if (leader_) leader_->SetUnguardedServices(unguarded_services_);
+}
+
 void Node::OnOperatorReachable(bool reachable) {
   operator_lost_at_ =
       reachable ? std::nullopt : std::optional(base::MonotonicNow());
--- a/src/dispatch/node/node.hpp
+++ b/src/dispatch/node/node.hpp
@@ -86,6 +86,8 @@
   /// Replaces the evacuations. This node's agent starts nothing there from now
   /// on, whatever its leader knows of them.
   void OnEvacuations(Evacuations evacuations);
+  /// Replaces the services whose workers do not guard their capacity.
+  void SetUnguardedServices(std::set<ServiceName> services);
   /// Reports whether the operator's requests can be read.
   void OnOperatorReachable(bool reachable);
 
@@ -211,6 +213,7 @@
   std::map<VmName, WorkerInfo> listed_;
   bool workers_read_ = false;  ///< Since this node leads.
   Evacuations evacuations_;
+  std::set<ServiceName> unguarded_services_;
   bool evacuations_known_ = false;
   /// Time since which the operator's requests cannot be read.
   std::optional<MonotonicTime> operator_lost_at_;
--- a/src/dispatch/node/node_leading.cc
+++ b/src/dispatch/node/node_leading.cc
@@ -83,6 +83,7 @@
       [this] { return KnowsEvacuations(); }};
   leader_ = std::make_unique<GroupLeader>(std::move(deps), options_.leader);
   leader_->SetEvacuations(evacuations_);
+  leader_->SetUnguardedServices(unguarded_services_);
   if (followed_stopped_at_ && former_leader) {
     leader_->OnFormerLeaderStopped(*followed_stopped_at_);
   }
--- a/src/dispatch/policy/rejections.cc
+++ b/src/dispatch/policy/rejections.cc
@@ -59,12 +59,15 @@
   if (!worker.attached) return Rejection::kDetached;
   if (worker.silent_since.count() > 0) return Rejection::kSilent;
   if (!worker.stray_runs.empty()) return Rejection::kUnknownUse;
+  if (!worker.guards_capacity && !worker.IsRegistered()) {
+    return Rejection::kUnregistered;
+  }
   return now < worker.trial_until ? Rejection::kOnTrial : Rejection::kRefused;
 }
 
 Rejection LabelRejection(const WorkerState& worker, const StepSpec& spec) {
   if (spec.required_label.empty()) return Rejection::kNone;
-  if (!worker.LabelsAreKnown()) return Rejection::kUnregistered;
+  if (!worker.IsRegistered()) return Rejection::kUnregistered;
   const auto& labels = worker.info.labels;
   const bool has_label = std::find(labels.begin(), labels.end(),
                                    spec.required_label) != labels.end();
--- a/src/dispatch/policy/rejections.hpp
+++ b/src/dispatch/policy/rejections.hpp
@@ -25,7 +25,8 @@
   kRefused,     ///< It has just refused starts for lack of capacity.
   kOnTrial,     ///< It has just started a suspected task.
   kLabel,       ///< It lacks the label that the step requires.
-  /// The step requires a label, and its process has not registered yet.
+  /// Its process has not registered yet, and the step requires a label or the
+  /// worker does not guard its capacity.
   kUnregistered,
   kProcessors,
   kMemory,
--- a/src/dispatch/policy/worker_book.hpp
+++ b/src/dispatch/policy/worker_book.hpp
@@ -79,6 +79,8 @@
   MonotonicTime trial_until{0};
   bool slot_free = false;  ///< The slot is free for another worker.
   bool evacuated = false;  ///< Its data centre is under evacuation.
+  /// It refuses starts that do not fit into its capacity.
+  bool guards_capacity = true;
   /// End of the last evacuation of its data centre; nullopt if there was none.
   std::optional<MonotonicTime> returned_at;
   Millicores cpu_used;  ///< Reserved by tasks that are not best effort.
@@ -117,7 +119,8 @@
   }
   /// True if it can start a task, even if runs on it failed.
   [[nodiscard]] bool CanStart(MonotonicTime now) const noexcept {
-    return Stays() && UseIsKnown(now) && now >= trial_until;
+    return Stays() && UseIsKnown(now) && now >= trial_until &&
+           (guards_capacity || IsRegistered());
   }
   /// False if it does not respond or if unknown work uses its capacity.
   [[nodiscard]] bool UseIsKnown(MonotonicTime now) const noexcept {
@@ -130,8 +133,8 @@
     return !slot_free && !info.leaving() && !evacuated;
   }
   /// False if its registration is of another process than the one attached, so
-  /// that the labels of this one are not known.
-  [[nodiscard]] bool LabelsAreKnown() const noexcept {
+  /// that the labels and the capacity of this one are not known.
+  [[nodiscard]] bool IsRegistered() const noexcept {
     constexpr WorkerIncarnation kUnknown;
     return info.incarnation == kUnknown || incarnation == kUnknown ||
            info.incarnation == incarnation;
--- a/tests/unit/dispatch/restarted_kind_test.cc
+++ b/tests/unit/dispatch/restarted_kind_test.cc
@@ -75,6 +75,28 @@
   CHECK(Decide().size() == 1);
 }
 
+// Guards against a worker that gets more than it holds (LIMIT): its process is
+// a smaller one, which cannot register while the store is away, and starts
+// whatever it is told to (review case 14).
+TEST_CASE_FIXTURE(RestartedKind,
+                  "a process that does not guard its capacity gets nothing "
+                  "before it has registered") {
+  SUBCASE("known before the worker") {
+    dispatcher.SetUnguardedServices({ServiceName("s")});
+    Register(kFormer, "a");
+  }
+  SUBCASE("known after the worker") {
+    Register(kFormer, "a");
+    dispatcher.SetUnguardedServices({ServiceName("s")});
+  }
+  Attach(kFormer);
+  Attach(kPresent);
+  Add("plain", {MakeStep(1, 1'000)});
+  CHECK(Decide().empty());
+  Register(kPresent, "a");
+  CHECK(Decide().size() == 1);
+}
+
 // Guards against a start that was decided by the labels of a former process and
 // reaches the next one, before or after its agent has noticed the restart.
 TEST_CASE_FIXTURE(SessionFixture,
