The number of ids that are kept as cancelled before they arrive is limited

Found when reading the change: a client that cancels ids which nobody submits leaves a row and 416 bytes of counted work for 150 s each, and ended submissions are removed at 40 a second at most. At a higher rate they would have taken the memory for accepted work, so that submissions are refused long after that client has gone, and every takeover reads the rows.

Change: at most 4,096 of them (1.7 MB counted); a further cancellation of an unknown submission is refused with 503, which promises nothing.

--- a/src/dispatch/leader/group_leader_calls.cc
+++ b/src/dispatch/leader/group_leader_calls.cc
@@ -244,7 +244,10 @@
                                     ServiceCallback done) {
   const SubmissionId& id = call.submission;
   const std::size_t bytes = MemoryOfEndedJob(EmptySubmission(id));
-  if (!HasMemoryFor(id, bytes)) return done(MakeRefusal(kNoMemoryRetryAfter));
+  if (unsubmitted_.size() >= options_.max_unsubmitted ||
+      !HasMemoryFor(id, bytes)) {
+    return done(MakeRefusal(kNoMemoryRetryAfter));
+  }
   if (!writer_.table_reachable()) {
     return done(MakeRefusal(kTableDownRetryAfter));
   }
--- a/src/dispatch/leader/group_leader_options.hpp
+++ b/src/dispatch/leader/group_leader_options.hpp
@@ -80,6 +80,11 @@
   /// the list could be read: entries that expired in an outage of the table are
   /// back about two seconds after its end.
   Milliseconds missing_grace_period{3'000};
+  /// Most submissions that are kept as cancelled before anybody has submitted
+  /// them; further cancellations of unknown ones are refused. A client that
+  /// cancels any ids must neither fill the memory for accepted work nor delay a
+  /// takeover, which reads them all.
+  std::size_t max_unsubmitted = 4'096;
   /// Time for which the state of an ended submission is kept.
   Milliseconds ended_retention{150'000};
 };
--- a/tests/unit/dispatch/call_answers_test.cc
+++ b/tests/unit/dispatch/call_answers_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dispatch/leader/job_rows.hpp"
@@ -216,10 +217,25 @@
 
 // Guards against clients that fill the leader's memory with ids that they
 // cancel.
-TEST_CASE("cancelled ids count as work") {
-  CallAnswersFixture site;
-  site.leader->OnWorkLimit(1);
-  CHECK(site.Call(ServiceVerb::kCancel).result == ServiceResult::kRefused);
+TEST_CASE_FIXTURE(CallAnswersFixture, "cancelled ids count as work") {
+  leader->OnWorkLimit(1);
+  CHECK(Call(ServiceVerb::kCancel).result == ServiceResult::kRefused);
+}
+
+// Guards against clients that cancel so many ids that no memory is left for
+// work, and a takeover takes long.
+TEST_CASE_FIXTURE(CallAnswersFixture,
+                  "the number of cancelled ids is limited") {
+  options.max_unsubmitted = 1;
+  Lead(2);
+  ServiceCall other;
+  other.verb = ServiceVerb::kCancel;
+  other.submission = SubmissionId("00000000000000bb");
+  leader->Handle(std::move(other), [](const ServiceReply& /*reply*/) {});
+  RunFor(kSettled);
+  CHECK(Call(ServiceVerb::kCancel).result == ServiceResult::kRefused);
+  RunFor(options.ended_retention);
+  CHECK(Call(ServiceVerb::kCancel).result == ServiceResult::kNotFound);
 }
 
 }  // namespace
