Cancellations in flight under a killed leader and a paused node

Two more cases of cancel_in_flight_test with real processes: the leader is killed while 24 submissions and their cancellations are on their way (three moments of the kill, over 3 s, so that a takeover is included), and a submission waits at a paused node while another node acknowledges its cancelling.

--- a/tests/integration/managed/cancel_in_flight_test.cc
+++ b/tests/integration/managed/cancel_in_flight_test.cc
@@ -110,6 +110,58 @@
   CHECK(DescribeUnexpectedEnds().empty());
 }
 
+TEST_CASE("it holds if the leader is killed meanwhile") {
+  constexpr int kCount = 24;
+  constexpr milliseconds kDelay{10};
+  // Longer than a takeover.
+  constexpr milliseconds kLongest{3'000};
+  ManagedCluster site(kNodes, 4);
+  site.WaitUntilReady();
+  int first = 1;
+  for (const milliseconds killed_after :
+       {milliseconds(20), milliseconds(150), milliseconds(400)}) {
+    CAPTURE(killed_after.count());
+    const std::size_t leader = site.AwaitServingLeader();
+    site.DelayTable(kDelay);
+    std::thread killer([&] {
+      std::this_thread::sleep_for(killed_after);
+      site.node(leader).Kill();
+    });
+    const auto all = RunAll(site, first, kCount, kLongest);
+    first += kCount;
+    killer.join();
+    site.DelayTable(kUsualDelay);
+    site.RestartNode(leader);
+    site.WaitUntilReady();
+    static_cast<void>(site.AwaitServingLeader());
+    int acknowledged = 0;
+    for (const Cancelling& cancelling : all) {
+      if (!IsAcknowledged(cancelling.reply)) continue;
+      ++acknowledged;
+      CheckHolds(site, cancelling);
+    }
+    CHECK(acknowledged > 0);
+  }
+  CHECK(DescribeUnexpectedEnds().empty());
+}
+
+TEST_CASE("it holds for a submission that waits at a paused node") {
+  ManagedCluster site(kNodes, 4);
+  site.WaitUntilReady();
+  const std::size_t leader = site.AwaitServingLeader();
+  const std::size_t paused = (leader + 1) % kNodes;
+  Cancelling cancelling{1, leader, (leader + 2) % kNodes, milliseconds(0)};
+  site.node(paused).Pause();
+  std::thread caller([&] { site.Submit(paused, 1, kTasks, kTaskMs); });
+  std::this_thread::sleep_for(milliseconds(200));
+  cancelling.reply =
+      site.SendRequest(cancelling.cancel_node, net::Method::kDelete, 1);
+  site.node(paused).Resume();
+  caller.join();
+  REQUIRE(cancelling.reply.status == kGone);
+  CheckHolds(site, cancelling);
+}
+
 TEST_CASE("it holds under the next leader") {
   ManagedCluster site(kNodes, 4);
   site.WaitUntilReady();
