The soak learns callers that leave and cancel

Callers submit, leave 1 to 40 ms later, cancel at another node, and a copy of the submission arrives late. A cancellation that was answered with 410 must start nothing; one that was answered with 2xx is checked also if the caller never heard of the acceptance.

--- a/tests/integration/soak/callers.cc
+++ b/tests/integration/soak/callers.cc
@@ -11,6 +11,8 @@
 constexpr int kMaxAttempts = 6;
 constexpr Milliseconds kRequestTimeout{4'000};
 constexpr Milliseconds kRetryInterval{150};
+/// Longest time for which a caller that leaves waits for its submission.
+constexpr int kMaxPatienceMs = 40;
 constexpr int kGone = 410;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
@@ -55,6 +57,8 @@
         Submit();
       } else if (choice < 55) {
         Cancel();
+      } else if (choice < 60) {
+        Withdraw();
       } else {
         Query();
       }
@@ -64,7 +68,8 @@
 
  private:
   Response SendToRandomNode(net::Method method, int submission,
-                            const std::string& body = "") {
+                            const std::string& body = "",
+                            Milliseconds timeout = kRequestTimeout) {
     const std::vector<Address> nodes = callers_.NodeAddresses();
     connections_.resize(nodes.size());
     const std::size_t node = std::uniform_int_distribution<std::size_t>(
@@ -79,7 +84,7 @@
     request.target = "/jobs/" + SubmissionIdOf(submission);
     request.headers.Add("Host", "jobs.example");
     request.body = body;
-    return connection.http->Send(request, kRequestTimeout);
+    return connection.http->Send(request, timeout);
   }
 
   void Submit() {
@@ -110,6 +115,27 @@
         surely_not_accepted && refusal_received;
   }
 
+  /// Submits, leaves before the response, and cancels what may have been
+  /// submitted; then a copy of the submission arrives late.
+  void Withdraw() {
+    const int submission = callers_.next_submission_++;
+    const std::string body = RandomSubmissionBody(random_, 0);
+    {
+      const std::lock_guard<std::mutex> lock(callers_.mutex_);
+      callers_.submissions_[submission].cancel_sent = true;
+    }
+    const Milliseconds patience(
+        std::uniform_int_distribution<int>(1, kMaxPatienceMs)(random_));
+    SendToRandomNode(net::Method::kPost, submission, body, patience);
+    const Response response =
+        SendToRandomNode(net::Method::kDelete, submission);
+    SendToRandomNode(net::Method::kPost, submission, body);
+    const std::lock_guard<std::mutex> lock(callers_.mutex_);
+    ObservedSubmission& observed = callers_.submissions_[submission];
+    observed.cancelled = IsSuccess(response);
+    observed.withdrawn = response.ok() && response.status == kGone;
+  }
+
   void Cancel() {
     const int submission = callers_.PickAcceptedSubmission(random_);
     if (submission == 0) return;
--- a/tests/integration/soak/callers.hpp
+++ b/tests/integration/soak/callers.hpp
@@ -22,8 +22,11 @@
   /// Every attempt was refused with status 429 or 503 or failed to connect, and
   /// at least one was refused: the submission has certainly not been accepted.
   bool refused = false;
-  bool cancel_sent = false;        ///< A caller has requested the cancellation.
-  bool cancelled = false;          ///< The cancellation was confirmed.
+  bool cancel_sent = false;  ///< A caller has requested the cancellation.
+  bool cancelled = false;    ///< The cancellation was confirmed.
+  /// The cancellation was answered with 410, after an attempt to submit that
+  /// the caller did not wait for: nothing may run.
+  bool withdrawn = false;
   bool complete_reported = false;  ///< A response had the state "complete".
 };
 
--- a/tests/integration/soak/soak_test.cc
+++ b/tests/integration/soak/soak_test.cc
@@ -52,10 +52,16 @@
   if (observed.accepted && !observed.cancel_sent) {
     CHECK(cluster.GetState(0, number) == "complete");
   }
-  if (observed.accepted && observed.cancelled) {
+  if (observed.cancelled) {
     const std::string state = cluster.GetState(0, number);
     CHECK((state == "cancelled" || state == "complete"));
   }
+  if (observed.withdrawn) {
+    CHECK_FALSE(started.contains(SubmissionIdOf(number)));
+    const Response state = cluster.SendRequest(0, net::Method::kGet, number);
+    CHECK(
+        (state.status == kGone || cluster.GetState(0, number) == "cancelled"));
+  }
   if (observed.refused) {
     CHECK(cluster.SendRequest(0, net::Method::kGet, number).status == kGone);
     CHECK_FALSE(started.contains(SubmissionIdOf(number)));
@@ -121,17 +127,21 @@
   CheckNoTaskRanTwice(counts);
   CHECK(counts.overloads == 0);
   std::size_t accepted = 0;
-  for (const auto& [number, s] : callers.submissions()) accepted += s.accepted;
+  std::size_t withdrawn = 0;
+  for (const auto& [number, s] : callers.submissions()) {
+    accepted += s.accepted;
+    withdrawn += s.withdrawn;
+  }
   MESSAGE("seed ", seed, ": ", injector.log().size(), " faults, ", accepted,
           " of ", callers.submissions().size(), " submissions accepted, ",
-          counts.starts, " starts, ", counts.expired_runs,
-          " runs ended by lease expiry");
+          withdrawn, " withdrawn, ", counts.starts, " starts, ",
+          counts.expired_runs, " runs ended by lease expiry");
 }
 
 // Guards against code that keeps its guarantees under each fault alone but
 // breaks them when faults follow one another and overlap: an accepted
-// submission is lost, a refused one runs, a completed task runs again, or a
-// task runs twice at once.
+// submission is lost, a refused one or one whose cancelling was acknowledged
+// runs, a completed task runs again, or a task runs twice at once.
 TEST_CASE("guarantees hold under random faults in sequence and overlapping") {
   for (const std::uint64_t seed : SeedsToRun()) RunWithSeed(seed);
 }
