--- a/src/dispatch/core/dispatcher.hpp
+++ b/src/dispatch/core/dispatcher.hpp
@@ -239,7 +239,8 @@
   [[nodiscard]] std::optional<TaskRef> FindRun(WorkerSlot slot,
                                                const std::string& text,
                                                Attempt run);
-  // Workers (dispatcher_workers.cc, dispatcher_losses.cc).
+  // Workers (dispatcher_workers.cc, dispatcher_load.cc,
+  // dispatcher_losses.cc).
   void OnAttached(WorkerSlot slot, const Attached& attached, MonotonicTime now);
   /// Requeues the runs that are in none of the worker's lists.
   void RequeueUnlisted(WorkerSlot slot, const Attached& attached,
--- a/tests/integration/managed/cancel_in_flight_test.cc
+++ b/tests/integration/managed/cancel_in_flight_test.cc
@@ -86,6 +86,18 @@
   CHECK_FALSE((cancelling.reply.status == kGone && started));
 }
 
+/// Checks those that were acknowledged, at least one.
+void CheckAcknowledgedHold(ManagedCluster& site,
+                           const std::vector<Cancelling>& all) {
+  int acknowledged = 0;
+  for (const Cancelling& cancelling : all) {
+    if (!IsAcknowledged(cancelling.reply)) continue;
+    ++acknowledged;
+    CheckHolds(site, cancelling);
+  }
+  CHECK(acknowledged > 0);
+}
+
 TEST_CASE("an acknowledged cancelling of a submission in flight holds") {
   constexpr int kCount = 24;
   ManagedCluster site(kNodes, 4);
@@ -99,13 +111,7 @@
     const auto all = RunAll(site, first, kCount, 6 * delay);
     first += kCount;
     site.DelayTable(kUsualDelay);
-    int acknowledged = 0;
-    for (const Cancelling& cancelling : all) {
-      if (!IsAcknowledged(cancelling.reply)) continue;
-      ++acknowledged;
-      CheckHolds(site, cancelling);
-    }
-    CHECK(acknowledged > 0);
+    CheckAcknowledgedHold(site, all);
   }
   CHECK(DescribeUnexpectedEnds().empty());
 }
@@ -134,13 +140,7 @@
     site.RestartNode(leader);
     site.WaitUntilReady();
     static_cast<void>(site.AwaitServingLeader());
-    int acknowledged = 0;
-    for (const Cancelling& cancelling : all) {
-      if (!IsAcknowledged(cancelling.reply)) continue;
-      ++acknowledged;
-      CheckHolds(site, cancelling);
-    }
-    CHECK(acknowledged > 0);
+    CheckAcknowledgedHold(site, all);
   }
   CHECK(DescribeUnexpectedEnds().empty());
 }
